--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/transport/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the framed connections.
+ */
+package org.marjoramgw.transport;
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the wire messages.
+ */
+package org.marjoramgw.wire;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/HostPort.java
@@ -0,0 +1,47 @@
+package org.marjoramgw;
+
+import java.net.InetSocketAddress;
+
+/**
+ * TCP address as an IP number and a port.
+ *
+ * @param host IP number in its text form
+ * @param port TCP port, 0 to 65535; 0 asks for any free port
+ * @author The marjoramgw authors
+ */
+public record HostPort(String host, int port) {
+
+	private static final int MAX_PORT = 65_535;
+
+	/**
+	 * Parses {@code host:port}.
+	 * @param text the text form, for example {@code 127.0.0.1:8080}
+	 * @return the address
+	 * @throws IllegalArgumentException if the text is not an IP number and a port
+	 */
+	public static HostPort parse(String text) {
+		int colon = text.lastIndexOf(':');
+		if (colon <= 0 || !text.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
+			throw new IllegalArgumentException("not an IP number and a port: " + text);
+		}
+		int port = Integer.parseInt(text.substring(colon + 1));
+		if (port < 0 || port > MAX_PORT) {
+			throw new IllegalArgumentException("port out of range: " + text);
+		}
+		return new HostPort(text.substring(0, colon), port);
+	}
+
+	/**
+	 * Converts to a socket address.
+	 * @return the resolved socket address
+	 */
+	public InetSocketAddress toSocketAddress() {
+		return new InetSocketAddress(this.host, this.port);
+	}
+
+	@Override
+	public String toString() {
+		return this.host + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/MillisClock.java
@@ -0,0 +1,17 @@
+package org.marjoramgw;
+
+/**
+ * Clock in milliseconds.
+ *
+ * @author The marjoramgw authors
+ */
+@FunctionalInterface
+public interface MillisClock {
+
+	/**
+	 * Returns the current time.
+	 * @return milliseconds since the Unix epoch, never decreasing within a process
+	 */
+	long nowMillis();
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/ClaimVerdict.java
@@ -0,0 +1,36 @@
+package org.marjoramgw.claim;
+
+import org.marjoramgw.ResultCode;
+
+/**
+ * Verdict on a claim.
+ *
+ * @author The marjoramgw authors
+ */
+public sealed interface ClaimVerdict {
+
+	/**
+	 * The claim is the first of its key: the call may run.
+	 */
+	record Won() implements ClaimVerdict {
+	}
+
+	/**
+	 * The key has a recorded result.
+	 *
+	 * @param result the result
+	 */
+	record Repeated(RecordedResult result) implements ClaimVerdict {
+	}
+
+	/**
+	 * The call must not run.
+	 *
+	 * @param code why: one of {@link ResultCode#CLAIM_UNAVAILABLE},
+	 * {@link ResultCode#KEY_IN_PROGRESS}, {@link ResultCode#KEY_REUSED},
+	 * {@link ResultCode#KEY_OUTCOME_UNKNOWN} or {@link ResultCode#KEY_EXPIRED}
+	 */
+	record Refused(ResultCode code) implements ClaimVerdict {
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/ServiceKind.java
@@ -0,0 +1,16 @@
+package org.marjoramgw.config;
+
+/**
+ * Kind of a service.
+ *
+ * @author The marjoramgw authors
+ */
+public enum ServiceKind {
+
+	/** Model engines, reached through the chat path. */
+	MODEL,
+
+	/** Plain service, reached through the services path. */
+	PLAIN
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' configuration as immutable values.
+ */
+package org.marjoramgw.config;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/errors/LogUnavailableException.java
@@ -0,0 +1,23 @@
+package org.marjoramgw.errors;
+
+import org.marjoramgw.ResultCode;
+
+/**
+ * Signals that the log service refused or could not be reached; nothing was appended.
+ *
+ * @author The marjoramgw authors
+ */
+public final class LogUnavailableException extends CodedException {
+
+	private static final long serialVersionUID = 1L;
+
+	/**
+	 * Creates an exception.
+	 * @param detail what happened, for people
+	 * @param cause the cause, or {@code null}
+	 */
+	public LogUnavailableException(String detail, Throwable cause) {
+		super(ResultCode.LOG_AWAY, detail, cause);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/errors/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checked exceptions, one for each cause.
+ */
+package org.marjoramgw.errors;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
@@ -0,0 +1,112 @@
+package org.marjoramgw.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.HttpCredentials;
+import org.apache.pekko.stream.StreamTcpException;
+import org.marjoramgw.errors.HttpCallException;
+
+/**
+ * Blocking HTTP client for small JSON bodies; calls belong on a thread of their own.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpCaller {
+
+	private final ActorSystem<?> system;
+
+	private final long timeoutMillis;
+
+	private final String token;
+
+	/**
+	 * Creates a client.
+	 * @param system the actor system that runs the calls
+	 * @param timeoutMillis time limit of one call, in milliseconds
+	 * @param token bearer token to send, or an empty text
+	 */
+	public HttpCaller(ActorSystem<?> system, long timeoutMillis, String token) {
+		this.system = system;
+		this.timeoutMillis = timeoutMillis;
+		this.token = token;
+	}
+
+	/**
+	 * Sends a GET.
+	 * @param uri the absolute URI
+	 * @return the answer
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply get(String uri) throws HttpCallException {
+		return call(HttpRequest.GET(uri));
+	}
+
+	/**
+	 * Sends a POST with a JSON body.
+	 * @param uri the absolute URI
+	 * @param json the body
+	 * @return the answer
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply post(String uri, String json) throws HttpCallException {
+		return call(HttpRequest.POST(uri).withEntity(ContentTypes.APPLICATION_JSON, json));
+	}
+
+	/**
+	 * Sends a PUT with a JSON body.
+	 * @param uri the absolute URI
+	 * @param json the body
+	 * @return the answer
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply put(String uri, String json) throws HttpCallException {
+		return call(HttpRequest.PUT(uri).withEntity(ContentTypes.APPLICATION_JSON, json));
+	}
+
+	/**
+	 * Sends a DELETE.
+	 * @param uri the absolute URI
+	 * @return the answer
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply delete(String uri) throws HttpCallException {
+		return call(HttpRequest.create(uri).withMethod(HttpMethods.DELETE));
+	}
+
+	private HttpReply call(HttpRequest request) throws HttpCallException {
+		HttpRequest sent = this.token.isEmpty() ? request
+				: request.addCredentials(HttpCredentials.createOAuth2BearerToken(this.token));
+		try {
+			return Http.get(this.system)
+				.singleRequest(sent)
+				.thenCompose(this::strict)
+				.toCompletableFuture()
+				.get(this.timeoutMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new HttpCallException(request.getUri().toString(), false, ex);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			throw new HttpCallException(request.getUri().toString(), ex.getCause() instanceof StreamTcpException, ex);
+		}
+	}
+
+	private CompletionStage<HttpReply> strict(HttpResponse response) {
+		return response.entity()
+			.toStrict(this.timeoutMillis, this.system)
+			.thenApply((entity) -> new HttpReply(response.status().intValue(), entity.getContentType().toString(),
+					entity.getData().decodeString(StandardCharsets.UTF_8)));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small blocking HTTP client for the platform and the operators.
+ */
+package org.marjoramgw.http;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The platform's append-only log service.
+ */
+package org.marjoramgw.log;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/logging/JsonLinesWriter.java
@@ -0,0 +1,70 @@
+package org.marjoramgw.logging;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
+import org.tinylog.writers.Writer;
+
+/**
+ * Writer of log entries as JSON lines on standard output, since the VMs have no disks.
+ *
+ * @author The marjoramgw authors
+ */
+public final class JsonLinesWriter implements Writer {
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final PrintStream out = System.out;
+
+	/**
+	 * Creates a writer; called by tinylog.
+	 * @param properties the properties of the writer, none of which are used
+	 */
+	public JsonLinesWriter(Map<String, String> properties) {
+	}
+
+	@Override
+	public Collection<LogEntryValue> getRequiredLogEntryValues() {
+		return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.CLASS, LogEntryValue.MESSAGE,
+				LogEntryValue.EXCEPTION);
+	}
+
+	@Override
+	public void write(LogEntry entry) throws IOException {
+		ObjectNode line = this.mapper.createObjectNode();
+		line.put("time", entry.getTimestamp().toInstant().toString());
+		line.put("level", entry.getLevel().name());
+		line.put("logger", entry.getClassName());
+		line.put("message", entry.getMessage());
+		if (entry.getException() != null) {
+			line.put("error", stackTrace(entry.getException()));
+		}
+		this.out.println(this.mapper.writeValueAsString(line));
+	}
+
+	@Override
+	public void flush() {
+		this.out.flush();
+	}
+
+	@Override
+	public void close() {
+		this.out.flush();
+	}
+
+	private static String stackTrace(Throwable exception) {
+		StringWriter text = new StringWriter();
+		exception.printStackTrace(new PrintWriter(text));
+		return text.toString();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Structured log lines on standard output.
+ */
+package org.marjoramgw.logging;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/metrics/MetricsText.java
@@ -0,0 +1,43 @@
+package org.marjoramgw.metrics;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+
+import com.codahale.metrics.MetricRegistry;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+
+/**
+ * Text of a metric registry in the exposition format that scrapers read.
+ *
+ * @author The marjoramgw authors
+ */
+public final class MetricsText {
+
+	private final CollectorRegistry collectors = new CollectorRegistry();
+
+	/**
+	 * Creates a writer.
+	 * @param registry the metrics
+	 */
+	public MetricsText(MetricRegistry registry) {
+		new DropwizardExports(registry).register(this.collectors);
+	}
+
+	/**
+	 * Writes the present values.
+	 * @return the text
+	 */
+	public String write() {
+		try (StringWriter writer = new StringWriter()) {
+			TextFormat.write004(writer, this.collectors.metricFamilySamples());
+			return writer.toString();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Counters for results and retries, and their text format.
+ */
+package org.marjoramgw.metrics;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
@@ -0,0 +1,112 @@
+package org.marjoramgw.operator;
+
+import java.util.Map;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.hash.Hashing;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.HttpCredentials;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.PathMatchers;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.marjoramgw.metrics.MetricsText;
+import org.marjoramgw.trace.DecisionLog;
+
+/**
+ * Routes of the operators' endpoint: {@code /healthz} and {@code /metrics} for everybody,
+ * {@code /operator/status}, {@code /operator/explain/ID} and {@code /operator/drain} with
+ * the operators' token.
+ *
+ * @author The marjoramgw authors
+ */
+public final class OperatorRoutes extends AllDirectives {
+
+	private final OperatedProcess process;
+
+	private final DecisionLog decisions;
+
+	private final MetricsText metrics;
+
+	private final byte[] tokenDigest;
+
+	private final ObjectMapper mapper = JsonMapper.builder()
+		.annotationIntrospector(new NamedFieldIntrospector())
+		.build();
+
+	/**
+	 * Creates the routes.
+	 * @param process the process
+	 * @param decisions its record of decisions
+	 * @param registry its metrics
+	 * @param token the operators' token
+	 */
+	public OperatorRoutes(OperatedProcess process, DecisionLog decisions, MetricRegistry registry, String token) {
+		this.process = process;
+		this.decisions = decisions;
+		this.metrics = new MetricsText(registry);
+		this.tokenDigest = digest(token);
+	}
+
+	/**
+	 * Returns the routes.
+	 * @return one route that rejects every other path
+	 */
+	public Route route() {
+		return concat(path("healthz", () -> get(() -> complete(health()))), path("metrics",
+				() -> get(() -> complete(HttpEntities.create(ContentTypes.TEXT_PLAIN_UTF8, this.metrics.write())))),
+				pathPrefix("operator", () -> authorised(operatorRoute())));
+	}
+
+	private Route operatorRoute() {
+		return concat(path("status", () -> get(() -> complete(json(statusJson())))),
+				path(PathMatchers.segment("explain").slash(PathMatchers.segment()),
+						(requestId) -> get(() -> complete(json(this.decisions.of(requestId))))),
+				path("drain", () -> post(() -> {
+					this.process.drain();
+					return complete(StatusCodes.ACCEPTED);
+				})));
+	}
+
+	private Route authorised(Route inner) {
+		return extractCredentials((credentials) -> {
+			boolean known = credentials.filter(this::isOperator).isPresent();
+			return known ? inner : complete(StatusCodes.UNAUTHORIZED, "E6001 wrong or missing token\n");
+		});
+	}
+
+	private boolean isOperator(HttpCredentials credentials) {
+		return java.security.MessageDigest.isEqual(this.tokenDigest, digest(credentials.token()));
+	}
+
+	private HttpResponse health() {
+		boolean leaving = this.process.status().leaving();
+		return HttpResponse.create()
+			.withStatus(leaving ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.OK)
+			.withEntity(leaving ? "leaving\n" : "ok\n");
+	}
+
+	private Map<String, Object> statusJson() {
+		return Map.of("identity", this.process.identity(), "status", this.process.status());
+	}
+
+	private HttpResponse json(Object value) {
+		try {
+			return HttpResponse.create()
+				.withEntity(ContentTypes.APPLICATION_JSON, this.mapper.writeValueAsString(value));
+		}
+		catch (JsonProcessingException ex) {
+			return HttpResponse.create().withStatus(StatusCodes.INTERNAL_SERVER_ERROR);
+		}
+	}
+
+	private static byte[] digest(String token) {
+		return Hashing.sha256().hashString(token, java.nio.charset.StandardCharsets.UTF_8).asBytes();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP endpoint that each process offers to operators.
+ */
+package org.marjoramgw.operator;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command-line frame that the programs share.
+ */
+package org.marjoramgw.program;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -0,0 +1,360 @@
+package org.marjoramgw.settings;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.errors.InvalidTextException;
+
+/**
+ * Checked view of one TOML table that collects every mistake.
+ * <p>
+ * Each read names its key, its default and its bounds. {@link #finish()} adds the keys
+ * that nobody read; the root's {@link #throwIfInvalid()} reports all mistakes at once.
+ *
+ * @author The marjoramgw authors
+ */
+public final class TomlTable {
+
+	private static final TomlMapper MAPPER = new TomlMapper();
+
+	private static final String[] UNIT_SUFFIXES = { "_ms", "_bytes", "_percent", "_per_second", "_count" };
+
+	private final String file;
+
+	private final String path;
+
+	private final JsonNode node;
+
+	private final KeyLines lines;
+
+	private final List<Problem> problems;
+
+	private final Set<String> readKeys = new HashSet<>();
+
+	private TomlTable(String file, String path, JsonNode node, KeyLines lines, List<Problem> problems) {
+		this.file = file;
+		this.path = path;
+		this.node = node;
+		this.lines = lines;
+		this.problems = problems;
+	}
+
+	/**
+	 * Reads a file.
+	 * @param path the file
+	 * @return its root table
+	 * @throws InvalidTextException if the file can't be read or is not TOML
+	 */
+	public static TomlTable ofFile(Path path) throws InvalidTextException {
+		try {
+			return ofText(path.toString(), Files.readString(path));
+		}
+		catch (java.io.IOException ex) {
+			throw new InvalidTextException(
+					List.of(new Problem(ResultCode.FILE_UNREADABLE, path.toString(), 0, "", "a readable UTF-8 file")));
+		}
+	}
+
+	/**
+	 * Parses a text.
+	 * @param file name used in messages
+	 * @param text the TOML text
+	 * @return its root table
+	 * @throws InvalidTextException if the text is not TOML
+	 */
+	public static TomlTable ofText(String file, String text) throws InvalidTextException {
+		try {
+			return new TomlTable(file, "", MAPPER.readTree(text), new KeyLines(text), new ArrayList<>());
+		}
+		catch (JsonProcessingException ex) {
+			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
+			throw new InvalidTextException(
+					List.of(new Problem(ResultCode.NOT_TOML, file, line, "", "TOML: " + ex.getOriginalMessage())));
+		}
+		catch (RuntimeException ex) {
+			throw new InvalidTextException(
+					List.of(new Problem(ResultCode.NOT_TOML, file, 0, "", "TOML: " + ex.getMessage())));
+		}
+	}
+
+	/**
+	 * Reads a required text.
+	 * @param key the key
+	 * @return the text, or an empty text after a recorded mistake
+	 */
+	public String text(String key) {
+		JsonNode value = required(key, "a text");
+		return (value != null) ? asText(key, value, "") : "";
+	}
+
+	/**
+	 * Reads an optional text.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @return the text
+	 */
+	public String text(String key, String defaultValue) {
+		JsonNode value = read(key);
+		return (value != null) ? asText(key, value, defaultValue) : defaultValue;
+	}
+
+	/**
+	 * Reads an optional text that must be one of a set.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @param allowed the allowed texts
+	 * @return the text
+	 */
+	public String choice(String key, String defaultValue, Set<String> allowed) {
+		String value = text(key, defaultValue);
+		if (!allowed.contains(value)) {
+			add(ResultCode.BAD_VALUE, key, "one of " + new java.util.TreeSet<>(allowed));
+			return defaultValue;
+		}
+		return value;
+	}
+
+	/**
+	 * Reads a whole number within bounds.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @param min the least allowed value
+	 * @param max the greatest allowed value
+	 * @return the number
+	 */
+	public long number(String key, long defaultValue, long min, long max) {
+		JsonNode value = read(key);
+		return (value != null) ? asNumber(key, value, defaultValue, min, max) : defaultValue;
+	}
+
+	/**
+	 * Reads a required whole number within bounds.
+	 * @param key the key
+	 * @param min the least allowed value
+	 * @param max the greatest allowed value
+	 * @return the number, or {@code min} after a recorded mistake
+	 */
+	public long number(String key, long min, long max) {
+		JsonNode value = required(key, "a whole number from " + min + " to " + max);
+		return (value != null) ? asNumber(key, value, min, min, max) : min;
+	}
+
+	/**
+	 * Reads an optional truth value.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @return the truth value
+	 */
+	public boolean flag(String key, boolean defaultValue) {
+		JsonNode value = read(key);
+		if (value == null) {
+			return defaultValue;
+		}
+		if (!value.isBoolean()) {
+			add(ResultCode.BAD_VALUE, key, "true or false");
+		}
+		return value.asBoolean(defaultValue);
+	}
+
+	/**
+	 * Reads a required address.
+	 * @param key the key
+	 * @return the address, or {@code 127.0.0.1:0} after a recorded mistake
+	 */
+	public HostPort address(String key) {
+		JsonNode value = required(key, "an address such as 127.0.0.1:8080");
+		return (value != null) ? asAddress(key, value) : new HostPort("127.0.0.1", 0);
+	}
+
+	/**
+	 * Reads an optional address.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent, may be {@code null}
+	 * @return the address
+	 */
+	public HostPort address(String key, HostPort defaultValue) {
+		JsonNode value = read(key);
+		return (value != null) ? asAddress(key, value) : defaultValue;
+	}
+
+	/**
+	 * Reads an optional list of texts.
+	 * @param key the key
+	 * @return the texts, empty if the key is absent
+	 */
+	public List<String> texts(String key) {
+		JsonNode value = read(key);
+		if (value == null) {
+			return List.of();
+		}
+		List<String> texts = new ArrayList<>();
+		boolean valid = value.isArray();
+		for (JsonNode element : value) {
+			valid = valid && element.isTextual();
+			texts.add(element.asText());
+		}
+		if (!valid) {
+			add(ResultCode.BAD_VALUE, key, "a list of texts");
+			return List.of();
+		}
+		return List.copyOf(texts);
+	}
+
+	/**
+	 * Reads an optional table.
+	 * @param key the key
+	 * @return the table, empty if the key is absent
+	 */
+	public TomlTable table(String key) {
+		JsonNode value = read(key);
+		if (value != null && !value.isObject()) {
+			add(ResultCode.BAD_VALUE, key, "a table");
+		}
+		JsonNode object = (value != null && value.isObject()) ? value : MAPPER.createObjectNode();
+		return new TomlTable(this.file, qualified(key), object, this.lines, this.problems);
+	}
+
+	/**
+	 * Reads a table of named tables, for example {@code [classes.NAME]}.
+	 * @param <T> what each table becomes
+	 * @param key the key
+	 * @param reader converts one table; {@link #finish()} is called on it afterwards
+	 * @return the converted tables by name, in the order of the text
+	 */
+	public <T> Map<String, T> namedTables(String key, Function<TomlTable, T> reader) {
+		TomlTable parent = table(key);
+		Map<String, T> result = new LinkedHashMap<>();
+		parent.node.fieldNames().forEachRemaining((name) -> {
+			TomlTable child = parent.table(name);
+			result.put(name, reader.apply(child));
+			child.finish();
+		});
+		return Collections.unmodifiableMap(result);
+	}
+
+	/**
+	 * Reads an array of tables, for example {@code [[rules]]}.
+	 * @param <T> what each table becomes
+	 * @param key the key
+	 * @param reader converts one table; {@link #finish()} is called on it afterwards
+	 * @return the converted tables in the order of the text
+	 */
+	public <T> List<T> tables(String key, Function<TomlTable, T> reader) {
+		JsonNode value = read(key);
+		List<T> result = new ArrayList<>();
+		if (value == null) {
+			return result;
+		}
+		if (!value.isArray()) {
+			add(ResultCode.BAD_VALUE, key, "an array of tables");
+			return result;
+		}
+		for (int index = 0; index < value.size(); index++) {
+			String name = qualified(key) + "[" + index + "]";
+			TomlTable child = new TomlTable(this.file, name, value.get(index), this.lines, this.problems);
+			result.add(reader.apply(child));
+			child.finish();
+		}
+		return List.copyOf(result);
+	}
+
+	/**
+	 * Records a mistake found by the caller, such as a reference to nothing.
+	 * @param code the numbered kind of mistake
+	 * @param key key within this table
+	 * @param expected what was expected, for people
+	 */
+	public void add(ResultCode code, String key, String expected) {
+		String name = qualified(key);
+		this.problems.add(new Problem(code, this.file, this.lines.lineOf(name), name, expected));
+	}
+
+	/**
+	 * Records each key that was not read as unknown.
+	 */
+	public void finish() {
+		this.node.fieldNames().forEachRemaining((key) -> {
+			if (!this.readKeys.contains(key)) {
+				addUnread(key);
+			}
+		});
+	}
+
+	/**
+	 * Finishes this table and reports all mistakes of the text.
+	 * @throws InvalidTextException if there are any
+	 */
+	public void throwIfInvalid() throws InvalidTextException {
+		finish();
+		if (!this.problems.isEmpty()) {
+			throw new InvalidTextException(this.problems);
+		}
+	}
+
+	private void addUnread(String key) {
+		for (String suffix : UNIT_SUFFIXES) {
+			if (this.readKeys.contains(key + suffix)) {
+				add(ResultCode.MISSING_UNIT, key, "the key " + key + suffix);
+				return;
+			}
+		}
+		add(ResultCode.UNKNOWN_KEY, key, "one of " + new java.util.TreeSet<>(this.readKeys));
+	}
+
+	private JsonNode read(String key) {
+		this.readKeys.add(key);
+		return this.node.get(key);
+	}
+
+	private JsonNode required(String key, String expected) {
+		JsonNode value = read(key);
+		if (value == null) {
+			add(ResultCode.MISSING_KEY, key, expected);
+		}
+		return value;
+	}
+
+	private String asText(String key, JsonNode value, String defaultValue) {
+		if (!value.isTextual()) {
+			add(ResultCode.BAD_VALUE, key, "a text");
+			return defaultValue;
+		}
+		return value.asText();
+	}
+
+	private long asNumber(String key, JsonNode value, long defaultValue, long min, long max) {
+		if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < min || value.asLong() > max) {
+			add(ResultCode.BAD_VALUE, key, "a whole number from " + min + " to " + max);
+			return defaultValue;
+		}
+		return value.asLong();
+	}
+
+	private HostPort asAddress(String key, JsonNode value) {
+		try {
+			return HostPort.parse(value.asText());
+		}
+		catch (IllegalArgumentException ex) {
+			add(ResultCode.BAD_ADDRESS, key, "an IP number and a port such as 127.0.0.1:8080");
+			return new HostPort("127.0.0.1", 0);
+		}
+	}
+
+	private String qualified(String key) {
+		return this.path.isEmpty() ? key : this.path + "." + key;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checked settings of a process, read from TOML.
+ */
+package org.marjoramgw.settings;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/trace/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Bounded record of the decisions that a process made about recent requests.
+ */
+package org.marjoramgw.trace;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
@@ -0,0 +1,153 @@
+package org.marjoramgw.transport;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.io.Inet.SocketOption;
+import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.QueueOfferResult;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Framing;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.stream.scaladsl.Framing.FramingException;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.errors.MalformedFrameException;
+import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.MessageCodec;
+
+/**
+ * Transport over Pekko's TCP streams, with a four-byte length before each frame.
+ *
+ * @author The marjoramgw authors
+ */
+public final class PekkoTransport implements Transport {
+
+	private static final int BACKLOG_CONNECTIONS = 256;
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+
+	private static final List<SocketOption> NO_DELAY = List.of(TcpSO.tcpNoDelay(true));
+
+	private final ActorSystem<?> system;
+
+	private final MessageCodec codec;
+
+	private final int maxFrameBytes;
+
+	private final int bufferFrames;
+
+	/**
+	 * Creates a transport.
+	 * @param system the actor system that runs the streams
+	 * @param codec the message codec
+	 * @param maxFrameBytes bound of one frame, in bytes
+	 * @param bufferFrames bound of the frames that wait to be sent on one connection
+	 */
+	public PekkoTransport(ActorSystem<?> system, MessageCodec codec, int maxFrameBytes, int bufferFrames) {
+		this.system = system;
+		this.codec = codec;
+		this.maxFrameBytes = maxFrameBytes;
+		this.bufferFrames = bufferFrames;
+	}
+
+	@Override
+	public CompletionStage<HostPort> listen(HostPort address, ConnectionAcceptor acceptor) {
+		return Tcp.get(this.system)
+			.bind(address.host(), address.port(), BACKLOG_CONNECTIONS, NO_DELAY, false, Optional.empty())
+			.to(Sink.foreach((incoming) -> incoming.flow().join(newFlow(acceptor)).run(this.system)))
+			.run(this.system)
+			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
+	}
+
+	@Override
+	public void connect(HostPort address, ConnectionAcceptor acceptor) {
+		Tcp.get(this.system)
+			.outgoingConnection(address.toSocketAddress(), Optional.empty(), NO_DELAY, false,
+					Optional.of(CONNECT_TIMEOUT), Optional.empty())
+			.join(newFlow(acceptor))
+			.run(this.system);
+	}
+
+	private Flow<ByteString, ByteString, NotUsed> newFlow(ConnectionAcceptor acceptor) {
+		Pair<BoundedSourceQueue<ByteString>, Source<ByteString, NotUsed>> outbound = Source
+			.<ByteString>queue(this.bufferFrames)
+			.preMaterialize(this.system);
+		QueueConnection connection = new QueueConnection(outbound.first());
+		ConnectionHandler handler = acceptor.accept(connection);
+		Sink<ByteString, CompletionStage<Done>> inbound = Flow.of(ByteString.class)
+			.map((frame) -> this.codec.decode(frame.toArray()))
+			.toMat(Sink.foreach(handler::onMessage), Keep.right());
+		Flow<ByteString, ByteString, NotUsed> frames = Flow.fromSinkAndSourceCoupledMat(inbound, outbound.second(),
+				(done, unused) -> {
+					done.whenComplete((value, failure) -> onInboundEnd(connection, handler, failure));
+					return NotUsed.getInstance();
+				});
+		return Framing.simpleFramingProtocol(this.maxFrameBytes).reversed().join(frames);
+	}
+
+	private void onInboundEnd(QueueConnection connection, ConnectionHandler handler, Throwable failure) {
+		connection.close();
+		handler.onClosed(connection.overflowed.get() ? ResultCode.PEER_SLOW : reasonOf(failure));
+	}
+
+	private static ResultCode reasonOf(Throwable failure) {
+		boolean malformed = Optional.ofNullable(failure)
+			.filter((cause) -> cause instanceof MalformedFrameException || cause instanceof FramingException)
+			.isPresent();
+		return malformed ? ResultCode.BAD_FRAME : ResultCode.PEER_CLOSED;
+	}
+
+	private final class QueueConnection implements Connection {
+
+		private final BoundedSourceQueue<ByteString> queue;
+
+		private final AtomicBoolean closed = new AtomicBoolean();
+
+		private final AtomicBoolean overflowed = new AtomicBoolean();
+
+		QueueConnection(BoundedSourceQueue<ByteString> queue) {
+			this.queue = queue;
+		}
+
+		@Override
+		public void send(Message message) {
+			if (this.closed.get()) {
+				return;
+			}
+			byte[] frame = PekkoTransport.this.codec.encode(message);
+			QueueOfferResult result = this.queue.offer(ByteString.fromArrayUnsafe(frame));
+			if (result == QueueOfferResult.dropped()) {
+				this.overflowed.set(true);
+				abort();
+			}
+		}
+
+		@Override
+		public void close() {
+			if (this.closed.compareAndSet(false, true) && !this.queue.isCompleted()) {
+				this.queue.complete();
+			}
+		}
+
+		private void abort() {
+			if (this.closed.compareAndSet(false, true) && !this.queue.isCompleted()) {
+				this.queue.fail(new java.io.IOException(ResultCode.PEER_SLOW.text()));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The platform's list of live and leaving VMs.
+ */
+package org.marjoramgw.vmlist;
