Add the stand-ins and the fault proxy

Tests and the demo need engines, plain services and the platform without third-party servers. An engine that crashed refuses connections truly, by unbinding its port, so its control has an address of its own beside.

--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/HttpEndpoint.java
@@ -0,0 +1,182 @@
+package org.marjoramgw.standin;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.AttributeKey;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.TLSProtocol.SessionBytes;
+import org.apache.pekko.stream.TLSProtocol.SslTlsInbound;
+import org.apache.pekko.stream.TLSProtocol.SslTlsOutbound;
+import org.apache.pekko.stream.UniqueKillSwitch;
+import org.apache.pekko.stream.javadsl.BidiFlow;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.TLSPlacebo;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.HostPort;
+
+/**
+ * HTTP endpoint whose connections can be cut without an answer.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpEndpoint implements AutoCloseable {
+
+	private static final AttributeKey<Runnable> CUT = AttributeKey.create("cut", Runnable.class);
+
+	private static final int BACKLOG_CONNECTIONS = 512;
+
+	private static final long BIND_TIMEOUT_MILLIS = 10_000;
+
+	private final StandinSystem system;
+
+	private final Route route;
+
+	private final Set<UniqueKillSwitch> connections = ConcurrentHashMap.newKeySet();
+
+	private HostPort address;
+
+	private Tcp.ServerBinding binding;
+
+	/**
+	 * Creates an endpoint that listens at once.
+	 * @param system the shared threads
+	 * @param address address to listen to; port 0 takes a free one
+	 * @param route what it answers
+	 */
+	public HttpEndpoint(StandinSystem system, HostPort address, Route route) {
+		this.system = system;
+		this.route = route;
+		this.address = address;
+		listen();
+	}
+
+	/**
+	 * Returns where it listens or last listened.
+	 * @return the bound address
+	 */
+	public synchronized HostPort address() {
+		return this.address;
+	}
+
+	/**
+	 * Listens again on the same address after {@link #refuse()}.
+	 */
+	public synchronized void listen() {
+		if (this.binding != null) {
+			return;
+		}
+		this.binding = await(Tcp.get(this.system.actors())
+			.bind(this.address.host(), this.address.port(), BACKLOG_CONNECTIONS,
+					java.util.List.of(TcpSO.tcpNoDelay(true)), false, Optional.empty())
+			.to(Sink.foreach(this::accept))
+			.run(this.system.actors()));
+		this.address = new HostPort(this.address.host(), this.binding.localAddress().getPort());
+	}
+
+	/**
+	 * Breaks off all connections and refuses new ones.
+	 */
+	public synchronized void refuse() {
+		if (this.binding == null) {
+			return;
+		}
+		await(this.binding.unbind());
+		this.binding = null;
+		this.connections.forEach((connection) -> connection.abort(new java.io.IOException("refused")));
+	}
+
+	/**
+	 * Cuts the connection that a request came on, without an answer.
+	 * @param request the request
+	 */
+	public static void cut(HttpRequest request) {
+		request.getAttribute(CUT).ifPresent(Runnable::run);
+	}
+
+	@Override
+	public void close() {
+		refuse();
+	}
+
+	private void accept(Tcp.IncomingConnection incoming) {
+		UniqueKillSwitch connection = incoming.flow()
+			.viaMat(KillSwitches.single(), Keep.right())
+			.watchTermination((killSwitch, done) -> {
+				this.connections.add(killSwitch);
+				done.whenComplete((value, failure) -> this.connections.remove(killSwitch));
+				return killSwitch;
+			})
+			.joinMat(tcpFlow(), Keep.both())
+			.mapMaterializedValue((pair) -> {
+				pair.second().connection = pair.first();
+				return pair.first();
+			})
+			.run(this.system.actors());
+		if (isRefusing()) {
+			connection.abort(new java.io.IOException("refused"));
+		}
+	}
+
+	private synchronized boolean isRefusing() {
+		return this.binding == null && this.address.port() != 0;
+	}
+
+	private Flow<ByteString, ByteString, Cutter> tcpFlow() {
+		Cutter cutter = new Cutter();
+		Flow<HttpRequest, HttpResponse, NotUsed> handler = Flow.of(HttpRequest.class)
+			.map((request) -> request.addAttribute(CUT, cutter))
+			.via(this.route.flow(this.system.actors()));
+		return Http.get(this.system.actors())
+			.serverLayer()
+			.atop(plainBytes())
+			.reversed()
+			.join(handler)
+			.mapMaterializedValue((unused) -> cutter);
+	}
+
+	private static BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed> plainBytes() {
+		Flow<SslTlsOutbound, SslTlsOutbound, NotUsed> outbound = Flow.create();
+		Flow<SessionBytes, SslTlsInbound, NotUsed> inbound = Flow.of(SessionBytes.class).map((bytes) -> bytes);
+		return BidiFlow.fromFlows(outbound, inbound).atop(TLSPlacebo.getInstance());
+	}
+
+	private static <T> T await(java.util.concurrent.CompletionStage<T> stage) {
+		try {
+			return stage.toCompletableFuture().get(BIND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException ex) {
+			throw new IllegalStateException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static final class Cutter implements Runnable {
+
+		private volatile UniqueKillSwitch connection;
+
+		@Override
+		public void run() {
+			UniqueKillSwitch current = this.connection;
+			if (current != null) {
+				current.abort(new java.io.IOException("cut"));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinSystem.java
@@ -0,0 +1,58 @@
+package org.marjoramgw.standin;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.SystemMillisClock;
+
+/**
+ * Threads that any number of stand-ins in one process share.
+ *
+ * @author The marjoramgw authors
+ */
+public final class StandinSystem implements AutoCloseable {
+
+	private final ActorSystem<Void> actors = ActorSystem.create(Behaviors.empty(), "standin");
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "standin-timer");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final MillisClock clock = new SystemMillisClock();
+
+	/**
+	 * Returns the actor system that runs the HTTP endpoints.
+	 * @return the actor system
+	 */
+	public ActorSystem<Void> actors() {
+		return this.actors;
+	}
+
+	/**
+	 * Returns the one thread for timed work; tasks on it must be short.
+	 * @return the timer
+	 */
+	public ScheduledExecutorService timer() {
+		return this.timer;
+	}
+
+	/**
+	 * Returns the clock.
+	 * @return the clock
+	 */
+	public MillisClock clock() {
+		return this.clock;
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.actors.terminate();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/engine/AnswerText.java
@@ -0,0 +1,100 @@
+package org.marjoramgw.standin.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
+
+/**
+ * Answer that an engine stand-in gives to a prompt: a text that depends on the prompt
+ * alone, and a length that follows from the prompt and a seed.
+ *
+ * @author The marjoramgw authors
+ */
+public final class AnswerText {
+
+	private static final Pattern LENGTH = Pattern.compile("^len=(\\d{1,6}) ");
+
+	private static final int MARKER_LENGTH = 8;
+
+	private static final double PERCENT = 100;
+
+	private final String sha256;
+
+	private final String marker;
+
+	private final int tokenCount;
+
+	/**
+	 * Creates the answer.
+	 * @param prompt content of the last message
+	 * @param settings seed and length distribution
+	 */
+	public AnswerText(String prompt, EngineSettings settings) {
+		HashCode hash = Hashing.sha256().hashString(prompt, StandardCharsets.UTF_8);
+		this.sha256 = hash.toString();
+		this.marker = this.sha256.substring(0, MARKER_LENGTH);
+		Matcher fixed = LENGTH.matcher(prompt);
+		this.tokenCount = fixed.find() ? Integer.parseInt(fixed.group(1)) : randomLength(hash, settings);
+	}
+
+	/**
+	 * Returns the hash of the prompt.
+	 * @return the SHA-256 in hexadecimal digits
+	 */
+	public String sha256() {
+		return this.sha256;
+	}
+
+	/**
+	 * Returns the length of the whole answer.
+	 * @return the number of tokens
+	 */
+	public int tokenCount() {
+		return this.tokenCount;
+	}
+
+	/**
+	 * Returns one token.
+	 * @param index number of the token, from 0
+	 * @return its text
+	 */
+	public String token(int index) {
+		return this.marker + ":" + index + " ";
+	}
+
+	/**
+	 * Returns the first tokens in one text.
+	 * @param count how many tokens
+	 * @return their text
+	 */
+	public String text(int count) {
+		StringBuilder text = new StringBuilder();
+		for (int index = 0; index < count; index++) {
+			text.append(token(index));
+		}
+		return text.toString();
+	}
+
+	/**
+	 * Counts the tokens of a prefix of the answer.
+	 * @param prefix the prefix
+	 * @return the number of tokens, or -1 if it is no prefix in whole tokens
+	 */
+	public int tokensOf(String prefix) {
+		int count = (int) prefix.chars().filter((character) -> character == ' ').count();
+		boolean matches = count <= this.tokenCount && text(count).equals(prefix);
+		return matches ? count : -1;
+	}
+
+	private static int randomLength(HashCode hash, EngineSettings settings) {
+		Random random = new Random(hash.asLong() ^ settings.seed());
+		double spread = settings.sigmaPercent() / PERCENT * random.nextGaussian();
+		long length = Math.round(settings.medianTokens() * Math.exp(spread));
+		return (int) Math.max(1, Math.min(length, settings.maxTokens()));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/engine/ChatCall.java
@@ -0,0 +1,53 @@
+package org.marjoramgw.standin.engine;
+
+import java.util.List;
+
+/**
+ * Call for a generation.
+ *
+ * @param model name of the model
+ * @param messages the conversation, at least one message
+ * @param maxTokens bound of the whole answer in tokens, or {@code null}
+ * @param requestId id of the request, or {@code null}
+ * @param priority tier, 1 first, or {@code null} for the last
+ * @param continueFrom answer so far, or {@code null}
+ * @author The marjoramgw authors
+ */
+record ChatCall(String model, List<ChatMessage> messages, Integer maxTokens, String requestId, Integer priority,
+		String continueFrom) {
+
+	private static final int LAST_TIER = 1_000;
+
+	boolean isValid() {
+		return this.model != null && this.messages != null && !this.messages.isEmpty()
+				&& this.messages.stream().allMatch((message) -> message.content() != null);
+	}
+
+	String prompt() {
+		return this.messages.get(this.messages.size() - 1).content();
+	}
+
+	String conversation() {
+		StringBuilder text = new StringBuilder();
+		this.messages.forEach((message) -> text.append(message.content()).append('\n'));
+		return text.toString();
+	}
+
+	int tier() {
+		return (this.priority != null) ? this.priority : LAST_TIER;
+	}
+
+	String held() {
+		return (this.continueFrom != null) ? this.continueFrom : "";
+	}
+
+	/**
+	 * One message.
+	 *
+	 * @param role who speaks
+	 * @param content what is said
+	 */
+	record ChatMessage(String role, String content) {
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/engine/EngineRoutes.java
@@ -0,0 +1,126 @@
+package org.marjoramgw.standin.engine;
+
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.PathMatchers;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.standin.Json;
+import org.marjoramgw.standin.LaggingValue;
+import org.marjoramgw.standin.StandinSystem;
+
+/**
+ * HTTP routes of an engine stand-in.
+ *
+ * @author The marjoramgw authors
+ */
+final class EngineRoutes extends AllDirectives {
+
+	private static final int BUFFER_EVENTS = 4_096;
+
+	private final StandinSystem system;
+
+	private final EngineStandin engine;
+
+	EngineRoutes(StandinSystem system, EngineStandin engine) {
+		this.system = system;
+		this.engine = engine;
+	}
+
+	Route route() {
+		return concat(
+				pathPrefix("v1", () -> concat(
+						path(PathMatchers.segment("chat").slash("completions"),
+								() -> post(
+										() -> entity(Unmarshaller.entityToString(), (body) -> complete(chat(body))))),
+						path(PathMatchers.segment("requests").slash(PathMatchers.segment()),
+								(id) -> delete(() -> complete(cancel(id)))))),
+				path("load", () -> get(() -> complete(load()))),
+				path("state", () -> get(() -> complete(Json.ok(this.engine.orders().state())))),
+				path("orders",
+						() -> post(() -> entity(Unmarshaller.entityToString(), (body) -> complete(order(body))))),
+				controlRoute());
+	}
+
+	Route controlRoute() {
+		return concat(
+				path("control",
+						() -> put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(control(body))))),
+				path(PathMatchers.segment("control").slash("executions"),
+						() -> get(() -> complete(Json.ok(Map.of("executions", this.engine.executions()))))));
+	}
+
+	private HttpResponse chat(String body) {
+		try {
+			ChatCall call = Json.read(body, ChatCall.class);
+			return call.isValid() ? generate(call) : Json.error(400, "model and messages are required");
+		}
+		catch (JsonProcessingException ex) {
+			return Json.error(400, ex.getOriginalMessage());
+		}
+	}
+
+	private HttpResponse generate(ChatCall call) {
+		if (!this.engine.orders().serves(call.model())) {
+			return Json.error(404, "model is not loaded: " + call.model());
+		}
+		AnswerText answer = this.engine.answerTo(call.prompt());
+		int heldTokens = answer.tokensOf(call.held());
+		if (heldTokens < 0) {
+			return Json.error(400, "continue_from is not a prefix of the answer");
+		}
+		Pair<BoundedSourceQueue<ByteString>, Source<ByteString, NotUsed>> events = Source
+			.<ByteString>queue(BUFFER_EVENTS)
+			.preMaterialize(this.system.actors());
+		String id = (call.requestId() != null) ? call.requestId() : "";
+		this.engine.batch().submit(call, answer, heldTokens, new QueueTokenSink(events.first(), id, call.model()));
+		return HttpResponse.create()
+			.withEntity(HttpEntities.createChunked(ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), events.second()));
+	}
+
+	private HttpResponse cancel(String requestId) {
+		return switch (this.engine.batch().cancel(requestId)) {
+			case UNKNOWN -> Json.error(404, "not known: " + requestId);
+			case NOT_STARTED -> Json.ok(Map.of("started", false));
+			case STARTED -> Json.ok(Map.of("started", true));
+		};
+	}
+
+	private HttpResponse load() {
+		LaggingValue.Version<Load> seen = this.engine.load().seen();
+		return Json.ok(Map.of("running", seen.value().running(), "waiting", seen.value().waiting(), "as_of_ms",
+				seen.sinceMillis()));
+	}
+
+	private HttpResponse order(String body) {
+		try {
+			boolean taken = this.engine.orders().apply(Json.read(body, Orders.Order.class));
+			return taken ? Json.ok(this.engine.orders().state()) : Json.error(409, "old fencing number");
+		}
+		catch (JsonProcessingException ex) {
+			return Json.error(400, ex.getOriginalMessage());
+		}
+	}
+
+	private HttpResponse control(String body) {
+		try {
+			this.engine.control(Json.read(body, EngineControl.class));
+			return Json.ok(Map.of());
+		}
+		catch (JsonProcessingException ex) {
+			return Json.error(400, ex.getOriginalMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogRoutes.java
@@ -0,0 +1,125 @@
+package org.marjoramgw.standin.log;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.PathMatchers;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.javadsl.unmarshalling.StringUnmarshallers;
+import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
+import org.marjoramgw.log.LogRecord;
+import org.marjoramgw.log.LogSlice;
+import org.marjoramgw.standin.HttpEndpoint;
+import org.marjoramgw.standin.Json;
+import org.marjoramgw.standin.StandinSystem;
+
+/**
+ * HTTP routes of a log stand-in.
+ *
+ * @author The marjoramgw authors
+ */
+final class LogRoutes extends AllDirectives {
+
+	private static final int DEFAULT_READ_COUNT = 100;
+
+	private static final int MAX_READ_COUNT = 10_000;
+
+	private final StandinSystem system;
+
+	private final LogStandin log;
+
+	LogRoutes(StandinSystem system, LogStandin log) {
+		this.system = system;
+		this.log = log;
+	}
+
+	Route route() {
+		return concat(pathPrefix("streams", () -> path(PathMatchers.segment().slash("records"), this::stream)),
+				path("control", () -> put(() -> entity(Unmarshaller.entityToString(), this::control))));
+	}
+
+	private Route stream(String stream) {
+		return concat(
+				post(() -> extractRequest((request) -> entity(Unmarshaller.entityToString(),
+						(body) -> completeWithFuture(append(request, stream, body))))),
+				get(() -> parameterOptional(StringUnmarshallers.LONG, "from",
+						(from) -> parameterOptional(StringUnmarshallers.INTEGER, "limit", (limit) -> completeWithFuture(
+								read(stream, from.orElse(0L), limit.orElse(DEFAULT_READ_COUNT)))))));
+	}
+
+	private Route control(String body) {
+		try {
+			this.log.control(Json.read(body, LogControl.class));
+			return complete(Json.ok(new Object[0]));
+		}
+		catch (JsonProcessingException ex) {
+			return complete(Json.error(400, ex.getOriginalMessage()));
+		}
+	}
+
+	private CompletionStage<HttpResponse> append(HttpRequest request, String stream, String body) {
+		if (this.log.isOutage()) {
+			return later(Json.error(503, "outage"));
+		}
+		if (!this.log.tryAppend()) {
+			return later(Json.error(429, "over the append rate"));
+		}
+		try {
+			long firstOffset = this.log.store().append(stream, Json.read(body, AppendBody.class).records());
+			if (this.log.losesNextAnswer()) {
+				HttpEndpoint.cut(request);
+				return new CompletableFuture<>();
+			}
+			return later(Json.ok(new AppendReply(firstOffset)));
+		}
+		catch (JsonProcessingException ex) {
+			return later(Json.error(400, ex.getOriginalMessage()));
+		}
+	}
+
+	private CompletionStage<HttpResponse> read(String stream, long from, int limit) {
+		if (this.log.isOutage()) {
+			return later(Json.error(503, "outage"));
+		}
+		LogSlice slice = this.log.store().read(stream, from, Math.min(limit, MAX_READ_COUNT));
+		List<RecordBody> records = slice.records().stream().map(RecordBody::of).toList();
+		return later(Json.ok(new ReadReply(slice.firstOffset(), slice.nextOffset(), records)));
+	}
+
+	private CompletionStage<HttpResponse> later(HttpResponse response) {
+		CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+		Duration delay = Duration.ofMillis(this.log.delayMillis());
+		if (delay.isZero()) {
+			answer.complete(response);
+		}
+		else {
+			this.system.timer().schedule(() -> answer.complete(response), delay.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		return answer;
+	}
+
+	private record AppendBody(List<String> records) {
+	}
+
+	private record AppendReply(long firstOffset) {
+	}
+
+	private record RecordBody(long offset, long timeMs, String data) {
+
+		static RecordBody of(LogRecord kept) {
+			return new RecordBody(kept.offset(), kept.timeMillis(), kept.data());
+		}
+
+	}
+
+	private record ReadReply(long firstOffset, long nextOffset, List<RecordBody> records) {
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStandin.java
@@ -0,0 +1,95 @@
+package org.marjoramgw.standin.log;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.standin.HttpEndpoint;
+import org.marjoramgw.standin.Standin;
+import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.standin.TokenBucket;
+
+/**
+ * Log service stand-in with retention, a rate limit and faults.
+ *
+ * @author The marjoramgw authors
+ */
+public final class LogStandin implements Standin {
+
+	private final LogStore store;
+
+	private final TokenBucket appends;
+
+	private final HttpEndpoint endpoint;
+
+	private final AtomicInteger answersToLose = new AtomicInteger();
+
+	private volatile boolean outage;
+
+	private volatile long delayMillis;
+
+	private LogStandin(StandinSystem system, LogSettings settings) {
+		this.store = new LogStore(system.clock(), settings.retentionRecordCount(), settings.retentionMillis());
+		this.appends = new TokenBucket(system.clock(), settings.appendsPerSecond(), settings.burstCount());
+		this.endpoint = new HttpEndpoint(system, settings.httpAddress(), new LogRoutes(system, this).route());
+	}
+
+	/**
+	 * Starts a stand-in.
+	 * @param system the shared threads
+	 * @param settings its settings
+	 * @return the running stand-in
+	 */
+	public static LogStandin start(StandinSystem system, LogSettings settings) {
+		return new LogStandin(system, settings);
+	}
+
+	/**
+	 * Changes its faults.
+	 * @param control the faults
+	 */
+	public void control(LogControl control) {
+		if (control.outage() != null) {
+			this.outage = control.outage();
+		}
+		if (control.loseAnswers() != null) {
+			this.answersToLose.set(control.loseAnswers());
+		}
+		if (control.delayMs() != null) {
+			this.delayMillis = control.delayMs();
+		}
+		if (control.retentionRecords() != null) {
+			this.store.setRetentionRecordCount(control.retentionRecords());
+		}
+	}
+
+	@Override
+	public HostPort address() {
+		return this.endpoint.address();
+	}
+
+	@Override
+	public void close() {
+		this.endpoint.close();
+	}
+
+	LogStore store() {
+		return this.store;
+	}
+
+	boolean isOutage() {
+		return this.outage;
+	}
+
+	long delayMillis() {
+		return this.delayMillis;
+	}
+
+	boolean tryAppend() {
+		return this.appends.tryTake();
+	}
+
+	boolean losesNextAnswer() {
+		return this.answersToLose.getAndUpdate((left) -> Math.max(left - 1, 0)) > 0;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in of the platform's append-only log service.
+ */
+package org.marjoramgw.standin.log;
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/plainservice/PlainStandin.java
@@ -0,0 +1,147 @@
+package org.marjoramgw.standin.plainservice;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.PathMatchers;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.standin.HttpEndpoint;
+import org.marjoramgw.standin.Json;
+import org.marjoramgw.standin.Standin;
+import org.marjoramgw.standin.StandinSystem;
+
+/**
+ * Plain service stand-in that answers any path and records every execution.
+ *
+ * @author The marjoramgw authors
+ */
+public final class PlainStandin extends AllDirectives implements Standin {
+
+	private final StandinSystem system;
+
+	private final PlainSettings settings;
+
+	private final Deque<PlainExecution> executions = new ArrayDeque<>();
+
+	private final HttpEndpoint endpoint;
+
+	private volatile long delayMillis;
+
+	private volatile int status = 200;
+
+	private volatile boolean breakAfterRun;
+
+	private PlainStandin(StandinSystem system, PlainSettings settings) {
+		this.system = system;
+		this.settings = settings;
+		this.delayMillis = settings.delayMillis();
+		this.endpoint = new HttpEndpoint(system, settings.httpAddress(), route());
+	}
+
+	/**
+	 * Starts a stand-in.
+	 * @param system the shared threads
+	 * @param settings its settings
+	 * @return the running stand-in
+	 */
+	public static PlainStandin start(StandinSystem system, PlainSettings settings) {
+		return new PlainStandin(system, settings);
+	}
+
+	/**
+	 * Changes its faults.
+	 * @param control the faults
+	 */
+	public void control(PlainControl control) {
+		if (control.delayMs() != null) {
+			this.delayMillis = control.delayMs();
+		}
+		if (control.status() != null) {
+			this.status = control.status();
+		}
+		if (control.breakAfterRun() != null) {
+			this.breakAfterRun = control.breakAfterRun();
+		}
+	}
+
+	/**
+	 * Returns the recorded executions.
+	 * @return the executions, oldest first
+	 */
+	public List<PlainExecution> executions() {
+		synchronized (this.executions) {
+			return List.copyOf(this.executions);
+		}
+	}
+
+	@Override
+	public HostPort address() {
+		return this.endpoint.address();
+	}
+
+	@Override
+	public void close() {
+		this.endpoint.close();
+	}
+
+	private Route route() {
+		return concat(
+				path("control",
+						() -> put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(control(body))))),
+				path(PathMatchers.segment("control").slash("executions"),
+						() -> get(() -> complete(Json.ok(Map.of("executions", executions()))))),
+				extractRequest((request) -> entity(Unmarshaller.entityToString(),
+						(body) -> completeWithFuture(run(request, body)))));
+	}
+
+	private HttpResponse control(String body) {
+		try {
+			control(Json.read(body, PlainControl.class));
+			return Json.ok(Map.of());
+		}
+		catch (JsonProcessingException ex) {
+			return Json.error(400, ex.getOriginalMessage());
+		}
+	}
+
+	private CompletionStage<HttpResponse> run(HttpRequest request, String body) {
+		int number = record(request, body);
+		CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+		this.system.timer().schedule(() -> {
+			if (this.breakAfterRun) {
+				HttpEndpoint.cut(request);
+				return;
+			}
+			HttpResponse reply = Json.ok(Map.of("run", number, "echo", body));
+			answer.complete(reply.withStatus(StatusCodes.get(this.status)));
+		}, this.delayMillis, TimeUnit.MILLISECONDS);
+		return answer;
+	}
+
+	private int record(HttpRequest request, String body) {
+		String requestId = request.getHeader("X-Request-Id").map(HttpHeader::value).orElse("");
+		PlainExecution execution = new PlainExecution(requestId, request.method().name(),
+				request.getUri().getPathString(), body, this.system.clock().nowMillis());
+		synchronized (this.executions) {
+			if (this.executions.size() >= this.settings.executionCount()) {
+				this.executions.removeFirst();
+			}
+			this.executions.addLast(execution);
+			return this.executions.size();
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/plainservice/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in of a plain service that records every execution.
+ */
+package org.marjoramgw.standin.plainservice;
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
@@ -0,0 +1,177 @@
+package org.marjoramgw.standin.proxy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.marjoramgw.HostPort;
+
+/**
+ * One listening address of the proxy with its target.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Link implements AutoCloseable {
+
+	private static final int BACKLOG_CONNECTIONS = 256;
+
+	private final String name;
+
+	private final HostPort target;
+
+	private final ByteCutter up = new ByteCutter();
+
+	private final ByteCutter down = new ByteCutter();
+
+	private final Set<LinkConnection> connections = ConcurrentHashMap.newKeySet();
+
+	private HostPort listen;
+
+	private ServerSocket server;
+
+	private volatile LinkMode mode = LinkMode.PASS;
+
+	private volatile long delayMillis;
+
+	Link(String name, HostPort listen, HostPort target) throws IOException {
+		this.name = name;
+		this.target = target;
+		this.listen = listen;
+		bind();
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns where it listens.
+	 * @return the bound address
+	 */
+	public synchronized HostPort address() {
+		return this.listen;
+	}
+
+	/**
+	 * Changes its faults.
+	 * @param control the faults
+	 * @throws IOException if it can't listen again on its address
+	 */
+	public synchronized void control(LinkControl control) throws IOException {
+		if (control.delayMs() != null) {
+			this.delayMillis = control.delayMs();
+		}
+		if (control.cutAfterBytesUp() != null) {
+			this.up.arm(control.cutAfterBytesUp());
+		}
+		if (control.cutAfterBytesDown() != null) {
+			this.down.arm(control.cutAfterBytesDown());
+		}
+		if (Boolean.TRUE.equals(control.swallowExisting())) {
+			this.connections.forEach(LinkConnection::silence);
+		}
+		if (control.mode() != null) {
+			enter(control.mode());
+		}
+	}
+
+	/**
+	 * Describes the link.
+	 * @return its state
+	 */
+	public LinkState state() {
+		return new LinkState(this.name, address().toString(), this.target.toString(), this.mode,
+				this.connections.size(), this.up.passedBytes(), this.down.passedBytes());
+	}
+
+	@Override
+	public synchronized void close() throws IOException {
+		unbind();
+		closeConnections();
+	}
+
+	HostPort target() {
+		return this.target;
+	}
+
+	boolean swallows() {
+		return this.mode == LinkMode.SWALLOW;
+	}
+
+	long delayMillis() {
+		return this.delayMillis;
+	}
+
+	ByteCutter up() {
+		return this.up;
+	}
+
+	ByteCutter down() {
+		return this.down;
+	}
+
+	void remove(LinkConnection connection) {
+		this.connections.remove(connection);
+	}
+
+	private void enter(LinkMode next) throws IOException {
+		this.mode = next;
+		switch (next) {
+			case CUT -> {
+				bind();
+				closeConnections();
+			}
+			case REFUSE -> {
+				unbind();
+				closeConnections();
+			}
+			default -> bind();
+		}
+	}
+
+	private void closeConnections() {
+		this.connections.forEach(LinkConnection::close);
+	}
+
+	private void bind() throws IOException {
+		if (this.server != null) {
+			return;
+		}
+		ServerSocket bound = new ServerSocket();
+		bound.setReuseAddress(true);
+		bound.bind(new InetSocketAddress(this.listen.host(), this.listen.port()), BACKLOG_CONNECTIONS);
+		this.server = bound;
+		this.listen = new HostPort(this.listen.host(), bound.getLocalPort());
+		Threads.start("proxy-" + this.name, () -> accept(bound));
+	}
+
+	private void unbind() throws IOException {
+		if (this.server != null) {
+			this.server.close();
+			this.server = null;
+		}
+	}
+
+	private void accept(ServerSocket bound) {
+		while (!bound.isClosed()) {
+			try {
+				Socket client = bound.accept();
+				LinkConnection connection = new LinkConnection(this, client);
+				this.connections.add(connection);
+				Threads.start("proxy-" + this.name + "-up", connection::open);
+			}
+			catch (IOException ex) {
+				// The server socket was closed, or one accept failed; the loop tells
+				// which
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Threads.java
@@ -0,0 +1,21 @@
+package org.marjoramgw.standin.proxy;
+
+/**
+ * Daemon threads with small stacks.
+ *
+ * @author The marjoramgw authors
+ */
+final class Threads {
+
+	private static final long STACK_BYTES = 256 * 1_024;
+
+	private Threads() {
+	}
+
+	static void start(String name, Runnable task) {
+		Thread thread = new Thread(null, task, name, STACK_BYTES);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Fault-injecting TCP proxy.
+ */
+package org.marjoramgw.standin.proxy;
