Test the contracts of the stand-ins

Each fault that the proofs rely on is shown to happen: lost answers that took effect, silence of open connections alone, truly refused connections. The log and the VM list count their calls for the capacity measurements.

--- /dev/null
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the stand-ins.
+ */
+package org.marjoramgw.standin;
--- /dev/null
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
@@ -0,0 +1,159 @@
+package org.marjoramgw.standin.proxy;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.settings.TomlTable;
+import org.marjoramgw.standin.StandinSystem;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Tests each fault of {@link ProxyStandin} against an echoing target.
+ *
+ * @author The marjoramgw authors
+ */
+public class ProxyStandinTests {
+
+	private static final int SILENCE_MILLIS = 300;
+
+	private static final int TIMEOUT_MILLIS = 5_000;
+
+	private StandinSystem system;
+
+	private ProxyStandin proxy;
+
+	private ServerSocket target;
+
+	private Link link;
+
+	@BeforeClass
+	public void start() throws Exception {
+		this.system = new StandinSystem();
+		this.proxy = ProxyStandin.start(this.system, ProxySettings.read(TomlTable.ofText("proxy", "")));
+		this.target = new ServerSocket(0);
+		Threads.start("echo", this::accept);
+		this.link = this.proxy.add("echo", new HostPort("127.0.0.1", this.target.getLocalPort()));
+	}
+
+	@AfterClass
+	public void stop() throws Exception {
+		this.proxy.close();
+		this.target.close();
+		this.system.close();
+	}
+
+	@Test
+	public void passesBytes() throws Exception {
+		try (Socket socket = connect()) {
+			Assert.assertEquals(echo(socket, 'a'), 'a');
+		}
+	}
+
+	@Test
+	public void silencesOnlyTheConnectionsThatAreOpen() throws Exception {
+		try (Socket old = connect()) {
+			Assert.assertEquals(echo(old, 'a'), 'a');
+			this.link.control(new LinkControl(null, null, true, null, null));
+			Assert.assertThrows(SocketTimeoutException.class, () -> echo(old, 'b'));
+			try (Socket fresh = connect()) {
+				Assert.assertEquals(echo(fresh, 'c'), 'c');
+			}
+		}
+	}
+
+	@Test
+	public void swallowsAlsoNewConnections() throws Exception {
+		this.link.control(LinkControl.of(LinkMode.SWALLOW));
+		try (Socket socket = connect()) {
+			Assert.assertThrows(SocketTimeoutException.class, () -> echo(socket, 'a'));
+		}
+		finally {
+			this.link.control(LinkControl.of(LinkMode.PASS));
+		}
+	}
+
+	@Test
+	public void cutsAndGoesOnAccepting() throws Exception {
+		try (Socket old = connect()) {
+			echo(old, 'a');
+			this.link.control(LinkControl.of(LinkMode.CUT));
+			Assert.assertTrue(isClosed(old));
+			try (Socket fresh = connect()) {
+				Assert.assertEquals(echo(fresh, 'b'), 'b');
+			}
+		}
+	}
+
+	@Test
+	public void refusesAndListensAgainOnItsAddress() throws Exception {
+		this.link.control(LinkControl.of(LinkMode.REFUSE));
+		Assert.assertThrows(ConnectException.class, this::connect);
+		this.link.control(LinkControl.of(LinkMode.PASS));
+		try (Socket socket = connect()) {
+			Assert.assertEquals(echo(socket, 'a'), 'a');
+		}
+	}
+
+	@Test
+	public void cutsAfterBytes() throws Exception {
+		try (Socket socket = connect()) {
+			this.link.control(new LinkControl(null, null, null, 3L, null));
+			Assert.assertEquals(echo(socket, 'a'), 'a');
+			Assert.assertEquals(echo(socket, 'b'), 'b');
+			socket.getOutputStream().write('c');
+			Assert.assertTrue(isClosed(socket));
+		}
+	}
+
+	private void accept() {
+		while (!this.target.isClosed()) {
+			try {
+				Socket socket = this.target.accept();
+				Threads.start("echo", () -> echoAll(socket));
+			}
+			catch (IOException ex) {
+				// The test is over
+			}
+		}
+	}
+
+	private static void echoAll(Socket socket) {
+		try (socket) {
+			socket.getInputStream().transferTo(socket.getOutputStream());
+		}
+		catch (IOException ex) {
+			// The link was cut
+		}
+	}
+
+	private Socket connect() throws IOException {
+		HostPort address = this.link.address();
+		Socket socket = new Socket(address.host(), address.port());
+		socket.setSoTimeout(SILENCE_MILLIS);
+		return socket;
+	}
+
+	private static int echo(Socket socket, int value) throws IOException {
+		socket.getOutputStream().write(value);
+		return socket.getInputStream().read();
+	}
+
+	private static boolean isClosed(Socket socket) throws IOException {
+		socket.setSoTimeout(TIMEOUT_MILLIS);
+		try {
+			int next = socket.getInputStream().read();
+			return next < 0 || socket.getInputStream().read() < 0;
+		}
+		catch (java.net.SocketException ex) {
+			return true;
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/vmlist/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the stand-in.
+ */
+package org.marjoramgw.standin.vmlist;
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogRoutes.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogRoutes.java
@@ -42,7 +42,8 @@
 
 	Route route() {
 		return concat(pathPrefix("streams", () -> path(PathMatchers.segment().slash("records"), this::stream)),
-				path("control", () -> put(() -> entity(Unmarshaller.entityToString(), this::control))));
+				path("control", () -> concat(get(() -> complete(Json.ok(this.log.usage()))),
+						put(() -> entity(Unmarshaller.entityToString(), this::control)))));
 	}
 
 	private Route stream(String stream) {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStandin.java
@@ -62,6 +62,14 @@
 		}
 	}
 
+	/**
+	 * Returns the use that was made of it.
+	 * @return counts since the start
+	 */
+	public LogUsage usage() {
+		return this.store.usage();
+	}
+
 	@Override
 	public HostPort address() {
 		return this.endpoint.address();
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStore.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStore.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.log.LogSlice;
@@ -22,6 +23,8 @@
 
 	private long retentionRecordCount;
 
+	private long readCount;
+
 	LogStore(MillisClock clock, long retentionRecordCount, long retentionMillis) {
 		this.clock = clock;
 		this.retentionRecordCount = retentionRecordCount;
@@ -36,6 +39,7 @@
 	}
 
 	synchronized LogSlice read(String stream, long fromOffset, int maxRecords) {
+		this.readCount++;
 		LogStream source = this.streams.get(stream);
 		if (source == null) {
 			return new LogSlice(0, 0, List.of());
@@ -48,6 +52,12 @@
 		this.retentionRecordCount = count;
 	}
 
+	synchronized LogUsage usage() {
+		Map<String, Long> appendCounts = new TreeMap<>();
+		this.streams.forEach((name, stream) -> appendCounts.put(name, stream.appendCount()));
+		return new LogUsage(appendCounts, this.readCount);
+	}
+
 	private void expire(LogStream stream) {
 		stream.expire(this.retentionRecordCount, this.clock.nowMillis() - this.retentionMillis);
 	}
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStream.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStream.java
@@ -18,15 +18,22 @@
 
 	private long nextOffset;
 
+	private long appendCount;
+
 	long append(long nowMillis, List<String> texts) {
 		long firstOffset = this.nextOffset;
 		for (String text : texts) {
 			this.records.addLast(new LogRecord(this.nextOffset, nowMillis, text));
 			this.nextOffset++;
 		}
+		this.appendCount++;
 		return firstOffset;
 	}
 
+	long appendCount() {
+		return this.appendCount;
+	}
+
 	void expire(long retentionRecordCount, long oldestMillis) {
 		while (!this.records.isEmpty() && (this.records.size() > retentionRecordCount
 				|| this.records.getFirst().timeMillis() < oldestMillis)) {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/vmlist/VmListStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/vmlist/VmListStandin.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -29,6 +30,8 @@
 
 	private final HttpEndpoint endpoint;
 
+	private final AtomicLong readCount = new AtomicLong();
+
 	private volatile boolean outage;
 
 	private VmListStandin(StandinSystem system, VmListSettings settings) {
@@ -79,6 +82,14 @@
 		this.vms.set(List.copyOf(byId.values()));
 	}
 
+	/**
+	 * Returns the reads since the start.
+	 * @return the number of reads, also of those in an outage
+	 */
+	public long readCount() {
+		return this.readCount.get();
+	}
+
 	@Override
 	public HostPort address() {
 		return this.endpoint.address();
@@ -105,6 +116,7 @@
 	}
 
 	private HttpResponse list() {
+		this.readCount.incrementAndGet();
 		return this.outage ? Json.error(503, "outage") : Json.ok(Map.of("vms", this.vms.seen().value()));
 	}
 
