--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the operators' configuration.
+ */
+package org.marjoramgw.config;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
@@ -0,0 +1,210 @@
+package org.marjoramgw.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.internal.AcceptedText;
+import org.marjoramgw.config.internal.CheckpointKeeper;
+import org.marjoramgw.config.internal.ConfigurationFold;
+import org.marjoramgw.config.internal.ConfigurationLogReader;
+import org.marjoramgw.config.internal.ConfigurationRecordCodec;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.log.LogService;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.wire.Message;
+import org.tinylog.Logger;
+
+/**
+ * Source that reads the log on a thread of its own, takes newer texts from peers, and
+ * keeps the log supplied with checkpoints.
+ * <p>
+ * The time between two polls is random and lengthens with the size of the fleet, so that
+ * the total rate stays flat; peers carry a revision on from whoever saw it first. Only a
+ * higher revision ever replaces the one in force.
+ *
+ * @author The marjoramgw authors
+ */
+public final class LogConfigurationSource implements ConfigurationSource {
+
+	private static final int POLLS_PER_INTERVAL = 10;
+
+	private final ConfigurationParser parser;
+
+	private final long pollMillis;
+
+	private final IntSupplier fleetSize;
+
+	private final Random random;
+
+	private final ResultCounters counters;
+
+	private final ConfigurationFold fold;
+
+	private final ConfigurationLogReader reader;
+
+	private final CheckpointKeeper checkpoints;
+
+	private final ScheduledExecutorService thread;
+
+	private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile Configuration current;
+
+	private long unreadableRevision;
+
+	private boolean logAway;
+
+	/**
+	 * Creates a source and starts reading at once.
+	 * @param log the log service
+	 * @param parser parser of the texts
+	 * @param clock the clock
+	 * @param pollMillis least mean time between two polls, in milliseconds
+	 * @param fleetSize number of processes that share the polling and are connected to
+	 * this one, directly or through others; 0 while no peer is connected
+	 * @param random source of the jitter
+	 * @param counters counters of results
+	 */
+	public LogConfigurationSource(LogService log, ConfigurationParser parser, MillisClock clock, long pollMillis,
+			IntSupplier fleetSize, Random random, ResultCounters counters) {
+		this.parser = parser;
+		this.pollMillis = pollMillis;
+		this.fleetSize = fleetSize;
+		this.random = random;
+		this.counters = counters;
+		ConfigurationRecordCodec codec = new ConfigurationRecordCodec();
+		this.fold = new ConfigurationFold(codec);
+		this.reader = new ConfigurationLogReader(log, codec, this.fold);
+		this.checkpoints = new CheckpointKeeper(log, codec, this.fold, this.reader, clock, random);
+		this.thread = Executors.newSingleThreadScheduledExecutor(LogConfigurationSource::newThread);
+		this.thread.execute(this::poll);
+	}
+
+	@Override
+	public Optional<Configuration> current() {
+		return Optional.ofNullable(this.current);
+	}
+
+	@Override
+	public Optional<Message.ConfigText> currentText() {
+		synchronized (this.fold) {
+			long nextOffset = this.fold.nextOffset();
+			return this.fold.accepted()
+				.map((accepted) -> new Message.ConfigText(accepted.revision(), nextOffset, accepted.text()));
+		}
+	}
+
+	@Override
+	public void offerFromPeer(Message.ConfigText text) {
+		AcceptedText offered = new AcceptedText(text.revision(), "", "", 0, text.text());
+		boolean taken;
+		synchronized (this.fold) {
+			taken = text.revision() > this.fold.revision() && this.fold.advanceTo(offered, text.offset());
+		}
+		if (taken) {
+			putInForce();
+		}
+	}
+
+	@Override
+	public synchronized void listen(Consumer<Configuration> listener) {
+		this.listeners.add(listener);
+		if (this.current != null) {
+			tell(listener);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.thread.shutdownNow();
+	}
+
+	private void poll() {
+		try {
+			this.reader.catchUp((record) -> {
+			});
+			this.logAway = false;
+			putInForce();
+			this.checkpoints.appendIfDue(this.fleetSize.getAsInt());
+		}
+		catch (LogUnavailableException ex) {
+			noteLogAway(ex);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "poll of the configuration failed");
+		}
+		if (!this.thread.isShutdown()) {
+			this.thread.schedule(this::poll, nextPollMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void noteLogAway(LogUnavailableException ex) {
+		this.counters.count(ResultCode.LOG_AWAY);
+		if (!this.logAway) {
+			Logger.warn("the configuration in force is kept: {}", ex.getMessage());
+		}
+		this.logAway = true;
+	}
+
+	private long nextPollMillis() {
+		long share = Math.max(1, this.fleetSize.getAsInt() / POLLS_PER_INTERVAL);
+		long meanMillis = this.pollMillis * share;
+		return meanMillis / 2 + (long) (this.random.nextDouble() * meanMillis);
+	}
+
+	private synchronized void putInForce() {
+		Optional<AcceptedText> accepted;
+		synchronized (this.fold) {
+			accepted = this.fold.accepted();
+		}
+		if (accepted.isPresent() && accepted.get().revision() > highestSeenRevision()) {
+			parseAndPut(accepted.get());
+		}
+	}
+
+	private long highestSeenRevision() {
+		long inForce = (this.current != null) ? this.current.revision() : 0;
+		return Math.max(inForce, this.unreadableRevision);
+	}
+
+	private void parseAndPut(AcceptedText accepted) {
+		try {
+			this.current = this.parser.parse("revision " + accepted.revision(), accepted.revision(), accepted.text());
+			Logger.info("configuration revision {} is in force", accepted.revision());
+			this.listeners.forEach(this::tell);
+		}
+		catch (InvalidTextException ex) {
+			this.unreadableRevision = accepted.revision();
+			this.counters.count(ResultCode.REVISION_UNREADABLE);
+			Logger.error("E{} {}: revision {}, the last good one stays in force: {}",
+					ResultCode.REVISION_UNREADABLE.number(), ResultCode.REVISION_UNREADABLE.text(), accepted.revision(),
+					ex.getMessage());
+		}
+	}
+
+	private void tell(Consumer<Configuration> listener) {
+		try {
+			listener.accept(this.current);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "listener to the configuration failed");
+		}
+	}
+
+	private static Thread newThread(Runnable task) {
+		Thread thread = new Thread(task, "configuration");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Accepted revisions worked out from the log stream {@code config}.
+ */
+package org.marjoramgw.config.internal;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
@@ -23,6 +23,8 @@
  */
 public final class HttpCaller {
 
+	private static final String CONNECT_FAILED = "Tcp command [Connect(";
+
 	private final ActorSystem<?> system;
 
 	private final long timeoutMillis;
@@ -98,10 +100,16 @@
 			throw new HttpCallException(request.getUri().toString(), false, ex);
 		}
 		catch (ExecutionException | TimeoutException ex) {
-			throw new HttpCallException(request.getUri().toString(), ex.getCause() instanceof StreamTcpException, ex);
+			throw new HttpCallException(request.getUri().toString(), isConnectFailure(ex.getCause()), ex);
 		}
 	}
 
+	private static boolean isConnectFailure(Throwable cause) {
+		// The break of an open connection has the same type, but something may have been
+		// sent.
+		return cause instanceof StreamTcpException && cause.getMessage().startsWith(CONNECT_FAILED);
+	}
+
 	private CompletionStage<HttpReply> strict(HttpResponse response) {
 		return response.entity()
 			.toStrict(this.timeoutMillis, this.system)
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/log/HttpLogService.java
@@ -0,0 +1,179 @@
+package org.marjoramgw.log;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.marjoramgw.errors.HttpCallException;
+import org.marjoramgw.errors.LogAnswerLostException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.http.HttpReply;
+
+/**
+ * Log service over HTTP.
+ * <p>
+ * A status that the service gives before it appends (4xx and 503) is an unavailable log;
+ * any other failure of an append leaves open whether it took effect.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpLogService implements LogService {
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+		.build();
+
+	private final HttpCaller caller;
+
+	private final String baseUrl;
+
+	/**
+	 * Creates a client.
+	 * @param caller the HTTP client
+	 * @param baseUrl address of the log service without a trailing slash
+	 */
+	public HttpLogService(HttpCaller caller, String baseUrl) {
+		this.caller = caller;
+		this.baseUrl = baseUrl;
+	}
+
+	@Override
+	public long append(String stream, List<String> records) throws LogUnavailableException, LogAnswerLostException {
+		HttpReply reply = post(stream, json(new AppendCall(records)));
+		if (reply.isOk()) {
+			return firstOffset(reply);
+		}
+		String detail = "append to " + stream + " answered " + reply.status();
+		if (isRefusal(reply.status())) {
+			throw new LogUnavailableException(detail, null);
+		}
+		throw new LogAnswerLostException(detail, null);
+	}
+
+	@Override
+	public LogSlice read(String stream, long fromOffset, int maxRecords) throws LogUnavailableException {
+		String query = "?from=" + fromOffset + "&limit=" + maxRecords;
+		HttpReply reply = get(uri(stream) + query);
+		if (!reply.isOk()) {
+			throw new LogUnavailableException("read of " + stream + " answered " + reply.status(), null);
+		}
+		try {
+			return slice(MAPPER.readValue(reply.body(), ReadAnswer.class));
+		}
+		catch (JsonProcessingException | IllegalArgumentException ex) {
+			throw new LogUnavailableException("read of " + stream + " got a malformed answer", ex);
+		}
+	}
+
+	private HttpReply post(String stream, String body) throws LogUnavailableException, LogAnswerLostException {
+		try {
+			return this.caller.post(uri(stream), body);
+		}
+		catch (HttpCallException ex) {
+			if (ex.isRefused()) {
+				throw new LogUnavailableException("no connection for an append to " + stream, ex);
+			}
+			throw new LogAnswerLostException("append to " + stream, ex);
+		}
+	}
+
+	private HttpReply get(String uri) throws LogUnavailableException {
+		try {
+			return this.caller.get(uri);
+		}
+		catch (HttpCallException ex) {
+			throw new LogUnavailableException(uri, ex);
+		}
+	}
+
+	private String uri(String stream) {
+		return this.baseUrl + "/streams/" + stream + "/records";
+	}
+
+	private static boolean isRefusal(int status) {
+		return (status >= BAD_REQUEST && status < SERVER_ERROR) || status == SERVICE_UNAVAILABLE;
+	}
+
+	private static long firstOffset(HttpReply reply) throws LogAnswerLostException {
+		try {
+			return MAPPER.readValue(reply.body(), AppendAnswer.class).firstOffset();
+		}
+		catch (JsonProcessingException | IllegalArgumentException ex) {
+			throw new LogAnswerLostException("malformed answer to an append", ex);
+		}
+	}
+
+	private static LogSlice slice(ReadAnswer answer) {
+		List<LogRecord> records = new ArrayList<>();
+		for (RecordAnswer each : answer.records()) {
+			records.add(new LogRecord(each.offset(), each.timeMillis(), each.data()));
+		}
+		return new LogSlice(answer.firstOffset(), answer.nextOffset(), List.copyOf(records));
+	}
+
+	private static String json(AppendCall call) {
+		try {
+			return MAPPER.writeValueAsString(call);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("append can't be encoded", ex);
+		}
+	}
+
+	/**
+	 * Body of an append.
+	 *
+	 * @param records the records
+	 */
+	private record AppendCall(@JsonProperty("records") List<String> records) {
+	}
+
+	/**
+	 * Answer to an append.
+	 *
+	 * @param firstOffset offset of the first record
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	private record AppendAnswer(@JsonProperty(value = "first_offset", required = true) Long firstOffset) {
+	}
+
+	/**
+	 * Answer to a read.
+	 *
+	 * @param firstOffset first retained offset
+	 * @param nextOffset offset of the next append
+	 * @param records the records
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	private record ReadAnswer(@JsonProperty(value = "first_offset", required = true) Long firstOffset,
+			@JsonProperty(value = "next_offset", required = true) Long nextOffset,
+			@JsonProperty(value = "records", required = true) List<RecordAnswer> records) {
+	}
+
+	/**
+	 * Record in the answer to a read.
+	 *
+	 * @param offset its offset
+	 * @param timeMillis when it was appended, in milliseconds
+	 * @param data the text
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	private record RecordAnswer(@JsonProperty(value = "offset", required = true) Long offset,
+			@JsonProperty(value = "time_ms", required = true) Long timeMillis,
+			@JsonProperty(value = "data", required = true) String data) {
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -231,15 +232,16 @@
 	 * Reads a table of named tables, for example {@code [classes.NAME]}.
 	 * @param <T> what each table becomes
 	 * @param key the key
-	 * @param reader converts one table; {@link #finish()} is called on it afterwards
+	 * @param reader converts one name and table; {@link #finish()} is called on it
+	 * afterwards
 	 * @return the converted tables by name, in the order of the text
 	 */
-	public <T> Map<String, T> namedTables(String key, Function<TomlTable, T> reader) {
+	public <T> Map<String, T> namedTables(String key, BiFunction<String, TomlTable, T> reader) {
 		TomlTable parent = table(key);
 		Map<String, T> result = new LinkedHashMap<>();
 		parent.node.fieldNames().forEachRemaining((name) -> {
 			TomlTable child = parent.table(name);
-			result.put(name, reader.apply(child));
+			result.put(name, reader.apply(name, child));
 			child.finish();
 		});
 		return Collections.unmodifiableMap(result);
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/HttpVmList.java
@@ -0,0 +1,76 @@
+package org.marjoramgw.vmlist;
+
+import java.util.List;
+import java.util.Objects;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.marjoramgw.errors.HttpCallException;
+import org.marjoramgw.errors.VmListUnavailableException;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.http.HttpReply;
+
+/**
+ * VM list over HTTP.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpVmList implements VmList {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+		.build();
+
+	private final HttpCaller caller;
+
+	private final String baseUrl;
+
+	/**
+	 * Creates a client.
+	 * @param caller the HTTP client
+	 * @param baseUrl address of the VM list without a trailing slash
+	 */
+	public HttpVmList(HttpCaller caller, String baseUrl) {
+		this.caller = caller;
+		this.baseUrl = baseUrl;
+	}
+
+	@Override
+	public List<Vm> read() throws VmListUnavailableException {
+		HttpReply reply = get(this.baseUrl + "/vms");
+		if (!reply.isOk()) {
+			throw new VmListUnavailableException("answered " + reply.status(), null);
+		}
+		try {
+			return MAPPER.readValue(reply.body(), Answer.class).vms().stream().filter(Objects::nonNull).toList();
+		}
+		catch (JsonProcessingException | IllegalArgumentException ex) {
+			throw new VmListUnavailableException("malformed answer", ex);
+		}
+	}
+
+	private HttpReply get(String uri) throws VmListUnavailableException {
+		try {
+			return this.caller.get(uri);
+		}
+		catch (HttpCallException ex) {
+			throw new VmListUnavailableException(uri, ex);
+		}
+	}
+
+	/**
+	 * Answer of the VM list.
+	 *
+	 * @param vms the VMs
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	private record Answer(@JsonProperty(value = "vms", required = true) List<Vm> vms) {
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/VmListWatcher.java
@@ -0,0 +1,112 @@
+package org.marjoramgw.vmlist;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.marjoramgw.errors.VmListUnavailableException;
+import org.tinylog.Logger;
+
+/**
+ * Watcher that polls the VM list on a thread of its own and keeps the last list that
+ * could be read.
+ *
+ * @author The marjoramgw authors
+ */
+public final class VmListWatcher implements AutoCloseable {
+
+	private final VmList source;
+
+	private final ScheduledExecutorService thread;
+
+	private final List<Consumer<List<Vm>>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile List<Vm> current = List.of();
+
+	private volatile boolean away;
+
+	/**
+	 * Creates a watcher and starts polling at once.
+	 * @param source the VM list
+	 * @param pollMillis time between two polls, in milliseconds
+	 */
+	public VmListWatcher(VmList source, long pollMillis) {
+		this.source = source;
+		this.thread = Executors.newSingleThreadScheduledExecutor(VmListWatcher::newThread);
+		this.thread.scheduleWithFixedDelay(this::poll, 0, pollMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Returns the last list that could be read.
+	 * @return the VMs, empty before the first list
+	 */
+	public List<Vm> current() {
+		return this.current;
+	}
+
+	/**
+	 * Tells whether the latest poll failed.
+	 * @return whether the list is away
+	 */
+	public boolean isAway() {
+		return this.away;
+	}
+
+	/**
+	 * Registers a listener; it is called on the watcher's thread with the current list
+	 * and after each change.
+	 * @param listener the listener
+	 */
+	public void listen(Consumer<List<Vm>> listener) {
+		this.thread.execute(() -> {
+			this.listeners.add(listener);
+			if (!this.current.isEmpty()) {
+				tell(listener);
+			}
+		});
+	}
+
+	@Override
+	public void close() {
+		this.thread.shutdownNow();
+	}
+
+	private void poll() {
+		try {
+			List<Vm> read = this.source.read();
+			this.away = false;
+			if (!read.equals(this.current)) {
+				this.current = read;
+				this.listeners.forEach(this::tell);
+			}
+		}
+		catch (VmListUnavailableException ex) {
+			if (!this.away) {
+				Logger.warn("VM list away, its last state is kept: {}", ex.getMessage());
+			}
+			this.away = true;
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "poll of the VM list failed");
+		}
+	}
+
+	private void tell(Consumer<List<Vm>> listener) {
+		try {
+			listener.accept(this.current);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "listener to the VM list failed");
+		}
+	}
+
+	private static Thread newThread(Runnable task) {
+		Thread thread = new Thread(task, "vm-list");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+}
