--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the operators' endpoint.
+ */
+package org.marjoramgw.operator;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/logging/JsonLinesWriter.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/logging/JsonLinesWriter.java
@@ -16,6 +16,9 @@
 
 /**
  * Writer of log entries as JSON lines on standard output, since the VMs have no disks.
+ * <p>
+ * The property {@code stream} with the value {@code err} sends them to standard error,
+ * for commands whose standard output is their result.
  *
  * @author The marjoramgw authors
  */
@@ -23,13 +26,14 @@
 
 	private final ObjectMapper mapper = new ObjectMapper();
 
-	private final PrintStream out = System.out;
+	private final PrintStream out;
 
 	/**
 	 * Creates a writer; called by tinylog.
-	 * @param properties the properties of the writer, none of which are used
+	 * @param properties the properties of the writer
 	 */
 	public JsonLinesWriter(Map<String, String> properties) {
+		this.out = "err".equals(properties.get("stream")) ? System.err : System.out;
 	}
 
 	@Override
--- a/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
@@ -1,11 +1,11 @@
 package org.marjoramgw.operator;
 
-import java.util.Map;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.hash.Hashing;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
@@ -15,6 +15,7 @@
 import org.apache.pekko.http.javadsl.server.AllDirectives;
 import org.apache.pekko.http.javadsl.server.PathMatchers;
 import org.apache.pekko.http.javadsl.server.Route;
+import org.marjoramgw.ResultCode;
 import org.marjoramgw.metrics.MetricsText;
 import org.marjoramgw.trace.DecisionLog;
 
@@ -27,6 +28,9 @@
  */
 public final class OperatorRoutes extends AllDirectives {
 
+	private static final String WRONG_TOKEN = "E" + ResultCode.BAD_TOKEN.number() + " " + ResultCode.BAD_TOKEN.text()
+			+ "\n";
+
 	private final OperatedProcess process;
 
 	private final DecisionLog decisions;
@@ -35,9 +39,7 @@
 
 	private final byte[] tokenDigest;
 
-	private final ObjectMapper mapper = JsonMapper.builder()
-		.annotationIntrospector(new NamedFieldIntrospector())
-		.build();
+	private final ObjectMapper mapper = OperatorJson.newMapper();
 
 	/**
 	 * Creates the routes.
@@ -64,7 +66,7 @@
 	}
 
 	private Route operatorRoute() {
-		return concat(path("status", () -> get(() -> complete(json(statusJson())))),
+		return concat(path("status", () -> get(() -> complete(json(report())))),
 				path(PathMatchers.segment("explain").slash(PathMatchers.segment()),
 						(requestId) -> get(() -> complete(json(this.decisions.of(requestId))))),
 				path("drain", () -> post(() -> {
@@ -76,12 +78,12 @@
 	private Route authorised(Route inner) {
 		return extractCredentials((credentials) -> {
 			boolean known = credentials.filter(this::isOperator).isPresent();
-			return known ? inner : complete(StatusCodes.UNAUTHORIZED, "E6001 wrong or missing token\n");
+			return known ? inner : complete(StatusCodes.UNAUTHORIZED, WRONG_TOKEN);
 		});
 	}
 
 	private boolean isOperator(HttpCredentials credentials) {
-		return java.security.MessageDigest.isEqual(this.tokenDigest, digest(credentials.token()));
+		return MessageDigest.isEqual(this.tokenDigest, digest(credentials.token()));
 	}
 
 	private HttpResponse health() {
@@ -91,8 +93,8 @@
 			.withEntity(leaving ? "leaving\n" : "ok\n");
 	}
 
-	private Map<String, Object> statusJson() {
-		return Map.of("identity", this.process.identity(), "status", this.process.status());
+	private ProcessReport report() {
+		return new ProcessReport(this.process.identity(), this.process.status());
 	}
 
 	private HttpResponse json(Object value) {
@@ -106,7 +108,7 @@
 	}
 
 	private static byte[] digest(String token) {
-		return Hashing.sha256().hashString(token, java.nio.charset.StandardCharsets.UTF_8).asBytes();
+		return Hashing.sha256().hashString(token, StandardCharsets.UTF_8).asBytes();
 	}
 
 }
