Add the entry: late-binding dispatch, retries, resume and continuation

A request reserves at several side processes and runs at the first that grants. Answers are taken in order from the current attempt alone; a lost connection resumes at the same incarnation, a lost run of a model goes on elsewhere from the text so far, and a call that may not be repeated ends as unknown.

--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryMain.java
@@ -0,0 +1,27 @@
+package org.marjoramgw.entry;
+
+import org.marjoramgw.program.Program;
+
+/**
+ * Program {@code marjoramgw-entry}.
+ *
+ * @author The marjoramgw authors
+ */
+public final class EntryMain {
+
+	private EntryMain() {
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments command-line arguments
+	 */
+	public static void main(String[] arguments) {
+		Program program = new Program("marjoramgw-entry", (table) -> new EntryProcess(EntrySettings.read(table)).run());
+		int exitCode = program.run(arguments);
+		if (exitCode != 0) {
+			System.exit(exitCode);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
@@ -0,0 +1,192 @@
+package org.marjoramgw.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.server.Directives;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.config.ConfigurationParser;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.config.LogConfigurationSource;
+import org.marjoramgw.entry.caller.CallerRoutes;
+import org.marjoramgw.entry.caller.EntryParts;
+import org.marjoramgw.entry.dispatch.OpenRequests;
+import org.marjoramgw.entry.side.ConnectedSides;
+import org.marjoramgw.entry.side.SideDirectory;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.log.HttpLogService;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.operator.OperatedProcess;
+import org.marjoramgw.operator.OperatorRoutes;
+import org.marjoramgw.program.ReadyLine;
+import org.marjoramgw.trace.DecisionLog;
+import org.marjoramgw.transport.PekkoTransport;
+import org.marjoramgw.vmlist.HttpVmList;
+import org.marjoramgw.vmlist.Vm;
+import org.marjoramgw.vmlist.VmListWatcher;
+import org.marjoramgw.wire.MessageCodec;
+import org.marjoramgw.wire.PeerIdentity;
+import org.marjoramgw.wire.PeerStatus;
+import org.tinylog.Logger;
+
+/**
+ * Entry process: wires its parts, starts them and stops them in order.
+ *
+ * @author The marjoramgw authors
+ */
+final class EntryProcess implements OperatedProcess {
+
+	private static final int MAX_DECISIONS = 20_000;
+
+	private static final int MAX_FRAME_BYTES = 4_194_304;
+
+	private static final int BUFFER_FRAMES = 8_192;
+
+	private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
+
+	private static final long LEAVE_NOTICE_MILLIS = 1_000;
+
+	private static final long POLL_OPEN_MILLIS = 20;
+
+	private static final long LAST_WRITES_MILLIS = 300;
+
+	private final EntrySettings settings;
+
+	private final MillisClock clock = new SystemMillisClock();
+
+	private final PeerIdentity identity;
+
+	private final ActorSystem<Void> system;
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final ResultCounters counters = new ResultCounters(this.registry);
+
+	private final DecisionLog decisions = new DecisionLog(this.clock, MAX_DECISIONS);
+
+	private final OpenRequests open = new OpenRequests();
+
+	private final ConnectedSides sides = new ConnectedSides();
+
+	private final AtomicBoolean leaving = new AtomicBoolean();
+
+	private final VmListWatcher vms;
+
+	private final ConfigurationSource configuration;
+
+	private final EntryParts parts;
+
+	private final ActorRef<SideDirectory.Command> directory;
+
+	EntryProcess(EntrySettings settings) {
+		this.settings = settings;
+		this.identity = new PeerIdentity(settings.processId(), Vm.ENTRY, settings.failureDomain(),
+				this.clock.nowMillis(), "");
+		this.system = ActorSystem.create(Behaviors.empty(), "entry");
+		HttpCaller platform = new HttpCaller(this.system, PLATFORM_TIMEOUT_MILLIS, "");
+		this.vms = new VmListWatcher(new HttpVmList(platform, settings.vmListUrl()), settings.pollMillis());
+		this.configuration = new LogConfigurationSource(new HttpLogService(platform, settings.logUrl()),
+				new ConfigurationParser(), this.clock, settings.pollMillis(), () -> this.vms.current().size(),
+				new Random(), this.counters);
+		this.parts = new EntryParts(settings, this.clock, this.sides, this.open, this.counters, this.decisions,
+				this.configuration, new Random());
+		this.directory = startDirectory();
+		this.registry.register("requests.open", (Gauge<Integer>) this.open::count);
+	}
+
+	@Override
+	public PeerIdentity identity() {
+		return this.identity;
+	}
+
+	@Override
+	public PeerStatus status() {
+		long revision = this.configuration.current().map((current) -> current.revision()).orElse(0L);
+		return new PeerStatus(revision, this.leaving.get(), this.open.count(), 0, 0);
+	}
+
+	@Override
+	public void drain() {
+		if (this.leaving.compareAndSet(false, true)) {
+			new Thread(() -> System.exit(0), "drain").start();
+		}
+	}
+
+	void run() {
+		OperatorRoutes operators = new OperatorRoutes(this, this.decisions, this.registry,
+				this.settings.operatorToken());
+		Route route = Directives.concat(operators.route(), new CallerRoutes(this.system, this.parts).route());
+		HostPort address = this.settings.httpAddress();
+		Http.get(this.system)
+			.newServerAt(address.host(), address.port())
+			.bind(route)
+			.whenComplete((binding, failure) -> onBound(binding, failure));
+	}
+
+	private void onBound(ServerBinding binding, Throwable failure) {
+		if (failure != null) {
+			Logger.error(failure, "can't listen on {}", this.settings.httpAddress());
+			new Thread(() -> Runtime.getRuntime().halt(1), "exit").start();
+			return;
+		}
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding), "stop"));
+		ReadyLine
+			.print(Map.of("http", new HostPort(this.settings.httpAddress().host(), binding.localAddress().getPort())));
+	}
+
+	private ActorRef<SideDirectory.Command> startDirectory() {
+		PekkoTransport transport = new PekkoTransport(this.system, new MessageCodec(), MAX_FRAME_BYTES, BUFFER_FRAMES);
+		ActorRef<SideDirectory.Command> actor = this.system
+			.systemActorOf(SideDirectory.create(this.settings, this.identity, this::status, this.configuration,
+					transport, this.clock, this.open, this.sides, this.counters), "sides", Props.empty());
+		this.vms.listen((List<Vm> list) -> actor.tell(new SideDirectory.VmsChanged(list)));
+		this.configuration.listen((current) -> actor.tell(new SideDirectory.StatusChanged()));
+		return actor;
+	}
+
+	/**
+	 * Stops in order: fails the health check, waits until the balancer has seen it, takes
+	 * no new connections, finishes what is in flight.
+	 * @param binding the HTTP endpoint
+	 */
+	private void stop(ServerBinding binding) {
+		this.leaving.set(true);
+		this.directory.tell(new SideDirectory.StatusChanged());
+		Logger.info("leaving with {} open requests", this.open.count());
+		sleep(LEAVE_NOTICE_MILLIS);
+		binding.unbind();
+		long deadlineMillis = this.clock.nowMillis() + this.settings.drainMillis();
+		while (this.open.count() > 0 && this.clock.nowMillis() < deadlineMillis) {
+			sleep(POLL_OPEN_MILLIS);
+		}
+		this.parts.close();
+		sleep(LAST_WRITES_MILLIS);
+		this.vms.close();
+		this.configuration.close();
+		Logger.info("stopped with {} open requests", this.open.count());
+	}
+
+	private static void sleep(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
@@ -0,0 +1,60 @@
+package org.marjoramgw.entry;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.settings.TomlTable;
+
+/**
+ * Settings of an entry process.
+ *
+ * @param processId name of the process
+ * @param failureDomain failure domain
+ * @param httpAddress HTTP endpoint for callers and operators
+ * @param peerToken token between the system's own processes
+ * @param operatorToken token of the operators
+ * @param logUrl URL of the log service
+ * @param vmListUrl URL of the VM list
+ * @param heartbeatMillis interval of heartbeats on connections with work, in milliseconds
+ * @param idleHeartbeatMillis interval of heartbeats on idle connections, in milliseconds
+ * @param peerTimeoutMillis silence after which a connection is dropped, in milliseconds
+ * @param pollMillis interval of polls of the VM list and the log, in milliseconds
+ * @param resumeWaitMillis how long an interrupted answer waits for a new connection, in
+ * milliseconds
+ * @param widenMillis wait without a grant after which one more candidate is asked, in
+ * milliseconds
+ * @param drainMillis bound of a graceful stop, in milliseconds
+ * @param openRequestsPerClass bound of the open requests of one class
+ * @author The marjoramgw authors
+ */
+public record EntrySettings(String processId, String failureDomain, HostPort httpAddress, String peerToken,
+		String operatorToken, String logUrl, String vmListUrl, long heartbeatMillis, long idleHeartbeatMillis,
+		long peerTimeoutMillis, long pollMillis, long resumeWaitMillis, long widenMillis, long drainMillis,
+		int openRequestsPerClass) {
+
+	private static final long MAX_INTERVAL_MILLIS = 60_000;
+
+	private static final long MAX_DRAIN_MILLIS = 3_600_000;
+
+	/**
+	 * Reads the settings.
+	 * @param table root table
+	 * @return the checked settings
+	 * @throws InvalidTextException if there are mistakes
+	 */
+	public static EntrySettings read(TomlTable table) throws InvalidTextException {
+		EntrySettings settings = new EntrySettings(table.text("process_id"), table.text("failure_domain"),
+				table.address("http_address"), table.text("peer_token"), table.text("operator_token"),
+				table.text("log_url"), table.text("vm_list_url"), interval(table, "heartbeat_ms", 250),
+				interval(table, "idle_heartbeat_ms", 1_000), interval(table, "peer_timeout_ms", 1_000),
+				interval(table, "poll_ms", 500), interval(table, "resume_wait_ms", 1_500),
+				interval(table, "widen_ms", 100), table.number("drain_ms", 120_000, 1, MAX_DRAIN_MILLIS),
+				(int) table.number("open_requests_per_class_count", 2_000, 1, 100_000));
+		table.throwIfInvalid();
+		return settings;
+	}
+
+	private static long interval(TomlTable table, String key, long defaultMillis) {
+		return table.number(key, defaultMillis, 1, MAX_INTERVAL_MILLIS);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerHandler.java
@@ -0,0 +1,144 @@
+package org.marjoramgw.entry.caller;
+
+import java.util.UUID;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.Service;
+import org.marjoramgw.entry.dispatch.AnswerSink;
+import org.marjoramgw.entry.dispatch.DispatchContext;
+import org.marjoramgw.entry.dispatch.RequestActor;
+import org.marjoramgw.entry.dispatch.RequestEvent;
+import org.marjoramgw.entry.dispatch.RoutedRequest;
+import org.marjoramgw.errors.RequestRejectedException;
+
+/**
+ * Handler of callers' requests: reads, authenticates, classifies and starts them.
+ *
+ * @author The marjoramgw authors
+ */
+final class CallerHandler {
+
+	private static final long BODY_TIMEOUT_MILLIS = 30_000;
+
+	private final ActorSystem<?> system;
+
+	private final EntryParts parts;
+
+	CallerHandler(ActorSystem<?> system, EntryParts parts) {
+		this.system = system;
+		this.parts = parts;
+	}
+
+	CompletionStage<HttpResponse> chat(HttpRequest http) {
+		return handle(http, (table, requestId, body, head) -> {
+			ChatRequest chat = ChatRequest.parse(body);
+			RoutedRequest request = Calls.chat(table, requestId, http, body, chat);
+			ChatText text = new ChatText(requestId, chat.model());
+			AnswerSink sink = chat.streamed()
+					? new StreamedChatAnswer(head, text, requestId, this.system, () -> callerGone(requestId))
+					: new WholeChatAnswer(head, text);
+			start(table, request, sink);
+		});
+	}
+
+	CompletionStage<HttpResponse> plain(HttpRequest http, String service, String rest) {
+		return handle(http, (table, requestId, body, head) -> start(table,
+				Calls.plain(table, requestId, http, body, service, rest), new PlainAnswer(head)));
+	}
+
+	CompletionStage<HttpResponse> unknownPath(HttpRequest http) {
+		http.discardEntityBytes(this.system);
+		AnswerHead head = new AnswerHead(newRequestId());
+		reject(head, new RequestRejectedException(ResultCode.UNKNOWN_PATH, http.getUri().path()));
+		return head.response();
+	}
+
+	private CompletionStage<HttpResponse> handle(HttpRequest http, Call call) {
+		String requestId = newRequestId();
+		AnswerHead head = new AnswerHead(requestId);
+		try {
+			RoutingTable table = this.parts.table();
+			table.accountOf(Calls.bearerKey(http));
+			int bound = Calls.bodyBound(table.configuration().limits(), http);
+			http.entity()
+				.withSizeLimit(bound)
+				.toStrict(BODY_TIMEOUT_MILLIS, this.system)
+				.whenComplete((entity, failure) -> {
+					if (failure != null) {
+						reject(head, new RequestRejectedException(ResultCode.BODY_TOO_LARGE, "or cut short"));
+						return;
+					}
+					run(call, table, requestId, entity.getData().toArray(), head);
+				});
+		}
+		catch (RequestRejectedException ex) {
+			http.discardEntityBytes(this.system);
+			reject(head, ex);
+		}
+		return head.response();
+	}
+
+	private void run(Call call, RoutingTable table, String requestId, byte[] body, AnswerHead head) {
+		try {
+			call.run(table, requestId, body, head);
+		}
+		catch (RequestRejectedException ex) {
+			reject(head, ex);
+		}
+	}
+
+	private void start(RoutingTable table, RoutedRequest request, AnswerSink sink) throws RequestRejectedException {
+		checkBackends(table, request.service());
+		DispatchContext context = this.parts.context(table);
+		if (!context.open().tryOpen(request.requestClass().name(), context.settings().openRequestsPerClass())) {
+			throw new RequestRejectedException(ResultCode.ENTRY_FULL, request.requestClass().name());
+		}
+		context.decisions()
+			.add(request.requestId(), "accept", null, request.requestClass().name() + " of " + request.account().name()
+					+ " for " + request.service().name());
+		this.system.systemActorOf(RequestActor.create(request, context, sink), "request-" + request.requestId(),
+				Props.empty());
+	}
+
+	private void checkBackends(RoutingTable table, Service service) throws RequestRejectedException {
+		if (this.parts.sides().live(service.pool()).isEmpty()) {
+			throw new RequestRejectedException(ResultCode.NO_BACKEND, service.name());
+		}
+		for (String name : service.dependsOn()) {
+			Service needed = table.configuration().services().get(name);
+			if (needed != null && this.parts.sides().live(needed.pool()).isEmpty()) {
+				throw new RequestRejectedException(ResultCode.DEPENDENCY_DOWN, name);
+			}
+		}
+	}
+
+	private void reject(AnswerHead head, RequestRejectedException rejection) {
+		this.parts.counters().count(rejection.code());
+		this.parts.decisions().add(head.requestId(), "reject", rejection.code(), rejection.getMessage());
+		head.sendError(rejection.code(), rejection.detail(), 0);
+	}
+
+	private void callerGone(String requestId) {
+		this.parts.open().tell(requestId, new RequestEvent.CallerGone());
+	}
+
+	private static String newRequestId() {
+		return UUID.randomUUID().toString();
+	}
+
+	/**
+	 * Start of one kind of call.
+	 */
+	@FunctionalInterface
+	private interface Call {
+
+		void run(RoutingTable table, String requestId, byte[] body, AnswerHead head) throws RequestRejectedException;
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/Calls.java
@@ -0,0 +1,76 @@
+package org.marjoramgw.entry.caller;
+
+import java.util.Optional;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.Limits;
+import org.marjoramgw.config.Service;
+import org.marjoramgw.entry.dispatch.RoutedRequest;
+import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.wire.BackendCall;
+
+/**
+ * Reader of callers' HTTP requests into routed requests.
+ *
+ * @author The marjoramgw authors
+ */
+final class Calls {
+
+	private static final String CHAT_PATH = "/v1/chat/completions";
+
+	private static final String KEY_PATTERN = "[\\x21-\\x7e]{1,128}";
+
+	private static final String POST = "POST";
+
+	private Calls() {
+	}
+
+	static RoutedRequest chat(RoutingTable table, String requestId, HttpRequest http, byte[] body, ChatRequest chat)
+			throws RequestRejectedException {
+		Service service = table.modelService(chat.model());
+		BackendCall call = new BackendCall(POST, CHAT_PATH, "application/json", body, "", true, "");
+		return routed(table, requestId, http, service, chat, call);
+	}
+
+	static RoutedRequest plain(RoutingTable table, String requestId, HttpRequest http, byte[] body, String name,
+			String rest) throws RequestRejectedException {
+		Service service = table.plainService(name);
+		String path = "/" + rest;
+		String query = http.getUri().rawQueryString().map((text) -> "?" + text).orElse("");
+		String key = header(http, "Idempotency-Key").orElse("");
+		if (!key.isEmpty() && !key.matches(KEY_PATTERN)) {
+			throw new RequestRejectedException(ResultCode.MALFORMED_KEY, "1 to 128 visible ASCII characters");
+		}
+		BackendCall call = new BackendCall(POST, path + query, http.entity().getContentType().toString(), body, "",
+				service.isRepeatable(POST, path), key);
+		return routed(table, requestId, http, service, new ChatRequest("", false, "", 0), call);
+	}
+
+	static int bodyBound(Limits limits, HttpRequest http) throws RequestRejectedException {
+		long length = http.entity().getContentLengthOption().orElse(0);
+		if (length > limits.bodyBytes()) {
+			throw new RequestRejectedException(ResultCode.BODY_TOO_LARGE, "at most " + limits.bodyBytes() + " bytes");
+		}
+		return limits.bodyBytes();
+	}
+
+	static Optional<String> header(HttpRequest http, String name) {
+		return http.getHeader(name).map((header) -> header.value());
+	}
+
+	static Optional<String> bearerKey(HttpRequest http) {
+		return header(http, "Authorization").filter((value) -> value.startsWith("Bearer "))
+			.map((value) -> value.substring("Bearer ".length()).trim());
+	}
+
+	private static RoutedRequest routed(RoutingTable table, String requestId, HttpRequest http, Service service,
+			ChatRequest chat, BackendCall call) throws RequestRejectedException {
+		var account = table.accountOf(bearerKey(http));
+		var requestClass = table.classOf(header(http, "X-Request-Class"), account.name(), http.getUri().path());
+		String affinityKey = chat.promptPrefix().isEmpty() ? "" : account.name() + "\n" + chat.promptPrefix();
+		return new RoutedRequest(requestId, service, chat.model(), requestClass, account, call, affinityKey,
+				chat.promptTokens());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/EntryParts.java
@@ -0,0 +1,114 @@
+package org.marjoramgw.entry.caller;
+
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.entry.EntrySettings;
+import org.marjoramgw.entry.dispatch.DispatchContext;
+import org.marjoramgw.entry.dispatch.OpenRequests;
+import org.marjoramgw.entry.dispatch.SidePool;
+import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.retry.Backoff;
+import org.marjoramgw.policy.retry.RetryBudget;
+import org.marjoramgw.trace.DecisionLog;
+
+/**
+ * Parts of the entry that callers' requests use; thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+public final class EntryParts {
+
+	private static final double MAX_SAVED_RETRIES = 20;
+
+	private static final long BASE_BACKOFF_MILLIS = 20;
+
+	private static final long MAX_BACKOFF_MILLIS = 500;
+
+	private final EntrySettings settings;
+
+	private final MillisClock clock;
+
+	private final SidePool sides;
+
+	private final OpenRequests open;
+
+	private final ResultCounters counters;
+
+	private final DecisionLog decisions;
+
+	private final RetryBudget budget = new RetryBudget(MAX_SAVED_RETRIES);
+
+	private final Backoff backoff;
+
+	private final AtomicReference<RoutingTable> table = new AtomicReference<>();
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates the parts.
+	 * @param settings settings of the entry
+	 * @param clock the clock
+	 * @param sides connected side processes
+	 * @param open open requests
+	 * @param counters counters of results
+	 * @param decisions record of decisions
+	 * @param configuration source of the configuration
+	 * @param random source of randomness
+	 */
+	public EntryParts(EntrySettings settings, MillisClock clock, SidePool sides, OpenRequests open,
+			ResultCounters counters, DecisionLog decisions, ConfigurationSource configuration, Random random) {
+		this.settings = settings;
+		this.clock = clock;
+		this.sides = sides;
+		this.open = open;
+		this.counters = counters;
+		this.decisions = decisions;
+		this.backoff = new Backoff(BASE_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
+		configuration.listen((current) -> this.table.set(new RoutingTable(current, random)));
+	}
+
+	/**
+	 * Stops taking requests.
+	 */
+	public void close() {
+		this.closed = true;
+	}
+
+	RoutingTable table() throws RequestRejectedException {
+		if (this.closed) {
+			throw new RequestRejectedException(ResultCode.ENTRY_LEAVING, "");
+		}
+		RoutingTable current = this.table.get();
+		if (current == null) {
+			throw new RequestRejectedException(ResultCode.NO_CONFIGURATION, "");
+		}
+		return current;
+	}
+
+	DispatchContext context(RoutingTable current) {
+		return new DispatchContext(this.settings, current.configuration().limits(), this.clock, this.sides, this.open,
+				current.selector(), this.budget, this.backoff, this.counters, this.decisions);
+	}
+
+	SidePool sides() {
+		return this.sides;
+	}
+
+	OpenRequests open() {
+		return this.open;
+	}
+
+	ResultCounters counters() {
+		return this.counters;
+	}
+
+	DecisionLog decisions() {
+		return this.decisions;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/ErrorBody.java
@@ -0,0 +1,28 @@
+package org.marjoramgw.entry.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.marjoramgw.ResultCode;
+
+/**
+ * JSON of an error as callers see it.
+ *
+ * @author The marjoramgw authors
+ */
+final class ErrorBody {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private ErrorBody() {
+	}
+
+	static String of(ResultCode code, String detail, String requestId) {
+		ObjectNode error = MAPPER.createObjectNode();
+		error.put("code", code.number());
+		error.put("message", detail.isEmpty() ? code.text() : code.text() + ": " + detail);
+		error.put("outcome", code.outcome().name().toLowerCase(java.util.Locale.ROOT));
+		error.put("request_id", requestId);
+		return MAPPER.createObjectNode().set("error", error).toString();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Course of one request: reservations, grant, run, retries and answer.
+ */
+package org.marjoramgw.entry.dispatch;
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Entry process between callers and side processes.
+ */
+package org.marjoramgw.entry;
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
@@ -0,0 +1,285 @@
+package org.marjoramgw.entry.side;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.entry.EntrySettings;
+import org.marjoramgw.entry.dispatch.OpenRequests;
+import org.marjoramgw.entry.dispatch.RequestEvent;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.candidate.Subset;
+import org.marjoramgw.transport.Transport;
+import org.marjoramgw.vmlist.Vm;
+import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.MessageCodec;
+import org.marjoramgw.wire.PeerIdentity;
+import org.marjoramgw.wire.PeerStatus;
+import org.tinylog.Logger;
+
+/**
+ * Keeper of the links: connects to its subset of the listed side processes, sends
+ * heartbeats, and replaces a link that went silent without waiting for TCP.
+ *
+ * @author The marjoramgw authors
+ */
+public final class SideDirectory extends AbstractBehavior<SideDirectory.Command> {
+
+	private static final int DEFAULT_SUBSET_COUNT = 24;
+
+	private static final long UNWANTED_LINK_MILLIS = 10_000;
+
+	private static final long MAX_RECONNECT_MILLIS = 2_000;
+
+	private final EntrySettings settings;
+
+	private final PeerIdentity identity;
+
+	private final Supplier<PeerStatus> status;
+
+	private final ConfigurationSource configuration;
+
+	private final Transport transport;
+
+	private final MillisClock clock;
+
+	private final OpenRequests open;
+
+	private final ConnectedSides sides;
+
+	private final ResultCounters counters;
+
+	private final SideInbox inbox;
+
+	private final Map<String, SideLink> linkById = new HashMap<>();
+
+	private final Map<String, ReconnectDelay> delayById = new HashMap<>();
+
+	private Map<String, Vm> vmById = Map.of();
+
+	private SideDirectory(ActorContext<Command> actor, EntrySettings settings, PeerIdentity identity,
+			Supplier<PeerStatus> status, ConfigurationSource configuration, Transport transport, MillisClock clock,
+			OpenRequests open, ConnectedSides sides, ResultCounters counters) {
+		super(actor);
+		this.settings = settings;
+		this.identity = identity;
+		this.status = status;
+		this.configuration = configuration;
+		this.transport = transport;
+		this.clock = clock;
+		this.open = open;
+		this.sides = sides;
+		this.counters = counters;
+		this.inbox = new SideInbox(settings.peerToken(), open, configuration, counters, actor.getSelf());
+	}
+
+	/**
+	 * Creates the behavior.
+	 * @param settings settings of the entry
+	 * @param identity identity of the entry
+	 * @param status present status of the entry
+	 * @param configuration source of the configuration
+	 * @param transport transport to side processes
+	 * @param clock the clock
+	 * @param open open requests
+	 * @param sides where usable links are published
+	 * @param counters counters of results
+	 * @return the behavior
+	 */
+	public static Behavior<Command> create(EntrySettings settings, PeerIdentity identity, Supplier<PeerStatus> status,
+			ConfigurationSource configuration, Transport transport, MillisClock clock, OpenRequests open,
+			ConnectedSides sides, ResultCounters counters) {
+		return Behaviors.setup((actor) -> Behaviors.withTimers((timers) -> {
+			timers.startTimerWithFixedDelay(new Tick(), Duration.ofMillis(settings.heartbeatMillis()));
+			return new SideDirectory(actor, settings, identity, status, configuration, transport, clock, open, sides,
+					counters);
+		}));
+	}
+
+	@Override
+	public Receive<Command> createReceive() {
+		return newReceiveBuilder().onMessage(VmsChanged.class, this::onVmsChanged)
+			.onMessage(StatusChanged.class, (command) -> onStatusChanged())
+			.onMessage(Greeted.class, this::onGreeted)
+			.onMessage(Closed.class, this::onClosed)
+			.onMessage(Tick.class, (command) -> onTick())
+			.build();
+	}
+
+	private Behavior<Command> onVmsChanged(VmsChanged command) {
+		this.vmById = command.vms()
+			.stream()
+			.filter((vm) -> Vm.SIDE.equals(vm.role()))
+			.collect(Collectors.toMap(Vm::id, (vm) -> vm, (first, second) -> second));
+		return onTick();
+	}
+
+	private Behavior<Command> onStatusChanged() {
+		this.linkById.values().stream().filter(SideLink::isGreeted).forEach(this::sendHeartbeat);
+		return this;
+	}
+
+	private Behavior<Command> onGreeted(Greeted command) {
+		SideLink link = command.link();
+		String sideId = link.vm().id();
+		if (this.linkById.get(sideId) != link) {
+			return this;
+		}
+		this.delayById.remove(sideId);
+		this.sides.put(sideId, link);
+		Logger.info("connected to side process {}", sideId);
+		this.open.tellAll(new RequestEvent.SideBack(sideId, link.incarnation().orElse(0)));
+		return this;
+	}
+
+	private Behavior<Command> onClosed(Closed command) {
+		String sideId = command.link().vm().id();
+		if (this.linkById.get(sideId) == command.link()) {
+			drop(command.link(), command.reason());
+		}
+		return this;
+	}
+
+	private Behavior<Command> onTick() {
+		Set<String> wanted = wantedSideIds();
+		for (SideLink link : List.copyOf(this.linkById.values())) {
+			keep(link, wanted.contains(link.vm().id()));
+		}
+		for (String sideId : wanted) {
+			if (!this.linkById.containsKey(sideId) && isConnectDue(sideId)) {
+				connect(this.vmById.get(sideId));
+			}
+		}
+		this.delayById.keySet().retainAll(this.vmById.keySet());
+		return this;
+	}
+
+	private void keep(SideLink link, boolean wanted) {
+		Vm listed = this.vmById.get(link.vm().id());
+		boolean moved = listed != null && !listed.peerAddress().equals(link.vm().peerAddress());
+		boolean unused = !wanted && link.idleMillis() > UNWANTED_LINK_MILLIS;
+		if (moved || unused) {
+			drop(link, ResultCode.PEER_CLOSED);
+			return;
+		}
+		link.listAsLive(wanted && Vm.LIVE.equals(listed.state()));
+		boolean busy = link.idleMillis() < this.settings.peerTimeoutMillis();
+		long intervalMillis = busy ? this.settings.heartbeatMillis() : this.settings.idleHeartbeatMillis();
+		if (link.silentMillis() > this.settings.peerTimeoutMillis() + (busy ? 0 : intervalMillis)) {
+			drop(link, ResultCode.PEER_SILENT);
+		}
+		else if (link.isGreeted() && link.quietMillis() >= intervalMillis) {
+			sendHeartbeat(link);
+		}
+	}
+
+	private void drop(SideLink link, ResultCode reason) {
+		String sideId = link.vm().id();
+		this.linkById.remove(sideId);
+		this.sides.remove(sideId);
+		link.close();
+		this.counters.count(reason);
+		if (link.isGreeted()) {
+			Logger.info("lost side process {}: {}", sideId, reason.text());
+			this.open.tellAll(new RequestEvent.SideGone(sideId));
+			if (this.vmById.containsKey(sideId)) {
+				connect(this.vmById.get(sideId));
+			}
+		}
+		else {
+			this.delayById.computeIfAbsent(sideId, (key) -> new ReconnectDelay()).backOff(this.clock.nowMillis());
+		}
+	}
+
+	private boolean isConnectDue(String sideId) {
+		ReconnectDelay delay = this.delayById.get(sideId);
+		return delay == null || this.clock.nowMillis() >= delay.dueMillis;
+	}
+
+	private void connect(Vm vm) {
+		this.transport.connect(HostPort.parse(vm.peerAddress()), (connection) -> {
+			SideLink link = new SideLink(vm, connection, this.inbox, this.clock);
+			this.linkById.put(vm.id(), link);
+			link.send(new Message.Hello(MessageCodec.VERSION, this.settings.peerToken(), this.identity,
+					this.status.get()));
+			return link;
+		});
+	}
+
+	private void sendHeartbeat(SideLink link) {
+		link.send(new Message.Heartbeat(this.status.get()));
+	}
+
+	private Set<String> wantedSideIds() {
+		int count = this.configuration.current()
+			.map((current) -> current.limits().subsetCount())
+			.orElse(DEFAULT_SUBSET_COUNT);
+		Map<String, Map<String, String>> domainByIdByPool = new HashMap<>();
+		for (Vm vm : this.vmById.values()) {
+			domainByIdByPool.computeIfAbsent(vm.pool(), (pool) -> new HashMap<>()).put(vm.id(), vm.failureDomain());
+		}
+		Set<String> wanted = new HashSet<>();
+		for (Map<String, String> domainById : domainByIdByPool.values()) {
+			wanted.addAll(Subset.choose(this.identity.processId(), this.identity.failureDomain(), domainById, count));
+		}
+		return wanted;
+	}
+
+	/**
+	 * Message to the directory.
+	 */
+	public sealed interface Command {
+
+	}
+
+	/**
+	 * The VM list was read.
+	 *
+	 * @param vms the VMs
+	 */
+	public record VmsChanged(List<Vm> vms) implements Command {
+	}
+
+	/**
+	 * The entry's own status changed and peers should learn it at once.
+	 */
+	public record StatusChanged() implements Command {
+	}
+
+	record Greeted(SideLink link) implements Command {
+	}
+
+	record Closed(SideLink link, ResultCode reason) implements Command {
+	}
+
+	record Tick() implements Command {
+	}
+
+	private static final class ReconnectDelay {
+
+		private long delayMillis = 50;
+
+		private long dueMillis;
+
+		void backOff(long nowMillis) {
+			this.dueMillis = nowMillis + this.delayMillis;
+			this.delayMillis = Math.min(MAX_RECONNECT_MILLIS, this.delayMillis * 2);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
@@ -0,0 +1,124 @@
+package org.marjoramgw.entry.side;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.entry.dispatch.OpenRequests;
+import org.marjoramgw.entry.dispatch.RequestEvent;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.MessageCodec;
+import org.marjoramgw.wire.PeerStatus;
+
+/**
+ * Distributor of messages from side processes to requests, configuration and directory;
+ * thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+final class SideInbox implements SideLinkListener {
+
+	private final String token;
+
+	private final OpenRequests open;
+
+	private final ConfigurationSource configuration;
+
+	private final ResultCounters counters;
+
+	private final ActorRef<SideDirectory.Command> directory;
+
+	SideInbox(String token, OpenRequests open, ConfigurationSource configuration, ResultCounters counters,
+			ActorRef<SideDirectory.Command> directory) {
+		this.token = token;
+		this.open = open;
+		this.configuration = configuration;
+		this.counters = counters;
+		this.directory = directory;
+	}
+
+	@Override
+	public boolean isTrusted(Message.Hello hello) {
+		byte[] expected = this.token.getBytes(StandardCharsets.UTF_8);
+		byte[] presented = hello.token().getBytes(StandardCharsets.UTF_8);
+		return hello.version() == MessageCodec.VERSION && MessageDigest.isEqual(expected, presented);
+	}
+
+	@Override
+	public void onGreeted(SideLink link, Message.Hello hello) {
+		this.directory.tell(new SideDirectory.Greeted(link));
+		onStatus(link, hello.status());
+	}
+
+	@Override
+	public void onStatus(SideLink link, PeerStatus status) {
+		long revision = currentRevision();
+		if (status.configRevision() > revision) {
+			link.send(new Message.ConfigFetch(revision));
+		}
+	}
+
+	@Override
+	public void onWork(SideLink link, Message message) {
+		if (message instanceof Message.ConfigText text) {
+			this.configuration.offerFromPeer(text);
+		}
+		else if (message instanceof Message.ConfigFetch fetch) {
+			answer(link, fetch);
+		}
+		else {
+			onAnswer(link, message);
+		}
+	}
+
+	@Override
+	public void onRejected(SideLink link, ResultCode code) {
+		this.counters.count(code);
+		link.close();
+	}
+
+	@Override
+	public void onClosed(SideLink link, ResultCode reason) {
+		this.directory.tell(new SideDirectory.Closed(link, reason));
+	}
+
+	private void onAnswer(SideLink link, Message message) {
+		String sideId = link.vm().id();
+		if (message instanceof Message.Grant grant) {
+			if (!tell(sideId, grant.requestId(), grant)) {
+				link.send(new Message.Release(grant.requestId(), grant.attempt()));
+			}
+		}
+		else if (message instanceof Message.Chunk chunk) {
+			if (!tell(sideId, chunk.requestId(), chunk)) {
+				this.counters.count(ResultCode.STALE_CHUNK);
+				link.send(new Message.Cancel(chunk.requestId(), chunk.attempt()));
+			}
+		}
+		else if (message instanceof Message.Refusal refusal) {
+			tell(sideId, refusal.requestId(), refusal);
+		}
+		else if (message instanceof Message.End end) {
+			tell(sideId, end.requestId(), end);
+		}
+		else {
+			onRejected(link, ResultCode.BAD_FRAME);
+		}
+	}
+
+	private boolean tell(String sideId, String requestId, Message message) {
+		return this.open.tell(requestId, new RequestEvent.FromSide(sideId, message));
+	}
+
+	private void answer(SideLink link, Message.ConfigFetch fetch) {
+		this.configuration.currentText().filter((text) -> text.revision() > fetch.haveRevision()).ifPresent(link::send);
+	}
+
+	private long currentRevision() {
+		return this.configuration.currentText().map(Message.ConfigText::revision).orElse(0L);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections to side processes.
+ */
+package org.marjoramgw.entry.side;
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/LeastLoadedSelector.java
@@ -0,0 +1,33 @@
+package org.marjoramgw.policy.candidate;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Baseline: the one candidate that reported the least load.
+ *
+ * @author The marjoramgw authors
+ */
+public final class LeastLoadedSelector implements CandidateSelector {
+
+	private final Random random;
+
+	/**
+	 * Creates a selector.
+	 * @param random source of randomness, for ties
+	 */
+	public LeastLoadedSelector(Random random) {
+		this.random = random;
+	}
+
+	@Override
+	public List<Candidate> select(CandidateQuery query, List<Candidate> live) {
+		return Candidates.shuffled(query, live, this.random)
+			.stream()
+			.min(Comparator.comparingDouble(Candidate::load))
+			.map(List::of)
+			.orElse(List.of());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of the side processes that get a reservation.
+ */
+package org.marjoramgw.policy.candidate;
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/retry/Backoff.java
@@ -0,0 +1,43 @@
+package org.marjoramgw.policy.retry;
+
+import java.util.Random;
+
+/**
+ * Jittered exponential backoff.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Backoff {
+
+	private static final int MAX_DOUBLINGS = 16;
+
+	private final long baseMillis;
+
+	private final long maxMillis;
+
+	private final Random random;
+
+	/**
+	 * Creates a backoff.
+	 * @param baseMillis greatest delay before the first retry, in milliseconds
+	 * @param maxMillis greatest delay before any retry, in milliseconds
+	 * @param random source of randomness
+	 */
+	public Backoff(long baseMillis, long maxMillis, Random random) {
+		this.baseMillis = baseMillis;
+		this.maxMillis = maxMillis;
+		this.random = random;
+	}
+
+	/**
+	 * Draws a delay.
+	 * @param retry number of the retry, from 1
+	 * @return a delay between half of the bound for this retry and the bound, in
+	 * milliseconds
+	 */
+	public long delayMillis(int retry) {
+		long bound = Math.min(this.maxMillis, this.baseMillis << Math.min(retry - 1, MAX_DOUBLINGS));
+		return bound / 2 + (long) (this.random.nextDouble() * (bound - bound / 2));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Budget and timing of retries.
+ */
+package org.marjoramgw.policy.retry;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatedProcess.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatedProcess.java
@@ -22,6 +22,14 @@
 	 */
 	PeerStatus status();
 
+	/**
+	 * Tells whether the process can serve.
+	 * @return whether a configuration is in force
+	 */
+	default boolean ready() {
+		return status().configRevision() > 0;
+	}
+
 	/**
 	 * Starts a graceful stop: takes no new work, finishes what is in flight, then exits.
 	 */
--- a/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
@@ -87,10 +87,14 @@
 	}
 
 	private HttpResponse health() {
-		boolean leaving = this.process.status().leaving();
-		return HttpResponse.create()
-			.withStatus(leaving ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.OK)
-			.withEntity(leaving ? "leaving\n" : "ok\n");
+		if (this.process.status().leaving()) {
+			return unavailable("leaving\n");
+		}
+		return this.process.ready() ? HttpResponse.create().withEntity("ok\n") : unavailable("not ready\n");
+	}
+
+	private static HttpResponse unavailable(String reason) {
+		return HttpResponse.create().withStatus(StatusCodes.SERVICE_UNAVAILABLE).withEntity(reason);
 	}
 
 	private ProcessReport report() {
