--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/candidate/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the choice of candidates.
+ */
+package org.marjoramgw.policy.candidate;
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of retry budget and backoff.
+ */
+package org.marjoramgw.policy.retry;
