--- /dev/null
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
@@ -0,0 +1,252 @@
+package org.marjoramgw.entry.dispatch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.config.ClientAccount;
+import org.marjoramgw.config.Limits;
+import org.marjoramgw.config.RequestClass;
+import org.marjoramgw.config.Service;
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.entry.EntrySettings;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.candidate.LateBindingSelector;
+import org.marjoramgw.policy.retry.Backoff;
+import org.marjoramgw.policy.retry.RetryBudget;
+import org.marjoramgw.testkit.TestSeed;
+import org.marjoramgw.trace.DecisionLog;
+import org.marjoramgw.wire.BackendCall;
+import org.marjoramgw.wire.Message;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link RequestActor} against side processes that only record.
+ *
+ * @author The marjoramgw authors
+ */
+public class RequestActorTests {
+
+	private ActorSystem<Void> system;
+
+	private FakeSidePool sides;
+
+	private RecordingSink sink;
+
+	private ResultCounters counters;
+
+	private int started;
+
+	@BeforeClass
+	public void start() {
+		this.system = ActorSystem.create(Behaviors.empty(), "request-tests");
+	}
+
+	@AfterClass
+	public void stop() {
+		this.system.terminate();
+	}
+
+	@Test
+	public void runsAtTheFirstGrantorAndReleasesTheOthers() throws Exception {
+		ActorRef<RequestEvent> actor = request(generation());
+		String first = this.sides.next(Message.Reserve.class).sideId();
+		String second = this.sides.next(Message.Reserve.class).sideId();
+		grant(actor, second, 1);
+		Assert.assertEquals(this.sides.next(Message.Release.class).sideId(), first);
+		Assert.assertEquals(this.sides.next(Message.Run.class).sideId(), second);
+		grant(actor, first, 1);
+		Assert.assertEquals(this.sides.next(Message.Release.class).sideId(), first, "late grant");
+		chunk(actor, second, 1, 0, "a ");
+		end(actor, second, 1, 1);
+		Assert.assertEquals(this.sink.result(), ResultCode.OK);
+		Assert.assertEquals(this.sides.next(Message.Ack.class).message().nextSequence(), 2);
+	}
+
+	@Test
+	public void takesChunksOfTheCurrentAttemptInOrderAlone() throws Exception {
+		ActorRef<RequestEvent> actor = request(generation());
+		String side = runningSide(actor);
+		chunk(actor, side, 1, 0, "a ");
+		chunk(actor, side, 2, 1, "other attempt ");
+		chunk(actor, "stranger", 1, 1, "other side ");
+		chunk(actor, side, 1, 2, "too early ");
+		chunk(actor, side, 1, 0, "twice ");
+		chunk(actor, side, 1, 1, "b");
+		end(actor, side, 1, 2);
+		Assert.assertEquals(this.sink.result(), ResultCode.OK);
+		Assert.assertEquals(this.sink.text(), "a b");
+		Assert.assertEquals(this.counters.countOf(ResultCode.STALE_CHUNK), 4);
+	}
+
+	@Test
+	public void asksForTheRestOverANewConnection() throws Exception {
+		ActorRef<RequestEvent> actor = request(plain(false));
+		String side = runningSide(actor);
+		chunk(actor, side, 1, 0, "a ");
+		actor.tell(new RequestEvent.SideGone(side));
+		actor.tell(new RequestEvent.SideBack(side, FakeSidePool.INCARNATION));
+		Assert.assertEquals(this.sides.next(Message.Resume.class).message().nextSequence(), 1);
+		chunk(actor, side, 1, 1, "b");
+		end(actor, side, 1, 2);
+		Assert.assertEquals(this.sink.result(), ResultCode.OK);
+		Assert.assertEquals(this.sink.text(), "a b");
+	}
+
+	@Test
+	public void asksAgainForChunksThatTheEndShowsMissing() {
+		ActorRef<RequestEvent> actor = request(generation());
+		String side = runningSide(actor);
+		chunk(actor, side, 1, 0, "a ");
+		end(actor, side, 1, 3);
+		Assert.assertEquals(this.sides.next(Message.Resume.class).message().nextSequence(), 1);
+	}
+
+	@Test
+	public void continuesAGenerationElsewhereFromTheTextSoFar() throws Exception {
+		ActorRef<RequestEvent> actor = request(generation());
+		String side = runningSide(actor);
+		chunk(actor, side, 1, 0, "a ");
+		refuse(actor, side, 1, ResultCode.BACKEND_BROKE_OFF);
+		Message.Reserve again = this.sides.next(Message.Reserve.class).message();
+		Assert.assertEquals(again.attempt(), 2);
+		grant(actor, other(side), 2);
+		Assert.assertEquals(this.sides.next(Message.Run.class).message().call().continueFrom(), "a ");
+		chunk(actor, side, 1, 1, "late part of the lost run ");
+		chunk(actor, other(side), 2, 0, "b");
+		end(actor, other(side), 2, 1);
+		Assert.assertEquals(this.sink.result(), ResultCode.OK);
+		Assert.assertEquals(this.sink.text(), "a b");
+	}
+
+	@DataProvider
+	public Object[][] endsOfRuns() {
+		return new Object[][] { { "plain", ResultCode.BACKEND_BROKE_OFF, false },
+				{ "plain", ResultCode.SIDE_RESTARTED, false }, { "plain", ResultCode.ANSWER_NOT_KEPT, false },
+				{ "plain", ResultCode.KEY_OUTCOME_UNKNOWN, false }, { "plain", ResultCode.GRANT_EXPIRED, true },
+				{ "plain", ResultCode.UNKNOWN_RESERVATION, true }, { "plain", ResultCode.BACKEND_UNREACHABLE, true },
+				{ "repeatable", ResultCode.BACKEND_BROKE_OFF, true }, { "repeatable", ResultCode.SIDE_RESTARTED, true },
+				{ "generation", ResultCode.SIDE_RESTARTED, true }, { "generation", ResultCode.GRANT_EXPIRED, true },
+				{ "generation", ResultCode.ANSWER_TOO_LARGE, false } };
+	}
+
+	@Test(dataProvider = "endsOfRuns")
+	public void movesACallOnlyWhereThatIsSafe(String kind, ResultCode code, boolean moves) throws Exception {
+		RoutedRequest request = kind.equals("generation") ? generation() : plain(kind.equals("repeatable"));
+		ActorRef<RequestEvent> actor = request(request);
+		String side = runningSide(actor);
+		refuse(actor, side, 1, code);
+		if (moves) {
+			Assert.assertEquals(this.sides.next(Message.Reserve.class).message().attempt(), 2);
+		}
+		else {
+			Assert.assertEquals(this.sink.result(), code);
+			Assert.assertTrue(this.sides.sawNo(Message.Reserve.class));
+		}
+	}
+
+	@Test
+	public void endsAsUnknownWhenTheSideProcessRestarted() throws Exception {
+		ActorRef<RequestEvent> actor = request(plain(false));
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.SideGone(side));
+		actor.tell(new RequestEvent.SideBack(side, FakeSidePool.INCARNATION + 1));
+		Assert.assertEquals(this.sink.result(), ResultCode.SIDE_RESTARTED);
+	}
+
+	@Test
+	public void endsAsUnknownWhenTheSideProcessStaysAway() throws Exception {
+		ActorRef<RequestEvent> actor = request(plain(false));
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.SideGone(side));
+		Assert.assertEquals(this.sink.result(), ResultCode.SIDE_LOST);
+	}
+
+	@Test
+	public void cancelsTheRunOfACallerThatWentAway() {
+		ActorRef<RequestEvent> actor = request(generation());
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.CallerGone());
+		Assert.assertEquals(this.sides.next(Message.Cancel.class).sideId(), side);
+	}
+
+	private String other(String side) {
+		return side.equals("s1") ? "s2" : "s1";
+	}
+
+	private String runningSide(ActorRef<RequestEvent> actor) {
+		String side = this.sides.next(Message.Reserve.class).sideId();
+		this.sides.next(Message.Reserve.class);
+		grant(actor, side, 1);
+		this.sides.next(Message.Run.class);
+		return side;
+	}
+
+	private static void grant(ActorRef<RequestEvent> actor, String side, int attempt) {
+		tell(actor, side, new Message.Grant("r", attempt, 100));
+	}
+
+	private static void chunk(ActorRef<RequestEvent> actor, String side, int attempt, long sequence, String text) {
+		tell(actor, side, new Message.Chunk("r", attempt, sequence, 1, text.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	private static void end(ActorRef<RequestEvent> actor, String side, int attempt, long chunks) {
+		tell(actor, side,
+				new Message.End("r", attempt, chunks, ResultCode.OK.number(), 200, "application/json", "stop"));
+	}
+
+	private static void refuse(ActorRef<RequestEvent> actor, String side, int attempt, ResultCode code) {
+		tell(actor, side, new Message.Refusal("r", attempt, code.number(), 0));
+	}
+
+	private static void tell(ActorRef<RequestEvent> actor, String side, Message message) {
+		actor.tell(new RequestEvent.FromSide(side, message));
+	}
+
+	private ActorRef<RequestEvent> request(RoutedRequest request) {
+		this.sides = new FakeSidePool("s1", "s2");
+		this.sink = new RecordingSink();
+		MetricRegistry registry = new MetricRegistry();
+		this.counters = new ResultCounters(registry);
+		SystemMillisClock clock = new SystemMillisClock();
+		Limits limits = new Limits(1_000_000, "late-binding", 2, 100, "tiers", 4, 4, 1, 0, true, 100, 24);
+		DispatchContext context = new DispatchContext(settings(), limits, clock, this.sides, new OpenRequests(),
+				new LateBindingSelector(TestSeed.random(1)), new RetryBudget(10),
+				new Backoff(1, 10, TestSeed.random(2)), this.counters, new DecisionLog(clock, 100));
+		return this.system.systemActorOf(RequestActor.create(request, context, this.sink), "r" + this.started++,
+				Props.empty());
+	}
+
+	private static EntrySettings settings() {
+		HostPort address = new HostPort("127.0.0.1", 0);
+		return new EntrySettings("e1", "a", address, "t", "o", "", "", 250, 1_000, 1_000, 500, 200, 5_000, 1_000, 100);
+	}
+
+	private static RoutedRequest generation() {
+		Service service = new Service("chat", ServiceKind.MODEL, "p", List.of("m"), List.of(), List.of(), false);
+		return routed(service, "m", true);
+	}
+
+	private static RoutedRequest plain(boolean repeatable) {
+		Service service = new Service("orders", ServiceKind.PLAIN, "p", List.of(), List.of(), List.of(), false);
+		return routed(service, "", repeatable);
+	}
+
+	private static RoutedRequest routed(Service service, String model, boolean repeatable) {
+		BackendCall call = new BackendCall("POST", "/x", "application/json", new byte[0], "", repeatable, "");
+		return new RoutedRequest("r", service, model, new RequestClass("c", 1, 500, 50, 20_000, 10, 10),
+				new ClientAccount("acc", "", 1), call, "", 1);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the course of a request.
+ */
+package org.marjoramgw.entry.dispatch;
