Start deployments of real processes from a rig

Tests, the demo and the load tool need the same thing: entries, side processes and stand-ins as processes on loopback, faults on their links, and everything stopped in order. A process keeps its bound addresses over a restart, as a VM keeps its IP number. A frozen process can't act on SIGTERM, so it is killed when the deployment closes.

--- /dev/null
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
@@ -0,0 +1,266 @@
+package org.marjoramgw.rig;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.vmlist.Vm;
+
+/**
+ * Running deployment: real processes of the system and stand-ins of the platform on
+ * loopback.
+ * <p>
+ * {@link #close()} stops entries, side processes and stand-ins in this order; a shutdown
+ * hook does the same when the Java runtime is stopped first. Only processes that the
+ * deployment started are ended.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Deployment implements AutoCloseable {
+
+	private static final String ENTRY_MAIN = "org.marjoramgw.entry.EntryMain";
+
+	private static final String SIDE_MAIN = "org.marjoramgw.side.SideMain";
+
+	private final DeploymentPlan plan;
+
+	private final Path directory;
+
+	private final StandinProcess standins;
+
+	private final SettingsWriter settings;
+
+	private final JavaCommand java;
+
+	private final Map<String, ManagedProcess> entries = new LinkedHashMap<>();
+
+	private final Map<String, ManagedProcess> sides = new LinkedHashMap<>();
+
+	private final Thread shutdownHook = new Thread(this::stopAll, "deployment stop");
+
+	private Deployment(DeploymentPlan plan, ActorSystem<?> system) throws RigException {
+		this.plan = plan;
+		this.directory = temporaryDirectory();
+		this.java = new JavaCommand();
+		this.standins = new StandinProcess(plan, this.java, this.directory, system);
+		this.settings = new SettingsWriter(plan, this.standins);
+		Runtime.getRuntime().addShutdownHook(this.shutdownHook);
+	}
+
+	/**
+	 * Starts a deployment and waits until its entries serve.
+	 * @param plan what to start
+	 * @param system actor system that runs the rig's HTTP calls
+	 * @return the deployment
+	 * @throws RigException if a process doesn't start; what was started is stopped again
+	 */
+	public static Deployment start(DeploymentPlan plan, ActorSystem<?> system) throws RigException {
+		Deployment deployment = new Deployment(plan, system);
+		try {
+			deployment.startAll();
+			return deployment;
+		}
+		catch (RigException | RuntimeException ex) {
+			deployment.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Returns an entry process.
+	 * @param name its name
+	 * @return the process
+	 */
+	public ManagedProcess entry(String name) {
+		return find(this.entries, name);
+	}
+
+	/**
+	 * Returns all entry processes.
+	 * @return the processes in the order of the plan
+	 */
+	public Collection<ManagedProcess> entries() {
+		return Collections.unmodifiableCollection(this.entries.values());
+	}
+
+	/**
+	 * Returns a side process.
+	 * @param name its name
+	 * @return the process
+	 */
+	public ManagedProcess side(String name) {
+		return find(this.sides, name);
+	}
+
+	/**
+	 * Returns all side processes.
+	 * @return the processes in the order of the plan
+	 */
+	public Collection<ManagedProcess> sides() {
+		return Collections.unmodifiableCollection(this.sides.values());
+	}
+
+	/**
+	 * Returns the stand-ins and their controls.
+	 * @return the process of the stand-ins
+	 */
+	public StandinProcess standins() {
+		return this.standins;
+	}
+
+	/**
+	 * Returns what was started.
+	 * @return the plan
+	 */
+	public DeploymentPlan plan() {
+		return this.plan;
+	}
+
+	/**
+	 * Starts one more entry and adds it to the VM list.
+	 * @param entry the entry
+	 * @return its process, ready
+	 * @throws RigException if it doesn't start
+	 */
+	public ManagedProcess addEntry(EntryPlan entry) throws RigException {
+		ManagedProcess process = launchEntry(entry);
+		process.awaitReady();
+		register(entry, process);
+		return process;
+	}
+
+	/**
+	 * Changes the state of a side process's VM in the VM list.
+	 * @param name name of the side process
+	 * @param state {@link Vm#LIVE} or {@link Vm#LEAVING}
+	 * @throws RigException if the VM list refuses
+	 */
+	public void registerSide(String name, String state) throws RigException {
+		BackendPlan backend = this.plan.backends()
+			.stream()
+			.filter((candidate) -> candidate.name().equals(name))
+			.findFirst()
+			.orElseThrow(() -> new IllegalArgumentException("no backend server " + name));
+		ManagedProcess side = side(name);
+		HostPort peer = this.standins.through(LinkKind.ENTRY_SIDE, name, side.address("peer"));
+		this.standins.putVm(new Vm(name, Vm.SIDE, backend.failureDomain(), backend.pool(), peer.toString(),
+				side.address("http").toString(), state));
+	}
+
+	/**
+	 * Stops everything in order and removes the settings files.
+	 */
+	@Override
+	public void close() {
+		stopAll();
+		try {
+			Runtime.getRuntime().removeShutdownHook(this.shutdownHook);
+		}
+		catch (IllegalStateException ex) {
+			// The runtime is stopping already; the hook has run or runs now.
+			return;
+		}
+	}
+
+	private void startAll() throws RigException {
+		this.standins.start();
+		if (!this.plan.configurationText().isEmpty()) {
+			this.standins.publish(this.plan.configurationText());
+		}
+		for (BackendPlan backend : this.plan.backends()) {
+			launchSide(backend);
+		}
+		for (EntryPlan entry : this.plan.entries()) {
+			launchEntry(entry);
+		}
+		for (ManagedProcess side : this.sides.values()) {
+			side.awaitReady();
+			registerSide(side.name(), Vm.LIVE);
+		}
+		for (EntryPlan entry : this.plan.entries()) {
+			ManagedProcess process = entry(entry.name());
+			process.awaitReady();
+			register(entry, process);
+		}
+		for (ManagedProcess entry : this.entries.values()) {
+			this.standins.awaitHealthy(entry.address("http"));
+		}
+	}
+
+	private void launchSide(BackendPlan backend) throws RigException {
+		ManagedProcess process = process(backend.name(), SIDE_MAIN, this.settings.side(backend));
+		this.sides.put(backend.name(), process);
+		process.launch();
+	}
+
+	private ManagedProcess launchEntry(EntryPlan entry) throws RigException {
+		ManagedProcess process = process(entry.name(), ENTRY_MAIN, this.settings.entry(entry));
+		this.entries.put(entry.name(), process);
+		process.launch();
+		return process;
+	}
+
+	private void register(EntryPlan entry, ManagedProcess process) throws RigException {
+		this.standins.putVm(new Vm(entry.name(), Vm.ENTRY, entry.failureDomain(), "", "",
+				process.address("http").toString(), Vm.LIVE));
+	}
+
+	private ManagedProcess process(String name, String mainClass, Map<String, Object> processSettings) {
+		List<String> command = this.java.of(JavaCommand.DAEMON_OPTIONS, mainClass, List.of());
+		return new ManagedProcess(name, command, this.directory.resolve(name + ".toml"), processSettings);
+	}
+
+	private synchronized void stopAll() {
+		stop(this.entries.values());
+		stop(this.sides.values());
+		this.standins.close();
+		removeDirectory();
+	}
+
+	private static void stop(Collection<ManagedProcess> processes) {
+		processes.forEach(ManagedProcess::terminate);
+		processes.forEach(ManagedProcess::close);
+	}
+
+	private void removeDirectory() {
+		if (!Files.isDirectory(this.directory)) {
+			return;
+		}
+		try (Stream<Path> files = Files.walk(this.directory)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.deleteIfExists(file);
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static Path temporaryDirectory() throws RigException {
+		try {
+			return Files.createTempDirectory("marjoramgw-rig");
+		}
+		catch (IOException ex) {
+			throw new RigException("no temporary directory", ex);
+		}
+	}
+
+	private static ManagedProcess find(Map<String, ManagedProcess> processes, String name) {
+		ManagedProcess process = processes.get(name);
+		if (process == null) {
+			throw new IllegalArgumentException("no process " + name + " among " + processes.keySet());
+		}
+		return process;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/DeploymentPlan.java
@@ -0,0 +1,85 @@
+package org.marjoramgw.rig;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Immutable description of a deployment to start.
+ *
+ * @param entries the entry VMs
+ * @param backends the backend servers, each with its side process
+ * @param proxied kinds of links that lead through the fault proxy
+ * @param processSettings further settings of entries and side processes, by key
+ * @param standinSettings settings of the platform stand-ins: tables by name ({@code log},
+ * {@code vmlist}, {@code weights}) with their keys
+ * @param configurationText text that is published before the processes start, or an empty
+ * text
+ * @author The marjoramgw authors
+ */
+public record DeploymentPlan(List<EntryPlan> entries, List<BackendPlan> backends, Set<LinkKind> proxied,
+		Map<String, Object> processSettings, Map<String, Map<String, Object>> standinSettings,
+		String configurationText) {
+
+	/**
+	 * Copies the collections.
+	 */
+	public DeploymentPlan {
+		entries = List.copyOf(entries);
+		backends = List.copyOf(backends);
+		proxied = Set.copyOf(proxied);
+		processSettings = Map.copyOf(processSettings);
+		standinSettings = Map.copyOf(standinSettings);
+	}
+
+	/**
+	 * Creates a plan without fault proxy and with default settings.
+	 * @param entries the entry VMs
+	 * @param backends the backend servers
+	 * @param configurationText the text to publish
+	 */
+	public DeploymentPlan(List<EntryPlan> entries, List<BackendPlan> backends, String configurationText) {
+		this(entries, backends, Set.of(), Map.of(), Map.of(), configurationText);
+	}
+
+	/**
+	 * Leads links through the fault proxy.
+	 * @param kinds the kinds of links
+	 * @return the changed plan
+	 */
+	public DeploymentPlan withProxied(LinkKind... kinds) {
+		return new DeploymentPlan(this.entries, this.backends, Set.of(kinds), this.processSettings,
+				this.standinSettings, this.configurationText);
+	}
+
+	/**
+	 * Replaces the further settings of entries and side processes.
+	 * @param settings settings by key
+	 * @return the changed plan
+	 */
+	public DeploymentPlan withProcessSettings(Map<String, Object> settings) {
+		return new DeploymentPlan(this.entries, this.backends, this.proxied, settings, this.standinSettings,
+				this.configurationText);
+	}
+
+	/**
+	 * Replaces the settings of the platform stand-ins.
+	 * @param settings tables by name
+	 * @return the changed plan
+	 */
+	public DeploymentPlan withStandinSettings(Map<String, Map<String, Object>> settings) {
+		return new DeploymentPlan(this.entries, this.backends, this.proxied, this.processSettings, settings,
+				this.configurationText);
+	}
+
+	/**
+	 * Replaces the text to publish.
+	 * @param text the operators' text
+	 * @return the changed plan
+	 */
+	public DeploymentPlan withConfigurationText(String text) {
+		return new DeploymentPlan(this.entries, this.backends, this.proxied, this.processSettings, this.standinSettings,
+				text);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
@@ -0,0 +1,239 @@
+package org.marjoramgw.rig;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.marjoramgw.HostPort;
+
+/**
+ * Process of the rig: one program with its settings file, which can be killed, frozen,
+ * stopped and started again at the same addresses.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ManagedProcess implements AutoCloseable {
+
+	private static final long READY_TIMEOUT_MILLIS = 30_000;
+
+	private static final long STOP_TIMEOUT_MILLIS = 15_000;
+
+	private final String name;
+
+	private final List<String> command;
+
+	private final Path settingsFile;
+
+	private final Map<String, Object> settings;
+
+	private Process process;
+
+	private ProcessOutput output;
+
+	private volatile boolean frozen;
+
+	private Map<String, HostPort> addresses = Map.of();
+
+	/**
+	 * Creates a process that isn't started yet.
+	 * @param name name of the process
+	 * @param command command line, without the settings file
+	 * @param settingsFile file that the settings are written to
+	 * @param settings the settings by key
+	 */
+	ManagedProcess(String name, List<String> command, Path settingsFile, Map<String, Object> settings) {
+		this.name = name;
+		this.command = command;
+		this.settingsFile = settingsFile;
+		this.settings = new LinkedHashMap<>(settings);
+	}
+
+	/**
+	 * Starts the process and returns at once.
+	 * @throws RigException if it can't be started
+	 */
+	public synchronized void launch() throws RigException {
+		try {
+			Files.writeString(this.settingsFile, new TomlMapper().writeValueAsString(this.settings));
+			ProcessBuilder builder = new ProcessBuilder(this.command);
+			builder.command().add("--config");
+			builder.command().add(this.settingsFile.toString());
+			builder.redirectErrorStream(true);
+			this.process = builder.start();
+			this.frozen = false;
+			this.process.getOutputStream().close();
+			this.output = new ProcessOutput(this.name, this.process.getInputStream());
+			this.output.start();
+		}
+		catch (JsonProcessingException ex) {
+			throw new RigException("settings of " + this.name + " can't be written as TOML", ex);
+		}
+		catch (IOException ex) {
+			throw new RigException(this.name + " can't be started", ex);
+		}
+	}
+
+	/**
+	 * Waits until the process is ready; its addresses are known from then on, and kept
+	 * when it is started again.
+	 * @throws RigException if it isn't ready in time
+	 */
+	public synchronized void awaitReady() throws RigException {
+		this.addresses = this.output.awaitReady(READY_TIMEOUT_MILLIS);
+		keepAddress("http", "http_address");
+		keepAddress("peer", "peer_address");
+	}
+
+	/**
+	 * Ends the process at once, as a failing VM does, and waits for its end.
+	 */
+	public synchronized void kill() {
+		if (this.process != null) {
+			this.process.destroyForcibly();
+			awaitExit(STOP_TIMEOUT_MILLIS);
+		}
+	}
+
+	/**
+	 * Freezes the process: its connections stay open and go silent.
+	 * @throws RigException if the signal could not be sent
+	 */
+	public void freeze() throws RigException {
+		JavaCommand.signal(pid(), "STOP");
+		this.frozen = true;
+	}
+
+	/**
+	 * Lets a frozen process go on.
+	 * @throws RigException if the signal could not be sent
+	 */
+	public void thaw() throws RigException {
+		JavaCommand.signal(pid(), "CONT");
+		this.frozen = false;
+	}
+
+	/**
+	 * Asks the process to stop, by SIGTERM, and returns at once.
+	 */
+	public synchronized void terminate() {
+		if (this.process != null) {
+			this.process.destroy();
+		}
+	}
+
+	/**
+	 * Starts a process that has ended again, at the same addresses, and waits until it is
+	 * ready.
+	 * @throws RigException if it can't be started
+	 */
+	public void restart() throws RigException {
+		launch();
+		awaitReady();
+	}
+
+	/**
+	 * Changes one setting; it counts from the next start on.
+	 * @param key the key
+	 * @param value the value
+	 */
+	public synchronized void setting(String key, Object value) {
+		this.settings.put(key, value);
+	}
+
+	/**
+	 * Waits for the end of the process.
+	 * @param timeoutMillis longest wait, in milliseconds
+	 * @return whether it has ended
+	 */
+	public boolean awaitExit(long timeoutMillis) {
+		try {
+			return this.process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	/**
+	 * Tells whether the process runs.
+	 * @return whether it was started and has not ended
+	 */
+	public boolean isAlive() {
+		return this.process != null && this.process.isAlive();
+	}
+
+	/**
+	 * Returns the exit code.
+	 * @return the code of the ended process
+	 */
+	public int exitCode() {
+		return this.process.exitValue();
+	}
+
+	/**
+	 * Returns the name.
+	 * @return name of the process
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the id of the running process.
+	 * @return the process id
+	 */
+	public long pid() {
+		return this.process.pid();
+	}
+
+	/**
+	 * Returns an address that the process is bound to.
+	 * @param addressName name in its ready line, for example {@code http} or {@code peer}
+	 * @return the address
+	 */
+	public synchronized HostPort address(String addressName) {
+		HostPort address = this.addresses.get(addressName);
+		if (address == null) {
+			throw new IllegalArgumentException(
+					this.name + " has no address " + addressName + " among " + this.addresses.keySet());
+		}
+		return address;
+	}
+
+	/**
+	 * Returns the lines that the process has written since its last start.
+	 * @return the latest lines of standard output and standard error, oldest first
+	 */
+	public synchronized List<String> lines() {
+		return this.output.lines();
+	}
+
+	/**
+	 * Stops the process gracefully, and forcibly if it takes too long.
+	 */
+	@Override
+	public void close() {
+		if (!isAlive()) {
+			return;
+		}
+		terminate();
+		if (this.frozen || !awaitExit(STOP_TIMEOUT_MILLIS)) {
+			kill();
+		}
+	}
+
+	private void keepAddress(String addressName, String key) {
+		HostPort address = this.addresses.get(addressName);
+		if (address != null && this.settings.containsKey(key)) {
+			this.settings.put(key, address.toString());
+		}
+	}
+
+}
