--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Fault.java
@@ -0,0 +1,14 @@
+package org.marjoramgw.load.experiment;
+
+import java.util.Map;
+
+/**
+ * Fault that a stand-in is told to have during an experiment.
+ *
+ * @param atMillis when, in milliseconds after the first phase began
+ * @param standin name of the stand-in, for example {@code engine.runner-1}
+ * @param control body of its {@code PUT /control}
+ * @author The marjoramgw authors
+ */
+public record Fault(long atMillis, String standin, Map<String, Object> control) {
+}
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/BackendPlan.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/BackendPlan.java
@@ -26,10 +26,10 @@
 
 	/**
 	 * Returns the name of its stand-in.
-	 * @return the name, for example {@code engines.runner-1}
+	 * @return the name, for example {@code engine.runner-1}
 	 */
 	public String standinName() {
-		return ((this.kind == ServiceKind.MODEL) ? "engines." : "plains.") + this.name;
+		return ((this.kind == ServiceKind.MODEL) ? "engine." : "plain.") + this.name;
 	}
 
 }
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ChatCall.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ChatCall.java
@@ -13,13 +13,14 @@
  * @param key bearer key of the client account, or an empty text
  * @param requestClass class of the request, or an empty text to leave it to the rules
  * @param model name of the model
- * @param prompt text of the only message
+ * @param context text of a system message that comes first, or an empty text for none
+ * @param prompt text of the user's message
  * @param streamed whether the answer is streamed
  * @param maxTokens bound of the answer, in tokens; 0 sends none
  * @author The marjoramgw authors
  */
-public record ChatCall(HostPort target, String key, String requestClass, String model, String prompt, boolean streamed,
-		int maxTokens) {
+public record ChatCall(HostPort target, String key, String requestClass, String model, String context, String prompt,
+		boolean streamed, int maxTokens) {
 
 	/**
 	 * Returns the request body.
@@ -28,7 +29,7 @@
 	Map<String, Object> body() {
 		Map<String, Object> body = new TreeMap<>();
 		body.put("model", this.model);
-		body.put("messages", List.of(Map.of("role", "user", "content", this.prompt)));
+		body.put("messages", messages());
 		body.put("stream", this.streamed);
 		if (this.maxTokens > 0) {
 			body.put("max_tokens", this.maxTokens);
@@ -36,4 +37,12 @@
 		return body;
 	}
 
+	private List<Map<String, String>> messages() {
+		Map<String, String> question = Map.of("role", "user", "content", this.prompt);
+		if (this.context.isEmpty()) {
+			return List.of(question);
+		}
+		return List.of(Map.of("role", "system", "content", this.context), question);
+	}
+
 }
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/FirstRevision.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/FirstRevision.java
@@ -34,9 +34,11 @@
 	void publish(String text) throws RigException {
 		Map<String, Object> envelope = new LinkedHashMap<>();
 		envelope.put("type", "publish");
-		envelope.put("base", 0);
-		envelope.put("digest", Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString());
+		envelope.put("id", "first-revision");
+		envelope.put("base_revision", 0);
+		envelope.put("sha256", Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString());
 		envelope.put("text", text);
+		envelope.put("operator", "rig");
 		try {
 			String body = MAPPER.writeValueAsString(Map.of("records", List.of(MAPPER.writeValueAsString(envelope))));
 			HttpReply reply = this.http.post("http://" + this.log + "/streams/config/records", body);
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/StandinProcess.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/StandinProcess.java
@@ -70,7 +70,7 @@
 
 	/**
 	 * Returns the address of a stand-in, past the fault proxy.
-	 * @param standin name such as {@code engines.runner-1} or {@link #LOG}
+	 * @param standin name such as {@code engine.runner-1} or {@link #LOG}
 	 * @return its HTTP address
 	 */
 	public HostPort address(String standin) {
@@ -84,7 +84,7 @@
 	 * @throws RigException if it refuses
 	 */
 	public void control(String standin, String json) throws RigException {
-		put("http://" + address(standin) + "/control", json);
+		put("http://" + controlAddress(standin) + "/control", json);
 	}
 
 	/**
@@ -94,7 +94,7 @@
 	 * @throws RigException if it doesn't answer
 	 */
 	public JsonNode executions(String standin) throws RigException {
-		return get("http://" + address(standin) + "/control/executions").path("executions");
+		return get("http://" + controlAddress(standin) + "/control/executions").path("executions");
 	}
 
 	/**
@@ -184,6 +184,10 @@
 		}
 	}
 
+	private HostPort controlAddress(String standin) {
+		return standin.startsWith("engine.") ? address(standin + ".control") : address(standin);
+	}
+
 	private boolean isHealthy(HostPort entry) {
 		try {
 			return this.http.get("http://" + entry + "/healthz").isOk();
@@ -250,8 +254,8 @@
 			target.put(backend.name(), backend.options());
 		}
 		Map<String, Object> settings = new LinkedHashMap<>();
-		settings.put("engines", engines);
-		settings.put("plains", plains);
+		settings.put("engine", engines);
+		settings.put("plain", plains);
 		for (String name : List.of(LOG, VM_LIST, WEIGHT_STORE, PROXY)) {
 			settings.put(name, plan.standinSettings().getOrDefault(name, Map.of()));
 		}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -12,6 +12,7 @@
 import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import org.marjoramgw.HostPort;
@@ -213,6 +214,24 @@
 		return List.copyOf(texts);
 	}
 
+	/**
+	 * Reads an optional table whose keys another program checks.
+	 * @param key the key
+	 * @return texts, numbers and truth values by key, empty if the key is absent
+	 */
+	public Map<String, Object> values(String key) {
+		JsonNode value = read(key);
+		if (value == null) {
+			return Map.of();
+		}
+		if (!value.isObject()) {
+			add(ResultCode.BAD_VALUE, key, "a table");
+			return Map.of();
+		}
+		return Collections.unmodifiableMap(MAPPER.convertValue(value, new TypeReference<Map<String, Object>>() {
+		}));
+	}
+
 	/**
 	 * Reads an optional table.
 	 * @param key the key
