--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/preemption/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of the stream that makes room for a higher tier.
+ */
+package org.marjoramgw.policy.preemption;
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/ClassQueues.java
@@ -0,0 +1,88 @@
+package org.marjoramgw.policy.queue;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Queues of waiting requests, one for each class with a bound of its own.
+ * <p>
+ * Since no class shares its room, a request is never refused because another class fills
+ * the queue. Preempted requests don't count against the bound: they had been accepted.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ClassQueues {
+
+	private final Map<RequestKey, Waiting> waiting = new LinkedHashMap<>();
+
+	private final Map<String, Integer> countByClass = new HashMap<>();
+
+	/**
+	 * Adds a request.
+	 * @param request the request
+	 * @param bound bound of its class, in requests
+	 * @return whether there was room
+	 */
+	public boolean add(Waiting request, int bound) {
+		if (!request.resumed() && size(request.requestClass()) >= bound) {
+			return false;
+		}
+		if (this.waiting.putIfAbsent(request.key(), request) == null) {
+			this.countByClass.merge(request.requestClass(), 1, Integer::sum);
+		}
+		return true;
+	}
+
+	/**
+	 * Removes a request.
+	 * @param key its identity
+	 * @return the request, or empty if it doesn't wait here
+	 */
+	public Optional<Waiting> remove(RequestKey key) {
+		Waiting removed = this.waiting.remove(key);
+		if (removed != null) {
+			this.countByClass.merge(removed.requestClass(), -1, Integer::sum);
+		}
+		return Optional.ofNullable(removed);
+	}
+
+	/**
+	 * Returns the requests that can no longer start usefully.
+	 * @param nowMillis the present time, in milliseconds
+	 * @return the requests, still in the queue
+	 */
+	public List<Waiting> expired(long nowMillis) {
+		return this.waiting.values().stream().filter((request) -> request.isExpired(nowMillis)).toList();
+	}
+
+	/**
+	 * Returns all waiting requests.
+	 * @return an unmodifiable view, in the order of arrival here
+	 */
+	public Collection<Waiting> all() {
+		return Collections.unmodifiableCollection(this.waiting.values());
+	}
+
+	/**
+	 * Returns the length of one queue.
+	 * @param requestClass name of the class
+	 * @return how many of the class wait
+	 */
+	public int size(String requestClass) {
+		return this.countByClass.getOrDefault(requestClass, 0);
+	}
+
+	/**
+	 * Returns the length of all queues.
+	 * @return how many wait
+	 */
+	public int size() {
+		return this.waiting.size();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
@@ -0,0 +1,91 @@
+package org.marjoramgw.policy.queue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.marjoramgw.policy.share.AccountUsage;
+import org.marjoramgw.policy.share.ClassFloors;
+
+/**
+ * Order by tier, then fairly between client accounts, then by latest start.
+ * <p>
+ * Before that comes a class that is below its floor of slot-time, so that the lowest tier
+ * is served in a long burst. The last free slots are kept for the top tier.
+ *
+ * @author The marjoramgw authors
+ */
+public final class TierOrder implements GrantOrder {
+
+	private static final Comparator<Waiting> BY_START = Comparator.comparing(Waiting::resumed)
+		.reversed()
+		.thenComparingLong(Waiting::startByMillis)
+		.thenComparingLong(Waiting::arrivedMillis);
+
+	private final ClassFloors floors;
+
+	private final AccountUsage usage;
+
+	private final int topTier;
+
+	private final int headroomSlots;
+
+	/**
+	 * Creates an order.
+	 * @param floors the floors of the classes
+	 * @param usage slot-time used by the accounts
+	 * @param topTier number of the highest tier
+	 * @param headroomSlots free slots that only the top tier may take
+	 */
+	public TierOrder(ClassFloors floors, AccountUsage usage, int topTier, int headroomSlots) {
+		this.floors = floors;
+		this.usage = usage;
+		this.topTier = topTier;
+		this.headroomSlots = headroomSlots;
+	}
+
+	@Override
+	public Optional<Waiting> next(Collection<Waiting> waiting, int freeSlots, int slotLimit, long nowMillis) {
+		if (waiting.isEmpty()) {
+			return Optional.empty();
+		}
+		Optional<String> starved = mostStarved(waiting, slotLimit, nowMillis);
+		if (starved.isPresent()) {
+			return fairest(filter(waiting, (request) -> request.requestClass().equals(starved.get())), nowMillis);
+		}
+		int tier = waiting.stream().mapToInt(Waiting::tier).min().orElseThrow();
+		int headroom = Math.min(this.headroomSlots, slotLimit - 1);
+		if (tier > this.topTier && freeSlots <= headroom) {
+			return Optional.empty();
+		}
+		return fairest(filter(waiting, (request) -> request.tier() == tier), nowMillis);
+	}
+
+	private Optional<String> mostStarved(Collection<Waiting> waiting, int slotLimit, long nowMillis) {
+		return waiting.stream()
+			.map(Waiting::requestClass)
+			.distinct()
+			.filter((name) -> this.floors.isBelow(name, slotLimit, nowMillis))
+			.min(Comparator.comparingDouble((name) -> this.floors.fillOf(name, nowMillis)));
+	}
+
+	private Optional<Waiting> fairest(List<Waiting> candidates, long nowMillis) {
+		Comparator<Waiting> byUsage = Comparator
+			.comparingDouble((request) -> this.usage.of(request.tier(), request.account(), nowMillis));
+		Comparator<Waiting> resumedFirst = Comparator.comparing(Waiting::resumed).reversed();
+		return candidates.stream().min(resumedFirst.thenComparing(byUsage).thenComparing(BY_START));
+	}
+
+	private static List<Waiting> filter(Collection<Waiting> waiting, java.util.function.Predicate<Waiting> wanted) {
+		List<Waiting> result = new ArrayList<>();
+		for (Waiting request : waiting) {
+			if (wanted.test(request)) {
+				result.add(request);
+			}
+		}
+		return result;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/Waiting.java
@@ -0,0 +1,36 @@
+package org.marjoramgw.policy.queue;
+
+/**
+ * Request that waits for a slot.
+ *
+ * @param key its identity
+ * @param requestClass name of its class
+ * @param tier service tier of the class, 1 is the highest
+ * @param account name of the client account
+ * @param arrivedMillis when it arrived, in milliseconds
+ * @param startByMillis latest useful start, in milliseconds
+ * @param resumed whether it was preempted and waits to go on
+ * @author The marjoramgw authors
+ */
+public record Waiting(RequestKey key, String requestClass, int tier, String account, long arrivedMillis,
+		long startByMillis, boolean resumed) {
+
+	/**
+	 * Tells whether it can no longer start usefully.
+	 * @param nowMillis the present time, in milliseconds
+	 * @return whether its latest start has passed; never for a preempted request
+	 */
+	public boolean isExpired(long nowMillis) {
+		return !this.resumed && nowMillis > this.startByMillis;
+	}
+
+	/**
+	 * Returns the same request as preempted.
+	 * @return a request that goes before the new ones of its class
+	 */
+	public Waiting preempted() {
+		return new Waiting(this.key, this.requestClass, this.tier, this.account, this.arrivedMillis, this.startByMillis,
+				true);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/ClassFloors.java
@@ -0,0 +1,160 @@
+package org.marjoramgw.policy.share;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Floors of slot-time for each class.
+ * <p>
+ * The share is taken from slot-time and not from grants, since a long answer holds its
+ * slot longer. Requests in flight count as they run.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ClassFloors {
+
+	private static final long TIME_CONSTANT_MILLIS = 10_000;
+
+	private static final double PERCENT = 100.0;
+
+	private final Map<String, ClassTime> times = new HashMap<>();
+
+	private final DecayingSum total;
+
+	private Map<String, Integer> floorPercents = Map.of();
+
+	private long updatedMillis;
+
+	/**
+	 * Creates the accounting.
+	 * @param nowMillis the present time, in milliseconds
+	 */
+	public ClassFloors(long nowMillis) {
+		this.total = new DecayingSum(TIME_CONSTANT_MILLIS, nowMillis);
+		this.updatedMillis = nowMillis;
+	}
+
+	/**
+	 * Sets the floors.
+	 * @param percentByClass least share of slot-time of each class, in percent
+	 */
+	public void setFloors(Map<String, Integer> percentByClass) {
+		this.floorPercents = Map.copyOf(percentByClass);
+	}
+
+	/**
+	 * Notes that a slot was taken.
+	 * @param requestClass name of the class
+	 * @param nowMillis the present time, in milliseconds
+	 */
+	public void taken(String requestClass, long nowMillis) {
+		update(nowMillis);
+		timeOf(requestClass).inFlight++;
+	}
+
+	/**
+	 * Notes that a slot was freed.
+	 * @param requestClass name of the class
+	 * @param nowMillis the present time, in milliseconds
+	 */
+	public void freed(String requestClass, long nowMillis) {
+		update(nowMillis);
+		timeOf(requestClass).inFlight--;
+	}
+
+	/**
+	 * Tells whether a class is below its floor.
+	 * @param requestClass name of the class
+	 * @param slotLimit present slot limit
+	 * @param nowMillis the present time, in milliseconds
+	 * @return whether its recent share and its slots now are both below the floor
+	 */
+	public boolean isBelow(String requestClass, int slotLimit, long nowMillis) {
+		int percent = this.floorPercents.getOrDefault(requestClass, 0);
+		if (percent == 0) {
+			return false;
+		}
+		update(nowMillis);
+		ClassTime time = timeOf(requestClass);
+		double floorSlots = Math.max(slotLimit * percent / PERCENT, 1);
+		return time.inFlight < floorSlots && fillOf(requestClass, nowMillis) < 1;
+	}
+
+	/**
+	 * Tells whether a class may lose a slot without falling below its floor.
+	 * @param requestClass name of the class
+	 * @param slotLimit present slot limit
+	 * @param nowMillis the present time, in milliseconds
+	 * @return whether it stays at or above its floor
+	 */
+	public boolean maySpare(String requestClass, int slotLimit, long nowMillis) {
+		int percent = this.floorPercents.getOrDefault(requestClass, 0);
+		if (percent == 0) {
+			return true;
+		}
+		update(nowMillis);
+		double floorSlots = slotLimit * percent / PERCENT;
+		return timeOf(requestClass).inFlight - 1 >= floorSlots || fillOf(requestClass, nowMillis) >= 1;
+	}
+
+	/**
+	 * Returns how far a class's recent share fills its floor.
+	 * @param requestClass name of the class
+	 * @param nowMillis the present time, in milliseconds
+	 * @return share divided by floor; 1 or more once the floor is reached
+	 */
+	public double fillOf(String requestClass, long nowMillis) {
+		update(nowMillis);
+		double used = timeOf(requestClass).recent.valueAt(nowMillis);
+		double all = this.total.valueAt(nowMillis);
+		int percent = this.floorPercents.getOrDefault(requestClass, 0);
+		if (all <= 0 || percent == 0) {
+			return 1;
+		}
+		return used / all / (percent / PERCENT);
+	}
+
+	/**
+	 * Returns all slot-time that a class has used.
+	 * @param requestClass name of the class
+	 * @param nowMillis the present time, in milliseconds
+	 * @return slot-time in milliseconds since the start
+	 */
+	public long slotMillis(String requestClass, long nowMillis) {
+		update(nowMillis);
+		return timeOf(requestClass).allMillis;
+	}
+
+	private void update(long nowMillis) {
+		long elapsedMillis = nowMillis - this.updatedMillis;
+		if (elapsedMillis <= 0) {
+			return;
+		}
+		for (ClassTime time : this.times.values()) {
+			double slotMillis = (double) time.inFlight * elapsedMillis;
+			time.recent.add(slotMillis, nowMillis);
+			time.allMillis += (long) slotMillis;
+			this.total.add(slotMillis, nowMillis);
+		}
+		this.updatedMillis = nowMillis;
+	}
+
+	private ClassTime timeOf(String requestClass) {
+		return this.times.computeIfAbsent(requestClass, (name) -> new ClassTime(this.updatedMillis));
+	}
+
+	private static final class ClassTime {
+
+		private final DecayingSum recent;
+
+		private int inFlight;
+
+		private long allMillis;
+
+		ClassTime(long nowMillis) {
+			this.recent = new DecayingSum(TIME_CONSTANT_MILLIS, nowMillis);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/SlotTimes.java
@@ -0,0 +1,36 @@
+package org.marjoramgw.policy.share;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Recent mean time that a request of each class holds its slot.
+ *
+ * @author The marjoramgw authors
+ */
+public final class SlotTimes {
+
+	private static final double NEW_SAMPLE_SHARE = 0.1;
+
+	private final Map<String, Double> meanMillis = new HashMap<>();
+
+	/**
+	 * Adds a sample.
+	 * @param requestClass name of the class
+	 * @param slotMillis time that the slot was held, in milliseconds
+	 */
+	public void add(String requestClass, long slotMillis) {
+		this.meanMillis.merge(requestClass, (double) slotMillis,
+				(mean, sample) -> mean + NEW_SAMPLE_SHARE * (sample - mean));
+	}
+
+	/**
+	 * Returns the recent mean.
+	 * @param requestClass name of the class
+	 * @return time in milliseconds, 0 before the first sample
+	 */
+	public double of(String requestClass) {
+		return this.meanMillis.getOrDefault(requestClass, 0.0);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Accounting of slot-time by class and by client account.
+ */
+package org.marjoramgw.policy.share;
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/FixedSlotLimit.java
@@ -0,0 +1,35 @@
+package org.marjoramgw.policy.slot;
+
+/**
+ * Limit that never changes.
+ *
+ * @author The marjoramgw authors
+ */
+public final class FixedSlotLimit implements SlotLimit {
+
+	private final int slots;
+
+	/**
+	 * Creates a limit.
+	 * @param slots the limit, at least 1
+	 */
+	public FixedSlotLimit(int slots) {
+		this.slots = Math.max(slots, 1);
+	}
+
+	@Override
+	public int slots() {
+		return this.slots;
+	}
+
+	@Override
+	public void observeGap(double gapMillis, long targetMillis) {
+		// a fixed limit measures nothing
+	}
+
+	@Override
+	public int adjust(int inFlight) {
+		return this.slots;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotHolder.java
@@ -0,0 +1,62 @@
+package org.marjoramgw.policy.slot;
+
+import org.marjoramgw.policy.preemption.RunningRequest;
+import org.marjoramgw.policy.queue.Waiting;
+
+/**
+ * Request that holds a slot.
+ *
+ * @author The marjoramgw authors
+ */
+final class SlotHolder {
+
+	private final Waiting request;
+
+	private final long takenMillis;
+
+	private final double chargedMillis;
+
+	private boolean resumable;
+
+	private long contextTokens;
+
+	private int preemptedCount;
+
+	SlotHolder(Waiting request, long takenMillis, double chargedMillis) {
+		this.request = request;
+		this.takenMillis = takenMillis;
+		this.chargedMillis = chargedMillis;
+	}
+
+	Waiting request() {
+		return this.request;
+	}
+
+	long takenMillis() {
+		return this.takenMillis;
+	}
+
+	double chargedMillis() {
+		return this.chargedMillis;
+	}
+
+	boolean resumable() {
+		return this.resumable;
+	}
+
+	void setResumable(long tokens, int preempted) {
+		this.resumable = true;
+		this.contextTokens = tokens;
+		this.preemptedCount = preempted;
+	}
+
+	void addTokens(int tokens) {
+		this.contextTokens += tokens;
+	}
+
+	RunningRequest toRunning() {
+		return new RunningRequest(this.request.key(), this.request.requestClass(), this.request.tier(),
+				this.contextTokens, this.preemptedCount);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideSettings.java
@@ -0,0 +1,78 @@
+package org.marjoramgw.side;
+
+import java.util.Set;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.settings.TomlTable;
+
+/**
+ * Settings of a side process.
+ *
+ * @param processId name of the process, also the id of its VM
+ * @param failureDomain failure domain
+ * @param httpAddress where operators' requests are taken
+ * @param peerAddress where entries connect
+ * @param peerToken token of the deployment
+ * @param operatorToken token of the operators
+ * @param logUrl base URL of the log service
+ * @param vmListUrl base URL of the VM list
+ * @param pool pool of backend servers
+ * @param backendUrl base URL of the backend server
+ * @param model whether the backend server is a model engine
+ * @param weightStoreUrl base URL of the weight store, or an empty text
+ * @param heartbeatMillis time between heartbeats, in milliseconds
+ * @param peerTimeoutMillis silence after which a peer is dropped, in milliseconds
+ * @param pollMillis time between polls of the platform, in milliseconds
+ * @param answerKeepMillis time that answers are kept for an entry that is gone, in
+ * milliseconds
+ * @param claimPartitionCount partitions of the claims on the log
+ * @author The marjoramgw authors
+ */
+public record SideSettings(String processId, String failureDomain, HostPort httpAddress, HostPort peerAddress,
+		String peerToken, String operatorToken, String logUrl, String vmListUrl, String pool, String backendUrl,
+		boolean model, String weightStoreUrl, long heartbeatMillis, long peerTimeoutMillis, long pollMillis,
+		long answerKeepMillis, int claimPartitionCount) {
+
+	private static final String MODEL = "model";
+
+	private static final long HEARTBEAT_MILLIS = 250;
+
+	private static final long PEER_TIMEOUT_MILLIS = 1_000;
+
+	private static final long POLL_MILLIS = 500;
+
+	private static final long ANSWER_KEEP_MILLIS = 10_000;
+
+	private static final long CLAIM_PARTITION_COUNT = 16;
+
+	private static final long MIN_MILLIS = 10;
+
+	private static final long MAX_MILLIS = 600_000;
+
+	private static final long MAX_PARTITION_COUNT = 4_096;
+
+	/**
+	 * Reads and checks settings.
+	 * @param table root table of the settings
+	 * @return the settings
+	 * @throws InvalidTextException if they have mistakes
+	 */
+	public static SideSettings read(TomlTable table) throws InvalidTextException {
+		SideSettings settings = new SideSettings(table.text("process_id"), table.text("failure_domain"),
+				table.address("http_address"), table.address("peer_address"), table.text("peer_token"),
+				table.text("operator_token"), table.text("log_url"), table.text("vm_list_url"), table.text("pool"),
+				table.text("backend_url"), MODEL.equals(table.choice("kind", MODEL, Set.of(MODEL, "plain"))),
+				table.text("weight_store_url", ""), millis(table, "heartbeat_ms", HEARTBEAT_MILLIS),
+				millis(table, "peer_timeout_ms", PEER_TIMEOUT_MILLIS), millis(table, "poll_ms", POLL_MILLIS),
+				millis(table, "answer_keep_ms", ANSWER_KEEP_MILLIS),
+				(int) table.number("claim_partition_count", CLAIM_PARTITION_COUNT, 1, MAX_PARTITION_COUNT));
+		table.throwIfInvalid();
+		return settings;
+	}
+
+	private static long millis(TomlTable table, String key, long defaultMillis) {
+		return table.number(key, defaultMillis, MIN_MILLIS, MAX_MILLIS);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineBackend.java
@@ -0,0 +1,69 @@
+package org.marjoramgw.side.engine;
+
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.KillSwitches;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.side.backend.Backend;
+import org.marjoramgw.side.backend.BackendAddress;
+import org.marjoramgw.side.backend.BackendListener;
+import org.marjoramgw.side.backend.BackendRequest;
+import org.marjoramgw.side.backend.BackendRun;
+
+/**
+ * Model engine reached over HTTP, with its tokens streamed as server-sent events.
+ *
+ * @author The marjoramgw authors
+ */
+public final class EngineBackend implements Backend {
+
+	private static final String CHAT_PATH = "/v1/chat/completions";
+
+	private static final String REQUESTS_PATH = "/v1/requests/";
+
+	private final ActorSystem<?> system;
+
+	private final BackendAddress address;
+
+	private final EngineJson json = new EngineJson();
+
+	/**
+	 * Creates a client.
+	 * @param system the actor system that runs the calls
+	 * @param url base URL of the engine
+	 */
+	public EngineBackend(ActorSystem<?> system, String url) {
+		this.system = system;
+		this.address = new BackendAddress(system, url);
+	}
+
+	@Override
+	public BackendRun start(BackendRequest request, BackendListener listener) {
+		EngineStream stream = new EngineStream(this.system, this.json, listener);
+		try {
+			HttpRequest chat = HttpRequest.POST(CHAT_PATH)
+				.withEntity(ContentTypes.APPLICATION_JSON, this.json.chatBody(request));
+			this.address.send(chat, stream.killSwitch()).whenComplete(stream::onResponse);
+		}
+		catch (JsonProcessingException ex) {
+			listener.onFailure(ResultCode.MALFORMED_REQUEST);
+		}
+		return () -> {
+			stream.stop();
+			cancelAtEngine(request.executionId());
+		};
+	}
+
+	private void cancelAtEngine(String executionId) {
+		HttpRequest cancel = HttpRequest.create(REQUESTS_PATH + executionId).withMethod(HttpMethods.DELETE);
+		CompletionStage<HttpResponse> sent = this.address.send(cancel, KillSwitches.shared(executionId));
+		sent.thenAccept((response) -> response.discardEntityBytes(this.system));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of a model engine.
+ */
+package org.marjoramgw.side.engine;
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
@@ -0,0 +1,156 @@
+package org.marjoramgw.side.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.side.scheduler.EntryLink;
+import org.marjoramgw.side.scheduler.SchedulerCommand;
+import org.marjoramgw.transport.Connection;
+import org.marjoramgw.transport.ConnectionHandler;
+import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.MessageCodec;
+import org.marjoramgw.wire.PeerIdentity;
+import org.marjoramgw.wire.PeerStatus;
+import org.tinylog.Logger;
+
+/**
+ * One connection of an entry: greets, checks the token and passes messages on.
+ *
+ * @author The marjoramgw authors
+ */
+final class EntryConnection implements ConnectionHandler, EntryLink {
+
+	private final Connection connection;
+
+	private final EntryConnections owner;
+
+	private volatile PeerIdentity peer;
+
+	private volatile long heardMillis;
+
+	private volatile boolean closed;
+
+	EntryConnection(Connection connection, EntryConnections owner) {
+		this.connection = connection;
+		this.owner = owner;
+		this.heardMillis = owner.clock().nowMillis();
+	}
+
+	@Override
+	public PeerIdentity peer() {
+		return this.peer;
+	}
+
+	@Override
+	public void send(Message message) {
+		this.connection.send(message);
+	}
+
+	@Override
+	public synchronized void onMessage(Message message) {
+		if (this.closed) {
+			return;
+		}
+		this.heardMillis = this.owner.clock().nowMillis();
+		if (this.peer == null) {
+			greet(message);
+		}
+		else if (message instanceof Message.Heartbeat heartbeat) {
+			compareRevision(heartbeat.status());
+		}
+		else if (message instanceof Message.ConfigFetch fetch) {
+			sendConfiguration(fetch.haveRevision());
+		}
+		else if (message instanceof Message.ConfigText text) {
+			this.owner.configuration().offerFromPeer(text);
+		}
+		else if (message instanceof Message.Goodbye) {
+			drop(ResultCode.PEER_CLOSED);
+		}
+		else {
+			this.owner.tell(new SchedulerCommand.FromEntry(this, message));
+		}
+	}
+
+	@Override
+	public void onClosed(ResultCode reason) {
+		drop(reason);
+	}
+
+	/**
+	 * Sends a heartbeat, or drops a silent peer.
+	 * @param status what this process does now
+	 * @param heardAfterMillis the peer must have been heard after this time, in
+	 * milliseconds
+	 */
+	void beat(PeerStatus status, long heardAfterMillis) {
+		if (this.heardMillis < heardAfterMillis) {
+			drop(ResultCode.PEER_SILENT);
+		}
+		else if (this.peer != null) {
+			send(new Message.Heartbeat(status));
+		}
+	}
+
+	void close() {
+		drop(ResultCode.SIDE_LEAVING);
+	}
+
+	private void greet(Message message) {
+		ResultCode refusal = check(message);
+		if (refusal != null) {
+			send(new Message.Goodbye(refusal.number()));
+			drop(refusal);
+			return;
+		}
+		Message.Hello hello = (Message.Hello) message;
+		this.peer = hello.peer();
+		send(new Message.Hello(MessageCodec.VERSION, this.owner.token(), this.owner.self(), this.owner.status()));
+		this.owner.tell(new SchedulerCommand.EntryConnected(this));
+		compareRevision(hello.status());
+	}
+
+	private ResultCode check(Message message) {
+		if (!(message instanceof Message.Hello hello)) {
+			return ResultCode.BAD_TOKEN;
+		}
+		if (hello.version() != MessageCodec.VERSION) {
+			return ResultCode.BAD_VERSION;
+		}
+		byte[] expected = this.owner.token().getBytes(StandardCharsets.UTF_8);
+		boolean known = MessageDigest.isEqual(expected, hello.token().getBytes(StandardCharsets.UTF_8));
+		return known ? null : ResultCode.BAD_TOKEN;
+	}
+
+	private void compareRevision(PeerStatus status) {
+		long ownRevision = this.owner.status().configRevision();
+		if (status.configRevision() > ownRevision) {
+			send(new Message.ConfigFetch(ownRevision));
+		}
+	}
+
+	private void sendConfiguration(long haveRevision) {
+		this.owner.configuration().currentText().filter((text) -> text.revision() > haveRevision).ifPresent(this::send);
+	}
+
+	private void drop(ResultCode reason) {
+		synchronized (this) {
+			if (this.closed) {
+				return;
+			}
+			this.closed = true;
+		}
+		Logger.info("connection of entry {} is gone: E{} {}", name(), reason.number(), reason.text());
+		this.connection.close();
+		this.owner.remove(this);
+		if (this.peer != null) {
+			this.owner.tell(new SchedulerCommand.EntryGone(this));
+		}
+	}
+
+	private String name() {
+		return (this.peer != null) ? this.peer.processId() : "(unknown)";
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
@@ -0,0 +1,135 @@
+package org.marjoramgw.side.entry;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.apache.pekko.actor.Cancellable;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.side.scheduler.SchedulerCommand;
+import org.marjoramgw.transport.Connection;
+import org.marjoramgw.transport.ConnectionAcceptor;
+import org.marjoramgw.transport.ConnectionHandler;
+import org.marjoramgw.wire.PeerIdentity;
+import org.marjoramgw.wire.PeerStatus;
+
+/**
+ * Connections of all entries, with heartbeats both ways.
+ *
+ * @author The marjoramgw authors
+ */
+public final class EntryConnections implements ConnectionAcceptor, AutoCloseable {
+
+	private static final int MAX_CONNECTIONS = 2_048;
+
+	private final MillisClock clock;
+
+	private final PeerIdentity self;
+
+	private final String token;
+
+	private final long peerTimeoutMillis;
+
+	private final Supplier<PeerStatus> status;
+
+	private final ConfigurationSource configuration;
+
+	private final Consumer<SchedulerCommand> scheduler;
+
+	private final Set<EntryConnection> connections = ConcurrentHashMap.newKeySet();
+
+	private Cancellable timer;
+
+	/**
+	 * Creates the set of connections.
+	 * @param clock the clock
+	 * @param self identity of this process
+	 * @param token token of the deployment
+	 * @param peerTimeoutMillis silence after which a peer is dropped, in milliseconds
+	 * @param status what this process does now
+	 * @param configuration source of the configuration
+	 * @param scheduler takes what the entries say
+	 */
+	public EntryConnections(MillisClock clock, PeerIdentity self, String token, long peerTimeoutMillis,
+			Supplier<PeerStatus> status, ConfigurationSource configuration, Consumer<SchedulerCommand> scheduler) {
+		this.clock = clock;
+		this.self = self;
+		this.token = token;
+		this.peerTimeoutMillis = peerTimeoutMillis;
+		this.status = status;
+		this.configuration = configuration;
+		this.scheduler = scheduler;
+	}
+
+	/**
+	 * Starts the heartbeats.
+	 * @param system the actor system that runs the timer
+	 * @param heartbeatMillis time between heartbeats, in milliseconds
+	 */
+	public void start(ActorSystem<?> system, long heartbeatMillis) {
+		Duration period = Duration.ofMillis(heartbeatMillis);
+		this.timer = system.scheduler().scheduleAtFixedRate(period, period, this::beat, system.executionContext());
+	}
+
+	@Override
+	public ConnectionHandler accept(Connection connection) {
+		EntryConnection accepted = new EntryConnection(connection, this);
+		if (this.connections.size() >= MAX_CONNECTIONS) {
+			connection.close();
+		}
+		else {
+			this.connections.add(accepted);
+		}
+		return accepted;
+	}
+
+	/**
+	 * Tells all entries at once what this process does now.
+	 */
+	public void beat() {
+		PeerStatus now = this.status.get();
+		long heardAfterMillis = this.clock.nowMillis() - this.peerTimeoutMillis;
+		this.connections.forEach((connection) -> connection.beat(now, heardAfterMillis));
+	}
+
+	@Override
+	public void close() {
+		if (this.timer != null) {
+			this.timer.cancel();
+		}
+		this.connections.forEach(EntryConnection::close);
+	}
+
+	MillisClock clock() {
+		return this.clock;
+	}
+
+	PeerIdentity self() {
+		return this.self;
+	}
+
+	String token() {
+		return this.token;
+	}
+
+	PeerStatus status() {
+		return this.status.get();
+	}
+
+	ConfigurationSource configuration() {
+		return this.configuration;
+	}
+
+	void tell(SchedulerCommand command) {
+		this.scheduler.accept(command);
+	}
+
+	void remove(EntryConnection connection) {
+		this.connections.remove(connection);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections of entries.
+ */
+package org.marjoramgw.side.entry;
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' endpoint.
+ */
+package org.marjoramgw.side.operator;
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Side process: the program beside each backend server.
+ */
+package org.marjoramgw.side;
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
@@ -0,0 +1,118 @@
+package org.marjoramgw.side.plainservice;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpMethod;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.SharedKillSwitch;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.side.backend.Backend;
+import org.marjoramgw.side.backend.BackendAddress;
+import org.marjoramgw.side.backend.BackendEnd;
+import org.marjoramgw.side.backend.BackendListener;
+import org.marjoramgw.side.backend.BackendRequest;
+import org.marjoramgw.side.backend.BackendRun;
+import org.marjoramgw.wire.BackendCall;
+
+/**
+ * Plain service reached over HTTP; an answer of any status is passed on.
+ *
+ * @author The marjoramgw authors
+ */
+public final class PlainServiceBackend implements Backend {
+
+	private static final int SERVER_ERROR = 500;
+
+	private final ActorSystem<?> system;
+
+	private final BackendAddress address;
+
+	private final long timeoutMillis;
+
+	private final int maxBodyBytes;
+
+	/**
+	 * Creates a client.
+	 * @param system the actor system that runs the calls
+	 * @param url base URL of the service
+	 * @param timeoutMillis time limit for the body of an answer, in milliseconds
+	 * @param maxBodyBytes bound of an answer's body, in bytes
+	 */
+	public PlainServiceBackend(ActorSystem<?> system, String url, long timeoutMillis, int maxBodyBytes) {
+		this.system = system;
+		this.address = new BackendAddress(system, url);
+		this.timeoutMillis = timeoutMillis;
+		this.maxBodyBytes = maxBodyBytes;
+	}
+
+	@Override
+	public BackendRun start(BackendRequest request, BackendListener listener) {
+		AtomicBoolean over = new AtomicBoolean();
+		Optional<HttpRequest> call = toHttp(request);
+		if (call.isEmpty()) {
+			listener.onFailure(ResultCode.NOT_SERVED_HERE);
+			return () -> over.set(true);
+		}
+		SharedKillSwitch killSwitch = KillSwitches.shared(request.executionId());
+		this.address.send(call.get(), killSwitch).whenComplete((response, failure) -> {
+			if (failure == null) {
+				read(response, listener, over);
+			}
+			else if (over.compareAndSet(false, true)) {
+				listener.onFailure(BackendAddress.codeOf(failure));
+			}
+		});
+		return () -> {
+			over.set(true);
+			killSwitch.abort(new java.io.IOException(ResultCode.CANCELLED_IN_FLIGHT.text()));
+		};
+	}
+
+	private Optional<HttpRequest> toHttp(BackendRequest request) {
+		BackendCall call = request.call();
+		Optional<HttpMethod> method = HttpMethods.lookup(call.method());
+		return method.map((known) -> HttpRequest.create(call.path())
+			.withMethod(known)
+			.addHeader(RawHeader.create("X-Request-Id", request.requestId()))
+			.withEntity(toEntity(call)));
+	}
+
+	private static HttpEntity.Strict toEntity(BackendCall call) {
+		ContentType type = ContentTypes.parse(call.contentType().isEmpty() ? "application/json" : call.contentType());
+		return org.apache.pekko.http.javadsl.model.HttpEntities.create(type, call.body());
+	}
+
+	private void read(HttpResponse response, BackendListener listener, AtomicBoolean over) {
+		response.entity()
+			.withSizeLimit(this.maxBodyBytes)
+			.toStrict(this.timeoutMillis, this.system)
+			.whenComplete((entity, failure) -> {
+				if (!over.compareAndSet(false, true)) {
+					return;
+				}
+				if (failure != null) {
+					listener.onFailure(codeOf(failure));
+					return;
+				}
+				int status = response.status().intValue();
+				ResultCode code = (status < SERVER_ERROR) ? ResultCode.OK : ResultCode.BACKEND_ERROR;
+				listener.onPart(0, entity.getData().toArray());
+				listener.onEnd(new BackendEnd(code, status, entity.getContentType().toString(), ""));
+			});
+	}
+
+	private static ResultCode codeOf(Throwable failure) {
+		boolean tooLarge = String.valueOf(failure).contains("EntityStreamSizeException");
+		return tooLarge ? ResultCode.ANSWER_TOO_LARGE : ResultCode.BACKEND_BROKE_OFF;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of a plain service.
+ */
+package org.marjoramgw.side.plainservice;
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
@@ -0,0 +1,125 @@
+package org.marjoramgw.side.scheduler;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.claim.ClaimBook;
+import org.marjoramgw.claim.ClaimKey;
+import org.marjoramgw.claim.ClaimVerdict;
+import org.marjoramgw.claim.RecordedResult;
+import org.marjoramgw.side.backend.BackendEnd;
+import org.marjoramgw.wire.BackendCall;
+import org.marjoramgw.wire.Message;
+
+/**
+ * Claims of calls that carry an idempotency key and may not be repeated.
+ *
+ * @author The marjoramgw authors
+ */
+final class Claims {
+
+	private final ClaimBook book;
+
+	private final Consumer<SchedulerCommand> events;
+
+	Claims(ClaimBook book, Consumer<SchedulerCommand> events) {
+		this.book = book;
+		this.events = events;
+	}
+
+	boolean isNeeded(Ticket ticket) {
+		return !ticket.call().repeatable() && !ticket.call().idempotencyKey().isEmpty();
+	}
+
+	void claim(Ticket ticket) {
+		ClaimKey claim = new ClaimKey(ticket.waiting().account(), ticket.call().idempotencyKey(),
+				digest(ticket.reserve().service(), ticket.call()), ticket.key().requestId());
+		ticket.claiming(claim);
+		this.book.claim(claim)
+			.thenAccept((verdict) -> this.events.accept(new SchedulerCommand.Claimed(ticket.key(), claim, verdict)));
+	}
+
+	/**
+	 * Decides what follows from a verdict.
+	 * @param ticket the request
+	 * @param verdict the verdict
+	 * @param nowMillis the present time, in milliseconds
+	 * @return what to do
+	 */
+	Decision decide(Ticket ticket, ClaimVerdict verdict, long nowMillis) {
+		if (verdict instanceof ClaimVerdict.Repeated repeated) {
+			return new Decision(false, repeated.result(), null);
+		}
+		if (verdict instanceof ClaimVerdict.Refused refused) {
+			return new Decision(false, null, refused.code());
+		}
+		if (nowMillis > ticket.finishByMillis()) {
+			release(ticket);
+			return new Decision(false, null, ResultCode.DEADLINE_UNREACHABLE);
+		}
+		return new Decision(true, null, null);
+	}
+
+	/**
+	 * Gives a won claim back whose request is over.
+	 * @param claimed the verdict that came too late
+	 */
+	void abandon(SchedulerCommand.Claimed claimed) {
+		if (claimed.verdict() instanceof ClaimVerdict.Won) {
+			this.book.release(claimed.claim());
+		}
+	}
+
+	void release(Ticket ticket) {
+		if (ticket.claim() != null) {
+			this.book.release(ticket.claim());
+		}
+	}
+
+	void recordResult(Ticket ticket, BackendEnd end) {
+		if (ticket.claim() != null) {
+			this.book.recordResult(ticket.claim(),
+					new RecordedResult(end.httpStatus(), end.contentType(), bodyOf(ticket)));
+		}
+	}
+
+	private static String bodyOf(Ticket ticket) {
+		StringBuilder body = new StringBuilder();
+		List<Message> parts = ticket.answer().from(0);
+		for (Message part : parts) {
+			if (part instanceof Message.Chunk chunk) {
+				body.append(new String(chunk.payload(), StandardCharsets.UTF_8));
+			}
+		}
+		return body.toString();
+	}
+
+	private static String digest(String service, BackendCall call) {
+		Hasher hasher = Hashing.sha256().newHasher();
+		for (String part : List.of(service, call.method(), call.path())) {
+			hasher.putString(part, StandardCharsets.UTF_8).putByte((byte) 0);
+		}
+		return hasher.putBytes(call.body()).hash().toString();
+	}
+
+	/**
+	 * What follows from a verdict.
+	 *
+	 * @param mayRun whether the call may run
+	 * @param repeated recorded result to return, or {@code null}
+	 * @param refusal why the call may not run, or {@code null}
+	 */
+	record Decision(boolean mayRun, RecordedResult repeated, ResultCode refusal) {
+
+		@Override
+		public String toString() {
+			return "may_run=" + this.mayRun + " repeated=" + (this.repeated != null) + " refusal=" + this.refusal;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/SchedulerActor.java
@@ -0,0 +1,57 @@
+package org.marjoramgw.side.scheduler;
+
+import java.time.Duration;
+import java.util.function.Function;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.tinylog.Logger;
+
+/**
+ * Actor that hands commands to the scheduler one at a time.
+ *
+ * @author The marjoramgw authors
+ */
+public final class SchedulerActor extends AbstractBehavior<SchedulerCommand> {
+
+	private static final Duration TICK = Duration.ofMillis(20);
+
+	private final Scheduler scheduler;
+
+	private SchedulerActor(ActorContext<SchedulerCommand> context, Scheduler scheduler) {
+		super(context);
+		this.scheduler = scheduler;
+	}
+
+	/**
+	 * Creates the behaviour.
+	 * @param factory makes the scheduler, given where its own commands go
+	 * @return the behaviour
+	 */
+	public static Behavior<SchedulerCommand> create(Function<ActorRef<SchedulerCommand>, Scheduler> factory) {
+		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
+			timers.startTimerAtFixedRate(new SchedulerCommand.Tick(), TICK);
+			return new SchedulerActor(context, factory.apply(context.getSelf()));
+		}));
+	}
+
+	@Override
+	public Receive<SchedulerCommand> createReceive() {
+		return newReceiveBuilder().onMessage(SchedulerCommand.class, this::onCommand).build();
+	}
+
+	private Behavior<SchedulerCommand> onCommand(SchedulerCommand command) {
+		try {
+			this.scheduler.handle(command);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "command failed: {}", command.getClass().getSimpleName());
+		}
+		return this;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/SchedulerCommand.java
@@ -0,0 +1,104 @@
+package org.marjoramgw.side.scheduler;
+
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.claim.ClaimKey;
+import org.marjoramgw.claim.ClaimVerdict;
+import org.marjoramgw.config.Configuration;
+import org.marjoramgw.policy.queue.RequestKey;
+import org.marjoramgw.side.backend.BackendEnd;
+import org.marjoramgw.wire.Message;
+
+/**
+ * Event that the scheduler handles, one at a time.
+ *
+ * @author The marjoramgw authors
+ */
+public sealed interface SchedulerCommand {
+
+	/**
+	 * An entry connected and was accepted.
+	 *
+	 * @param link its connection
+	 */
+	record EntryConnected(EntryLink link) implements SchedulerCommand {
+	}
+
+	/**
+	 * A connection of an entry is gone.
+	 *
+	 * @param link the connection
+	 */
+	record EntryGone(EntryLink link) implements SchedulerCommand {
+	}
+
+	/**
+	 * An entry sent a message about a request.
+	 *
+	 * @param link its connection
+	 * @param message the message
+	 */
+	record FromEntry(EntryLink link, Message message) implements SchedulerCommand {
+	}
+
+	/**
+	 * The backend server sent a part of an answer.
+	 *
+	 * @param key identity of the request
+	 * @param execution number of the execution
+	 * @param tokens tokens in the part
+	 * @param payload the bytes
+	 */
+	record Part(RequestKey key, int execution, int tokens, byte[] payload) implements SchedulerCommand {
+	}
+
+	/**
+	 * The backend server's answer is whole.
+	 *
+	 * @param key identity of the request
+	 * @param execution number of the execution
+	 * @param end how it ended
+	 */
+	record Ended(RequestKey key, int execution, BackendEnd end) implements SchedulerCommand {
+	}
+
+	/**
+	 * The backend server gave no whole answer.
+	 *
+	 * @param key identity of the request
+	 * @param execution number of the execution
+	 * @param code why
+	 */
+	record Failed(RequestKey key, int execution, ResultCode code) implements SchedulerCommand {
+	}
+
+	/**
+	 * The claim of a key was decided.
+	 *
+	 * @param key identity of the request
+	 * @param claim the claim
+	 * @param verdict the verdict
+	 */
+	record Claimed(RequestKey key, ClaimKey claim, ClaimVerdict verdict) implements SchedulerCommand {
+	}
+
+	/**
+	 * Another configuration is in force.
+	 *
+	 * @param configuration the configuration
+	 */
+	record Configured(Configuration configuration) implements SchedulerCommand {
+	}
+
+	/**
+	 * Time has passed.
+	 */
+	record Tick() implements SchedulerCommand {
+	}
+
+	/**
+	 * The process is to leave.
+	 */
+	record Drain() implements SchedulerCommand {
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Tombstones.java
@@ -0,0 +1,42 @@
+package org.marjoramgw.side.scheduler;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.policy.queue.RequestKey;
+
+/**
+ * Bounded memory of how requests ended here, so that a late message finds the truth.
+ *
+ * @author The marjoramgw authors
+ */
+final class Tombstones {
+
+	private final LinkedHashMap<RequestKey, ResultCode> codes = new LinkedHashMap<>();
+
+	private final int maxCount;
+
+	Tombstones(int maxCount) {
+		this.maxCount = maxCount;
+	}
+
+	void put(RequestKey key, ResultCode code) {
+		this.codes.remove(key);
+		this.codes.put(key, code);
+		if (this.codes.size() > this.maxCount) {
+			Map.Entry<RequestKey, ResultCode> eldest = this.codes.entrySet().iterator().next();
+			this.codes.remove(eldest.getKey());
+		}
+	}
+
+	Optional<ResultCode> find(RequestKey key) {
+		return Optional.ofNullable(this.codes.get(key));
+	}
+
+	void remove(RequestKey key) {
+		this.codes.remove(key);
+	}
+
+}
