--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -9,9 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import org.marjoramgw.HostPort;
@@ -213,6 +215,24 @@
 		return List.copyOf(texts);
 	}
 
+	/**
+	 * Reads an optional table whose keys another program checks.
+	 * @param key the key
+	 * @return texts, numbers and truth values by key, empty if the key is absent
+	 */
+	public Map<String, Object> values(String key) {
+		JsonNode value = read(key);
+		if (value == null) {
+			return Map.of();
+		}
+		if (!value.isObject()) {
+			add(ResultCode.BAD_VALUE, key, "a table");
+			return Map.of();
+		}
+		return Collections.unmodifiableMap(MAPPER.convertValue(value, new TypeReference<Map<String, Object>>() {
+		}));
+	}
+
 	/**
 	 * Reads an optional table.
 	 * @param key the key
@@ -231,15 +251,16 @@
 	 * Reads a table of named tables, for example {@code [classes.NAME]}.
 	 * @param <T> what each table becomes
 	 * @param key the key
-	 * @param reader converts one table; {@link #finish()} is called on it afterwards
+	 * @param reader converts one name and table; {@link #finish()} is called on it
+	 * afterwards
 	 * @return the converted tables by name, in the order of the text
 	 */
-	public <T> Map<String, T> namedTables(String key, Function<TomlTable, T> reader) {
+	public <T> Map<String, T> namedTables(String key, BiFunction<String, TomlTable, T> reader) {
 		TomlTable parent = table(key);
 		Map<String, T> result = new LinkedHashMap<>();
 		parent.node.fieldNames().forEachRemaining((name) -> {
 			TomlTable child = parent.table(name);
-			result.put(name, reader.apply(child));
+			result.put(name, reader.apply(name, child));
 			child.finish();
 		});
 		return Collections.unmodifiableMap(result);
