Publish configurations and read their history from the log

A text from a peer is put in force at once but replaces log records only where they expired unread, so that history keeps who published what.

--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/config/LogGoingAway.java
@@ -0,0 +1,40 @@
+package org.marjoramgw.config;
+
+import java.util.List;
+
+import org.marjoramgw.errors.LogAnswerLostException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.log.LogService;
+import org.marjoramgw.log.LogSlice;
+import org.marjoramgw.log.MemoryLog;
+
+/**
+ * Log that loses the answer to the first append and is away from then on.
+ *
+ * @author The marjoramgw authors
+ */
+final class LogGoingAway implements LogService {
+
+	private final MemoryLog log;
+
+	LogGoingAway(MemoryLog log) {
+		this.log = log;
+	}
+
+	@Override
+	public long append(String stream, List<String> records) throws LogUnavailableException, LogAnswerLostException {
+		try {
+			this.log.append(stream, records);
+		}
+		finally {
+			this.log.setAway(true);
+		}
+		throw new LogAnswerLostException("lost", null);
+	}
+
+	@Override
+	public LogSlice read(String stream, long fromOffset, int maxRecords) throws LogUnavailableException {
+		return this.log.read(stream, fromOffset, maxRecords);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/config/internal/ConfigurationFoldTests.java
@@ -0,0 +1,152 @@
+package org.marjoramgw.config.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.marjoramgw.ManualMillisClock;
+import org.marjoramgw.errors.LogAnswerLostException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.log.LogRecord;
+import org.marjoramgw.log.MemoryLog;
+import org.marjoramgw.testkit.TestSeed;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Drives {@link ConfigurationFold} and {@link ConfigurationLogReader} by random
+ * sequences.
+ *
+ * @author The marjoramgw authors
+ */
+public class ConfigurationFoldTests {
+
+	private static final int CASES = 200;
+
+	private static final int STEPS = 120;
+
+	private static final int MAX_READERS = 6;
+
+	private final ConfigurationRecordCodec codec = new ConfigurationRecordCodec();
+
+	@Test
+	public void everyReaderAgreesWithThePlainReference() throws LogUnavailableException, LogAnswerLostException {
+		for (int number = 0; number < CASES; number++) {
+			new Sequence(number).run();
+		}
+	}
+
+	/**
+	 * One random sequence of appends, expiries and readers that start and lag.
+	 */
+	private final class Sequence {
+
+		private final String message;
+
+		private final Random random;
+
+		private final MemoryLog log = new MemoryLog(new ManualMillisClock(0));
+
+		private final List<ConfigurationFold> folds = new ArrayList<>();
+
+		private final List<ConfigurationLogReader> readers = new ArrayList<>();
+
+		private final List<Long> seen = new ArrayList<>();
+
+		private final List<String> appended = new ArrayList<>();
+
+		Sequence(int number) {
+			this.message = "seed " + TestSeed.value() + " case " + number;
+			this.random = TestSeed.random(number);
+			addReader();
+		}
+
+		void run() throws LogUnavailableException, LogAnswerLostException {
+			for (int step = 0; step < STEPS; step++) {
+				step();
+			}
+		}
+
+		private void step() throws LogUnavailableException, LogAnswerLostException {
+			switch (this.random.nextInt(8)) {
+				case 0, 1, 2 -> append(publish());
+				case 3 -> append(
+						this.appended.isEmpty() ? "{" : this.appended.get(this.random.nextInt(this.appended.size())));
+				case 4 -> checkpointAndExpire();
+				case 5 -> addReader();
+				default -> read(this.random.nextInt(this.readers.size()));
+			}
+		}
+
+		private String publish() {
+			long base = Math.max(0, reference().size() - this.random.nextInt(2));
+			String text = "t" + this.random.nextInt();
+			String digest = ConfigurationRecordCodec.sha256((this.random.nextInt(8) == 0) ? "other" : text);
+			return ConfigurationFoldTests.this.codec
+				.encode(new ConfigurationRecord.Publish("id" + this.random.nextInt(), base, digest, text, "operator"));
+		}
+
+		private void append(String record) throws LogUnavailableException, LogAnswerLostException {
+			this.appended.add(record);
+			this.log.append(ConfigurationRecordCodec.STREAM, List.of(record));
+		}
+
+		private void checkpointAndExpire() throws LogUnavailableException, LogAnswerLostException {
+			int reader = this.random.nextInt(this.readers.size());
+			read(reader);
+			ConfigurationFold fold = this.folds.get(reader);
+			if (fold.accepted().isPresent()) {
+				ConfigurationRecord checkpoint = new ConfigurationRecord.Checkpoint(fold.nextOffset(),
+						fold.accepted().get());
+				// Others may append between a process's read and its checkpoint.
+				for (int others = this.random.nextInt(3); others > 0; others--) {
+					append(publish());
+				}
+				append(ConfigurationFoldTests.this.codec.encode(checkpoint));
+				this.log.retain(ConfigurationRecordCodec.STREAM, 1 + this.random.nextInt(6));
+			}
+		}
+
+		private void addReader() {
+			if (this.readers.size() < MAX_READERS) {
+				ConfigurationFold fold = new ConfigurationFold(ConfigurationFoldTests.this.codec);
+				this.folds.add(fold);
+				this.readers.add(new ConfigurationLogReader(this.log, ConfigurationFoldTests.this.codec, fold));
+				this.seen.add(0L);
+			}
+		}
+
+		private void read(int index) throws LogUnavailableException {
+			boolean complete = this.readers.get(index).catchUp((record) -> {
+			});
+			ConfigurationFold fold = this.folds.get(index);
+			List<String> reference = reference();
+			Assert.assertTrue(fold.revision() >= this.seen.get(index), this.message);
+			this.seen.set(index, fold.revision());
+			if (complete) {
+				Assert.assertEquals(fold.revision(), reference.size(), this.message);
+			}
+			if (fold.revision() > 0) {
+				String expected = reference.get((int) fold.revision() - 1);
+				Assert.assertEquals(fold.accepted().get().text(), expected, this.message);
+			}
+		}
+
+		/**
+		 * Works the accepted texts out from the whole log, as if nothing ever expired.
+		 */
+		private List<String> reference() {
+			List<String> texts = new ArrayList<>();
+			for (LogRecord record : this.log.all(ConfigurationRecordCodec.STREAM)) {
+				ConfigurationRecord decoded = ConfigurationFoldTests.this.codec.decode(record.data()).orElse(null);
+				if (decoded instanceof ConfigurationRecord.Publish publish && publish.baseRevision() == texts.size()
+						&& ConfigurationRecordCodec.sha256(publish.text()).equals(publish.sha256())) {
+					texts.add(publish.text());
+				}
+			}
+			return texts;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/config/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the accepted revisions worked out from the log.
+ */
+package org.marjoramgw.config.internal;
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/log/MemoryLog.java
@@ -0,0 +1,135 @@
+package org.marjoramgw.log;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.errors.LogAnswerLostException;
+import org.marjoramgw.errors.LogUnavailableException;
+
+/**
+ * Log service in memory with faults.
+ *
+ * @author The marjoramgw authors
+ */
+public final class MemoryLog implements LogService {
+
+	private final MillisClock clock;
+
+	private final Map<String, List<LogRecord>> streams = new HashMap<>();
+
+	private final Map<String, Long> firstOffsets = new HashMap<>();
+
+	private final List<Runnable> late = new ArrayList<>();
+
+	private boolean away;
+
+	private AppendFault fault = AppendFault.NONE;
+
+	private int appendCount;
+
+	public MemoryLog(MillisClock clock) {
+		this.clock = clock;
+	}
+
+	@Override
+	public synchronized long append(String stream, List<String> records)
+			throws LogUnavailableException, LogAnswerLostException {
+		failIfAway();
+		AppendFault now = this.fault;
+		this.fault = AppendFault.NONE;
+		return switch (now) {
+			case NONE -> add(stream, records);
+			case REFUSED -> throw new LogUnavailableException("429", null);
+			case LOST_BEFORE -> throw new LogAnswerLostException("lost before", null);
+			case LOST_AFTER -> {
+				add(stream, records);
+				throw new LogAnswerLostException("lost after", null);
+			}
+			case LATE -> {
+				this.late.add(() -> add(stream, records));
+				throw new LogAnswerLostException("late", null);
+			}
+		};
+	}
+
+	@Override
+	public synchronized LogSlice read(String stream, long fromOffset, int maxRecords) throws LogUnavailableException {
+		failIfAway();
+		List<LogRecord> all = this.streams.getOrDefault(stream, List.of());
+		long first = this.firstOffsets.getOrDefault(stream, 0L);
+		int start = (int) Math.min(all.size(), Math.max(first, fromOffset));
+		int end = Math.min(all.size(), start + maxRecords);
+		return new LogSlice(first, all.size(), List.copyOf(all.subList(start, end)));
+	}
+
+	public synchronized void setAway(boolean value) {
+		this.away = value;
+	}
+
+	public synchronized void failNextAppend(AppendFault value) {
+		this.fault = value;
+	}
+
+	public synchronized void retain(String stream, int records) {
+		long size = this.streams.getOrDefault(stream, List.of()).size();
+		this.firstOffsets.merge(stream, Math.max(0, size - records), Math::max);
+	}
+
+	/**
+	 * Lets the appends take effect whose answers were lost before they arrived.
+	 */
+	public synchronized void deliverLate() {
+		this.late.forEach(Runnable::run);
+		this.late.clear();
+	}
+
+	public synchronized List<LogRecord> all(String stream) {
+		return List.copyOf(this.streams.getOrDefault(stream, List.of()));
+	}
+
+	public synchronized int appendCount() {
+		return this.appendCount;
+	}
+
+	private void failIfAway() throws LogUnavailableException {
+		if (this.away) {
+			throw new LogUnavailableException("503", null);
+		}
+	}
+
+	private long add(String stream, List<String> records) {
+		this.appendCount++;
+		List<LogRecord> all = this.streams.computeIfAbsent(stream, (name) -> new ArrayList<>());
+		long first = all.size();
+		for (String data : records) {
+			all.add(new LogRecord(all.size(), this.clock.nowMillis(), data));
+		}
+		return first;
+	}
+
+	/**
+	 * Fault of the next append.
+	 */
+	public enum AppendFault {
+
+		/** No fault. */
+		NONE,
+
+		/** Nothing is appended and the caller is told so. */
+		REFUSED,
+
+		/** Nothing is appended and the answer is lost. */
+		LOST_BEFORE,
+
+		/** The append takes effect and the answer is lost. */
+		LOST_AFTER,
+
+		/** The answer is lost and the append takes effect later. */
+		LATE
+
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
@@ -19,6 +19,7 @@
 import org.marjoramgw.config.internal.ConfigurationRecordCodec;
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.log.LogRecord;
 import org.marjoramgw.log.LogService;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.wire.Message;
@@ -38,6 +39,9 @@
 
 	private static final int POLLS_PER_INTERVAL = 10;
 
+	private static final Consumer<LogRecord> IGNORED = (record) -> {
+	};
+
 	private final ConfigurationParser parser;
 
 	private final long pollMillis;
@@ -60,6 +64,8 @@
 
 	private volatile Configuration current;
 
+	private Message.ConfigText fromPeer;
+
 	private long unreadableRevision;
 
 	private boolean logAway;
@@ -98,6 +104,9 @@
 	@Override
 	public Optional<Message.ConfigText> currentText() {
 		synchronized (this.fold) {
+			if (this.fromPeer != null && this.fromPeer.revision() > this.fold.revision()) {
+				return Optional.of(this.fromPeer);
+			}
 			long nextOffset = this.fold.nextOffset();
 			return this.fold.accepted()
 				.map((accepted) -> new Message.ConfigText(accepted.revision(), nextOffset, accepted.text()));
@@ -106,14 +115,14 @@
 
 	@Override
 	public void offerFromPeer(Message.ConfigText text) {
-		AcceptedText offered = new AcceptedText(text.revision(), "", "", 0, text.text());
-		boolean taken;
 		synchronized (this.fold) {
-			taken = text.revision() > this.fold.revision() && this.fold.advanceTo(offered, text.offset());
-		}
-		if (taken) {
-			putInForce();
+			long known = (this.fromPeer != null) ? this.fromPeer.revision() : 0;
+			if (text.revision() <= Math.max(known, this.fold.revision())) {
+				return;
+			}
+			this.fromPeer = text;
 		}
+		putInForce();
 	}
 
 	@Override
@@ -131,8 +140,7 @@
 
 	private void poll() {
 		try {
-			this.reader.catchUp((record) -> {
-			});
+			catchUp();
 			this.logAway = false;
 			putInForce();
 			this.checkpoints.appendIfDue(this.fleetSize.getAsInt());
@@ -148,6 +156,28 @@
 		}
 	}
 
+	/**
+	 * Reads the log to its end. A peer's text replaces records that expired unread and
+	 * without a checkpoint; otherwise the log alone decides.
+	 * @throws LogUnavailableException if the log can't be read
+	 */
+	private void catchUp() throws LogUnavailableException {
+		boolean complete = this.reader.catchUp(IGNORED);
+		if (!complete && advanceToPeer()) {
+			this.reader.catchUp(IGNORED);
+		}
+	}
+
+	private boolean advanceToPeer() {
+		synchronized (this.fold) {
+			if (this.fromPeer == null || this.fromPeer.offset() < this.reader.firstOffset()) {
+				return false;
+			}
+			AcceptedText text = new AcceptedText(this.fromPeer.revision(), "", "", 0, this.fromPeer.text());
+			return this.fold.advanceTo(text, this.fromPeer.offset());
+		}
+	}
+
 	private void noteLogAway(LogUnavailableException ex) {
 		this.counters.count(ResultCode.LOG_AWAY);
 		if (!this.logAway) {
@@ -163,10 +193,7 @@
 	}
 
 	private synchronized void putInForce() {
-		Optional<AcceptedText> accepted;
-		synchronized (this.fold) {
-			accepted = this.fold.accepted();
-		}
+		Optional<Message.ConfigText> accepted = currentText();
 		if (accepted.isPresent() && accepted.get().revision() > highestSeenRevision()) {
 			parseAndPut(accepted.get());
 		}
@@ -177,7 +204,7 @@
 		return Math.max(inForce, this.unreadableRevision);
 	}
 
-	private void parseAndPut(AcceptedText accepted) {
+	private void parseAndPut(Message.ConfigText accepted) {
 		try {
 			this.current = this.parser.parse("revision " + accepted.revision(), accepted.revision(), accepted.text());
 			Logger.info("configuration revision {} is in force", accepted.revision());
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/ConfigurationLogReader.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/ConfigurationLogReader.java
@@ -31,6 +31,8 @@
 
 	private volatile boolean caughtUp;
 
+	private int checkpointStarts;
+
 	/**
 	 * Creates a reader.
 	 * @param log the log service
@@ -86,6 +88,14 @@
 		return this.caughtUp;
 	}
 
+	/**
+	 * Returns how often records that expired unread were replaced by a checkpoint.
+	 * @return the count
+	 */
+	public int checkpointStarts() {
+		return this.checkpointStarts;
+	}
+
 	private void applyAll(LogSlice slice, Consumer<LogRecord> listener) {
 		for (LogRecord record : slice.records()) {
 			boolean applied;
@@ -123,6 +133,7 @@
 		}
 		synchronized (this.fold) {
 			this.fold.noteCheckpoint(checkpoint, record.timeMillis());
+			this.checkpointStarts++;
 			return this.fold.advanceTo(checkpoint.accepted(), checkpoint.nextOffset());
 		}
 	}
