Read the stand-ins' named tables by name and table

namedTables passes the name too since the configuration parser needs it; the stand-ins' reader was written against the earlier form and didn't compile.

--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinSet.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinSet.java
@@ -54,9 +54,9 @@
 			set.starters.add(starter(single.commandName(), single, table));
 			table.finish();
 		}
-		settings.namedTables("engine", EngineSettings::read)
+		settings.namedTables("engine", (name, table) -> EngineSettings.read(table))
 			.forEach((name, engine) -> set.starters.add(engine("engine." + name, engine)));
-		settings.namedTables("plain", PlainSettings::read)
+		settings.namedTables("plain", (name, table) -> PlainSettings.read(table))
 			.forEach((name, plain) -> set.starters.add(plain("plain." + name, plain)));
 		return set;
 	}
