Add the operators' commands

check, publish, show, history, diff, status, drain and explain, each a small class over shared options, texts and clients. Results go to standard output, for people or as JSON; errors and warnings to standard error; mistakes of use, settings or configuration exit with 2, failures with 1. The tests run every command against the log and VM list stand-ins, also while both are down.

--- /dev/null
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
@@ -0,0 +1,280 @@
+package org.marjoramgw.ctl;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.program.ExitCode;
+import org.marjoramgw.settings.TomlTable;
+import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.standin.log.LogControl;
+import org.marjoramgw.standin.log.LogSettings;
+import org.marjoramgw.standin.log.LogStandin;
+import org.marjoramgw.standin.vmlist.VmListControl;
+import org.marjoramgw.standin.vmlist.VmListSettings;
+import org.marjoramgw.standin.vmlist.VmListStandin;
+import org.marjoramgw.vmlist.Vm;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests the operators' commands: results, errors and exit codes.
+ *
+ * @author The marjoramgw authors
+ */
+public class CommandTests {
+
+	private static final Path VALID_TEXT = Path.of(System.getProperty("repository.root", ".."), "conf", "rogac.toml");
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private StandinSystem system;
+
+	private LogStandin log;
+
+	private VmListStandin vmList;
+
+	private Path directory;
+
+	private Path settings;
+
+	private String out;
+
+	private String err;
+
+	@BeforeClass
+	public void start() throws Exception {
+		this.system = new StandinSystem();
+		this.directory = Files.createTempDirectory("ctl-tests");
+	}
+
+	@AfterClass
+	public void stop() {
+		this.system.close();
+	}
+
+	@BeforeMethod
+	public void startPlatform() throws Exception {
+		this.log = LogStandin.start(this.system, LogSettings.read(TomlTable.ofText("log", "")));
+		this.vmList = VmListStandin.start(this.system, VmListSettings.read(TomlTable.ofText("vms", "lag_ms = 0")));
+		this.settings = write("settings.toml",
+				"log_url = \"http://%s\"\nvm_list_url = \"http://%s\"\noperator_token = \"%s\"\noperator = \"ana\"\n"
+					.formatted(this.log.address(), this.vmList.address(), FakeProcess.TOKEN));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stopPlatform() {
+		this.log.close();
+		this.vmList.close();
+	}
+
+	@Test
+	public void checkNamesEveryMistakeWithLineKeyAndRemedy() throws Exception {
+		Path file = write("four.toml", """
+				[limits]
+				body_byte = 5
+				grant_timeout = 20
+				slot_count = "many"
+				[classes.a]
+				tier = 9
+				completion_ms = 1000
+				""");
+		Assert.assertEquals(run("check", file.toString()), ExitCode.USAGE);
+		Assert.assertEquals(this.out, "");
+		assertContains(this.err,
+				file + ":2: E5001 unknown key: limits.body_byte\n    remedy: remove it, or use one of [");
+		assertContains(this.err,
+				file + ":3: E5003 unit missing from the key: limits.grant_timeout\n    remedy: rename");
+		assertContains(this.err, file + ":4: E5002 bad value: limits.slot_count\n    remedy: give a whole number from");
+		assertContains(this.err, file + ":6: E5002 bad value: classes.a.tier\n    remedy: give a whole number from 1");
+		Assert.assertEquals(run("check", "--json", file.toString()), ExitCode.USAGE);
+		Assert.assertEquals(json().get("problems").size(), 4, this.out);
+		Assert.assertFalse(json().get("valid").asBoolean());
+	}
+
+	@Test
+	public void checkAcceptsTheExample() {
+		Assert.assertEquals(run("check", VALID_TEXT.toString()), ExitCode.OK, this.err);
+		Assert.assertEquals(this.out, VALID_TEXT + ": no mistakes\n");
+	}
+
+	@Test
+	public void publishTellsTheLoserWhoWon() throws Exception {
+		Assert.assertEquals(runWithSettings("publish", VALID_TEXT.toString(), "--base", "0"), ExitCode.OK, this.err);
+		Assert.assertEquals(this.out, "published revision 1\n");
+		int code = runWithSettings("publish", VALID_TEXT.toString(), "--base", "0", "--operator", "ben", "--json");
+		Assert.assertEquals(code, ExitCode.FAILURE);
+		assertContains(this.err, "E5009");
+		assertContains(this.err, "ana published revision 1");
+		Assert.assertEquals(json().get("verdict").asText(), "conflict");
+		Assert.assertEquals(json().get("won_by").asText(), "ana");
+	}
+
+	@Test
+	public void publishRefusesATextWithMistakes() throws Exception {
+		Path file = write("bad.toml", "nonsense = 1\n");
+		Assert.assertEquals(runWithSettings("publish", file.toString(), "--base", "0"), ExitCode.USAGE);
+		Assert.assertEquals(runWithSettings("show"), ExitCode.FAILURE);
+		assertContains(this.err, "nothing is published yet");
+	}
+
+	@Test
+	public void showHistoryAndDiffTellWhatWasPublished() throws Exception {
+		String first = Files.readString(VALID_TEXT);
+		Path second = write("second.toml", first.replace("retry_percent = 10", "retry_percent = 20"));
+		runWithSettings("publish", VALID_TEXT.toString(), "--base", "0");
+		runWithSettings("publish", second.toString(), "--base", "1", "--operator", "ben");
+		Assert.assertEquals(runWithSettings("show"), ExitCode.OK, this.err);
+		assertContains(this.out, "# revision 2, published by ben at ");
+		assertContains(this.out, Files.readString(second).stripTrailing());
+		Assert.assertEquals(runWithSettings("show", "--revision", "1"), ExitCode.OK, this.err);
+		assertContains(this.out, first.stripTrailing());
+		Assert.assertEquals(runWithSettings("show", "--revision", "7"), ExitCode.FAILURE);
+		Assert.assertEquals(runWithSettings("history", "--json"), ExitCode.OK, this.err);
+		Assert.assertEquals(json().get("revisions").findValuesAsText("operator"), List.of("ana", "ben"));
+		Assert.assertEquals(runWithSettings("diff", "1", "2"), ExitCode.OK, this.err);
+		Assert.assertEquals(this.out, "-retry_percent = 10\n+retry_percent = 20\n");
+		Assert.assertEquals(runWithSettings("diff", "2", second.toString()), ExitCode.OK, this.err);
+		Assert.assertEquals(this.out, "no difference\n");
+	}
+
+	@DataProvider
+	public Object[][] platformCommands() {
+		return new Object[][] { { "show" }, { "history" }, { "status" }, { "drain side-1" }, { "explain r1" },
+				{ "diff 1 2" }, { "publish " + VALID_TEXT + " --base 0" } };
+	}
+
+	@Test(dataProvider = "platformCommands")
+	public void failsWithANumberWhileThePlatformIsDown(String command) {
+		this.log.control(new LogControl(true, null, null, null));
+		this.vmList.control(new VmListControl(true, null));
+		Assert.assertEquals(runWithSettings(command.split(" ")), ExitCode.FAILURE, this.out);
+		Assert.assertEquals(this.out, "");
+		Assert.assertTrue(this.err.contains("E6006") || this.err.contains("E6008"), this.err);
+	}
+
+	@Test(dataProvider = "platformCommands")
+	public void namesTheSettingThatIsMissing(String command) {
+		Assert.assertEquals(run(command.split(" ")), ExitCode.USAGE);
+		assertContains(this.err, "in the file given by --config, is required");
+	}
+
+	@Test
+	public void statusWarnsOfThoseThatLagOrAreAway() throws Exception {
+		runWithSettings("publish", VALID_TEXT.toString(), "--base", "0");
+		FakeProcess current = new FakeProcess(this.system.actors(), "side-1", "dal-a", 1);
+		FakeProcess behind = new FakeProcess(this.system.actors(), "side-2", "dal-b", 0);
+		this.vmList.write(current.vm());
+		this.vmList.write(behind.vm());
+		this.vmList.write(new Vm("side-3", Vm.SIDE, "dal-c", "model-runners", "127.0.0.1:1", "127.0.0.1:1", Vm.LIVE));
+		behind.drain();
+		Assert.assertEquals(runWithSettings("status"), ExitCode.OK, this.err);
+		assertContains(this.err, "side-2 lags: revision 0 in force, newest is 1");
+		assertContains(this.err, "side-3 in dal-c can't be reached");
+		Assert.assertFalse(this.err.contains("side-1"), this.err);
+		Assert.assertEquals(runWithSettings("status", "--json"), ExitCode.OK, this.err);
+		JsonNode processes = json().get("processes");
+		Assert.assertEquals(processes.findValuesAsText("process_id"), List.of("side-1", "side-2", "side-3"));
+		Assert.assertEquals(processes.findValuesAsText("reachable"), List.of("true", "true", "false"));
+		Assert.assertEquals(processes.findValuesAsText("leaving"), List.of("false", "true", "false"));
+		Assert.assertEquals(processes.findValuesAsText("incarnation"), List.of("4", "4", "0"));
+		Assert.assertEquals(json().get("warnings").size(), 2);
+	}
+
+	@Test
+	public void drainReachesTheProcessOfTheListOrOfTheAddress() throws Exception {
+		FakeProcess first = new FakeProcess(this.system.actors(), "side-1", "dal-a", 1);
+		FakeProcess second = new FakeProcess(this.system.actors(), "side-2", "dal-a", 1);
+		this.vmList.write(first.vm());
+		Assert.assertEquals(runWithSettings("drain", "side-1"), ExitCode.OK, this.err);
+		Assert.assertTrue(first.status().leaving());
+		Assert.assertEquals(runWithSettings("drain", "side-2"), ExitCode.FAILURE);
+		assertContains(this.err, "side-2 is not on the VM list");
+		String address = second.vm().operatorAddress();
+		Assert.assertEquals(runWithSettings("drain", "side-2", "--address", address, "--operator-token", "wrong"),
+				ExitCode.FAILURE);
+		assertContains(this.err, "E6001");
+		Assert.assertFalse(second.status().leaving());
+		Assert.assertEquals(runWithSettings("drain", "side-2", "--address", address), ExitCode.OK, this.err);
+		Assert.assertTrue(second.status().leaving());
+	}
+
+	@Test
+	public void explainSortsTheDecisionsOfAllProcesses() throws Exception {
+		FakeProcess first = new FakeProcess(this.system.actors(), "side-1", "dal-a", 1);
+		FakeProcess second = new FakeProcess(this.system.actors(), "side-2", "dal-b", 1);
+		this.vmList.write(first.vm());
+		this.vmList.write(second.vm());
+		second.decisions().add("r1", "reserve", null, "queued");
+		first.clock().advanceMillis(5);
+		first.decisions().add("r1", "refuse", ResultCode.QUEUE_FULL, "class reply-draft");
+		first.decisions().add("r2", "grant", null, "");
+		Assert.assertEquals(runWithSettings("explain", "r1", "--json"), ExitCode.OK, this.err);
+		JsonNode steps = json().get("steps");
+		Assert.assertEquals(steps.findValuesAsText("process_id"), List.of("side-2", "side-1"));
+		Assert.assertEquals(steps.findValuesAsText("code"), List.of("0", "3001"));
+		Assert.assertEquals(runWithSettings("explain", "r1"), ExitCode.OK, this.err);
+		assertContains(this.out, "E3001  queue of the class is full  class reply-draft");
+		this.vmList.write(new Vm("side-3", Vm.SIDE, "dal-c", "model-runners", "127.0.0.1:1", "127.0.0.1:1", Vm.LIVE));
+		Assert.assertEquals(runWithSettings("explain", "r9"), ExitCode.FAILURE);
+		assertContains(this.err, "side-3 can't be reached");
+		assertContains(this.err, "no process remembers request r9");
+	}
+
+	@DataProvider
+	public Object[][] usage() {
+		return new Object[][] { { "", ExitCode.USAGE }, { "--help", ExitCode.OK }, { "--version", ExitCode.OK },
+				{ "nonsense", ExitCode.USAGE }, { "status --nonsense", ExitCode.USAGE },
+				{ "status --help", ExitCode.OK }, { "check", ExitCode.USAGE },
+				{ "check /nonexistent.toml", ExitCode.USAGE }, { "publish " + VALID_TEXT, ExitCode.USAGE },
+				{ "diff 1", ExitCode.USAGE }, { "diff a b", ExitCode.USAGE },
+				{ "status --config /nonexistent.toml", ExitCode.USAGE } };
+	}
+
+	@Test(dataProvider = "usage")
+	public void tellsWrongUseFromHelp(String command, int code) {
+		Assert.assertEquals(run(command.isEmpty() ? new String[0] : command.split(" ")), code, this.err);
+		Assert.assertEquals(this.out.isEmpty(), code != ExitCode.OK);
+		Assert.assertEquals(this.err.isEmpty(), code == ExitCode.OK);
+	}
+
+	private int runWithSettings(String... arguments) {
+		List<String> all = new ArrayList<>(List.of(arguments));
+		all.addAll(1, List.of("--config", this.settings.toString()));
+		return run(all.toArray(new String[0]));
+	}
+
+	private int run(String... arguments) {
+		ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+		ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+		int code = new CtlMain(new PrintStream(outBytes), new PrintStream(errBytes)).run(arguments);
+		this.out = outBytes.toString(StandardCharsets.UTF_8);
+		this.err = errBytes.toString(StandardCharsets.UTF_8);
+		return code;
+	}
+
+	private JsonNode json() throws Exception {
+		return this.mapper.readTree(this.out);
+	}
+
+	private Path write(String name, String text) throws Exception {
+		return Files.writeString(this.directory.resolve(name), text);
+	}
+
+	private static void assertContains(String text, String part) {
+		Assert.assertTrue(text.contains(part), "\"" + part + "\" is not in: " + text);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the operators' commands against stand-ins of the platform.
+ */
+package org.marjoramgw.ctl;
--- /dev/null
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/ShowCommand.java
@@ -0,0 +1,48 @@
+package org.marjoramgw.ctl;
+
+import java.util.Optional;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.marjoramgw.config.Revision;
+import org.marjoramgw.ctl.internal.Command;
+import org.marjoramgw.ctl.internal.Console;
+import org.marjoramgw.ctl.internal.Messages;
+import org.marjoramgw.ctl.internal.Platform;
+import org.marjoramgw.ctl.internal.RevisionList;
+import org.marjoramgw.errors.CodedException;
+import org.marjoramgw.program.ExitCode;
+
+/**
+ * Prints the text of a revision.
+ *
+ * @author The marjoramgw authors
+ */
+@Parameters(commandDescription = "Print the configuration text of a revision, the newest if none is given")
+final class ShowCommand extends Command {
+
+	@Parameter(names = "--revision", description = "Revision to print")
+	private Long revision;
+
+	ShowCommand() {
+		super("show");
+	}
+
+	@Override
+	public int run(Console console) throws CodedException {
+		try (Platform platform = new Platform(options())) {
+			RevisionList history = new RevisionList(platform.log());
+			Optional<Revision> found = (this.revision != null) ? history.find(this.revision) : history.newest();
+			if (found.isEmpty()) {
+				console
+					.error((this.revision != null) ? Messages.noRevision(this.revision) : Messages.nothingPublished());
+				return ExitCode.FAILURE;
+			}
+			Revision shown = found.get();
+			console.result(shown, Messages.revisionComment(shown.revision(), shown.operator(), shown.timeMillis())
+					+ "\n" + shown.text().stripTrailing());
+			return ExitCode.OK;
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/StatusCommand.java
@@ -0,0 +1,51 @@
+package org.marjoramgw.ctl;
+
+import com.beust.jcommander.Parameters;
+import org.marjoramgw.config.Revision;
+import org.marjoramgw.ctl.internal.Command;
+import org.marjoramgw.ctl.internal.Console;
+import org.marjoramgw.ctl.internal.Fleet;
+import org.marjoramgw.ctl.internal.Messages;
+import org.marjoramgw.ctl.internal.Platform;
+import org.marjoramgw.ctl.internal.ProcessClient;
+import org.marjoramgw.ctl.internal.RevisionList;
+import org.marjoramgw.ctl.internal.StatusReport;
+import org.marjoramgw.errors.CodedException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.program.ExitCode;
+
+/**
+ * Shows every process of the VM list and warns of those that lag or can't be reached.
+ *
+ * @author The marjoramgw authors
+ */
+@Parameters(commandDescription = "Show every process, its revision and its load")
+final class StatusCommand extends Command {
+
+	StatusCommand() {
+		super("status");
+	}
+
+	@Override
+	public int run(Console console) throws CodedException {
+		try (Platform platform = new Platform(options())) {
+			ProcessClient processes = platform.processes();
+			Fleet fleet = new Fleet(platform.vmList());
+			StatusReport report = StatusReport.of(logRevision(platform, console), fleet.ask(processes::status));
+			console.result(report, report.toText());
+			report.warnings().forEach(console::warning);
+			return ExitCode.OK;
+		}
+	}
+
+	private static long logRevision(Platform platform, Console console) {
+		try {
+			return new RevisionList(platform.log()).newest().map(Revision::revision).orElse(0L);
+		}
+		catch (LogUnavailableException ex) {
+			console.warning(Messages.logNotRead(ex.getMessage()));
+			return 0;
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' commands, one class for each subcommand.
+ */
+package org.marjoramgw.ctl;
