--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
@@ -64,11 +64,12 @@
 	}
 
 	private Optional<String> mostStarved(Collection<Waiting> waiting, int slotLimit, long nowMillis) {
+		Comparator<Waiting> byFill = Comparator
+			.comparingDouble((request) -> this.floors.fillOf(request.requestClass(), nowMillis));
 		return waiting.stream()
-			.map(Waiting::requestClass)
-			.distinct()
-			.filter((name) -> this.floors.isBelow(name, slotLimit, nowMillis))
-			.min(Comparator.comparingDouble((name) -> this.floors.fillOf(name, nowMillis)));
+			.filter((request) -> this.floors.isBelow(request.requestClass(), slotLimit, nowMillis))
+			.min(Comparator.comparingInt(Waiting::tier).thenComparing(byFill))
+			.map(Waiting::requestClass);
 	}
 
 	private Optional<Waiting> fairest(List<Waiting> candidates, long nowMillis) {
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/CommandInbox.java
@@ -0,0 +1,30 @@
+package org.marjoramgw.side;
+
+import java.util.function.Consumer;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.marjoramgw.side.scheduler.SchedulerCommand;
+
+/**
+ * Way back to the scheduler's actor for those that are made before it.
+ *
+ * @author The marjoramgw authors
+ */
+final class CommandInbox implements Consumer<SchedulerCommand> {
+
+	private volatile ActorRef<SchedulerCommand> actor;
+
+	/**
+	 * Opens the way; nothing is sent before.
+	 * @param scheduler the actor
+	 */
+	void open(ActorRef<SchedulerCommand> scheduler) {
+		this.actor = scheduler;
+	}
+
+	@Override
+	public void accept(SchedulerCommand command) {
+		this.actor.tell(command);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideMain.java
@@ -0,0 +1,27 @@
+package org.marjoramgw.side;
+
+import org.marjoramgw.program.Program;
+
+/**
+ * Program {@code marjoramgw-side}.
+ *
+ * @author The marjoramgw authors
+ */
+public final class SideMain {
+
+	private SideMain() {
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments command-line arguments
+	 */
+	public static void main(String[] arguments) {
+		Program program = new Program("marjoramgw-side", (table) -> new SideProcess(SideSettings.read(table)).run());
+		int exitCode = program.run(arguments);
+		if (exitCode != 0) {
+			System.exit(exitCode);
+		}
+	}
+
+}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.sse.ServerSentEvent;
 import org.apache.pekko.http.javadsl.unmarshalling.sse.EventStreamUnmarshalling;
@@ -90,7 +91,7 @@
 	}
 
 	private void read(HttpResponse response) {
-		EventStreamUnmarshalling.fromEventsStream(this.system)
+		EventStreamUnmarshalling.fromEventsStream(Adapter.toClassic(this.system))
 			.unmarshal(response.entity(), this.system)
 			.thenCompose(this::readEvents)
 			.whenComplete((done, failure) -> fail(ResultCode.BACKEND_BROKE_OFF));
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
@@ -96,6 +96,14 @@
 		this.connections.forEach((connection) -> connection.beat(now, heardAfterMillis));
 	}
 
+	/**
+	 * Tells whether any entry is connected.
+	 * @return whether there is one that was accepted
+	 */
+	public boolean isAnyGreeted() {
+		return this.connections.stream().anyMatch((connection) -> connection.peer() != null);
+	}
+
 	@Override
 	public void close() {
 		if (this.timer != null) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/operator/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Operators' endpoint.
- */
-package org.marjoramgw.side.operator;
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
@@ -51,6 +51,8 @@
 
 	private final Answers answers;
 
+	private final CompletableFuture<Void> left = new CompletableFuture<>();
+
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
 	private volatile PeerStatus status = new PeerStatus(0, false, 0, 0, 0);
@@ -121,6 +123,14 @@
 		return this.status;
 	}
 
+	/**
+	 * Returns the start of a graceful stop.
+	 * @return completes once the status says that the process is leaving
+	 */
+	public CompletionStage<Void> left() {
+		return this.left;
+	}
+
 	/**
 	 * Returns the end of a graceful stop.
 	 * @return completes once the process is told to leave and has nothing left to finish
@@ -271,6 +281,7 @@
 			this.leaving = true;
 			this.reservations.leave();
 			publishStatus();
+			this.left.complete(null);
 		}
 	}
 
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/SchedulerActor.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/SchedulerActor.java
@@ -1,9 +1,7 @@
 package org.marjoramgw.side.scheduler;
 
 import java.time.Duration;
-import java.util.function.Function;
 
-import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -28,14 +26,14 @@
 	}
 
 	/**
-	 * Creates the behaviour.
-	 * @param factory makes the scheduler, given where its own commands go
-	 * @return the behaviour
+	 * Creates the behavior.
+	 * @param scheduler the scheduler, which only this actor uses
+	 * @return the behavior
 	 */
-	public static Behavior<SchedulerCommand> create(Function<ActorRef<SchedulerCommand>, Scheduler> factory) {
+	public static Behavior<SchedulerCommand> create(Scheduler scheduler) {
 		return Behaviors.setup((context) -> Behaviors.withTimers((timers) -> {
 			timers.startTimerAtFixedRate(new SchedulerCommand.Tick(), TICK);
-			return new SchedulerActor(context, factory.apply(context.getSelf()));
+			return new SchedulerActor(context, scheduler);
 		}));
 	}
 
