--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/CompareCommand.java
@@ -0,0 +1,43 @@
+package org.marjoramgw.load;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import org.marjoramgw.load.report.ComparisonTable;
+import org.marjoramgw.load.report.ResultFile;
+
+/**
+ * Subcommand {@code compare}: puts two results side by side.
+ *
+ * @author The marjoramgw authors
+ */
+@Parameters(commandDescription = "Put two results side by side")
+final class CompareCommand implements LoadCommand {
+
+	@Parameter(names = "--help", help = true, description = "Print the options and exit")
+	private boolean help;
+
+	@Parameter(description = "A.json B.json", required = true)
+	private List<Path> files = new ArrayList<>();
+
+	@Override
+	public boolean help() {
+		return this.help;
+	}
+
+	@Override
+	public void run() throws IOException {
+		if (this.files.size() != 2) {
+			throw new ParameterException("compare takes two files");
+		}
+		ResultFile first = new ResultFile(this.files.get(0));
+		ResultFile second = new ResultFile(this.files.get(1));
+		System.out.print(new ComparisonTable().of(first.read(), second.read()));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
@@ -0,0 +1,30 @@
+package org.marjoramgw.load;
+
+import java.io.IOException;
+
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * Subcommand of the load tool.
+ *
+ * @author The marjoramgw authors
+ */
+interface LoadCommand {
+
+	/**
+	 * Tells whether only its options are wanted.
+	 * @return whether to print help
+	 */
+	boolean help();
+
+	/**
+	 * Runs the subcommand.
+	 * @throws IOException if a file can't be read or written
+	 * @throws InvalidTextException if a file has mistakes
+	 * @throws RigException if a deployment can't be started or controlled
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void run() throws IOException, InvalidTextException, RigException, InterruptedException;
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/PlotCommand.java
@@ -0,0 +1,38 @@
+package org.marjoramgw.load;
+
+import java.io.IOException;
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.marjoramgw.load.report.ResultChart;
+import org.marjoramgw.load.report.ResultFile;
+
+/**
+ * Subcommand {@code plot}: draws a result over time.
+ *
+ * @author The marjoramgw authors
+ */
+@Parameters(commandDescription = "Draw attainment and wait of a result over time")
+final class PlotCommand implements LoadCommand {
+
+	@Parameter(names = "--help", help = true, description = "Print the options and exit")
+	private boolean help;
+
+	@Parameter(description = "RESULT.json", required = true)
+	private Path file;
+
+	@Parameter(names = "--out", required = true, description = "File to draw: FILE.png or FILE.svg")
+	private Path out;
+
+	@Override
+	public boolean help() {
+		return this.help;
+	}
+
+	@Override
+	public void run() throws IOException {
+		new ResultChart(new ResultFile(this.file).read()).write(this.out);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/RunCommand.java
@@ -0,0 +1,87 @@
+package org.marjoramgw.load;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.load.experiment.Experiment;
+import org.marjoramgw.load.experiment.ExperimentParser;
+import org.marjoramgw.load.measure.ExperimentResult;
+import org.marjoramgw.load.report.ResultFile;
+import org.marjoramgw.load.report.ResultTable;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * Subcommand {@code run}: runs an experiment on a deployment of its own.
+ *
+ * @author The marjoramgw authors
+ */
+@Parameters(commandDescription = "Run an experiment and print its measures")
+final class RunCommand implements LoadCommand {
+
+	@Parameter(names = "--help", help = true, description = "Print the options and exit")
+	private boolean help;
+
+	@Parameter(description = "EXPERIMENT.toml", required = true)
+	private Path file;
+
+	@Parameter(names = "--out", description = "File for the result (JSON)")
+	private Path out;
+
+	@Parameter(names = "--seed", description = "Seed in place of the experiment's")
+	private Long seed;
+
+	@Parameter(names = "--set", description = "KEY=VALUE: replaces a key of the configuration's limits; repeatable")
+	private List<String> set = new ArrayList<>();
+
+	@Override
+	public boolean help() {
+		return this.help;
+	}
+
+	@Override
+	public void run() throws IOException, InvalidTextException, RigException, InterruptedException {
+		Experiment experiment = new ExperimentParser().parse(this.file);
+		experiment = experiment.withLimits(limits(experiment.limits()));
+		if (this.seed != null) {
+			experiment = experiment.withSeed(this.seed);
+		}
+		try (LoadSystem system = new LoadSystem()) {
+			ExperimentResult result = system.runner().run(experiment);
+			System.out.print(new ResultTable().of(result));
+			if (this.out != null) {
+				new ResultFile(this.out).write(result);
+			}
+		}
+	}
+
+	private Map<String, Object> limits(Map<String, Object> limits) {
+		Map<String, Object> merged = new LinkedHashMap<>(limits);
+		for (String pair : this.set) {
+			int equals = pair.indexOf('=');
+			if (equals <= 0) {
+				throw new ParameterException("--set takes KEY=VALUE, not " + pair);
+			}
+			merged.put(pair.substring(0, equals), value(pair.substring(equals + 1)));
+		}
+		return merged;
+	}
+
+	private static Object value(String text) {
+		if (text.matches("-?\\d{1,18}")) {
+			return Long.valueOf(text);
+		}
+		if ("true".equals(text) || "false".equals(text)) {
+			return Boolean.valueOf(text);
+		}
+		return text;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/arrival/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Seeded arrivals of an experiment.
+ */
+package org.marjoramgw.load.arrival;
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/driver/FaultTimer.java
@@ -0,0 +1,57 @@
+package org.marjoramgw.load.driver;
+
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.marjoramgw.load.experiment.Fault;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.rig.StandinProcess;
+import org.tinylog.Logger;
+
+/**
+ * Timer that tells the stand-ins which faults to have.
+ *
+ * @author The marjoramgw authors
+ */
+public final class FaultTimer implements AutoCloseable {
+
+	private final StandinProcess standins;
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+	/**
+	 * Creates a timer.
+	 * @param standins the stand-ins
+	 */
+	public FaultTimer(StandinProcess standins) {
+		this.standins = standins;
+	}
+
+	/**
+	 * Schedules the faults.
+	 * @param faults the faults
+	 */
+	public void schedule(List<Fault> faults) {
+		faults.forEach((fault) -> this.timer.schedule(() -> cause(fault), fault.atMillis(), TimeUnit.MILLISECONDS));
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+	}
+
+	private void cause(Fault fault) {
+		try {
+			this.standins.control(fault.standin(), new ObjectMapper().writeValueAsString(fault.control()));
+			Logger.info("fault at {}: {}", fault.standin(), fault.control());
+		}
+		catch (RigException | JsonProcessingException ex) {
+			Logger.error(ex, "fault at {} failed", fault.standin());
+		}
+	}
+
+}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/ExperimentParser.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/ExperimentParser.java
@@ -67,8 +67,7 @@
 	}
 
 	private static Fault fault(TomlTable table) {
-		return new Fault(table.number("at_ms", 0, MAX_DURATION_MILLIS), table.text("standin"),
-				table.values("control"));
+		return new Fault(table.number("at_ms", 0, MAX_DURATION_MILLIS), table.text("standin"), table.values("control"));
 	}
 
 }
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
@@ -0,0 +1,203 @@
+package org.marjoramgw.load.measure;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.HdrHistogram.Histogram;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.config.ClientAccount;
+import org.marjoramgw.config.Configuration;
+import org.marjoramgw.config.ConfigurationParser;
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.load.arrival.Arrival;
+import org.marjoramgw.load.arrival.ArrivalSchedule;
+import org.marjoramgw.load.driver.FaultTimer;
+import org.marjoramgw.load.driver.LoadDriver;
+import org.marjoramgw.load.driver.RequestRecord;
+import org.marjoramgw.load.experiment.ConfigurationText;
+import org.marjoramgw.load.experiment.Experiment;
+import org.marjoramgw.rig.BackendPlan;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
+import org.marjoramgw.rig.RequestCaller;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * Runner of experiments: starts the deployment, drives the load and measures.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ExperimentRunner {
+
+	private static final long BODY_TIMEOUT_MILLIS = 180_000;
+
+	private static final long WARM_UP_MILLIS = 3_000;
+
+	private static final long START_DELAY_MILLIS = 200;
+
+	private static final int HISTOGRAM_DIGITS = 3;
+
+	private final ActorSystem<?> system;
+
+	private final MillisClock clock;
+
+	/**
+	 * Creates a runner.
+	 * @param system actor system of the HTTP calls
+	 * @param clock the clock
+	 */
+	public ExperimentRunner(ActorSystem<?> system, MillisClock clock) {
+		this.system = system;
+		this.clock = clock;
+	}
+
+	/**
+	 * Plans the deployment of an experiment.
+	 * @param experiment the experiment
+	 * @return what to start
+	 * @throws IOException if the configuration text can't be read
+	 */
+	public DeploymentPlan plan(Experiment experiment) throws IOException {
+		List<BackendPlan> backends = new ArrayList<>();
+		for (BackendPlan backend : experiment.deployment().backends()) {
+			Map<String, Object> options = new LinkedHashMap<>(backend.options());
+			if (backend.kind() == ServiceKind.MODEL) {
+				options.putAll(experiment.engineOptions());
+			}
+			backends
+				.add(new BackendPlan(backend.name(), backend.kind(), backend.pool(), backend.failureDomain(), options));
+		}
+		return new DeploymentPlan(experiment.deployment().entries(), backends, new ConfigurationText().of(experiment))
+			.withProcessSettings(experiment.processSettings());
+	}
+
+	/**
+	 * Runs an experiment on a deployment of its own.
+	 * @param experiment the experiment
+	 * @return the measures
+	 * @throws IOException if the configuration text can't be read
+	 * @throws InvalidTextException if the configuration text has mistakes
+	 * @throws RigException if the deployment can't be started or controlled
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public ExperimentResult run(Experiment experiment)
+			throws IOException, InvalidTextException, RigException, InterruptedException {
+		try (Deployment deployment = Deployment.start(plan(experiment), this.system)) {
+			return run(experiment, deployment);
+		}
+	}
+
+	/**
+	 * Runs an experiment on a running deployment.
+	 * @param experiment the experiment
+	 * @param deployment the deployment
+	 * @return the measures
+	 * @throws InvalidTextException if the configuration text has mistakes
+	 * @throws RigException if the deployment can't be controlled
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public ExperimentResult run(Experiment experiment, Deployment deployment)
+			throws InvalidTextException, RigException, InterruptedException {
+		Configuration configuration = new ConfigurationParser().parse(experiment.name(), 1,
+				deployment.plan().configurationText());
+		RequestCaller caller = new RequestCaller(this.system, BODY_TIMEOUT_MILLIS);
+		List<HostPort> entries = deployment.entries().stream().map((entry) -> entry.address("http")).toList();
+		List<Arrival> arrivals = schedule(experiment, configuration);
+		warmUp(arrivals, caller, entries);
+		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false);
+				FaultTimer faults = new FaultTimer(deployment.standins())) {
+			long startMillis = this.clock.nowMillis() + START_DELAY_MILLIS;
+			faults.schedule(experiment.faults());
+			List<RequestRecord> requests = driver.run(arrivals, startMillis, experiment.settleMillis());
+			List<EngineExecution> executions = executions(deployment, startMillis);
+			ResultBuilder builder = new ResultBuilder(experiment, configuration, arrivals, requests, startMillis);
+			List<ClassResult> classes = builder.classes(driver.gaps(), executions, this.clock.nowMillis());
+			CounterReader counters = new CounterReader(deployment.standins());
+			Percentiles direct = experiment.direct() ? direct(experiment, deployment, arrivals, caller) : null;
+			return new ExperimentResult(experiment.name(), experiment.deployment().name(), experiment.seed(),
+					experiment.limits(), experiment.windowMillis(), experiment.minWindowRequests(),
+					experiment.durationMillis(), ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
+					classes, builder.work(executions), errorCodes(requests), counters.sum(deployment.entries()),
+					counters.sum(deployment.sides()), requests.stream().filter(RequestRecord::misdelivered).count(),
+					builder.windows(), direct);
+		}
+	}
+
+	private List<Arrival> schedule(Experiment experiment, Configuration configuration) {
+		Map<String, Integer> weights = new TreeMap<>();
+		for (ClientAccount account : configuration.accounts().values()) {
+			weights.put(account.name(), account.weight());
+		}
+		return new ArrivalSchedule(experiment, weights).draw();
+	}
+
+	private void warmUp(List<Arrival> arrivals, RequestCaller caller, List<HostPort> entries)
+			throws InterruptedException {
+		// Unmeasured, so that the processes have loaded their code when the first phase begins.
+		List<Arrival> first = arrivals.stream().filter((arrival) -> arrival.atMillis() < WARM_UP_MILLIS).toList();
+		List<Arrival> warm = first.stream().map((arrival) -> renamed(arrival, "-warm")).toList();
+		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false)) {
+			driver.run(warm, this.clock.nowMillis(), WARM_UP_MILLIS);
+		}
+	}
+
+	private Percentiles direct(Experiment experiment, Deployment deployment, List<Arrival> arrivals,
+			RequestCaller caller) throws InterruptedException {
+		List<HostPort> engines = experiment.deployment()
+			.backends()
+			.stream()
+			.filter((backend) -> backend.kind() == ServiceKind.MODEL)
+			.map((backend) -> deployment.standins().address(backend.standinName()))
+			.toList();
+		List<Arrival> chats = arrivals.stream()
+			.filter((arrival) -> arrival.load().isChat())
+			.map((arrival) -> renamed(arrival, "-direct"))
+			.toList();
+		Histogram histogram = new Histogram(HISTOGRAM_DIGITS);
+		try (LoadDriver driver = new LoadDriver(this.clock, caller, engines, true)) {
+			driver.run(chats, this.clock.nowMillis() + START_DELAY_MILLIS, experiment.settleMillis())
+				.stream()
+				.filter((request) -> request.firstTokenMillis() >= 0)
+				.forEach((request) -> histogram.recordValue(request.firstTokenMillis()));
+		}
+		return Percentiles.of(histogram);
+	}
+
+	private static Arrival renamed(Arrival arrival, String suffix) {
+		return new Arrival(arrival.atMillis(), arrival.load(), arrival.account(), arrival.answerTokens(),
+				arrival.text() + suffix);
+	}
+
+	private static List<EngineExecution> executions(Deployment deployment, long startMillis) throws RigException {
+		List<EngineExecution> executions = new ArrayList<>();
+		for (BackendPlan backend : deployment.plan().backends()) {
+			if (backend.kind() == ServiceKind.MODEL) {
+				for (JsonNode node : deployment.standins().executions(backend.standinName())) {
+					executions.add(EngineExecution.of(node));
+				}
+			}
+		}
+		executions.removeIf((execution) -> execution.startedMillis() < startMillis);
+		executions.sort(Comparator.comparingLong(EngineExecution::startedMillis));
+		return executions;
+	}
+
+	private static Map<Integer, Long> errorCodes(List<RequestRecord> requests) {
+		Map<Integer, Long> codes = new TreeMap<>();
+		requests.stream()
+			.filter((request) -> !request.complete())
+			.forEach((request) -> codes.merge(request.errorCode(), 1L, Long::sum));
+		return codes;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SlotTime.java
@@ -0,0 +1,100 @@
+package org.marjoramgw.load.measure;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.marjoramgw.load.driver.RequestRecord;
+
+/**
+ * Slot-time that the classes used at the engines, in all and by window.
+ *
+ * @author The marjoramgw authors
+ */
+final class SlotTime {
+
+	private static final double PERCENT = 100;
+
+	private final long startMillis;
+
+	private final long windowMillis;
+
+	private final int windowCount;
+
+	private final Map<String, long[]> usedMillis = new HashMap<>();
+
+	private final Map<String, long[]> openMillis = new HashMap<>();
+
+	SlotTime(long startMillis, long windowMillis, int windowCount) {
+		this.startMillis = startMillis;
+		this.windowMillis = windowMillis;
+		this.windowCount = windowCount;
+	}
+
+	void addExecutions(List<EngineExecution> executions, Map<String, RequestRecord> requests, long nowMillis) {
+		for (EngineExecution execution : executions) {
+			RequestRecord request = requests.get(execution.requestId());
+			if (request != null) {
+				long endMillis = (execution.endedMillis() > 0) ? execution.endedMillis() : nowMillis;
+				add(this.usedMillis, request.requestClass(), execution.startedMillis() - this.startMillis,
+						endMillis - this.startMillis);
+			}
+		}
+	}
+
+	void addRequest(RequestRecord request, boolean refused) {
+		if (refused) {
+			// A refused request stood for work as well: count the window that it came in.
+			add(this.openMillis, request.requestClass(), request.arrivalMillis(),
+					request.arrivalMillis() + this.windowMillis);
+			return;
+		}
+		add(this.openMillis, request.requestClass(), request.arrivalMillis(),
+				request.arrivalMillis() + request.completionMillis());
+	}
+
+	double sharePercent(String requestClass) {
+		long total = 0;
+		for (int window = 0; window < this.windowCount; window++) {
+			total += total(window);
+		}
+		long used = 0;
+		for (long millis : this.usedMillis.getOrDefault(requestClass, new long[0])) {
+			used += millis;
+		}
+		return (total > 0) ? PERCENT * used / total : 0;
+	}
+
+	double leastSharePercent(String requestClass, int floorPercent) {
+		double least = -1;
+		for (int window = 0; window < this.windowCount; window++) {
+			long total = total(window);
+			long open = at(this.openMillis, requestClass, window);
+			boolean hadWork = total > 0 && open * PERCENT >= floorPercent * (double) total;
+			if (hadWork) {
+				double share = PERCENT * at(this.usedMillis, requestClass, window) / total;
+				least = (least < 0) ? share : Math.min(least, share);
+			}
+		}
+		return least;
+	}
+
+	private long total(int window) {
+		return this.usedMillis.values().stream().mapToLong((millis) -> millis[window]).sum();
+	}
+
+	private static long at(Map<String, long[]> times, String requestClass, int window) {
+		long[] millis = times.get(requestClass);
+		return (millis != null) ? millis[window] : 0;
+	}
+
+	private void add(Map<String, long[]> times, String requestClass, long fromMillis, long toMillis) {
+		long[] windows = times.computeIfAbsent(requestClass, (name) -> new long[this.windowCount]);
+		for (int window = 0; window < this.windowCount; window++) {
+			long windowStart = window * this.windowMillis;
+			long overlap = Math.min(toMillis, windowStart + this.windowMillis) - Math.max(fromMillis, windowStart);
+			windows[window] += Math.max(0, overlap);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/TargetCheck.java
@@ -0,0 +1,42 @@
+package org.marjoramgw.load.measure;
+
+import org.marjoramgw.config.RequestClass;
+import org.marjoramgw.load.driver.RequestRecord;
+import org.marjoramgw.load.experiment.ClassLoad;
+
+/**
+ * Check of single requests against the targets of their class.
+ *
+ * @author The marjoramgw authors
+ */
+final class TargetCheck {
+
+	private static final String NOT_RUN = "not_run";
+
+	private final RequestClass requestClass;
+
+	private final ClassLoad load;
+
+	TargetCheck(RequestClass requestClass, ClassLoad load) {
+		this.requestClass = requestClass;
+		this.load = load;
+	}
+
+	boolean isAttained(RequestRecord request) {
+		if (!request.complete() || request.misdelivered()
+				|| request.completionMillis() > this.requestClass.completionMillis()) {
+			return false;
+		}
+		return !this.load.isChat() || !this.load.streamed() || isStreamInTime(request);
+	}
+
+	boolean isRefused(RequestRecord request) {
+		return !request.complete() && NOT_RUN.equals(request.outcome());
+	}
+
+	private boolean isStreamInTime(RequestRecord request) {
+		return request.firstTokenMillis() <= this.requestClass.firstTokenMillis()
+				&& request.gapP95Millis() <= this.requestClass.tokenGapMillis();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/WorkMeasure.java
@@ -0,0 +1,74 @@
+package org.marjoramgw.load.measure;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.marjoramgw.load.driver.RequestRecord;
+
+/**
+ * Measure of useful and wasted work: what the engines generated against what the callers
+ * got.
+ *
+ * @author The marjoramgw authors
+ */
+final class WorkMeasure {
+
+	private static final double PERCENT = 100;
+
+	private final Map<String, RequestRecord> requests;
+
+	private final Map<String, Long> wastedByCause = new TreeMap<>();
+
+	private long generatedTokens;
+
+	private long deliveredTokens;
+
+	private long recomputedPrefillTokens;
+
+	WorkMeasure(Map<String, RequestRecord> requests) {
+		this.requests = requests;
+	}
+
+	WorkResult measure(List<EngineExecution> executions, double goodputTokens, double goodputCalls) {
+		Map<String, List<EngineExecution>> byRequest = new HashMap<>();
+		executions.forEach((execution) -> byRequest
+			.computeIfAbsent(execution.requestId(), (requestId) -> new java.util.ArrayList<>())
+			.add(execution));
+		byRequest.forEach(this::addRequest);
+		long wasted = this.wastedByCause.values().stream().mapToLong(Long::longValue).sum();
+		double wastedPercent = (this.generatedTokens > 0) ? PERCENT * wasted / this.generatedTokens : 0;
+		return new WorkResult(goodputTokens, goodputCalls, this.generatedTokens, this.deliveredTokens, wasted,
+				wastedPercent, this.wastedByCause, this.recomputedPrefillTokens);
+	}
+
+	private void addRequest(String requestId, List<EngineExecution> executions) {
+		long generated = executions.stream().mapToLong(EngineExecution::generatedTokens).sum();
+		this.generatedTokens += generated;
+		for (EngineExecution execution : executions.subList(1, executions.size())) {
+			this.recomputedPrefillTokens += execution.prefillTokens();
+		}
+		RequestRecord request = this.requests.get(requestId);
+		if (request == null) {
+			waste("no answer at the caller", generated);
+		}
+		else if (request.complete()) {
+			this.deliveredTokens += request.tokens();
+			waste("generated twice", Math.max(0, generated - request.tokens()));
+		}
+		else if (request.errorCode() > 0) {
+			waste("ended with code " + request.errorCode(), generated);
+		}
+		else {
+			waste("broken off at the caller", generated);
+		}
+	}
+
+	private void waste(String cause, long tokens) {
+		if (tokens > 0) {
+			this.wastedByCause.merge(cause, tokens, Long::sum);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Output of measures: JSON files, tables and charts.
+ */
+package org.marjoramgw.load.report;
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ChatCall.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ChatCall.java
@@ -17,10 +17,24 @@
  * @param prompt text of the user's message
  * @param streamed whether the answer is streamed
  * @param maxTokens bound of the answer, in tokens; 0 sends none
+ * @param requestId request id, for a call straight to an engine, or an empty text
  * @author The marjoramgw authors
  */
 public record ChatCall(HostPort target, String key, String requestClass, String model, String context, String prompt,
-		boolean streamed, int maxTokens) {
+		boolean streamed, int maxTokens, String requestId) {
+
+	/**
+	 * Creates a call to an entry without a system message.
+	 * @param target address of the entry
+	 * @param key bearer key of the client account
+	 * @param requestClass class of the request, or an empty text
+	 * @param model name of the model
+	 * @param prompt text of the user's message
+	 * @param streamed whether the answer is streamed
+	 */
+	public ChatCall(HostPort target, String key, String requestClass, String model, String prompt, boolean streamed) {
+		this(target, key, requestClass, model, "", prompt, streamed, 0, "");
+	}
 
 	/**
 	 * Returns the request body.
@@ -34,6 +48,10 @@
 		if (this.maxTokens > 0) {
 			body.put("max_tokens", this.maxTokens);
 		}
+		if (!this.requestId.isEmpty()) {
+			body.put("request_id", this.requestId);
+			body.put("priority", 1);
+		}
 		return body;
 	}
 
