--- /dev/null
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/Await.java
@@ -0,0 +1,36 @@
+package org.marjoramgw.process;
+
+import java.util.concurrent.Callable;
+
+import org.testng.Assert;
+
+/**
+ * Waiting for a condition with a generous deadline.
+ *
+ * @author The marjoramgw authors
+ */
+final class Await {
+
+	/** Deadline of what has no bound of its own, in milliseconds. */
+	static final long GENEROUS_MILLIS = 30_000;
+
+	private static final long POLL_MILLIS = 20;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private Await() {
+	}
+
+	static void until(String what, Callable<Boolean> condition) throws Exception {
+		until(what, GENEROUS_MILLIS, condition);
+	}
+
+	static void until(String what, long timeoutMillis, Callable<Boolean> condition) throws Exception {
+		long deadlineNanos = System.nanoTime() + timeoutMillis * NANOS_PER_MILLI;
+		while (!condition.call()) {
+			Assert.assertTrue(System.nanoTime() < deadlineNanos, "not in time: " + what);
+			Thread.sleep(POLL_MILLIS);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
@@ -0,0 +1,123 @@
+package org.marjoramgw.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.marjoramgw.rig.CallAnswer;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.LinkKind;
+import org.marjoramgw.rig.ManagedProcess;
+import org.marjoramgw.testkit.TestSeed;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Proves that a call of which the caller is told that it was not run was not run, with
+ * the link between entry and side process cut at each message of the exchange.
+ *
+ * @author The marjoramgw authors
+ */
+public class NotRunTests {
+
+	private static final String NOT_RUN = "not_run";
+
+	private static final String HEALED = "{\"mode\":\"pass\",\"delay_ms\":0,\"cut_after_bytes_up\":0,\"cut_after_bytes_down\":0}";
+
+	private ProofBed bed;
+
+	private Deployment deployment;
+
+	private int nextOrder;
+
+	@BeforeClass
+	public void start() throws Exception {
+		this.bed = ProofBed.start(ProofPlan.of(2, 2, 2));
+		this.deployment = this.bed.deployment();
+	}
+
+	@AfterClass(alwaysRun = true)
+	public void stop() {
+		if (this.bed != null) {
+			this.bed.close();
+		}
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void heal() throws Exception {
+		for (ManagedProcess side : this.deployment.sides()) {
+			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
+		}
+		this.bed.awaitServing();
+	}
+
+	/**
+	 * Lists the cuts: bytes that still pass towards the side processes (reserve, run, ack,
+	 * heartbeats between them) and back (grant, chunk, end).
+	 * @return the cuts
+	 */
+	@DataProvider
+	public Object[][] cuts() {
+		List<Object[]> cuts = new ArrayList<>();
+		for (int bytes : new int[] { 1, 20, 60, 90, 120, 160, 200, 240, 280, 320, 380, 450, 550 }) {
+			cuts.add(new Object[] { "up", bytes });
+		}
+		for (int bytes : new int[] { 1, 10, 25, 40, 55, 70, 90, 110, 140, 180, 230, 300 }) {
+			cuts.add(new Object[] { "down", bytes });
+		}
+		return cuts.toArray(new Object[0][]);
+	}
+
+	@Test(dataProvider = "cuts")
+	public void orderToldNotRunDidNotRun(String way, int bytes) throws Exception {
+		cut(way, bytes);
+		List<String> orders = new ArrayList<>();
+		List<CompletableFuture<CallAnswer>> calls = new ArrayList<>();
+		for (int count = 0; count < 6; count++) {
+			this.nextOrder++;
+			String order = "order-" + TestSeed.value() + "-" + this.nextOrder;
+			orders.add(order);
+			calls.add(this.bed.order("entry-" + (1 + count % 2), order, ""));
+		}
+		for (int index = 0; index < calls.size(); index++) {
+			CallAnswer answer = ProofBed.await(calls.get(index));
+			int runs = this.bed.runsOfOrder(orders.get(index));
+			String told = way + " " + bytes + ": " + orders.get(index) + " ran " + runs + " times, told " + answer;
+			Assert.assertTrue(runs <= 1, told);
+			Assert.assertTrue(!answer.outcome().equals(NOT_RUN) || runs == 0, told);
+			Assert.assertTrue(!answer.complete() || runs == 1, told);
+		}
+	}
+
+	@Test(dataProvider = "cuts")
+	public void generationToldNotRunDidNotRun(String way, int bytes) throws Exception {
+		cut(way, bytes);
+		List<String> prompts = new ArrayList<>();
+		List<CompletableFuture<CallAnswer>> calls = new ArrayList<>();
+		for (int count = 0; count < 4; count++) {
+			this.nextOrder++;
+			String prompt = "len=5 question " + TestSeed.value() + " " + this.nextOrder;
+			prompts.add(prompt);
+			calls.add(this.bed.chat("entry-" + (1 + count % 2), ProofConfiguration.TOP, prompt));
+		}
+		for (int index = 0; index < calls.size(); index++) {
+			CallAnswer answer = ProofBed.await(calls.get(index));
+			int runs = this.bed.runsOfPrompt(prompts.get(index));
+			String told = way + " " + bytes + ": " + prompts.get(index) + " ran " + runs + " times, told " + answer;
+			Assert.assertTrue(!answer.outcome().equals(NOT_RUN) || runs == 0, told);
+			Assert.assertTrue(!answer.complete() || answer.text().equals(ProofBed.expectedAnswer(prompts.get(index))),
+					told);
+		}
+	}
+
+	private void cut(String way, int bytes) throws Exception {
+		for (ManagedProcess side : this.deployment.sides()) {
+			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), "{\"cut_after_bytes_" + way + "\":" + bytes + "}");
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -0,0 +1,257 @@
+package org.marjoramgw.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.http.HttpReply;
+import org.marjoramgw.rig.BackendPlan;
+import org.marjoramgw.rig.CallAnswer;
+import org.marjoramgw.rig.ChatCall;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
+import org.marjoramgw.rig.LinkKind;
+import org.marjoramgw.rig.ManagedProcess;
+import org.marjoramgw.rig.RequestCaller;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.rig.ServiceCall;
+import org.marjoramgw.rig.StandinProcess;
+import org.marjoramgw.rig.TokenListener;
+import org.marjoramgw.settings.TomlTable;
+import org.marjoramgw.standin.engine.AnswerText;
+import org.marjoramgw.standin.engine.EngineSettings;
+
+/**
+ * Running deployment of a proof with the calls and faults that proofs use.
+ *
+ * @author The marjoramgw authors
+ */
+final class ProofBed implements AutoCloseable {
+
+	private static final String OPERATOR_TOKEN = "rig-operator-token";
+
+	private static final long OPERATOR_TIMEOUT_MILLIS = 5_000;
+
+	private static final long ANSWER_TIMEOUT_MILLIS = 90_000;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "proof");
+
+	private final RequestCaller caller = new RequestCaller(this.system, ANSWER_TIMEOUT_MILLIS);
+
+	private final HttpCaller operator = new HttpCaller(this.system, OPERATOR_TIMEOUT_MILLIS, OPERATOR_TOKEN);
+
+	private final Deployment deployment;
+
+	private ProofBed(DeploymentPlan plan) throws RigException {
+		try {
+			this.deployment = Deployment.start(plan, this.system);
+		}
+		catch (RigException ex) {
+			this.system.terminate();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Starts a deployment and waits until every entry can reach every pool.
+	 * @param plan what to start
+	 * @return the running deployment
+	 * @throws Exception if it doesn't serve in time
+	 */
+	static ProofBed start(DeploymentPlan plan) throws Exception {
+		ProofBed bed = new ProofBed(plan);
+		try {
+			bed.awaitServing();
+			return bed;
+		}
+		catch (Exception | AssertionError ex) {
+			bed.close();
+			throw ex;
+		}
+	}
+
+	Deployment deployment() {
+		return this.deployment;
+	}
+
+	StandinProcess standins() {
+		return this.deployment.standins();
+	}
+
+	CompletableFuture<CallAnswer> chat(String entry, String requestClass, String prompt) {
+		return chat(entry, requestClass, prompt, TokenListener.NONE);
+	}
+
+	CompletableFuture<CallAnswer> chat(String entry, String requestClass, String prompt, TokenListener listener) {
+		ChatCall call = new ChatCall(this.deployment.entry(entry).address("http"), ProofConfiguration.KEY, requestClass,
+				ProofConfiguration.MODEL, "", prompt, true, 0);
+		return this.caller.chat(call, listener).toCompletableFuture();
+	}
+
+	/**
+	 * Books an order.
+	 * @param entry name of the entry
+	 * @param order unique text of the order
+	 * @param key idempotency key, or an empty text
+	 * @return the answer
+	 */
+	CompletableFuture<CallAnswer> order(String entry, String order, String key) {
+		return this.caller
+			.service(new ServiceCall(this.deployment.entry(entry).address("http"), ProofConfiguration.KEY,
+					ProofConfiguration.ORDER, "orders", "orders", "{\"order\":\"" + order + "\"}", key))
+			.toCompletableFuture();
+	}
+
+	static CallAnswer await(CompletableFuture<CallAnswer> answer) throws Exception {
+		return answer.get(ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	static String expectedAnswer(String prompt) throws Exception {
+		AnswerText answer = new AnswerText(prompt, EngineSettings.read(TomlTable.ofText("engine", "")));
+		return answer.text(answer.tokenCount());
+	}
+
+	static String sha256(String prompt) throws Exception {
+		return new AnswerText(prompt, EngineSettings.read(TomlTable.ofText("engine", ""))).sha256();
+	}
+
+	/**
+	 * Counts the runs of an order at all plain backend servers.
+	 * @param order unique text of the order
+	 * @return how often it ran
+	 * @throws RigException if a stand-in doesn't answer
+	 */
+	int runsOfOrder(String order) throws RigException {
+		int runs = 0;
+		for (BackendPlan backend : backends(ServiceKind.PLAIN)) {
+			for (JsonNode execution : standins().executions(backend.standinName())) {
+				runs += execution.path("body").asText().contains("\"" + order + "\"") ? 1 : 0;
+			}
+		}
+		return runs;
+	}
+
+	/**
+	 * Counts the generations that started for a prompt at all engines.
+	 * @param prompt the prompt
+	 * @return how many there were
+	 * @throws Exception if a stand-in doesn't answer
+	 */
+	int runsOfPrompt(String prompt) throws Exception {
+		String sha256 = sha256(prompt);
+		int runs = 0;
+		for (BackendPlan backend : backends(ServiceKind.MODEL)) {
+			for (JsonNode execution : standins().executions(backend.standinName())) {
+				runs += execution.path("prompt_sha256").asText().equals(sha256) ? 1 : 0;
+			}
+		}
+		return runs;
+	}
+
+	/**
+	 * Finds the backend server at which a generation runs now.
+	 * @param prompt the prompt
+	 * @return name of its side process, or an empty text
+	 * @throws Exception if a stand-in doesn't answer
+	 */
+	String runnerOf(String prompt) throws Exception {
+		String sha256 = sha256(prompt);
+		for (BackendPlan backend : backends(ServiceKind.MODEL)) {
+			for (JsonNode execution : standins().executions(backend.standinName())) {
+				if (execution.path("prompt_sha256").asText().equals(sha256)
+						&& execution.path("state").asText().equals("running")) {
+					return backend.name();
+				}
+			}
+		}
+		return "";
+	}
+
+	List<BackendPlan> backends(ServiceKind kind) {
+		return this.deployment.plan().backends().stream().filter((backend) -> backend.kind() == kind).toList();
+	}
+
+	List<ManagedProcess> processes() {
+		List<ManagedProcess> all = new ArrayList<>(this.deployment.entries());
+		all.addAll(this.deployment.sides());
+		return all;
+	}
+
+	JsonNode status(ManagedProcess process) throws Exception {
+		return MAPPER.readTree(this.operator.get(operatorUrl(process, "status")).body()).path("status");
+	}
+
+	JsonNode explain(ManagedProcess process, String requestId) throws Exception {
+		return MAPPER.readTree(this.operator.get(operatorUrl(process, "explain/" + requestId)).body());
+	}
+
+	void drain(ManagedProcess process) throws Exception {
+		HttpReply reply = this.operator.post(operatorUrl(process, "drain"), "");
+		if (!reply.isOk()) {
+			throw new IllegalStateException("drain refused: " + reply);
+		}
+	}
+
+	String metrics(ManagedProcess process) throws Exception {
+		return this.operator.get("http://" + process.address("http") + "/metrics").body();
+	}
+
+	JsonNode platform(String standin, String path) throws Exception {
+		return MAPPER.readTree(standins().getText("http://" + standins().address(standin) + path));
+	}
+
+	/**
+	 * Counts the appends to the streams of claims that took effect.
+	 * @return the number of appends
+	 * @throws Exception if the log stand-in doesn't answer
+	 */
+	long claimAppends() throws Exception {
+		long[] count = new long[1];
+		platform(StandinProcess.LOG, "/control").path("append_counts").fields().forEachRemaining((stream) -> {
+			count[0] += stream.getKey().startsWith("claim") ? stream.getValue().asLong() : 0;
+		});
+		return count[0];
+	}
+
+	void link(LinkKind kind, String process, String json) throws RigException {
+		standins().link(kind, process, json);
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.deployment.close();
+		}
+		finally {
+			this.system.terminate();
+		}
+	}
+
+	void awaitServing() throws Exception {
+		for (ManagedProcess entry : this.deployment.entries()) {
+			if (!backends(ServiceKind.MODEL).isEmpty()) {
+				Await.until(entry.name() + " serves chat", () -> await(
+						chat(entry.name(), ProofConfiguration.TOP, "len=1 ready " + System.nanoTime()))
+					.complete());
+			}
+			if (!backends(ServiceKind.PLAIN).isEmpty()) {
+				Await.until(entry.name() + " serves orders",
+						() -> await(order(entry.name(), "ready-" + System.nanoTime(), "")).complete());
+			}
+		}
+	}
+
+	private static String operatorUrl(ManagedProcess process, String path) {
+		return "http://" + process.address("http") + "/operator/" + path;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Proofs with real processes behind the fault proxy.
+ */
+package org.marjoramgw.process;
