Claim idempotency keys on partitioned streams of the log

A claim that came too late never holds its key, also not after a release: its claimant was told so. A claim that timed out with unknown effect is released once the log answers, by id, so that a late copy of it never holds the key either.

--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/LogClaimBookTests.java
@@ -0,0 +1,155 @@
+package org.marjoramgw.claim;
+
+import java.util.UUID;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.log.MemoryLog;
+import org.marjoramgw.log.MemoryLog.AppendFault;
+import org.marjoramgw.log.StartRecord;
+import org.marjoramgw.log.StartStream;
+import org.marjoramgw.metrics.ResultCounters;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link LogClaimBook}.
+ *
+ * @author The marjoramgw authors
+ */
+public class LogClaimBookTests {
+
+	private static final ClaimSettings SETTINGS = new ClaimSettings(4, 900_000, 1_500, 5, 1_000, 20);
+
+	private static final RecordedResult RESULT = new RecordedResult(201, "text/plain", "booked");
+
+	private static final ClaimVerdict WON = new ClaimVerdict.Won();
+
+	private MemoryLog log;
+
+	@BeforeMethod
+	public void createLog() {
+		this.log = new MemoryLog(new SystemMillisClock());
+	}
+
+	private LogClaimBook book(String processId, long incarnation) {
+		return new LogClaimBook(this.log, SETTINGS, new ClaimHolder(processId, incarnation), new SystemMillisClock(),
+				new ResultCounters(new MetricRegistry()));
+	}
+
+	private static ClaimKey key(String key, String body) {
+		String digest = Hashing.sha256().hashBytes(body.getBytes()).toString();
+		return new ClaimKey("account", key, digest, UUID.randomUUID().toString());
+	}
+
+	private static ClaimVerdict claim(ClaimBook book, ClaimKey key) {
+		return book.claim(key).toCompletableFuture().join();
+	}
+
+	private static ClaimVerdict refused(ResultCode code) {
+		return new ClaimVerdict.Refused(code);
+	}
+
+	@DataProvider
+	public Object[][] faults() {
+		return new Object[][] { { AppendFault.NONE }, { AppendFault.REFUSED }, { AppendFault.LOST_BEFORE },
+				{ AppendFault.LOST_AFTER }, { AppendFault.LATE } };
+	}
+
+	@Test(dataProvider = "faults")
+	public void winsOnceAndRepeatsTheResult(AppendFault fault) {
+		try (LogClaimBook first = book("a", 1); LogClaimBook second = book("b", 1)) {
+			ClaimKey key = key("k", "x");
+			this.log.failNextAppend(fault);
+			Assert.assertEquals(claim(first, key), WON);
+			Assert.assertEquals(claim(second, key("k", "x")), refused(ResultCode.KEY_IN_PROGRESS));
+			this.log.deliverLate();
+			this.log.failNextAppend(fault);
+			first.recordResult(key, RESULT);
+			first.close();
+			Assert.assertEquals(claim(second, key("k", "x")), new ClaimVerdict.Repeated(RESULT));
+			Assert.assertEquals(claim(second, key("k", "y")), refused(ResultCode.KEY_REUSED));
+		}
+	}
+
+	@Test
+	public void aReleasedKeyCanBeClaimedAgain() {
+		try (LogClaimBook first = book("a", 1); LogClaimBook second = book("b", 1)) {
+			ClaimKey key = key("k", "x");
+			Assert.assertEquals(claim(first, key), WON);
+			first.release(key);
+			first.close();
+			Assert.assertEquals(claim(second, key("k", "x")), WON);
+		}
+	}
+
+	@Test
+	public void aClaimantThatRestartedLeavesTheOutcomeUnknown() throws Exception {
+		try (LogClaimBook first = book("a", 1); LogClaimBook second = book("b", 1); LogClaimBook third = book("a", 2)) {
+			Assert.assertEquals(claim(first, key("k", "x")), WON);
+			Assert.assertEquals(claim(third, key("k", "x")), refused(ResultCode.KEY_OUTCOME_UNKNOWN));
+			Assert.assertEquals(claim(second, key("k", "x")), refused(ResultCode.KEY_IN_PROGRESS));
+			new StartStream(this.log).register(new StartRecord("a", 2));
+			Assert.assertEquals(claim(second, key("k", "x")), refused(ResultCode.KEY_OUTCOME_UNKNOWN));
+		}
+	}
+
+	@Test
+	public void refusesAsNotRunWhileTheLogIsAwayAndRunsLater() {
+		try (LogClaimBook book = book("a", 1)) {
+			this.log.setAway(true);
+			Assert.assertEquals(claim(book, key("k", "x")), refused(ResultCode.CLAIM_UNAVAILABLE));
+			this.log.setAway(false);
+			Assert.assertEquals(claim(book, key("k", "x")), WON);
+		}
+	}
+
+	@Test
+	public void givesAClaimBackThatTimedOutAfterALostAnswer() {
+		try (LogClaimBook book = book("a", 1); LogClaimBook other = book("b", 1)) {
+			Assert.assertEquals(claim(book, key("other", "x")), WON);
+			this.log.failNextAppend(AppendFault.LATE);
+			ClaimKey key = key("k", "x");
+			var verdict = book.claim(key);
+			while (this.log.lateCount() == 0) {
+				Thread.onSpinWait();
+			}
+			this.log.setAway(true);
+			Assert.assertEquals(verdict.toCompletableFuture().join(), refused(ResultCode.CLAIM_UNAVAILABLE));
+			this.log.setAway(false);
+			Assert.assertEquals(claim(book, key("k", "x")), WON);
+			this.log.deliverLate();
+			Assert.assertEquals(claim(other, key("k", "x")), refused(ResultCode.KEY_IN_PROGRESS));
+		}
+	}
+
+	@Test
+	public void refusesAKeyThatIsOlderThanTheWindow() {
+		try (LogClaimBook book = book("a", 1)) {
+			long oldMillis = System.currentTimeMillis() - SETTINGS.windowMillis() - 1_000;
+			Assert.assertEquals(claim(book, key(version7(oldMillis), "x")), refused(ResultCode.KEY_EXPIRED));
+			Assert.assertEquals(claim(book, key(version7(System.currentTimeMillis()), "x")), WON);
+		}
+	}
+
+	@Test
+	public void doesNotRepeatAnAnswerThatWasTooLargeToRecord() {
+		try (LogClaimBook book = book("a", 1); LogClaimBook other = book("b", 1)) {
+			ClaimKey key = key("k", "x");
+			Assert.assertEquals(claim(book, key), WON);
+			book.recordResult(key, new RecordedResult(200, "text/plain", "x".repeat(21)));
+			book.close();
+			Assert.assertEquals(claim(other, key("k", "x")), refused(ResultCode.ANSWER_NOT_KEPT));
+		}
+	}
+
+	private static String version7(long millis) {
+		String hex = String.format("%012x", millis);
+		return hex.substring(0, 8) + "-" + hex.substring(8) + "-7000-8000-000000000000";
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the claims of one partition.
+ */
+package org.marjoramgw.claim.internal;
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the claims of idempotency keys.
+ */
+package org.marjoramgw.claim;
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/log/MemoryLog.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/log/MemoryLog.java
@@ -86,6 +86,10 @@
 		this.late.clear();
 	}
 
+	public synchronized int lateCount() {
+		return this.late.size();
+	}
+
 	public synchronized List<LogRecord> all(String stream) {
 		return List.copyOf(this.streams.getOrDefault(stream, List.of()));
 	}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/ClaimHolder.java
@@ -0,0 +1,11 @@
+package org.marjoramgw.claim;
+
+/**
+ * Process that claims keys.
+ *
+ * @param processId name of the process
+ * @param incarnation number that rises with each start of the process
+ * @author The marjoramgw authors
+ */
+public record ClaimHolder(String processId, long incarnation) {
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/ClaimVerdict.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/ClaimVerdict.java
@@ -28,7 +28,8 @@
 	 *
 	 * @param code why: one of {@link ResultCode#CLAIM_UNAVAILABLE},
 	 * {@link ResultCode#KEY_IN_PROGRESS}, {@link ResultCode#KEY_REUSED},
-	 * {@link ResultCode#KEY_OUTCOME_UNKNOWN} or {@link ResultCode#KEY_EXPIRED}
+	 * {@link ResultCode#KEY_OUTCOME_UNKNOWN}, {@link ResultCode#KEY_EXPIRED} or
+	 * {@link ResultCode#ANSWER_NOT_KEPT}
 	 */
 	record Refused(ResultCode code) implements ClaimVerdict {
 	}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/ClaimAttempt.java
@@ -0,0 +1,91 @@
+package org.marjoramgw.claim.internal;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.marjoramgw.claim.ClaimKey;
+import org.marjoramgw.claim.ClaimVerdict;
+
+/**
+ * Claim that waits for its verdict.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ClaimAttempt {
+
+	private final ClaimKey key;
+
+	private final KeyHash hash;
+
+	private final KeyHash request;
+
+	private final String claimId;
+
+	private final CompletableFuture<ClaimVerdict> verdict = new CompletableFuture<>();
+
+	private boolean inLog;
+
+	private boolean mayBeInLog;
+
+	/**
+	 * Creates an attempt.
+	 * @param key the key
+	 * @param claimId unique id of the claim
+	 */
+	public ClaimAttempt(ClaimKey key, String claimId) {
+		this.key = key;
+		this.hash = KeyHash.of(key.account(), key.key());
+		this.request = KeyHash.parse(key.requestSha256());
+		this.claimId = claimId;
+	}
+
+	/**
+	 * Returns the verdict.
+	 * @return completes with the verdict
+	 */
+	public CompletableFuture<ClaimVerdict> verdict() {
+		return this.verdict;
+	}
+
+	ClaimKey key() {
+		return this.key;
+	}
+
+	KeyHash hash() {
+		return this.hash;
+	}
+
+	KeyHash request() {
+		return this.request;
+	}
+
+	String claimId() {
+		return this.claimId;
+	}
+
+	boolean isInLog() {
+		return this.inLog;
+	}
+
+	/**
+	 * Tells whether a copy of the record may be in the log, or come there late.
+	 * @return whether an append of it was answered with success or not at all
+	 */
+	boolean mayBeInLog() {
+		return this.mayBeInLog;
+	}
+
+	void setInLog(boolean value) {
+		this.inLog = value;
+		this.mayBeInLog |= value;
+	}
+
+	void setMayBeInLog() {
+		this.mayBeInLog = true;
+	}
+
+	ClaimRecord.Claim record(String processId, long incarnation) {
+		return new ClaimRecord.Claim(this.claimId, this.hash.toString(), this.request.toString(), processId,
+				incarnation, this.key.requestId());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/ClaimFold.java
@@ -0,0 +1,175 @@
+package org.marjoramgw.claim.internal;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.marjoramgw.log.LogRecord;
+
+/**
+ * Claims of one partition as a function of its records in the order of their offsets.
+ * <p>
+ * A claim holds its key if no other claim holds it at that point of the log and it was
+ * not released before; a claim that comes too late never holds it, not even after a
+ * release, since its claimant was told so. Records are remembered for the window, by the
+ * log's clock, and within a bound of keys.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ClaimFold {
+
+	private final long windowMillis;
+
+	private final int maxKeys;
+
+	private final ClaimRecordCodec codec;
+
+	private final Map<KeyHash, HeldClaim> held = new LinkedHashMap<>();
+
+	private final Map<String, Long> releasedAtMillis = new LinkedHashMap<>();
+
+	private long nextOffset;
+
+	private long forgottenUntilMillis = Long.MIN_VALUE;
+
+	/**
+	 * Creates the state of an empty stream.
+	 * @param windowMillis how long a record counts, in milliseconds
+	 * @param maxKeys bound of the remembered keys
+	 * @param codec codec of the records
+	 */
+	public ClaimFold(long windowMillis, int maxKeys, ClaimRecordCodec codec) {
+		this.windowMillis = windowMillis;
+		this.maxKeys = maxKeys;
+		this.codec = codec;
+	}
+
+	/**
+	 * Applies a record; one that is already reflected is ignored.
+	 * @param record the record
+	 */
+	public void apply(LogRecord record) {
+		if (record.offset() < this.nextOffset) {
+			return;
+		}
+		this.nextOffset = record.offset() + 1;
+		Optional<ClaimRecord> decoded = this.codec.decode(record.data());
+		if (decoded.isPresent()) {
+			apply(decoded.get(), record);
+		}
+		forget(record.timeMillis() - this.windowMillis);
+	}
+
+	/**
+	 * Goes past records that expired unread; they are older than the window.
+	 * @param firstOffset first offset that the log retains
+	 */
+	public void skipTo(long firstOffset) {
+		this.nextOffset = Math.max(this.nextOffset, firstOffset);
+	}
+
+	/**
+	 * Finds the claim that holds a key.
+	 * @param key hash of the key
+	 * @return the claim, or empty if the key is free
+	 */
+	public Optional<HeldClaim> holder(KeyHash key) {
+		return Optional.ofNullable(this.held.get(key));
+	}
+
+	/**
+	 * Tells whether a claim was released.
+	 * @param claimId unique id of the claim
+	 * @return whether its release was seen
+	 */
+	public boolean isReleased(String claimId) {
+		return this.releasedAtMillis.containsKey(claimId);
+	}
+
+	/**
+	 * Returns the first offset that the state doesn't reflect.
+	 * @return the offset
+	 */
+	public long nextOffset() {
+		return this.nextOffset;
+	}
+
+	/**
+	 * Returns up to when claims were forgotten within the window, since there were more
+	 * keys than the bound.
+	 * @return milliseconds by the log's clock, {@link Long#MIN_VALUE} if none were
+	 */
+	public long forgottenUntilMillis() {
+		return this.forgottenUntilMillis;
+	}
+
+	/**
+	 * Returns the number of remembered keys.
+	 * @return the count
+	 */
+	public int size() {
+		return this.held.size();
+	}
+
+	private void apply(ClaimRecord decoded, LogRecord record) {
+		if (decoded instanceof ClaimRecord.Claim claim) {
+			applyClaim(claim, record.timeMillis());
+		}
+		if (decoded instanceof ClaimRecord.Result result) {
+			KeyHash key = KeyHash.parse(result.key());
+			HeldClaim holder = this.held.get(key);
+			if (isHeldBy(holder, result.claimId()) && !holder.hasResult()) {
+				this.held.put(key, holder.withResult(record.offset()));
+			}
+		}
+		if (decoded instanceof ClaimRecord.Release release) {
+			applyRelease(release, record.timeMillis());
+		}
+	}
+
+	private void applyClaim(ClaimRecord.Claim claim, long timeMillis) {
+		if (!isReleased(claim.claimId())) {
+			this.held.putIfAbsent(KeyHash.parse(claim.key()),
+					new HeldClaim(claim.claimId(), KeyHash.parse(claim.request()), claim.processId(),
+							claim.incarnation(), timeMillis, HeldClaim.NO_RESULT));
+		}
+	}
+
+	private void applyRelease(ClaimRecord.Release release, long timeMillis) {
+		KeyHash key = KeyHash.parse(release.key());
+		HeldClaim holder = this.held.get(key);
+		if (isHeldBy(holder, release.claimId()) && holder.hasResult()) {
+			// A call with a result ran; its key stays taken.
+			return;
+		}
+		// Also noted when the claim isn't there yet, since a late copy of it may follow.
+		this.releasedAtMillis.put(release.claimId(), timeMillis);
+		if (isHeldBy(holder, release.claimId())) {
+			this.held.remove(key);
+		}
+	}
+
+	private static boolean isHeldBy(HeldClaim holder, String claimId) {
+		return holder != null && holder.claimId().equals(claimId);
+	}
+
+	private void forget(long beforeMillis) {
+		Iterator<HeldClaim> oldest = this.held.values().iterator();
+		while (oldest.hasNext()) {
+			long timeMillis = oldest.next().timeMillis();
+			if (timeMillis >= beforeMillis && this.held.size() <= this.maxKeys) {
+				break;
+			}
+			if (timeMillis >= beforeMillis) {
+				this.forgottenUntilMillis = Math.max(this.forgottenUntilMillis, timeMillis);
+			}
+			oldest.remove();
+		}
+		Iterator<Long> oldestRelease = this.releasedAtMillis.values().iterator();
+		while (oldestRelease.hasNext() && oldestRelease.next() < beforeMillis) {
+			oldestRelease.remove();
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/ClaimJudge.java
@@ -0,0 +1,96 @@
+package org.marjoramgw.claim.internal;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.claim.ClaimHolder;
+import org.marjoramgw.claim.ClaimVerdict;
+import org.marjoramgw.claim.RecordedResult;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.log.LogRecord;
+import org.marjoramgw.log.LogService;
+import org.marjoramgw.log.StartStream;
+
+/**
+ * Judge of claims that didn't win, from the claim that holds the key.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ClaimJudge {
+
+	private static final long HOLDER_TIMEOUT_MILLIS = 300_000;
+
+	private final LogService log;
+
+	private final StartStream starts;
+
+	private final ClaimHolder self;
+
+	private final MillisClock clock;
+
+	private final ClaimRecordCodec codec;
+
+	/**
+	 * Creates a judge.
+	 * @param log the log service
+	 * @param starts stream of the starts of processes
+	 * @param self this process
+	 * @param clock the clock
+	 * @param codec codec of the records
+	 */
+	public ClaimJudge(LogService log, StartStream starts, ClaimHolder self, MillisClock clock, ClaimRecordCodec codec) {
+		this.log = log;
+		this.starts = starts;
+		this.self = self;
+		this.clock = clock;
+		this.codec = codec;
+	}
+
+	ClaimVerdict judge(String stream, KeyHash request, HeldClaim holder) {
+		if (!holder.request().equals(request)) {
+			return new ClaimVerdict.Refused(ResultCode.KEY_REUSED);
+		}
+		if (holder.hasResult()) {
+			return result(stream, holder);
+		}
+		boolean gone = isGone(holder);
+		return new ClaimVerdict.Refused(gone ? ResultCode.KEY_OUTCOME_UNKNOWN : ResultCode.KEY_IN_PROGRESS);
+	}
+
+	private ClaimVerdict result(String stream, HeldClaim holder) {
+		try {
+			List<LogRecord> records = this.log.read(stream, holder.resultOffset(), 1).records();
+			Optional<ClaimRecord> record = records.isEmpty() ? Optional.empty()
+					: this.codec.decode(records.get(0).data());
+			if (record.isPresent() && record.get() instanceof ClaimRecord.Result result && result.kept()
+					&& result.claimId().equals(holder.claimId())) {
+				return new ClaimVerdict.Repeated(
+						new RecordedResult(result.httpStatus(), result.contentType(), result.body()));
+			}
+		}
+		catch (LogUnavailableException ex) {
+			// The call ran, so that "not run" would be untrue.
+		}
+		return new ClaimVerdict.Refused(ResultCode.ANSWER_NOT_KEPT);
+	}
+
+	private boolean isGone(HeldClaim holder) {
+		if (holder.timeMillis() < this.clock.nowMillis() - HOLDER_TIMEOUT_MILLIS) {
+			return true;
+		}
+		if (holder.processId().equals(this.self.processId())) {
+			return holder.incarnation() < this.self.incarnation();
+		}
+		try {
+			OptionalLong newest = this.starts.newestIncarnation(holder.processId());
+			return newest.isPresent() && newest.getAsLong() > holder.incarnation();
+		}
+		catch (LogUnavailableException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/ClaimRecordCodec.java
@@ -0,0 +1,48 @@
+package org.marjoramgw.claim.internal;
+
+import java.util.Optional;
+
+import org.marjoramgw.log.JsonRecords;
+
+/**
+ * Form of the records of a claim stream.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ClaimRecordCodec {
+
+	private final JsonRecords<ClaimRecord> json = new JsonRecords<>(ClaimRecord.class);
+
+	/**
+	 * Encodes a record.
+	 * @param record the record
+	 * @return one line of JSON
+	 */
+	public String encode(ClaimRecord record) {
+		return this.json.encode(record);
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param data text of the record
+	 * @return the record, or empty if the text is none or its hashes aren't hashes; every
+	 * reader ignores it alike
+	 */
+	public Optional<ClaimRecord> decode(String data) {
+		return this.json.decode(data).filter(ClaimRecordCodec::hasHashes);
+	}
+
+	private static boolean hasHashes(ClaimRecord record) {
+		try {
+			KeyHash.parse(record.key());
+			if (record instanceof ClaimRecord.Claim claim) {
+				KeyHash.parse(claim.request());
+			}
+			return true;
+		}
+		catch (IllegalArgumentException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/HeldClaim.java
@@ -0,0 +1,32 @@
+package org.marjoramgw.claim.internal;
+
+/**
+ * Claim that holds its key.
+ *
+ * @param claimId unique id of the claim
+ * @param request hash of the request
+ * @param processId process that holds it
+ * @param incarnation incarnation of that process
+ * @param timeMillis when the log took it, in milliseconds
+ * @param resultOffset offset of its result record, or {@link #NO_RESULT}
+ * @author The marjoramgw authors
+ */
+public record HeldClaim(String claimId, KeyHash request, String processId, long incarnation, long timeMillis,
+		long resultOffset) {
+
+	/** Result offset of a claim that has none yet. */
+	public static final long NO_RESULT = -1;
+
+	/**
+	 * Tells whether the call's result is recorded.
+	 * @return whether there is a result record
+	 */
+	public boolean hasResult() {
+		return this.resultOffset != NO_RESULT;
+	}
+
+	HeldClaim withResult(long offset) {
+		return new HeldClaim(this.claimId, this.request, this.processId, this.incarnation, this.timeMillis, offset);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/KeyHash.java
@@ -0,0 +1,55 @@
+package org.marjoramgw.claim.internal;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.hash.Hashing;
+
+/**
+ * First half of a SHA-256 digest, which stands for a key or a request in memory.
+ *
+ * @param high first eight bytes
+ * @param low next eight bytes
+ * @author The marjoramgw authors
+ */
+public record KeyHash(long high, long low) {
+
+	private static final int TEXT_LENGTH = 32;
+
+	private static final int HALF_LENGTH = 16;
+
+	private static final int RADIX = 16;
+
+	/**
+	 * Computes the hash of a key within its account.
+	 * @param account name of the client account
+	 * @param key the idempotency key
+	 * @return the hash
+	 */
+	public static KeyHash of(String account, String key) {
+		String text = account.length() + ":" + account + key;
+		ByteBuffer digest = ByteBuffer.wrap(Hashing.sha256().hashString(text, StandardCharsets.UTF_8).asBytes());
+		return new KeyHash(digest.getLong(), digest.getLong());
+	}
+
+	/**
+	 * Parses the first digits of a digest.
+	 * @param digits at least 32 hexadecimal digits
+	 * @return the hash
+	 * @throws IllegalArgumentException if the text is something else
+	 */
+	public static KeyHash parse(String digits) {
+		if (digits.length() < TEXT_LENGTH) {
+			throw new IllegalArgumentException("not a digest: " + digits);
+		}
+		long high = Long.parseUnsignedLong(digits.substring(0, HALF_LENGTH), RADIX);
+		long low = Long.parseUnsignedLong(digits.substring(HALF_LENGTH, TEXT_LENGTH), RADIX);
+		return new KeyHash(high, low);
+	}
+
+	@Override
+	public String toString() {
+		return String.format("%016x%016x", this.high, this.low);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/KeyTime.java
@@ -0,0 +1,34 @@
+package org.marjoramgw.claim.internal;
+
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+
+/**
+ * Time that an idempotency key carries if it is a UUID of version 7.
+ *
+ * @author The marjoramgw authors
+ */
+public final class KeyTime {
+
+	private static final Pattern VERSION_7 = Pattern
+		.compile("[0-9a-fA-F]{8}-[0-9a-fA-F]{4}-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}");
+
+	private static final int RADIX = 16;
+
+	private KeyTime() {
+	}
+
+	/**
+	 * Reads the time of a key.
+	 * @param key the idempotency key
+	 * @return when it was made, in milliseconds since the Unix epoch, or empty if the key
+	 * carries no time
+	 */
+	public static OptionalLong of(String key) {
+		if (!VERSION_7.matcher(key).matches()) {
+			return OptionalLong.empty();
+		}
+		return OptionalLong.of(Long.parseLong(key.substring(0, 8) + key.substring(9, 13), RADIX));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionClaims.java
@@ -0,0 +1,337 @@
+package org.marjoramgw.claim.internal;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BiConsumer;
+
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.claim.ClaimHolder;
+import org.marjoramgw.claim.ClaimKey;
+import org.marjoramgw.claim.ClaimSettings;
+import org.marjoramgw.claim.ClaimVerdict;
+import org.marjoramgw.errors.LogAnswerLostException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.log.LogRecord;
+import org.marjoramgw.log.LogService;
+import org.marjoramgw.log.LogSlice;
+import org.marjoramgw.metrics.ResultCounters;
+
+/**
+ * Claims that this process makes in one partition.
+ * <p>
+ * One cycle appends everything that waits in one append, reads the stream to its end, and
+ * settles the attempts by what the stream shows. Cycles don't overlap; other threads only
+ * add work.
+ *
+ * @author The marjoramgw authors
+ */
+public final class PartitionClaims {
+
+	/** Skew allowed between the clocks of callers, processes and the log. */
+	public static final long CLOCK_SKEW_MILLIS = 60_000;
+
+	private static final int BATCH_RECORDS = 200;
+
+	private static final int PAGE_RECORDS = 500;
+
+	private final String stream;
+
+	private final LogService log;
+
+	private final ClaimSettings settings;
+
+	private final ClaimHolder self;
+
+	private final ClaimJudge judge;
+
+	private final ClaimRecordCodec codec;
+
+	private final MillisClock clock;
+
+	private final ResultCounters counters;
+
+	private final BiConsumer<ClaimKey, String> wonListener;
+
+	private final ClaimFold fold;
+
+	private final Outbox outbox = new Outbox();
+
+	private final ConcurrentLinkedQueue<ClaimAttempt> incoming = new ConcurrentLinkedQueue<>();
+
+	private final List<ClaimAttempt> attempts = new ArrayList<>();
+
+	private boolean readBack;
+
+	/**
+	 * Creates the claims of a partition.
+	 * @param stream name of the partition's stream
+	 * @param log the log service
+	 * @param settings bounds
+	 * @param self this process
+	 * @param judge judge of claims that didn't win
+	 * @param clock the clock
+	 * @param counters counters of results
+	 * @param wonListener is told of a won key and its claim before the verdict is given
+	 */
+	public PartitionClaims(String stream, LogService log, ClaimSettings settings, ClaimHolder self, ClaimJudge judge,
+			MillisClock clock, ResultCounters counters, BiConsumer<ClaimKey, String> wonListener) {
+		this.stream = stream;
+		this.log = log;
+		this.settings = settings;
+		this.self = self;
+		this.judge = judge;
+		this.codec = new ClaimRecordCodec();
+		this.clock = clock;
+		this.counters = counters;
+		this.wonListener = wonListener;
+		long keptMillis = settings.windowMillis() + 2 * CLOCK_SKEW_MILLIS;
+		this.fold = new ClaimFold(keptMillis, settings.maxKeys(), this.codec);
+	}
+
+	/**
+	 * Adds an attempt for the next cycle; thread-safe.
+	 * @param attempt the attempt
+	 */
+	public void submit(ClaimAttempt attempt) {
+		this.incoming.add(attempt);
+	}
+
+	/**
+	 * Adds a result or a release for the next cycle; thread-safe.
+	 * @param record the record
+	 */
+	public void submit(ClaimRecord record) {
+		this.outbox.add(record);
+	}
+
+	/**
+	 * Tells whether records wait for the log; thread-safe.
+	 * @return whether results or releases are left
+	 */
+	public boolean hasUnsent() {
+		return !this.outbox.isEmpty();
+	}
+
+	/**
+	 * Runs one cycle; blocks.
+	 * @return what is left to do
+	 */
+	public CycleOutcome cycle() {
+		takeIncoming();
+		if (!this.readBack && !readToEnd()) {
+			dropTimedOut();
+			return CycleOutcome.LOG_AWAY;
+		}
+		refuseForgotten();
+		boolean appended = appendWaiting();
+		boolean read = readToEnd();
+		if (read) {
+			this.outbox.removeShown(this.fold);
+			settle();
+		}
+		dropTimedOut();
+		if (!appended || !read) {
+			return CycleOutcome.LOG_AWAY;
+		}
+		boolean idle = this.attempts.isEmpty() && this.incoming.isEmpty() && this.outbox.isEmpty();
+		return idle ? CycleOutcome.IDLE : CycleOutcome.MORE;
+	}
+
+	private void takeIncoming() {
+		ClaimAttempt attempt = this.incoming.poll();
+		while (attempt != null) {
+			this.attempts.add(attempt);
+			attempt = this.incoming.poll();
+		}
+	}
+
+	/**
+	 * Refuses keys about which claims within the window may have been forgotten.
+	 */
+	private void refuseForgotten() {
+		long forgottenUntilMillis = this.fold.forgottenUntilMillis();
+		if (forgottenUntilMillis < this.clock.nowMillis() - this.settings.windowMillis()) {
+			return;
+		}
+		for (ClaimAttempt attempt : this.attempts) {
+			OptionalLong keyTime = KeyTime.of(attempt.key().key());
+			boolean known = this.fold.holder(attempt.hash()).isPresent();
+			if (!known && keyTime.isEmpty()) {
+				refuse(attempt, ResultCode.CLAIM_UNAVAILABLE);
+			}
+			else if (!known && keyTime.getAsLong() < forgottenUntilMillis + CLOCK_SKEW_MILLIS) {
+				refuse(attempt, ResultCode.KEY_EXPIRED);
+			}
+		}
+	}
+
+	private boolean appendWaiting() {
+		List<ClaimRecord> sent = this.outbox.first(BATCH_RECORDS);
+		List<ClaimAttempt> claims = attemptsToAppend(sent);
+		List<String> batch = new ArrayList<>();
+		sent.forEach((record) -> batch.add(this.codec.encode(record)));
+		for (ClaimAttempt claim : claims) {
+			batch.add(this.codec.encode(claim.record(this.self.processId(), this.self.incarnation())));
+		}
+		if (batch.isEmpty()) {
+			return true;
+		}
+		try {
+			this.log.append(this.stream, batch);
+			this.outbox.removeAll(sent);
+			claims.forEach((claim) -> claim.setInLog(true));
+			return true;
+		}
+		catch (LogUnavailableException ex) {
+			this.counters.count(ResultCode.LOG_AWAY);
+			return false;
+		}
+		catch (LogAnswerLostException ex) {
+			this.counters.count(ResultCode.LOG_ANSWER_LOST);
+			claims.forEach(ClaimAttempt::setMayBeInLog);
+			return false;
+		}
+	}
+
+	private List<ClaimAttempt> attemptsToAppend(List<ClaimRecord> sent) {
+		List<ClaimAttempt> result = new ArrayList<>();
+		for (ClaimAttempt attempt : this.attempts) {
+			boolean room = sent.size() + result.size() < BATCH_RECORDS;
+			if (room && !attempt.verdict().isDone() && !attempt.isInLog() && isFree(attempt.hash(), sent)) {
+				result.add(attempt);
+			}
+		}
+		return result;
+	}
+
+	/**
+	 * Tells whether a claim could hold the key now, or once releases ahead of it in the
+	 * same append took effect.
+	 * @param key hash of the key
+	 * @param sent records ahead of the claim
+	 * @return whether it is worth an append
+	 */
+	private boolean isFree(KeyHash key, List<ClaimRecord> sent) {
+		Optional<HeldClaim> holder = this.fold.holder(key);
+		if (holder.isEmpty()) {
+			return true;
+		}
+		String claimId = holder.get().claimId();
+		return sent.stream()
+			.anyMatch((record) -> record instanceof ClaimRecord.Release && record.claimId().equals(claimId));
+	}
+
+	private boolean readToEnd() {
+		try {
+			LogSlice slice;
+			do {
+				slice = this.log.read(this.stream, this.fold.nextOffset(), PAGE_RECORDS);
+				this.fold.skipTo(slice.firstOffset());
+				for (LogRecord record : slice.records()) {
+					this.fold.apply(record);
+				}
+			}
+			while (this.fold.nextOffset() < slice.nextOffset() && !slice.records().isEmpty());
+			this.readBack = this.fold.nextOffset() >= slice.nextOffset();
+			return this.readBack;
+		}
+		catch (LogUnavailableException ex) {
+			this.counters.count(ResultCode.LOG_AWAY);
+			return false;
+		}
+	}
+
+	private void settle() {
+		Iterator<ClaimAttempt> iterator = this.attempts.iterator();
+		while (iterator.hasNext()) {
+			ClaimAttempt attempt = iterator.next();
+			if (!attempt.verdict().isDone() && isSettled(attempt)) {
+				iterator.remove();
+			}
+		}
+	}
+
+	private boolean isSettled(ClaimAttempt attempt) {
+		Optional<HeldClaim> holder = this.fold.holder(attempt.hash());
+		if (holder.isEmpty()) {
+			// A claim that was in the log came too late, and its key is free again.
+			attempt.setInLog(false);
+			return false;
+		}
+		if (holder.get().claimId().equals(attempt.claimId())) {
+			win(attempt);
+			return true;
+		}
+		if (this.outbox.releases(holder.get().claimId())) {
+			return false;
+		}
+		ClaimVerdict verdict = this.judge.judge(this.stream, attempt.request(), holder.get());
+		attempt.verdict().complete(verdict);
+		releaseStray(attempt);
+		return true;
+	}
+
+	private void win(ClaimAttempt attempt) {
+		this.wonListener.accept(attempt.key(), attempt.claimId());
+		if (!attempt.verdict().complete(new ClaimVerdict.Won())) {
+			this.wonListener.accept(attempt.key(), null);
+			release(attempt);
+		}
+	}
+
+	private void refuse(ClaimAttempt attempt, ResultCode code) {
+		attempt.verdict().complete(new ClaimVerdict.Refused(code));
+	}
+
+	/**
+	 * Gives back the claims of attempts whose caller no longer waits.
+	 */
+	private void dropTimedOut() {
+		Iterator<ClaimAttempt> iterator = this.attempts.iterator();
+		while (iterator.hasNext()) {
+			ClaimAttempt attempt = iterator.next();
+			if (attempt.verdict().isDone()) {
+				iterator.remove();
+				if (attempt.mayBeInLog()) {
+					release(attempt);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Makes sure that a copy of a refused claim that arrives late never holds the key.
+	 * @param attempt the refused attempt
+	 */
+	private void releaseStray(ClaimAttempt attempt) {
+		if (attempt.mayBeInLog() && !attempt.isInLog()) {
+			release(attempt);
+		}
+	}
+
+	private void release(ClaimAttempt attempt) {
+		this.outbox.add(new ClaimRecord.Release(attempt.claimId(), attempt.hash().toString()));
+	}
+
+	/**
+	 * What a cycle left to do.
+	 */
+	public enum CycleOutcome {
+
+		/** Nothing is left. */
+		IDLE,
+
+		/** Work is left for the next cycle. */
+		MORE,
+
+		/** The log failed; the next cycle waits longer. */
+		LOG_AWAY
+
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/ConfigurationParser.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/ConfigurationParser.java
@@ -24,7 +24,7 @@
 
 	private static final int DEFAULT_BODY_BYTES = 1024 * 1024;
 
-	private static final long MAX_TARGET_MILLIS = 3_600_000;
+	private static final long MAX_TARGET_MILLIS = 600_000;
 
 	private static final int MAX_COUNT = 10_000;
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/ConfigurationRecordCodec.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/ConfigurationRecordCodec.java
@@ -3,14 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.hash.Hashing;
+import org.marjoramgw.log.JsonRecords;
 
 /**
- * JSON form of the records of the stream {@code config}.
+ * Form of the records of the stream {@code config}.
  *
  * @author The marjoramgw authors
  */
@@ -19,10 +16,7 @@
 	/** Name of the stream. */
 	public static final String STREAM = "config";
 
-	private final ObjectMapper mapper = JsonMapper.builder()
-		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-		.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
-		.build();
+	private final JsonRecords<ConfigurationRecord> json = new JsonRecords<>(ConfigurationRecord.class);
 
 	/**
 	 * Encodes a record.
@@ -30,12 +24,7 @@
 	 * @return one line of JSON
 	 */
 	public String encode(ConfigurationRecord record) {
-		try {
-			return this.mapper.writerFor(ConfigurationRecord.class).writeValueAsString(record);
-		}
-		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("record can't be encoded", ex);
-		}
+		return this.json.encode(record);
 	}
 
 	/**
@@ -44,12 +33,7 @@
 	 * @return the record, or empty if the text is none; every reader ignores it alike
 	 */
 	public Optional<ConfigurationRecord> decode(String data) {
-		try {
-			return Optional.ofNullable(this.mapper.readValue(data, ConfigurationRecord.class));
-		}
-		catch (JsonProcessingException | IllegalArgumentException ex) {
-			return Optional.empty();
-		}
+		return this.json.decode(data);
 	}
 
 	/**
