--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/ConfigurationText.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/ConfigurationText.java
@@ -4,22 +4,18 @@
 import java.nio.file.Files;
 import java.util.Map;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 
 /**
- * Operators' text of an experiment: that of the deployment with some limits replaced.
+ * Operators' text of an experiment: that of the deployment with some limits and classes'
+ * keys replaced.
  *
  * @author The marjoramgw authors
  */
 public final class ConfigurationText {
 
-	private static final ObjectMapper MAPPER = new TomlMapper();
-
-	private static final String LIMITS = "limits";
+	private static final TomlMapper MAPPER = new TomlMapper();
 
 	/**
 	 * Builds the text.
@@ -29,13 +25,15 @@
 	 */
 	public String of(Experiment experiment) throws IOException {
 		String text = Files.readString(experiment.deployment().configurationFile());
-		return experiment.limits().isEmpty() ? text : withLimits(text, experiment.limits());
+		if (experiment.limits().isEmpty() && experiment.classes().isEmpty()) {
+			return text;
+		}
+		return replaced(text, Map.of("limits", experiment.limits(), "classes", experiment.classes()));
 	}
 
-	private static String withLimits(String text, Map<String, Object> limits) throws JsonProcessingException {
+	private static String replaced(String text, Map<String, Object> replacements) throws IOException {
 		JsonNode root = MAPPER.readTree(text);
-		ObjectNode table = ((ObjectNode) root).withObjectProperty(LIMITS);
-		limits.forEach((key, value) -> table.set(key, MAPPER.valueToTree(value)));
+		MAPPER.readerForUpdating(root).readValue(MAPPER.<JsonNode>valueToTree(replacements));
 		return MAPPER.writeValueAsString(root);
 	}
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Experiment.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Experiment.java
@@ -16,6 +16,7 @@
  * @param direct whether engines are also called directly, to tell the latency that the
  * router adds
  * @param limits keys of the configuration's {@code limits} that are replaced
+ * @param classes keys of the configuration's {@code classes} that are replaced, by class
  * @param engineOptions settings of the engine stand-ins that are replaced
  * @param processSettings settings of entries and side processes that are replaced
  * @param phases the phases in order
@@ -24,8 +25,8 @@
  */
 public record Experiment(String name, DeploymentDescription deployment, long seed, long windowMillis,
 		int minWindowRequests, long settleMillis, boolean direct, Map<String, Object> limits,
-		Map<String, Object> engineOptions, Map<String, Object> processSettings, List<Phase> phases,
-		List<Fault> faults) {
+		Map<String, Object> classes, Map<String, Object> engineOptions, Map<String, Object> processSettings,
+		List<Phase> phases, List<Fault> faults) {
 
 	/**
 	 * Returns the length of all phases.
@@ -42,8 +43,8 @@
 	 */
 	public Experiment withSeed(long newSeed) {
 		return new Experiment(this.name, this.deployment, newSeed, this.windowMillis, this.minWindowRequests,
-				this.settleMillis, this.direct, this.limits, this.engineOptions, this.processSettings, this.phases,
-				this.faults);
+				this.settleMillis, this.direct, this.limits, this.classes, this.engineOptions, this.processSettings,
+				this.phases, this.faults);
 	}
 
 	/**
@@ -53,8 +54,8 @@
 	 */
 	public Experiment withLimits(Map<String, Object> newLimits) {
 		return new Experiment(this.name, this.deployment, this.seed, this.windowMillis, this.minWindowRequests,
-				this.settleMillis, this.direct, newLimits, this.engineOptions, this.processSettings, this.phases,
-				this.faults);
+				this.settleMillis, this.direct, newLimits, this.classes, this.engineOptions, this.processSettings,
+				this.phases, this.faults);
 	}
 
 	/**
@@ -64,8 +65,8 @@
 	 */
 	public Experiment withPhases(List<Phase> newPhases) {
 		return new Experiment(this.name, this.deployment, this.seed, this.windowMillis, this.minWindowRequests,
-				this.settleMillis, this.direct, this.limits, this.engineOptions, this.processSettings, newPhases,
-				this.faults);
+				this.settleMillis, this.direct, this.limits, this.classes, this.engineOptions, this.processSettings,
+				newPhases, this.faults);
 	}
 
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/ExperimentParser.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/ExperimentParser.java
@@ -38,6 +38,7 @@
 		long settleMillis = root.number("settle_ms", 20_000, 0, MAX_DURATION_MILLIS);
 		boolean direct = root.flag("direct", false);
 		Map<String, Object> limits = root.values("limits");
+		Map<String, Object> classes = root.values("classes");
 		Map<String, Object> engine = root.values("engine");
 		Map<String, Object> processes = root.values("processes");
 		List<Phase> phases = root.tables("phases", ExperimentParser::phase);
@@ -48,7 +49,7 @@
 		root.throwIfInvalid();
 		DeploymentDescription deployment = new DeploymentParser().parse(deploymentFile);
 		return new Experiment(name, deployment, seed, windowMillis, minWindowRequests, settleMillis, direct, limits,
-				engine, processes, phases, faults);
+				classes, engine, processes, phases, faults);
 	}
 
 	private static Phase phase(TomlTable table) {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/EngineExecution.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/EngineExecution.java
@@ -16,13 +16,16 @@
 public record EngineExecution(String requestId, long prefillTokens, long generatedTokens, String state,
 		long startedMillis, long endedMillis) {
 
+	private static final String CONTINUATION_SUFFIX = "~\\d+$";
+
 	/**
 	 * Reads an execution.
 	 * @param node its JSON object
 	 * @return the execution
 	 */
 	public static EngineExecution of(JsonNode node) {
-		return new EngineExecution(node.path("request_id").asText(), node.path("prefill_tokens").asLong(),
+		String requestId = node.path("request_id").asText().replaceFirst(CONTINUATION_SUFFIX, "");
+		return new EngineExecution(requestId, node.path("prefill_tokens").asLong(),
 				node.path("generated_tokens").asLong(), node.path("state").asText(), node.path("started_ms").asLong(),
 				node.path("ended_ms").asLong());
 	}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
@@ -143,7 +143,8 @@
 
 	private void warmUp(List<Arrival> arrivals, RequestCaller caller, List<HostPort> entries)
 			throws InterruptedException {
-		// Unmeasured, so that the processes have loaded their code when the first phase begins.
+		// Unmeasured, so that the processes have loaded their code when the first phase
+		// begins.
 		List<Arrival> first = arrivals.stream().filter((arrival) -> arrival.atMillis() < WARM_UP_MILLIS).toList();
 		List<Arrival> warm = first.stream().map((arrival) -> renamed(arrival, "-warm")).toList();
 		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false)) {
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
@@ -28,6 +28,9 @@
  */
 public final class Deployment implements AutoCloseable {
 
+	/** Token that the operators of a rig's deployment present. */
+	public static final String OPERATOR_TOKEN = "rig-operator-token";
+
 	private static final String ENTRY_MAIN = "org.marjoramgw.entry.EntryMain";
 
 	private static final String SIDE_MAIN = "org.marjoramgw.side.SideMain";
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/SettingsWriter.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/SettingsWriter.java
@@ -13,11 +13,7 @@
  */
 final class SettingsWriter {
 
-	/** Token that the processes of a rig's deployment present to each other. */
-	static final String PEER_TOKEN = "rig-peer-token";
-
-	/** Token of the operators of a rig's deployment. */
-	static final String OPERATOR_TOKEN = "rig-operator-token";
+	private static final String PEER_TOKEN = "rig-peer-token";
 
 	private static final String ANY_PORT = "127.0.0.1:0";
 
@@ -52,7 +48,7 @@
 		settings.put("failure_domain", failureDomain);
 		settings.put("http_address", ANY_PORT);
 		settings.put("peer_token", PEER_TOKEN);
-		settings.put("operator_token", OPERATOR_TOKEN);
+		settings.put("operator_token", Deployment.OPERATOR_TOKEN);
 		settings.put("log_url", url(LinkKind.PROCESS_LOG, name, StandinProcess.LOG));
 		settings.put("vm_list_url", url(LinkKind.PROCESS_VM_LIST, name, StandinProcess.VM_LIST));
 		settings.putAll(this.plan.processSettings());
