Ask for the recorded result of a keyed call after an unknown outcome

A keyed call whose side process was lost may now ask another one, which finds the result or the claim in the log; what then says not run is told as unknown, since the first attempt may have run. A key used with another body is final. Keyed calls go to the side process that their claim partition hashes to.

A link that turns busy after idling is judged silent from that moment: before, a tick between the reservation and its answer could drop a healthy link.

--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
@@ -134,10 +134,11 @@
 	public Object[][] endsOfRuns() {
 		return new Object[][] { { "plain", ResultCode.BACKEND_BROKE_OFF, false },
 				{ "plain", ResultCode.SIDE_RESTARTED, false }, { "plain", ResultCode.ANSWER_NOT_KEPT, false },
-				{ "plain", ResultCode.KEY_OUTCOME_UNKNOWN, false }, { "plain", ResultCode.GRANT_EXPIRED, true },
-				{ "plain", ResultCode.UNKNOWN_RESERVATION, true }, { "plain", ResultCode.BACKEND_UNREACHABLE, true },
-				{ "repeatable", ResultCode.BACKEND_BROKE_OFF, true }, { "repeatable", ResultCode.SIDE_RESTARTED, true },
-				{ "generation", ResultCode.SIDE_RESTARTED, true }, { "generation", ResultCode.GRANT_EXPIRED, true },
+				{ "plain", ResultCode.KEY_OUTCOME_UNKNOWN, false }, { "plain", ResultCode.KEY_REUSED, false },
+				{ "plain", ResultCode.GRANT_EXPIRED, true }, { "plain", ResultCode.UNKNOWN_RESERVATION, true },
+				{ "plain", ResultCode.BACKEND_UNREACHABLE, true }, { "repeatable", ResultCode.BACKEND_BROKE_OFF, true },
+				{ "repeatable", ResultCode.SIDE_RESTARTED, true }, { "generation", ResultCode.SIDE_RESTARTED, true },
+				{ "generation", ResultCode.GRANT_EXPIRED, true },
 				{ "generation", ResultCode.ANSWER_TOO_LARGE, false } };
 	}
 
@@ -156,6 +157,23 @@
 		}
 	}
 
+	@Test
+	public void asksForTheRecordedResultOfAKeyedCallAndNeverCallsItNotRun() throws Exception {
+		ActorRef<RequestEvent> actor = request(keyed());
+		String side = this.sides.next(Message.Reserve.class).sideId();
+		grant(actor, side, 1);
+		this.sides.next(Message.Run.class);
+		refuse(actor, side, 1, ResultCode.KEY_IN_PROGRESS);
+		FakeSidePool.Received<Message.Reserve> again = this.sides.next(Message.Reserve.class);
+		grant(actor, again.sideId(), 2);
+		this.sides.next(Message.Run.class);
+		refuse(actor, again.sideId(), 2, ResultCode.CLAIM_UNAVAILABLE);
+		Message.Reserve third = this.sides.next(Message.Reserve.class).message();
+		Assert.assertEquals(third.attempt(), 3);
+		actor.tell(new RequestEvent.FinishDeadline());
+		Assert.assertEquals(this.sink.result(), ResultCode.DEADLINE_IN_FLIGHT);
+	}
+
 	@Test
 	public void endsAsUnknownWhenTheSideProcessRestarted() throws Exception {
 		ActorRef<RequestEvent> actor = request(plain(false));
@@ -230,21 +248,27 @@
 
 	private static EntrySettings settings() {
 		HostPort address = new HostPort("127.0.0.1", 0);
-		return new EntrySettings("e1", "a", address, "t", "o", "", "", 250, 1_000, 1_000, 500, 200, 5_000, 1_000, 100);
+		return new EntrySettings("e1", "a", address, "t", "o", "", "", 250, 1_000, 1_000, 500, 200, 5_000, 1_000, 100,
+				16);
 	}
 
 	private static RoutedRequest generation() {
 		Service service = new Service("chat", ServiceKind.MODEL, "p", List.of("m"), List.of(), List.of(), false);
-		return routed(service, "m", true);
+		return routed(service, "m", true, "");
+	}
+
+	private static RoutedRequest keyed() {
+		Service service = new Service("orders", ServiceKind.PLAIN, "p", List.of(), List.of(), List.of(), false);
+		return routed(service, "", false, "key");
 	}
 
 	private static RoutedRequest plain(boolean repeatable) {
 		Service service = new Service("orders", ServiceKind.PLAIN, "p", List.of(), List.of(), List.of(), false);
-		return routed(service, "", repeatable);
+		return routed(service, "", repeatable, "");
 	}
 
-	private static RoutedRequest routed(Service service, String model, boolean repeatable) {
-		BackendCall call = new BackendCall("POST", "/x", "application/json", new byte[0], "", repeatable, "");
+	private static RoutedRequest routed(Service service, String model, boolean repeatable, String key) {
+		BackendCall call = new BackendCall("POST", "/x", "application/json", new byte[0], "", repeatable, key);
 		return new RoutedRequest("r", service, model, new RequestClass("c", 1, 500, 50, 20_000, 10, 10),
 				new ClientAccount("acc", "", 1), call, "", 1);
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
@@ -24,12 +24,13 @@
  * milliseconds
  * @param drainMillis bound of a graceful stop, in milliseconds
  * @param openRequestsPerClass bound of the open requests of one class
+ * @param claimPartitionCount partitions of the claims, the same in every process
  * @author The marjoramgw authors
  */
 public record EntrySettings(String processId, String failureDomain, HostPort httpAddress, String peerToken,
 		String operatorToken, String logUrl, String vmListUrl, long heartbeatMillis, long idleHeartbeatMillis,
 		long peerTimeoutMillis, long pollMillis, long resumeWaitMillis, long widenMillis, long drainMillis,
-		int openRequestsPerClass) {
+		int openRequestsPerClass, int claimPartitionCount) {
 
 	private static final long MAX_INTERVAL_MILLIS = 60_000;
 
@@ -48,7 +49,8 @@
 				interval(table, "idle_heartbeat_ms", 1_000), interval(table, "peer_timeout_ms", 1_000),
 				interval(table, "poll_ms", 500), interval(table, "resume_wait_ms", 1_500),
 				interval(table, "widen_ms", 100), table.number("drain_ms", 120_000, 1, MAX_DRAIN_MILLIS),
-				(int) table.number("open_requests_per_class_count", 2_000, 1, 100_000));
+				(int) table.number("open_requests_per_class_count", 2_000, 1, 100_000),
+				(int) table.number("claim_partition_count", 16, 1, 1_024));
 		table.throwIfInvalid();
 		return settings;
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerHandler.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerHandler.java
@@ -47,8 +47,10 @@
 	}
 
 	CompletionStage<HttpResponse> plain(HttpRequest http, String service, String rest) {
-		return handle(http, (table, requestId, body, head) -> start(table,
-				Calls.plain(table, requestId, http, body, service, rest), new PlainAnswer(head)));
+		return handle(http,
+				(table, requestId, body, head) -> start(table,
+						Calls.plain(table, requestId, http, body, service, rest, this.parts.claimPartitionCount()),
+						new PlainAnswer(head)));
 	}
 
 	CompletionStage<HttpResponse> unknownPath(HttpRequest http) {
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/Calls.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/Calls.java
@@ -4,7 +4,10 @@
 
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.claim.ClaimPartitions;
+import org.marjoramgw.config.ClientAccount;
 import org.marjoramgw.config.Limits;
+import org.marjoramgw.config.RequestClass;
 import org.marjoramgw.config.Service;
 import org.marjoramgw.entry.dispatch.RoutedRequest;
 import org.marjoramgw.errors.RequestRejectedException;
@@ -30,11 +33,14 @@
 			throws RequestRejectedException {
 		Service service = table.modelService(chat.model());
 		BackendCall call = new BackendCall(POST, CHAT_PATH, "application/json", body, "", true, "");
-		return routed(table, requestId, http, service, chat, call);
+		ClientAccount account = table.accountOf(bearerKey(http));
+		return new RoutedRequest(requestId, service, chat.model(), requestClass(table, http, account), account, call,
+				account.name() + "\n" + chat.promptPrefix(), chat.promptTokens());
 	}
 
 	static RoutedRequest plain(RoutingTable table, String requestId, HttpRequest http, byte[] body, String name,
-			String rest) throws RequestRejectedException {
+			String rest, int claimPartitionCount) throws RequestRejectedException {
+		ClientAccount account = table.accountOf(bearerKey(http));
 		Service service = table.plainService(name);
 		String path = "/" + rest;
 		String query = http.getUri().rawQueryString().map((text) -> "?" + text).orElse("");
@@ -44,7 +50,9 @@
 		}
 		BackendCall call = new BackendCall(POST, path + query, http.entity().getContentType().toString(), body, "",
 				service.isRepeatable(POST, path), key);
-		return routed(table, requestId, http, service, new ChatRequest("", false, "", 0), call);
+		String affinityKey = key.isEmpty() ? "" : ClaimPartitions.streamOf(account.name(), key, claimPartitionCount);
+		return new RoutedRequest(requestId, service, "", requestClass(table, http, account), account, call, affinityKey,
+				0);
 	}
 
 	static int bodyBound(Limits limits, HttpRequest http) throws RequestRejectedException {
@@ -64,13 +72,9 @@
 			.map((value) -> value.substring("Bearer ".length()).trim());
 	}
 
-	private static RoutedRequest routed(RoutingTable table, String requestId, HttpRequest http, Service service,
-			ChatRequest chat, BackendCall call) throws RequestRejectedException {
-		var account = table.accountOf(bearerKey(http));
-		var requestClass = table.classOf(header(http, "X-Request-Class"), account.name(), http.getUri().path());
-		String affinityKey = chat.promptPrefix().isEmpty() ? "" : account.name() + "\n" + chat.promptPrefix();
-		return new RoutedRequest(requestId, service, chat.model(), requestClass, account, call, affinityKey,
-				chat.promptTokens());
+	private static RequestClass requestClass(RoutingTable table, HttpRequest http, ClientAccount account)
+			throws RequestRejectedException {
+		return table.classOf(header(http, "X-Request-Class"), account.name(), http.getUri().path());
 	}
 
 }
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/EntryParts.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/EntryParts.java
@@ -95,6 +95,10 @@
 				current.selector(), this.budget, this.backoff, this.counters, this.decisions);
 	}
 
+	int claimPartitionCount() {
+		return this.settings.claimPartitionCount();
+	}
+
 	SidePool sides() {
 		return this.sides;
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Set;
 
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -26,6 +28,13 @@
 
 	private static final int HARD_DEADLINE_FACTOR = 2;
 
+	/** Unknown outcomes after which a keyed call may learn its recorded result. */
+	private static final Set<ResultCode> ASK_AGAIN = EnumSet.of(ResultCode.SIDE_LOST, ResultCode.SIDE_RESTARTED,
+			ResultCode.ANSWER_NOT_KEPT, ResultCode.KEY_IN_PROGRESS);
+
+	/** Refusals that every side process would repeat. */
+	private static final Set<ResultCode> FINAL = EnumSet.of(ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE);
+
 	private final TimerScheduler<RequestEvent> timers;
 
 	private final RoutedRequest request;
@@ -259,6 +268,9 @@
 	private Behavior<RequestEvent> onRunLost(ResultCode code, long retryAfterMillis) {
 		this.reservations.markTried(this.running.sideId());
 		this.running = null;
+		if (FINAL.contains(code)) {
+			return end(code, retryAfterMillis);
+		}
 		if (code.outcome() == Outcome.NOT_RUN) {
 			return retryOrFail(code, retryAfterMillis);
 		}
@@ -268,25 +280,37 @@
 		if (this.request.isGeneration()) {
 			return goOn(ResultCode.RETRY_CONTINUED, code);
 		}
-		if (this.request.call().repeatable() && this.sink.restart()) {
-			return goOn(ResultCode.RETRY_REPEATABLE, code);
+		boolean safe = this.request.call().repeatable() || (this.request.isKeyed() && ASK_AGAIN.contains(code));
+		if (safe && this.sink.restart()) {
+			return goOnLater(code);
 		}
 		return fail(code, retryAfterMillis);
 	}
 
 	private Behavior<RequestEvent> goOn(ResultCode retry, ResultCode cause) {
+		countContinuation(retry, cause);
+		return startRound();
+	}
+
+	private Behavior<RequestEvent> goOnLater(ResultCode cause) {
+		countContinuation(ResultCode.RETRY_REPEATABLE, cause);
+		long delayMillis = this.context.backoff().delayMillis(this.continuations);
+		this.timers.startSingleTimer(new RequestEvent.RetryDue(), Duration.ofMillis(delayMillis));
+		return this;
+	}
+
+	private void countContinuation(ResultCode retry, ResultCode cause) {
 		this.continuations++;
 		this.context.counters().count(cause);
 		this.context.counters().count(retry);
 		record("retry", retry, "after " + cause.number());
-		return startRound();
 	}
 
 	private Behavior<RequestEvent> retryOrFail(ResultCode code, long retryAfterMillis) {
 		this.context.counters().count(code);
 		this.retries++;
 		long delayMillis = this.context.backoff().delayMillis(this.retries);
-		boolean begun = this.textSoFar.length() > 0;
+		boolean begun = this.continuations > 0;
 		boolean late = !begun && this.context.clock().nowMillis() + delayMillis >= this.startDeadlineMillis;
 		if (late || !this.context.budget().tryRetry(this.request.requestClass().name())) {
 			this.context.counters().count(ResultCode.RETRY_DENIED);
@@ -319,10 +343,14 @@
 
 	private Behavior<RequestEvent> fail(ResultCode code, long retryAfterMillis) {
 		cancelRun();
-		ResultCode told = (code.outcome() == Outcome.NOT_RUN && this.continuations > 0) ? ResultCode.SIDE_LOST : code;
-		record("fail", told, "after attempt " + this.reservations.attempt());
-		this.context.counters().count(told);
-		this.sink.onError(told, retryAfterMillis);
+		boolean mayHaveRun = code.outcome() == Outcome.NOT_RUN && this.continuations > 0;
+		return end(mayHaveRun ? ResultCode.SIDE_LOST : code, retryAfterMillis);
+	}
+
+	private Behavior<RequestEvent> end(ResultCode code, long retryAfterMillis) {
+		record("fail", code, "after attempt " + this.reservations.attempt());
+		this.context.counters().count(code);
+		this.sink.onError(code, retryAfterMillis);
 		return stop();
 	}
 
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
@@ -55,10 +55,10 @@
 	 */
 	boolean startRound() {
 		this.attempt++;
-		int asked = ask(this.context.limits().candidateCount());
+		int asked = ask(wantedCount());
 		if (asked == 0 && !this.triedSideIds.isEmpty()) {
 			this.triedSideIds.clear();
-			asked = ask(this.context.limits().candidateCount());
+			asked = ask(wantedCount());
 		}
 		return asked > 0;
 	}
@@ -96,6 +96,15 @@
 		this.waitingSideIds.clear();
 	}
 
+	/**
+	 * Returns how many candidates a round asks. A keyed call asks one, so that few
+	 * processes read its partition of the claims.
+	 * @return the count
+	 */
+	private int wantedCount() {
+		return this.request.isKeyed() ? 1 : this.context.limits().candidateCount();
+	}
+
 	private int ask(int count) {
 		List<Candidate> live = this.context.sides().live(this.request.service().pool());
 		CandidateQuery query = new CandidateQuery(this.context.settings().failureDomain(), this.request.affinityKey(),
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RoutedRequest.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RoutedRequest.java
@@ -30,6 +30,14 @@
 		return !this.model.isEmpty();
 	}
 
+	/**
+	 * Tells whether the caller sent an idempotency key.
+	 * @return whether a repeat is recognised wherever it arrives
+	 */
+	public boolean isKeyed() {
+		return !this.call.idempotencyKey().isEmpty();
+	}
+
 	/**
 	 * Returns the call that goes on after a text.
 	 * @param text text that the caller already has
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
@@ -177,7 +177,7 @@
 			return;
 		}
 		link.listAsLive(wanted && Vm.LIVE.equals(listed.state()));
-		boolean busy = link.idleMillis() < this.settings.peerTimeoutMillis();
+		boolean busy = link.isBusy();
 		long intervalMillis = busy ? this.settings.heartbeatMillis() : this.settings.idleHeartbeatMillis();
 		if (link.silentMillis() > this.settings.peerTimeoutMillis() + (busy ? 0 : intervalMillis)) {
 			drop(link, ResultCode.PEER_SILENT);
@@ -212,7 +212,7 @@
 
 	private void connect(Vm vm) {
 		this.transport.connect(HostPort.parse(vm.peerAddress()), (connection) -> {
-			SideLink link = new SideLink(vm, connection, this.inbox, this.clock);
+			SideLink link = new SideLink(vm, connection, this.inbox, this.clock, this.settings.peerTimeoutMillis());
 			this.linkById.put(vm.id(), link);
 			link.send(new Message.Hello(MessageCodec.VERSION, this.settings.peerToken(), this.identity,
 					this.status.get()));
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLink.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLink.java
@@ -27,6 +27,8 @@
 
 	private final MillisClock clock;
 
+	private final long idleAfterMillis;
+
 	private volatile PeerIdentity identity;
 
 	private volatile PeerStatus status;
@@ -39,11 +41,14 @@
 
 	private volatile long lastWorkMillis;
 
-	SideLink(Vm vm, Connection connection, SideLinkListener listener, MillisClock clock) {
+	private volatile long busySinceMillis;
+
+	SideLink(Vm vm, Connection connection, SideLinkListener listener, MillisClock clock, long idleAfterMillis) {
 		this.vm = vm;
 		this.connection = connection;
 		this.listener = listener;
 		this.clock = clock;
+		this.idleAfterMillis = idleAfterMillis;
 		this.lastReceivedMillis = clock.nowMillis();
 	}
 
@@ -64,7 +69,7 @@
 			this.listener.onStatus(this, heartbeat.status());
 		}
 		else {
-			this.lastWorkMillis = this.lastReceivedMillis;
+			onWorkAt(this.lastReceivedMillis);
 			this.listener.onWork(this, message);
 		}
 	}
@@ -77,7 +82,7 @@
 	void send(Message message) {
 		this.lastSentMillis = this.clock.nowMillis();
 		if (!(message instanceof Message.Heartbeat)) {
-			this.lastWorkMillis = this.lastSentMillis;
+			onWorkAt(this.lastSentMillis);
 		}
 		this.connection.send(message);
 	}
@@ -113,8 +118,16 @@
 		return this.vm;
 	}
 
+	/**
+	 * Returns for how long the peer has been silent though it had reason to speak.
+	 * @return time since its last message or since the link became busy, in milliseconds
+	 */
 	long silentMillis() {
-		return this.clock.nowMillis() - this.lastReceivedMillis;
+		return this.clock.nowMillis() - Math.max(this.lastReceivedMillis, this.busySinceMillis);
+	}
+
+	boolean isBusy() {
+		return idleMillis() < this.idleAfterMillis;
 	}
 
 	long quietMillis() {
@@ -125,6 +138,13 @@
 		return this.clock.nowMillis() - this.lastWorkMillis;
 	}
 
+	private void onWorkAt(long nowMillis) {
+		if (nowMillis - this.lastWorkMillis >= this.idleAfterMillis) {
+			this.busySinceMillis = nowMillis;
+		}
+		this.lastWorkMillis = nowMillis;
+	}
+
 	private void onHello(Message.Hello hello) {
 		if (this.listener.isTrusted(hello)) {
 			this.status = hello.status();
