Beat idle connections at the idle rhythm

Entries beat idle connections every 1,000 ms on a 250 ms tick; a side process that dropped a peer after 1,000 ms of silence would have dropped idle entries again and again. Silence is judged by the rhythm in force, and the first work after idleness is answered by a heartbeat at once.

--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/ClassFloors.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/ClassFloors.java
@@ -17,6 +17,12 @@
 
 	private static final double PERCENT = 100.0;
 
+	/**
+	 * Part of the floor at which a class counts as served. Slots are handed over only
+	 * when others end, so that aiming at the floor itself would end a little below it.
+	 */
+	private static final double SERVED_FILL = 1.1;
+
 	private final Map<String, ClassTime> times = new HashMap<>();
 
 	private final DecayingSum total;
@@ -77,7 +83,7 @@
 		update(nowMillis);
 		ClassTime time = timeOf(requestClass);
 		double floorSlots = Math.max(slotLimit * percent / PERCENT, 1);
-		return time.inFlight < floorSlots && fillOf(requestClass, nowMillis) < 1;
+		return time.inFlight < floorSlots && fillOf(requestClass, nowMillis) < SERVED_FILL;
 	}
 
 	/**
@@ -94,7 +100,7 @@
 		}
 		update(nowMillis);
 		double floorSlots = slotLimit * percent / PERCENT;
-		return timeOf(requestClass).inFlight - 1 >= floorSlots || fillOf(requestClass, nowMillis) >= 1;
+		return timeOf(requestClass).inFlight - 1 >= floorSlots || fillOf(requestClass, nowMillis) >= SERVED_FILL;
 	}
 
 	/**
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -24,6 +24,7 @@
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.engine.EngineBackend;
 import org.marjoramgw.side.entry.EntryConnections;
+import org.marjoramgw.side.entry.HeartbeatRhythm;
 import org.marjoramgw.side.plainservice.PlainServiceBackend;
 import org.marjoramgw.side.scheduler.Scheduler;
 import org.marjoramgw.side.scheduler.SchedulerActor;
@@ -100,7 +101,9 @@
 		this.actor = this.system.systemActorOf(SchedulerActor.create(this.scheduler), "scheduler", Props.empty());
 		inbox.open(this.actor);
 		this.entries = new EntryConnections(this.clock, this.identity, settings.peerToken(),
-				settings.peerTimeoutMillis(), this.scheduler::status, this.platform.configuration(), this.actor::tell);
+				new HeartbeatRhythm(settings.heartbeatMillis(), settings.idleHeartbeatMillis(),
+						settings.peerTimeoutMillis()),
+				this.scheduler::status, this.platform.configuration(), this.actor::tell);
 	}
 
 	@Override
@@ -134,7 +137,7 @@
 			this.platform.configuration()
 				.listen((configuration) -> this.actor.tell(new SchedulerCommand.Configured(configuration)));
 			this.platform.whenLeaving(this.settings.processId(), this::drain);
-			this.entries.start(this.system, this.settings.heartbeatMillis());
+			this.entries.start(this.system);
 			ReadyLine.print(Map.of("http", httpAddress, "peer", peerAddress));
 		}
 		catch (InterruptedException | ExecutionException | TimeoutException ex) {
@@ -184,7 +187,7 @@
 
 	private void awaitDrained() {
 		try {
-			this.scheduler.left().thenRun(this.entries::beat);
+			this.scheduler.left().thenRun(this.entries::announce);
 			this.scheduler.drained().toCompletableFuture().get(MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
@@ -27,14 +27,14 @@
 
 	private volatile PeerIdentity peer;
 
-	private volatile long heardMillis;
+	private final SignsOfLife life;
 
 	private volatile boolean closed;
 
 	EntryConnection(Connection connection, EntryConnections owner) {
 		this.connection = connection;
 		this.owner = owner;
-		this.heardMillis = owner.clock().nowMillis();
+		this.life = new SignsOfLife(owner.rhythm(), owner.clock().nowMillis());
 	}
 
 	@Override
@@ -44,6 +44,7 @@
 
 	@Override
 	public void send(Message message) {
+		this.life.sent(message, this.owner.clock().nowMillis());
 		this.connection.send(message);
 	}
 
@@ -52,11 +53,19 @@
 		if (this.closed) {
 			return;
 		}
-		this.heardMillis = this.owner.clock().nowMillis();
+		boolean woke = this.life.heard(message, this.owner.clock().nowMillis());
 		if (this.peer == null) {
 			greet(message);
+			return;
+		}
+		if (woke) {
+			send(new Message.Heartbeat(this.owner.status()));
 		}
-		else if (message instanceof Message.Heartbeat heartbeat) {
+		receive(message);
+	}
+
+	private void receive(Message message) {
+		if (message instanceof Message.Heartbeat heartbeat) {
 			compareRevision(heartbeat.status());
 		}
 		else if (message instanceof Message.ConfigFetch fetch) {
@@ -79,16 +88,16 @@
 	}
 
 	/**
-	 * Sends a heartbeat, or drops a silent peer.
+	 * Sends a heartbeat if one is due, or drops a silent peer.
 	 * @param status what this process does now
-	 * @param heardAfterMillis the peer must have been heard after this time, in
-	 * milliseconds
+	 * @param atOnce whether to send one even if none is due
 	 */
-	void beat(PeerStatus status, long heardAfterMillis) {
-		if (this.heardMillis < heardAfterMillis) {
+	void beat(PeerStatus status, boolean atOnce) {
+		long nowMillis = this.owner.clock().nowMillis();
+		if (this.life.isSilent(nowMillis)) {
 			drop(ResultCode.PEER_SILENT);
 		}
-		else if (this.peer != null) {
+		else if (this.peer != null && (atOnce || this.life.isHeartbeatDue(nowMillis))) {
 			send(new Message.Heartbeat(status));
 		}
 	}
@@ -124,7 +133,7 @@
 	}
 
 	private void compareRevision(PeerStatus status) {
-		long ownRevision = this.owner.status().configRevision();
+		long ownRevision = this.owner.configuration().currentText().map(Message.ConfigText::revision).orElse(0L);
 		if (status.configRevision() > ownRevision) {
 			send(new Message.ConfigFetch(ownRevision));
 		}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
@@ -32,7 +32,7 @@
 
 	private final String token;
 
-	private final long peerTimeoutMillis;
+	private final HeartbeatRhythm rhythm;
 
 	private final Supplier<PeerStatus> status;
 
@@ -49,17 +49,17 @@
 	 * @param clock the clock
 	 * @param self identity of this process
 	 * @param token token of the deployment
-	 * @param peerTimeoutMillis silence after which a peer is dropped, in milliseconds
+	 * @param rhythm times of the heartbeats
 	 * @param status what this process does now
 	 * @param configuration source of the configuration
 	 * @param scheduler takes what the entries say
 	 */
-	public EntryConnections(MillisClock clock, PeerIdentity self, String token, long peerTimeoutMillis,
+	public EntryConnections(MillisClock clock, PeerIdentity self, String token, HeartbeatRhythm rhythm,
 			Supplier<PeerStatus> status, ConfigurationSource configuration, Consumer<SchedulerCommand> scheduler) {
 		this.clock = clock;
 		this.self = self;
 		this.token = token;
-		this.peerTimeoutMillis = peerTimeoutMillis;
+		this.rhythm = rhythm;
 		this.status = status;
 		this.configuration = configuration;
 		this.scheduler = scheduler;
@@ -68,11 +68,11 @@
 	/**
 	 * Starts the heartbeats.
 	 * @param system the actor system that runs the timer
-	 * @param heartbeatMillis time between heartbeats, in milliseconds
 	 */
-	public void start(ActorSystem<?> system, long heartbeatMillis) {
-		Duration period = Duration.ofMillis(heartbeatMillis);
-		this.timer = system.scheduler().scheduleAtFixedRate(period, period, this::beat, system.executionContext());
+	public void start(ActorSystem<?> system) {
+		Duration period = Duration.ofMillis(this.rhythm.busyMillis());
+		this.timer = system.scheduler()
+			.scheduleAtFixedRate(period, period, () -> beat(false), system.executionContext());
 	}
 
 	@Override
@@ -90,10 +90,8 @@
 	/**
 	 * Tells all entries at once what this process does now.
 	 */
-	public void beat() {
-		PeerStatus now = this.status.get();
-		long heardAfterMillis = this.clock.nowMillis() - this.peerTimeoutMillis;
-		this.connections.forEach((connection) -> connection.beat(now, heardAfterMillis));
+	public void announce() {
+		beat(true);
 	}
 
 	/**
@@ -112,6 +110,15 @@
 		this.connections.forEach(EntryConnection::close);
 	}
 
+	private void beat(boolean atOnce) {
+		PeerStatus now = this.status.get();
+		this.connections.forEach((connection) -> connection.beat(now, atOnce));
+	}
+
+	HeartbeatRhythm rhythm() {
+		return this.rhythm;
+	}
+
 	MillisClock clock() {
 		return this.clock;
 	}
