Test the order of grants, limits, preemption and floors

The floor test failed first: with short answers at the bottom the second tier got 9.84% of slot-time in a minute against its floor of 10%, since the rule aimed at the floor itself while slots change hands only when others end.

--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/queue/TierOrderTests.java
@@ -0,0 +1,83 @@
+package org.marjoramgw.policy.queue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.marjoramgw.policy.share.AccountUsage;
+import org.marjoramgw.policy.share.ClassFloors;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link TierOrder} by tables.
+ *
+ * @author The marjoramgw authors
+ */
+public class TierOrderTests {
+
+	private static final long NOW_MILLIS = 100_000;
+
+	private static final int SLOT_LIMIT = 8;
+
+	private static final int HEADROOM = 1;
+
+	@DataProvider
+	public Object[][] cases() {
+		Waiting fast = waiting("fast", "reply", 1, "a", 500, false);
+		Waiting fastLater = waiting("fastLater", "reply", 1, "a", 900, false);
+		Waiting fastOfOther = waiting("fastOfOther", "reply", 1, "b", 950, false);
+		Waiting middle = waiting("middle", "draft", 3, "a", 100, false);
+		Waiting slow = waiting("slow", "summary", 4, "a", 10, false);
+		Waiting resumed = waiting("resumed", "summary", 4, "a", 5_000, true);
+		return new Object[][] { { "nothing waits", List.of(), 4, null },
+				{ "the higher tier goes first", List.of(slow, middle, fast), 4, "fast" },
+				{ "the earlier start goes first", List.of(fastLater, fast), 4, "fast" },
+				{ "the account with less usage goes first", List.of(fast, fastOfOther), 4, "fastOfOther" },
+				{ "a preempted request goes first in its tier", List.of(slow, resumed), 4, "resumed" },
+				{ "a preempted request doesn't pass a higher tier", List.of(resumed, middle), 4, "middle" },
+				{ "the last slot is kept for the top tier", List.of(slow, middle), HEADROOM, null },
+				{ "the top tier takes the last slot", List.of(slow, fast), HEADROOM, "fast" } };
+	}
+
+	@Test(dataProvider = "cases")
+	public void picks(String name, List<Waiting> waiting, int freeSlots, String expected) {
+		ClassFloors floors = new ClassFloors(0);
+		AccountUsage usage = new AccountUsage();
+		usage.charge(1, "a", 1_000, NOW_MILLIS);
+		usage.charge(1, "b", 100, NOW_MILLIS);
+		TierOrder order = new TierOrder(floors, usage, 1, HEADROOM);
+		Optional<Waiting> next = order.next(waiting, freeSlots, SLOT_LIMIT, NOW_MILLIS);
+		Assert.assertEquals(next.map((request) -> request.key().requestId()).orElse(null), expected, name);
+	}
+
+	@Test
+	public void servesAClassBelowItsFloorBeforeHigherTiersAndIntoTheHeadroom() {
+		ClassFloors floors = new ClassFloors(0);
+		floors.setFloors(Map.of("reply", 30, "summary", 5));
+		floors.taken("reply", 0);
+		TierOrder order = new TierOrder(floors, new AccountUsage(), 1, HEADROOM);
+		Waiting fast = waiting("fast", "reply", 1, "a", 500, false);
+		Waiting slow = waiting("slow", "summary", 4, "a", 10, false);
+		Assert.assertEquals(order.next(List.of(fast, slow), 1, SLOT_LIMIT, NOW_MILLIS), Optional.of(slow));
+		floors.taken("summary", NOW_MILLIS);
+		Assert.assertEquals(order.next(List.of(fast, slow), 1, SLOT_LIMIT, NOW_MILLIS), Optional.of(fast),
+				"one slot is more than the floor, so the second request waits its turn");
+	}
+
+	@Test
+	public void arrivalOrderKnowsNoTiers() {
+		Waiting late = new Waiting(new RequestKey("e", 1, "late", 1), "reply", 1, "a", 20, 90, false);
+		Waiting early = new Waiting(new RequestKey("e", 1, "early", 1), "summary", 4, "a", 10, 90, false);
+		Assert.assertEquals(new ArrivalOrder().next(List.of(late, early), 1, SLOT_LIMIT, NOW_MILLIS),
+				Optional.of(early));
+	}
+
+	private static Waiting waiting(String id, String requestClass, int tier, String account, long startInMillis,
+			boolean resumed) {
+		return new Waiting(new RequestKey("entry", 1, id, 1), requestClass, tier, account, NOW_MILLIS - 50,
+				NOW_MILLIS + startInMillis, resumed);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/queue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the order of grants.
+ */
+package org.marjoramgw.policy.queue;
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/FloorTests.java
@@ -0,0 +1,89 @@
+package org.marjoramgw.policy.slot;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.marjoramgw.config.RequestClass;
+import org.marjoramgw.policy.queue.RequestKey;
+import org.marjoramgw.policy.queue.Waiting;
+import org.marjoramgw.testkit.TestSeed;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests that every class keeps its floor of slot-time while all classes have work.
+ *
+ * @author The marjoramgw authors
+ */
+public class FloorTests {
+
+	private static final long WINDOW_MILLIS = 60_000;
+
+	private static final int WINDOWS = 5;
+
+	private static final long STEP_MILLIS = 20;
+
+	private static final double PERCENT = 100.0;
+
+	@DataProvider
+	public Object[][] bursts() {
+		return new Object[][] { { "like lengths", 2_000, 2_000 }, { "long answers at the bottom", 1_000, 9_000 },
+				{ "short answers at the bottom", 4_000, 500 } };
+	}
+
+	@Test(dataProvider = "bursts")
+	public void servesEachClassInEachWindow(String name, int topMillis, int bottomMillis) {
+		Map<String, RequestClass> classes = PolicyConfiguration.of("tiers").classes();
+		SlotScheduler scheduler = new SlotScheduler(true, 0);
+		scheduler.configure(PolicyConfiguration.of("tiers"));
+		Random random = TestSeed.random(1);
+		TreeMap<Long, RequestKey> ends = new TreeMap<>();
+		Map<String, Long> before = new HashMap<>();
+		int id = 0;
+		for (long now = 0; now <= WINDOWS * WINDOW_MILLIS; now += STEP_MILLIS) {
+			while (!ends.isEmpty() && ends.firstKey() <= now) {
+				scheduler.free(ends.pollFirstEntry().getValue(), now);
+			}
+			for (RequestClass each : classes.values()) {
+				while (scheduler.queues().size(each.name()) < each.queueBound() / 2) {
+					RequestKey key = new RequestKey("entry", 1, each.name() + id++, 1);
+					scheduler.offer(new Waiting(key, each.name(), each.tier(), "large", now, Long.MAX_VALUE / 2, false),
+							now);
+				}
+			}
+			Optional<Waiting> next = scheduler.next(now);
+			while (next.isPresent()) {
+				int meanMillis = (next.get().tier() == 1) ? topMillis : bottomMillis;
+				long end = now + meanMillis / 2 + random.nextInt(meanMillis);
+				while (ends.putIfAbsent(end, next.get().key()) != null) {
+					end++;
+				}
+				next = scheduler.next(now);
+			}
+			if (now > 0 && now % WINDOW_MILLIS == 0) {
+				checkWindow(name + " at " + now + " seed " + TestSeed.value(), classes, scheduler, before, now);
+			}
+		}
+	}
+
+	private void checkWindow(String context, Map<String, RequestClass> classes, SlotScheduler scheduler,
+			Map<String, Long> before, long nowMillis) {
+		Map<String, Long> used = new HashMap<>();
+		for (String name : classes.keySet()) {
+			long all = scheduler.slotMillis(name, nowMillis);
+			used.put(name, all - before.getOrDefault(name, 0L));
+			before.put(name, all);
+		}
+		long total = used.values().stream().mapToLong(Long::longValue).sum();
+		classes.forEach((name, requestClass) -> {
+			double percent = used.get(name) * PERCENT / total;
+			Assert.assertTrue(percent >= requestClass.floorPercent(),
+					context + ": " + name + " got " + percent + "% of slot-time");
+		});
+	}
+
+}
