--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -17,6 +17,12 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.claim.ClaimBook;
+import org.marjoramgw.claim.ClaimHolder;
+import org.marjoramgw.claim.ClaimSettings;
+import org.marjoramgw.claim.LogClaimBook;
+import org.marjoramgw.log.StartRecord;
+import org.marjoramgw.log.StartRegistrar;
+import org.marjoramgw.log.StartStream;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.OperatedProcess;
 import org.marjoramgw.operator.OperatorRoutes;
@@ -78,6 +84,8 @@
 
 	private final ClaimBook claimBook;
 
+	private final StartRegistrar start;
+
 	private final Scheduler scheduler;
 
 	private final ActorRef<SchedulerCommand> actor;
@@ -93,7 +101,11 @@
 		this.system = ActorSystem.create(Behaviors.empty(), "side");
 		this.platform = new Platform(this.system, settings, this.clock, new ResultCounters(this.registry),
 				this::hasEntries);
-		this.claimBook = new UnavailableClaimBook();
+		this.claimBook = new LogClaimBook(this.platform.log(), ClaimSettings.of(settings.claimPartitionCount()),
+				new ClaimHolder(settings.processId(), this.identity.incarnation()), this.clock,
+				new ResultCounters(this.registry));
+		this.start = new StartRegistrar(new StartStream(this.platform.log()),
+				new StartRecord(settings.processId(), this.identity.incarnation()));
 		CommandInbox inbox = new CommandInbox();
 		this.scheduler = new Scheduler(this.clock,
 				new SchedulerParameters(settings.pool(), settings.model(), settings.answerKeepMillis()), newBackend(),
@@ -180,6 +192,7 @@
 		awaitDrained();
 		this.entries.close();
 		this.claimBook.close();
+		this.start.close();
 		this.platform.close();
 		pause(LAST_WRITES_MILLIS);
 		Logger.info("stopped with {} requests in flight", status().inFlight());
