Order engines to load the models of their pool

The fencing number is the offset of the process's start record. An engine that doesn't check it is read before and after each order; a newer number there ends the ordering. Loads go one by one through the weight store, with jittered backoff when it is over its rate.

--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/EngineOrders.java
@@ -0,0 +1,132 @@
+package org.marjoramgw.side.order;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.Configuration;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.config.Service;
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.errors.HttpCallException;
+import org.marjoramgw.errors.OrderFencedException;
+import org.marjoramgw.errors.WeightStoreBusyException;
+import org.marjoramgw.metrics.ResultCounters;
+import org.tinylog.Logger;
+
+/**
+ * Orders that keep an engine supplied with the models of its pool, given on a thread of
+ * their own.
+ * <p>
+ * Nothing is ordered before the log has taken this process's start record, and nothing
+ * more once the engine has seen a newer one.
+ *
+ * @author The marjoramgw authors
+ */
+public final class EngineOrders implements AutoCloseable {
+
+	private static final long CHECK_MILLIS = 2_000;
+
+	private static final long MIN_BACKOFF_MILLIS = 500;
+
+	private static final long MAX_BACKOFF_MILLIS = 30_000;
+
+	private final ModelLoader loader;
+
+	private final ConfigurationSource configuration;
+
+	private final String pool;
+
+	private final Random random;
+
+	private final ResultCounters counters;
+
+	private final ScheduledExecutorService thread;
+
+	private long backoffMillis = MIN_BACKOFF_MILLIS;
+
+	/**
+	 * Creates the orders; they begin once the fencing number is known.
+	 * @param loader loader of models
+	 * @param configuration the configuration in force
+	 * @param pool pool of the engine
+	 * @param fencingNumber completes with the fencing number of this process
+	 * @param random source of the jitter
+	 * @param counters counters of results
+	 */
+	public EngineOrders(ModelLoader loader, ConfigurationSource configuration, String pool,
+			CompletionStage<Long> fencingNumber, Random random, ResultCounters counters) {
+		this.loader = loader;
+		this.configuration = configuration;
+		this.pool = pool;
+		this.random = random;
+		this.counters = counters;
+		this.thread = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "engine-orders");
+			thread.setDaemon(true);
+			return thread;
+		});
+		fencingNumber.thenAccept((number) -> later(0, number));
+	}
+
+	@Override
+	public void close() {
+		this.thread.shutdownNow();
+	}
+
+	private void later(long delayMillis, long fencing) {
+		try {
+			this.thread.schedule(() -> check(fencing), delayMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			Logger.debug("no more orders: closed");
+		}
+	}
+
+	private void check(long fencing) {
+		try {
+			boolean complete = this.loader.loadNext(wantedModels(), fencing);
+			this.backoffMillis = MIN_BACKOFF_MILLIS;
+			later(complete ? jittered(CHECK_MILLIS) : 0, fencing);
+		}
+		catch (OrderFencedException ex) {
+			this.counters.count(ResultCode.ORDER_FENCED);
+			Logger.error("no more orders from this process: {}", ex.getMessage());
+		}
+		catch (WeightStoreBusyException ex) {
+			backOff(ResultCode.WEIGHT_STORE_BUSY, ex, fencing);
+		}
+		catch (HttpCallException ex) {
+			backOff(ResultCode.ENGINE_AWAY, ex, fencing);
+		}
+	}
+
+	private void backOff(ResultCode code, Exception cause, long fencing) {
+		this.counters.count(code);
+		Logger.warn("orders wait: {}", cause.getMessage());
+		later(jittered(this.backoffMillis), fencing);
+		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
+	}
+
+	private long jittered(long meanMillis) {
+		return meanMillis / 2 + (long) (this.random.nextDouble() * meanMillis);
+	}
+
+	private Set<String> wantedModels() {
+		Set<String> models = new TreeSet<>();
+		for (Service service : this.configuration.current().map(Configuration::services).orElse(Map.of()).values()) {
+			if (service.kind() == ServiceKind.MODEL && service.pool().equals(this.pool)) {
+				models.addAll(service.models());
+			}
+		}
+		return models;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/weightstore/HttpWeightStore.java
@@ -0,0 +1,46 @@
+package org.marjoramgw.side.weightstore;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+import org.marjoramgw.errors.HttpCallException;
+import org.marjoramgw.errors.WeightStoreBusyException;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.http.HttpReply;
+
+/**
+ * Weight store over HTTP.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpWeightStore implements WeightStore {
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private final HttpCaller caller;
+
+	private final String baseUrl;
+
+	/**
+	 * Creates a client.
+	 * @param caller the HTTP client, whose time limit covers a whole load
+	 * @param baseUrl address of the weight store without a trailing slash
+	 */
+	public HttpWeightStore(HttpCaller caller, String baseUrl) {
+		this.caller = caller;
+		this.baseUrl = baseUrl;
+	}
+
+	@Override
+	public void prepare(String model) throws WeightStoreBusyException, HttpCallException {
+		String uri = this.baseUrl + "/weights/" + URLEncoder.encode(model, StandardCharsets.UTF_8);
+		HttpReply reply = this.caller.get(uri);
+		if (reply.status() == TOO_MANY_REQUESTS) {
+			throw new WeightStoreBusyException(model);
+		}
+		if (!reply.isOk()) {
+			throw new HttpCallException(uri + " answered " + reply.status(), false, null);
+		}
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -155,6 +155,10 @@
 	STALE_CHUNK(6010, 0, Outcome.UNKNOWN, "chunk of an earlier attempt or out of order"),
 	/** Connection holds too many unsent frames. */
 	PEER_SLOW(6011, 0, Outcome.UNKNOWN, "connection holds too many unsent frames"),
+	/** Weight store is over its rate. */
+	WEIGHT_STORE_BUSY(6012, 0, Outcome.NOT_RUN, "weight store is over its rate"),
+	/** Engine can't be ordered or asked for its state. */
+	ENGINE_AWAY(6013, 0, Outcome.UNKNOWN, "engine can't be ordered or asked for its state"),
 	/** Fault inside the program. */
 	INTERNAL(6999, 500, Outcome.UNKNOWN, "internal fault");
 
