--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,7 +62,7 @@
 	public synchronized void launch() throws RigException {
 		try {
 			Files.writeString(this.settingsFile, new TomlMapper().writeValueAsString(this.settings));
-			ProcessBuilder builder = new ProcessBuilder(this.command);
+			ProcessBuilder builder = new ProcessBuilder(new ArrayList<>(this.command));
 			builder.command().add("--config");
 			builder.command().add(this.settingsFile.toString());
 			builder.redirectErrorStream(true);
