--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
@@ -48,7 +48,7 @@
 		}
 	}
 
-	@AfterMethod(alwaysRun = true)
+	@AfterMethod
 	public void heal() throws Exception {
 		this.bed.standins().control(StandinProcess.LOG, "{\"outage\":false,\"lose_answers\":0,\"delay_ms\":0}");
 		for (ManagedProcess side : this.deployment.sides()) {
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
@@ -47,7 +47,7 @@
 		}
 	}
 
-	@AfterMethod(alwaysRun = true)
+	@AfterMethod
 	public void heal() throws Exception {
 		for (ManagedProcess side : this.deployment.sides()) {
 			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -93,7 +93,7 @@
 
 	CompletableFuture<CallAnswer> chat(String entry, String requestClass, String prompt, TokenListener listener) {
 		ChatCall call = new ChatCall(this.deployment.entry(entry).address("http"), ProofConfiguration.KEY, requestClass,
-				ProofConfiguration.MODEL, "", prompt, true, 0);
+				ProofConfiguration.MODEL, prompt, true);
 		return this.caller.chat(call, listener).toCompletableFuture();
 	}
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
@@ -50,7 +50,7 @@
 		}
 	}
 
-	@AfterMethod(alwaysRun = true)
+	@AfterMethod
 	public void heal() throws Exception {
 		for (ManagedProcess side : this.deployment.sides()) {
 			this.bed.standins().control("engine." + side.name(), "{\"crash_after_tokens\":0,\"straggle_factor\":1.0}");
