--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
@@ -8,6 +8,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.load.capacity.CapacityCommand;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.program.Version;
 import org.marjoramgw.rig.RigException;
@@ -95,6 +96,7 @@
 		commands.put("compare", new CompareCommand());
 		commands.put("plot", new PlotCommand());
 		commands.put("demo", new DemoCommand());
+		commands.put("capacity", new CapacityCommand());
 		return commands;
 	}
 
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityRun.java
@@ -0,0 +1,115 @@
+package org.marjoramgw.load.capacity;
+
+import java.util.List;
+import java.util.Map;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.config.ConfigurationPublisher;
+import org.marjoramgw.config.PublishVerdict;
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.log.HttpLogService;
+import org.marjoramgw.rig.BackendPlan;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
+import org.marjoramgw.rig.EntryPlan;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.rig.StandinProcess;
+import org.marjoramgw.transport.PekkoTransport;
+import org.marjoramgw.transport.Transport;
+import org.marjoramgw.wire.MessageCodec;
+
+/**
+ * What the measurements share: deployments, transport and publishing.
+ *
+ * @author The marjoramgw authors
+ */
+final class CapacityRun {
+
+	static final String SIDE = "side-1";
+
+	static final String ENTRY = "entry-1";
+
+	static final String DOMAIN = "dal-a";
+
+	private static final int MAX_FRAME_BYTES = 4_194_304;
+
+	private static final int BUFFER_FRAMES = 16_384;
+
+	private static final long HTTP_TIMEOUT_MILLIS = 5_000;
+
+	private static final long PUBLISH_TIMEOUT_MILLIS = 10_000;
+
+	private static final Map<String, Map<String, Object>> STANDINS = Map.of("log",
+			Map.of("appends_per_second", 1_000_000, "burst_count", 1_000_000), "vmlist", Map.of("lag_ms", 0));
+
+	private final ActorSystem<?> system;
+
+	private final MessageCodec codec = new MessageCodec();
+
+	CapacityRun(ActorSystem<?> system) {
+		this.system = system;
+	}
+
+	ActorSystem<?> system() {
+		return this.system;
+	}
+
+	Transport transport() {
+		return new PekkoTransport(this.system, this.codec, MAX_FRAME_BYTES, BUFFER_FRAMES);
+	}
+
+	WireCount newCount() {
+		return new WireCount(this.codec);
+	}
+
+	HttpCaller http() {
+		return new HttpCaller(this.system, HTTP_TIMEOUT_MILLIS, "");
+	}
+
+	/**
+	 * Starts one side process beside a backend server, without entries.
+	 * @param kind kind of the backend server
+	 * @return the deployment
+	 * @throws RigException if it doesn't start
+	 */
+	Deployment startSide(ServiceKind kind) throws RigException {
+		String pool = (kind == ServiceKind.MODEL) ? CapacityText.POOL : CapacityText.PLAIN_POOL;
+		return start(List.of(), List.of(new BackendPlan(SIDE, kind, pool, DOMAIN, Map.of())), 24);
+	}
+
+	/**
+	 * Starts one entry without backend servers.
+	 * @param subsetCount side processes that it may connect to
+	 * @return the deployment
+	 * @throws RigException if it doesn't start
+	 */
+	Deployment startEntry(int subsetCount) throws RigException {
+		return start(List.of(new EntryPlan(ENTRY, DOMAIN)), List.of(), subsetCount);
+	}
+
+	Deployment start(List<EntryPlan> entries, List<BackendPlan> backends, int subsetCount) throws RigException {
+		DeploymentPlan plan = new DeploymentPlan(entries, backends, CapacityText.of(subsetCount))
+			.withStandinSettings(STANDINS);
+		return Deployment.start(plan, this.system);
+	}
+
+	long publish(Deployment deployment, long baseRevision, int subsetCount) throws RigException {
+		HttpLogService log = new HttpLogService(http(), "http://" + deployment.standins().address(StandinProcess.LOG));
+		ConfigurationPublisher publisher = new ConfigurationPublisher(log, new SystemMillisClock(),
+				PUBLISH_TIMEOUT_MILLIS);
+		try {
+			PublishVerdict verdict = publisher.publish(CapacityText.of(subsetCount), baseRevision, "capacity");
+			if (verdict instanceof PublishVerdict.Accepted accepted) {
+				return accepted.revision();
+			}
+			throw new RigException("publish failed: " + verdict, null);
+		}
+		catch (LogUnavailableException ex) {
+			throw new RigException("publish failed", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityText.java
@@ -0,0 +1,57 @@
+package org.marjoramgw.load.capacity;
+
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.hash.Hashing;
+
+/**
+ * Configuration text of the capacity measurements.
+ *
+ * @author The marjoramgw authors
+ */
+final class CapacityText {
+
+	static final String POOL = "model-runners";
+
+	static final String PLAIN_POOL = "order-runners";
+
+	static final String MODEL = "capacity";
+
+	static final String SERVICE = "orders";
+
+	static final String CLASS = "capacity-class";
+
+	static final String ACCOUNT = "capacity";
+
+	static final String KEY = "key-capacity";
+
+	private static final String TEXT = """
+			[limits]
+			subset_count = %d
+			grant_timeout_ms = 10000
+			plain_slot_count = 1000
+			[services.chat]
+			kind = "model"
+			pool = "%s"
+			models = ["%s"]
+			[services.%s]
+			kind = "plain"
+			pool = "%s"
+			non_repeatable = ["POST /"]
+			[classes.%s]
+			tier = 1
+			completion_ms = 3600000
+			queue_bound_count = 10000
+			[accounts.%s]
+			key_sha256 = "%s"
+			""";
+
+	private CapacityText() {
+	}
+
+	static String of(int subsetCount) {
+		String digest = Hashing.sha256().hashString(KEY, StandardCharsets.UTF_8).toString();
+		return TEXT.formatted(subsetCount, POOL, MODEL, SERVICE, PLAIN_POOL, CLASS, ACCOUNT, digest);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ChangeMeasurement.java
@@ -0,0 +1,99 @@
+package org.marjoramgw.load.capacity;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.errors.HttpCallException;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.operator.OperatorJson;
+import org.marjoramgw.operator.ProcessReport;
+import org.marjoramgw.rig.BackendPlan;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.EntryPlan;
+import org.marjoramgw.rig.ManagedProcess;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * Time until a published change is in force everywhere, against the number of real
+ * processes.
+ *
+ * @author The marjoramgw authors
+ */
+final class ChangeMeasurement implements Measurement {
+
+	private static final int[] PROCESS_COUNTS = { 2, 4, 8 };
+
+	private static final int TRIAL_COUNT = 5;
+
+	private static final int SETTLE_MILLIS = 2_000;
+
+	private static final List<String> DOMAINS = List.of("dal-a", "dal-b", "dal-c");
+
+	private final CapacityRun run;
+
+	private final ObjectMapper mapper = OperatorJson.newMapper();
+
+	ChangeMeasurement(CapacityRun run) {
+		this.run = run;
+	}
+
+	@Override
+	public String title() {
+		return "Time from a publish until the change is in force everywhere, real processes (half of them entries)";
+	}
+
+	@Override
+	public String measure() throws IOException, RigException, InterruptedException {
+		PointTable table = new PointTable("processes", "median ms", "longest ms");
+		for (int processes : PROCESS_COUNTS) {
+			List<Double> millis = trials(processes);
+			millis.sort(null);
+			table.add(processes, millis.get(TRIAL_COUNT / 2), millis.get(TRIAL_COUNT - 1));
+		}
+		return table.toString();
+	}
+
+	private List<Double> trials(int processes) throws IOException, RigException, InterruptedException {
+		List<EntryPlan> entries = new ArrayList<>();
+		List<BackendPlan> backends = new ArrayList<>();
+		for (int index = 0; index < processes / 2; index++) {
+			String domain = DOMAINS.get(index % DOMAINS.size());
+			entries.add(new EntryPlan("entry-" + index, domain));
+			backends.add(new BackendPlan("side-" + index, ServiceKind.MODEL, CapacityText.POOL, domain, Map.of()));
+		}
+		List<Double> millis = new ArrayList<>();
+		try (Deployment deployment = this.run.start(entries, backends, 24)) {
+			Thread.sleep(SETTLE_MILLIS);
+			for (int trial = 0; trial < TRIAL_COUNT; trial++) {
+				long startNanos = System.nanoTime();
+				long revision = this.run.publish(deployment, trial + 1, 24);
+				Waiting.until(() -> isInForce(deployment, revision), "revision " + revision);
+				millis.add((System.nanoTime() - startNanos) / 1e6);
+			}
+		}
+		return millis;
+	}
+
+	private boolean isInForce(Deployment deployment, long revision) {
+		List<ManagedProcess> all = new ArrayList<>(deployment.entries());
+		all.addAll(deployment.sides());
+		return all.stream().allMatch((process) -> revisionOf(process.address("http")) >= revision);
+	}
+
+	private long revisionOf(HostPort address) {
+		HttpCaller http = new HttpCaller(this.run.system(), 2_000, Deployment.OPERATOR_TOKEN);
+		try {
+			String body = http.get("http://" + address + "/operator/status").body();
+			return this.mapper.readValue(body, ProcessReport.class).status().configRevision();
+		}
+		catch (HttpCallException | IOException ex) {
+			return 0;
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/EntryPeersMeasurement.java
@@ -0,0 +1,61 @@
+package org.marjoramgw.load.capacity;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * What an idle entry spends on control against the number of its side processes.
+ *
+ * @author The marjoramgw authors
+ */
+final class EntryPeersMeasurement implements Measurement {
+
+	private static final long WARM_UP_MILLIS = 12_000;
+
+	private static final long SETTLE_MILLIS = 3_000;
+
+	private final CapacityRun run;
+
+	private final int[] peerCounts;
+
+	private final long windowMillis;
+
+	EntryPeersMeasurement(CapacityRun run, int[] peerCounts, long windowMillis) {
+		this.run = run;
+		this.peerCounts = peerCounts;
+		this.windowMillis = windowMillis;
+	}
+
+	@Override
+	public String title() {
+		return "Entry against the number of its side processes, idle (VM list of constant length)";
+	}
+
+	@Override
+	public String measure() throws IOException, RigException, InterruptedException {
+		WireCount count = this.run.newCount();
+		PointTable table = new PointTable("side processes", "messages/s", "peer bytes/s", "all bytes/s", "CPU %",
+				"RSS MB");
+		int most = this.peerCounts[this.peerCounts.length - 1];
+		try (Deployment deployment = this.run.startEntry(1);
+				FakeSides sides = new FakeSides(this.run.transport(), count)) {
+			ProcessMeter meter = new ProcessMeter(deployment.entry(CapacityRun.ENTRY).pid());
+			sides.start(most, List.of(CapacityRun.DOMAIN, "dal-b", "dal-c"), deployment);
+			Thread.sleep(WARM_UP_MILLIS);
+			long revision = 1;
+			for (int peers : this.peerCounts) {
+				revision = this.run.publish(deployment, revision, peers);
+				Waiting.until(() -> sides.openCount() == peers, "connections to " + peers + " side processes");
+				Thread.sleep(SETTLE_MILLIS);
+				Window window = Window.measure(meter, count, this.windowMillis);
+				table.add(peers, window.messagesPerSecond(), window.peerBytesPerSecond(), window.ioBytesPerSecond(),
+						window.cpuPercent(), window.residentMegabytes());
+			}
+		}
+		return table.toString();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeSides.java
@@ -0,0 +1,159 @@
+package org.marjoramgw.load.capacity;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.transport.Connection;
+import org.marjoramgw.transport.Transport;
+import org.marjoramgw.vmlist.Vm;
+import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.PeerIdentity;
+import org.marjoramgw.wire.PeerStatus;
+
+/**
+ * Fake side processes that answer every request at once, for a real entry.
+ *
+ * @author The marjoramgw authors
+ */
+final class FakeSides implements AutoCloseable {
+
+	private static final long HEARTBEAT_MILLIS = 1_000;
+
+	private static final long LISTEN_TIMEOUT_MILLIS = 5_000;
+
+	private static final long GRANT_MILLIS = 100;
+
+	private static final int SLOT_COUNT = 8;
+
+	private final Transport transport;
+
+	private final WireCount count;
+
+	private final List<Side> sides = new ArrayList<>();
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+	FakeSides(Transport transport, WireCount count) {
+		this.transport = transport;
+		this.count = count;
+	}
+
+	/**
+	 * Adds side processes to a deployment and its VM list.
+	 * @param total how many
+	 * @param failureDomains failure domains that they are spread over
+	 * @param deployment the deployment
+	 * @throws RigException if one can't listen or be listed
+	 */
+	void start(int total, List<String> failureDomains, Deployment deployment) throws RigException {
+		for (int index = 0; index < total; index++) {
+			String domain = failureDomains.get(index % failureDomains.size());
+			Side side = new Side(new PeerIdentity("fake-side-" + index, Vm.SIDE, domain, 1, CapacityText.POOL));
+			HostPort address = listen(side);
+			this.sides.add(side);
+			deployment.standins()
+				.putVm(new Vm(side.identity.processId(), Vm.SIDE, domain, CapacityText.POOL, address.toString(),
+						address.toString(), Vm.LIVE));
+		}
+		this.timer.scheduleAtFixedRate(() -> this.sides.forEach(Side::beat), HEARTBEAT_MILLIS, HEARTBEAT_MILLIS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	long openCount() {
+		return this.sides.stream().mapToLong(Side::openCount).sum();
+	}
+
+	/**
+	 * Lets all side processes of a failure domain go silent for good, without a close.
+	 * @param failureDomain the failure domain
+	 */
+	void vanish(String failureDomain) {
+		this.sides.stream().filter((side) -> side.identity.failureDomain().equals(failureDomain)).forEach(Side::vanish);
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.sides.forEach(Side::close);
+	}
+
+	private HostPort listen(Side side) throws RigException {
+		try {
+			return this.transport.listen(new HostPort("127.0.0.1", 0), side::accept)
+				.toCompletableFuture()
+				.get(LISTEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new RigException("interrupted", ex);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			throw new RigException("fake side process can't listen", ex);
+		}
+	}
+
+	private final class Side {
+
+		private final PeerIdentity identity;
+
+		private final List<FakeLink> links = new CopyOnWriteArrayList<>();
+
+		private volatile boolean vanished;
+
+		Side(PeerIdentity identity) {
+			this.identity = identity;
+		}
+
+		FakeLink accept(Connection connection) {
+			FakeLink link = new FakeLink(connection, this.identity, new PeerStatus(1, false, 0, 0, SLOT_COUNT),
+					FakeSides.this.count, Side::work);
+			this.links.add(link);
+			if (this.vanished) {
+				link.vanish();
+			}
+			return link;
+		}
+
+		void beat() {
+			this.links.forEach(FakeLink::beat);
+		}
+
+		void vanish() {
+			this.vanished = true;
+			this.links.forEach(FakeLink::vanish);
+		}
+
+		long openCount() {
+			return this.links.stream().filter(FakeLink::isOpen).count();
+		}
+
+		void close() {
+			this.links.forEach(FakeLink::close);
+		}
+
+		private static void work(FakeLink link, Message message) {
+			if (message instanceof Message.Reserve reserve) {
+				link.send(new Message.Grant(reserve.requestId(), reserve.attempt(), GRANT_MILLIS));
+			}
+			else if (message instanceof Message.Run run) {
+				byte[] text = "done ".getBytes(StandardCharsets.UTF_8);
+				link.send(new Message.Chunk(run.requestId(), run.attempt(), 0, 1, text));
+				link.send(new Message.End(run.requestId(), run.attempt(), 1, ResultCode.OK.number(), 200,
+						"application/json", "stop"));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/PointTable.java
@@ -0,0 +1,72 @@
+package org.marjoramgw.load.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Table of measured points in Markdown, with the slope of each column.
+ *
+ * @author The marjoramgw authors
+ */
+final class PointTable {
+
+	private final List<String> headings;
+
+	private final List<double[]> rows = new ArrayList<>();
+
+	/**
+	 * Creates a table.
+	 * @param headings headings; the first column is what the others grow with
+	 */
+	PointTable(String... headings) {
+		this.headings = List.of(headings);
+	}
+
+	void add(double... values) {
+		this.rows.add(values);
+	}
+
+	Slope slope(int column) {
+		return Slope.of(this.rows.stream().map((row) -> new double[] { row[0], row[column] }).toList());
+	}
+
+	@Override
+	public String toString() {
+		StringBuilder text = new StringBuilder();
+		text.append("| ").append(String.join(" | ", this.headings)).append(" |\n");
+		text.append("|---".repeat(this.headings.size())).append("|\n");
+		for (double[] row : this.rows) {
+			appendRow(text, row);
+		}
+		if (this.rows.size() > 1) {
+			appendSlopes(text);
+		}
+		return text.toString();
+	}
+
+	private static void appendRow(StringBuilder text, double[] row) {
+		for (double value : row) {
+			text.append("| ").append(number(value)).append(' ');
+		}
+		text.append("|\n");
+	}
+
+	private void appendSlopes(StringBuilder text) {
+		text.append("| slope ");
+		for (int column = 1; column < this.headings.size(); column++) {
+			text.append("| ").append(number(slope(column).perUnit())).append(" each ");
+		}
+		text.append("|\n| at zero ");
+		for (int column = 1; column < this.headings.size(); column++) {
+			text.append("| ").append(number(slope(column).atZero())).append(' ');
+		}
+		text.append("|\n");
+	}
+
+	private static String number(double value) {
+		boolean whole = Math.abs(value) >= 100 || value == Math.rint(value);
+		return String.format(Locale.ROOT, whole ? "%.0f" : ((Math.abs(value) < 1) ? "%.4f" : "%.2f"), value);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ProcessMeter.java
@@ -0,0 +1,86 @@
+package org.marjoramgw.load.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.marjoramgw.rig.RigException;
+
+/**
+ * Meter of a running process, read from {@code /proc}.
+ *
+ * @author The marjoramgw authors
+ */
+final class ProcessMeter {
+
+	private static final long KILOBYTE = 1_024;
+
+	private final long pid;
+
+	private final Path directory;
+
+	ProcessMeter(long pid) {
+		this.pid = pid;
+		this.directory = Path.of("/proc", Long.toString(pid));
+	}
+
+	ProcessSample sample() throws IOException {
+		List<String> io = Files.readAllLines(this.directory.resolve("io"));
+		long ioBytes = value(io, "rchar") + value(io, "wchar");
+		long residentBytes = value(Files.readAllLines(this.directory.resolve("status")), "VmRSS") * KILOBYTE;
+		return new ProcessSample(System.nanoTime(), cpuNanos(), ioBytes, residentBytes);
+	}
+
+	/**
+	 * Collects the garbage of the process and sums its live objects.
+	 * @return live heap, in bytes
+	 * @throws IOException if the tool of the Java runtime can't be started
+	 * @throws InterruptedException if the thread is interrupted
+	 * @throws RigException if its output can't be read
+	 */
+	long liveHeapBytes() throws IOException, InterruptedException, RigException {
+		String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+		Process tool = new ProcessBuilder(jcmd, Long.toString(this.pid), "GC.class_histogram").redirectErrorStream(true)
+			.start();
+		List<String> lines = tool.inputReader().lines().toList();
+		tool.waitFor();
+		String total = lines.stream()
+			.filter((line) -> line.startsWith("Total"))
+			.findFirst()
+			.orElseThrow(() -> new RigException("no histogram of process " + this.pid, null));
+		return Long.parseLong(total.trim().split("\\s+")[2]);
+	}
+
+	private long cpuNanos() throws IOException {
+		long sum = 0;
+		try (Stream<Path> threads = Files.list(this.directory.resolve("task"))) {
+			for (Path thread : threads.toList()) {
+				sum += threadNanos(thread);
+			}
+		}
+		return sum;
+	}
+
+	private static long threadNanos(Path thread) throws IOException {
+		try {
+			return Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]);
+		}
+		catch (NoSuchFileException ex) {
+			// The thread has ended between the listing and the read.
+			return 0;
+		}
+	}
+
+	private static long value(List<String> lines, String key) {
+		return lines.stream()
+			.filter((line) -> line.startsWith(key + ":"))
+			.map((line) -> line.substring(key.length() + 1).trim().split("\\s+")[0])
+			.mapToLong(Long::parseLong)
+			.findFirst()
+			.orElse(0);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/SidePeersMeasurement.java
@@ -0,0 +1,62 @@
+package org.marjoramgw.load.capacity;
+
+import java.io.IOException;
+
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * What an idle side process spends on control against the number of its entries.
+ *
+ * @author The marjoramgw authors
+ */
+final class SidePeersMeasurement implements Measurement {
+
+	private static final long WARM_UP_MILLIS = 12_000;
+
+	private static final long SETTLE_MILLIS = 2_000;
+
+	private final CapacityRun run;
+
+	private final int[] peerCounts;
+
+	private final long windowMillis;
+
+	SidePeersMeasurement(CapacityRun run, int[] peerCounts, long windowMillis) {
+		this.run = run;
+		this.peerCounts = peerCounts;
+		this.windowMillis = windowMillis;
+	}
+
+	@Override
+	public String title() {
+		return "Side process against the number of its entries, idle";
+	}
+
+	@Override
+	public String measure() throws IOException, RigException, InterruptedException {
+		WireCount count = this.run.newCount();
+		PointTable table = new PointTable("entries", "messages/s", "peer bytes/s", "all bytes/s", "CPU %", "RSS MB");
+		try (Deployment deployment = this.run.startSide(ServiceKind.MODEL);
+				FakeEntries entries = new FakeEntries(this.run.transport(),
+						deployment.side(CapacityRun.SIDE).address("peer"), count, (link, message) -> {
+						})) {
+			ProcessMeter meter = new ProcessMeter(deployment.side(CapacityRun.SIDE).pid());
+			entries.grow(1);
+			Thread.sleep(WARM_UP_MILLIS);
+			for (int peers : this.peerCounts) {
+				entries.grow(peers);
+				Thread.sleep(SETTLE_MILLIS);
+				Window window = Window.measure(meter, count, this.windowMillis);
+				if (entries.openCount() != peers) {
+					throw new RigException("connections were lost: " + entries.openCount() + " of " + peers, null);
+				}
+				table.add(peers, window.messagesPerSecond(), window.peerBytesPerSecond(), window.ioBytesPerSecond(),
+						window.cpuPercent(), window.residentMegabytes());
+			}
+		}
+		return table.toString();
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/SubsetMeasurement.java
@@ -0,0 +1,94 @@
+package org.marjoramgw.load.capacity;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.marjoramgw.policy.candidate.Subset;
+
+/**
+ * Spread of the subsets, worked out with the product's own choice at growing fleets:
+ * peers of an entry and a side process, and hops that a change needs to reach everybody.
+ *
+ * @author The marjoramgw authors
+ */
+final class SubsetMeasurement implements Measurement {
+
+	private static final int[] ENTRY_COUNTS = { 40, 80, 160, 320 };
+
+	private static final int SIDES_PER_ENTRY_PERCENT = 209;
+
+	private static final int DOMAIN_COUNT = 7;
+
+	private static final int SUBSET_COUNT = 24;
+
+	private static final int ENTRIES_TRIED = 10;
+
+	@Override
+	public String title() {
+		return "Subsets of 24 in one pool over 7 failure domains (computed with the product's choice, not run)";
+	}
+
+	@Override
+	public String measure() {
+		PointTable table = new PointTable("entries", "side processes", "peers of an entry, most",
+				"peers of a side process, least", "mean", "most", "hops to reach all, most");
+		for (int entries : ENTRY_COUNTS) {
+			table.add(row(entries, entries * SIDES_PER_ENTRY_PERCENT / 100));
+		}
+		return table.toString();
+	}
+
+	private static double[] row(int entries, int sides) {
+		Map<String, String> domainBySide = new HashMap<>();
+		Map<String, Set<String>> peers = new HashMap<>();
+		for (int index = 0; index < sides; index++) {
+			domainBySide.put("side-" + index, domain(index));
+			peers.put("side-" + index, new HashSet<>());
+		}
+		int mostOfEntry = 0;
+		for (int index = 0; index < entries; index++) {
+			String entry = "entry-" + index;
+			Set<String> subset = Subset.choose(entry, domain(index), domainBySide, SUBSET_COUNT);
+			peers.put(entry, subset);
+			subset.forEach((side) -> peers.get(side).add(entry));
+			mostOfEntry = Math.max(mostOfEntry, subset.size());
+		}
+		int[] degrees = domainBySide.keySet().stream().mapToInt((side) -> peers.get(side).size()).sorted().toArray();
+		double mean = (double) entries * SUBSET_COUNT / sides;
+		return new double[] { entries, sides, mostOfEntry, degrees[0], mean, degrees[degrees.length - 1],
+				mostHops(peers) };
+	}
+
+	private static int mostHops(Map<String, Set<String>> peers) {
+		int most = 0;
+		for (int index = 0; index < ENTRIES_TRIED; index++) {
+			most = Math.max(most, hops("entry-" + index, peers));
+		}
+		return most;
+	}
+
+	private static int hops(String start, Map<String, Set<String>> peers) {
+		Map<String, Integer> hopsTo = new HashMap<>(Map.of(start, 0));
+		Deque<String> next = new ArrayDeque<>(Set.of(start));
+		int most = 0;
+		while (!next.isEmpty()) {
+			String process = next.removeFirst();
+			most = Math.max(most, hopsTo.get(process));
+			for (String peer : peers.get(process)) {
+				if (hopsTo.putIfAbsent(peer, hopsTo.get(process) + 1) == null) {
+					next.addLast(peer);
+				}
+			}
+		}
+		return (hopsTo.size() == peers.size()) ? most : Integer.MAX_VALUE;
+	}
+
+	private static String domain(int index) {
+		return "domain-" + index % DOMAIN_COUNT;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/VmListMeasurement.java
@@ -0,0 +1,60 @@
+package org.marjoramgw.load.capacity;
+
+import java.io.IOException;
+
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.vmlist.Vm;
+
+/**
+ * What an idle entry spends on the platform against the length of the VM list.
+ *
+ * @author The marjoramgw authors
+ */
+final class VmListMeasurement implements Measurement {
+
+	private static final int[] VM_COUNTS = { 10, 100, 300, 990 };
+
+	private static final long WARM_UP_MILLIS = 8_000;
+
+	private static final long SETTLE_MILLIS = 1_500;
+
+	private final CapacityRun run;
+
+	private final long windowMillis;
+
+	VmListMeasurement(CapacityRun run, long windowMillis) {
+		this.run = run;
+		this.windowMillis = windowMillis;
+	}
+
+	@Override
+	public String title() {
+		return "Entry against the length of the VM list, idle, without peers";
+	}
+
+	@Override
+	public String measure() throws IOException, RigException, InterruptedException {
+		WireCount count = this.run.newCount();
+		PointTable table = new PointTable("VMs", "all bytes/s", "CPU %", "RSS MB");
+		try (Deployment deployment = this.run.startEntry(24)) {
+			ProcessMeter meter = new ProcessMeter(deployment.entry(CapacityRun.ENTRY).pid());
+			int listed = 1;
+			Thread.sleep(WARM_UP_MILLIS);
+			for (int vms : VM_COUNTS) {
+				for (; listed < vms; listed++) {
+					deployment.standins().putVm(vm(listed));
+				}
+				Thread.sleep(SETTLE_MILLIS);
+				Window window = Window.measure(meter, count, this.windowMillis);
+				table.add(vms, window.ioBytesPerSecond(), window.cpuPercent(), window.residentMegabytes());
+			}
+		}
+		return table.toString();
+	}
+
+	private static Vm vm(int number) {
+		return new Vm("entry-vm-" + number, Vm.ENTRY, "dal-b", "", "", "127.0.0.1:1", Vm.LIVE);
+	}
+
+}
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
@@ -28,6 +28,12 @@
  */
 public final class Deployment implements AutoCloseable {
 
+	/** Token that the processes of a deployment present to each other. */
+	public static final String PEER_TOKEN = SettingsWriter.PEER_TOKEN;
+
+	/** Token of the operators of a deployment. */
+	public static final String OPERATOR_TOKEN = SettingsWriter.OPERATOR_TOKEN;
+
 	private static final String ENTRY_MAIN = "org.marjoramgw.entry.EntryMain";
 
 	private static final String SIDE_MAIN = "org.marjoramgw.side.SideMain";
