--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
@@ -10,7 +10,7 @@
  *
  * @author The marjoramgw authors
  */
-interface LoadCommand {
+public interface LoadCommand {
 
 	/**
 	 * Tells whether only its options are wanted.
