--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
@@ -31,8 +31,8 @@
 	/** Token that the processes of a deployment present to each other. */
 	public static final String PEER_TOKEN = SettingsWriter.PEER_TOKEN;
 
-	/** Token of the operators of a deployment. */
-	public static final String OPERATOR_TOKEN = SettingsWriter.OPERATOR_TOKEN;
+	/** Token that the operators of a rig's deployment present. */
+	public static final String OPERATOR_TOKEN = "rig-operator-token";
 
 	private static final String ENTRY_MAIN = "org.marjoramgw.entry.EntryMain";
 
