--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
@@ -28,6 +28,9 @@
  */
 public final class Deployment implements AutoCloseable {
 
+	/** Token that the processes of a deployment present to each other. */
+	public static final String PEER_TOKEN = SettingsWriter.PEER_TOKEN;
+
 	/** Token that the operators of a rig's deployment present. */
 	public static final String OPERATOR_TOKEN = "rig-operator-token";
 
