--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ProcessMeter.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ProcessMeter.java
@@ -2,10 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.stream.Stream;
 
 import org.marjoramgw.rig.RigException;
 
@@ -18,6 +16,12 @@
 
 	private static final long KILOBYTE = 1_024;
 
+	private static final long TICK_NANOS = 10_000_000;
+
+	private static final int USER_TIME = 11;
+
+	private static final int SYSTEM_TIME = 12;
+
 	private final long pid;
 
 	private final Path directory;
@@ -54,24 +58,16 @@
 		return Long.parseLong(total.trim().split("\\s+")[2]);
 	}
 
+	/**
+	 * Reads the processor time of all threads, ended ones included, as the kernel counts
+	 * it in ticks.
+	 * @return processor time, in nanoseconds
+	 * @throws IOException if the process has ended
+	 */
 	private long cpuNanos() throws IOException {
-		long sum = 0;
-		try (Stream<Path> threads = Files.list(this.directory.resolve("task"))) {
-			for (Path thread : threads.toList()) {
-				sum += threadNanos(thread);
-			}
-		}
-		return sum;
-	}
-
-	private static long threadNanos(Path thread) throws IOException {
-		try {
-			return Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]);
-		}
-		catch (NoSuchFileException ex) {
-			// The thread has ended between the listing and the read.
-			return 0;
-		}
+		String stat = Files.readString(this.directory.resolve("stat"));
+		String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+		return (Long.parseLong(fields[USER_TIME]) + Long.parseLong(fields[SYSTEM_TIME])) * TICK_NANOS;
 	}
 
 	private static long value(List<String> lines, String key) {
