--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/CompareCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/CompareCommand.java
@@ -23,7 +23,7 @@
 	private boolean help;
 
 	@Parameter(description = "A.json B.json", required = true)
-	private List<Path> files = new ArrayList<>();
+	private List<String> files = new ArrayList<>();
 
 	@Override
 	public boolean help() {
@@ -35,8 +35,8 @@
 		if (this.files.size() != 2) {
 			throw new ParameterException("compare takes two files");
 		}
-		ResultFile first = new ResultFile(this.files.get(0));
-		ResultFile second = new ResultFile(this.files.get(1));
+		ResultFile first = new ResultFile(Path.of(this.files.get(0)));
+		ResultFile second = new ResultFile(Path.of(this.files.get(1)));
 		System.out.print(new ComparisonTable().of(first.read(), second.read()));
 	}
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/PlotCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/PlotCommand.java
@@ -20,7 +20,7 @@
 	private boolean help;
 
 	@Parameter(description = "RESULT.json", required = true)
-	private Path file;
+	private String file;
 
 	@Parameter(names = "--out", required = true, description = "File to draw: FILE.png or FILE.svg")
 	private Path out;
@@ -32,7 +32,7 @@
 
 	@Override
 	public void run() throws IOException {
-		new ResultChart(new ResultFile(this.file).read()).write(this.out);
+		new ResultChart(new ResultFile(Path.of(this.file)).read()).write(this.out);
 	}
 
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/RunCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/RunCommand.java
@@ -30,7 +30,7 @@
 	private boolean help;
 
 	@Parameter(description = "EXPERIMENT.toml", required = true)
-	private Path file;
+	private String file;
 
 	@Parameter(names = "--out", description = "File for the result (JSON)")
 	private Path out;
@@ -48,7 +48,7 @@
 
 	@Override
 	public void run() throws IOException, InvalidTextException, RigException, InterruptedException {
-		Experiment experiment = new ExperimentParser().parse(this.file);
+		Experiment experiment = new ExperimentParser().parse(Path.of(this.file));
 		experiment = experiment.withLimits(limits(experiment.limits()));
 		if (this.seed != null) {
 			experiment = experiment.withSeed(this.seed);
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -239,9 +239,9 @@
 	void awaitServing() throws Exception {
 		for (ManagedProcess entry : this.deployment.entries()) {
 			if (!backends(ServiceKind.MODEL).isEmpty()) {
-				Await.until(entry.name() + " serves chat", () -> await(
-						chat(entry.name(), ProofConfiguration.TOP, "len=1 ready " + System.nanoTime()))
-					.complete());
+				Await.until(entry.name() + " serves chat",
+						() -> await(chat(entry.name(), ProofConfiguration.TOP, "len=1 ready " + System.nanoTime()))
+							.complete());
 			}
 			if (!backends(ServiceKind.PLAIN).isEmpty()) {
 				Await.until(entry.name() + " serves orders",
