--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
@@ -56,8 +56,8 @@
 	}
 
 	/**
-	 * Lists the cuts: bytes that still pass towards the side processes (reserve, run, ack,
-	 * heartbeats between them) and back (grant, chunk, end).
+	 * Lists the cuts: bytes that still pass towards the side processes (reserve, run,
+	 * ack, heartbeats between them) and back (grant, chunk, end).
 	 * @return the cuts
 	 */
 	@DataProvider
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -215,11 +216,12 @@
 	 * @throws Exception if the log stand-in doesn't answer
 	 */
 	long claimAppends() throws Exception {
-		long[] count = new long[1];
-		platform(StandinProcess.LOG, "/control").path("append_counts").fields().forEachRemaining((stream) -> {
-			count[0] += stream.getKey().startsWith("claim") ? stream.getValue().asLong() : 0;
-		});
-		return count[0];
+		long count = 0;
+		for (Map.Entry<String, JsonNode> stream : platform(StandinProcess.LOG, "/control").path("append_counts")
+			.properties()) {
+			count += stream.getKey().startsWith("claim") ? stream.getValue().asLong() : 0;
+		}
+		return count;
 	}
 
 	void link(LinkKind kind, String process, String json) throws RigException {
@@ -239,9 +241,9 @@
 	void awaitServing() throws Exception {
 		for (ManagedProcess entry : this.deployment.entries()) {
 			if (!backends(ServiceKind.MODEL).isEmpty()) {
-				Await.until(entry.name() + " serves chat", () -> await(
-						chat(entry.name(), ProofConfiguration.TOP, "len=1 ready " + System.nanoTime()))
-					.complete());
+				Await.until(entry.name() + " serves chat",
+						() -> await(chat(entry.name(), ProofConfiguration.TOP, "len=1 ready " + System.nanoTime()))
+							.complete());
 			}
 			if (!backends(ServiceKind.PLAIN).isEmpty()) {
 				Await.until(entry.name() + " serves orders",
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofPlan.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofPlan.java
@@ -43,8 +43,8 @@
 					Map.of("models", List.of(ProofConfiguration.MODEL))));
 		}
 		for (int number = 1; number <= orderRunnerCount; number++) {
-			backends.add(new BackendPlan("orders-" + number, ServiceKind.PLAIN, "order-runners", domain(number),
-					Map.of()));
+			backends
+				.add(new BackendPlan("orders-" + number, ServiceKind.PLAIN, "order-runners", domain(number), Map.of()));
 		}
 		return new DeploymentPlan(entries, backends, Set.of(LinkKind.values()), Map.of(), Map.of(),
 				ProofConfiguration.text("first"));
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
@@ -81,7 +81,8 @@
 					peer(side, "{\"mode\":\"cut\"}");
 				}) }, { "link is cut in mid-frame", fault((side) -> peer(side, "{\"cut_after_bytes_down\":333}")) },
 				{ "engine link is cut", fault((side) -> engineLink(side, "{\"mode\":\"cut\"}")) },
-				{ "engine link is cut in mid-event", fault((side) -> engineLink(side, "{\"cut_after_bytes_down\":333}")) } };
+				{ "engine link is cut in mid-event",
+						fault((side) -> engineLink(side, "{\"cut_after_bytes_down\":333}")) } };
 	}
 
 	@Test(dataProvider = "faults")
@@ -92,8 +93,7 @@
 			this.nextPrompt++;
 			String prompt = "len=" + ANSWER_TOKENS + " question " + TestSeed.value() + " " + this.nextPrompt;
 			String entry = "entry-" + (1 + count % 2);
-			calls.put(prompt,
-					this.bed.chat(entry, ProofConfiguration.TOP, prompt, (text) -> tokens.incrementAndGet()));
+			calls.put(prompt, this.bed.chat(entry, ProofConfiguration.TOP, prompt, (text) -> tokens.incrementAndGet()));
 		}
 		Await.until("streams flow", () -> tokens.get() > STREAM_COUNT * 10);
 		String victim = this.bed.runnerOf(calls.keySet().iterator().next());
