--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -17,6 +17,12 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.claim.ClaimBook;
+import org.marjoramgw.claim.ClaimHolder;
+import org.marjoramgw.claim.ClaimSettings;
+import org.marjoramgw.claim.LogClaimBook;
+import org.marjoramgw.log.StartRecord;
+import org.marjoramgw.log.StartRegistrar;
+import org.marjoramgw.log.StartStream;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.OperatedProcess;
 import org.marjoramgw.operator.OperatorRoutes;
@@ -24,6 +30,7 @@
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.engine.EngineBackend;
 import org.marjoramgw.side.entry.EntryConnections;
+import org.marjoramgw.side.entry.HeartbeatRhythm;
 import org.marjoramgw.side.plainservice.PlainServiceBackend;
 import org.marjoramgw.side.scheduler.Scheduler;
 import org.marjoramgw.side.scheduler.SchedulerActor;
@@ -77,6 +84,8 @@
 
 	private final ClaimBook claimBook;
 
+	private final StartRegistrar start;
+
 	private final Scheduler scheduler;
 
 	private final ActorRef<SchedulerCommand> actor;
@@ -92,7 +101,11 @@
 		this.system = ActorSystem.create(Behaviors.empty(), "side");
 		this.platform = new Platform(this.system, settings, this.clock, new ResultCounters(this.registry),
 				this::hasEntries);
-		this.claimBook = new UnavailableClaimBook();
+		this.claimBook = new LogClaimBook(this.platform.log(), ClaimSettings.of(settings.claimPartitionCount()),
+				new ClaimHolder(settings.processId(), this.identity.incarnation()), this.clock,
+				new ResultCounters(this.registry));
+		this.start = new StartRegistrar(new StartStream(this.platform.log()),
+				new StartRecord(settings.processId(), this.identity.incarnation()));
 		CommandInbox inbox = new CommandInbox();
 		this.scheduler = new Scheduler(this.clock,
 				new SchedulerParameters(settings.pool(), settings.model(), settings.answerKeepMillis()), newBackend(),
@@ -100,7 +113,9 @@
 		this.actor = this.system.systemActorOf(SchedulerActor.create(this.scheduler), "scheduler", Props.empty());
 		inbox.open(this.actor);
 		this.entries = new EntryConnections(this.clock, this.identity, settings.peerToken(),
-				settings.peerTimeoutMillis(), this.scheduler::status, this.platform.configuration(), this.actor::tell);
+				new HeartbeatRhythm(settings.heartbeatMillis(), settings.idleHeartbeatMillis(),
+						settings.peerTimeoutMillis()),
+				this.scheduler::status, this.platform.configuration(), this.actor::tell);
 	}
 
 	@Override
@@ -134,7 +149,7 @@
 			this.platform.configuration()
 				.listen((configuration) -> this.actor.tell(new SchedulerCommand.Configured(configuration)));
 			this.platform.whenLeaving(this.settings.processId(), this::drain);
-			this.entries.start(this.system, this.settings.heartbeatMillis());
+			this.entries.start(this.system);
 			ReadyLine.print(Map.of("http", httpAddress, "peer", peerAddress));
 		}
 		catch (InterruptedException | ExecutionException | TimeoutException ex) {
@@ -177,6 +192,7 @@
 		awaitDrained();
 		this.entries.close();
 		this.claimBook.close();
+		this.start.close();
 		this.platform.close();
 		pause(LAST_WRITES_MILLIS);
 		Logger.info("stopped with {} requests in flight", status().inFlight());
@@ -184,7 +200,7 @@
 
 	private void awaitDrained() {
 		try {
-			this.scheduler.left().thenRun(this.entries::beat);
+			this.scheduler.left().thenRun(this.entries::announce);
 			this.scheduler.drained().toCompletableFuture().get(MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
