Keep the retry budget for refusals that tell of overload

A lost race is no overload: such retries are bounded by their number and the latest useful start instead.

--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -32,6 +32,15 @@
 	private static final Set<ResultCode> ASK_AGAIN = EnumSet.of(ResultCode.SIDE_LOST, ResultCode.SIDE_RESTARTED,
 			ResultCode.ANSWER_NOT_KEPT, ResultCode.KEY_IN_PROGRESS);
 
+	/**
+	 * Refusals that tell of a race and not of overload; they don't spend the retry
+	 * budget.
+	 */
+	private static final Set<ResultCode> RACES = EnumSet.of(ResultCode.GRANT_EXPIRED, ResultCode.UNKNOWN_RESERVATION,
+			ResultCode.SIDE_LEAVING, ResultCode.NO_BACKEND, ResultCode.BACKEND_UNREACHABLE);
+
+	private static final int MAX_RACE_RETRIES = 8;
+
 	/** Refusals that every side process would repeat. */
 	private static final Set<ResultCode> FINAL = EnumSet.of(ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE);
 
@@ -312,7 +321,7 @@
 		long delayMillis = this.context.backoff().delayMillis(this.retries);
 		boolean begun = this.continuations > 0;
 		boolean late = !begun && this.context.clock().nowMillis() + delayMillis >= this.startDeadlineMillis;
-		if (late || !this.context.budget().tryRetry(this.request.requestClass().name())) {
+		if (late || !mayRetry(code)) {
 			this.context.counters().count(ResultCode.RETRY_DENIED);
 			return fail(code, retryAfterMillis);
 		}
@@ -322,6 +331,13 @@
 		return this;
 	}
 
+	private boolean mayRetry(ResultCode code) {
+		if (RACES.contains(code)) {
+			return this.retries <= MAX_RACE_RETRIES;
+		}
+		return this.context.budget().tryRetry(this.request.requestClass().name());
+	}
+
 	private Behavior<RequestEvent> onCallerGone() {
 		cancelRun();
 		record("caller gone", ResultCode.CANCELLED_IN_FLIGHT, "");
