Test the platform's clients against the stand-ins, and mend a late start

Cause of the one failure found: a source that read several revisions at once parsed only the newest, so a process that started after an unreadable revision had none in force. It now falls back to the newest one that can be read.

--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the orders to engines.
+ */
+package org.marjoramgw.side.order;
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP servers with faults for the contract tests.
+ */
+package org.marjoramgw.http;
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/vmlist/HttpVmListTests.java
@@ -0,0 +1,120 @@
+package org.marjoramgw.vmlist;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.errors.VmListUnavailableException;
+import org.marjoramgw.http.FixedAnswerServer;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.standin.vmlist.VmListControl;
+import org.marjoramgw.standin.vmlist.VmListSettings;
+import org.marjoramgw.standin.vmlist.VmListStandin;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link HttpVmList} and {@link VmListWatcher} against the VM list stand-in.
+ *
+ * @author The marjoramgw authors
+ */
+public class HttpVmListTests {
+
+	private static final Vm VM = new Vm("side-1", Vm.SIDE, "dal-a", "p", "127.0.0.1:1", "127.0.0.1:2", Vm.LIVE);
+
+	private static final Vm LEAVING = new Vm("side-1", Vm.SIDE, "dal-a", "p", "127.0.0.1:1", "127.0.0.1:2", Vm.LEAVING);
+
+	private static final long POLL_MILLIS = 20;
+
+	private ActorSystem<Void> system;
+
+	private StandinSystem standins;
+
+	private VmListStandin standin;
+
+	@BeforeClass
+	public void startSystems() {
+		this.system = ActorSystem.create(Behaviors.empty(), "vm-list-test");
+		this.standins = new StandinSystem();
+	}
+
+	@AfterClass
+	public void stopSystems() {
+		this.system.terminate();
+		this.standins.close();
+	}
+
+	@BeforeMethod
+	public void startStandin() {
+		this.standin = VmListStandin.start(this.standins, new VmListSettings(new HostPort("127.0.0.1", 0), 0));
+		this.standin.write(VM);
+	}
+
+	@AfterMethod
+	public void stopStandin() {
+		this.standin.close();
+	}
+
+	private HttpVmList client(String url) {
+		return new HttpVmList(new HttpCaller(this.system, 1_000, ""), url);
+	}
+
+	private HttpVmList client() {
+		return client("http://" + this.standin.address());
+	}
+
+	@Test
+	public void readsTheList() throws VmListUnavailableException {
+		Assert.assertEquals(client().read(), List.of(VM));
+	}
+
+	@Test
+	public void saysThatItIsAway() {
+		this.standin.control(new VmListControl(true, null));
+		Assert.assertThrows(VmListUnavailableException.class, () -> client().read());
+		this.standin.close();
+		Assert.assertThrows(VmListUnavailableException.class, () -> client().read());
+	}
+
+	@DataProvider
+	public Object[][] oddAnswers() {
+		return new Object[][] { { 200, "" }, { 200, "{}" }, { 200, "{\"vms\":null}" },
+				{ 200, "{\"vms\":[{\"id\":1}]}" }, { 200, "{\"vms\":7}" }, { 500, "" } };
+	}
+
+	@Test(dataProvider = "oddAnswers")
+	public void refusesOddAnswers(int status, String body) throws IOException {
+		try (FixedAnswerServer server = new FixedAnswerServer(status, body)) {
+			Assert.assertThrows(VmListUnavailableException.class, () -> client(server.url()).read());
+		}
+	}
+
+	@Test
+	public void theWatcherTellsChangesAndKeepsTheLastList() throws InterruptedException {
+		BlockingQueue<List<Vm>> seen = new LinkedBlockingQueue<>();
+		try (VmListWatcher watcher = new VmListWatcher(client(), POLL_MILLIS)) {
+			watcher.listen(seen::add);
+			Assert.assertEquals(seen.poll(5, TimeUnit.SECONDS), List.of(VM));
+			this.standin.control(new VmListControl(true, null));
+			while (!watcher.isAway()) {
+				Thread.sleep(POLL_MILLIS);
+			}
+			Assert.assertEquals(watcher.current(), List.of(VM));
+			this.standin.write(LEAVING);
+			this.standin.control(new VmListControl(false, null));
+			Assert.assertEquals(seen.poll(5, TimeUnit.SECONDS), List.of(LEAVING));
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/vmlist/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the VM list's client and watcher.
+ */
+package org.marjoramgw.vmlist;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.config;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -19,7 +21,6 @@
 import org.marjoramgw.config.internal.ConfigurationRecordCodec;
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.errors.LogUnavailableException;
-import org.marjoramgw.log.LogRecord;
 import org.marjoramgw.log.LogService;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.wire.Message;
@@ -39,8 +40,7 @@
 
 	private static final int POLLS_PER_INTERVAL = 10;
 
-	private static final Consumer<LogRecord> IGNORED = (record) -> {
-	};
+	private static final int MAX_NOTED_REVISIONS = 8;
 
 	private final ConfigurationParser parser;
 
@@ -66,7 +66,9 @@
 
 	private Message.ConfigText fromPeer;
 
-	private long unreadableRevision;
+	private final Deque<Message.ConfigText> noted = new ArrayDeque<>();
+
+	private long notedRevision;
 
 	private boolean logAway;
 
@@ -162,9 +164,9 @@
 	 * @throws LogUnavailableException if the log can't be read
 	 */
 	private void catchUp() throws LogUnavailableException {
-		boolean complete = this.reader.catchUp(IGNORED);
+		boolean complete = this.reader.catchUp((record) -> noteAccepted());
 		if (!complete && advanceToPeer()) {
-			this.reader.catchUp(IGNORED);
+			this.reader.catchUp((record) -> noteAccepted());
 		}
 	}
 
@@ -192,30 +194,47 @@
 		return meanMillis / 2 + (long) (this.random.nextDouble() * meanMillis);
 	}
 
+	private synchronized void noteAccepted() {
+		Optional<Message.ConfigText> newest = currentText();
+		if (newest.isPresent() && newest.get().revision() > this.notedRevision) {
+			this.notedRevision = newest.get().revision();
+			this.noted.addLast(newest.get());
+		}
+		if (this.noted.size() > MAX_NOTED_REVISIONS) {
+			this.noted.removeFirst();
+		}
+	}
+
+	/**
+	 * Puts the newest of the noted revisions in force that can be read.
+	 */
 	private synchronized void putInForce() {
-		Optional<Message.ConfigText> accepted = currentText();
-		if (accepted.isPresent() && accepted.get().revision() > highestSeenRevision()) {
-			parseAndPut(accepted.get());
+		noteAccepted();
+		boolean done = false;
+		while (!done && !this.noted.isEmpty()) {
+			Message.ConfigText newest = this.noted.removeLast();
+			done = newest.revision() <= revisionInForce() || parseAndPut(newest);
 		}
+		this.noted.clear();
 	}
 
-	private long highestSeenRevision() {
-		long inForce = (this.current != null) ? this.current.revision() : 0;
-		return Math.max(inForce, this.unreadableRevision);
+	private long revisionInForce() {
+		return (this.current != null) ? this.current.revision() : 0;
 	}
 
-	private void parseAndPut(Message.ConfigText accepted) {
+	private boolean parseAndPut(Message.ConfigText accepted) {
 		try {
 			this.current = this.parser.parse("revision " + accepted.revision(), accepted.revision(), accepted.text());
 			Logger.info("configuration revision {} is in force", accepted.revision());
 			this.listeners.forEach(this::tell);
+			return true;
 		}
 		catch (InvalidTextException ex) {
-			this.unreadableRevision = accepted.revision();
 			this.counters.count(ResultCode.REVISION_UNREADABLE);
 			Logger.error("E{} {}: revision {}, the last good one stays in force: {}",
 					ResultCode.REVISION_UNREADABLE.number(), ResultCode.REVISION_UNREADABLE.text(), accepted.revision(),
 					ex.getMessage());
+			return false;
 		}
 	}
 
