Read the VM list only when it changed, and less often as it grows

At 990 VMs of about 200 bytes, a whole list every 500 ms is 400 KB/s for each process. A conditional read sends it only after a change; the mean interval grows by one poll_ms for each 250 VMs, with jitter.

--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/http/FixedAnswerServer.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/FixedAnswerServer.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -21,8 +22,17 @@
 
 	private final byte[] body;
 
+	private final String etag;
+
+	private final AtomicInteger notModifiedCount = new AtomicInteger();
+
 	public FixedAnswerServer(int status, String body) throws IOException {
+		this(status, body, "");
+	}
+
+	public FixedAnswerServer(int status, String body, String etag) throws IOException {
 		this.status = status;
+		this.etag = etag;
 		this.body = body.getBytes(StandardCharsets.UTF_8);
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
 		this.server.createContext("/", this::answer);
@@ -33,6 +43,10 @@
 		return "http://127.0.0.1:" + this.server.getAddress().getPort();
 	}
 
+	public int notModifiedCount() {
+		return this.notModifiedCount.get();
+	}
+
 	@Override
 	public void close() {
 		this.server.stop(0);
@@ -40,6 +54,15 @@
 
 	private void answer(HttpExchange exchange) throws IOException {
 		exchange.getRequestBody().readAllBytes();
+		if (!this.etag.isEmpty() && this.etag.equals(exchange.getRequestHeaders().getFirst("If-None-Match"))) {
+			this.notModifiedCount.incrementAndGet();
+			exchange.sendResponseHeaders(304, -1);
+			exchange.close();
+			return;
+		}
+		if (!this.etag.isEmpty()) {
+			exchange.getResponseHeaders().set("ETag", this.etag);
+		}
 		exchange.sendResponseHeaders(this.status, this.body.length);
 		exchange.getResponseBody().write(this.body);
 		exchange.close();
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/vmlist/HttpVmListTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/vmlist/HttpVmListTests.java
@@ -100,6 +100,15 @@
 		}
 	}
 
+	@Test
+	public void keepsTheListThatDidNotChange() throws IOException, VmListUnavailableException {
+		try (FixedAnswerServer server = new FixedAnswerServer(200, "{\"vms\":[]}", "\"tag\"")) {
+			HttpVmList list = client(server.url());
+			Assert.assertSame(list.read(), list.read());
+			Assert.assertEquals(server.notModifiedCount(), 1);
+		}
+	}
+
 	@Test
 	public void theWatcherTellsChangesAndKeepsTheLastList() throws InterruptedException {
 		BlockingQueue<List<Vm>> seen = new LinkedBlockingQueue<>();
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
@@ -9,10 +9,12 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.HttpCredentials;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.stream.StreamTcpException;
 import org.marjoramgw.errors.HttpCallException;
 
@@ -53,6 +55,18 @@
 		return call(HttpRequest.GET(uri));
 	}
 
+	/**
+	 * Sends a GET that asks for the body only if it changed.
+	 * @param uri the absolute URI
+	 * @param etag entity tag of the body that is known, or an empty text
+	 * @return the answer, with status 304 and no body if nothing changed
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply getIfChanged(String uri, String etag) throws HttpCallException {
+		HttpRequest request = HttpRequest.GET(uri);
+		return call(etag.isEmpty() ? request : request.addHeader(RawHeader.create("If-None-Match", etag)));
+	}
+
 	/**
 	 * Sends a POST with a JSON body.
 	 * @param uri the absolute URI
@@ -104,6 +118,10 @@
 		}
 	}
 
+	private static String etag(HttpResponse response) {
+		return response.getHeader("ETag").map(HttpHeader::value).orElse("");
+	}
+
 	private static boolean isConnectFailure(Throwable cause) {
 		// The break of an open connection has the same type, but something may have been
 		// sent.
@@ -114,7 +132,7 @@
 		return response.entity()
 			.toStrict(this.timeoutMillis, this.system)
 			.thenApply((entity) -> new HttpReply(response.status().intValue(), entity.getContentType().toString(),
-					entity.getData().decodeString(StandardCharsets.UTF_8)));
+					entity.getData().decodeString(StandardCharsets.UTF_8), etag(response)));
 	}
 
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpReply.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpReply.java
@@ -6,9 +6,10 @@
  * @param status status of the answer
  * @param contentType content type of the answer
  * @param body body as UTF-8 text
+ * @param etag entity tag of the answer, or an empty text
  * @author The marjoramgw authors
  */
-public record HttpReply(int status, String contentType, String body) {
+public record HttpReply(int status, String contentType, String body, String etag) {
 
 	private static final int OK = 200;
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/HttpVmList.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/HttpVmList.java
@@ -15,12 +15,14 @@
 import org.marjoramgw.http.HttpReply;
 
 /**
- * VM list over HTTP.
+ * VM list over HTTP; a list that didn't change isn't sent again.
  *
  * @author The marjoramgw authors
  */
 public final class HttpVmList implements VmList {
 
+	private static final int NOT_MODIFIED = 304;
+
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
@@ -31,6 +33,10 @@
 
 	private final String baseUrl;
 
+	private String etag = "";
+
+	private List<Vm> last = List.of();
+
 	/**
 	 * Creates a client.
 	 * @param caller the HTTP client
@@ -42,13 +48,18 @@
 	}
 
 	@Override
-	public List<Vm> read() throws VmListUnavailableException {
+	public synchronized List<Vm> read() throws VmListUnavailableException {
 		HttpReply reply = get(this.baseUrl + "/vms");
+		if (reply.status() == NOT_MODIFIED && !this.etag.isEmpty()) {
+			return this.last;
+		}
 		if (!reply.isOk()) {
 			throw new VmListUnavailableException("answered " + reply.status(), null);
 		}
 		try {
-			return MAPPER.readValue(reply.body(), Answer.class).vms().stream().filter(Objects::nonNull).toList();
+			this.last = MAPPER.readValue(reply.body(), Answer.class).vms().stream().filter(Objects::nonNull).toList();
+			this.etag = reply.etag();
+			return this.last;
 		}
 		catch (JsonProcessingException | IllegalArgumentException ex) {
 			throw new VmListUnavailableException("malformed answer", ex);
@@ -57,7 +68,7 @@
 
 	private HttpReply get(String uri) throws VmListUnavailableException {
 		try {
-			return this.caller.get(uri);
+			return this.caller.getIfChanged(uri, this.etag);
 		}
 		catch (HttpCallException ex) {
 			throw new VmListUnavailableException(uri, ex);
--- a/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/VmListWatcher.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/VmListWatcher.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -18,8 +19,12 @@
  */
 public final class VmListWatcher implements AutoCloseable {
 
+	private static final int VMS_PER_INTERVAL = 250;
+
 	private final VmList source;
 
+	private final long pollMillis;
+
 	private final ScheduledExecutorService thread;
 
 	private final List<Consumer<List<Vm>>> listeners = new CopyOnWriteArrayList<>();
@@ -31,12 +36,14 @@
 	/**
 	 * Creates a watcher and starts polling at once.
 	 * @param source the VM list
-	 * @param pollMillis time between two polls, in milliseconds
+	 * @param pollMillis mean time between two polls of a list of up to 250 VMs, in
+	 * milliseconds; it grows with the list
 	 */
 	public VmListWatcher(VmList source, long pollMillis) {
 		this.source = source;
 		this.thread = Executors.newSingleThreadScheduledExecutor(VmListWatcher::newThread);
-		this.thread.scheduleWithFixedDelay(this::poll, 0, pollMillis, TimeUnit.MILLISECONDS);
+		this.pollMillis = pollMillis;
+		this.thread.execute(this::poll);
 	}
 
 	/**
@@ -75,6 +82,18 @@
 	}
 
 	private void poll() {
+		readOnce();
+		if (!this.thread.isShutdown()) {
+			this.thread.schedule(this::poll, nextPollMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private long nextPollMillis() {
+		long meanMillis = this.pollMillis * Math.max(1, this.current.size() / VMS_PER_INTERVAL);
+		return ThreadLocalRandom.current().nextLong(meanMillis / 2, meanMillis * 3 / 2 + 1);
+	}
+
+	private void readOnce() {
 		try {
 			List<Vm> read = this.source.read();
 			this.away = false;
