--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityCommand.java
@@ -59,8 +59,8 @@
 	private static List<Measurement> measurements(CapacityRun run) {
 		return List.of(new SidePeersMeasurement(run, PEER_COUNTS, WINDOW_MILLIS),
 				new EntryPeersMeasurement(run, PEER_COUNTS, WINDOW_MILLIS), new VmListMeasurement(run, WINDOW_MILLIS),
-				new QueueMemoryMeasurement(run), new KeyedCallsMeasurement(run), new ChangeMeasurement(run),
-				new SubsetMeasurement(), new LostDomainMeasurement(run));
+				new QueueMemoryMeasurement(run), new KeyedCallsMeasurement(run), new ReadBackMeasurement(run),
+				new ChangeMeasurement(run), new SubsetMeasurement(), new LostDomainMeasurement(run));
 	}
 
 }
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ReadBackMeasurement.java
@@ -0,0 +1,121 @@
+package org.marjoramgw.load.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.claim.ClaimHolder;
+import org.marjoramgw.claim.ClaimKey;
+import org.marjoramgw.claim.ClaimPartitions;
+import org.marjoramgw.claim.ClaimSettings;
+import org.marjoramgw.claim.ClaimVerdict;
+import org.marjoramgw.claim.LogClaimBook;
+import org.marjoramgw.claim.internal.ClaimRecord;
+import org.marjoramgw.claim.internal.ClaimRecordCodec;
+import org.marjoramgw.claim.internal.KeyHash;
+import org.marjoramgw.errors.CodedException;
+import org.marjoramgw.log.HttpLogService;
+import org.marjoramgw.log.LogService;
+import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.standin.log.LogSettings;
+import org.marjoramgw.standin.log.LogStandin;
+
+/**
+ * Time that a restarted side process needs to read a claim partition back before it takes
+ * the first keyed call of it, and bytes of the partition on the log.
+ *
+ * @author The marjoramgw authors
+ */
+final class ReadBackMeasurement implements Measurement {
+
+	private static final int[] KEY_COUNTS = { 1_000, 2_000, 4_000, 8_000 };
+
+	private static final int BATCH_KEYS = 50;
+
+	private static final long WAIT_MILLIS = 60_000;
+
+	private static final long HOUR_MILLIS = 3_600_000;
+
+	private static final String ANSWER = "{\"order\":\"0123456789\",\"state\":\"booked\"}";
+
+	private static final String DIGEST = Hashing.sha256().hashInt(1).toString();
+
+	private final CapacityRun run;
+
+	private final MillisClock clock = new SystemMillisClock();
+
+	private final ClaimRecordCodec codec = new ClaimRecordCodec();
+
+	ReadBackMeasurement(CapacityRun run) {
+		this.run = run;
+	}
+
+	@Override
+	public String title() {
+		return "Claim partition on the log: size, and time to read it back after a restart";
+	}
+
+	@Override
+	public String measure() throws RigException {
+		PointTable table = new PointTable("keys in the partition", "KB on the log", "ms until the first claim is won");
+		for (int keyCount : KEY_COUNTS) {
+			try (StandinSystem standins = new StandinSystem();
+					LogStandin standin = LogStandin.start(standins, new LogSettings(new HostPort("127.0.0.1", 0),
+							1_000_000, 1_000_000, 1_000_000, HOUR_MILLIS))) {
+				LogService log = new HttpLogService(this.run.http(), "http://" + standin.address());
+				long bytes = fill(log, keyCount);
+				table.add(keyCount, bytes / 1024.0, readBackMillis(log));
+			}
+			catch (CodedException ex) {
+				throw new RigException("claims can't be appended", ex);
+			}
+		}
+		return table.toString();
+	}
+
+	private long fill(LogService log, int keyCount) throws CodedException {
+		long bytes = 0;
+		for (int first = 0; first < keyCount; first += BATCH_KEYS) {
+			List<String> batch = new ArrayList<>();
+			for (int number = first; number < first + BATCH_KEYS; number++) {
+				addCall(batch, number);
+			}
+			bytes += batch.stream().mapToLong(String::length).sum();
+			log.append(ClaimPartitions.streamOf(0), batch);
+		}
+		return bytes;
+	}
+
+	private void addCall(List<String> batch, int number) {
+		String claimId = "order-runner-1:" + this.clock.nowMillis() + ":" + number;
+		String key = KeyHash.of("account", UUID.randomUUID().toString()).toString();
+		batch.add(this.codec.encode(new ClaimRecord.Claim(claimId, key, KeyHash.parse(DIGEST).toString(),
+				"order-runner-1", this.clock.nowMillis(), UUID.randomUUID().toString())));
+		batch.add(this.codec.encode(new ClaimRecord.Result(claimId, key, 201, "application/json", true, ANSWER)));
+	}
+
+	private long readBackMillis(LogService log) throws RigException {
+		ClaimSettings defaults = ClaimSettings.of(1);
+		ClaimSettings settings = new ClaimSettings(1, defaults.windowMillis(), WAIT_MILLIS,
+				defaults.appendIntervalMillis(), defaults.resultLingerMillis(), defaults.maxKeys(),
+				defaults.maxResultBytes());
+		long startMillis = this.clock.nowMillis();
+		try (LogClaimBook book = new LogClaimBook(log, settings, new ClaimHolder("side-2", startMillis), this.clock,
+				new ResultCounters(new MetricRegistry()))) {
+			ClaimKey key = new ClaimKey("account", UUID.randomUUID().toString(), DIGEST, "first");
+			ClaimVerdict verdict = book.claim(key).toCompletableFuture().join();
+			if (!(verdict instanceof ClaimVerdict.Won)) {
+				throw new RigException("first claim not won: " + verdict, null);
+			}
+			return this.clock.nowMillis() - startMillis;
+		}
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionClaims.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionClaims.java
@@ -37,7 +37,7 @@
 
 	private static final int BATCH_RECORDS = 200;
 
-	private static final int PAGE_RECORDS = 500;
+	private static final int PAGE_RECORDS = 128;
 
 	private final String stream;
 
@@ -123,14 +123,16 @@
 	 */
 	public CycleOutcome cycle() {
 		takeIncoming();
-		if (!this.readBack && !readToEnd()) {
+		if (!this.readBack && !this.attempts.isEmpty() && !readToEnd()) {
 			dropTimedOut();
 			return CycleOutcome.LOG_AWAY;
 		}
 		refuseForgotten();
 		boolean appended = appendWaiting();
-		boolean read = readToEnd();
-		if (read) {
+		// Without an open attempt nothing depends on what the stream shows.
+		boolean skipsRead = appended && this.attempts.isEmpty();
+		boolean read = skipsRead || readToEnd();
+		if (read && !skipsRead) {
 			this.outbox.removeShown(this.fold);
 			settle();
 		}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionRunner.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -27,13 +28,19 @@
 
 	private final long intervalMillis;
 
+	private final long lingerMillis;
+
 	private final MillisClock clock;
 
-	private boolean scheduled;
+	private ScheduledFuture<?> next;
+
+	private long nextMillis;
 
-	private boolean moreArrived;
+	private long earliestMillis;
 
-	private long nextCycleMillis;
+	private long wantedMillis = Long.MAX_VALUE;
+
+	private boolean running;
 
 	private long backoffMillis = MIN_BACKOFF_MILLIS;
 
@@ -42,32 +49,43 @@
 	 * @param claims the claims of the partition
 	 * @param threads threads that run the cycles
 	 * @param intervalMillis least time between two cycles, in milliseconds
+	 * @param lingerMillis longest wait of a result for a claim, in milliseconds
 	 * @param clock the clock
 	 */
 	public PartitionRunner(PartitionClaims claims, ScheduledExecutorService threads, long intervalMillis,
-			MillisClock clock) {
+			long lingerMillis, MillisClock clock) {
 		this.claims = claims;
 		this.threads = threads;
 		this.intervalMillis = intervalMillis;
+		this.lingerMillis = lingerMillis;
 		this.clock = clock;
 	}
 
 	/**
-	 * Adds an attempt.
+	 * Adds an attempt for the next cycle.
 	 * @param attempt the attempt
 	 */
 	public void submit(ClaimAttempt attempt) {
 		this.claims.submit(attempt);
-		wake();
+		wakeWithin(0);
+	}
+
+	/**
+	 * Adds a release for the next cycle.
+	 * @param release the record
+	 */
+	public void submit(ClaimRecord.Release release) {
+		this.claims.submit(release);
+		wakeWithin(0);
 	}
 
 	/**
-	 * Adds a result or a release.
-	 * @param record the record
+	 * Adds a result, which may wait a little for a claim that shares its append.
+	 * @param result the record
 	 */
-	public void submit(ClaimRecord record) {
-		this.claims.submit(record);
-		wake();
+	public void submit(ClaimRecord.Result result) {
+		this.claims.submit(result);
+		wakeWithin(this.lingerMillis);
 	}
 
 	/**
@@ -78,50 +96,71 @@
 		return this.claims.hasUnsent();
 	}
 
-	private synchronized void wake() {
-		this.moreArrived = true;
-		if (!this.scheduled) {
-			schedule(Math.max(0, this.nextCycleMillis - this.clock.nowMillis()));
+	private synchronized void wakeWithin(long delayMillis) {
+		long atMillis = Math.max(this.clock.nowMillis() + delayMillis, this.earliestMillis);
+		if (this.running) {
+			this.wantedMillis = Math.min(this.wantedMillis, atMillis);
+		}
+		else if (this.next == null || atMillis < this.nextMillis) {
+			schedule(atMillis);
 		}
 	}
 
-	private synchronized void schedule(long delayMillis) {
+	private synchronized void schedule(long atMillis) {
+		if (this.next != null) {
+			this.next.cancel(false);
+		}
 		try {
-			this.scheduled = true;
-			this.threads.schedule(this::run, delayMillis, TimeUnit.MILLISECONDS);
+			this.nextMillis = atMillis;
+			long delayMillis = Math.max(0, atMillis - this.clock.nowMillis());
+			this.next = this.threads.schedule(this::run, delayMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (RejectedExecutionException ex) {
-			// The book is closed; attempts time out as not run.
-			this.scheduled = false;
+			Logger.debug("no more cycles: the book is closed");
 		}
 	}
 
 	private void run() {
-		synchronized (this) {
-			this.moreArrived = false;
+		if (!begin()) {
+			return;
 		}
+		CycleOutcome outcome = CycleOutcome.LOG_AWAY;
 		try {
-			next(this.claims.cycle());
+			outcome = this.claims.cycle();
 		}
 		catch (RuntimeException ex) {
 			Logger.error(ex, "cycle of a claim partition failed");
-			next(CycleOutcome.LOG_AWAY);
 		}
+		end(outcome);
+	}
+
+	private synchronized boolean begin() {
+		if (this.running) {
+			return false;
+		}
+		this.running = true;
+		this.next = null;
+		this.wantedMillis = Long.MAX_VALUE;
+		return true;
 	}
 
-	private synchronized void next(CycleOutcome outcome) {
+	private synchronized void end(CycleOutcome outcome) {
+		this.running = false;
+		long nowMillis = this.clock.nowMillis();
 		if (outcome == CycleOutcome.LOG_AWAY) {
-			long jitterMillis = ThreadLocalRandom.current().nextLong(this.backoffMillis);
-			schedule(this.backoffMillis / 2 + jitterMillis);
+			this.earliestMillis = nowMillis + this.backoffMillis / 2
+					+ ThreadLocalRandom.current().nextLong(this.backoffMillis);
 			this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
-			return;
 		}
-		this.backoffMillis = MIN_BACKOFF_MILLIS;
-		this.nextCycleMillis = this.clock.nowMillis() + this.intervalMillis;
-		boolean work = outcome == CycleOutcome.MORE || this.moreArrived;
-		this.scheduled = false;
-		if (work) {
-			schedule(this.intervalMillis);
+		else {
+			this.earliestMillis = nowMillis + this.intervalMillis;
+			this.backoffMillis = MIN_BACKOFF_MILLIS;
+		}
+		if (outcome != CycleOutcome.IDLE) {
+			schedule(this.earliestMillis);
+		}
+		else if (this.wantedMillis != Long.MAX_VALUE) {
+			schedule(Math.max(this.wantedMillis, this.earliestMillis));
 		}
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/ConfigurationParser.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/ConfigurationParser.java
@@ -18,7 +18,7 @@
 public final class ConfigurationParser {
 
 	/** Bound of a text, in bytes. */
-	public static final int MAX_TEXT_BYTES = 256 * 1024;
+	public static final int MAX_TEXT_BYTES = 128 * 1024;
 
 	private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/ConfigurationLogReader.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/internal/ConfigurationLogReader.java
@@ -19,7 +19,7 @@
  */
 public final class ConfigurationLogReader {
 
-	private static final int PAGE_RECORDS = 64;
+	private static final int PAGE_RECORDS = 16;
 
 	private final LogService log;
 
