Tell a refused connection from a broken one by the connection itself

The contract tests failed first: a plain service that cut the connection after its run was reported as 3013, which says not run, and a refused connection as 3014. The judgement had rested on the text of the exception, where a reset after the run also speaks of the connection. Now a call counts as not run only if its connection was never opened.

--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/engine/EngineBackendTests.java
@@ -0,0 +1,126 @@
+package org.marjoramgw.side.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.settings.TomlTable;
+import org.marjoramgw.side.backend.BackendRequest;
+import org.marjoramgw.side.backend.BackendRun;
+import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.standin.engine.EngineControl;
+import org.marjoramgw.standin.engine.EngineSettings;
+import org.marjoramgw.standin.engine.EngineStandin;
+import org.marjoramgw.standin.engine.Execution;
+import org.marjoramgw.wire.BackendCall;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Contract tests of {@link EngineBackend} against the engine stand-in.
+ *
+ * @author The marjoramgw authors
+ */
+public class EngineBackendTests {
+
+	private static final String PROMPT = "len=12 hello";
+
+	private static final int CRASH_AFTER_TOKENS = 4;
+
+	private static final long POLL_MILLIS = 20;
+
+	private static final int POLLS = 250;
+
+	private StandinSystem system;
+
+	private EngineStandin engine;
+
+	private EngineBackend backend;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.system = new StandinSystem();
+		this.engine = EngineStandin.start(this.system,
+				EngineSettings.read(TomlTable.ofText("test", "models = [\"m\"]\nbase_gap_us = 2000")));
+		this.backend = new EngineBackend(this.system.actors(), "http://" + this.engine.address());
+	}
+
+	@AfterMethod
+	public void stop() {
+		this.engine.close();
+		this.system.close();
+	}
+
+	@DataProvider
+	public Object[][] answers() {
+		return new Object[][] { { "whole", "m", PROMPT, 0, ResultCode.OK, 0, 12 },
+				{ "resumed after 5 tokens", "m", PROMPT, 5, ResultCode.OK, 5, 12 },
+				{ "unknown model", "other", PROMPT, 0, ResultCode.BACKEND_ERROR, 0, -1 },
+				{ "crash in the stream", "m", PROMPT, 0, ResultCode.BACKEND_BROKE_OFF, 0, -1 } };
+	}
+
+	@Test(dataProvider = "answers")
+	public void streams(String name, String model, String prompt, int heldTokens, ResultCode expected, int fromToken,
+			int toToken) throws Exception {
+		if (expected == ResultCode.BACKEND_BROKE_OFF) {
+			this.engine.control(new EngineControl(CRASH_AFTER_TOKENS, null, null));
+		}
+		AnswerRecorder answer = new AnswerRecorder();
+		String held = this.engine.answerTo(prompt).text(heldTokens);
+		this.backend.start(request(model, prompt, held), answer);
+		Assert.assertEquals(answer.await(), expected, name);
+		if (expected == ResultCode.BACKEND_BROKE_OFF) {
+			int tokens = this.engine.answerTo(prompt).tokensOf(answer.text());
+			Assert.assertTrue(tokens >= 0 && tokens <= CRASH_AFTER_TOKENS, name + ": whole tokens of a prefix");
+		}
+		if (toToken >= 0) {
+			Assert.assertEquals(held + answer.text(), this.engine.answerTo(prompt).text(toToken), name);
+		}
+	}
+
+	@Test
+	public void tellsARefusedConnectionFromABrokenOne() throws Exception {
+		this.engine.close();
+		AnswerRecorder answer = new AnswerRecorder();
+		this.backend.start(request("m", PROMPT, ""), answer);
+		Assert.assertEquals(answer.await(), ResultCode.BACKEND_UNREACHABLE);
+	}
+
+	@Test
+	public void cancelsAtTheEngine() throws Exception {
+		AnswerRecorder answer = new AnswerRecorder();
+		BackendRun run = this.backend.start(request("m", "len=5000 long", ""), answer);
+		answer.awaitFirstPart();
+		run.cancel();
+		for (int poll = 0; poll < POLLS && !isCancelled(); poll++) {
+			Thread.sleep(POLL_MILLIS);
+		}
+		Assert.assertTrue(isCancelled());
+		Assert.assertNull(answer.end(), "its listener hears no more");
+	}
+
+	@Test
+	public void refusesABodyThatIsNoJsonObject() throws Exception {
+		AnswerRecorder answer = new AnswerRecorder();
+		BackendCall call = new BackendCall("POST", "/", "application/json", "[1".getBytes(StandardCharsets.UTF_8), "",
+				true, "");
+		this.backend.start(new BackendRequest("r", "r", 1, call, ""), answer);
+		Assert.assertEquals(answer.await(), ResultCode.MALFORMED_REQUEST);
+	}
+
+	private boolean isCancelled() {
+		List<Execution> executions = this.engine.executions();
+		return executions.size() == 1 && Execution.CANCELLED.equals(executions.get(0).state());
+	}
+
+	private static BackendRequest request(String model, String prompt, String continueFrom) {
+		String body = "{\"model\":\"" + model + "\",\"messages\":[{\"role\":\"user\",\"content\":\"" + prompt + "\"}]}";
+		BackendCall call = new BackendCall("POST", "/", "application/json", body.getBytes(StandardCharsets.UTF_8), "",
+				true, "");
+		return new BackendRequest("r", "r", 1, call, continueFrom);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the engine's client.
+ */
+package org.marjoramgw.side.engine;
--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/entry/EntryConnectionsTests.java
@@ -0,0 +1,171 @@
+package org.marjoramgw.side.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.marjoramgw.ManualMillisClock;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.Configuration;
+import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.side.scheduler.SchedulerCommand;
+import org.marjoramgw.transport.Connection;
+import org.marjoramgw.transport.ConnectionHandler;
+import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.MessageCodec;
+import org.marjoramgw.wire.PeerIdentity;
+import org.marjoramgw.wire.PeerStatus;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Contract tests of {@link EntryConnections}: greeting, heartbeats, silence, revisions.
+ *
+ * @author The marjoramgw authors
+ */
+public class EntryConnectionsTests implements Connection, ConfigurationSource {
+
+	private static final String TOKEN = "token";
+
+	private static final PeerIdentity ENTRY = new PeerIdentity("entry", "entry", "dal-a", 7, "");
+
+	private static final PeerStatus IDLE = new PeerStatus(5, false, 0, 0, 0);
+
+	private final ManualMillisClock clock = new ManualMillisClock(1_000);
+
+	private final List<Message> sent = new ArrayList<>();
+
+	private final List<SchedulerCommand> told = new ArrayList<>();
+
+	private final List<Message.ConfigText> offered = new ArrayList<>();
+
+	private boolean closed;
+
+	private EntryConnections connections;
+
+	private ConnectionHandler handler;
+
+	@BeforeMethod
+	public void connect() {
+		this.sent.clear();
+		this.told.clear();
+		this.offered.clear();
+		this.closed = false;
+		this.connections = new EntryConnections(this.clock, new PeerIdentity("side", "side", "dal-a", 1, "pool"), TOKEN,
+				new HeartbeatRhythm(250, 1_000, 1_000), () -> IDLE, this, this.told::add);
+		this.handler = this.connections.accept(this);
+	}
+
+	@DataProvider
+	public Object[][] greetings() {
+		return new Object[][] { { "good", new Message.Hello(MessageCodec.VERSION, TOKEN, ENTRY, IDLE), null },
+				{ "wrong token", new Message.Hello(MessageCodec.VERSION, "x", ENTRY, IDLE), ResultCode.BAD_TOKEN },
+				{ "wrong version", new Message.Hello(99, TOKEN, ENTRY, IDLE), ResultCode.BAD_VERSION },
+				{ "none", new Message.Cancel("r", 1), ResultCode.BAD_TOKEN } };
+	}
+
+	@Test(dataProvider = "greetings")
+	public void greets(String name, Message first, ResultCode refusal) {
+		this.handler.onMessage(first);
+		this.handler.onMessage(new Message.Cancel("r", 1));
+		if (refusal == null) {
+			Assert.assertTrue(this.sent.get(0) instanceof Message.Hello, name);
+			Assert.assertEquals(this.told.size(), 2, name + ": connected, then the message");
+		}
+		else {
+			Assert.assertEquals(this.sent, List.of(new Message.Goodbye(refusal.number())), name);
+			Assert.assertEquals(this.told, List.of(), name + ": nothing passes");
+		}
+		Assert.assertEquals(this.closed, refusal != null, name);
+	}
+
+	@Test
+	public void dropsASilentEntryAndTellsOnce() {
+		greet();
+		this.clock.advanceMillis(900);
+		this.connections.beat(false);
+		Assert.assertFalse(this.closed);
+		this.clock.advanceMillis(2_300);
+		this.connections.beat(false);
+		Assert.assertTrue(this.closed);
+		this.handler.onClosed(ResultCode.PEER_CLOSED);
+		long gone = this.told.stream().filter(SchedulerCommand.EntryGone.class::isInstance).count();
+		Assert.assertEquals(gone, 1);
+	}
+
+	@Test
+	public void keepsAnIdleEntryThatBeatsAtTheIdleRhythm() {
+		greet();
+		for (int beat = 0; beat < 4; beat++) {
+			this.clock.advanceMillis(1_250);
+			this.connections.beat(false);
+			this.handler.onMessage(new Message.Heartbeat(IDLE));
+		}
+		Assert.assertFalse(this.closed);
+		this.clock.advanceMillis(1_200);
+		this.handler.onMessage(new Message.Cancel("r", 1));
+		Assert.assertTrue(this.sent.get(this.sent.size() - 1) instanceof Message.Heartbeat,
+				"work after idleness is answered at once");
+		this.clock.advanceMillis(500);
+		this.connections.beat(false);
+		Assert.assertFalse(this.closed);
+		this.clock.advanceMillis(501);
+		this.handler.onMessage(new Message.Cancel("q", 1));
+		this.clock.advanceMillis(1_001);
+		this.connections.beat(false);
+		Assert.assertFalse(this.closed, "idle again");
+	}
+
+	@Test
+	public void exchangesRevisions() {
+		greet();
+		this.handler.onMessage(new Message.Heartbeat(new PeerStatus(9, false, 0, 0, 0)));
+		Assert.assertEquals(this.sent.get(this.sent.size() - 1), new Message.ConfigFetch(5));
+		Message.ConfigText newer = new Message.ConfigText(9, 1, "text");
+		this.handler.onMessage(newer);
+		Assert.assertEquals(this.offered, List.of(newer));
+		this.handler.onMessage(new Message.ConfigFetch(4));
+		Assert.assertEquals(this.sent.get(this.sent.size() - 1), currentText().orElseThrow());
+		int count = this.sent.size();
+		this.handler.onMessage(new Message.ConfigFetch(5));
+		Assert.assertEquals(this.sent.size(), count, "the peer has it");
+	}
+
+	private void greet() {
+		this.handler.onMessage(new Message.Hello(MessageCodec.VERSION, TOKEN, ENTRY, IDLE));
+	}
+
+	@Override
+	public void send(Message message) {
+		this.sent.add(message);
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+	}
+
+	@Override
+	public Optional<Configuration> current() {
+		return Optional.empty();
+	}
+
+	@Override
+	public Optional<Message.ConfigText> currentText() {
+		return Optional.of(new Message.ConfigText(5, 1, "own"));
+	}
+
+	@Override
+	public void offerFromPeer(Message.ConfigText text) {
+		this.offered.add(text);
+	}
+
+	@Override
+	public void listen(Consumer<Configuration> listener) {
+		// not used
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the connections of entries.
+ */
+package org.marjoramgw.side.entry;
--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/plainservice/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the plain service's client.
+ */
+package org.marjoramgw.side.plainservice;
--- /dev/null
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of reservations, grants, runs and answers.
+ */
+package org.marjoramgw.side.scheduler;
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/backend/BackendAddress.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/backend/BackendAddress.java
@@ -1,14 +1,17 @@
 package org.marjoramgw.side.backend;
 
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.ConnectHttp;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.OutgoingConnection;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.japi.Pair;
 import org.apache.pekko.stream.SharedKillSwitch;
-import org.apache.pekko.stream.StreamTcpException;
+import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.marjoramgw.ResultCode;
@@ -41,29 +44,44 @@
 	 * Sends a request.
 	 * @param request the request with a path alone as its URI
 	 * @param killSwitch closes the connection when it is aborted
-	 * @return completes with the head of the answer
+	 * @return the call under way
 	 */
-	public CompletionStage<HttpResponse> send(HttpRequest request, SharedKillSwitch killSwitch) {
-		return Source.single(request)
+	public Sent send(HttpRequest request, SharedKillSwitch killSwitch) {
+		Pair<CompletionStage<OutgoingConnection>, CompletionStage<HttpResponse>> started = Source.single(request)
 			.via(killSwitch.flow())
-			.via(Http.get(this.system).outgoingConnection(this.target))
-			.runWith(Sink.head(), this.system);
+			.viaMat(Http.get(this.system).outgoingConnection(this.target), Keep.right())
+			.toMat(Sink.head(), Keep.both())
+			.run(this.system);
+		return new Sent(started.first(), started.second());
 	}
 
 	/**
-	 * Tells what a failure of {@link #send} says about the call.
-	 * @param failure the failure
-	 * @return {@link ResultCode#BACKEND_UNREACHABLE} if nothing was sent, else
-	 * {@link ResultCode#BACKEND_BROKE_OFF}
+	 * Call under way.
+	 *
+	 * @param connection completes once the connection is open, and fails if it can't be
+	 * opened
+	 * @param response completes with the head of the answer
 	 */
-	public static ResultCode codeOf(Throwable failure) {
-		Throwable cause = failure;
-		while (cause instanceof java.util.concurrent.CompletionException && cause.getCause() != null) {
-			cause = cause.getCause();
+	public record Sent(CompletionStage<OutgoingConnection> connection, CompletionStage<HttpResponse> response) {
+
+		/**
+		 * Handles the head of the answer, or the failure to get one.
+		 * @param onResponse takes the answer
+		 * @param onFailure takes {@link ResultCode#BACKEND_UNREACHABLE} if no connection
+		 * was opened, so that nothing was sent, else {@link ResultCode#BACKEND_BROKE_OFF}
+		 */
+		public void handle(Consumer<HttpResponse> onResponse, Consumer<ResultCode> onFailure) {
+			this.response.whenComplete((head, failure) -> {
+				if (failure == null) {
+					onResponse.accept(head);
+				}
+				else {
+					this.connection.whenComplete((open, refused) -> onFailure
+						.accept((refused != null) ? ResultCode.BACKEND_UNREACHABLE : ResultCode.BACKEND_BROKE_OFF));
+				}
+			});
 		}
-		boolean connectFailed = cause instanceof StreamTcpException
-				&& String.valueOf(cause.getMessage()).contains("connect");
-		return connectFailed ? ResultCode.BACKEND_UNREACHABLE : ResultCode.BACKEND_BROKE_OFF;
+
 	}
 
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineBackend.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineBackend.java
@@ -1,13 +1,10 @@
 package org.marjoramgw.side.engine;
 
-import java.util.concurrent.CompletionStage;
-
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.KillSwitches;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.side.backend.Backend;
@@ -49,7 +46,7 @@
 		try {
 			HttpRequest chat = HttpRequest.POST(CHAT_PATH)
 				.withEntity(ContentTypes.APPLICATION_JSON, this.json.chatBody(request));
-			this.address.send(chat, stream.killSwitch()).whenComplete(stream::onResponse);
+			this.address.send(chat, stream.killSwitch()).handle(stream::onResponse, stream::fail);
 		}
 		catch (JsonProcessingException ex) {
 			listener.onFailure(ResultCode.MALFORMED_REQUEST);
@@ -62,8 +59,9 @@
 
 	private void cancelAtEngine(String executionId) {
 		HttpRequest cancel = HttpRequest.create(REQUESTS_PATH + executionId).withMethod(HttpMethods.DELETE);
-		CompletionStage<HttpResponse> sent = this.address.send(cancel, KillSwitches.shared(executionId));
-		sent.thenAccept((response) -> response.discardEntityBytes(this.system));
+		this.address.send(cancel, KillSwitches.shared(executionId))
+			.response()
+			.thenAccept((response) -> response.discardEntityBytes(this.system));
 	}
 
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
@@ -14,7 +14,6 @@
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.javadsl.Source;
 import org.marjoramgw.ResultCode;
-import org.marjoramgw.side.backend.BackendAddress;
 import org.marjoramgw.side.backend.BackendEnd;
 import org.marjoramgw.side.backend.BackendListener;
 
@@ -74,19 +73,26 @@
 	}
 
 	/**
-	 * Receives the head of the answer, or the failure to get one.
-	 * @param response the answer, or {@code null}
-	 * @param failure the failure, or {@code null}
+	 * Receives the head of the answer.
+	 * @param response the answer
 	 */
-	void onResponse(HttpResponse response, Throwable failure) {
-		if (failure != null) {
-			fail(BackendAddress.codeOf(failure));
+	void onResponse(HttpResponse response) {
+		if (response.status().intValue() == OK) {
+			read(response);
 		}
-		else if (response.status().intValue() != OK) {
+		else {
 			onErrorStatus(response);
 		}
-		else {
-			read(response);
+	}
+
+	/**
+	 * Ends without a whole answer.
+	 * @param code why
+	 */
+	void fail(ResultCode code) {
+		if (!this.over) {
+			this.over = true;
+			this.listener.onFailure(code);
 		}
 	}
 
@@ -148,11 +154,4 @@
 			});
 	}
 
-	private void fail(ResultCode code) {
-		if (!this.over) {
-			this.over = true;
-			this.listener.onFailure(code);
-		}
-	}
-
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
@@ -110,7 +110,7 @@
 		this.connections.forEach(EntryConnection::close);
 	}
 
-	private void beat(boolean atOnce) {
+	void beat(boolean atOnce) {
 		PeerStatus now = this.status.get();
 		this.connections.forEach((connection) -> connection.beat(now, atOnce));
 	}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
@@ -63,12 +63,9 @@
 			return () -> over.set(true);
 		}
 		SharedKillSwitch killSwitch = KillSwitches.shared(request.executionId());
-		this.address.send(call.get(), killSwitch).whenComplete((response, failure) -> {
-			if (failure == null) {
-				read(response, listener, over);
-			}
-			else if (over.compareAndSet(false, true)) {
-				listener.onFailure(BackendAddress.codeOf(failure));
+		this.address.send(call.get(), killSwitch).handle((response) -> read(response, listener, over), (code) -> {
+			if (over.compareAndSet(false, true)) {
+				listener.onFailure(code);
 			}
 		});
 		return () -> {
