Start the logging library before the actor system

Each command and program printed a warning of SLF4J, since Pekko's threads started it side by side. The capacity text keeps to the parser's bound of the completion target; with the old value no configuration came in force and the queue measurement measured refusals.

--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Platform.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Platform.java
@@ -8,6 +8,7 @@
 import org.marjoramgw.log.LogService;
 import org.marjoramgw.vmlist.HttpVmList;
 import org.marjoramgw.vmlist.VmList;
+import org.slf4j.LoggerFactory;
 
 /**
  * Access to the platform and to the processes for the length of one command.
@@ -31,6 +32,8 @@
 	 */
 	public Platform(CommonOptions options) throws InvalidTextException {
 		this.settings = options.settings();
+		// Pekko's threads would start the logging library side by side and warn about it.
+		LoggerFactory.getILoggerFactory();
 		this.system = ActorSystem.create(Behaviors.empty(), "marjoramgw");
 	}
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/QueueMemoryMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/QueueMemoryMeasurement.java
@@ -16,7 +16,7 @@
 
 	private static final int[] RESERVATION_COUNTS = { 0, 2_000, 4_000, 8_000 };
 
-	private static final long HOUR_MILLIS = 3_500_000;
+	private static final long LONG_MILLIS = 590_000;
 
 	private static final long SETTLE_MILLIS = 2_000;
 
@@ -59,7 +59,7 @@
 
 	private static void reserve(FakeLink link, int number) throws InterruptedException {
 		link.send(new Message.Reserve("00000000-0000-0000-0000-%012d".formatted(number), 1, "chat", CapacityText.MODEL,
-				CapacityText.CLASS, CapacityText.ACCOUNT, HOUR_MILLIS, HOUR_MILLIS, 100));
+				CapacityText.CLASS, CapacityText.ACCOUNT, LONG_MILLIS, LONG_MILLIS, 100));
 		if (number % BURST_COUNT == 0) {
 			Thread.sleep(BURST_PAUSE_MILLIS);
 		}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/program/Program.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/Program.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.settings.TomlTable;
+import org.slf4j.LoggerFactory;
 
 /**
  * Frame of a long-running program: options, settings and exit codes.
@@ -58,6 +59,9 @@
 			return ExitCode.USAGE;
 		}
 		try {
+			// Pekko's threads would start the logging library side by side and warn about
+			// it.
+			LoggerFactory.getILoggerFactory();
 			this.starter.start(TomlTable.ofFile(options.config()));
 			return ExitCode.OK;
 		}
