Compare variants in series on one deployment

Each run on a deployment of its own spends half a minute of a busy machine on starting fourteen Java processes, and measures cold code. A series starts once and lets the variants take turns by publishing their limits, so that all meet the same warm processes; it prints medians and ranges over the seeds.

--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
@@ -93,6 +93,7 @@
 	private static Map<String, LoadCommand> commands() {
 		Map<String, LoadCommand> commands = new LinkedHashMap<>();
 		commands.put("run", new RunCommand());
+		commands.put("series", new SeriesCommand());
 		commands.put("compare", new CompareCommand());
 		commands.put("plot", new PlotCommand());
 		commands.put("demo", new DemoCommand());
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Series.java
@@ -0,0 +1,15 @@
+package org.marjoramgw.load.experiment;
+
+import java.util.List;
+
+/**
+ * Series of runs that compares variants on the same experiments and seeds.
+ *
+ * @param name its name
+ * @param experiments the experiments, all on the same deployment
+ * @param variants the variants; they take turns
+ * @param seedCount number of seeds, from 1 on
+ * @author The marjoramgw authors
+ */
+public record Series(String name, List<Experiment> experiments, List<Variant> variants, int seedCount) {
+}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/CounterReader.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/CounterReader.java
@@ -22,13 +22,26 @@
 
 	private final StandinProcess http;
 
-	CounterReader(StandinProcess http) {
+	private final Collection<ManagedProcess> processes;
+
+	private final Map<Integer, Long> countsAtCreation;
+
+	CounterReader(StandinProcess http, Collection<ManagedProcess> processes) {
 		this.http = http;
+		this.processes = processes;
+		this.countsAtCreation = sum();
+	}
+
+	Map<Integer, Long> sinceCreation() {
+		Map<Integer, Long> counts = sum();
+		this.countsAtCreation.forEach((number, count) -> counts.merge(number, -count, Long::sum));
+		counts.values().removeIf((count) -> count <= 0);
+		return counts;
 	}
 
-	Map<Integer, Long> sum(Collection<ManagedProcess> processes) {
+	private Map<Integer, Long> sum() {
 		Map<Integer, Long> counts = new TreeMap<>();
-		for (ManagedProcess process : processes) {
+		for (ManagedProcess process : this.processes) {
 			add(process, counts);
 		}
 		return counts;
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.HdrHistogram.Histogram;
@@ -41,7 +43,9 @@
 
 	private static final long BODY_TIMEOUT_MILLIS = 180_000;
 
-	private static final long WARM_UP_MILLIS = 3_000;
+	private static final long WARM_UP_MILLIS = 2_000;
+
+	private static final long WARM_UP_SETTLE_MILLIS = 10_000;
 
 	private static final long START_DELAY_MILLIS = 200;
 
@@ -98,37 +102,39 @@
 	}
 
 	/**
-	 * Runs an experiment on a running deployment.
+	 * Runs an experiment on a running deployment in which its configuration is in force.
 	 * @param experiment the experiment
 	 * @param deployment the deployment
 	 * @return the measures
+	 * @throws IOException if the configuration text can't be read
 	 * @throws InvalidTextException if the configuration text has mistakes
 	 * @throws RigException if the deployment can't be controlled
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public ExperimentResult run(Experiment experiment, Deployment deployment)
-			throws InvalidTextException, RigException, InterruptedException {
-		Configuration configuration = new ConfigurationParser().parse(experiment.name(), 1,
-				deployment.plan().configurationText());
+			throws IOException, InvalidTextException, RigException, InterruptedException {
+		String text = new ConfigurationText().of(experiment);
+		Configuration configuration = new ConfigurationParser().parse(experiment.name(), 1, text);
 		RequestCaller caller = new RequestCaller(this.system, BODY_TIMEOUT_MILLIS);
 		List<HostPort> entries = deployment.entries().stream().map((entry) -> entry.address("http")).toList();
 		List<Arrival> arrivals = schedule(experiment, configuration);
-		warmUp(arrivals, caller, entries);
+		Set<String> warmUp = warmUp(arrivals, caller, entries);
+		CounterReader entryCounters = new CounterReader(deployment.standins(), deployment.entries());
+		CounterReader sideCounters = new CounterReader(deployment.standins(), deployment.sides());
 		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false);
 				FaultTimer faults = new FaultTimer(deployment.standins())) {
 			long startMillis = this.clock.nowMillis() + START_DELAY_MILLIS;
 			faults.schedule(experiment.faults());
 			List<RequestRecord> requests = driver.run(arrivals, startMillis, experiment.settleMillis());
-			List<EngineExecution> executions = executions(deployment, startMillis);
+			List<EngineExecution> executions = executions(deployment, startMillis, warmUp);
 			ResultBuilder builder = new ResultBuilder(experiment, configuration, arrivals, requests, startMillis);
 			List<ClassResult> classes = builder.classes(driver.gaps(), executions, this.clock.nowMillis());
-			CounterReader counters = new CounterReader(deployment.standins());
 			Percentiles direct = experiment.direct() ? direct(experiment, deployment, arrivals, caller) : null;
 			return new ExperimentResult(experiment.name(), experiment.deployment().name(), experiment.seed(),
 					experiment.limits(), experiment.windowMillis(), experiment.minWindowRequests(),
 					experiment.durationMillis(), ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
-					classes, builder.work(executions), errorCodes(requests), counters.sum(deployment.entries()),
-					counters.sum(deployment.sides()), requests.stream().filter(RequestRecord::misdelivered).count(),
+					classes, builder.work(executions), errorCodes(requests), entryCounters.sinceCreation(),
+					sideCounters.sinceCreation(), requests.stream().filter(RequestRecord::misdelivered).count(),
 					builder.windows(), direct);
 		}
 	}
@@ -141,14 +147,15 @@
 		return new ArrivalSchedule(experiment, weights).draw();
 	}
 
-	private void warmUp(List<Arrival> arrivals, RequestCaller caller, List<HostPort> entries)
+	private Set<String> warmUp(List<Arrival> arrivals, RequestCaller caller, List<HostPort> entries)
 			throws InterruptedException {
 		// Unmeasured, so that the processes have loaded their code when the first phase
 		// begins.
 		List<Arrival> first = arrivals.stream().filter((arrival) -> arrival.atMillis() < WARM_UP_MILLIS).toList();
 		List<Arrival> warm = first.stream().map((arrival) -> renamed(arrival, "-warm")).toList();
 		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false)) {
-			driver.run(warm, this.clock.nowMillis(), WARM_UP_MILLIS);
+			List<RequestRecord> requests = driver.run(warm, this.clock.nowMillis(), WARM_UP_SETTLE_MILLIS);
+			return requests.stream().map(RequestRecord::requestId).collect(Collectors.toSet());
 		}
 	}
 
@@ -179,7 +186,8 @@
 				arrival.text() + suffix);
 	}
 
-	private static List<EngineExecution> executions(Deployment deployment, long startMillis) throws RigException {
+	private static List<EngineExecution> executions(Deployment deployment, long startMillis, Set<String> excluded)
+			throws RigException {
 		List<EngineExecution> executions = new ArrayList<>();
 		for (BackendPlan backend : deployment.plan().backends()) {
 			if (backend.kind() == ServiceKind.MODEL) {
@@ -189,6 +197,7 @@
 			}
 		}
 		executions.removeIf((execution) -> execution.startedMillis() < startMillis);
+		executions.removeIf((execution) -> excluded.contains(execution.requestId()));
 		executions.sort(Comparator.comparingLong(EngineExecution::startedMillis));
 		return executions;
 	}
--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
@@ -0,0 +1,78 @@
+package org.marjoramgw.load.measure;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.load.experiment.ConfigurationText;
+import org.marjoramgw.load.experiment.Experiment;
+import org.marjoramgw.load.experiment.Series;
+import org.marjoramgw.load.experiment.Variant;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.RigException;
+
+/**
+ * Runner of series: one deployment, in which the variants take turns by publishing their
+ * configurations, so that all runs meet warm processes and the same machine.
+ *
+ * @author The marjoramgw authors
+ */
+public final class SeriesRunner {
+
+	private final ExperimentRunner runner;
+
+	private final ActorSystem<?> system;
+
+	/**
+	 * Creates a runner.
+	 * @param runner runner of the single runs
+	 * @param system actor system of the HTTP calls
+	 */
+	public SeriesRunner(ExperimentRunner runner, ActorSystem<?> system) {
+		this.runner = runner;
+		this.system = system;
+	}
+
+	/**
+	 * Runs a series.
+	 * @param series the series
+	 * @param listener called after each run
+	 * @return all runs
+	 * @throws IOException if a configuration text can't be read
+	 * @throws InvalidTextException if a configuration text has mistakes
+	 * @throws RigException if the deployment can't be started or controlled
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public List<SeriesRun> run(Series series, Consumer<SeriesRun> listener)
+			throws IOException, InvalidTextException, RigException, InterruptedException {
+		List<SeriesRun> runs = new ArrayList<>();
+		Experiment first = series.experiments().get(0);
+		try (Deployment deployment = Deployment.start(this.runner.plan(first), this.system)) {
+			for (int seed = 1; seed <= series.seedCount(); seed++) {
+				for (Experiment experiment : series.experiments()) {
+					for (Variant variant : series.variants()) {
+						SeriesRun run = run(experiment.withSeed(seed), variant, deployment);
+						runs.add(run);
+						listener.accept(run);
+					}
+				}
+			}
+		}
+		return runs;
+	}
+
+	private SeriesRun run(Experiment experiment, Variant variant, Deployment deployment)
+			throws IOException, InvalidTextException, RigException, InterruptedException {
+		Map<String, Object> limits = new LinkedHashMap<>(experiment.limits());
+		limits.putAll(variant.limits());
+		Experiment varied = experiment.withLimits(limits);
+		deployment.publish(new ConfigurationText().of(varied));
+		return new SeriesRun(variant.name(), this.runner.run(varied, deployment));
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ConfigurationControl.java
@@ -0,0 +1,91 @@
+package org.marjoramgw.rig;
+
+import java.util.Collection;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.config.ConfigurationPublisher;
+import org.marjoramgw.config.PublishVerdict;
+import org.marjoramgw.errors.HttpCallException;
+import org.marjoramgw.errors.LogUnavailableException;
+import org.marjoramgw.http.HttpCaller;
+import org.marjoramgw.log.HttpLogService;
+import org.marjoramgw.operator.OperatorJson;
+import org.marjoramgw.operator.ProcessReport;
+
+/**
+ * Publisher of a deployment's configuration that can wait until it is in force.
+ *
+ * @author The marjoramgw authors
+ */
+final class ConfigurationControl {
+
+	private static final long CALL_TIMEOUT_MILLIS = 5_000;
+
+	private static final long IN_FORCE_TIMEOUT_MILLIS = 20_000;
+
+	private static final long POLL_MILLIS = 50;
+
+	private static final String OPERATOR = "rig";
+
+	private final ActorSystem<?> system;
+
+	private long revision;
+
+	ConfigurationControl(ActorSystem<?> system) {
+		this.system = system;
+	}
+
+	void publish(HostPort log, String text) throws RigException {
+		HttpLogService service = new HttpLogService(new HttpCaller(this.system, CALL_TIMEOUT_MILLIS, ""),
+				"http://" + log);
+		ConfigurationPublisher publisher = new ConfigurationPublisher(service, new SystemMillisClock(),
+				CALL_TIMEOUT_MILLIS);
+		try {
+			PublishVerdict verdict = publisher.publish(text, this.revision, OPERATOR);
+			if (!(verdict instanceof PublishVerdict.Accepted accepted)) {
+				throw new RigException("configuration isn't accepted: " + verdict, null);
+			}
+			this.revision = accepted.revision();
+		}
+		catch (LogUnavailableException ex) {
+			throw new RigException("configuration can't be published", ex);
+		}
+	}
+
+	void awaitInForce(Collection<ManagedProcess> processes) throws RigException {
+		HttpCaller operator = new HttpCaller(this.system, CALL_TIMEOUT_MILLIS, Deployment.OPERATOR_TOKEN);
+		long deadlineNanos = System.nanoTime() + IN_FORCE_TIMEOUT_MILLIS * 1_000_000;
+		for (ManagedProcess process : processes) {
+			while (revisionOf(process, operator) < this.revision) {
+				if (System.nanoTime() > deadlineNanos) {
+					throw new RigException("revision " + this.revision + " isn't in force at " + process.name(), null);
+				}
+				pause();
+			}
+		}
+	}
+
+	private static long revisionOf(ManagedProcess process, HttpCaller operator) {
+		try {
+			String body = operator.get("http://" + process.address("http") + "/operator/status").body();
+			return OperatorJson.newMapper().readValue(body, ProcessReport.class).status().configRevision();
+		}
+		catch (HttpCallException | JsonProcessingException ex) {
+			return -1;
+		}
+	}
+
+	private static void pause() throws RigException {
+		try {
+			Thread.sleep(POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new RigException("interrupted", ex);
+		}
+	}
+
+}
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Deployment.java
@@ -48,6 +48,8 @@
 
 	private final JavaCommand java;
 
+	private final ConfigurationControl configuration;
+
 	private final Map<String, ManagedProcess> entries = new LinkedHashMap<>();
 
 	private final Map<String, ManagedProcess> sides = new LinkedHashMap<>();
@@ -60,6 +62,7 @@
 		this.java = new JavaCommand();
 		this.standins = new StandinProcess(plan, this.java, this.directory, system);
 		this.settings = new SettingsWriter(plan, this.standins);
+		this.configuration = new ConfigurationControl(system);
 		Runtime.getRuntime().addShutdownHook(this.shutdownHook);
 	}
 
@@ -132,6 +135,17 @@
 		return this.plan;
 	}
 
+	/**
+	 * Publishes a text and waits until it is in force in every process.
+	 * @param text the operators' text
+	 * @throws RigException if it isn't accepted or not in force in time
+	 */
+	public void publish(String text) throws RigException {
+		this.configuration.publish(this.standins.address(StandinProcess.LOG), text);
+		this.configuration.awaitInForce(this.entries.values());
+		this.configuration.awaitInForce(this.sides.values());
+	}
+
 	/**
 	 * Starts one more entry and adds it to the VM list.
 	 * @param entry the entry
@@ -181,7 +195,7 @@
 	private void startAll() throws RigException {
 		this.standins.start();
 		if (!this.plan.configurationText().isEmpty()) {
-			this.standins.publish(this.plan.configurationText());
+			this.configuration.publish(this.standins.address(StandinProcess.LOG), this.plan.configurationText());
 		}
 		for (BackendPlan backend : this.plan.backends()) {
 			launchSide(backend);
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/SettingsWriter.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/SettingsWriter.java
@@ -13,7 +13,7 @@
  */
 final class SettingsWriter {
 
-	private static final String PEER_TOKEN = "rig-peer-token";
+	static final String PEER_TOKEN = "rig-peer-token";
 
 	private static final String ANY_PORT = "127.0.0.1:0";
 
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/StandinProcess.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/StandinProcess.java
@@ -170,10 +170,6 @@
 		this.process.awaitReady();
 	}
 
-	void publish(String text) throws RigException {
-		new FirstRevision(this.http, address(LOG)).publish(text);
-	}
-
 	void awaitHealthy(HostPort entry) throws RigException {
 		long deadlineNanos = System.nanoTime() + HEALTHY_TIMEOUT_MILLIS * 1_000_000;
 		while (!isHealthy(entry)) {
