--- /dev/null
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/experiment/ExperimentFilesTests.java
@@ -0,0 +1,81 @@
+package org.marjoramgw.load.experiment;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.marjoramgw.config.Configuration;
+import org.marjoramgw.config.ConfigurationParser;
+import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.rig.BackendPlan;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests that the experiments of the repository are whole.
+ *
+ * @author The marjoramgw authors
+ */
+public class ExperimentFilesTests {
+
+	private static final Path DIRECTORY = Path.of(System.getProperty("repository.root"), "experiments");
+
+	@DataProvider
+	public Object[][] experiments() throws IOException {
+		try (Stream<Path> files = Files.list(DIRECTORY)) {
+			return files.filter((file) -> file.toString().endsWith(".toml"))
+				.map((file) -> new Object[] { file })
+				.toArray(Object[][]::new);
+		}
+	}
+
+	@Test(dataProvider = "experiments")
+	public void experimentFitsItsDeployment(Path file) throws IOException, InvalidTextException {
+		Experiment experiment = new ExperimentParser().parse(file);
+		String text = new ConfigurationText().of(experiment);
+		Configuration configuration = new ConfigurationParser().parse(file.toString(), 1, text);
+		for (ClassLoad load : experiment.deployment().classLoads().values()) {
+			Assert.assertTrue(configuration.classes().containsKey(load.requestClass()), load.requestClass());
+			boolean served = load.isChat() ? configuration.serviceOfModel(load.model()).isPresent()
+					: configuration.services().containsKey(load.service());
+			Assert.assertTrue(served, load.requestClass());
+		}
+		for (Phase phase : experiment.phases()) {
+			phase.classPercent()
+				.keySet()
+				.forEach((name) -> Assert.assertTrue(configuration.classes().containsKey(name), name));
+			Assert.assertTrue(
+					phase.floodAccount().isEmpty() || configuration.accounts().containsKey(phase.floodAccount()));
+		}
+		List<String> standins = experiment.deployment().backends().stream().map(BackendPlan::standinName).toList();
+		experiment.faults()
+			.forEach((fault) -> Assert.assertTrue(standins.contains(fault.standin()) || "log".equals(fault.standin()),
+					fault.standin()));
+	}
+
+	@Test
+	public void seriesReadTheirExperiments() throws InvalidTextException {
+		Series series = new SeriesParser().parse(DIRECTORY.resolve("series").resolve("baselines.toml"));
+		Assert.assertTrue(series.variants().size() >= 4);
+		Assert.assertTrue(series.seedCount() >= 3);
+	}
+
+	@Test
+	public void replacedKeysLeaveTheOthers() throws IOException, InvalidTextException {
+		Experiment experiment = new ExperimentParser().parse(DIRECTORY.resolve("capacity.toml"))
+			.withLimits(Map.of("selector", "random", "candidate_count", 2));
+		ConfigurationParser parser = new ConfigurationParser();
+		Configuration plain = parser.parse("plain", 1, Files.readString(experiment.deployment().configurationFile()));
+		Configuration changed = parser.parse("changed", 1, new ConfigurationText().of(experiment));
+		Assert.assertEquals(changed.limits().selector(), "random");
+		Assert.assertEquals(changed.limits().candidateCount(), 2);
+		Assert.assertEquals(changed.limits().slotCount(), plain.limits().slotCount());
+		Assert.assertEquals(changed.classes(), plain.classes());
+		Assert.assertEquals(changed.rules(), plain.rules());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the load tool.
+ */
+package org.marjoramgw.load;
--- /dev/null
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
@@ -0,0 +1,75 @@
+package org.marjoramgw.load.report;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+import org.marjoramgw.load.measure.ClassResult;
+import org.marjoramgw.load.measure.ExperimentResult;
+import org.marjoramgw.load.measure.Percentiles;
+import org.marjoramgw.load.measure.SeriesRun;
+import org.marjoramgw.load.measure.WindowResult;
+import org.marjoramgw.load.measure.WorkResult;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Tests of the outputs.
+ *
+ * @author The marjoramgw authors
+ */
+public class ReportTests {
+
+	@Test
+	public void resultFileIsReadBackAsWritten() throws IOException {
+		Path path = Files.createTempFile("result", ".json");
+		ExperimentResult result = result(1, 90);
+		new ResultFile(path).write(result);
+		Assert.assertEquals(new ResultFile(path).read(), result);
+		Files.delete(path);
+	}
+
+	@Test
+	public void chartsAreDrawn() throws IOException {
+		Path directory = Files.createTempDirectory("charts");
+		for (String name : List.of("a.png", "b.svg")) {
+			Path path = directory.resolve(name);
+			new ResultChart(result(1, 90)).write(path);
+			Assert.assertTrue(Files.size(path) > 0);
+		}
+		for (String name : List.of("a.png", "b.svg", "b-wait.svg")) {
+			Files.delete(directory.resolve(name));
+		}
+		Files.delete(directory);
+	}
+
+	@Test
+	public void tablesNameWindowAndClasses() {
+		String table = new ResultTable().of(result(1, 90));
+		Assert.assertTrue(table.contains("worst window of 10 s with at least 5 requests"), table);
+		Assert.assertTrue(table.contains("fast"), table);
+		String comparison = new ComparisonTable().of(result(1, 90), result(2, 80));
+		Assert.assertTrue(comparison.contains("-10.0"), comparison);
+	}
+
+	@Test
+	public void seriesGivesMedianAndRange() {
+		List<SeriesRun> runs = List.of(new SeriesRun("a", result(1, 90)), new SeriesRun("a", result(2, 70)),
+				new SeriesRun("a", result(3, 80)), new SeriesRun("b", result(1, 50)));
+		String table = new SeriesTable(runs).write();
+		Assert.assertTrue(table.contains("| fast worst window % | 80.0 (70.0 to 90.0) | 50.0 (50.0 to 50.0) |"), table);
+	}
+
+	private static ExperimentResult result(long seed, double worst) {
+		Percentiles latency = new Percentiles(10, 1, 2, 3);
+		ClassResult row = new ClassResult("fast", 1, 10, 9, 1, 0, 0, 90, worst, 0, latency, latency, latency, 50, 40,
+				30);
+		WorkResult work = new WorkResult(10, 1, 100, 98, 2, 2, Map.of("generated twice", 2L), 0);
+		WindowResult window = new WindowResult(0, Map.of("fast", worst), Map.of("fast", 2L));
+		return new ExperimentResult("e", "d", seed, Map.of("selector", "random"), 10_000, 5, 20_000, 1, List.of(row),
+				work, Map.of(3001, 1L), Map.of(), Map.of(), 0, List.of(window), null);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the package of the same name.
+ */
+package org.marjoramgw.load.report;
