--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.marjoramgw.load.measure.AccountResult;
 import org.marjoramgw.load.measure.ClassResult;
 import org.marjoramgw.load.measure.ExperimentResult;
 import org.marjoramgw.load.measure.Percentiles;
@@ -69,7 +70,8 @@
 		WorkResult work = new WorkResult(10, 1, 100, 98, 2, 2, Map.of("generated twice", 2L), 0);
 		WindowResult window = new WindowResult(0, Map.of("fast", worst), Map.of("fast", 2L));
 		return new ExperimentResult("e", "d", seed, Map.of("selector", "random"), 10_000, 5, 20_000, 1, List.of(row),
-				work, Map.of(3001, 1L), Map.of(), Map.of(), 0, List.of(window), null);
+				List.of(new AccountResult("a", 10, worst)), work, Map.of(3001, 1L), Map.of(), Map.of(), 0,
+				List.of(window), null);
 	}
 
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentResult.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentResult.java
@@ -15,6 +15,7 @@
  * @param durationMillis length of all phases, in milliseconds
  * @param machineLoad load average of the machine when the run ended
  * @param classes measures by class, highest tier first
+ * @param accounts measures by client account
  * @param work useful and wasted work
  * @param errorCodes errors that callers saw, by number
  * @param entryResults results that the entries counted, by number
@@ -27,8 +28,8 @@
  */
 public record ExperimentResult(String experiment, String deployment, long seed, Map<String, Object> limits,
 		long windowMillis, int minWindowRequests, long durationMillis, double machineLoad, List<ClassResult> classes,
-		WorkResult work, Map<Integer, Long> errorCodes, Map<Integer, Long> entryResults, Map<Integer, Long> sideResults,
-		long misdelivered, List<WindowResult> windows, Percentiles directFirstToken) {
+		List<AccountResult> accounts, WorkResult work, Map<Integer, Long> errorCodes, Map<Integer, Long> entryResults,
+		Map<Integer, Long> sideResults, long misdelivered, List<WindowResult> windows, Percentiles directFirstToken) {
 
 	/**
 	 * Finds the measures of a class.
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
@@ -133,9 +133,9 @@
 			return new ExperimentResult(experiment.name(), experiment.deployment().name(), experiment.seed(),
 					experiment.limits(), experiment.windowMillis(), experiment.minWindowRequests(),
 					experiment.durationMillis(), ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
-					classes, builder.work(executions), errorCodes(requests), entryCounters.sinceCreation(),
-					sideCounters.sinceCreation(), requests.stream().filter(RequestRecord::misdelivered).count(),
-					builder.windows(), direct);
+					classes, builder.accounts(), builder.work(executions), errorCodes(requests),
+					entryCounters.sinceCreation(), sideCounters.sinceCreation(),
+					requests.stream().filter(RequestRecord::misdelivered).count(), builder.windows(), direct);
 		}
 	}
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ResultBuilder.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ResultBuilder.java
@@ -68,6 +68,22 @@
 		return results;
 	}
 
+	List<AccountResult> accounts() {
+		Map<String, long[]> counts = new TreeMap<>();
+		this.requestsByClass.forEach((name, requests) -> {
+			TargetCheck check = check(name);
+			for (RequestRecord request : requests) {
+				long[] count = counts.computeIfAbsent(request.account(), (account) -> new long[2]);
+				count[0]++;
+				count[1] += check.isAttained(request) ? 1 : 0;
+			}
+		});
+		List<AccountResult> results = new ArrayList<>();
+		counts.forEach(
+				(account, count) -> results.add(new AccountResult(account, count[0], PERCENT * count[1] / count[0])));
+		return results;
+	}
+
 	WorkResult work(List<EngineExecution> executions) {
 		double seconds = this.experiment.durationMillis() / SECOND_MILLIS;
 		long tokens = 0;
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/ResultTable.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/ResultTable.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.load.report;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.load.measure.AccountResult;
 import org.marjoramgw.load.measure.ClassResult;
 import org.marjoramgw.load.measure.ExperimentResult;
 import org.marjoramgw.load.measure.Percentiles;
@@ -39,6 +41,7 @@
 				"first token", "gap", "completion", "slots", "least (floor)"));
 		result.classes().forEach((row) -> text.append(row(row)));
 		work(text, result.work());
+		accounts(text, result.accounts());
 		codes(text, "errors at callers", result.errorCodes());
 		codes(text, "entries", result.entryResults());
 		codes(text, "side processes", result.sideResults());
@@ -66,6 +69,13 @@
 				work.recomputedPrefillTokens()));
 	}
 
+	private static void accounts(StringBuilder text, List<AccountResult> accounts) {
+		text.append("attained by account:");
+		accounts.forEach((account) -> text
+			.append(format(" %s %.1f%% of %d;", account.name(), account.attainmentPercent(), account.requests())));
+		text.append(format("%n"));
+	}
+
 	private static void codes(StringBuilder text, String title, Map<Integer, Long> codes) {
 		text.append(title).append(':');
 		codes.forEach((number, count) -> {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/SeriesTable.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/SeriesTable.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.function.ToDoubleFunction;
 
+import org.marjoramgw.load.measure.AccountResult;
 import org.marjoramgw.load.measure.ClassResult;
 import org.marjoramgw.load.measure.ExperimentResult;
 import org.marjoramgw.load.measure.SeriesRun;
@@ -60,10 +61,11 @@
 						(result) -> result.classResult(name).floorWindowPercent());
 			}
 		}
+		line(text, of, variants, "least attainment of an account %", SeriesTable::leastAccount);
 		line(text, of, variants, "goodput tokens/s", (result) -> result.work().goodputTokensPerSecond());
 		line(text, of, variants, "goodput plain calls/s", (result) -> result.work().goodputCallsPerSecond());
 		line(text, of, variants, "wasted tokens %", (result) -> result.work().wastedPercent());
-		line(text, of, variants, "refusals and errors at callers",
+		line(text, of, variants, "calls not attained by an error",
 				(result) -> result.errorCodes().values().stream().mapToLong(Long::longValue).sum());
 	}
 
@@ -71,6 +73,10 @@
 		return result.classResult(name).worstWindowPercent();
 	}
 
+	private static double leastAccount(ExperimentResult result) {
+		return result.accounts().stream().mapToDouble(AccountResult::attainmentPercent).min().orElse(0);
+	}
+
 	private static void line(StringBuilder text, List<SeriesRun> runs, List<String> variants, String name,
 			ToDoubleFunction<ExperimentResult> measure) {
 		text.append("| ").append(name).append(" |");
