--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/Platform.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/Platform.java
@@ -6,19 +6,32 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.marjoramgw.MillisClock;
+import org.marjoramgw.claim.ClaimBook;
+import org.marjoramgw.claim.ClaimHolder;
+import org.marjoramgw.claim.ClaimSettings;
+import org.marjoramgw.claim.LogClaimBook;
 import org.marjoramgw.config.ConfigurationParser;
 import org.marjoramgw.config.ConfigurationSource;
 import org.marjoramgw.config.LogConfigurationSource;
 import org.marjoramgw.http.HttpCaller;
 import org.marjoramgw.log.HttpLogService;
 import org.marjoramgw.log.LogService;
+import org.marjoramgw.log.StartRecord;
+import org.marjoramgw.log.StartRegistrar;
+import org.marjoramgw.log.StartStream;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.side.order.EngineOrders;
+import org.marjoramgw.side.order.HttpOrderedEngine;
+import org.marjoramgw.side.order.ModelLoader;
+import org.marjoramgw.side.weightstore.HttpWeightStore;
 import org.marjoramgw.vmlist.HttpVmList;
 import org.marjoramgw.vmlist.Vm;
 import org.marjoramgw.vmlist.VmListWatcher;
+import org.marjoramgw.wire.PeerIdentity;
 
 /**
- * What the process reads from the platform.
+ * What the process does through the platform: configuration, claims, engine orders and
+ * the VM list.
  *
  * @author The marjoramgw authors
  */
@@ -26,38 +39,48 @@
 
 	private static final long TIMEOUT_MILLIS = 2_000;
 
-	private final LogService log;
+	private static final long LOAD_TIMEOUT_MILLIS = 60_000;
 
 	private final VmListWatcher vms;
 
 	private final ConfigurationSource configuration;
 
+	private final ClaimBook claimBook;
+
+	private final StartRegistrar start;
+
+	private final EngineOrders orders;
+
 	/**
 	 * Starts reading.
 	 * @param system the actor system that runs the calls
 	 * @param settings the settings
+	 * @param self identity of this process
 	 * @param clock the clock
 	 * @param counters counters of results
 	 * @param hasPeers tells whether an entry is connected
 	 */
-	Platform(ActorSystem<?> system, SideSettings settings, MillisClock clock, ResultCounters counters,
-			BooleanSupplier hasPeers) {
+	Platform(ActorSystem<?> system, SideSettings settings, PeerIdentity self, MillisClock clock,
+			ResultCounters counters, BooleanSupplier hasPeers) {
 		HttpCaller caller = new HttpCaller(system, TIMEOUT_MILLIS, "");
-		this.log = new HttpLogService(caller, settings.logUrl());
+		LogService log = new HttpLogService(caller, settings.logUrl());
 		this.vms = new VmListWatcher(new HttpVmList(caller, settings.vmListUrl()), settings.pollMillis());
-		this.configuration = new LogConfigurationSource(this.log, new ConfigurationParser(), clock,
-				settings.pollMillis(), () -> hasPeers.getAsBoolean() ? this.vms.current().size() : 0, new Random(),
-				counters);
-	}
-
-	LogService log() {
-		return this.log;
+		this.configuration = new LogConfigurationSource(log, new ConfigurationParser(), clock, settings.pollMillis(),
+				() -> hasPeers.getAsBoolean() ? this.vms.current().size() : 0, new Random(), counters);
+		this.claimBook = new LogClaimBook(log, ClaimSettings.of(settings.claimPartitionCount()),
+				new ClaimHolder(self.processId(), self.incarnation()), clock, counters);
+		this.start = new StartRegistrar(new StartStream(log), new StartRecord(self.processId(), self.incarnation()));
+		this.orders = givesOrders(settings) ? newOrders(system, settings, caller, counters) : null;
 	}
 
 	ConfigurationSource configuration() {
 		return this.configuration;
 	}
 
+	ClaimBook claimBook() {
+		return this.claimBook;
+	}
+
 	/**
 	 * Runs an action whenever the VM list says that this VM is leaving.
 	 * @param processId id of this VM
@@ -71,14 +94,32 @@
 		});
 	}
 
-	private static boolean isLeaving(List<Vm> list, String processId) {
-		return list.stream().anyMatch((vm) -> vm.id().equals(processId) && Vm.LEAVING.equals(vm.state()));
-	}
-
 	@Override
 	public void close() {
+		if (this.orders != null) {
+			this.orders.close();
+		}
+		this.claimBook.close();
+		this.start.close();
 		this.vms.close();
 		this.configuration.close();
 	}
 
+	private EngineOrders newOrders(ActorSystem<?> system, SideSettings settings, HttpCaller caller,
+			ResultCounters counters) {
+		HttpWeightStore weightStore = new HttpWeightStore(new HttpCaller(system, LOAD_TIMEOUT_MILLIS, ""),
+				settings.weightStoreUrl());
+		ModelLoader loader = new ModelLoader(new HttpOrderedEngine(caller, settings.backendUrl()), weightStore);
+		return new EngineOrders(loader, this.configuration, settings.pool(), this.start.fencingNumber(), new Random(),
+				counters);
+	}
+
+	private static boolean givesOrders(SideSettings settings) {
+		return settings.model() && !settings.weightStoreUrl().isEmpty();
+	}
+
+	private static boolean isLeaving(List<Vm> list, String processId) {
+		return list.stream().anyMatch((vm) -> vm.id().equals(processId) && Vm.LEAVING.equals(vm.state()));
+	}
+
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -16,13 +16,6 @@
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
-import org.marjoramgw.claim.ClaimBook;
-import org.marjoramgw.claim.ClaimHolder;
-import org.marjoramgw.claim.ClaimSettings;
-import org.marjoramgw.claim.LogClaimBook;
-import org.marjoramgw.log.StartRecord;
-import org.marjoramgw.log.StartRegistrar;
-import org.marjoramgw.log.StartStream;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.OperatedProcess;
 import org.marjoramgw.operator.OperatorRoutes;
@@ -82,10 +75,6 @@
 
 	private final Platform platform;
 
-	private final ClaimBook claimBook;
-
-	private final StartRegistrar start;
-
 	private final Scheduler scheduler;
 
 	private final ActorRef<SchedulerCommand> actor;
@@ -99,17 +88,12 @@
 		this.identity = new PeerIdentity(settings.processId(), Vm.SIDE, settings.failureDomain(),
 				this.clock.nowMillis(), settings.pool());
 		this.system = ActorSystem.create(Behaviors.empty(), "side");
-		this.platform = new Platform(this.system, settings, this.clock, new ResultCounters(this.registry),
-				this::hasEntries);
-		this.claimBook = new LogClaimBook(this.platform.log(), ClaimSettings.of(settings.claimPartitionCount()),
-				new ClaimHolder(settings.processId(), this.identity.incarnation()), this.clock,
-				new ResultCounters(this.registry));
-		this.start = new StartRegistrar(new StartStream(this.platform.log()),
-				new StartRecord(settings.processId(), this.identity.incarnation()));
+		this.platform = new Platform(this.system, settings, this.identity, this.clock,
+				new ResultCounters(this.registry), this::hasEntries);
 		CommandInbox inbox = new CommandInbox();
 		this.scheduler = new Scheduler(this.clock,
 				new SchedulerParameters(settings.pool(), settings.model(), settings.answerKeepMillis()), newBackend(),
-				this.claimBook, new SchedulerRecorder(this.decisions, this.registry), inbox);
+				this.platform.claimBook(), new SchedulerRecorder(this.decisions, this.registry), inbox);
 		this.actor = this.system.systemActorOf(SchedulerActor.create(this.scheduler), "scheduler", Props.empty());
 		inbox.open(this.actor);
 		this.entries = new EntryConnections(this.clock, this.identity, settings.peerToken(),
@@ -191,8 +175,6 @@
 		this.actor.tell(new SchedulerCommand.Drain());
 		awaitDrained();
 		this.entries.close();
-		this.claimBook.close();
-		this.start.close();
 		this.platform.close();
 		pause(LAST_WRITES_MILLIS);
 		Logger.info("stopped with {} requests in flight", status().inFlight());
