End preempted streams when the engine can't be reached

They waited up to the pause of a suspect engine for a slot that could only fail; their entries can continue them elsewhere with the text so far.

--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
@@ -176,6 +176,20 @@
 		Assert.assertEquals(((Message.End) link.last()).chunkCount(), 2, "the entry saw a pause alone");
 	}
 
+	@Test
+	public void sendsPreemptedStreamsElsewhereWhenTheEngineIsGone() {
+		SchedulerBench bench = new SchedulerBench();
+		Link link = bench.connect("entry", 1);
+		bench.start(link, "s1", "summary");
+		bench.start(link, "s2", "summary");
+		bench.reserve(link, "top", "reply");
+		bench.pass(40);
+		bench.run(link, "top");
+		bench.fail("top", ResultCode.BACKEND_UNREACHABLE);
+		Assert.assertEquals(link.refusal(), ResultCode.BACKEND_BROKE_OFF, "the preempted stream may have run");
+		Assert.assertEquals(bench.scheduler.status().queued(), 0);
+	}
+
 	@Test
 	public void dropsWhatAGoneOrRestartedEntryHeld() {
 		SchedulerBench bench = new SchedulerBench();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Runs.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Runs.java
@@ -144,8 +144,9 @@
 			this.claims.release(ticket);
 		}
 		end(ticket, refusal(ticket, code, retryAfterMillis), code);
-		if (code == ResultCode.BACKEND_UNREACHABLE) {
-			this.slots.refuseQueued(code, retryAfterMillis);
+		if (failed.code() == ResultCode.BACKEND_UNREACHABLE) {
+			this.slots.refuseQueued(failed.code(), retryAfterMillis);
+			endPreempted();
 		}
 	}
 
@@ -228,6 +229,14 @@
 		this.slots.policy().limit().adjust(this.slots.policy().taken());
 	}
 
+	// streams that wait to go on here go on elsewhere instead
+	private void endPreempted() {
+		for (Ticket ticket : this.tickets.matching((candidate) -> candidate.state() == TicketState.PREEMPTED)) {
+			this.slots.policy().withdraw(ticket.key());
+			end(ticket, refusal(ticket, ResultCode.BACKEND_BROKE_OFF, 0), ResultCode.BACKEND_BROKE_OFF);
+		}
+	}
+
 	private long targetGapMillis(Ticket ticket) {
 		return this.slots.configuration()
 			.map((configuration) -> configuration.classes().get(ticket.waiting().requestClass()))
