--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
@@ -78,7 +78,11 @@
 	}
 
 	void handle(SchedulerCommand command) {
-		this.scheduler.handle(command);
+		this.events.add(command);
+		handleEvents();
+	}
+
+	private void handleEvents() {
 		while (!this.events.isEmpty()) {
 			this.scheduler.handle(this.events.removeFirst());
 		}
