--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -191,6 +191,10 @@
 		return MAPPER.readTree(this.operator.get(operatorUrl(process, "status")).body()).path("status");
 	}
 
+	long revision(ManagedProcess process) throws Exception {
+		return status(process).path("config_revision").asLong();
+	}
+
 	JsonNode explain(ManagedProcess process, String requestId) throws Exception {
 		return MAPPER.readTree(this.operator.get(operatorUrl(process, "explain/" + requestId)).body());
 	}
--- /dev/null
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SteadyLoad.java
@@ -0,0 +1,111 @@
+package org.marjoramgw.process;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.marjoramgw.rig.CallAnswer;
+import org.marjoramgw.testkit.TestSeed;
+
+/**
+ * Sender of chat calls at a steady rate, each with a prompt of its own.
+ *
+ * @author The marjoramgw authors
+ */
+final class SteadyLoad implements AutoCloseable {
+
+	private final ProofBed bed;
+
+	private final List<String> entries;
+
+	private final String requestClass;
+
+	private final int answerTokens;
+
+	private final long periodMillis;
+
+	private final Map<String, CompletableFuture<CallAnswer>> calls = new LinkedHashMap<>();
+
+	private final Thread sender = new Thread(this::send, "steady load");
+
+	private volatile boolean stopped;
+
+	/**
+	 * Starts sending.
+	 * @param bed the deployment
+	 * @param entries entries to send to in turn
+	 * @param requestClass class of the requests
+	 * @param answerTokens length of each answer, in tokens
+	 * @param periodMillis time between two calls, in milliseconds
+	 */
+	SteadyLoad(ProofBed bed, List<String> entries, String requestClass, int answerTokens, long periodMillis) {
+		this.bed = bed;
+		this.entries = entries;
+		this.requestClass = requestClass;
+		this.answerTokens = answerTokens;
+		this.periodMillis = periodMillis;
+		this.sender.setDaemon(true);
+		this.sender.start();
+	}
+
+	/**
+	 * Stops sending and waits for every answer.
+	 * @return the answers by prompt, in the order of the calls
+	 * @throws Exception if an answer doesn't end
+	 */
+	Map<String, CallAnswer> finish() throws Exception {
+		close();
+		Map<String, CallAnswer> answers = new LinkedHashMap<>();
+		for (Map.Entry<String, CompletableFuture<CallAnswer>> call : this.calls.entrySet()) {
+			answers.put(call.getKey(), ProofBed.await(call.getValue()));
+		}
+		return answers;
+	}
+
+	@Override
+	public void close() throws InterruptedException {
+		this.stopped = true;
+		this.sender.join();
+	}
+
+	private void send() {
+		long startNanos = System.nanoTime();
+		for (int number = 0; !this.stopped; number++) {
+			String prompt = "len=" + this.answerTokens + " " + this.requestClass + " " + TestSeed.value() + " "
+					+ System.nanoTime();
+			String entry = this.entries.get(number % this.entries.size());
+			this.calls.put(prompt, this.bed.chat(entry, this.requestClass, prompt));
+			pauseUntil(startNanos + (number + 1) * this.periodMillis * 1_000_000);
+		}
+	}
+
+	private static void pauseUntil(long nanos) {
+		try {
+			Thread.sleep(Math.max(0, (nanos - System.nanoTime()) / 1_000_000));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Lists the answers that are neither whole nor a refusal that says not run.
+	 * @param answers answers by prompt
+	 * @return the broken ones, with their prompts
+	 * @throws Exception if an expected answer can't be worked out
+	 */
+	static List<String> broken(Map<String, CallAnswer> answers) throws Exception {
+		List<String> broken = new ArrayList<>();
+		for (Map.Entry<String, CallAnswer> answer : answers.entrySet()) {
+			boolean whole = answer.getValue().complete()
+					&& answer.getValue().text().equals(ProofBed.expectedAnswer(answer.getKey()));
+			if (!whole && !answer.getValue().outcome().equals("not_run")) {
+				broken.add(answer.getKey() + ": " + answer.getValue());
+			}
+		}
+		return broken;
+	}
+
+}
--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/vmlist/VmListStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/vmlist/VmListStandinTests.java
@@ -1,8 +1,14 @@
 package org.marjoramgw.standin.vmlist;
 
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
 import org.marjoramgw.settings.TomlTable;
 import org.marjoramgw.standin.StandinClient;
 import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.vmlist.Vm;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -33,4 +39,21 @@
 		}
 	}
 
+	@Test
+	public void answersAnUnchangedListWithoutABody() throws Exception {
+		try (StandinSystem system = new StandinSystem();
+				VmListStandin list = VmListStandin.start(system,
+						VmListSettings.read(TomlTable.ofText("vmlist", "lag_ms = 0")))) {
+			HttpClient client = HttpClient.newHttpClient();
+			HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + list.address() + "/vms"));
+			HttpResponse<String> first = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+			request.header("If-None-Match", first.headers().firstValue("ETag").orElseThrow());
+			HttpResponse<String> second = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+			Assert.assertEquals(second.statusCode(), 304);
+			Assert.assertEquals(second.body(), "");
+			list.write(new Vm("a", Vm.SIDE, "", "", "", "", Vm.LIVE));
+			Assert.assertEquals(client.send(request.build(), HttpResponse.BodyHandlers.ofString()).statusCode(), 200);
+		}
+	}
+
 }
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/vmlist/VmListStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/vmlist/VmListStandin.java
@@ -6,7 +6,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.http.javadsl.server.AllDirectives;
 import org.apache.pekko.http.javadsl.server.PathMatchers;
 import org.apache.pekko.http.javadsl.server.Route;
@@ -107,7 +110,7 @@
 	}
 
 	private Route route() {
-		return concat(path("vms", () -> get(() -> complete(list()))), path(
+		return concat(path("vms", () -> get(() -> extractRequest((request) -> complete(list(request))))), path(
 				PathMatchers.segment("vms").slash(PathMatchers.segment()),
 				(id) -> concat(put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(write(body)))),
 						delete(() -> complete(removed(id))))),
@@ -115,9 +118,19 @@
 						() -> put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(control(body))))));
 	}
 
-	private HttpResponse list() {
+	private HttpResponse list(HttpRequest request) {
 		this.readCount.incrementAndGet();
-		return this.outage ? Json.error(503, "outage") : Json.ok(Map.of("vms", this.vms.seen().value()));
+		if (this.outage) {
+			return Json.error(503, "outage");
+		}
+		LaggingValue.Version<List<Vm>> seen = this.vms.seen();
+		String tag = "\"" + seen.sinceMillis() + "-" + Integer.toHexString(seen.value().hashCode()) + "\"";
+		boolean unchanged = request.getHeader("If-None-Match")
+			.filter((header) -> header.value().equals(tag))
+			.isPresent();
+		HttpResponse response = unchanged ? HttpResponse.create().withStatus(StatusCodes.NOT_MODIFIED)
+				: Json.ok(Map.of("vms", seen.value()));
+		return response.addHeader(RawHeader.create("ETag", tag));
 	}
 
 	private HttpResponse write(String body) {
