Serve first what can still meet its target

Cause: at twice the capacity the lower tiers were served in the order of arrival, so that nearly every answer came after its target: slots went to requests whose target had passed while others missed theirs behind them. Ruled out: preemption (goodput the same without it) and the floors (each class was at its floor).

Change: below the top tier a start that misses the first-token target, less a tenth for prefill, is the latest useful start; within a tier those that are late come last; no stream is preempted for a late request.

--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/queue/TierOrderTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/queue/TierOrderTests.java
@@ -66,10 +66,22 @@
 				"one slot is more than the floor, so the second request waits its turn");
 	}
 
+	@Test
+	public void servesWhatCanStillMeetItsTargetFirst() {
+		TierOrder order = new TierOrder(new ClassFloors(0), new AccountUsage(), 1, HEADROOM);
+		Waiting late = new Waiting(new RequestKey("e", 1, "late", 1), "reply", 1, "a", 0, NOW_MILLIS + 10,
+				NOW_MILLIS - 1, false);
+		Waiting inTime = waiting("inTime", "reply", 1, "a", 500, false);
+		Waiting lower = waiting("lower", "draft", 3, "a", 100, false);
+		Assert.assertEquals(order.next(List.of(late, inTime), 4, SLOT_LIMIT, NOW_MILLIS), Optional.of(inTime));
+		Assert.assertEquals(order.next(List.of(lower, late), 4, SLOT_LIMIT, NOW_MILLIS), Optional.of(late),
+				"but before a lower tier");
+	}
+
 	@Test
 	public void arrivalOrderKnowsNoTiers() {
-		Waiting late = new Waiting(new RequestKey("e", 1, "late", 1), "reply", 1, "a", 20, 90, false);
-		Waiting early = new Waiting(new RequestKey("e", 1, "early", 1), "summary", 4, "a", 10, 90, false);
+		Waiting late = new Waiting(new RequestKey("e", 1, "late", 1), "reply", 1, "a", 20, 90, 90, false);
+		Waiting early = new Waiting(new RequestKey("e", 1, "early", 1), "summary", 4, "a", 10, 90, 90, false);
 		Assert.assertEquals(new ArrivalOrder().next(List.of(late, early), 1, SLOT_LIMIT, NOW_MILLIS),
 				Optional.of(early));
 	}
@@ -77,7 +89,7 @@
 	private static Waiting waiting(String id, String requestClass, int tier, String account, long startInMillis,
 			boolean resumed) {
 		return new Waiting(new RequestKey("entry", 1, id, 1), requestClass, tier, account, NOW_MILLIS - 50,
-				NOW_MILLIS + startInMillis, resumed);
+				NOW_MILLIS + startInMillis, NOW_MILLIS + startInMillis, resumed);
 	}
 
 }
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/FloorTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/FloorTests.java
@@ -51,8 +51,8 @@
 			for (RequestClass each : classes.values()) {
 				while (scheduler.queues().size(each.name()) < each.queueBound() / 2) {
 					RequestKey key = new RequestKey("entry", 1, each.name() + id++, 1);
-					scheduler.offer(new Waiting(key, each.name(), each.tier(), "large", now, Long.MAX_VALUE / 2, false),
-							now);
+					scheduler.offer(new Waiting(key, each.name(), each.tier(), "large", now, Long.MAX_VALUE / 2,
+							Long.MAX_VALUE / 2, false), now);
 				}
 			}
 			Optional<Waiting> next = scheduler.next(now);
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/SlotSchedulerRandomTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/SlotSchedulerRandomTests.java
@@ -97,9 +97,8 @@
 	private void arrive() {
 		RequestClass requestClass = this.classes.get(this.names.get(this.random.nextInt(this.names.size())));
 		RequestKey key = new RequestKey("entry", 1, "r" + this.nextId++, 1);
-		Waiting request = new Waiting(key, requestClass.name(), requestClass.tier(),
-				this.random.nextBoolean() ? "large" : "small", this.nowMillis,
-				this.nowMillis + this.random.nextInt(5_000), false);
+		Waiting request = this.scheduler.arrival(key, requestClass, this.random.nextBoolean() ? "large" : "small",
+				this.random.nextInt(5_000), this.nowMillis);
 		Admission admission = this.scheduler.offer(request, this.nowMillis);
 		if (admission.isAccepted()) {
 			this.waiting.put(key, request);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
@@ -10,7 +10,8 @@
 import org.marjoramgw.policy.share.ClassFloors;
 
 /**
- * Order by tier, then fairly between client accounts, then by latest start.
+ * Order by tier, then fairly between client accounts, then by latest start. Within a tier
+ * those that have missed their target come last.
  * <p>
  * Before that comes a class that is below its floor of slot-time, so that the lowest tier
  * is served in a long burst. The last free slots are kept for the top tier.
@@ -19,9 +20,9 @@
  */
 public final class TierOrder implements GrantOrder {
 
-	private static final Comparator<Waiting> BY_START = Comparator.comparing(Waiting::resumed)
-		.reversed()
-		.thenComparingLong(Waiting::startByMillis)
+	private static final Comparator<Waiting> RESUMED_FIRST = Comparator.comparing(Waiting::resumed).reversed();
+
+	private static final Comparator<Waiting> BY_START = Comparator.comparingLong(Waiting::startByMillis)
 		.thenComparingLong(Waiting::arrivedMillis);
 
 	private final ClassFloors floors;
@@ -75,8 +76,9 @@
 	private Optional<Waiting> fairest(List<Waiting> candidates, long nowMillis) {
 		Comparator<Waiting> byUsage = Comparator
 			.comparingDouble((request) -> this.usage.of(request.tier(), request.account(), nowMillis));
-		Comparator<Waiting> resumedFirst = Comparator.comparing(Waiting::resumed).reversed();
-		return candidates.stream().min(resumedFirst.thenComparing(byUsage).thenComparing(BY_START));
+		Comparator<Waiting> lateLast = Comparator.comparing((request) -> request.isLate(nowMillis));
+		return candidates.stream()
+			.min(lateLast.thenComparing(RESUMED_FIRST).thenComparing(byUsage).thenComparing(BY_START));
 	}
 
 	private static List<Waiting> filter(Collection<Waiting> waiting, java.util.function.Predicate<Waiting> wanted) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/Waiting.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/Waiting.java
@@ -9,11 +9,12 @@
  * @param account name of the client account
  * @param arrivedMillis when it arrived, in milliseconds
  * @param startByMillis latest useful start, in milliseconds
+ * @param targetByMillis latest start that meets the target of its class, in milliseconds
  * @param resumed whether it was preempted and waits to go on
  * @author The marjoramgw authors
  */
 public record Waiting(RequestKey key, String requestClass, int tier, String account, long arrivedMillis,
-		long startByMillis, boolean resumed) {
+		long startByMillis, long targetByMillis, boolean resumed) {
 
 	/**
 	 * Tells whether it can no longer start usefully.
@@ -24,13 +25,23 @@
 		return !this.resumed && nowMillis > this.startByMillis;
 	}
 
+	/**
+	 * Tells whether it has missed its target and is served only if nothing else of its
+	 * tier can still meet one.
+	 * @param nowMillis the present time, in milliseconds
+	 * @return whether it is late; never for a preempted request
+	 */
+	public boolean isLate(long nowMillis) {
+		return !this.resumed && nowMillis > this.targetByMillis;
+	}
+
 	/**
 	 * Returns the same request as preempted.
 	 * @return a request that goes before the new ones of its class
 	 */
 	public Waiting preempted() {
 		return new Waiting(this.key, this.requestClass, this.tier, this.account, this.arrivedMillis, this.startByMillis,
-				true);
+				this.targetByMillis, true);
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -40,6 +40,11 @@
 
 	private static final String FCFS = "fcfs";
 
+	private static final int PERCENT = 100;
+
+	/** Part of the target for the first token that is left to prefill and batching. */
+	private static final int FIRST_TOKEN_ALLOWANCE_PERCENT = 10;
+
 	private final boolean model;
 
 	private final ClassQueues queues = new ClassQueues();
@@ -96,6 +101,30 @@
 		this.order = newOrder();
 	}
 
+	/**
+	 * Makes the waiting form of a request that has arrived.
+	 * <p>
+	 * Below the top tier a start that misses the target for the first token is of no use:
+	 * it would take its slot from a request that can still meet one.
+	 * @param key its identity
+	 * @param requestClass its class
+	 * @param account name of the client account
+	 * @param startWithinMillis time left until the latest useful start, in milliseconds
+	 * @param nowMillis the present time, in milliseconds
+	 * @return the request
+	 */
+	public Waiting arrival(RequestKey key, RequestClass requestClass, String account, long startWithinMillis,
+			long nowMillis) {
+		long targetMillis = startWithinMillis;
+		if (requestClass.firstTokenMillis() > 0 && !isFcfs()) {
+			long allowanceMillis = requestClass.firstTokenMillis() * FIRST_TOKEN_ALLOWANCE_PERCENT / PERCENT;
+			targetMillis = Math.min(startWithinMillis, requestClass.firstTokenMillis() - allowanceMillis);
+		}
+		long startMillis = (requestClass.tier() > this.topTier) ? targetMillis : startWithinMillis;
+		return new Waiting(key, requestClass.name(), requestClass.tier(), account, nowMillis, nowMillis + startMillis,
+				nowMillis + targetMillis, false);
+	}
+
 	/**
 	 * Lets a request wait for a slot, or refuses it.
 	 * @param request the request
@@ -146,6 +175,7 @@
 			.stream()
 			.filter((request) -> request.tier() == this.topTier)
 			.filter((request) -> nowMillis - request.arrivedMillis() >= PREEMPT_AFTER_MILLIS)
+			.filter((request) -> !request.isLate(nowMillis))
 			.min(Comparator.comparingLong(Waiting::startByMillis));
 		return top.flatMap((request) -> swapFor(request, nowMillis));
 	}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Reservations.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Reservations.java
@@ -128,8 +128,8 @@
 	private Ticket newTicket(EntryLink link, RequestKey key, Message.Reserve reserve) {
 		long nowMillis = this.clock.nowMillis();
 		RequestClass requestClass = this.slots.configuration().orElseThrow().classes().get(reserve.requestClass());
-		Waiting waiting = new Waiting(key, requestClass.name(), requestClass.tier(), reserve.account(), nowMillis,
-				nowMillis + bounded(reserve.startWithinMillis()), false);
+		Waiting waiting = this.slots.policy()
+			.arrival(key, requestClass, reserve.account(), bounded(reserve.startWithinMillis()), nowMillis);
 		Message.Reserve checked = new Message.Reserve(reserve.requestId(), reserve.attempt(), reserve.service(),
 				reserve.model(), reserve.requestClass(), reserve.account(), reserve.startWithinMillis(),
 				reserve.finishWithinMillis(), Math.min(Math.max(reserve.promptTokens(), 0), MAX_PROMPT_TOKENS));
