Preempt later, and not at all candidates at once

Cause: a request of the top tier waits at three side processes, and each preempted a stream for it after the same 30 ms, though a slot came free soon in most cases and one preemption was enough.

Change: a preemption is due after a quarter to a half of the time to the target; where in between depends on the request and the side process.

--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
@@ -35,8 +36,14 @@
  */
 public final class SlotScheduler {
 
-	/** Time that a top-tier request waits before a stream is preempted for it. */
-	public static final long PREEMPT_AFTER_MILLIS = 30;
+	/** Least part of its time to the target that a request waits before a preemption. */
+	private static final int PREEMPT_AFTER_PERCENT = 25;
+
+	/**
+	 * Spread of that part. A request waits at several side processes; were they all to
+	 * preempt at once, all but one would do so in vain.
+	 */
+	private static final int PREEMPT_SPREAD_PERCENT = 25;
 
 	private static final String FCFS = "fcfs";
 
@@ -47,6 +54,8 @@
 
 	private final boolean model;
 
+	private final int spreadSeed;
+
 	private final ClassQueues queues = new ClassQueues();
 
 	private final Map<RequestKey, SlotHolder> holders = new LinkedHashMap<>();
@@ -74,10 +83,12 @@
 	/**
 	 * Creates a scheduler that accepts nothing until it is configured.
 	 * @param model whether the backend server is a model engine
+	 * @param spreadSeed number that differs between side processes
 	 * @param nowMillis the present time, in milliseconds
 	 */
-	public SlotScheduler(boolean model, long nowMillis) {
+	public SlotScheduler(boolean model, int spreadSeed, long nowMillis) {
 		this.model = model;
+		this.spreadSeed = spreadSeed;
 		this.floors = new ClassFloors(nowMillis);
 	}
 
@@ -174,12 +185,18 @@
 		Optional<Waiting> top = this.queues.all()
 			.stream()
 			.filter((request) -> request.tier() == this.topTier)
-			.filter((request) -> nowMillis - request.arrivedMillis() >= PREEMPT_AFTER_MILLIS)
-			.filter((request) -> !request.isLate(nowMillis))
+			.filter((request) -> isPreemptionDue(request, nowMillis))
 			.min(Comparator.comparingLong(Waiting::startByMillis));
 		return top.flatMap((request) -> swapFor(request, nowMillis));
 	}
 
+	private boolean isPreemptionDue(Waiting request, long nowMillis) {
+		int spread = Math.floorMod(Objects.hash(request.key().requestId(), this.spreadSeed), PREEMPT_SPREAD_PERCENT);
+		long targetMillis = request.targetByMillis() - request.arrivedMillis();
+		long afterMillis = targetMillis * (PREEMPT_AFTER_PERCENT + spread) / PERCENT;
+		return nowMillis - request.arrivedMillis() >= afterMillis && !request.isLate(nowMillis);
+	}
+
 	private Optional<Swap> swapFor(Waiting top, long nowMillis) {
 		List<RunningRequest> running = this.holders.values()
 			.stream()
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -92,8 +92,9 @@
 				new ResultCounters(this.registry), this::hasEntries);
 		CommandInbox inbox = new CommandInbox();
 		this.scheduler = new Scheduler(this.clock,
-				new SchedulerParameters(settings.pool(), settings.model(), settings.answerKeepMillis()), newBackend(),
-				this.platform.claimBook(), new SchedulerRecorder(this.decisions, this.registry), inbox);
+				new SchedulerParameters(settings.processId(), settings.pool(), settings.model(),
+						settings.answerKeepMillis()),
+				newBackend(), this.platform.claimBook(), new SchedulerRecorder(this.decisions, this.registry), inbox);
 		this.actor = this.system.systemActorOf(SchedulerActor.create(this.scheduler), "scheduler", Props.empty());
 		inbox.open(this.actor);
 		this.entries = new EntryConnections(this.clock, this.identity, settings.peerToken(),
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
@@ -76,7 +76,8 @@
 		this.parameters = parameters;
 		this.journal = new Journal(recorder.decisions(), recorder.registry());
 		BackendHealth health = new BackendHealth();
-		SlotScheduler policy = new SlotScheduler(parameters.model(), clock.nowMillis());
+		SlotScheduler policy = new SlotScheduler(parameters.model(), parameters.processId().hashCode(),
+				clock.nowMillis());
 		this.slots = new Slots(clock, policy, this.tickets, this.journal, health);
 		this.runs = new Runs(clock, backend, parameters.model(), this.slots, this.tickets,
 				new Claims(claimBook, events), this.journal, health, events);
