Move a generation at once when its side process refuses connections

A killed side process left its generations waiting the whole resume wait, though a refused connection already shows that it is gone. Now a refusal moves them at once, and a silent one after the class's target for a first token; the wait of other calls grows to 3 s, since only that process knows their outcome. What follows a lost run is decided in one class, Recovery. Widening is bounded to six reservations, so that a long queue doesn't multiply control messages.

--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
@@ -191,6 +191,29 @@
 		Assert.assertEquals(this.sink.result(), ResultCode.SIDE_LOST);
 	}
 
+	@Test
+	public void movesAGenerationAtOnceWhenNewConnectionsAreRefused() {
+		ActorRef<RequestEvent> actor = request(generation());
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.SideGone(side));
+		actor.tell(new RequestEvent.SideUnreachable(side));
+		Assert.assertEquals(this.sides.next(Message.Reserve.class).message().attempt(), 2);
+		actor.tell(new RequestEvent.SideBack(side, FakeSidePool.INCARNATION));
+		Assert.assertEquals(this.sides.next(Message.Cancel.class).message().attempt(), 1, "the lost run is cancelled");
+	}
+
+	@Test
+	public void keepsWaitingForACallThatMayNotBeRepeated() throws Exception {
+		ActorRef<RequestEvent> actor = request(plain(false));
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.SideGone(side));
+		actor.tell(new RequestEvent.SideUnreachable(side));
+		actor.tell(new RequestEvent.SideBack(side, FakeSidePool.INCARNATION));
+		this.sides.next(Message.Resume.class);
+		end(actor, side, 1, 0);
+		Assert.assertEquals(this.sink.result(), ResultCode.OK);
+	}
+
 	@Test
 	public void cancelsTheRunOfACallerThatWentAway() {
 		ActorRef<RequestEvent> actor = request(generation());
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
@@ -47,7 +47,7 @@
 				table.address("http_address"), table.text("peer_token"), table.text("operator_token"),
 				table.text("log_url"), table.text("vm_list_url"), interval(table, "heartbeat_ms", 250),
 				interval(table, "idle_heartbeat_ms", 1_000), interval(table, "peer_timeout_ms", 1_000),
-				interval(table, "poll_ms", 500), interval(table, "resume_wait_ms", 1_500),
+				interval(table, "poll_ms", 500), interval(table, "resume_wait_ms", 3_000),
 				interval(table, "widen_ms", 100), table.number("drain_ms", 120_000, 1, MAX_DRAIN_MILLIS),
 				(int) table.number("open_requests_per_class_count", 2_000, 1, 100_000),
 				(int) table.number("claim_partition_count", 16, 1, 1_024));
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -2,8 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.EnumSet;
-import java.util.Set;
 
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -24,26 +22,8 @@
  */
 public final class RequestActor extends AbstractBehavior<RequestEvent> {
 
-	private static final int MAX_CONTINUATIONS = 4;
-
 	private static final int HARD_DEADLINE_FACTOR = 2;
 
-	/** Unknown outcomes after which a keyed call may learn its recorded result. */
-	private static final Set<ResultCode> ASK_AGAIN = EnumSet.of(ResultCode.SIDE_LOST, ResultCode.SIDE_RESTARTED,
-			ResultCode.ANSWER_NOT_KEPT, ResultCode.KEY_IN_PROGRESS);
-
-	/**
-	 * Refusals that tell of a race and not of overload; they don't spend the retry
-	 * budget.
-	 */
-	private static final Set<ResultCode> RACES = EnumSet.of(ResultCode.GRANT_EXPIRED, ResultCode.UNKNOWN_RESERVATION,
-			ResultCode.SIDE_LEAVING, ResultCode.NO_BACKEND, ResultCode.BACKEND_UNREACHABLE);
-
-	private static final int MAX_RACE_RETRIES = 8;
-
-	/** Refusals that every side process would repeat. */
-	private static final Set<ResultCode> FINAL = EnumSet.of(ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE);
-
 	private final TimerScheduler<RequestEvent> timers;
 
 	private final RoutedRequest request;
@@ -54,6 +34,8 @@
 
 	private final Reservations reservations;
 
+	private final Recovery recovery;
+
 	private final long startDeadlineMillis;
 
 	private final StringBuilder textSoFar = new StringBuilder();
@@ -62,10 +44,6 @@
 
 	private RunningAttempt abandoned;
 
-	private int retries;
-
-	private int continuations;
-
 	private RequestActor(ActorContext<RequestEvent> actor, TimerScheduler<RequestEvent> timers, RoutedRequest request,
 			DispatchContext context, AnswerSink sink) {
 		super(actor);
@@ -73,6 +51,7 @@
 		this.request = request;
 		this.context = context;
 		this.sink = sink;
+		this.recovery = new Recovery(request, context);
 		long nowMillis = context.clock().nowMillis();
 		long completionMillis = request.requestClass().completionMillis();
 		this.startDeadlineMillis = nowMillis
@@ -104,6 +83,7 @@
 		return newReceiveBuilder().onMessage(RequestEvent.FromSide.class, this::onFromSide)
 			.onMessage(RequestEvent.SideGone.class, this::onSideGone)
 			.onMessage(RequestEvent.SideBack.class, this::onSideBack)
+			.onMessage(RequestEvent.SideUnreachable.class, this::onSideUnreachable)
 			.onMessage(RequestEvent.CallerGone.class, (event) -> onCallerGone())
 			.onMessage(RequestEvent.RetryDue.class, (event) -> startRound())
 			.onMessage(RequestEvent.WidenDue.class, (event) -> onWidenDue())
@@ -127,8 +107,8 @@
 	}
 
 	private Behavior<RequestEvent> onWidenDue() {
-		if (this.running == null && this.reservations.isWaiting() && isLateBinding()) {
-			this.reservations.widen();
+		boolean waits = this.running == null && this.reservations.isWaiting() && isLateBinding();
+		if (waits && this.reservations.widen()) {
 			this.timers.startSingleTimer(new RequestEvent.WidenDue(),
 					Duration.ofMillis(this.context.settings().widenMillis()));
 		}
@@ -225,7 +205,7 @@
 		if (this.running != null && this.running.sideId().equals(event.sideId())) {
 			record("connection lost", ResultCode.PEER_CLOSED, event.sideId());
 			this.timers.startSingleTimer(new RequestEvent.ResumeDeadline(this.running.attempt()),
-					Duration.ofMillis(this.context.settings().resumeWaitMillis()));
+					Duration.ofMillis(resumeWaitMillis()));
 			return this;
 		}
 		if (!this.reservations.isWaitingAt(event.sideId())) {
@@ -235,6 +215,26 @@
 		return this.reservations.isWaiting() ? this : retryOrFail(ResultCode.NO_BACKEND, 0);
 	}
 
+	/**
+	 * Returns how long a run waits for a new connection. A generation can go on elsewhere
+	 * at the price of a prefill, so it waits no longer than its target for a first token.
+	 * @return the wait, in milliseconds
+	 */
+	private long resumeWaitMillis() {
+		long waitMillis = this.context.settings().resumeWaitMillis();
+		return this.request.isGeneration() ? Math.min(waitMillis, this.request.requestClass().firstTokenMillis())
+				: waitMillis;
+	}
+
+	private Behavior<RequestEvent> onSideUnreachable(RequestEvent.SideUnreachable event) {
+		boolean runsThere = this.running != null && this.running.sideId().equals(event.sideId());
+		if (!runsThere || !this.request.isGeneration()) {
+			return this;
+		}
+		this.abandoned = this.running;
+		return onRunLost(ResultCode.SIDE_LOST, 0);
+	}
+
 	private Behavior<RequestEvent> onSideBack(RequestEvent.SideBack event) {
 		if (this.abandoned != null && this.abandoned.sideId().equals(event.sideId())) {
 			this.context.sides()
@@ -277,39 +277,29 @@
 	private Behavior<RequestEvent> onRunLost(ResultCode code, long retryAfterMillis) {
 		this.reservations.markTried(this.running.sideId());
 		this.running = null;
-		if (FINAL.contains(code)) {
-			return end(code, retryAfterMillis);
-		}
-		if (code.outcome() == Outcome.NOT_RUN) {
-			return retryOrFail(code, retryAfterMillis);
-		}
-		if (this.continuations >= MAX_CONTINUATIONS || code == ResultCode.ANSWER_TOO_LARGE) {
-			return fail(code, retryAfterMillis);
-		}
-		if (this.request.isGeneration()) {
-			return goOn(ResultCode.RETRY_CONTINUED, code);
-		}
-		boolean safe = this.request.call().repeatable() || (this.request.isKeyed() && ASK_AGAIN.contains(code));
-		if (safe && this.sink.restart()) {
-			return goOnLater(code);
-		}
-		return fail(code, retryAfterMillis);
+		return switch (this.recovery.afterRun(code)) {
+			case END -> end(code, retryAfterMillis);
+			case FAIL -> fail(code, retryAfterMillis);
+			case RETRY -> retryOrFail(code, retryAfterMillis);
+			case CONTINUE -> goOn(code);
+			case REPEAT -> this.sink.restart() ? goOnLater(code) : fail(code, retryAfterMillis);
+		};
 	}
 
-	private Behavior<RequestEvent> goOn(ResultCode retry, ResultCode cause) {
-		countContinuation(retry, cause);
+	private Behavior<RequestEvent> goOn(ResultCode cause) {
+		countContinuation(ResultCode.RETRY_CONTINUED, cause);
 		return startRound();
 	}
 
 	private Behavior<RequestEvent> goOnLater(ResultCode cause) {
 		countContinuation(ResultCode.RETRY_REPEATABLE, cause);
-		long delayMillis = this.context.backoff().delayMillis(this.continuations);
+		long delayMillis = this.context.backoff().delayMillis(this.recovery.continuations());
 		this.timers.startSingleTimer(new RequestEvent.RetryDue(), Duration.ofMillis(delayMillis));
 		return this;
 	}
 
 	private void countContinuation(ResultCode retry, ResultCode cause) {
-		this.continuations++;
+		this.recovery.onContinuation();
 		this.context.counters().count(cause);
 		this.context.counters().count(retry);
 		record("retry", retry, "after " + cause.number());
@@ -317,11 +307,10 @@
 
 	private Behavior<RequestEvent> retryOrFail(ResultCode code, long retryAfterMillis) {
 		this.context.counters().count(code);
-		this.retries++;
-		long delayMillis = this.context.backoff().delayMillis(this.retries);
-		boolean begun = this.continuations > 0;
-		boolean late = !begun && this.context.clock().nowMillis() + delayMillis >= this.startDeadlineMillis;
-		if (late || !mayRetry(code)) {
+		long delayMillis = this.context.backoff().delayMillis(this.recovery.retries() + 1);
+		boolean late = !this.recovery.mayHaveRun()
+				&& this.context.clock().nowMillis() + delayMillis >= this.startDeadlineMillis;
+		if (late || !this.recovery.tryRetry(code)) {
 			this.context.counters().count(ResultCode.RETRY_DENIED);
 			return fail(code, retryAfterMillis);
 		}
@@ -331,13 +320,6 @@
 		return this;
 	}
 
-	private boolean mayRetry(ResultCode code) {
-		if (RACES.contains(code)) {
-			return this.retries <= MAX_RACE_RETRIES;
-		}
-		return this.context.budget().tryRetry(this.request.requestClass().name());
-	}
-
 	private Behavior<RequestEvent> onCallerGone() {
 		cancelRun();
 		record("caller gone", ResultCode.CANCELLED_IN_FLIGHT, "");
@@ -346,20 +328,20 @@
 	}
 
 	private Behavior<RequestEvent> onStartDeadline() {
-		if (this.running != null || this.continuations > 0) {
+		if (this.running != null || this.recovery.mayHaveRun()) {
 			return this;
 		}
 		return fail(ResultCode.DEADLINE_BEFORE_GRANT, 0);
 	}
 
 	private Behavior<RequestEvent> onFinishDeadline() {
-		boolean ran = this.running != null || this.continuations > 0;
+		boolean ran = this.running != null || this.recovery.mayHaveRun();
 		return fail(ran ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.DEADLINE_BEFORE_GRANT, 0);
 	}
 
 	private Behavior<RequestEvent> fail(ResultCode code, long retryAfterMillis) {
 		cancelRun();
-		boolean mayHaveRun = code.outcome() == Outcome.NOT_RUN && this.continuations > 0;
+		boolean mayHaveRun = code.outcome() == Outcome.NOT_RUN && this.recovery.mayHaveRun();
 		return end(mayHaveRun ? ResultCode.SIDE_LOST : code, retryAfterMillis);
 	}
 
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestEvent.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestEvent.java
@@ -35,6 +35,14 @@
 	record SideBack(String sideId, long incarnation) implements RequestEvent {
 	}
 
+	/**
+	 * A new connection to a side process was refused.
+	 *
+	 * @param sideId process id of the side process
+	 */
+	record SideUnreachable(String sideId) implements RequestEvent {
+	}
+
 	/**
 	 * Caller closed its connection.
 	 */
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
@@ -16,6 +16,8 @@
  */
 final class Reservations {
 
+	private static final int MAX_WAITING_COUNT = 6;
+
 	private final RoutedRequest request;
 
 	private final DispatchContext context;
@@ -64,10 +66,14 @@
 	}
 
 	/**
-	 * Asks one more side process under the same attempt number.
+	 * Asks one more side process under the same attempt number, within a bound.
+	 * @return whether there is room for yet another one
 	 */
-	void widen() {
-		ask(1);
+	boolean widen() {
+		if (this.waitingSideIds.size() < MAX_WAITING_COUNT) {
+			ask(1);
+		}
+		return this.waitingSideIds.size() < MAX_WAITING_COUNT;
 	}
 
 	/**
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
@@ -201,6 +201,7 @@
 			}
 		}
 		else {
+			this.open.tellAll(new RequestEvent.SideUnreachable(sideId));
 			this.delayById.computeIfAbsent(sideId, (key) -> new ReconnectDelay()).backOff(this.clock.nowMillis());
 		}
 	}
