--- /dev/null
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Contract tests of the endpoint for callers.
+ */
+package org.marjoramgw.entry.caller;
