--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/experiment/ExperimentFilesTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/experiment/ExperimentFilesTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -22,15 +23,18 @@
  */
 public class ExperimentFilesTests {
 
+	private static final String SERIES_MARK = "seed_count";
+
 	private static final Path DIRECTORY = Path.of(System.getProperty("repository.root"), "experiments");
 
 	@DataProvider
 	public Object[][] experiments() throws IOException {
-		try (Stream<Path> files = Files.list(DIRECTORY)) {
-			return files.filter((file) -> file.toString().endsWith(".toml"))
-				.map((file) -> new Object[] { file })
-				.toArray(Object[][]::new);
-		}
+		return cases(false);
+	}
+
+	@DataProvider
+	public Object[][] series() throws IOException {
+		return cases(true);
 	}
 
 	@Test(dataProvider = "experiments")
@@ -57,11 +61,16 @@
 					fault.standin()));
 	}
 
-	@Test
-	public void seriesReadTheirExperiments() throws InvalidTextException {
-		Series series = new SeriesParser().parse(DIRECTORY.resolve("series").resolve("baselines.toml"));
-		Assert.assertTrue(series.variants().size() >= 4);
+	@Test(dataProvider = "series")
+	public void everyVariantOfASeriesIsAValidConfiguration(Path file) throws IOException, InvalidTextException {
+		Series series = new SeriesParser().parse(file);
 		Assert.assertTrue(series.seedCount() >= 3);
+		for (Experiment experiment : series.experiments()) {
+			for (Variant variant : series.variants()) {
+				String text = new ConfigurationText().of(experiment.withLimits(variant.limits()));
+				new ConfigurationParser().parse(variant.name(), 1, text);
+			}
+		}
 	}
 
 	@Test
@@ -78,4 +87,18 @@
 		Assert.assertEquals(changed.rules(), plain.rules());
 	}
 
+	private static Object[][] cases(boolean series) throws IOException {
+		List<Object[]> cases = new ArrayList<>();
+		for (Path directory : List.of(DIRECTORY, DIRECTORY.resolve("series"))) {
+			try (Stream<Path> files = Files.list(directory)) {
+				for (Path file : files.filter((path) -> path.toString().endsWith(".toml")).toList()) {
+					if (Files.readString(file).contains(SERIES_MARK) == series) {
+						cases.add(new Object[] { file });
+					}
+				}
+			}
+		}
+		return cases.toArray(Object[][]::new);
+	}
+
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/driver/RequestSender.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/driver/RequestSender.java
@@ -66,7 +66,8 @@
 	}
 
 	private CompletionStage<RequestRecord> service(Arrival arrival, HostPort entry, long dueMillis) {
-		String key = arrival.load().keyed() ? arrival.text() : "";
+		// The time makes a key its own in each run on the same deployment.
+		String key = arrival.load().keyed() ? arrival.text() + "-" + dueMillis : "";
 		String body = "{\"order\":\"" + arrival.text() + "\"}";
 		ServiceCall call = new ServiceCall(entry, "key-" + arrival.account(), arrival.load().requestClass(),
 				arrival.load().service(), arrival.load().path(), body, key);
