--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Series.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Series.java
@@ -8,8 +8,9 @@
  * @param name its name
  * @param experiments the experiments, all on the same deployment
  * @param variants the variants; they take turns
- * @param seedCount number of seeds, from 1 on
+ * @param firstSeed the first seed
+ * @param seedCount number of seeds, each one more than the one before
  * @author The marjoramgw authors
  */
-public record Series(String name, List<Experiment> experiments, List<Variant> variants, int seedCount) {
+public record Series(String name, List<Experiment> experiments, List<Variant> variants, int firstSeed, int seedCount) {
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/SeriesParser.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/SeriesParser.java
@@ -38,7 +38,7 @@
 		for (String experiment : files) {
 			experiments.add(new ExperimentParser().parse(file.resolveSibling(experiment)));
 		}
-		return new Series(name, experiments, variants, seedCount);
+		return new Series(name, experiments, variants, 1, seedCount);
 	}
 
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
@@ -1,9 +1,7 @@
 package org.marjoramgw.load.measure;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -42,28 +40,24 @@
 	 * Runs a series.
 	 * @param series the series
 	 * @param listener called after each run
-	 * @return all runs
 	 * @throws IOException if a configuration text can't be read
 	 * @throws InvalidTextException if a configuration text has mistakes
 	 * @throws RigException if the deployment can't be started or controlled
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	public List<SeriesRun> run(Series series, Consumer<SeriesRun> listener)
+	public void run(Series series, Consumer<SeriesRun> listener)
 			throws IOException, InvalidTextException, RigException, InterruptedException {
-		List<SeriesRun> runs = new ArrayList<>();
 		Experiment first = series.experiments().get(0);
 		try (Deployment deployment = Deployment.start(this.runner.plan(first), this.system)) {
-			for (int seed = 1; seed <= series.seedCount(); seed++) {
+			for (int number = 0; number < series.seedCount(); number++) {
+				int seed = series.firstSeed() + number;
 				for (Experiment experiment : series.experiments()) {
 					for (Variant variant : series.variants()) {
-						SeriesRun run = run(experiment.withSeed(seed), variant, deployment);
-						runs.add(run);
-						listener.accept(run);
+						listener.accept(run(experiment.withSeed(seed), variant, deployment));
 					}
 				}
 			}
 		}
-		return runs;
 	}
 
 	private SeriesRun run(Experiment experiment, Variant variant, Deployment deployment)
