Refuse below the top tier what missed its first-token target

Cause: requests served after their target take slots from those that can still meet theirs. The entry's latest useful start now counts from the caller's arrival by the same rule.

A continuation of a lost run carried the original latest start, which had often passed, so that the side process would refuse it: it now has the time of the whole answer. A connection cut inside a frame counts as closed, not as a bad frame.

--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
@@ -174,6 +174,22 @@
 		Assert.assertEquals(this.sink.result(), ResultCode.DEADLINE_IN_FLIGHT);
 	}
 
+	@Test
+	public void refusesALowerTierThatMissedItsTargetButWaitsForTheTopOne() throws Exception {
+		request(inTier(4, 50));
+		Assert.assertEquals(this.sink.result(), ResultCode.DEADLINE_BEFORE_GRANT);
+		request(inTier(1, 50));
+		Assert.assertTrue(this.sides.next(Message.Reserve.class).message().startWithinMillis() > 50);
+	}
+
+	@Test
+	public void givesAContinuationTheTimeOfTheWholeAnswer() {
+		ActorRef<RequestEvent> actor = request(inTier(4, 5_000));
+		String side = runningSide(actor);
+		refuse(actor, side, 1, ResultCode.BACKEND_BROKE_OFF);
+		Assert.assertTrue(this.sides.next(Message.Reserve.class).message().startWithinMillis() > 5_000);
+	}
+
 	@Test
 	public void endsAsUnknownWhenTheSideProcessRestarted() throws Exception {
 		ActorRef<RequestEvent> actor = request(plain(false));
@@ -275,6 +291,13 @@
 				16);
 	}
 
+	private static RoutedRequest inTier(int tier, long firstTokenMillis) {
+		RoutedRequest request = generation();
+		return new RoutedRequest(request.requestId(), request.service(), request.model(),
+				new RequestClass("c", tier, firstTokenMillis, 50, 20_000, 10, 10), request.account(), request.call(),
+				"", 1);
+	}
+
 	private static RoutedRequest generation() {
 		Service service = new Service("chat", ServiceKind.MODEL, "p", List.of("m"), List.of(), List.of(), false);
 		return routed(service, "m", true, "");
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -11,6 +11,7 @@
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.marjoramgw.Outcome;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.RequestClass;
 import org.marjoramgw.wire.Message;
 
 /**
@@ -24,6 +25,8 @@
 
 	private static final int HARD_DEADLINE_FACTOR = 2;
 
+	private static final int TOP_TIER = 1;
+
 	private final TimerScheduler<RequestEvent> timers;
 
 	private final RoutedRequest request;
@@ -54,8 +57,7 @@
 		this.recovery = new Recovery(request, context);
 		long nowMillis = context.clock().nowMillis();
 		long completionMillis = request.requestClass().completionMillis();
-		this.startDeadlineMillis = nowMillis
-				+ Math.max(request.requestClass().firstTokenMillis(), completionMillis / 2);
+		this.startDeadlineMillis = nowMillis + startWithinMillis(request.requestClass());
 		long finishMillis = completionMillis * HARD_DEADLINE_FACTOR;
 		this.reservations = new Reservations(request, context, this.startDeadlineMillis, nowMillis + finishMillis);
 		timers.startSingleTimer(new RequestEvent.StartDeadline(),
@@ -93,12 +95,25 @@
 			.build();
 	}
 
+	/**
+	 * Returns how long a request may wait for its start. Below the top tier one that
+	 * missed its target for the first token would only take slots from those that can
+	 * still meet theirs.
+	 * @param requestClass class of the request
+	 * @return the wait, in milliseconds
+	 */
+	private static long startWithinMillis(RequestClass requestClass) {
+		long patientMillis = Math.max(requestClass.firstTokenMillis(), requestClass.completionMillis() / 2);
+		boolean strict = requestClass.tier() > TOP_TIER && requestClass.firstTokenMillis() > 0;
+		return strict ? requestClass.firstTokenMillis() : patientMillis;
+	}
+
 	private Behavior<RequestEvent> start() {
 		return startRound();
 	}
 
 	private Behavior<RequestEvent> startRound() {
-		if (!this.reservations.startRound()) {
+		if (!this.reservations.startRound(this.recovery.mayHaveRun())) {
 			return retryOrFail(ResultCode.NO_BACKEND, 0);
 		}
 		this.timers.startSingleTimer(new RequestEvent.WidenDue(),
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
@@ -32,6 +32,8 @@
 
 	private int attempt;
 
+	private long startByMillis;
+
 	Reservations(RoutedRequest request, DispatchContext context, long startDeadlineMillis, long finishDeadlineMillis) {
 		this.request = request;
 		this.context = context;
@@ -53,10 +55,13 @@
 
 	/**
 	 * Starts a round under a new attempt number.
+	 * @param begun whether an earlier run was lost, so that only the deadline of the
+	 * whole answer counts
 	 * @return whether any side process got a reservation
 	 */
-	boolean startRound() {
+	boolean startRound(boolean begun) {
 		this.attempt++;
+		this.startByMillis = begun ? this.finishDeadlineMillis : this.startDeadlineMillis;
 		int asked = ask(wantedCount());
 		if (asked == 0 && !this.triedSideIds.isEmpty()) {
 			this.triedSideIds.clear();
@@ -130,7 +135,7 @@
 			.send(sideId,
 					new Message.Reserve(this.request.requestId(), this.attempt, this.request.service().name(),
 							this.request.model(), this.request.requestClass().name(), this.request.account().name(),
-							Math.max(1, this.startDeadlineMillis - nowMillis),
+							Math.max(1, this.startByMillis - nowMillis),
 							Math.max(1, this.finishDeadlineMillis - nowMillis), this.request.promptTokens()));
 	}
 
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/transport/PekkoTransportTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/transport/PekkoTransportTests.java
@@ -88,6 +88,17 @@
 		Assert.assertEquals(received.next(), new Message.Cancel("b", 1));
 	}
 
+	@Test
+	public void tellsAConnectionCutInsideAFrameFromABadFrame() throws Exception {
+		Recorder received = new Recorder();
+		HostPort address = listen(received);
+		try (Socket socket = new Socket(address.host(), address.port())) {
+			socket.getOutputStream().write(new byte[] { 0, 0, 0, 9, 3 });
+			socket.getOutputStream().flush();
+		}
+		Assert.assertEquals(received.next(), ResultCode.PEER_CLOSED);
+	}
+
 	private HostPort listen(ConnectionAcceptor acceptor) throws Exception {
 		return this.transport.listen(new HostPort("127.0.0.1", 0), acceptor)
 			.toCompletableFuture()
--- a/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
@@ -41,6 +41,9 @@
 
 	private static final List<SocketOption> NO_DELAY = List.of(TcpSO.tcpNoDelay(true));
 
+	/** Part of the library's message for a connection that ended inside a frame. */
+	private static final String CUT_IN_A_FRAME = "truncated final frame";
+
 	private final ActorSystem<?> system;
 
 	private final MessageCodec codec;
@@ -104,9 +107,8 @@
 	}
 
 	private static ResultCode reasonOf(Throwable failure) {
-		boolean malformed = Optional.ofNullable(failure)
-			.filter((cause) -> cause instanceof MalformedFrameException || cause instanceof FramingException)
-			.isPresent();
+		boolean malformed = failure instanceof MalformedFrameException
+				|| (failure instanceof FramingException && !failure.getMessage().contains(CUT_IN_A_FRAME));
 		return malformed ? ResultCode.BAD_FRAME : ResultCode.PEER_CLOSED;
 	}
 
