Keep the total rate of idle heartbeats flat

At the target size an entry holds up to 192 links; a heartbeat a second on each would alone break the control budget of 11 KB/s. The interval now grows with the number of links. A link with work still beats every heartbeat_ms.

--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -41,6 +42,8 @@
 
 	private static final int DEFAULT_SUBSET_COUNT = 24;
 
+	private static final int IDLE_HEARTBEATS_PER_SECOND = 24;
+
 	private static final long UNWANTED_LINK_MILLIS = 10_000;
 
 	private static final long MAX_RECONNECT_MILLIS = 2_000;
@@ -178,7 +181,7 @@
 		}
 		link.listAsLive(wanted && Vm.LIVE.equals(listed.state()));
 		boolean busy = link.isBusy();
-		long intervalMillis = busy ? this.settings.heartbeatMillis() : this.settings.idleHeartbeatMillis();
+		long intervalMillis = busy ? this.settings.heartbeatMillis() : idleIntervalMillis();
 		if (link.silentMillis() > this.settings.peerTimeoutMillis() + (busy ? 0 : intervalMillis)) {
 			drop(link, ResultCode.PEER_SILENT);
 		}
@@ -187,6 +190,16 @@
 		}
 	}
 
+	/**
+	 * Returns the interval of heartbeats on an idle link; it grows with the number of
+	 * links, so that the total rate stays flat.
+	 * @return the interval, in milliseconds
+	 */
+	private long idleIntervalMillis() {
+		long flatMillis = TimeUnit.SECONDS.toMillis(this.linkById.size()) / IDLE_HEARTBEATS_PER_SECOND;
+		return Math.max(this.settings.idleHeartbeatMillis(), flatMillis);
+	}
+
 	private void drop(SideLink link, ResultCode reason) {
 		String sideId = link.vm().id();
 		this.linkById.remove(sideId);
