--- a/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
@@ -137,10 +137,10 @@
 		runWithSettings("publish", VALID_TEXT.toString(), "--base", "0");
 		runWithSettings("publish", second.toString(), "--base", "1", "--operator", "ben");
 		Assert.assertEquals(runWithSettings("show"), ExitCode.OK, this.err);
-		assertContains(this.out, "# revision 2, published by ben at ");
-		assertContains(this.out, Files.readString(second).stripTrailing());
+		assertContains(this.err, "revision 2, published by ben at ");
+		Assert.assertEquals(this.out.stripTrailing(), Files.readString(second).stripTrailing());
 		Assert.assertEquals(runWithSettings("show", "--revision", "1"), ExitCode.OK, this.err);
-		assertContains(this.out, first.stripTrailing());
+		Assert.assertEquals(this.out.stripTrailing(), first.stripTrailing());
 		Assert.assertEquals(runWithSettings("show", "--revision", "7"), ExitCode.FAILURE);
 		Assert.assertEquals(runWithSettings("history", "--json"), ExitCode.OK, this.err);
 		Assert.assertEquals(json().get("revisions").findValuesAsText("operator"), List.of("ana", "ben"));
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/ShowCommand.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/ShowCommand.java
@@ -39,8 +39,8 @@
 				return ExitCode.FAILURE;
 			}
 			Revision shown = found.get();
-			console.result(shown, Messages.revisionComment(shown.revision(), shown.operator(), shown.timeMillis())
-					+ "\n" + shown.text().stripTrailing());
+			console.note(Messages.shownRevision(shown.revision(), shown.operator(), shown.timeMillis()));
+			console.result(shown, shown.text().stripTrailing());
 			return ExitCode.OK;
 		}
 	}
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Console.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Console.java
@@ -56,6 +56,16 @@
 		error(text);
 	}
 
+	/**
+	 * Writes a note for people beside a result that is a text of its own.
+	 * @param text the note
+	 */
+	public void note(String text) {
+		if (!this.json) {
+			this.err.println(text);
+		}
+	}
+
 	/**
 	 * Writes a warning.
 	 * @param text the warning
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
@@ -149,15 +149,15 @@
 	}
 
 	/**
-	 * Describes a revision in a comment above its text.
+	 * Describes a revision beside its text.
 	 * @param revision the revision
-	 * @param operator who published it
-	 * @param timeMillis when, in milliseconds since 1970
-	 * @return a TOML comment
+	 * @param operator who published it, or an empty text if not known
+	 * @param timeMillis when, in milliseconds since 1970, or 0 if not known
+	 * @return the text
 	 */
-	public static String revisionComment(long revision, String operator, long timeMillis) {
+	public static String shownRevision(long revision, String operator, long timeMillis) {
 		String by = operator.isEmpty() ? "" : ", published by " + operator;
-		return "# revision " + revision + by + ((timeMillis == 0) ? "" : " at " + time(timeMillis));
+		return "revision " + revision + by + ((timeMillis == 0) ? "" : " at " + time(timeMillis));
 	}
 
 	/**
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/ProcessClient.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/ProcessClient.java
@@ -64,7 +64,7 @@
 			checked(operatorAddress, this.caller.post(uri(operatorAddress, "drain"), "{}"));
 		}
 		catch (HttpCallException ex) {
-			throw new ProcessUnreachableException(ResultCode.PEER_SILENT, operatorAddress, ex);
+			throw new ProcessUnreachableException(ResultCode.PROCESS_UNREACHABLE, operatorAddress, ex);
 		}
 	}
 
@@ -74,7 +74,7 @@
 			return this.mapper.readValue(reply.body(), type);
 		}
 		catch (HttpCallException | JsonProcessingException ex) {
-			throw new ProcessUnreachableException(ResultCode.PEER_SILENT, operatorAddress, ex);
+			throw new ProcessUnreachableException(ResultCode.PROCESS_UNREACHABLE, operatorAddress, ex);
 		}
 	}
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/DemoCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/DemoCommand.java
@@ -62,8 +62,7 @@
 				System.out.println("sending mixed load for " + this.seconds + " s");
 				System.out.print(new ResultTable().of(runner.run(experiment, running)));
 				if (this.keep) {
-					examples(running, experiment);
-					new CountDownLatch(1).await();
+					keep(running, experiment);
 				}
 			}
 			System.out.println("stopped");
@@ -94,6 +93,15 @@
 		}
 	}
 
+	private static void keep(Deployment running, Experiment experiment)
+			throws IOException, RigException, InterruptedException {
+		Path directory = new JavaCommand().repositoryRoot().resolve("target").resolve("demo");
+		try (DemoFiles files = new DemoFiles(directory, running)) {
+			examples(running, experiment);
+			new CountDownLatch(1).await();
+		}
+	}
+
 	private static void examples(Deployment running, Experiment experiment) {
 		ManagedProcess entry = running.entries().iterator().next();
 		String model = experiment.deployment()
@@ -111,6 +119,7 @@
 						+ account + "' -H 'Content-Type: application/json'" + " -d '{\"model\":\"" + model
 						+ "\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"len=20 hello\"}]}'");
 		System.out.println("  curl http://" + entry.address("http") + "/metrics");
+		System.out.println("  bin/marjoramgw status --config target/demo/operator.toml");
 	}
 
 }
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests that the documentation agrees with the code.
+ */
+package org.marjoramgw.docs;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -159,6 +159,8 @@
 	WEIGHT_STORE_BUSY(6012, 0, Outcome.NOT_RUN, "weight store is over its rate"),
 	/** Engine can't be ordered or asked for its state. */
 	ENGINE_AWAY(6013, 0, Outcome.UNKNOWN, "engine can't be ordered or asked for its state"),
+	/** Operators' endpoint of a process can't be reached. */
+	PROCESS_UNREACHABLE(6014, 0, Outcome.UNKNOWN, "operators' endpoint of the process can't be reached"),
 	/** Fault inside the program. */
 	INTERNAL(6999, 500, Outcome.UNKNOWN, "internal fault");
 
