--- /dev/null
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/PlannedStopTests.java
@@ -0,0 +1,194 @@
+package org.marjoramgw.process;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.marjoramgw.program.ExitCode;
+import org.marjoramgw.rig.CallAnswer;
+import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.ManagedProcess;
+import org.marjoramgw.rig.RigException;
+import org.marjoramgw.testkit.TestSeed;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Proves that a planned stop of any part under load cuts off no request in flight.
+ *
+ * @author The marjoramgw authors
+ */
+public class PlannedStopTests {
+
+	private static final int STREAM_COUNT = 8;
+
+	private static final int ANSWER_TOKENS = 250;
+
+	private static final int ORDER_COUNT = 6;
+
+	/** Exit code of a Java runtime that SIGTERM ended, after its shutdown hooks. */
+	private static final int SIGTERM_EXIT_CODE = 143;
+
+	private ProofBed bed;
+
+	private Deployment deployment;
+
+	@BeforeClass
+	public void start() throws Exception {
+		this.bed = ProofBed.start(ProofPlan.of(2, 2, 2));
+		this.deployment = this.bed.deployment();
+	}
+
+	@AfterClass(alwaysRun = true)
+	public void stop() {
+		if (this.bed != null) {
+			this.bed.close();
+		}
+	}
+
+	@AfterMethod
+	public void heal() throws Exception {
+		for (ManagedProcess side : this.deployment.sides()) {
+			if (side.name().startsWith("runner")) {
+				this.bed.standins().control("engine." + side.name(), "{\"crash_after_tokens\":0}");
+			}
+			else {
+				this.bed.standins().control("plain." + side.name(), "{\"delay_ms\":5}");
+			}
+		}
+		for (ManagedProcess process : this.bed.processes()) {
+			if (!process.isAlive()) {
+				process.restart();
+			}
+		}
+		this.bed.awaitServing();
+	}
+
+	/**
+	 * Lists the planned stops.
+	 * @return the process that stops, the entry that carries the calls, and how it stops
+	 */
+	@DataProvider
+	public Object[][] stops() {
+		return new Object[][] { { "entry-1", "entry-1", stop((name) -> this.deployment.entry(name).terminate()) },
+				{ "entry-1", "entry-1", stop((name) -> this.bed.drain(this.deployment.entry(name))) },
+				{ "runner-1", "entry-2", stop((name) -> this.deployment.side(name).terminate()) },
+				{ "runner-2", "entry-2", stop(this::stopBackendServer) },
+				{ "orders-1", "entry-1", stop((name) -> this.deployment.side(name).terminate()) },
+				{ "orders-2", "entry-2", stop((name) -> this.bed.drain(this.deployment.side(name))) } };
+	}
+
+	@Test(dataProvider = "stops")
+	public void callsInFlightEndWhole(String process, String entry, Stop stop) throws Exception {
+		for (ManagedProcess side : this.deployment.sides()) {
+			if (side.name().startsWith("orders")) {
+				this.bed.standins().control("plain." + side.name(), "{\"delay_ms\":1500}");
+			}
+		}
+		Map<String, CompletableFuture<CallAnswer>> streams = startStreams(entry);
+		Map<String, CompletableFuture<CallAnswer>> orders = startOrders(entry);
+		ManagedProcess stopping = processOf(process);
+		stop.stop(process);
+		for (Map.Entry<String, CompletableFuture<CallAnswer>> call : streams.entrySet()) {
+			CallAnswer answer = ProofBed.await(call.getValue());
+			Assert.assertTrue(answer.complete(), process + " cut off " + answer);
+			Assert.assertEquals(answer.text(), ProofBed.expectedAnswer(call.getKey()));
+		}
+		for (Map.Entry<String, CompletableFuture<CallAnswer>> call : orders.entrySet()) {
+			CallAnswer answer = ProofBed.await(call.getValue());
+			Assert.assertTrue(answer.complete(), process + " cut off " + answer);
+			Assert.assertEquals(this.bed.runsOfOrder(call.getKey()), 1);
+		}
+		Assert.assertTrue(stopping.awaitExit(Await.GENEROUS_MILLIS), process + " doesn't exit");
+		Assert.assertTrue(Set.of(ExitCode.OK, SIGTERM_EXIT_CODE).contains(stopping.exitCode()),
+				"exit code " + stopping.exitCode());
+	}
+
+	@Test
+	public void newCallsFindTheOtherEntryWhileOneStops() throws Exception {
+		Map<String, CompletableFuture<CallAnswer>> streams = startStreams("entry-1");
+		this.deployment.entry("entry-1").terminate();
+		Await.until("entry-1 fails its health check", () -> !isHealthy("entry-1"));
+		SteadyLoad load = new SteadyLoad(this.bed, List.of("entry-2"), ProofConfiguration.TOP, 10, 100);
+		for (CompletableFuture<CallAnswer> call : streams.values()) {
+			Assert.assertTrue(ProofBed.await(call).complete());
+		}
+		for (CallAnswer answer : load.finish().values()) {
+			Assert.assertTrue(answer.complete(), answer.toString());
+		}
+	}
+
+	private boolean isHealthy(String entry) {
+		try {
+			this.bed.standins().getText("http://" + this.deployment.entry(entry).address("http") + "/healthz");
+			return true;
+		}
+		catch (RigException ex) {
+			return false;
+		}
+	}
+
+	private Map<String, CompletableFuture<CallAnswer>> startStreams(String entry) throws Exception {
+		Map<String, Boolean> flowing = new ConcurrentHashMap<>();
+		Map<String, CompletableFuture<CallAnswer>> calls = new LinkedHashMap<>();
+		for (int count = 0; count < STREAM_COUNT; count++) {
+			String prompt = "len=" + ANSWER_TOKENS + " planned " + TestSeed.value() + " " + System.nanoTime();
+			calls.put(prompt,
+					this.bed.chat(entry, ProofConfiguration.TOP, prompt, (text) -> flowing.put(prompt, Boolean.TRUE)));
+		}
+		Await.until("streams flow", () -> flowing.size() == STREAM_COUNT);
+		return calls;
+	}
+
+	private Map<String, CompletableFuture<CallAnswer>> startOrders(String entry) throws Exception {
+		Map<String, CompletableFuture<CallAnswer>> calls = new LinkedHashMap<>();
+		List<String> orders = new ArrayList<>();
+		for (int count = 0; count < ORDER_COUNT; count++) {
+			String order = "planned-" + TestSeed.value() + "-" + System.nanoTime();
+			orders.add(order);
+			calls.put(order, this.bed.order(entry, order, (count % 2 == 0) ? order : ""));
+		}
+		Await.until("orders run", () -> {
+			int running = 0;
+			for (String order : orders) {
+				running += this.bed.runsOfOrder(order);
+			}
+			return running == ORDER_COUNT;
+		});
+		return calls;
+	}
+
+	/**
+	 * Stops a backend server as operators do: its side process drains, and the engine
+	 * ends after it.
+	 */
+	private void stopBackendServer(String side) throws Exception {
+		this.bed.drain(this.deployment.side(side));
+		Assert.assertTrue(this.deployment.side(side).awaitExit(Await.GENEROUS_MILLIS), side + " doesn't exit");
+		this.bed.standins().control("engine." + side, "{\"crash_after_tokens\":1}");
+	}
+
+	private ManagedProcess processOf(String name) {
+		return name.startsWith("entry") ? this.deployment.entry(name) : this.deployment.side(name);
+	}
+
+	private static Stop stop(Stop stop) {
+		return stop;
+	}
+
+	@FunctionalInterface
+	private interface Stop {
+
+		void stop(String process) throws Exception;
+
+	}
+
+}
