--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
@@ -174,6 +174,22 @@
 		Assert.assertEquals(this.sink.result(), ResultCode.DEADLINE_IN_FLIGHT);
 	}
 
+	@Test
+	public void refusesALowerTierThatMissedItsTargetButWaitsForTheTopOne() throws Exception {
+		request(inTier(4, 50));
+		Assert.assertEquals(this.sink.result(), ResultCode.DEADLINE_BEFORE_GRANT);
+		request(inTier(1, 50));
+		Assert.assertTrue(this.sides.next(Message.Reserve.class).message().startWithinMillis() > 50);
+	}
+
+	@Test
+	public void givesAContinuationTheTimeOfTheWholeAnswer() {
+		ActorRef<RequestEvent> actor = request(inTier(4, 5_000));
+		String side = runningSide(actor);
+		refuse(actor, side, 1, ResultCode.BACKEND_BROKE_OFF);
+		Assert.assertTrue(this.sides.next(Message.Reserve.class).message().startWithinMillis() > 5_000);
+	}
+
 	@Test
 	public void endsAsUnknownWhenTheSideProcessRestarted() throws Exception {
 		ActorRef<RequestEvent> actor = request(plain(false));
@@ -191,6 +207,29 @@
 		Assert.assertEquals(this.sink.result(), ResultCode.SIDE_LOST);
 	}
 
+	@Test
+	public void movesAGenerationAtOnceWhenNewConnectionsAreRefused() {
+		ActorRef<RequestEvent> actor = request(generation());
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.SideGone(side));
+		actor.tell(new RequestEvent.SideUnreachable(side));
+		Assert.assertEquals(this.sides.next(Message.Reserve.class).message().attempt(), 2);
+		actor.tell(new RequestEvent.SideBack(side, FakeSidePool.INCARNATION));
+		Assert.assertEquals(this.sides.next(Message.Cancel.class).message().attempt(), 1, "the lost run is cancelled");
+	}
+
+	@Test
+	public void keepsWaitingForACallThatMayNotBeRepeated() throws Exception {
+		ActorRef<RequestEvent> actor = request(plain(false));
+		String side = runningSide(actor);
+		actor.tell(new RequestEvent.SideGone(side));
+		actor.tell(new RequestEvent.SideUnreachable(side));
+		actor.tell(new RequestEvent.SideBack(side, FakeSidePool.INCARNATION));
+		this.sides.next(Message.Resume.class);
+		end(actor, side, 1, 0);
+		Assert.assertEquals(this.sink.result(), ResultCode.OK);
+	}
+
 	@Test
 	public void cancelsTheRunOfACallerThatWentAway() {
 		ActorRef<RequestEvent> actor = request(generation());
@@ -252,6 +291,13 @@
 				16);
 	}
 
+	private static RoutedRequest inTier(int tier, long firstTokenMillis) {
+		RoutedRequest request = generation();
+		return new RoutedRequest(request.requestId(), request.service(), request.model(),
+				new RequestClass("c", tier, firstTokenMillis, 50, 20_000, 10, 10), request.account(), request.call(),
+				"", 1);
+	}
+
 	private static RoutedRequest generation() {
 		Service service = new Service("chat", ServiceKind.MODEL, "p", List.of("m"), List.of(), List.of(), false);
 		return routed(service, "m", true, "");
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/Reservations.java
@@ -16,6 +16,8 @@
  */
 final class Reservations {
 
+	private static final int MAX_WAITING_COUNT = 6;
+
 	private final RoutedRequest request;
 
 	private final DispatchContext context;
@@ -30,6 +32,8 @@
 
 	private int attempt;
 
+	private long startByMillis;
+
 	Reservations(RoutedRequest request, DispatchContext context, long startDeadlineMillis, long finishDeadlineMillis) {
 		this.request = request;
 		this.context = context;
@@ -51,10 +55,13 @@
 
 	/**
 	 * Starts a round under a new attempt number.
+	 * @param begun whether an earlier run was lost, so that only the deadline of the
+	 * whole answer counts
 	 * @return whether any side process got a reservation
 	 */
-	boolean startRound() {
+	boolean startRound(boolean begun) {
 		this.attempt++;
+		this.startByMillis = begun ? this.finishDeadlineMillis : this.startDeadlineMillis;
 		int asked = ask(wantedCount());
 		if (asked == 0 && !this.triedSideIds.isEmpty()) {
 			this.triedSideIds.clear();
@@ -64,10 +71,14 @@
 	}
 
 	/**
-	 * Asks one more side process under the same attempt number.
+	 * Asks one more side process under the same attempt number, within a bound.
+	 * @return whether there is room for yet another one
 	 */
-	void widen() {
-		ask(1);
+	boolean widen() {
+		if (this.waitingSideIds.size() < MAX_WAITING_COUNT) {
+			ask(1);
+		}
+		return this.waitingSideIds.size() < MAX_WAITING_COUNT;
 	}
 
 	/**
@@ -124,7 +135,7 @@
 			.send(sideId,
 					new Message.Reserve(this.request.requestId(), this.attempt, this.request.service().name(),
 							this.request.model(), this.request.requestClass().name(), this.request.account().name(),
-							Math.max(1, this.startDeadlineMillis - nowMillis),
+							Math.max(1, this.startByMillis - nowMillis),
 							Math.max(1, this.finishDeadlineMillis - nowMillis), this.request.promptTokens()));
 	}
 
