--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -9,6 +10,7 @@
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.load.experiment.ConfigurationText;
 import org.marjoramgw.load.experiment.Experiment;
+import org.marjoramgw.load.experiment.Phase;
 import org.marjoramgw.load.experiment.Series;
 import org.marjoramgw.load.experiment.Variant;
 import org.marjoramgw.rig.Deployment;
@@ -22,6 +24,10 @@
  */
 public final class SeriesRunner {
 
+	private static final long WARM_UP_MILLIS = 8_000;
+
+	private static final int WARM_UP_PERCENT = 70;
+
 	private final ExperimentRunner runner;
 
 	private final ActorSystem<?> system;
@@ -49,6 +55,7 @@
 			throws IOException, InvalidTextException, RigException, InterruptedException {
 		Experiment first = series.experiments().get(0);
 		try (Deployment deployment = Deployment.start(this.runner.plan(first), this.system)) {
+			warmUp(first, deployment);
 			for (int number = 0; number < series.seedCount(); number++) {
 				int seed = series.firstSeed() + number;
 				for (Experiment experiment : series.experiments()) {
@@ -60,6 +67,14 @@
 		}
 	}
 
+	private void warmUp(Experiment experiment, Deployment deployment)
+			throws IOException, InvalidTextException, RigException, InterruptedException {
+		// Its result is dropped: the variant that comes first would otherwise meet cold
+		// code.
+		Phase phase = new Phase("warm-up", WARM_UP_MILLIS, WARM_UP_PERCENT, Map.of(), "", 0);
+		this.runner.run(experiment.withPhases(List.of(phase)), deployment);
+	}
+
 	private SeriesRun run(Experiment experiment, Variant variant, Deployment deployment)
 			throws IOException, InvalidTextException, RigException, InterruptedException {
 		Map<String, Object> limits = new LinkedHashMap<>(experiment.limits());
