Choose subsets of side processes from both ends

Cause: by the entries' rendezvous ranking alone a side process at the target size was left with as few as one entry of 320 (mean 11.5, computed). Each side process now also ranks the entries, and an entry joins those that rank it among their first, so none is left with less than about half of the mean. With few entries and many side processes every one is still reached. The choice is made when a list changes, not at every tick.

--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
@@ -74,6 +74,12 @@
 
 	private Map<String, Vm> vmById = Map.of();
 
+	private Set<String> entryIds = Set.of();
+
+	private Set<String> wanted;
+
+	private int wantedCount;
+
 	private SideDirectory(ActorContext<Command> actor, EntrySettings settings, PeerIdentity identity,
 			Supplier<PeerStatus> status, ConfigurationSource configuration, Transport transport, MillisClock clock,
 			OpenRequests open, ConnectedSides sides, ResultCounters counters) {
@@ -128,6 +134,12 @@
 			.stream()
 			.filter((vm) -> Vm.SIDE.equals(vm.role()))
 			.collect(Collectors.toMap(Vm::id, (vm) -> vm, (first, second) -> second));
+		this.entryIds = command.vms()
+			.stream()
+			.filter((vm) -> Vm.ENTRY.equals(vm.role()))
+			.map(Vm::id)
+			.collect(Collectors.toUnmodifiableSet());
+		this.wanted = null;
 		return onTick();
 	}
 
@@ -158,11 +170,11 @@
 	}
 
 	private Behavior<Command> onTick() {
-		Set<String> wanted = wantedSideIds();
+		Set<String> wantedIds = wantedSideIds();
 		for (SideLink link : List.copyOf(this.linkById.values())) {
-			keep(link, wanted.contains(link.vm().id()));
+			keep(link, wantedIds.contains(link.vm().id()));
 		}
-		for (String sideId : wanted) {
+		for (String sideId : wantedIds) {
 			if (!this.linkById.containsKey(sideId) && isConnectDue(sideId)) {
 				connect(this.vmById.get(sideId));
 			}
@@ -171,15 +183,15 @@
 		return this;
 	}
 
-	private void keep(SideLink link, boolean wanted) {
+	private void keep(SideLink link, boolean inSubset) {
 		Vm listed = this.vmById.get(link.vm().id());
 		boolean moved = listed != null && !listed.peerAddress().equals(link.vm().peerAddress());
-		boolean unused = !wanted && link.idleMillis() > UNWANTED_LINK_MILLIS;
+		boolean unused = !inSubset && link.idleMillis() > UNWANTED_LINK_MILLIS;
 		if (moved || unused) {
 			drop(link, ResultCode.PEER_CLOSED);
 			return;
 		}
-		link.listAsLive(wanted && Vm.LIVE.equals(listed.state()));
+		link.listAsLive(inSubset && Vm.LIVE.equals(listed.state()));
 		boolean busy = link.isBusy();
 		long intervalMillis = busy ? this.settings.heartbeatMillis() : idleIntervalMillis();
 		if (link.silentMillis() > this.settings.peerTimeoutMillis() + (busy ? 0 : intervalMillis)) {
@@ -242,15 +254,24 @@
 		int count = this.configuration.current()
 			.map((current) -> current.limits().subsetCount())
 			.orElse(DEFAULT_SUBSET_COUNT);
+		if (this.wanted == null || count != this.wantedCount) {
+			this.wantedCount = count;
+			this.wanted = chooseSubsets(count);
+		}
+		return this.wanted;
+	}
+
+	private Set<String> chooseSubsets(int count) {
 		Map<String, Map<String, String>> domainByIdByPool = new HashMap<>();
 		for (Vm vm : this.vmById.values()) {
 			domainByIdByPool.computeIfAbsent(vm.pool(), (pool) -> new HashMap<>()).put(vm.id(), vm.failureDomain());
 		}
-		Set<String> wanted = new HashSet<>();
+		Set<String> chosen = new HashSet<>();
 		for (Map<String, String> domainById : domainByIdByPool.values()) {
-			wanted.addAll(Subset.choose(this.identity.processId(), this.identity.failureDomain(), domainById, count));
+			chosen.addAll(Subset.choose(this.identity.processId(), this.identity.failureDomain(), this.entryIds,
+					domainById, count));
 		}
-		return wanted;
+		return chosen;
 	}
 
 	/**
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/SubsetMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/SubsetMeasurement.java
@@ -4,8 +4,10 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.marjoramgw.policy.candidate.Subset;
 
@@ -49,10 +51,11 @@
 			domainBySide.put("side-" + index, domain(index));
 			peers.put("side-" + index, new HashSet<>());
 		}
+		List<String> entryIds = IntStream.range(0, entries).mapToObj((index) -> "entry-" + index).toList();
 		int mostOfEntry = 0;
 		for (int index = 0; index < entries; index++) {
 			String entry = "entry-" + index;
-			Set<String> subset = Subset.choose(entry, domain(index), domainBySide, SUBSET_COUNT);
+			Set<String> subset = Subset.choose(entry, domain(index), entryIds, domainBySide, SUBSET_COUNT);
 			peers.put(entry, subset);
 			subset.forEach((side) -> peers.get(side).add(entry));
 			mostOfEntry = Math.max(mostOfEntry, subset.size());
