Hold the strictest target for the gap between tokens

Cause: the limit compared each stream's gap with its own class's target and took the mean. An engine spaces all tokens of a batch alike, so patient streams outvoted strict ones: with targets of 52 and 200 ms a gap of 80 ms let the limit rise.

--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/AdaptiveSlotLimitTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/AdaptiveSlotLimitTests.java
@@ -30,6 +30,23 @@
 		Assert.assertEquals(limit.slots(), expected, name);
 	}
 
+	@Test
+	public void holdsTheStrictestTargetOfAMixedBatch() {
+		AdaptiveSlotLimit limit = new AdaptiveSlotLimit(2, 8);
+		for (int stream = 0; stream < 7; stream++) {
+			limit.observeGap(60, 4 * TARGET_MILLIS);
+		}
+		limit.observeGap(60, TARGET_MILLIS);
+		Assert.assertEquals(limit.adjust(8), 7, "one strict stream among patient ones");
+		limit.observeGap(60, 4 * TARGET_MILLIS);
+		Assert.assertEquals(limit.adjust(7), 6, "the strict one is remembered");
+		for (int period = 0; period < 100; period++) {
+			limit.observeGap(60, 4 * TARGET_MILLIS);
+			limit.adjust(8);
+		}
+		Assert.assertEquals(limit.slots(), 8, "and forgotten in time");
+	}
+
 	@Test
 	public void risesOnlyWhileAllSlotsAreTaken() {
 		AdaptiveSlotLimit limit = new AdaptiveSlotLimit(2, 8);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/AdaptiveSlotLimit.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/AdaptiveSlotLimit.java
@@ -3,9 +3,10 @@
 /**
  * Limit that follows the measured gap between tokens.
  * <p>
- * An engine that batches more requests spaces their tokens further apart. The limit falls
- * by one while gaps exceed the targets of their classes, and rises by one while they are
- * well within them and all slots are taken.
+ * An engine that batches more requests spaces the tokens of all of them further apart, so
+ * the mean gap counts against the strictest target seen lately. The limit falls by one
+ * while the gap exceeds that target, and rises by one while it is well within it and all
+ * slots are taken.
  *
  * @author The marjoramgw authors
  */
@@ -21,9 +22,11 @@
 
 	private int slots;
 
-	private double ratioSum;
+	private final StrictestTarget target = new StrictestTarget();
 
-	private int ratioCount;
+	private double gapSumMillis;
+
+	private int gapCount;
 
 	/**
 	 * Creates a limit that starts at its greatest value.
@@ -43,17 +46,19 @@
 
 	@Override
 	public void observeGap(double gapMillis, long targetMillis) {
-		this.ratioSum += gapMillis / targetMillis;
-		this.ratioCount++;
+		this.gapSumMillis += gapMillis;
+		this.gapCount++;
+		this.target.seen(targetMillis);
 	}
 
 	@Override
 	public int adjust(int inFlight) {
-		if (this.ratioCount > 0) {
-			move(this.ratioSum / this.ratioCount, inFlight);
+		if (this.gapCount > 0) {
+			move(this.gapSumMillis / this.gapCount / this.target.millis(), inFlight);
 		}
-		this.ratioSum = 0;
-		this.ratioCount = 0;
+		this.gapSumMillis = 0;
+		this.gapCount = 0;
+		this.target.endPeriod();
 		return this.slots;
 	}
 
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/StrictestTarget.java
@@ -0,0 +1,44 @@
+package org.marjoramgw.policy.slot;
+
+/**
+ * Strictest target for the gap between tokens among the streams of recent periods.
+ * <p>
+ * It is remembered for a while, since a batch that grew while only patient classes ran
+ * can't shrink at once when the strict class is back.
+ *
+ * @author The marjoramgw authors
+ */
+final class StrictestTarget {
+
+	private static final int MEMORY_PERIODS = 60;
+
+	private long strictestMillis = Long.MAX_VALUE;
+
+	private long otherMillis = Long.MAX_VALUE;
+
+	private int unseenPeriods;
+
+	void seen(long targetMillis) {
+		if (targetMillis <= this.strictestMillis) {
+			this.strictestMillis = targetMillis;
+			this.unseenPeriods = 0;
+		}
+		else {
+			this.otherMillis = Math.min(this.otherMillis, targetMillis);
+		}
+	}
+
+	void endPeriod() {
+		this.unseenPeriods++;
+		if (this.unseenPeriods > MEMORY_PERIODS) {
+			this.strictestMillis = this.otherMillis;
+			this.otherMillis = Long.MAX_VALUE;
+			this.unseenPeriods = 0;
+		}
+	}
+
+	long millis() {
+		return this.strictestMillis;
+	}
+
+}
