Let the entry set the pace on idle connections

At the target size an entry holds up to 192 connections; a heartbeat a second each way on every one breaks its 11 KB/s. The side process answers the heartbeats of an idle entry, sends none of its own while no requests are open, and bears a silence of idle_timeout_ms, 30 s, there. With work, or requests open, heartbeats go out as before.

--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
@@ -173,6 +173,8 @@
 
 		final List<Message> sent = new ArrayList<>();
 
+		boolean open;
+
 		private final PeerIdentity peer;
 
 		Link(PeerIdentity peer) {
@@ -189,6 +191,11 @@
 			this.sent.add(message);
 		}
 
+		@Override
+		public void setOpenRequests(boolean open) {
+			this.open = open;
+		}
+
 		Message last() {
 			return this.sent.get(this.sent.size() - 1);
 		}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -98,8 +98,8 @@
 		this.actor = this.system.systemActorOf(SchedulerActor.create(this.scheduler), "scheduler", Props.empty());
 		inbox.open(this.actor);
 		this.entries = new EntryConnections(this.clock, this.identity, settings.peerToken(),
-				new HeartbeatRhythm(settings.heartbeatMillis(), settings.idleHeartbeatMillis(),
-						settings.peerTimeoutMillis()),
+				new HeartbeatRhythm(settings.heartbeatMillis(), settings.peerTimeoutMillis(),
+						settings.idleTimeoutMillis()),
 				this.scheduler::status, this.platform.configuration(), this.actor::tell);
 	}
 
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideSettings.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideSettings.java
@@ -22,8 +22,8 @@
  * @param model whether the backend server is a model engine
  * @param weightStoreUrl base URL of the weight store, or an empty text
  * @param heartbeatMillis time between heartbeats, in milliseconds
- * @param idleHeartbeatMillis time between heartbeats without work, in milliseconds
  * @param peerTimeoutMillis silence after which a peer is dropped, in milliseconds
+ * @param idleTimeoutMillis silence after which an idle peer is dropped, in milliseconds
  * @param pollMillis time between polls of the platform, in milliseconds
  * @param answerKeepMillis time that answers are kept for an entry that is gone, in
  * milliseconds
@@ -32,14 +32,14 @@
  */
 public record SideSettings(String processId, String failureDomain, HostPort httpAddress, HostPort peerAddress,
 		String peerToken, String operatorToken, String logUrl, String vmListUrl, String pool, String backendUrl,
-		boolean model, String weightStoreUrl, long heartbeatMillis, long idleHeartbeatMillis, long peerTimeoutMillis,
+		boolean model, String weightStoreUrl, long heartbeatMillis, long peerTimeoutMillis, long idleTimeoutMillis,
 		long pollMillis, long answerKeepMillis, int claimPartitionCount) {
 
 	private static final String MODEL = "model";
 
 	private static final long HEARTBEAT_MILLIS = 250;
 
-	private static final long IDLE_HEARTBEAT_MILLIS = 1_000;
+	private static final long IDLE_TIMEOUT_MILLIS = 30_000;
 
 	private static final long PEER_TIMEOUT_MILLIS = 1_000;
 
@@ -67,8 +67,8 @@
 				table.text("operator_token"), table.text("log_url"), table.text("vm_list_url"), table.text("pool"),
 				table.text("backend_url"), MODEL.equals(table.choice("kind", MODEL, Set.of(MODEL, "plain"))),
 				table.text("weight_store_url", ""), millis(table, "heartbeat_ms", HEARTBEAT_MILLIS),
-				millis(table, "idle_heartbeat_ms", IDLE_HEARTBEAT_MILLIS),
-				millis(table, "peer_timeout_ms", PEER_TIMEOUT_MILLIS), millis(table, "poll_ms", POLL_MILLIS),
+				millis(table, "peer_timeout_ms", PEER_TIMEOUT_MILLIS),
+				millis(table, "idle_timeout_ms", IDLE_TIMEOUT_MILLIS), millis(table, "poll_ms", POLL_MILLIS),
 				millis(table, "answer_keep_ms", ANSWER_KEEP_MILLIS),
 				(int) table.number("claim_partition_count", CLAIM_PARTITION_COUNT, 1, MAX_PARTITION_COUNT));
 		table.throwIfInvalid();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
@@ -29,6 +29,8 @@
 
 	private final SignsOfLife life;
 
+	private volatile boolean openRequests;
+
 	private volatile boolean closed;
 
 	EntryConnection(Connection connection, EntryConnections owner) {
@@ -42,6 +44,11 @@
 		return this.peer;
 	}
 
+	@Override
+	public void setOpenRequests(boolean open) {
+		this.openRequests = open;
+	}
+
 	@Override
 	public void send(Message message) {
 		this.life.sent(message, this.owner.clock().nowMillis());
@@ -66,7 +73,7 @@
 
 	private void receive(Message message) {
 		if (message instanceof Message.Heartbeat heartbeat) {
-			compareRevision(heartbeat.status());
+			onHeartbeat(heartbeat.status());
 		}
 		else if (message instanceof Message.ConfigFetch fetch) {
 			sendConfiguration(fetch.haveRevision());
@@ -97,7 +104,7 @@
 		if (this.life.isSilent(nowMillis)) {
 			drop(ResultCode.PEER_SILENT);
 		}
-		else if (this.peer != null && (atOnce || this.life.isHeartbeatDue(nowMillis))) {
+		else if (this.peer != null && (atOnce || this.life.isHeartbeatDue(this.openRequests, nowMillis))) {
 			send(new Message.Heartbeat(status));
 		}
 	}
@@ -132,6 +139,13 @@
 		return known ? null : ResultCode.BAD_TOKEN;
 	}
 
+	private void onHeartbeat(PeerStatus status) {
+		compareRevision(status);
+		if (this.life.isAnswerDue(this.owner.clock().nowMillis())) {
+			send(new Message.Heartbeat(this.owner.status()));
+		}
+	}
+
 	private void compareRevision(PeerStatus status) {
 		long ownRevision = this.owner.configuration().currentText().map(Message.ConfigText::revision).orElse(0L);
 		if (status.configRevision() > ownRevision) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/HeartbeatRhythm.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/HeartbeatRhythm.java
@@ -4,9 +4,9 @@
  * Times of the heartbeats.
  *
  * @param busyMillis time between heartbeats while there is work, in milliseconds
- * @param idleMillis time between heartbeats without work, in milliseconds
  * @param timeoutMillis silence after which a busy peer is dropped, in milliseconds
+ * @param idleTimeoutMillis silence after which an idle peer is dropped, in milliseconds
  * @author The marjoramgw authors
  */
-public record HeartbeatRhythm(long busyMillis, long idleMillis, long timeoutMillis) {
+public record HeartbeatRhythm(long busyMillis, long timeoutMillis, long idleTimeoutMillis) {
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/SignsOfLife.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/SignsOfLife.java
@@ -5,8 +5,10 @@
 /**
  * Signs of life on one connection, in both directions; thread-safe.
  * <p>
- * A connection without work for the length of the timeout is idle: heartbeats are rarer
- * then, and silence is judged by the idle rhythm until the first work is a timeout old.
+ * A connection without messages about work for the length of the timeout is idle. On an
+ * idle connection the entry sets the pace: its heartbeats are answered, and a long
+ * silence is borne. While requests are open, heartbeats go out all the same, so that the
+ * entry learns soon if the connection has gone silent.
  *
  * @author The marjoramgw authors
  */
@@ -46,14 +48,32 @@
 	}
 
 	synchronized boolean isSilent(long nowMillis) {
-		long idleExtraMillis = isBusy(nowMillis) ? 0 : this.rhythm.idleMillis() + this.rhythm.busyMillis();
+		long limitMillis = isBusy(nowMillis) ? this.rhythm.timeoutMillis() : this.rhythm.idleTimeoutMillis();
 		long sinceMillis = Math.max(this.heardMillis, this.busySinceMillis);
-		return nowMillis - sinceMillis > this.rhythm.timeoutMillis() + idleExtraMillis;
+		return nowMillis - sinceMillis > limitMillis;
 	}
 
-	synchronized boolean isHeartbeatDue(long nowMillis) {
-		long intervalMillis = isBusy(nowMillis) ? this.rhythm.busyMillis() : this.rhythm.idleMillis();
-		return nowMillis - this.sentMillis >= intervalMillis - this.rhythm.busyMillis() / 2;
+	/**
+	 * Tells whether a heartbeat is due of its own.
+	 * @param openRequests whether requests of the peer are open here
+	 * @param nowMillis the present time, in milliseconds
+	 * @return whether there is work and nothing was sent lately
+	 */
+	synchronized boolean isHeartbeatDue(boolean openRequests, long nowMillis) {
+		return (openRequests || isBusy(nowMillis)) && isQuiet(nowMillis);
+	}
+
+	/**
+	 * Tells whether a heartbeat of the peer calls for an answer.
+	 * @param nowMillis the present time, in milliseconds
+	 * @return whether nothing was sent lately
+	 */
+	synchronized boolean isAnswerDue(long nowMillis) {
+		return isQuiet(nowMillis);
+	}
+
+	private boolean isQuiet(long nowMillis) {
+		return nowMillis - this.sentMillis >= this.rhythm.busyMillis() / 2;
 	}
 
 	private boolean work(Message message, long nowMillis) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/EntryLink.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/EntryLink.java
@@ -22,4 +22,10 @@
 	 */
 	void send(Message message);
 
+	/**
+	 * Learns whether requests of the entry are open here.
+	 * @param open whether any came over this connection and isn't over
+	 */
+	void setOpenRequests(boolean open);
+
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
@@ -295,6 +295,7 @@
 		if (nowMillis - this.adjustedMillis >= ADJUST_MILLIS) {
 			this.adjustedMillis = nowMillis;
 			this.runs.measureGaps();
+			this.sessions.tellOpenRequests(this.tickets.openLinks());
 		}
 		this.slots.dispatch();
 		publishStatus();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Sessions.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Sessions.java
@@ -44,6 +44,16 @@
 		}
 	}
 
+	/**
+	 * Tells each connection whether it has open requests.
+	 * @param busyLinks the connections that have
+	 */
+	void tellOpenRequests(Set<EntryLink> busyLinks) {
+		for (Session session : this.sessions.values()) {
+			session.links.forEach((link) -> link.setOpenRequests(busyLinks.contains(link)));
+		}
+	}
+
 	/**
 	 * Returns when the entry of a request was last connected.
 	 * @param key the request
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Tickets.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Tickets.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.side.scheduler;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.marjoramgw.ResultCode;
@@ -55,6 +57,20 @@
 		return this.tickets.values().stream().filter(wanted).toList();
 	}
 
+	/**
+	 * Returns the connections with requests that aren't over.
+	 * @return the connections
+	 */
+	Set<EntryLink> openLinks() {
+		Set<EntryLink> links = new HashSet<>();
+		for (Ticket ticket : this.tickets.values()) {
+			if (ticket.link() != null && ticket.state() != TicketState.DONE) {
+				links.add(ticket.link());
+			}
+		}
+		return links;
+	}
+
 	int count(Predicate<Ticket> wanted) {
 		return (int) this.tickets.values().stream().filter(wanted).count();
 	}
