--- /dev/null
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/experiment/Series.java
@@ -0,0 +1,16 @@
+package org.marjoramgw.load.experiment;
+
+import java.util.List;
+
+/**
+ * Series of runs that compares variants on the same experiments and seeds.
+ *
+ * @param name its name
+ * @param experiments the experiments, all on the same deployment
+ * @param variants the variants; they take turns
+ * @param firstSeed the first seed
+ * @param seedCount number of seeds, each one more than the one before
+ * @author The marjoramgw authors
+ */
+public record Series(String name, List<Experiment> experiments, List<Variant> variants, int firstSeed, int seedCount) {
+}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
@@ -35,13 +36,26 @@
  */
 public final class SlotScheduler {
 
-	/** Time that a top-tier request waits before a stream is preempted for it. */
-	public static final long PREEMPT_AFTER_MILLIS = 30;
+	/** Least part of its time to the target that a request waits before a preemption. */
+	private static final int PREEMPT_AFTER_PERCENT = 25;
+
+	/**
+	 * Spread of that part. A request waits at several side processes; were they all to
+	 * preempt at once, all but one would do so in vain.
+	 */
+	private static final int PREEMPT_SPREAD_PERCENT = 25;
 
 	private static final String FCFS = "fcfs";
 
+	private static final int PERCENT = 100;
+
+	/** Part of the target for the first token that is left to prefill and batching. */
+	private static final int FIRST_TOKEN_ALLOWANCE_PERCENT = 10;
+
 	private final boolean model;
 
+	private final int spreadSeed;
+
 	private final ClassQueues queues = new ClassQueues();
 
 	private final Map<RequestKey, SlotHolder> holders = new LinkedHashMap<>();
@@ -69,10 +83,12 @@
 	/**
 	 * Creates a scheduler that accepts nothing until it is configured.
 	 * @param model whether the backend server is a model engine
+	 * @param spreadSeed number that differs between side processes
 	 * @param nowMillis the present time, in milliseconds
 	 */
-	public SlotScheduler(boolean model, long nowMillis) {
+	public SlotScheduler(boolean model, int spreadSeed, long nowMillis) {
 		this.model = model;
+		this.spreadSeed = spreadSeed;
 		this.floors = new ClassFloors(nowMillis);
 	}
 
@@ -96,6 +112,30 @@
 		this.order = newOrder();
 	}
 
+	/**
+	 * Makes the waiting form of a request that has arrived.
+	 * <p>
+	 * Below the top tier a start that misses the target for the first token is of no use:
+	 * it would take its slot from a request that can still meet one.
+	 * @param key its identity
+	 * @param requestClass its class
+	 * @param account name of the client account
+	 * @param startWithinMillis time left until the latest useful start, in milliseconds
+	 * @param nowMillis the present time, in milliseconds
+	 * @return the request
+	 */
+	public Waiting arrival(RequestKey key, RequestClass requestClass, String account, long startWithinMillis,
+			long nowMillis) {
+		long targetMillis = startWithinMillis;
+		if (requestClass.firstTokenMillis() > 0 && !isFcfs()) {
+			long allowanceMillis = requestClass.firstTokenMillis() * FIRST_TOKEN_ALLOWANCE_PERCENT / PERCENT;
+			targetMillis = Math.min(startWithinMillis, requestClass.firstTokenMillis() - allowanceMillis);
+		}
+		long startMillis = (requestClass.tier() > this.topTier) ? targetMillis : startWithinMillis;
+		return new Waiting(key, requestClass.name(), requestClass.tier(), account, nowMillis, nowMillis + startMillis,
+				nowMillis + targetMillis, false);
+	}
+
 	/**
 	 * Lets a request wait for a slot, or refuses it.
 	 * @param request the request
@@ -145,11 +185,18 @@
 		Optional<Waiting> top = this.queues.all()
 			.stream()
 			.filter((request) -> request.tier() == this.topTier)
-			.filter((request) -> nowMillis - request.arrivedMillis() >= PREEMPT_AFTER_MILLIS)
+			.filter((request) -> isPreemptionDue(request, nowMillis))
 			.min(Comparator.comparingLong(Waiting::startByMillis));
 		return top.flatMap((request) -> swapFor(request, nowMillis));
 	}
 
+	private boolean isPreemptionDue(Waiting request, long nowMillis) {
+		int spread = Math.floorMod(Objects.hash(request.key().requestId(), this.spreadSeed), PREEMPT_SPREAD_PERCENT);
+		long targetMillis = request.targetByMillis() - request.arrivedMillis();
+		long afterMillis = targetMillis * (PREEMPT_AFTER_PERCENT + spread) / PERCENT;
+		return nowMillis - request.arrivedMillis() >= afterMillis && !request.isLate(nowMillis);
+	}
+
 	private Optional<Swap> swapFor(Waiting top, long nowMillis) {
 		List<RunningRequest> running = this.holders.values()
 			.stream()
