Leave silent connections to the platform after one time limit

Cause: calls that time out leave their pooled connection open, and idle ones that went silent too are handed out one after the other, each for a whole time limit; the pool closed them only after 300 s. Ruled out: a smaller pool, since claims and polls share it.

--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpCaller.java
@@ -15,8 +15,11 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.HttpCredentials;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
 import org.apache.pekko.stream.StreamTcpException;
 import org.marjoramgw.errors.HttpCallException;
+import scala.concurrent.duration.Duration;
 
 /**
  * Blocking HTTP client for small JSON bodies; calls belong on a thread of their own.
@@ -33,6 +36,8 @@
 
 	private final String token;
 
+	private final ConnectionPoolSettings pool;
+
 	/**
 	 * Creates a client.
 	 * @param system the actor system that runs the calls
@@ -43,6 +48,7 @@
 		this.system = system;
 		this.timeoutMillis = timeoutMillis;
 		this.token = token;
+		this.pool = poolSettings(system, timeoutMillis);
 	}
 
 	/**
@@ -99,12 +105,22 @@
 		return call(HttpRequest.create(uri).withMethod(HttpMethods.DELETE));
 	}
 
+	private static ConnectionPoolSettings poolSettings(ActorSystem<?> system, long timeoutMillis) {
+		// A connection that went silent is closed with the call that met it, idle ones as
+		// soon; otherwise the next calls would wait for one such connection after
+		// another.
+		ClientConnectionSettings connection = ClientConnectionSettings.create(system.classicSystem())
+			.withIdleTimeout(Duration.create(timeoutMillis, TimeUnit.MILLISECONDS));
+		return ConnectionPoolSettings.create(system.classicSystem()).withConnectionSettings(connection);
+	}
+
 	private HttpReply call(HttpRequest request) throws HttpCallException {
 		HttpRequest sent = this.token.isEmpty() ? request
 				: request.addCredentials(HttpCredentials.createOAuth2BearerToken(this.token));
 		try {
 			return Http.get(this.system)
-				.singleRequest(sent)
+				.singleRequest(sent, Http.get(this.system).defaultClientHttpsContext(), this.pool,
+						this.system.classicSystem().log())
 				.thenCompose(this::strict)
 				.toCompletableFuture()
 				.get(this.timeoutMillis, TimeUnit.MILLISECONDS);
