--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/config/internal/ConfigurationFoldTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/config/internal/ConfigurationFoldTests.java
@@ -68,12 +68,14 @@
 		}
 
 		private void step() throws LogUnavailableException, LogAnswerLostException {
-			switch (this.random.nextInt(8)) {
+			switch (this.random.nextInt(9)) {
 				case 0, 1, 2 -> append(publish());
 				case 3 -> append(
 						this.appended.isEmpty() ? "{" : this.appended.get(this.random.nextInt(this.appended.size())));
 				case 4 -> checkpointAndExpire();
 				case 5 -> addReader();
+				case 6 ->
+					takeFromPeer(this.random.nextInt(this.readers.size()), this.random.nextInt(this.readers.size()));
 				default -> read(this.random.nextInt(this.readers.size()));
 			}
 		}
@@ -116,18 +118,28 @@
 			}
 		}
 
+		private void takeFromPeer(int index, int peer) {
+			ConfigurationFold ahead = this.folds.get(peer);
+			if (ahead.accepted().isPresent()) {
+				this.folds.get(index).advanceTo(ahead.accepted().get(), ahead.nextOffset());
+				check(index);
+			}
+		}
+
 		private void read(int index) throws LogUnavailableException {
-			boolean complete = this.readers.get(index).catchUp((record) -> {
-			});
+			boolean complete = this.readers.get(index).catchUp((record) -> check(index));
+			if (complete) {
+				Assert.assertEquals(this.folds.get(index).revision(), reference().size(), this.message);
+			}
+			check(index);
+		}
+
+		private void check(int index) {
 			ConfigurationFold fold = this.folds.get(index);
-			List<String> reference = reference();
 			Assert.assertTrue(fold.revision() >= this.seen.get(index), this.message);
 			this.seen.set(index, fold.revision());
-			if (complete) {
-				Assert.assertEquals(fold.revision(), reference.size(), this.message);
-			}
 			if (fold.revision() > 0) {
-				String expected = reference.get((int) fold.revision() - 1);
+				String expected = reference().get((int) fold.revision() - 1);
 				Assert.assertEquals(fold.accepted().get().text(), expected, this.message);
 			}
 		}
