--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/LogClaimBookTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/LogClaimBookTests.java
@@ -152,12 +152,17 @@
 		}
 	}
 
-	@Test
-	public void doesNotRepeatAnAnswerThatWasTooLargeToRecord() {
+	@DataProvider
+	public Object[][] bodiesNotKept() {
+		return new Object[][] { { "x".repeat(21) }, { null } };
+	}
+
+	@Test(dataProvider = "bodiesNotKept")
+	public void doesNotRepeatAnAnswerThatWasNotRecorded(String body) {
 		try (LogClaimBook book = book("a", 1); LogClaimBook other = book("b", 1)) {
 			ClaimKey key = key("k", "x");
 			Assert.assertEquals(claim(book, key), WON);
-			book.recordResult(key, new RecordedResult(200, "text/plain", "x".repeat(21)));
+			book.recordResult(key, new RecordedResult(200, "text/plain", body));
 			book.close();
 			Assert.assertEquals(claim(other, key("k", "x")), refused(ResultCode.ANSWER_NOT_KEPT));
 		}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/LogClaimBook.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/LogClaimBook.java
@@ -98,7 +98,7 @@
 			Logger.error("result without a won claim, request {}", key.requestId());
 			return;
 		}
-		boolean kept = result.body().getBytes(StandardCharsets.UTF_8).length <= this.settings.maxResultBytes();
+		boolean kept = isKept(result.body());
 		String hash = KeyHash.of(key.account(), key.key()).toString();
 		runnerOf(key).submit(new ClaimRecord.Result(claimId, hash, result.httpStatus(), result.contentType(), kept,
 				kept ? result.body() : ""));
@@ -130,6 +130,10 @@
 		this.threads.shutdownNow();
 	}
 
+	private boolean isKept(String body) {
+		return body != null && body.getBytes(StandardCharsets.UTF_8).length <= this.settings.maxResultBytes();
+	}
+
 	private boolean hasUnsent() {
 		return this.partitions.stream().anyMatch(PartitionRunner::hasUnsent);
 	}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/package-info.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/package-info.java
@@ -13,5 +13,8 @@
  * Where a partition holds more keys than its bound, the oldest are forgotten early; until
  * the window has passed them, keys that carry no time are refused as not run, and those
  * that carry one are refused if they are older than what was forgotten.
+ * <p>
+ * The window also bounds how long a holder may be paused between its claim and its call:
+ * it checks the request's deadline once more before it runs.
  */
 package org.marjoramgw.claim;
