Record a body only whole and unchanged

The chunks that an entry had acknowledged were missing from the recorded result, and a body that isn't UTF-8 was changed on the way: a repeated key would have got it as the whole answer. Such a result is recorded without its body, so that a repeat learns that the call ran.

--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
@@ -111,7 +111,11 @@
 	}
 
 	void token(String executionId, String text) {
-		this.listeners.get(executionId).onPart(1, text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+		part(executionId, text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+	}
+
+	void part(String executionId, byte[] payload) {
+		this.listeners.get(executionId).onPart(1, payload);
 		handle(new SchedulerCommand.Tick());
 	}
 
--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
@@ -254,6 +254,30 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] bodies() {
+		return new Object[][] {
+				{ "text in two parts, cut within a character", new byte[][] { { (byte) 0xc3 }, { (byte) 0xa9 } }, 0L,
+						"\u00e9" },
+				{ "not UTF-8", new byte[][] { { (byte) 0xff } }, 0L, null },
+				{ "first part acknowledged", new byte[][] { { 'a' }, { 'b' } }, 1L, null } };
+	}
+
+	@Test(dataProvider = "bodies")
+	public void recordsABodyOnlyWholeAndUnchanged(String name, byte[][] parts, long acknowledged, String recorded) {
+		SchedulerBench bench = new SchedulerBench();
+		Link link = bench.connect("entry", 1);
+		bench.reserve(link, "r", "reply");
+		bench.send(link, new Message.Run("r", 1, SchedulerBench.call(false, "key")));
+		bench.verdict(new ClaimVerdict.Won());
+		for (byte[] part : parts) {
+			bench.part("r", part);
+		}
+		bench.send(link, new Message.Ack("r", 1, acknowledged));
+		bench.end("r");
+		Assert.assertEquals(bench.recorded, List.of(new RecordedResult(200, "text/plain", recorded)), name);
+	}
+
 	@Test
 	public void givesAClaimBackThatWasWonAfterACancel() {
 		SchedulerBench bench = new SchedulerBench();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.side.scheduler;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -87,15 +89,24 @@
 		}
 	}
 
+	/**
+	 * Returns the body of an answer if it can be recorded as text.
+	 * @param ticket the request, whose answer is over
+	 * @return the text, or {@code null} if a part is gone already or isn't UTF-8
+	 */
 	private static String bodyOf(Ticket ticket) {
-		StringBuilder body = new StringBuilder();
-		List<Message> parts = ticket.answer().from(0);
-		for (Message part : parts) {
+		if (!ticket.answer().reachesBackTo(0)) {
+			return null;
+		}
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		for (Message part : ticket.answer().from(0)) {
 			if (part instanceof Message.Chunk chunk) {
-				body.append(new String(chunk.payload(), StandardCharsets.UTF_8));
+				bytes.writeBytes(chunk.payload());
 			}
 		}
-		return body.toString();
+		String text = bytes.toString(StandardCharsets.UTF_8);
+		boolean same = Arrays.equals(text.getBytes(StandardCharsets.UTF_8), bytes.toByteArray());
+		return same ? text : null;
 	}
 
 	private static String digest(String service, BackendCall call) {
