--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
@@ -36,31 +35,11 @@
  */
 public final class SlotScheduler {
 
-	/** Least part of its time to the target that a request waits before a preemption. */
-	private static final int PREEMPT_AFTER_PERCENT = 25;
-
-	/**
-	 * Spread of that part. A request waits at several side processes; were they all to
-	 * preempt at once, all but one would do so in vain.
-	 */
-	private static final int PREEMPT_SPREAD_PERCENT = 25;
-
-	/**
-	 * Part of its time to the target that a request leaves to faster engines, while this
-	 * one spaces its tokens further apart than the class allows.
-	 */
-	private static final int DEFER_PERCENT = 40;
-
 	private static final String FCFS = "fcfs";
 
-	private static final int PERCENT = 100;
-
-	/** Part of the target for the first token that is left to prefill and batching. */
-	private static final int FIRST_TOKEN_ALLOWANCE_PERCENT = 10;
-
 	private final boolean model;
 
-	private final int spreadSeed;
+	private final StartTimes startTimes;
 
 	private final ClassQueues queues = new ClassQueues();
 
@@ -96,7 +75,7 @@
 	 */
 	public SlotScheduler(boolean model, int spreadSeed, long nowMillis) {
 		this.model = model;
-		this.spreadSeed = spreadSeed;
+		this.startTimes = new StartTimes(spreadSeed);
 		this.floors = new ClassFloors(nowMillis);
 	}
 
@@ -135,14 +114,9 @@
 	 */
 	public Waiting arrival(RequestKey key, RequestClass requestClass, String account, long startWithinMillis,
 			long nowMillis) {
-		long allowanceMillis = requestClass.firstTokenMillis() * FIRST_TOKEN_ALLOWANCE_PERCENT / PERCENT;
 		boolean top = requestClass.tier() == this.topTier;
-		boolean begun = startWithinMillis > requestClass.firstTokenMillis() && !top;
-		long targetMillis = startWithinMillis;
-		if (requestClass.firstTokenMillis() > 0 && !isFcfs() && !begun) {
-			long firstTokenMillis = Math.min(startWithinMillis, requestClass.firstTokenMillis());
-			targetMillis = Math.max(firstTokenMillis - allowanceMillis, 0);
-		}
+		long targetMillis = isFcfs() ? startWithinMillis
+				: this.startTimes.targetMillis(requestClass, top, startWithinMillis);
 		long startMillis = top ? startWithinMillis : targetMillis;
 		return new Waiting(key, requestClass.name(), requestClass.tier(), account, nowMillis, nowMillis + startMillis,
 				nowMillis + targetMillis, false);
@@ -197,7 +171,7 @@
 		Optional<Waiting> top = this.queues.all()
 			.stream()
 			.filter((request) -> request.tier() == this.topTier)
-			.filter((request) -> isPreemptionDue(request, nowMillis) && !isDeferred(request, nowMillis))
+			.filter((request) -> this.startTimes.isPreemptionDue(request, nowMillis) && !isDeferred(request, nowMillis))
 			.min(Comparator.comparingLong(Waiting::startByMillis));
 		return top.flatMap((request) -> swapFor(request, nowMillis));
 	}
@@ -207,9 +181,7 @@
 	}
 
 	private boolean isDeferred(Waiting request, long nowMillis) {
-		long targetMillis = request.targetByMillis() - request.arrivedMillis();
-		boolean young = nowMillis - request.arrivedMillis() < targetMillis * DEFER_PERCENT / PERCENT;
-		return young && !request.resumed() && !isFcfs()
+		return !isFcfs() && this.startTimes.isDeferrable(request, nowMillis)
 				&& this.recentGap.exceeds(gapTargetMillis(request.requestClass()), nowMillis);
 	}
 
@@ -218,13 +190,6 @@
 		return (known != null) ? known.tokenGapMillis() : 0;
 	}
 
-	private boolean isPreemptionDue(Waiting request, long nowMillis) {
-		int spread = Math.floorMod(Objects.hash(request.key().requestId(), this.spreadSeed), PREEMPT_SPREAD_PERCENT);
-		long targetMillis = request.targetByMillis() - request.arrivedMillis();
-		long afterMillis = targetMillis * (PREEMPT_AFTER_PERCENT + spread) / PERCENT;
-		return nowMillis - request.arrivedMillis() >= afterMillis && !request.isLate(nowMillis);
-	}
-
 	private Optional<Swap> swapFor(Waiting top, long nowMillis) {
 		List<RunningRequest> running = this.holders.values()
 			.stream()
