--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityCommand.java
@@ -1,7 +1,12 @@
 package org.marjoramgw.load.capacity;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
@@ -23,6 +28,9 @@
 
 	private static final long WINDOW_MILLIS = 6_000;
 
+	/** The first of the measurements watch idle processes and run side by side. */
+	private static final int IDLE_COUNT = 3;
+
 	@Parameter(names = "--help", help = true, description = "Print the options and exit")
 	private boolean help;
 
@@ -37,23 +45,38 @@
 	@Override
 	public void run() throws IOException, RigException, InterruptedException {
 		ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "capacity");
+		ExecutorService threads = Executors.newCachedThreadPool();
 		try {
 			List<Measurement> measurements = measurements(new CapacityRun(system));
-			for (int number = 1; number <= measurements.size(); number++) {
-				if (this.only == 0 || this.only == number) {
-					print(number, measurements.get(number - 1));
+			List<Future<String>> idle = new ArrayList<>();
+			for (int index = 0; index < IDLE_COUNT; index++) {
+				Measurement measurement = measurements.get(index);
+				idle.add(isWanted(index) ? threads.submit(measurement::measure) : null);
+			}
+			for (int index = 0; index < measurements.size(); index++) {
+				if (isWanted(index)) {
+					String text = (index < IDLE_COUNT) ? result(idle.get(index)) : measurements.get(index).measure();
+					System.out.println("### " + (index + 1) + ". " + measurements.get(index).title() + "\n\n" + text);
 				}
 			}
 		}
 		finally {
+			threads.shutdownNow();
 			system.terminate();
 		}
 	}
 
-	private static void print(int number, Measurement measurement)
-			throws IOException, RigException, InterruptedException {
-		System.out.println("### " + number + ". " + measurement.title() + "\n");
-		System.out.println(measurement.measure());
+	private boolean isWanted(int index) {
+		return this.only == 0 || this.only == index + 1;
+	}
+
+	private static String result(Future<String> future) throws IOException, RigException, InterruptedException {
+		try {
+			return future.get();
+		}
+		catch (ExecutionException ex) {
+			throw new RigException(ex.getCause().getMessage(), ex);
+		}
 	}
 
 	private static List<Measurement> measurements(CapacityRun run) {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/EntryPeersMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/EntryPeersMeasurement.java
@@ -13,7 +13,7 @@
  */
 final class EntryPeersMeasurement implements Measurement {
 
-	private static final long WARM_UP_MILLIS = 12_000;
+	private static final long WARM_UP_MILLIS = 45_000;
 
 	private static final long SETTLE_MILLIS = 3_000;
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/KeyedCallsMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/KeyedCallsMeasurement.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -65,13 +66,13 @@
 			Thread.sleep(DRAIN_MILLIS);
 			memory.add(0, meter.liveHeapBytes() / 1024.0, meter.sample().residentBytes() / Window.MEGABYTE);
 			for (int rate : CALLS_PER_SECOND) {
-				JsonNode before = log(deployment);
+				LogTotals before = log(deployment);
 				long endedBefore = this.ended.get();
 				send(entries.first(), rate);
-				JsonNode after = log(deployment);
+				LogTotals after = log(deployment);
 				double seconds = SECONDS;
-				rates.add(rate, (count(after, "append_count") - count(before, "append_count")) / seconds,
-						(count(after, "record_count") - count(before, "record_count")) / seconds,
+				rates.add(rate, (after.appends() - before.appends()) / seconds,
+						(after.records() - before.records()) / seconds,
 						100.0 * (this.ended.get() - endedBefore) / (rate * seconds));
 				memory.add(this.ended.get(), meter.liveHeapBytes() / 1024.0,
 						meter.sample().residentBytes() / Window.MEGABYTE);
@@ -107,9 +108,28 @@
 		}
 	}
 
-	private JsonNode log(Deployment deployment) throws RigException, IOException {
+	/**
+	 * Reads how much the log stand-in has taken.
+	 * @param deployment the deployment
+	 * @return appends and records of all streams
+	 * @throws RigException if it doesn't answer
+	 * @throws IOException if its answer can't be read
+	 */
+	private LogTotals log(Deployment deployment) throws RigException, IOException {
+		String url = "http://" + deployment.standins().address(StandinProcess.LOG);
+		JsonNode counts = get(url + "/control").path("append_counts");
+		long appends = 0;
+		long records = 0;
+		for (Map.Entry<String, JsonNode> stream : counts.properties()) {
+			appends += stream.getValue().asLong();
+			String uri = url + "/streams/" + stream.getKey() + "/records?limit=1";
+			records += get(uri).path("next_offset").asLong();
+		}
+		return new LogTotals(appends, records);
+	}
+
+	private JsonNode get(String uri) throws RigException, IOException {
 		try {
-			String uri = "http://" + deployment.standins().address(StandinProcess.LOG) + "/control";
 			return this.mapper.readTree(this.run.http().get(uri).body());
 		}
 		catch (HttpCallException ex) {
@@ -117,8 +137,7 @@
 		}
 	}
 
-	private static long count(JsonNode control, String field) {
-		return control.path(field).asLong();
+	private record LogTotals(long appends, long records) {
 	}
 
 }
