Bound the C library's heaps and let fake side processes answer heartbeats

Real side processes answer an entry's idle heartbeats and send none of their own, so the fakes do the same.

--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeLink.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeLink.java
@@ -6,6 +6,7 @@
 import org.marjoramgw.rig.Deployment;
 import org.marjoramgw.transport.Connection;
 import org.marjoramgw.transport.ConnectionHandler;
+import org.marjoramgw.vmlist.Vm;
 import org.marjoramgw.wire.Message;
 import org.marjoramgw.wire.MessageCodec;
 import org.marjoramgw.wire.PeerIdentity;
@@ -47,9 +48,13 @@
 		if (this.silent) {
 			return;
 		}
-		if (message instanceof Message.Hello && "side".equals(this.identity.role())) {
+		boolean isSide = Vm.SIDE.equals(this.identity.role());
+		if (isSide && message instanceof Message.Hello) {
 			greet();
 		}
+		else if (isSide && message instanceof Message.Heartbeat) {
+			beat();
+		}
 		else if (!(message instanceof Message.Hello) && !(message instanceof Message.Heartbeat)) {
 			this.work.accept(this, message);
 		}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeSides.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeSides.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -28,8 +26,6 @@
  */
 final class FakeSides implements AutoCloseable {
 
-	private static final long HEARTBEAT_MILLIS = 1_000;
-
 	private static final long LISTEN_TIMEOUT_MILLIS = 5_000;
 
 	private static final long GRANT_MILLIS = 100;
@@ -42,8 +38,6 @@
 
 	private final List<Side> sides = new ArrayList<>();
 
-	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-
 	FakeSides(Transport transport, WireCount count) {
 		this.transport = transport;
 		this.count = count;
@@ -66,8 +60,6 @@
 				.putVm(new Vm(side.identity.processId(), Vm.SIDE, domain, CapacityText.POOL, address.toString(),
 						address.toString(), Vm.LIVE));
 		}
-		this.timer.scheduleAtFixedRate(() -> this.sides.forEach(Side::beat), HEARTBEAT_MILLIS, HEARTBEAT_MILLIS,
-				TimeUnit.MILLISECONDS);
 	}
 
 	long openCount() {
@@ -84,7 +76,6 @@
 
 	@Override
 	public void close() {
-		this.timer.shutdownNow();
 		this.sides.forEach(Side::close);
 	}
 
@@ -125,10 +116,6 @@
 			return link;
 		}
 
-		void beat() {
-			this.links.forEach(FakeLink::beat);
-		}
-
 		void vanish() {
 			this.vanished = true;
 			this.links.forEach(FakeLink::vanish);
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
@@ -23,6 +23,9 @@
 
 	private static final long READY_TIMEOUT_MILLIS = 30_000;
 
+	/** Bound of the C library's heaps, as in the launch scripts. */
+	private static final String MALLOC_ARENAS = "2";
+
 	private static final long STOP_TIMEOUT_MILLIS = 15_000;
 
 	private final String name;
@@ -66,6 +69,7 @@
 			builder.command().add("--config");
 			builder.command().add(this.settingsFile.toString());
 			builder.redirectErrorStream(true);
+			builder.environment().put("MALLOC_ARENA_MAX", MALLOC_ARENAS);
 			this.process = builder.start();
 			this.frozen = false;
 			this.process.getOutputStream().close();
