--- /dev/null
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/side/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the connections to side processes.
+ */
+package org.marjoramgw.entry.side;
--- /dev/null
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/capacity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the capacity measurements' arithmetic.
+ */
+package org.marjoramgw.load.capacity;
