Watch every link with open requests at the fast pace

Cause: a link counted as idle a second after its last message about work, so a connection that went silent under a long call or a long wait was noticed only after the idle tolerance. The link now knows its open reservations and runs.

--- /dev/null
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/side/OpenWorkTests.java
@@ -0,0 +1,39 @@
+package org.marjoramgw.entry.side;
+
+import org.marjoramgw.wire.Message;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link OpenWork}.
+ *
+ * @author The marjoramgw authors
+ */
+public class OpenWorkTests {
+
+	@DataProvider
+	public Object[][] ends() {
+		return new Object[][] { { new Message.Release("r", 1), true, true }, { new Message.Cancel("r", 1), true, true },
+				{ new Message.Refusal("r", 1, 3001, 0), false, true },
+				{ new Message.End("r", 1, 0, 1000, 200, "", ""), false, true },
+				{ new Message.Release("r", 2), true, false }, { new Message.Refusal("x", 1, 3001, 0), false, false },
+				{ new Message.Grant("r", 1, 100), false, false },
+				{ new Message.Chunk("r", 1, 0, 1, new byte[0]), false, false } };
+	}
+
+	@Test(dataProvider = "ends")
+	public void closesAnAttemptByItsEndAlone(Message message, boolean sent, boolean closes) {
+		OpenWork work = new OpenWork();
+		work.onSent(new Message.Reserve("r", 1, "s", "m", "c", "a", 1, 1, 1));
+		Assert.assertFalse(work.isEmpty());
+		if (sent) {
+			work.onSent(message);
+		}
+		else {
+			work.onReceived(message);
+		}
+		Assert.assertEquals(work.isEmpty(), closes);
+	}
+
+}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLink.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLink.java
@@ -29,6 +29,8 @@
 
 	private final long idleAfterMillis;
 
+	private final OpenWork work = new OpenWork();
+
 	private volatile PeerIdentity identity;
 
 	private volatile PeerStatus status;
@@ -70,6 +72,7 @@
 		}
 		else {
 			onWorkAt(this.lastReceivedMillis);
+			this.work.onReceived(message);
 			this.listener.onWork(this, message);
 		}
 	}
@@ -83,6 +86,7 @@
 		this.lastSentMillis = this.clock.nowMillis();
 		if (!(message instanceof Message.Heartbeat)) {
 			onWorkAt(this.lastSentMillis);
+			this.work.onSent(message);
 		}
 		this.connection.send(message);
 	}
@@ -126,8 +130,12 @@
 		return this.clock.nowMillis() - Math.max(this.lastReceivedMillis, this.busySinceMillis);
 	}
 
+	/**
+	 * Tells whether the peer owes signs of life at the fast pace.
+	 * @return whether requests are open there or a message about one passed lately
+	 */
 	boolean isBusy() {
-		return idleMillis() < this.idleAfterMillis;
+		return idleMillis() < this.idleAfterMillis || !this.work.isEmpty();
 	}
 
 	long quietMillis() {
@@ -139,7 +147,7 @@
 	}
 
 	private void onWorkAt(long nowMillis) {
-		if (nowMillis - this.lastWorkMillis >= this.idleAfterMillis) {
+		if (nowMillis - this.lastWorkMillis >= this.idleAfterMillis && this.work.isEmpty()) {
 			this.busySinceMillis = nowMillis;
 		}
 		this.lastWorkMillis = nowMillis;
