Settle the claim of a call that ended without a result

A repeat of such a key was told 3009, a call in progress, for as long as the holder lived, though nothing was. The claim now gets a result without a body, so that a repeat learns 3016, outcome unknown. The text kept for resumption is bounded besides.

--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
@@ -278,6 +278,25 @@
 		Assert.assertEquals(bench.recorded, List.of(new RecordedResult(200, "text/plain", recorded)), name);
 	}
 
+	@DataProvider
+	public Object[][] failures() {
+		RecordedResult unknown = new RecordedResult(0, "", null);
+		return new Object[][] { { ResultCode.BACKEND_BROKE_OFF, List.of(unknown), 0 },
+				{ ResultCode.BACKEND_UNREACHABLE, List.of(), 1 } };
+	}
+
+	@Test(dataProvider = "failures")
+	public void settlesTheClaimOfAFailedCall(ResultCode code, List<RecordedResult> recorded, int released) {
+		SchedulerBench bench = new SchedulerBench();
+		Link link = bench.connect("entry", 1);
+		bench.reserve(link, "r", "reply");
+		bench.send(link, new Message.Run("r", 1, SchedulerBench.call(false, "key")));
+		bench.verdict(new ClaimVerdict.Won());
+		bench.fail("r", code);
+		Assert.assertEquals(bench.recorded, recorded);
+		Assert.assertEquals(bench.released.size(), released);
+	}
+
 	@Test
 	public void givesAClaimBackThatWasWonAfterACancel() {
 		SchedulerBench bench = new SchedulerBench();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
@@ -24,6 +24,8 @@
  */
 final class Claims {
 
+	private static final int NO_STATUS = 0;
+
 	private final ClaimBook book;
 
 	private final Consumer<SchedulerCommand> events;
@@ -82,6 +84,17 @@
 		}
 	}
 
+	/**
+	 * Records that a call may have run without a result, so that a repeat learns that its
+	 * outcome stays unknown rather than that it is still in progress.
+	 * @param ticket the request
+	 */
+	void recordUnknown(Ticket ticket) {
+		if (ticket.claim() != null) {
+			this.book.recordResult(ticket.claim(), new RecordedResult(NO_STATUS, "", null));
+		}
+	}
+
 	void recordResult(Ticket ticket, BackendEnd end) {
 		if (ticket.claim() != null) {
 			this.book.recordResult(ticket.claim(),
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Runs.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Runs.java
@@ -21,6 +21,8 @@
  */
 final class Runs {
 
+	private static final int MAX_TEXT_CHARS = 1_048_576;
+
 	private final MillisClock clock;
 
 	private final Backend backend;
@@ -101,13 +103,11 @@
 		RequestKey key = part.key();
 		Message.Chunk chunk = new Message.Chunk(key.requestId(), key.attempt(), ticket.answer().nextSequence(),
 				part.tokens(), part.payload());
-		if (!ticket.answer().add(chunk)) {
-			ticket.stopRun();
-			this.journal.wasted("cancelled", ticket.generatedTokens());
-			end(ticket, refusal(ticket, ResultCode.ANSWER_TOO_LARGE, 0), ResultCode.ANSWER_TOO_LARGE);
+		if (ticket.textLength() > MAX_TEXT_CHARS || !ticket.answer().add(chunk)) {
+			stop(ticket, ResultCode.ANSWER_TOO_LARGE);
 			return;
 		}
-		String text = new String(part.payload(), StandardCharsets.UTF_8);
+		String text = this.model ? new String(part.payload(), StandardCharsets.UTF_8) : "";
 		ticket.generated(part.tokens(), text, this.clock.nowMillis());
 		this.slots.policy().generated(key, part.tokens());
 		ticket.send(chunk);
@@ -142,6 +142,9 @@
 		if (code.outcome() == Outcome.NOT_RUN) {
 			this.claims.release(ticket);
 		}
+		else {
+			this.claims.recordUnknown(ticket);
+		}
 		end(ticket, refusal(ticket, code, retryAfterMillis), code);
 		if (failed.code() == ResultCode.BACKEND_UNREACHABLE) {
 			this.slots.refuseQueued(failed.code(), retryAfterMillis);
@@ -199,6 +202,7 @@
 			ticket.stopRun();
 			this.slots.policy().withdraw(ticket.key());
 			this.journal.wasted("cancelled", ticket.generatedTokens());
+			this.claims.recordUnknown(ticket);
 		}
 		end(ticket, refusal(ticket, truth, 0), truth);
 	}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Ticket.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Ticket.java
@@ -161,6 +161,10 @@
 		return (long) this.reserve.promptTokens() + this.generatedTokens;
 	}
 
+	int textLength() {
+		return this.text.length();
+	}
+
 	String text() {
 		return this.text.toString();
 	}
