--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PlainAnswer.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PlainAnswer.java
@@ -1,11 +1,7 @@
 package org.marjoramgw.entry.caller;
 
-import java.io.ByteArrayOutputStream;
-
 import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.marjoramgw.ResultCode;
-import org.marjoramgw.entry.dispatch.AnswerSink;
 import org.marjoramgw.wire.Message;
 
 /**
@@ -13,35 +9,15 @@
  *
  * @author The marjoramgw authors
  */
-final class PlainAnswer implements AnswerSink {
-
-	private final AnswerHead head;
-
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+final class PlainAnswer extends BufferedAnswer {
 
 	PlainAnswer(AnswerHead head) {
-		this.head = head;
-	}
-
-	@Override
-	public void onChunk(byte[] payload) {
-		this.body.writeBytes(payload);
-	}
-
-	@Override
-	public boolean restart() {
-		this.body.reset();
-		return true;
+		super(head);
 	}
 
 	@Override
 	public void onEnd(Message.End end) {
-		this.head.send(end.httpStatus(), contentType(end.contentType()), this.body.toByteArray());
-	}
-
-	@Override
-	public void onError(ResultCode code, long retryAfterMillis) {
-		this.head.sendError(code, "", retryAfterMillis);
+		head().send(end.httpStatus(), contentType(end.contentType()), body());
 	}
 
 	private static ContentType contentType(String text) {
