--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Claims.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.side.scheduler;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -22,6 +24,8 @@
  */
 final class Claims {
 
+	private static final int NO_STATUS = 0;
+
 	private final ClaimBook book;
 
 	private final Consumer<SchedulerCommand> events;
@@ -80,6 +84,17 @@
 		}
 	}
 
+	/**
+	 * Records that a call may have run without a result, so that a repeat learns that its
+	 * outcome stays unknown rather than that it is still in progress.
+	 * @param ticket the request
+	 */
+	void recordUnknown(Ticket ticket) {
+		if (ticket.claim() != null) {
+			this.book.recordResult(ticket.claim(), new RecordedResult(NO_STATUS, "", null));
+		}
+	}
+
 	void recordResult(Ticket ticket, BackendEnd end) {
 		if (ticket.claim() != null) {
 			this.book.recordResult(ticket.claim(),
@@ -87,15 +102,24 @@
 		}
 	}
 
+	/**
+	 * Returns the body of an answer if it can be recorded as text.
+	 * @param ticket the request, whose answer is over
+	 * @return the text, or {@code null} if a part is gone already or isn't UTF-8
+	 */
 	private static String bodyOf(Ticket ticket) {
-		StringBuilder body = new StringBuilder();
-		List<Message> parts = ticket.answer().from(0);
-		for (Message part : parts) {
+		if (!ticket.answer().reachesBackTo(0)) {
+			return null;
+		}
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		for (Message part : ticket.answer().from(0)) {
 			if (part instanceof Message.Chunk chunk) {
-				body.append(new String(chunk.payload(), StandardCharsets.UTF_8));
+				bytes.writeBytes(chunk.payload());
 			}
 		}
-		return body.toString();
+		String text = bytes.toString(StandardCharsets.UTF_8);
+		boolean same = Arrays.equals(text.getBytes(StandardCharsets.UTF_8), bytes.toByteArray());
+		return same ? text : null;
 	}
 
 	private static String digest(String service, BackendCall call) {
