--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
@@ -32,6 +32,19 @@
 		Files.delete(path);
 	}
 
+	@Test
+	public void seriesDirectoryKeepsVariants() throws IOException {
+		Path path = Files.createTempDirectory("series");
+		SeriesDirectory directory = new SeriesDirectory(path);
+		SeriesRun run = new SeriesRun("a", result(1, 90));
+		directory.write(run);
+		directory.write(run);
+		Assert.assertEquals(directory.read(), List.of(run));
+		Files.delete(path.resolve("a").resolve("e-1.json"));
+		Files.delete(path.resolve("a"));
+		Files.delete(path);
+	}
+
 	@Test
 	public void chartsAreDrawn() throws IOException {
 		Path directory = Files.createTempDirectory("charts");
