End streams whose engine has gone silent

Cause: when the open connection to an engine fell silent for good in the middle of an answer, nothing noticed before the deadline in flight: the process test with the proxy swallowing existing connections between side process and engine hung past the completion target of 30 s.

Change: a stream without a token for 2 s, or ten times the target gap of its class if that is longer, ends as broken off (5 s, or the first-token target, before its first token), is cancelled at the engine over a new connection, and goes on elsewhere with the text so far.

--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
@@ -176,6 +176,27 @@
 		Assert.assertEquals(((Message.End) link.last()).chunkCount(), 2, "the entry saw a pause alone");
 	}
 
+	@DataProvider
+	public Object[][] silences() {
+		return new Object[][] { { "short, before the first token", false, 4_000L, null },
+				{ "long, before the first token", false, 5_001L, ResultCode.BACKEND_BROKE_OFF },
+				{ "short, in the stream", true, 1_900L, null },
+				{ "long, in the stream", true, 2_001L, ResultCode.BACKEND_BROKE_OFF } };
+	}
+
+	@Test(dataProvider = "silences")
+	public void endsAStreamWhoseEngineIsSilent(String name, boolean begun, long silentMillis, ResultCode expected) {
+		SchedulerBench bench = new SchedulerBench();
+		Link link = bench.connect("entry", 1);
+		bench.start(link, "r", "reply");
+		if (begun) {
+			bench.token("r", "a ");
+		}
+		bench.pass(silentMillis);
+		Assert.assertEquals(link.refusal(), expected, name);
+		Assert.assertEquals(bench.cancelled.size(), (expected != null) ? 1 : 0, name);
+	}
+
 	@Test
 	public void sendsPreemptedStreamsElsewhereWhenTheEngineIsGone() {
 		SchedulerBench bench = new SchedulerBench();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Runs.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Runs.java
@@ -6,6 +6,7 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.Outcome;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.RequestClass;
 import org.marjoramgw.policy.queue.RequestKey;
 import org.marjoramgw.policy.queue.Waiting;
 import org.marjoramgw.side.backend.Backend;
@@ -23,6 +24,12 @@
 
 	private static final int MAX_TEXT_CHARS = 1_048_576;
 
+	private static final long FIRST_TOKEN_SILENCE_MILLIS = 5_000;
+
+	private static final long TOKEN_SILENCE_MILLIS = 2_000;
+
+	private static final int SILENT_GAPS = 10;
+
 	private final MillisClock clock;
 
 	private final Backend backend;
@@ -218,6 +225,35 @@
 		}
 	}
 
+	/**
+	 * Ends streams whose engine has gone silent, since a connection may fall silent for
+	 * good without an error; the entry continues them elsewhere.
+	 */
+	void endSilent() {
+		if (!this.model) {
+			return;
+		}
+		long nowMillis = this.clock.nowMillis();
+		for (Ticket ticket : this.tickets.matching((candidate) -> candidate.state() == TicketState.RUNNING)) {
+			if (nowMillis - ticket.heardMillis() > silenceLimitMillis(ticket)) {
+				ticket.stopRun();
+				end(ticket, refusal(ticket, ResultCode.BACKEND_BROKE_OFF, 0), ResultCode.BACKEND_BROKE_OFF);
+			}
+		}
+	}
+
+	private long silenceLimitMillis(Ticket ticket) {
+		RequestClass requestClass = this.slots.configuration()
+			.map((configuration) -> configuration.classes().get(ticket.waiting().requestClass()))
+			.orElse(null);
+		if (!ticket.hasExecutionBegun()) {
+			long targetMillis = (requestClass != null) ? requestClass.firstTokenMillis() : 0;
+			return Math.max(FIRST_TOKEN_SILENCE_MILLIS, targetMillis);
+		}
+		long gapMillis = (requestClass != null) ? requestClass.tokenGapMillis() : 0;
+		return Math.max(TOKEN_SILENCE_MILLIS, gapMillis * SILENT_GAPS);
+	}
+
 	/**
 	 * Feeds the slot limit with the gaps measured since the last call.
 	 */
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
@@ -290,6 +290,7 @@
 		long nowMillis = this.clock.nowMillis();
 		this.slots.takeBackExpired();
 		this.runs.stopOverdue();
+		this.runs.endSilent();
 		this.sessions.removeGone(nowMillis - this.parameters.answerKeepMillis()).forEach(this::forget);
 		this.answers.forgetOld();
 		if (nowMillis - this.adjustedMillis >= ADJUST_MILLIS) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Ticket.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Ticket.java
@@ -47,6 +47,10 @@
 
 	private int generatedTokens;
 
+	private int executionTokens;
+
+	private long heardMillis;
+
 	private long doneMillis;
 
 	private boolean refused;
@@ -135,6 +139,8 @@
 		if (this.execution > 1) {
 			this.slotSinceMillis = nowMillis;
 		}
+		this.executionTokens = 0;
+		this.heardMillis = nowMillis;
 		this.gaps.restart(nowMillis);
 		return this.execution;
 	}
@@ -149,10 +155,20 @@
 
 	void generated(int tokens, String part, long nowMillis) {
 		this.generatedTokens += tokens;
+		this.executionTokens += tokens;
+		this.heardMillis = nowMillis;
 		this.text.append(part);
 		this.gaps.tokens(tokens, nowMillis);
 	}
 
+	boolean hasExecutionBegun() {
+		return this.executionTokens > 0;
+	}
+
+	long heardMillis() {
+		return this.heardMillis;
+	}
+
 	int generatedTokens() {
 		return this.generatedTokens;
 	}
