--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
@@ -6,15 +6,13 @@
 
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.rig.CallAnswer;
-import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.LinkKind;
 import org.marjoramgw.rig.ManagedProcess;
 import org.marjoramgw.rig.StandinProcess;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -23,75 +21,63 @@
  *
  * @author The marjoramgw authors
  */
-public class AtMostOnceTests {
+public class AtMostOnceTests extends ProofTest {
 
 	private static final String PASS = "{\"mode\":\"pass\",\"delay_ms\":0}";
 
 	private static final int REPEAT_COUNT = 4;
 
-	private ProofBed bed;
-
-	private Deployment deployment;
-
 	private int nextOrder;
 
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(3, 0, 2));
-		this.deployment = this.bed.deployment();
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(3, 0, 2);
 	}
 
 	@AfterMethod
 	public void heal() throws Exception {
-		this.bed.standins().control(StandinProcess.LOG, "{\"outage\":false,\"lose_answers\":0,\"delay_ms\":0}");
-		for (ManagedProcess side : this.deployment.sides()) {
-			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), PASS);
-			this.bed.link(LinkKind.PROCESS_LOG, side.name(), PASS);
-			this.bed.standins().control("plain." + side.name(), "{\"delay_ms\":5,\"break_after_run\":false}");
+		bed().standins().control(StandinProcess.LOG, "{\"outage\":false,\"lose_answers\":0,\"delay_ms\":0}");
+		for (ManagedProcess side : deployment().sides()) {
+			bed().link(LinkKind.ENTRY_SIDE, side.name(), PASS);
+			bed().link(LinkKind.PROCESS_LOG, side.name(), PASS);
+			bed().standins().control("plain." + side.name(), "{\"delay_ms\":5,\"break_after_run\":false}");
 			if (!side.isAlive()) {
 				side.restart();
 			}
 		}
-		this.bed.awaitServing();
+		bed().awaitServing();
 	}
 
 	@Test
 	public void killBetweenClaimAndRun() throws Exception {
 		String order = newOrder();
 		CompletableFuture<CallAnswer> first = claimAtTheFirstSide(order);
-		this.deployment.side("orders-1").kill();
+		deployment().side("orders-1").kill();
 		openTheSecondSide();
 		List<CallAnswer> answers = repeat(order);
 		answers.add(0, ProofBed.await(first));
 		assertAtMostOnce(order, answers);
-		this.deployment.side("orders-1").restart();
+		deployment().side("orders-1").restart();
 		answers.addAll(repeat(order));
 		assertAtMostOnce(order, answers);
 	}
 
 	@Test
 	public void killBetweenRunAndResult() throws Exception {
-		this.bed.link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
-		this.bed.standins().control("plain.orders-1", "{\"delay_ms\":2000}");
+		bed().link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
+		bed().standins().control("plain.orders-1", "{\"delay_ms\":2000}");
 		String order = newOrder();
-		CompletableFuture<CallAnswer> first = this.bed.order("entry-1", order, order);
-		Await.until("the order runs", () -> this.bed.runsOfOrder(order) == 1);
-		this.deployment.side("orders-1").kill();
+		CompletableFuture<CallAnswer> first = bed().order("entry-1", order, order);
+		Await.until("the order runs", () -> bed().runsOfOrder(order) == 1);
+		deployment().side("orders-1").kill();
 		openTheSecondSide();
 		List<CallAnswer> answers = repeat(order);
 		answers.add(0, ProofBed.await(first));
 		assertAtMostOnce(order, answers);
-		this.deployment.side("orders-1").restart();
+		deployment().side("orders-1").restart();
 		answers.addAll(repeat(order));
 		assertAtMostOnce(order, answers);
-		Assert.assertEquals(this.bed.runsOfOrder(order), 1, order);
+		Assert.assertEquals(bed().runsOfOrder(order), 1, order);
 	}
 
 	@DataProvider
@@ -107,15 +93,15 @@
 			first = claimAtTheFirstSide(order);
 		}
 		else {
-			this.bed.link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
-			this.bed.standins().control("plain.orders-1", "{\"delay_ms\":500}");
-			first = this.bed.order("entry-1", order, order);
-			Await.until("the order runs", () -> this.bed.runsOfOrder(order) == 1);
+			bed().link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
+			bed().standins().control("plain.orders-1", "{\"delay_ms\":500}");
+			first = bed().order("entry-1", order, order);
+			Await.until("the order runs", () -> bed().runsOfOrder(order) == 1);
 		}
-		this.deployment.side("orders-1").freeze();
+		deployment().side("orders-1").freeze();
 		openTheSecondSide();
 		List<CallAnswer> answers = repeat(order);
-		this.deployment.side("orders-1").thaw();
+		deployment().side("orders-1").thaw();
 		answers.add(0, ProofBed.await(first));
 		answers.addAll(repeat(order));
 		assertAtMostOnce(order, answers);
@@ -125,9 +111,9 @@
 	public void logAnswersLostAfterEffect() throws Exception {
 		for (int lost = 1; lost <= 3; lost++) {
 			String order = newOrder();
-			this.bed.standins().control(StandinProcess.LOG, "{\"lose_answers\":" + lost + "}");
+			bed().standins().control(StandinProcess.LOG, "{\"lose_answers\":" + lost + "}");
 			List<CallAnswer> answers = new ArrayList<>();
-			answers.add(ProofBed.await(this.bed.order("entry-1", order, order)));
+			answers.add(ProofBed.await(bed().order("entry-1", order, order)));
 			answers.addAll(repeat(order));
 			assertAtMostOnce(order, answers);
 		}
@@ -135,24 +121,24 @@
 
 	@Test
 	public void logDownForLong() throws Exception {
-		this.bed.standins().control(StandinProcess.LOG, "{\"outage\":true}");
+		bed().standins().control(StandinProcess.LOG, "{\"outage\":true}");
 		String order = newOrder();
-		CallAnswer refused = ProofBed.await(this.bed.order("entry-1", order, order));
+		CallAnswer refused = ProofBed.await(bed().order("entry-1", order, order));
 		Assert.assertEquals(refused.outcome(), "not_run", refused.toString());
-		Assert.assertEquals(this.bed.runsOfOrder(order), 0);
+		Assert.assertEquals(bed().runsOfOrder(order), 0);
 		String unkeyed = newOrder();
-		Assert.assertTrue(ProofBed.await(this.bed.order("entry-2", unkeyed, "")).complete());
+		Assert.assertTrue(ProofBed.await(bed().order("entry-2", unkeyed, "")).complete());
 		Thread.sleep(3_000);
-		Assert.assertEquals(this.bed.runsOfOrder(order), 0, "the refused call ran later");
-		this.bed.standins().control(StandinProcess.LOG, "{\"outage\":false}");
+		Assert.assertEquals(bed().runsOfOrder(order), 0, "the refused call ran later");
+		bed().standins().control(StandinProcess.LOG, "{\"outage\":false}");
 		List<CallAnswer> answers = new ArrayList<>();
 		Await.until("the key is served again", () -> {
-			answers.add(ProofBed.await(this.bed.order("entry-3", order, order)));
+			answers.add(ProofBed.await(bed().order("entry-3", order, order)));
 			return answers.get(answers.size() - 1).complete();
 		});
 		answers.addAll(repeat(order));
 		assertAtMostOnce(order, answers);
-		Assert.assertEquals(this.bed.runsOfOrder(order), 1);
+		Assert.assertEquals(bed().runsOfOrder(order), 1);
 	}
 
 	@Test
@@ -160,9 +146,9 @@
 		for (int round = 0; round < 15; round++) {
 			String order = newOrder();
 			List<CompletableFuture<CallAnswer>> calls = new ArrayList<>();
-			for (ManagedProcess entry : this.deployment.entries()) {
-				calls.add(this.bed.order(entry.name(), order, order));
-				calls.add(this.bed.order(entry.name(), order, order));
+			for (ManagedProcess entry : deployment().entries()) {
+				calls.add(bed().order(entry.name(), order, order));
+				calls.add(bed().order(entry.name(), order, order));
 			}
 			List<CallAnswer> answers = new ArrayList<>();
 			for (CompletableFuture<CallAnswer> call : calls) {
@@ -170,65 +156,65 @@
 			}
 			answers.addAll(repeat(order));
 			assertAtMostOnce(order, answers);
-			Assert.assertEquals(this.bed.runsOfOrder(order), 1, answers.toString());
+			Assert.assertEquals(bed().runsOfOrder(order), 1, answers.toString());
 		}
 	}
 
 	@Test
 	public void keyWithAnotherBodyIsRefusedByNumber() throws Exception {
 		String order = newOrder();
-		Assert.assertTrue(ProofBed.await(this.bed.order("entry-1", order, order)).complete());
+		Assert.assertTrue(ProofBed.await(bed().order("entry-1", order, order)).complete());
 		String other = newOrder();
-		CallAnswer refused = ProofBed.await(this.bed.order("entry-2", other, order));
+		CallAnswer refused = ProofBed.await(bed().order("entry-2", other, order));
 		Assert.assertEquals(refused.errorCode(), ResultCode.KEY_REUSED.number(), refused.toString());
 		Assert.assertEquals(refused.status(), ResultCode.KEY_REUSED.httpStatus());
-		Assert.assertEquals(this.bed.runsOfOrder(other), 0);
+		Assert.assertEquals(bed().runsOfOrder(other), 0);
 	}
 
 	@Test
 	public void keyIsRememberedAfterRestartOfEveryProcess() throws Exception {
 		String order = newOrder();
-		CallAnswer first = ProofBed.await(this.bed.order("entry-1", order, order));
+		CallAnswer first = ProofBed.await(bed().order("entry-1", order, order));
 		Assert.assertTrue(first.complete(), first.toString());
-		this.bed.processes().forEach(ManagedProcess::kill);
-		for (ManagedProcess process : this.bed.processes()) {
+		bed().processes().forEach(ManagedProcess::kill);
+		for (ManagedProcess process : bed().processes()) {
 			process.launch();
 		}
-		for (ManagedProcess process : this.bed.processes()) {
+		for (ManagedProcess process : bed().processes()) {
 			process.awaitReady();
 		}
-		this.bed.awaitServing();
-		CallAnswer again = ProofBed.await(this.bed.order("entry-2", order, order));
+		bed().awaitServing();
+		CallAnswer again = ProofBed.await(bed().order("entry-2", order, order));
 		Assert.assertTrue(again.complete(), again.toString());
 		Assert.assertEquals(again.text(), first.text());
-		Assert.assertEquals(this.bed.runsOfOrder(order), 1);
+		Assert.assertEquals(bed().runsOfOrder(order), 1);
 	}
 
 	private CompletableFuture<CallAnswer> claimAtTheFirstSide(String order) throws Exception {
-		this.bed.link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
-		this.bed.link(LinkKind.PROCESS_LOG, "orders-1", "{\"delay_ms\":700}");
-		long before = this.bed.claimAppends();
-		CompletableFuture<CallAnswer> call = this.bed.order("entry-1", order, order);
-		Await.until("the claim is in the log", () -> this.bed.claimAppends() > before);
+		bed().link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
+		bed().link(LinkKind.PROCESS_LOG, "orders-1", "{\"delay_ms\":700}");
+		long before = bed().claimAppends();
+		CompletableFuture<CallAnswer> call = bed().order("entry-1", order, order);
+		Await.until("the claim is in the log", () -> bed().claimAppends() > before);
 		return call;
 	}
 
 	private void openTheSecondSide() throws Exception {
-		this.bed.link(LinkKind.ENTRY_SIDE, "orders-2", PASS);
+		bed().link(LinkKind.ENTRY_SIDE, "orders-2", PASS);
 	}
 
 	private List<CallAnswer> repeat(String order) throws Exception {
 		List<CallAnswer> answers = new ArrayList<>();
 		for (int count = 0; count < REPEAT_COUNT; count++) {
 			String entry = "entry-" + (2 + count % 2);
-			answers.add(ProofBed.await(this.bed.order(entry, order, order)));
+			answers.add(ProofBed.await(bed().order(entry, order, order)));
 			Thread.sleep(300);
 		}
 		return answers;
 	}
 
 	private void assertAtMostOnce(String order, List<CallAnswer> answers) throws Exception {
-		int runs = this.bed.runsOfOrder(order);
+		int runs = bed().runsOfOrder(order);
 		String told = order + " ran " + runs + " times, seed " + TestSeed.value() + ": " + answers;
 		Assert.assertTrue(runs <= 1, told);
 		List<String> bodies = answers.stream().filter(CallAnswer::complete).map(CallAnswer::text).distinct().toList();
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/LeavingTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/LeavingTests.java
@@ -9,15 +9,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.marjoramgw.rig.CallAnswer;
-import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.ManagedProcess;
 import org.marjoramgw.rig.StandinProcess;
 import org.marjoramgw.testkit.TestSeed;
 import org.marjoramgw.vmlist.Vm;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -27,7 +25,7 @@
  *
  * @author The marjoramgw authors
  */
-public class LeavingTests {
+public class LeavingTests extends ProofTest {
 
 	private static final long BOUND_MILLIS = 3_000;
 
@@ -35,38 +33,26 @@
 
 	private static final int LONG_COUNT = 4;
 
-	private ProofBed bed;
-
-	private Deployment deployment;
-
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(2, 3, 0));
-		this.deployment = this.bed.deployment();
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(2, 3, 0);
 	}
 
 	@AfterMethod
 	public void heal() throws Exception {
-		this.bed.standins().control(StandinProcess.VM_LIST, "{\"outage\":false}");
-		for (ManagedProcess side : this.deployment.sides()) {
-			this.deployment.registerSide(side.name(), Vm.LIVE);
+		bed().standins().control(StandinProcess.VM_LIST, "{\"outage\":false}");
+		for (ManagedProcess side : deployment().sides()) {
+			deployment().registerSide(side.name(), Vm.LIVE);
 		}
 		Await.until("readers of the VM list see all live",
-				() -> !this.bed.platform(StandinProcess.VM_LIST, "/vms").toString().contains(Vm.LEAVING));
-		for (ManagedProcess side : this.deployment.sides()) {
+				() -> !bed().platform(StandinProcess.VM_LIST, "/vms").toString().contains(Vm.LEAVING));
+		for (ManagedProcess side : deployment().sides()) {
 			if (isLeaving(side)) {
 				side.close();
 				side.restart();
 			}
 		}
-		this.bed.awaitServing();
+		bed().awaitServing();
 	}
 
 	/**
@@ -75,22 +61,22 @@
 	 */
 	@DataProvider
 	public Object[][] ways() {
-		return new Object[][] { { "VM list", false, way((side) -> this.deployment.registerSide(side, Vm.LEAVING)) },
-				{ "drain", false, way((side) -> this.bed.drain(this.deployment.side(side))) },
-				{ "SIGTERM", false, way((side) -> this.deployment.side(side).terminate()) },
-				{ "drain, VM list down", true, way((side) -> this.bed.drain(this.deployment.side(side))) },
-				{ "SIGTERM, VM list down", true, way((side) -> this.deployment.side(side).terminate()) } };
+		return new Object[][] { { "VM list", false, way((side) -> deployment().registerSide(side, Vm.LEAVING)) },
+				{ "drain", false, way((side) -> bed().drain(deployment().side(side))) },
+				{ "SIGTERM", false, way((side) -> deployment().side(side).terminate()) },
+				{ "drain, VM list down", true, way((side) -> bed().drain(deployment().side(side))) },
+				{ "SIGTERM, VM list down", true, way((side) -> deployment().side(side).terminate()) } };
 	}
 
 	@Test(dataProvider = "ways")
 	public void noNewWorkAfterThreeSeconds(String name, boolean vmListDown, Way way) throws Exception {
 		if (vmListDown) {
-			this.bed.standins().control(StandinProcess.VM_LIST, "{\"outage\":true}");
+			bed().standins().control(StandinProcess.VM_LIST, "{\"outage\":true}");
 		}
 		Map<String, CompletableFuture<CallAnswer>> longCalls = startLongCalls();
-		String victim = this.bed.runnerOf(longCalls.keySet().iterator().next());
+		String victim = bed().runnerOf(longCalls.keySet().iterator().next());
 		Assert.assertFalse(victim.isEmpty(), "the long call is over already");
-		SteadyLoad load = new SteadyLoad(this.bed, List.of("entry-1", "entry-2"), ProofConfiguration.DRAFT, 10, 60);
+		SteadyLoad load = new SteadyLoad(bed(), List.of("entry-1", "entry-2"), ProofConfiguration.DRAFT, 10, 60);
 		Thread.sleep(500);
 		long leaveMillis = System.currentTimeMillis();
 		way.leave(victim);
@@ -107,7 +93,7 @@
 
 	private boolean isLeaving(ManagedProcess side) {
 		try {
-			return !side.isAlive() || this.bed.status(side).path("leaving").asBoolean();
+			return !side.isAlive() || bed().status(side).path("leaving").asBoolean();
 		}
 		catch (Exception ex) {
 			return true;
@@ -119,7 +105,7 @@
 		Map<String, CompletableFuture<CallAnswer>> calls = new LinkedHashMap<>();
 		for (int count = 0; count < LONG_COUNT; count++) {
 			String prompt = "len=" + LONG_ANSWER_TOKENS + " long " + TestSeed.value() + " " + System.nanoTime();
-			calls.put(prompt, this.bed.chat("entry-" + (1 + count % 2), ProofConfiguration.TOP, prompt,
+			calls.put(prompt, bed().chat("entry-" + (1 + count % 2), ProofConfiguration.TOP, prompt,
 					(text) -> tokens.incrementAndGet()));
 		}
 		Await.until("long calls flow", () -> tokens.get() > LONG_COUNT * 5);
@@ -128,7 +114,7 @@
 
 	private List<String> startedLaterThan(String side, long millis) throws Exception {
 		List<String> late = new ArrayList<>();
-		for (JsonNode execution : this.bed.standins().executions("engine." + side)) {
+		for (JsonNode execution : bed().standins().executions("engine." + side)) {
 			if (execution.path("started_ms").asLong() > millis) {
 				late.add(execution.toString());
 			}
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
@@ -5,14 +5,12 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.marjoramgw.rig.CallAnswer;
-import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.LinkKind;
 import org.marjoramgw.rig.ManagedProcess;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -22,37 +20,25 @@
  *
  * @author The marjoramgw authors
  */
-public class NotRunTests {
+public class NotRunTests extends ProofTest {
 
 	private static final String NOT_RUN = "not_run";
 
 	private static final String HEALED = "{\"mode\":\"pass\",\"delay_ms\":0,\"cut_after_bytes_up\":0,\"cut_after_bytes_down\":0}";
 
-	private ProofBed bed;
-
-	private Deployment deployment;
-
 	private int nextOrder;
 
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(2, 2, 2));
-		this.deployment = this.bed.deployment();
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(2, 2, 2);
 	}
 
 	@AfterMethod
 	public void heal() throws Exception {
-		for (ManagedProcess side : this.deployment.sides()) {
-			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
+		for (ManagedProcess side : deployment().sides()) {
+			bed().link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
 		}
-		this.bed.awaitServing();
+		bed().awaitServing();
 	}
 
 	/**
@@ -81,11 +67,11 @@
 			this.nextOrder++;
 			String order = "order-" + TestSeed.value() + "-" + this.nextOrder;
 			orders.add(order);
-			calls.add(this.bed.order("entry-" + (1 + count % 2), order, ""));
+			calls.add(bed().order("entry-" + (1 + count % 2), order, ""));
 		}
 		for (int index = 0; index < calls.size(); index++) {
 			CallAnswer answer = ProofBed.await(calls.get(index));
-			int runs = this.bed.runsOfOrder(orders.get(index));
+			int runs = bed().runsOfOrder(orders.get(index));
 			String told = way + " " + bytes + ": " + orders.get(index) + " ran " + runs + " times, told " + answer;
 			Assert.assertTrue(runs <= 1, told);
 			Assert.assertTrue(!answer.outcome().equals(NOT_RUN) || runs == 0, told);
@@ -102,11 +88,11 @@
 			this.nextOrder++;
 			String prompt = "len=5 question " + TestSeed.value() + " " + this.nextOrder;
 			prompts.add(prompt);
-			calls.add(this.bed.chat("entry-" + (1 + count % 2), ProofConfiguration.TOP, prompt));
+			calls.add(bed().chat("entry-" + (1 + count % 2), ProofConfiguration.TOP, prompt));
 		}
 		for (int index = 0; index < calls.size(); index++) {
 			CallAnswer answer = ProofBed.await(calls.get(index));
-			int runs = this.bed.runsOfPrompt(prompts.get(index));
+			int runs = bed().runsOfPrompt(prompts.get(index));
 			String told = way + " " + bytes + ": " + prompts.get(index) + " ran " + runs + " times, told " + answer;
 			Assert.assertTrue(!answer.outcome().equals(NOT_RUN) || runs == 0, told);
 			Assert.assertTrue(!answer.complete() || answer.text().equals(ProofBed.expectedAnswer(prompts.get(index))),
@@ -115,8 +101,8 @@
 	}
 
 	private void cut(String way, int bytes) throws Exception {
-		for (ManagedProcess side : this.deployment.sides()) {
-			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), "{\"cut_after_bytes_" + way + "\":" + bytes + "}");
+		for (ManagedProcess side : deployment().sides()) {
+			bed().link(LinkKind.ENTRY_SIDE, side.name(), "{\"cut_after_bytes_" + way + "\":" + bytes + "}");
 		}
 	}
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/PlannedStopTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/PlannedStopTests.java
@@ -10,14 +10,12 @@
 
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.rig.CallAnswer;
-import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.ManagedProcess;
 import org.marjoramgw.rig.RigException;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -26,7 +24,7 @@
  *
  * @author The marjoramgw authors
  */
-public class PlannedStopTests {
+public class PlannedStopTests extends ProofTest {
 
 	private static final int STREAM_COUNT = 8;
 
@@ -37,39 +35,27 @@
 	/** Exit code of a Java runtime that SIGTERM ended, after its shutdown hooks. */
 	private static final int SIGTERM_EXIT_CODE = 143;
 
-	private ProofBed bed;
-
-	private Deployment deployment;
-
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(2, 2, 2));
-		this.deployment = this.bed.deployment();
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(2, 2, 2);
 	}
 
 	@AfterMethod
 	public void heal() throws Exception {
-		for (ManagedProcess side : this.deployment.sides()) {
+		for (ManagedProcess side : deployment().sides()) {
 			if (side.name().startsWith("runner")) {
-				this.bed.standins().control("engine." + side.name(), "{\"crash_after_tokens\":0}");
+				bed().standins().control("engine." + side.name(), "{\"crash_after_tokens\":0}");
 			}
 			else {
-				this.bed.standins().control("plain." + side.name(), "{\"delay_ms\":5}");
+				bed().standins().control("plain." + side.name(), "{\"delay_ms\":5}");
 			}
 		}
-		for (ManagedProcess process : this.bed.processes()) {
+		for (ManagedProcess process : bed().processes()) {
 			if (!process.isAlive()) {
 				process.restart();
 			}
 		}
-		this.bed.awaitServing();
+		bed().awaitServing();
 	}
 
 	/**
@@ -78,19 +64,19 @@
 	 */
 	@DataProvider
 	public Object[][] stops() {
-		return new Object[][] { { "entry-1", "entry-1", stop((name) -> this.deployment.entry(name).terminate()) },
-				{ "entry-1", "entry-1", stop((name) -> this.bed.drain(this.deployment.entry(name))) },
-				{ "runner-1", "entry-2", stop((name) -> this.deployment.side(name).terminate()) },
+		return new Object[][] { { "entry-1", "entry-1", stop((name) -> deployment().entry(name).terminate()) },
+				{ "entry-1", "entry-1", stop((name) -> bed().drain(deployment().entry(name))) },
+				{ "runner-1", "entry-2", stop((name) -> deployment().side(name).terminate()) },
 				{ "runner-2", "entry-2", stop(this::stopBackendServer) },
-				{ "orders-1", "entry-1", stop((name) -> this.deployment.side(name).terminate()) },
-				{ "orders-2", "entry-2", stop((name) -> this.bed.drain(this.deployment.side(name))) } };
+				{ "orders-1", "entry-1", stop((name) -> deployment().side(name).terminate()) },
+				{ "orders-2", "entry-2", stop((name) -> bed().drain(deployment().side(name))) } };
 	}
 
 	@Test(dataProvider = "stops")
 	public void callsInFlightEndWhole(String process, String entry, Stop stop) throws Exception {
-		for (ManagedProcess side : this.deployment.sides()) {
+		for (ManagedProcess side : deployment().sides()) {
 			if (side.name().startsWith("orders")) {
-				this.bed.standins().control("plain." + side.name(), "{\"delay_ms\":1500}");
+				bed().standins().control("plain." + side.name(), "{\"delay_ms\":1500}");
 			}
 		}
 		Map<String, CompletableFuture<CallAnswer>> streams = startStreams(entry);
@@ -105,7 +91,7 @@
 		for (Map.Entry<String, CompletableFuture<CallAnswer>> call : orders.entrySet()) {
 			CallAnswer answer = ProofBed.await(call.getValue());
 			Assert.assertTrue(answer.complete(), process + " cut off " + answer);
-			Assert.assertEquals(this.bed.runsOfOrder(call.getKey()), 1);
+			Assert.assertEquals(bed().runsOfOrder(call.getKey()), 1);
 		}
 		Assert.assertTrue(stopping.awaitExit(Await.GENEROUS_MILLIS), process + " doesn't exit");
 		Assert.assertTrue(Set.of(ExitCode.OK, SIGTERM_EXIT_CODE).contains(stopping.exitCode()),
@@ -115,9 +101,9 @@
 	@Test
 	public void newCallsFindTheOtherEntryWhileOneStops() throws Exception {
 		Map<String, CompletableFuture<CallAnswer>> streams = startStreams("entry-1");
-		this.deployment.entry("entry-1").terminate();
+		deployment().entry("entry-1").terminate();
 		Await.until("entry-1 fails its health check", () -> !isHealthy("entry-1"));
-		SteadyLoad load = new SteadyLoad(this.bed, List.of("entry-2"), ProofConfiguration.TOP, 10, 100);
+		SteadyLoad load = new SteadyLoad(bed(), List.of("entry-2"), ProofConfiguration.TOP, 10, 100);
 		for (CompletableFuture<CallAnswer> call : streams.values()) {
 			Assert.assertTrue(ProofBed.await(call).complete());
 		}
@@ -128,7 +114,7 @@
 
 	private boolean isHealthy(String entry) {
 		try {
-			this.bed.standins().getText("http://" + this.deployment.entry(entry).address("http") + "/healthz");
+			bed().standins().getText("http://" + deployment().entry(entry).address("http") + "/healthz");
 			return true;
 		}
 		catch (RigException ex) {
@@ -142,7 +128,7 @@
 		for (int count = 0; count < STREAM_COUNT; count++) {
 			String prompt = "len=" + ANSWER_TOKENS + " planned " + TestSeed.value() + " " + System.nanoTime();
 			calls.put(prompt,
-					this.bed.chat(entry, ProofConfiguration.TOP, prompt, (text) -> flowing.put(prompt, Boolean.TRUE)));
+					bed().chat(entry, ProofConfiguration.TOP, prompt, (text) -> flowing.put(prompt, Boolean.TRUE)));
 		}
 		Await.until("streams flow", () -> flowing.size() == STREAM_COUNT);
 		return calls;
@@ -154,12 +140,12 @@
 		for (int count = 0; count < ORDER_COUNT; count++) {
 			String order = "planned-" + TestSeed.value() + "-" + System.nanoTime();
 			orders.add(order);
-			calls.put(order, this.bed.order(entry, order, (count % 2 == 0) ? order : ""));
+			calls.put(order, bed().order(entry, order, (count % 2 == 0) ? order : ""));
 		}
 		Await.until("orders run", () -> {
 			int running = 0;
 			for (String order : orders) {
-				running += this.bed.runsOfOrder(order);
+				running += bed().runsOfOrder(order);
 			}
 			return running == ORDER_COUNT;
 		});
@@ -171,13 +157,13 @@
 	 * ends after it.
 	 */
 	private void stopBackendServer(String side) throws Exception {
-		this.bed.drain(this.deployment.side(side));
-		Assert.assertTrue(this.deployment.side(side).awaitExit(Await.GENEROUS_MILLIS), side + " doesn't exit");
-		this.bed.standins().control("engine." + side, "{\"crash_after_tokens\":1}");
+		bed().drain(deployment().side(side));
+		Assert.assertTrue(deployment().side(side).awaitExit(Await.GENEROUS_MILLIS), side + " doesn't exit");
+		bed().standins().control("engine." + side, "{\"crash_after_tokens\":1}");
 	}
 
 	private ManagedProcess processOf(String name) {
-		return name.startsWith("entry") ? this.deployment.entry(name) : this.deployment.side(name);
+		return name.startsWith("entry") ? deployment().entry(name) : deployment().side(name);
 	}
 
 	private static Stop stop(Stop stop) {
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
@@ -2,10 +2,9 @@
 
 import java.util.List;
 
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.ManagedProcess;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
 /**
@@ -14,7 +13,7 @@
  *
  * @author The marjoramgw authors
  */
-public class StarvationTests {
+public class StarvationTests extends ProofTest {
 
 	private static final long WINDOW_MILLIS = 5_000;
 
@@ -24,25 +23,16 @@
 
 	private static final double PERCENT = 100;
 
-	private ProofBed bed;
-
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(1, 1, 0));
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(1, 1, 0);
 	}
 
 	@Test
 	public void lowestClassGetsItsFloorInEachWindow() throws Exception {
-		ManagedProcess side = this.bed.deployment().side("runner-1");
-		SteadyLoad top = new SteadyLoad(this.bed, List.of("entry-1"), ProofConfiguration.TOP, ANSWER_TOKENS, 40);
-		SteadyLoad lowest = new SteadyLoad(this.bed, List.of("entry-1"), ProofConfiguration.LOWEST, ANSWER_TOKENS, 200);
+		ManagedProcess side = bed().deployment().side("runner-1");
+		SteadyLoad top = new SteadyLoad(bed(), List.of("entry-1"), ProofConfiguration.TOP, ANSWER_TOKENS, 40);
+		SteadyLoad lowest = new SteadyLoad(bed(), List.of("entry-1"), ProofConfiguration.LOWEST, ANSWER_TOKENS, 200);
 		Thread.sleep(WINDOW_MILLIS / 2);
 		for (int window = 0; window < WINDOW_COUNT; window++) {
 			double lowestBefore = slotMillis(side, ProofConfiguration.LOWEST);
@@ -66,7 +56,7 @@
 
 	private double slotMillis(ManagedProcess side, String requestClass) throws Exception {
 		String name = "slot_time_ms_" + requestClass.replace('-', '_') + " ";
-		return this.bed.metrics(side)
+		return bed().metrics(side)
 			.lines()
 			.filter((line) -> line.startsWith(name))
 			.mapToDouble((line) -> Double.parseDouble(line.substring(name.length())))
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TierPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TierPromiseTests.java
@@ -8,10 +8,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.rig.CallAnswer;
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.ManagedProcess;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
 /**
@@ -20,7 +19,7 @@
  *
  * @author The marjoramgw authors
  */
-public class TierPromiseTests {
+public class TierPromiseTests extends ProofTest {
 
 	private static final long BURST_MILLIS = 8_000;
 
@@ -40,25 +39,16 @@
 
 	private static final List<String> ENTRIES = List.of("entry-1", "entry-2");
 
-	private ProofBed bed;
-
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(2, 2, 0));
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(2, 2, 0);
 	}
 
 	@Test
 	public void burstOfTheLowestClass() throws Exception {
-		SteadyLoad lowest = new SteadyLoad(this.bed, ENTRIES, ProofConfiguration.LOWEST, ANSWER_TOKENS,
+		SteadyLoad lowest = new SteadyLoad(bed(), ENTRIES, ProofConfiguration.LOWEST, ANSWER_TOKENS,
 				THREEFOLD_PERIOD_MILLIS);
-		SteadyLoad top = new SteadyLoad(this.bed, ENTRIES, ProofConfiguration.TOP, ANSWER_TOKENS, 300);
+		SteadyLoad top = new SteadyLoad(bed(), ENTRIES, ProofConfiguration.TOP, ANSWER_TOKENS, 300);
 		Thread.sleep(BURST_MILLIS);
 		Map<String, CallAnswer> topAnswers = top.finish();
 		lowest.close();
@@ -76,8 +66,7 @@
 
 	@Test(dependsOnMethods = "burstOfTheLowestClass")
 	public void burstOfTheTopClassAlone() throws Exception {
-		SteadyLoad top = new SteadyLoad(this.bed, ENTRIES, ProofConfiguration.TOP, ANSWER_TOKENS,
-				THREEFOLD_PERIOD_MILLIS);
+		SteadyLoad top = new SteadyLoad(bed(), ENTRIES, ProofConfiguration.TOP, ANSWER_TOKENS, THREEFOLD_PERIOD_MILLIS);
 		Thread.sleep(BURST_MILLIS);
 		Map<String, CallAnswer> answers = top.finish();
 		for (JsonNode step : traceOf(answers.values())) {
@@ -94,8 +83,8 @@
 	private List<JsonNode> traceOf(Iterable<CallAnswer> answers) throws Exception {
 		List<JsonNode> steps = new ArrayList<>();
 		for (CallAnswer answer : answers) {
-			for (ManagedProcess side : this.bed.processes()) {
-				this.bed.explain(side, answer.requestId()).forEach(steps::add);
+			for (ManagedProcess side : bed().processes()) {
+				bed().explain(side, answer.requestId()).forEach(steps::add);
 			}
 		}
 		return steps;
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
@@ -6,14 +6,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.marjoramgw.rig.CallAnswer;
-import org.marjoramgw.rig.Deployment;
+import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.LinkKind;
 import org.marjoramgw.rig.ManagedProcess;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -23,7 +21,7 @@
  *
  * @author The marjoramgw authors
  */
-public class WholeAnswerTests {
+public class WholeAnswerTests extends ProofTest {
 
 	private static final int STREAM_COUNT = 6;
 
@@ -31,36 +29,24 @@
 
 	private static final String HEALED = "{\"mode\":\"pass\",\"delay_ms\":0}";
 
-	private ProofBed bed;
-
-	private Deployment deployment;
-
 	private int nextPrompt;
 
-	@BeforeClass
-	public void start() throws Exception {
-		this.bed = ProofBed.start(ProofPlan.of(2, 3, 0));
-		this.deployment = this.bed.deployment();
-	}
-
-	@AfterClass(alwaysRun = true)
-	public void stop() {
-		if (this.bed != null) {
-			this.bed.close();
-		}
+	@Override
+	protected DeploymentPlan plan() {
+		return ProofPlan.of(2, 3, 0);
 	}
 
 	@AfterMethod
 	public void heal() throws Exception {
-		for (ManagedProcess side : this.deployment.sides()) {
-			this.bed.standins().control("engine." + side.name(), "{\"crash_after_tokens\":0,\"straggle_factor\":1.0}");
-			this.bed.link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
-			this.bed.link(LinkKind.SIDE_BACKEND, side.name(), HEALED);
+		for (ManagedProcess side : deployment().sides()) {
+			bed().standins().control("engine." + side.name(), "{\"crash_after_tokens\":0,\"straggle_factor\":1.0}");
+			bed().link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
+			bed().link(LinkKind.SIDE_BACKEND, side.name(), HEALED);
 			if (!side.isAlive()) {
 				side.restart();
 			}
 		}
-		this.bed.awaitServing();
+		bed().awaitServing();
 	}
 
 	/**
@@ -70,7 +56,7 @@
 	@DataProvider
 	public Object[][] faults() {
 		return new Object[][] { { "engine crashes", fault((side) -> engine(side, "{\"crash_after_tokens\":1}")) },
-				{ "side process is killed", fault((side) -> this.deployment.side(side).kill()) },
+				{ "side process is killed", fault((side) -> deployment().side(side).kill()) },
 				{ "side process is frozen and goes on", fault(this::freezeForAWhile) },
 				{ "link is cut", fault((side) -> peer(side, "{\"mode\":\"cut\"}")) },
 				{ "link is cut over and over", fault(this::cutOverAndOver) },
@@ -93,10 +79,10 @@
 			this.nextPrompt++;
 			String prompt = "len=" + ANSWER_TOKENS + " question " + TestSeed.value() + " " + this.nextPrompt;
 			String entry = "entry-" + (1 + count % 2);
-			calls.put(prompt, this.bed.chat(entry, ProofConfiguration.TOP, prompt, (text) -> tokens.incrementAndGet()));
+			calls.put(prompt, bed().chat(entry, ProofConfiguration.TOP, prompt, (text) -> tokens.incrementAndGet()));
 		}
 		Await.until("streams flow", () -> tokens.get() > STREAM_COUNT * 10);
-		String victim = this.bed.runnerOf(calls.keySet().iterator().next());
+		String victim = bed().runnerOf(calls.keySet().iterator().next());
 		Assert.assertFalse(victim.isEmpty(), "the first stream is over before the fault");
 		fault.strike(victim);
 		for (Map.Entry<String, CompletableFuture<CallAnswer>> call : calls.entrySet()) {
@@ -112,28 +98,28 @@
 
 	private String describe(CallAnswer answer) throws Exception {
 		StringBuilder text = new StringBuilder(answer.toString());
-		for (ManagedProcess entry : this.deployment.entries()) {
-			text.append('\n').append(entry.name()).append(": ").append(this.bed.explain(entry, answer.requestId()));
+		for (ManagedProcess entry : deployment().entries()) {
+			text.append('\n').append(entry.name()).append(": ").append(bed().explain(entry, answer.requestId()));
 		}
 		return text.toString();
 	}
 
 	private void engine(String side, String json) throws Exception {
-		this.bed.standins().control("engine." + side, json);
+		bed().standins().control("engine." + side, json);
 	}
 
 	private void engineLink(String side, String json) throws Exception {
-		this.bed.link(LinkKind.SIDE_BACKEND, side, json);
+		bed().link(LinkKind.SIDE_BACKEND, side, json);
 	}
 
 	private void peer(String side, String json) throws Exception {
-		this.bed.link(LinkKind.ENTRY_SIDE, side, json);
+		bed().link(LinkKind.ENTRY_SIDE, side, json);
 	}
 
 	private void freezeForAWhile(String side) throws Exception {
-		this.deployment.side(side).freeze();
+		deployment().side(side).freeze();
 		Thread.sleep(2_500);
-		this.deployment.side(side).thaw();
+		deployment().side(side).thaw();
 	}
 
 	private void cutOverAndOver(String side) throws Exception {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/HttpEndpoint.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/HttpEndpoint.java
@@ -49,6 +49,8 @@
 
 	private Tcp.ServerBinding binding;
 
+	private volatile boolean refusing;
+
 	/**
 	 * Creates an endpoint that listens at once.
 	 * @param system the shared threads
@@ -77,6 +79,7 @@
 		if (this.binding != null) {
 			return;
 		}
+		this.refusing = false;
 		this.binding = await(Tcp.get(this.system.actors())
 			.bind(this.address.host(), this.address.port(), BACKLOG_CONNECTIONS,
 					java.util.List.of(TcpSO.tcpNoDelay(true)), false, Optional.empty())
@@ -92,6 +95,7 @@
 		if (this.binding == null) {
 			return;
 		}
+		this.refusing = true;
 		await(this.binding.unbind());
 		this.binding = null;
 		this.connections.forEach((connection) -> connection.abort(new java.io.IOException("refused")));
@@ -124,15 +128,11 @@
 				return pair.first();
 			})
 			.run(this.system.actors());
-		if (isRefusing()) {
+		if (this.refusing) {
 			connection.abort(new java.io.IOException("refused"));
 		}
 	}
 
-	private synchronized boolean isRefusing() {
-		return this.binding == null && this.address.port() != 0;
-	}
-
 	private Flow<ByteString, ByteString, Cutter> tcpFlow() {
 		Cutter cutter = new Cutter();
 		Flow<HttpRequest, HttpResponse, NotUsed> handler = Flow.of(HttpRequest.class)
