Give prefill more time before an engine's stream counts as silent

The client's own bound of 3 s held before the first token too, where the scheduler allows 5 s or the first-token target of the class: a long prefill would have been cut off. The client is the backstop at 6 s now; within a stream the scheduler judges after 2 s.

--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
@@ -35,8 +35,11 @@
 
 	private static final long ERROR_BODY_MILLIS = 1_000;
 
-	/** Silence after which the connection counts as lost; covers a long prefill. */
-	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(3_000);
+	/**
+	 * Silence after which the connection counts as lost, whatever the class; longer than
+	 * the bound before the first token by which the scheduler judges most classes.
+	 */
+	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(6_000);
 
 	private static final int ERROR_BODY_BYTES = 65_536;
 
