--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ReadBackMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ReadBackMeasurement.java
@@ -110,8 +110,7 @@
 	private long readBackMillis(LogService log) throws RigException {
 		ClaimSettings defaults = ClaimSettings.of(1);
 		ClaimSettings settings = new ClaimSettings(1, defaults.windowMillis(), WAIT_MILLIS,
-				defaults.appendIntervalMillis(), defaults.resultLingerMillis(), defaults.maxKeys(),
-				defaults.maxResultBytes());
+				defaults.appendIntervalMillis(), defaults.maxKeys(), defaults.maxResultBytes());
 		long startMillis = this.clock.nowMillis();
 		try (LogClaimBook book = new LogClaimBook(log, settings, new ClaimHolder("side-2", startMillis), this.clock,
 				new ResultCounters(new MetricRegistry()))) {
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/LogClaimBookTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/LogClaimBookTests.java
@@ -24,7 +24,7 @@
  */
 public class LogClaimBookTests {
 
-	private static final ClaimSettings SETTINGS = new ClaimSettings(4, 900_000, 1_500, 5, 20, 1_000, 20);
+	private static final ClaimSettings SETTINGS = new ClaimSettings(4, 900_000, 1_500, 5, 1_000, 20);
 
 	private static final RecordedResult RESULT = new RecordedResult(201, "text/plain", "booked");
 
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/internal/PartitionClaimsTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/claim/internal/PartitionClaimsTests.java
@@ -39,7 +39,7 @@
 
 	private static final String STREAM = "claims-0";
 
-	private static final ClaimSettings SETTINGS = new ClaimSettings(1, 900_000, 1_000, 1, 1, 1_000, 100);
+	private static final ClaimSettings SETTINGS = new ClaimSettings(1, 900_000, 1_000, 1, 1_000, 100);
 
 	@Test
 	public void atMostOneClaimOfAKeyIsWonUnlessItWasReleased() {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/ClaimSettings.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/ClaimSettings.java
@@ -10,14 +10,12 @@
  * @param waitMillis longest wait for a verdict, in milliseconds
  * @param appendIntervalMillis least time between two appends to one partition, in
  * milliseconds
- * @param resultLingerMillis longest wait of a result for a claim that shares its append,
- * in milliseconds
  * @param maxKeys bound of the remembered keys of one partition
  * @param maxResultBytes bound of a recorded body, in bytes
  * @author The marjoramgw authors
  */
 public record ClaimSettings(int partitionCount, long windowMillis, long waitMillis, long appendIntervalMillis,
-		long resultLingerMillis, int maxKeys, int maxResultBytes) {
+		int maxKeys, int maxResultBytes) {
 
 	private static final long WINDOW_MILLIS = 900_000;
 
@@ -25,8 +23,6 @@
 
 	private static final long APPEND_INTERVAL_MILLIS = 50;
 
-	private static final long RESULT_LINGER_MILLIS = 200;
-
 	private static final int MAX_KEYS = 10_000;
 
 	private static final int MAX_RESULT_BYTES = 8 * 1024;
@@ -37,8 +33,8 @@
 	 * @return the bounds
 	 */
 	public static ClaimSettings of(int partitionCount) {
-		return new ClaimSettings(partitionCount, WINDOW_MILLIS, WAIT_MILLIS, APPEND_INTERVAL_MILLIS,
-				RESULT_LINGER_MILLIS, MAX_KEYS, MAX_RESULT_BYTES);
+		return new ClaimSettings(partitionCount, WINDOW_MILLIS, WAIT_MILLIS, APPEND_INTERVAL_MILLIS, MAX_KEYS,
+				MAX_RESULT_BYTES);
 	}
 
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/LogClaimBook.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/LogClaimBook.java
@@ -71,8 +71,7 @@
 		this.partitions = IntStream.range(0, settings.partitionCount())
 			.mapToObj((partition) -> new PartitionClaims(ClaimPartitions.streamOf(partition), log, settings, self,
 					judge, clock, counters, this::noteWon))
-			.map((claims) -> new PartitionRunner(claims, this.threads, settings.appendIntervalMillis(),
-					settings.resultLingerMillis(), clock))
+			.map((claims) -> new PartitionRunner(claims, this.threads, settings.appendIntervalMillis(), clock))
 			.toList();
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionRunner.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionRunner.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -28,20 +27,16 @@
 
 	private final long intervalMillis;
 
-	private final long lingerMillis;
-
 	private final MillisClock clock;
 
-	private ScheduledFuture<?> next;
-
-	private long nextMillis;
-
 	private long earliestMillis;
 
-	private long wantedMillis = Long.MAX_VALUE;
+	private boolean scheduled;
 
 	private boolean running;
 
+	private boolean wanted;
+
 	private long backoffMillis = MIN_BACKOFF_MILLIS;
 
 	/**
@@ -49,15 +44,13 @@
 	 * @param claims the claims of the partition
 	 * @param threads threads that run the cycles
 	 * @param intervalMillis least time between two cycles, in milliseconds
-	 * @param lingerMillis longest wait of a result for a claim, in milliseconds
 	 * @param clock the clock
 	 */
 	public PartitionRunner(PartitionClaims claims, ScheduledExecutorService threads, long intervalMillis,
-			long lingerMillis, MillisClock clock) {
+			MillisClock clock) {
 		this.claims = claims;
 		this.threads = threads;
 		this.intervalMillis = intervalMillis;
-		this.lingerMillis = lingerMillis;
 		this.clock = clock;
 	}
 
@@ -67,25 +60,16 @@
 	 */
 	public void submit(ClaimAttempt attempt) {
 		this.claims.submit(attempt);
-		wakeWithin(0);
+		wake();
 	}
 
 	/**
-	 * Adds a release for the next cycle.
-	 * @param release the record
+	 * Adds a result or a release for the next cycle.
+	 * @param record the record
 	 */
-	public void submit(ClaimRecord.Release release) {
-		this.claims.submit(release);
-		wakeWithin(0);
-	}
-
-	/**
-	 * Adds a result, which may wait a little for a claim that shares its append.
-	 * @param result the record
-	 */
-	public void submit(ClaimRecord.Result result) {
-		this.claims.submit(result);
-		wakeWithin(this.lingerMillis);
+	public void submit(ClaimRecord record) {
+		this.claims.submit(record);
+		wake();
 	}
 
 	/**
@@ -96,24 +80,18 @@
 		return this.claims.hasUnsent();
 	}
 
-	private synchronized void wakeWithin(long delayMillis) {
-		long atMillis = Math.max(this.clock.nowMillis() + delayMillis, this.earliestMillis);
-		if (this.running) {
-			this.wantedMillis = Math.min(this.wantedMillis, atMillis);
-		}
-		else if (this.next == null || atMillis < this.nextMillis) {
-			schedule(atMillis);
+	private synchronized void wake() {
+		this.wanted = true;
+		if (!this.running && !this.scheduled) {
+			schedule();
 		}
 	}
 
-	private synchronized void schedule(long atMillis) {
-		if (this.next != null) {
-			this.next.cancel(false);
-		}
+	private synchronized void schedule() {
 		try {
-			this.nextMillis = atMillis;
-			long delayMillis = Math.max(0, atMillis - this.clock.nowMillis());
-			this.next = this.threads.schedule(this::run, delayMillis, TimeUnit.MILLISECONDS);
+			long delayMillis = Math.max(0, this.earliestMillis - this.clock.nowMillis());
+			this.threads.schedule(this::run, delayMillis, TimeUnit.MILLISECONDS);
+			this.scheduled = true;
 		}
 		catch (RejectedExecutionException ex) {
 			Logger.debug("no more cycles: the book is closed");
@@ -121,9 +99,7 @@
 	}
 
 	private void run() {
-		if (!begin()) {
-			return;
-		}
+		begin();
 		CycleOutcome outcome = CycleOutcome.LOG_AWAY;
 		try {
 			outcome = this.claims.cycle();
@@ -134,14 +110,10 @@
 		end(outcome);
 	}
 
-	private synchronized boolean begin() {
-		if (this.running) {
-			return false;
-		}
+	private synchronized void begin() {
 		this.running = true;
-		this.next = null;
-		this.wantedMillis = Long.MAX_VALUE;
-		return true;
+		this.scheduled = false;
+		this.wanted = false;
 	}
 
 	private synchronized void end(CycleOutcome outcome) {
@@ -156,11 +128,8 @@
 			this.earliestMillis = nowMillis + this.intervalMillis;
 			this.backoffMillis = MIN_BACKOFF_MILLIS;
 		}
-		if (outcome != CycleOutcome.IDLE) {
-			schedule(this.earliestMillis);
-		}
-		else if (this.wantedMillis != Long.MAX_VALUE) {
-			schedule(Math.max(this.wantedMillis, this.earliestMillis));
+		if (outcome != CycleOutcome.IDLE || this.wanted) {
+			schedule();
 		}
 	}
 
