Grow the entry's side processes by the VM list

The choice of subsets from both ends connects the only listed entry to every side process whatever subset_count says, so all five points stood at 128 peers.

--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/EntryPeersMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/EntryPeersMeasurement.java
@@ -17,6 +17,8 @@
 
 	private static final long SETTLE_MILLIS = 3_000;
 
+	private static final List<String> DOMAINS = List.of(CapacityRun.DOMAIN, "dal-b", "dal-c");
+
 	private final CapacityRun run;
 
 	private final int[] peerCounts;
@@ -31,7 +33,7 @@
 
 	@Override
 	public String title() {
-		return "Entry against the number of its side processes, idle (VM list of constant length)";
+		return "Entry against the number of its side processes, idle";
 	}
 
 	@Override
@@ -40,19 +42,18 @@
 		PointTable table = new PointTable("side processes", "messages/s", "peer bytes/s", "all bytes/s", "CPU %",
 				"RSS MB");
 		int most = this.peerCounts[this.peerCounts.length - 1];
-		try (Deployment deployment = this.run.startEntry(1);
+		try (Deployment deployment = this.run.startEntry(most);
 				FakeSides sides = new FakeSides(this.run.transport(), count)) {
 			ProcessMeter meter = new ProcessMeter(deployment.entry(CapacityRun.ENTRY).pid());
-			sides.start(most, List.of(CapacityRun.DOMAIN, "dal-b", "dal-c"), deployment);
+			sides.grow(1, DOMAINS, deployment);
 			Thread.sleep(WARM_UP_MILLIS);
-			long revision = 1;
 			for (int peers : this.peerCounts) {
-				revision = this.run.publish(deployment, revision, peers);
-				Waiting.until(() -> sides.openCount() >= peers, "connections to " + peers + " side processes");
+				sides.grow(peers, DOMAINS, deployment);
+				Waiting.until(() -> sides.openCount() == peers, "connections to " + peers + " side processes");
 				Thread.sleep(SETTLE_MILLIS);
 				Window window = Window.measure(meter, count, this.windowMillis);
-				table.add(sides.openCount(), window.messagesPerSecond(), window.peerBytesPerSecond(),
-						window.ioBytesPerSecond(), window.cpuPercent(), window.residentMegabytes());
+				table.add(peers, window.messagesPerSecond(), window.peerBytesPerSecond(), window.ioBytesPerSecond(),
+						window.cpuPercent(), window.residentMegabytes());
 			}
 		}
 		return table.toString();
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeSides.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/FakeSides.java
@@ -44,14 +44,15 @@
 	}
 
 	/**
-	 * Adds side processes to a deployment and its VM list.
+	 * Adds side processes to a deployment and its VM list until there are as many as
+	 * wanted.
 	 * @param total how many
 	 * @param failureDomains failure domains that they are spread over
 	 * @param deployment the deployment
 	 * @throws RigException if one can't listen or be listed
 	 */
-	void start(int total, List<String> failureDomains, Deployment deployment) throws RigException {
-		for (int index = 0; index < total; index++) {
+	void grow(int total, List<String> failureDomains, Deployment deployment) throws RigException {
+		for (int index = this.sides.size(); index < total; index++) {
 			String domain = failureDomains.get(index % failureDomains.size());
 			Side side = new Side(new PeerIdentity("fake-side-" + index, Vm.SIDE, domain, 1, CapacityText.POOL));
 			HostPort address = listen(side);
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/LostDomainMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/LostDomainMeasurement.java
@@ -60,7 +60,7 @@
 	private double[] trial(int peers) throws RigException, InterruptedException {
 		try (Deployment deployment = this.run.startEntry(peers);
 				FakeSides sides = new FakeSides(this.run.transport(), this.run.newCount())) {
-			sides.start(peers, List.of(CapacityRun.DOMAIN, "dal-b", "dal-c"), deployment);
+			sides.grow(peers, List.of(CapacityRun.DOMAIN, "dal-b", "dal-c"), deployment);
 			Waiting.until(() -> sides.openCount() == peers, "connections");
 			HostPort entry = deployment.entry(CapacityRun.ENTRY).address("http");
 			RequestCaller caller = new RequestCaller(this.run.system(), 30_000);
