Revert the bound on the silence of an engine's event stream

The side process's scheduler now ends such streams itself, sooner and with a cancel at the engine; two bounds for one silence would contradict each other.

--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.side.engine;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.concurrent.CompletionStage;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -35,9 +34,6 @@
 
 	private static final long ERROR_BODY_MILLIS = 1_000;
 
-	/** Silence after which the connection counts as lost; covers a long prefill. */
-	private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(3_000);
-
 	private static final int ERROR_BODY_BYTES = 65_536;
 
 	private static final String CLOSING_MARK = "[DONE]";
@@ -108,7 +104,7 @@
 	}
 
 	private CompletionStage<Done> readEvents(Source<ServerSentEvent, ?> events) {
-		return events.via(this.killSwitch.flow()).idleTimeout(SILENCE_TIMEOUT).runForeach(this::onEvent, this.system);
+		return events.via(this.killSwitch.flow()).runForeach(this::onEvent, this.system);
 	}
 
 	private void onEvent(ServerSentEvent event) throws JsonProcessingException {
