--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
@@ -21,7 +21,7 @@
  *
  * @author The marjoramgw authors
  */
-public class AtMostOnceTests extends ProofTest {
+public class AtMostOnceTests extends ProofTests {
 
 	private static final String PASS = "{\"mode\":\"pass\",\"delay_ms\":0}";
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/LeavingTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/LeavingTests.java
@@ -25,7 +25,7 @@
  *
  * @author The marjoramgw authors
  */
-public class LeavingTests extends ProofTest {
+public class LeavingTests extends ProofTests {
 
 	private static final long BOUND_MILLIS = 3_000;
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
@@ -20,7 +20,7 @@
  *
  * @author The marjoramgw authors
  */
-public class NotRunTests extends ProofTest {
+public class NotRunTests extends ProofTests {
 
 	private static final String NOT_RUN = "not_run";
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/PlannedStopTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/PlannedStopTests.java
@@ -24,7 +24,7 @@
  *
  * @author The marjoramgw authors
  */
-public class PlannedStopTests extends ProofTest {
+public class PlannedStopTests extends ProofTests {
 
 	private static final int STREAM_COUNT = 8;
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofTest.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofTests.java
@@ -10,7 +10,7 @@
  *
  * @author The marjoramgw authors
  */
-public abstract class ProofTest {
+public abstract class ProofTests {
 
 	private ProofBed bed;
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
@@ -21,7 +21,7 @@
  *
  * @author The marjoramgw authors
  */
-public class SilentConnectionTests extends ProofTest {
+public class SilentConnectionTests extends ProofTests {
 
 	private static final String SILENCE = "{\"swallow_existing\":true}";
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
@@ -13,7 +13,7 @@
  *
  * @author The marjoramgw authors
  */
-public class StarvationTests extends ProofTest {
+public class StarvationTests extends ProofTests {
 
 	private static final long WINDOW_MILLIS = 5_000;
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TierPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TierPromiseTests.java
@@ -19,7 +19,7 @@
  *
  * @author The marjoramgw authors
  */
-public class TierPromiseTests extends ProofTest {
+public class TierPromiseTests extends ProofTests {
 
 	private static final long BURST_MILLIS = 8_000;
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TwoFaultsTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TwoFaultsTests.java
@@ -21,7 +21,7 @@
  *
  * @author The marjoramgw authors
  */
-public class TwoFaultsTests extends ProofTest {
+public class TwoFaultsTests extends ProofTests {
 
 	private static final long IN_FORCE_MILLIS = 4_000;
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
@@ -21,7 +21,7 @@
  *
  * @author The marjoramgw authors
  */
-public class WholeAnswerTests extends ProofTest {
+public class WholeAnswerTests extends ProofTests {
 
 	private static final int STREAM_COUNT = 6;
 
