--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/ChatRequest.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/ChatRequest.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.entry.caller;
 
+import java.io.IOException;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -54,7 +56,7 @@
 		catch (JsonProcessingException ex) {
 			throw malformed("body is not JSON");
 		}
-		catch (java.io.IOException ex) {
+		catch (IOException ex) {
 			throw malformed("body can't be read");
 		}
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/ErrorBody.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/ErrorBody.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.entry.caller;
 
+import java.util.Locale;
+
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.marjoramgw.ResultCode;
@@ -20,7 +22,7 @@
 		ObjectNode error = MAPPER.createObjectNode();
 		error.put("code", code.number());
 		error.put("message", detail.isEmpty() ? code.text() : code.text() + ": " + detail);
-		error.put("outcome", code.outcome().name().toLowerCase(java.util.Locale.ROOT));
+		error.put("outcome", code.outcome().name().toLowerCase(Locale.ROOT));
 		error.put("request_id", requestId);
 		return MAPPER.createObjectNode().set("error", error).toString();
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -12,6 +12,7 @@
 import org.marjoramgw.Outcome;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.RequestClass;
+import org.marjoramgw.policy.candidate.Selectors;
 import org.marjoramgw.wire.Message;
 
 /**
@@ -131,7 +132,7 @@
 	}
 
 	private boolean isLateBinding() {
-		return org.marjoramgw.policy.candidate.Selectors.LATE_BINDING.equals(this.context.limits().selector());
+		return Selectors.LATE_BINDING.equals(this.context.limits().selector());
 	}
 
 	private Behavior<RequestEvent> onFromSide(RequestEvent.FromSide event) {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/LostDomainMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/LostDomainMeasurement.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
@@ -71,7 +72,7 @@
 				.filter((call) -> call.millis > SLOW_MILLIS)
 				.mapToDouble(Call::endMillis)
 				.toArray();
-			double last = (slow.length == 0) ? 0 : java.util.Arrays.stream(slow).max().orElse(0);
+			double last = (slow.length == 0) ? 0 : Arrays.stream(slow).max().orElse(0);
 			return new double[] { peers, peers / 3, after.stream().filter((call) -> !call.complete).count(),
 					slow.length, after.stream().mapToDouble(Call::millis).max().orElse(0), last };
 		}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/WorkMeasure.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/WorkMeasure.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.load.measure;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,9 +34,9 @@
 
 	WorkResult measure(List<EngineExecution> executions, double goodputTokens, double goodputCalls) {
 		Map<String, List<EngineExecution>> byRequest = new HashMap<>();
-		executions.forEach((execution) -> byRequest
-			.computeIfAbsent(execution.requestId(), (requestId) -> new java.util.ArrayList<>())
-			.add(execution));
+		executions
+			.forEach((execution) -> byRequest.computeIfAbsent(execution.requestId(), (requestId) -> new ArrayList<>())
+				.add(execution));
 		byRequest.forEach(this::addRequest);
 		long wasted = this.wastedByCause.values().stream().mapToLong(Long::longValue).sum();
 		double wastedPercent = (this.generatedTokens > 0) ? PERCENT * wasted / this.generatedTokens : 0;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/queue/TierOrder.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.marjoramgw.policy.share.AccountUsage;
 import org.marjoramgw.policy.share.ClassFloors;
@@ -81,7 +82,7 @@
 			.min(lateLast.thenComparing(RESUMED_FIRST).thenComparing(byUsage).thenComparing(BY_START));
 	}
 
-	private static List<Waiting> filter(Collection<Waiting> waiting, java.util.function.Predicate<Waiting> wanted) {
+	private static List<Waiting> filter(Collection<Waiting> waiting, Predicate<Waiting> wanted) {
 		List<Waiting> result = new ArrayList<>();
 		for (Waiting request : waiting) {
 			if (wanted.test(request)) {
--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerBench.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.side.scheduler;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -111,7 +112,7 @@
 	}
 
 	void token(String executionId, String text) {
-		part(executionId, text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+		part(executionId, text.getBytes(StandardCharsets.UTF_8));
 	}
 
 	void part(String executionId, byte[] payload) {
--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/scheduler/SchedulerTests.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.side.scheduler;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.BiConsumer;
 
@@ -338,7 +339,7 @@
 	private static List<String> texts(Link link) {
 		return link.sent.stream()
 			.filter(Message.Chunk.class::isInstance)
-			.map((message) -> new String(((Message.Chunk) message).payload(), java.nio.charset.StandardCharsets.UTF_8))
+			.map((message) -> new String(((Message.Chunk) message).payload(), StandardCharsets.UTF_8))
 			.toList();
 	}
 
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/answer/AnswerBuffer.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/answer/AnswerBuffer.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.side.answer;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 
@@ -72,7 +73,7 @@
 	 * @return the chunks that are there, and the last message if the answer is over
 	 */
 	public List<Message> from(long fromSequence) {
-		List<Message> rest = new java.util.ArrayList<>();
+		List<Message> rest = new ArrayList<>();
 		for (Message.Chunk chunk : this.chunks) {
 			if (chunk.sequence() >= fromSequence) {
 				rest.add(chunk);
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.side.engine;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletionStage;
 
@@ -61,7 +62,7 @@
 	 */
 	void stop() {
 		this.over = true;
-		this.killSwitch.abort(new java.io.IOException(ResultCode.CANCELLED_IN_FLIGHT.text()));
+		this.killSwitch.abort(new IOException(ResultCode.CANCELLED_IN_FLIGHT.text()));
 	}
 
 	/**
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.side.plainservice;
 
+import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -70,7 +71,7 @@
 		});
 		return () -> {
 			over.set(true);
-			killSwitch.abort(new java.io.IOException(ResultCode.CANCELLED_IN_FLIGHT.text()));
+			killSwitch.abort(new IOException(ResultCode.CANCELLED_IN_FLIGHT.text()));
 		};
 	}
 
--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/engine/EngineStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/engine/EngineStandinTests.java
@@ -3,6 +3,7 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -183,7 +184,7 @@
 		return text.toString();
 	}
 
-	private static void waitFor(java.util.function.BooleanSupplier condition) throws InterruptedException {
+	private static void waitFor(BooleanSupplier condition) throws InterruptedException {
 		long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000;
 		while (!condition.getAsBoolean()) {
 			Assert.assertTrue(System.nanoTime() < deadline, "condition not met in time");
--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/log/LogStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/log/LogStandinTests.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.standin.log;
 
+import java.io.IOException;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import org.marjoramgw.settings.TomlTable;
 import org.marjoramgw.standin.StandinClient;
@@ -71,7 +73,7 @@
 		try (LogStandin log = start("")) {
 			StandinClient client = client(log);
 			client.call("PUT", "/control", "{\"lose_answers\":1}");
-			Assert.assertThrows(java.io.IOException.class, () -> append(client, "a"));
+			Assert.assertThrows(IOException.class, () -> append(client, "a"));
 			JsonNode slice = client.json("GET", "/streams/s/records?from=0", "");
 			Assert.assertEquals(slice.get("records").get(0).get("data").asText(), "a");
 			Assert.assertEquals(append(client, "b").get("first_offset").asLong(), slice.get("next_offset").asLong());
--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/plainservice/PlainStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/plainservice/PlainStandinTests.java
@@ -1,5 +1,8 @@
 package org.marjoramgw.standin.plainservice;
 
+import java.io.IOException;
+import java.util.List;
+
 import org.marjoramgw.settings.TomlTable;
 import org.marjoramgw.standin.StandinClient;
 import org.marjoramgw.standin.StandinSystem;
@@ -22,11 +25,11 @@
 			StandinClient client = new StandinClient(plain.address(), TIMEOUT_MILLIS);
 			Assert.assertEquals(client.json("POST", "/orders", "one").get("echo").asText(), "one");
 			client.call("PUT", "/control", "{\"break_after_run\":true}");
-			Assert.assertThrows(java.io.IOException.class, () -> client.call("POST", "/orders", "two"));
+			Assert.assertThrows(IOException.class, () -> client.call("POST", "/orders", "two"));
 			client.call("PUT", "/control", "{\"break_after_run\":false,\"status\":409}");
 			Assert.assertEquals(client.call("POST", "/orders", "three").statusCode(), 409);
 			Assert.assertEquals(plain.executions().stream().map(PlainExecution::body).toList(),
-					java.util.List.of("one", "two", "three"));
+					List.of("one", "two", "three"));
 		}
 	}
 
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/HttpEndpoint.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/HttpEndpoint.java
@@ -1,9 +1,14 @@
 package org.marjoramgw.standin;
 
+import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.http.javadsl.Http;
@@ -81,8 +86,8 @@
 		}
 		this.refusing = false;
 		this.binding = await(Tcp.get(this.system.actors())
-			.bind(this.address.host(), this.address.port(), BACKLOG_CONNECTIONS,
-					java.util.List.of(TcpSO.tcpNoDelay(true)), false, Optional.empty())
+			.bind(this.address.host(), this.address.port(), BACKLOG_CONNECTIONS, List.of(TcpSO.tcpNoDelay(true)), false,
+					Optional.empty())
 			.to(Sink.foreach(this::accept))
 			.run(this.system.actors()));
 		this.address = new HostPort(this.address.host(), this.binding.localAddress().getPort());
@@ -98,7 +103,7 @@
 		this.refusing = true;
 		await(this.binding.unbind());
 		this.binding = null;
-		this.connections.forEach((connection) -> connection.abort(new java.io.IOException("refused")));
+		this.connections.forEach((connection) -> connection.abort(new IOException("refused")));
 	}
 
 	/**
@@ -129,7 +134,7 @@
 			})
 			.run(this.system.actors());
 		if (this.refusing) {
-			connection.abort(new java.io.IOException("refused"));
+			connection.abort(new IOException("refused"));
 		}
 	}
 
@@ -152,11 +157,11 @@
 		return BidiFlow.fromFlows(outbound, inbound).atop(TLSPlacebo.getInstance());
 	}
 
-	private static <T> T await(java.util.concurrent.CompletionStage<T> stage) {
+	private static <T> T await(CompletionStage<T> stage) {
 		try {
 			return stage.toCompletableFuture().get(BIND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		}
-		catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException ex) {
+		catch (ExecutionException | TimeoutException ex) {
 			throw new IllegalStateException(ex);
 		}
 		catch (InterruptedException ex) {
@@ -173,7 +178,7 @@
 		public void run() {
 			UniqueKillSwitch current = this.connection;
 			if (current != null) {
-				current.abort(new java.io.IOException("cut"));
+				current.abort(new IOException("cut"));
 			}
 		}
 
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/Json.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/Json.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.standin;
 
+import java.util.Map;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -68,7 +70,7 @@
 	public static HttpResponse error(int status, String message) {
 		return HttpResponse.create()
 			.withStatus(StatusCodes.get(status))
-			.withEntity(ContentTypes.APPLICATION_JSON, write(java.util.Map.of("error", message)));
+			.withEntity(ContentTypes.APPLICATION_JSON, write(Map.of("error", message)));
 	}
 
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.settings;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 
@@ -64,7 +66,7 @@
 		try {
 			return ofText(path.toString(), Files.readString(path));
 		}
-		catch (java.io.IOException ex) {
+		catch (IOException ex) {
 			throw new InvalidTextException(
 					List.of(new Problem(ResultCode.FILE_UNREADABLE, path.toString(), 0, "", "a readable UTF-8 file")));
 		}
@@ -123,7 +125,7 @@
 	public String choice(String key, String defaultValue, Set<String> allowed) {
 		String value = text(key, defaultValue);
 		if (!allowed.contains(value)) {
-			add(ResultCode.BAD_VALUE, key, "one of " + new java.util.TreeSet<>(allowed));
+			add(ResultCode.BAD_VALUE, key, "one of " + new TreeSet<>(allowed));
 			return defaultValue;
 		}
 		return value;
@@ -332,7 +334,7 @@
 				return;
 			}
 		}
-		add(ResultCode.UNKNOWN_KEY, key, "one of " + new java.util.TreeSet<>(this.readKeys));
+		add(ResultCode.UNKNOWN_KEY, key, "one of " + new TreeSet<>(this.readKeys));
 	}
 
 	private JsonNode read(String key) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.transport;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -146,7 +147,7 @@
 
 		private void abort() {
 			if (this.closed.compareAndSet(false, true) && !this.queue.isCompleted()) {
-				this.queue.fail(new java.io.IOException(ResultCode.PEER_SLOW.text()));
+				this.queue.fail(new IOException(ResultCode.PEER_SLOW.text()));
 			}
 		}
 
