Check a greeting in one place, and an account once for each request

Entry and side process compared version and token of a greeting by the same code; HelloCheck in the wire package serves both. The entry hashed the bearer key and scanned the accounts twice for each request, before the body and again when it was routed; the account found first is now passed on. A method of the request's actor that only called another one is gone. Behaviour is unchanged.

--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerHandler.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerHandler.java
@@ -8,6 +8,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.ClientAccount;
 import org.marjoramgw.config.Service;
 import org.marjoramgw.entry.dispatch.AnswerSink;
 import org.marjoramgw.entry.dispatch.DispatchContext;
@@ -35,9 +36,9 @@
 	}
 
 	CompletionStage<HttpResponse> chat(HttpRequest http) {
-		return handle(http, (table, requestId, body, head) -> {
+		return handle(http, (table, account, requestId, body, head) -> {
 			ChatRequest chat = ChatRequest.parse(body);
-			RoutedRequest request = Calls.chat(table, requestId, http, body, chat);
+			RoutedRequest request = Calls.chat(table, account, requestId, http, body, chat);
 			ChatText text = new ChatText(requestId, chat.model());
 			AnswerSink sink = chat.streamed()
 					? new StreamedChatAnswer(head, text, requestId, this.system, () -> callerGone(requestId))
@@ -47,10 +48,9 @@
 	}
 
 	CompletionStage<HttpResponse> plain(HttpRequest http, String service, String rest) {
-		return handle(http,
-				(table, requestId, body, head) -> start(table,
-						Calls.plain(table, requestId, http, body, service, rest, this.parts.claimPartitionCount()),
-						new PlainAnswer(head)));
+		return handle(http, (table, account, requestId, body, head) -> start(table,
+				Calls.plain(table, account, requestId, http, body, service, rest, this.parts.claimPartitionCount()),
+				new PlainAnswer(head)));
 	}
 
 	CompletionStage<HttpResponse> unknownPath(HttpRequest http) {
@@ -65,7 +65,7 @@
 		AnswerHead head = new AnswerHead(requestId);
 		try {
 			RoutingTable table = this.parts.table();
-			table.accountOf(Calls.bearerKey(http));
+			ClientAccount account = table.accountOf(Calls.bearerKey(http));
 			int bound = Calls.bodyBound(table.configuration().limits(), http);
 			http.entity()
 				.withSizeLimit(bound)
@@ -75,7 +75,7 @@
 						reject(head, new RequestRejectedException(ResultCode.BODY_TOO_LARGE, "or cut short"));
 						return;
 					}
-					run(call, table, requestId, entity.getData().toArray(), head);
+					run(call, table, account, requestId, entity.getData().toArray(), head);
 				});
 		}
 		catch (RequestRejectedException ex) {
@@ -85,9 +85,10 @@
 		return head.response();
 	}
 
-	private void run(Call call, RoutingTable table, String requestId, byte[] body, AnswerHead head) {
+	private void run(Call call, RoutingTable table, ClientAccount account, String requestId, byte[] body,
+			AnswerHead head) {
 		try {
-			call.run(table, requestId, body, head);
+			call.run(table, account, requestId, body, head);
 		}
 		catch (RequestRejectedException ex) {
 			reject(head, ex);
@@ -139,7 +140,8 @@
 	@FunctionalInterface
 	private interface Call {
 
-		void run(RoutingTable table, String requestId, byte[] body, AnswerHead head) throws RequestRejectedException;
+		void run(RoutingTable table, ClientAccount account, String requestId, byte[] body, AnswerHead head)
+				throws RequestRejectedException;
 
 	}
 
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/Calls.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/Calls.java
@@ -29,18 +29,16 @@
 	private Calls() {
 	}
 
-	static RoutedRequest chat(RoutingTable table, String requestId, HttpRequest http, byte[] body, ChatRequest chat)
-			throws RequestRejectedException {
+	static RoutedRequest chat(RoutingTable table, ClientAccount account, String requestId, HttpRequest http,
+			byte[] body, ChatRequest chat) throws RequestRejectedException {
 		Service service = table.modelService(chat.model());
 		BackendCall call = new BackendCall(POST, CHAT_PATH, "application/json", body, "", true, "");
-		ClientAccount account = table.accountOf(bearerKey(http));
 		return new RoutedRequest(requestId, service, chat.model(), requestClass(table, http, account), account, call,
 				account.name() + "\n" + chat.promptPrefix(), chat.promptTokens());
 	}
 
-	static RoutedRequest plain(RoutingTable table, String requestId, HttpRequest http, byte[] body, String name,
-			String rest, int claimPartitionCount) throws RequestRejectedException {
-		ClientAccount account = table.accountOf(bearerKey(http));
+	static RoutedRequest plain(RoutingTable table, ClientAccount account, String requestId, HttpRequest http,
+			byte[] body, String name, String rest, int claimPartitionCount) throws RequestRejectedException {
 		Service service = table.plainService(name);
 		String path = "/" + rest;
 		String query = http.getUri().rawQueryString().map((text) -> "?" + text).orElse("");
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -77,7 +77,7 @@
 		return Behaviors.setup((actor) -> Behaviors.withTimers((timers) -> {
 			context.open().register(request.requestId(), actor.getSelf());
 			context.budget().onRequest(request.requestClass().name(), context.limits().retryPercent());
-			return new RequestActor(actor, timers, request, context, sink).start();
+			return new RequestActor(actor, timers, request, context, sink).startRound();
 		}));
 	}
 
@@ -109,10 +109,6 @@
 		return strict ? requestClass.firstTokenMillis() : patientMillis;
 	}
 
-	private Behavior<RequestEvent> start() {
-		return startRound();
-	}
-
 	private Behavior<RequestEvent> startRound() {
 		if (!this.reservations.startRound(this.recovery.mayHaveRun())) {
 			return retryOrFail(ResultCode.NO_BACKEND, 0);
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
@@ -1,16 +1,13 @@
 package org.marjoramgw.entry.side;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-
 import org.apache.pekko.actor.typed.ActorRef;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.ConfigurationSource;
 import org.marjoramgw.entry.dispatch.OpenRequests;
 import org.marjoramgw.entry.dispatch.RequestEvent;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.wire.HelloCheck;
 import org.marjoramgw.wire.Message;
-import org.marjoramgw.wire.MessageCodec;
 import org.marjoramgw.wire.PeerStatus;
 
 /**
@@ -42,9 +39,7 @@
 
 	@Override
 	public boolean isTrusted(Message.Hello hello) {
-		byte[] expected = this.token.getBytes(StandardCharsets.UTF_8);
-		byte[] presented = hello.token().getBytes(StandardCharsets.UTF_8);
-		return hello.version() == MessageCodec.VERSION && MessageDigest.isEqual(expected, presented);
+		return HelloCheck.refusal(hello, this.token).isEmpty();
 	}
 
 	@Override
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
@@ -1,13 +1,11 @@
 package org.marjoramgw.side.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.side.scheduler.EntryLink;
 import org.marjoramgw.side.scheduler.SchedulerCommand;
 import org.marjoramgw.transport.Connection;
 import org.marjoramgw.transport.ConnectionHandler;
+import org.marjoramgw.wire.HelloCheck;
 import org.marjoramgw.wire.Message;
 import org.marjoramgw.wire.MessageCodec;
 import org.marjoramgw.wire.PeerIdentity;
@@ -131,12 +129,7 @@
 		if (!(message instanceof Message.Hello hello)) {
 			return ResultCode.BAD_TOKEN;
 		}
-		if (hello.version() != MessageCodec.VERSION) {
-			return ResultCode.BAD_VERSION;
-		}
-		byte[] expected = this.owner.token().getBytes(StandardCharsets.UTF_8);
-		boolean known = MessageDigest.isEqual(expected, hello.token().getBytes(StandardCharsets.UTF_8));
-		return known ? null : ResultCode.BAD_TOKEN;
+		return HelloCheck.refusal(hello, this.owner.token()).orElse(null);
 	}
 
 	private void onHeartbeat(PeerStatus status) {
