Parse the command line of every program in one class

CommandLine does it for all, with commands and without.

A CommandLine for CtlMain alone was ruled out: its rules are the ones that the others lacked.

--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/CtlMain.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/CtlMain.java
@@ -5,16 +5,13 @@
 import java.util.List;
 import java.util.Map;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
 import org.marjoramgw.ctl.internal.Command;
 import org.marjoramgw.ctl.internal.Console;
 import org.marjoramgw.ctl.internal.Messages;
 import org.marjoramgw.errors.CodedException;
 import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.program.CommandLine;
 import org.marjoramgw.program.ExitCode;
-import org.marjoramgw.program.ProgramOptions;
-import org.marjoramgw.program.Version;
 import org.tinylog.configuration.Configuration;
 
 /**
@@ -24,8 +21,6 @@
  */
 public final class CtlMain {
 
-	private static final String NAME = "marjoramgw";
-
 	private final PrintStream out;
 
 	private final PrintStream err;
@@ -55,34 +50,7 @@
 	 * @return the exit code
 	 */
 	public int run(String... arguments) {
-		ProgramOptions programOptions = new ProgramOptions();
-		Map<String, Command> commands = newCommands();
-		JCommander commander = JCommander.newBuilder().programName(NAME).addObject(programOptions).build();
-		commands.forEach(commander::addCommand);
-		try {
-			commander.parse(arguments);
-			return run(commander, programOptions, commands);
-		}
-		catch (ParameterException ex) {
-			this.err.println(Messages.error(ex.getMessage()));
-			return ExitCode.USAGE;
-		}
-	}
-
-	private int run(JCommander commander, ProgramOptions programOptions, Map<String, Command> commands) {
-		if (programOptions.version()) {
-			this.out.println(NAME + " " + Version.TEXT);
-			return ExitCode.OK;
-		}
-		String name = commander.getParsedCommand();
-		if (programOptions.help() || name == null) {
-			return printUsage(commander, programOptions.help());
-		}
-		Command command = commands.get(name);
-		if (command.options().help()) {
-			return printUsage(commander.getCommands().get(name), true);
-		}
-		return run(command);
+		return new CommandLine(Messages.PROGRAM, this.out, this.err).runCommand(newCommands(), this::run, arguments);
 	}
 
 	private int run(Command command) {
@@ -100,13 +68,6 @@
 		}
 	}
 
-	private int printUsage(JCommander commander, boolean wanted) {
-		StringBuilder text = new StringBuilder();
-		commander.getUsageFormatter().usage(text);
-		(wanted ? this.out : this.err).print(text);
-		return wanted ? ExitCode.OK : ExitCode.USAGE;
-	}
-
 	private static Map<String, Command> newCommands() {
 		Map<String, Command> commands = new LinkedHashMap<>();
 		List<Command> all = List.of(new CheckCommand(), new PublishCommand(), new ShowCommand(), new HistoryCommand(),
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Command.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Command.java
@@ -2,13 +2,14 @@
 
 import com.beust.jcommander.ParametersDelegate;
 import org.marjoramgw.errors.CodedException;
+import org.marjoramgw.program.CommandLine;
 
 /**
  * One subcommand.
  *
  * @author The marjoramgw authors
  */
-public abstract class Command {
+public abstract class Command implements CommandLine.Command {
 
 	private final String name;
 
@@ -39,6 +40,11 @@
 		return this.options;
 	}
 
+	@Override
+	public boolean help() {
+		return this.options.help();
+	}
+
 	/**
 	 * Runs the command once its options are parsed.
 	 * @param console where its result goes
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
@@ -12,6 +12,9 @@
  */
 public final class Messages {
 
+	/** Name of the program, as operators type it. */
+	public static final String PROGRAM = "marjoramgw";
+
 	static final String[] STATUS_HEADINGS = { "PROCESS", "ROLE", "FAILURE DOMAIN", "INCARNATION", "REVISION",
 			"IN FLIGHT", "QUEUED", "SLOTS", "STATE" };
 
@@ -35,7 +38,7 @@
 	 * @return the line to print
 	 */
 	public static String error(String text) {
-		return "marjoramgw: " + text;
+		return PROGRAM + ": " + text;
 	}
 
 	/**
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 
 import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.program.CommandLine;
 import org.marjoramgw.rig.RigException;
 
 /**
@@ -10,13 +11,7 @@
  *
  * @author The marjoramgw authors
  */
-public interface LoadCommand {
-
-	/**
-	 * Tells whether only its options are wanted.
-	 * @return whether to print help
-	 */
-	boolean help();
+public interface LoadCommand extends CommandLine.Command {
 
 	/**
 	 * Runs the subcommand.
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
@@ -4,13 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.load.capacity.CapacityCommand;
+import org.marjoramgw.program.CommandLine;
 import org.marjoramgw.program.ExitCode;
-import org.marjoramgw.program.Version;
 import org.marjoramgw.rig.RigException;
 
 /**
@@ -39,47 +36,14 @@
 	 * @return the exit code
 	 */
 	static int run(String... arguments) {
-		Options options = new Options();
-		JCommander.Builder builder = JCommander.newBuilder().programName(NAME).addObject(options);
-		Map<String, LoadCommand> commands = commands();
-		commands.forEach(builder::addCommand);
-		JCommander commander = builder.build();
-		try {
-			commander.parse(arguments);
-		}
-		catch (ParameterException ex) {
-			System.err.println(NAME + ": " + ex.getMessage());
-			return ExitCode.USAGE;
-		}
-		if (options.version) {
-			System.out.println(NAME + " " + Version.TEXT);
-			return ExitCode.OK;
-		}
-		LoadCommand command = commands.get(commander.getParsedCommand());
-		if (command == null) {
-			commander.usage();
-			return options.help ? ExitCode.OK : ExitCode.USAGE;
-		}
-		if (options.help || command.help()) {
-			commander.usage(commander.getParsedCommand());
-			return ExitCode.OK;
-		}
-		return run(command);
+		return new CommandLine(NAME, System.out, System.err).runCommand(commands(), LoadMain::run, arguments);
 	}
 
-	private static int run(LoadCommand command) {
+	private static int run(LoadCommand command) throws InvalidTextException {
 		try {
 			command.run();
 			return ExitCode.OK;
 		}
-		catch (InvalidTextException ex) {
-			ex.problems().forEach(System.err::println);
-			return ExitCode.USAGE;
-		}
-		catch (ParameterException ex) {
-			System.err.println(NAME + ": " + ex.getMessage());
-			return ExitCode.USAGE;
-		}
 		catch (IOException | RigException ex) {
 			System.err.println(NAME + ": " + ex.getMessage());
 			return ExitCode.FAILURE;
@@ -101,14 +65,4 @@
 		return commands;
 	}
 
-	private static final class Options {
-
-		@Parameter(names = "--help", help = true, description = "Print the options and exit")
-		private boolean help;
-
-		@Parameter(names = "--version", help = true, description = "Print the version and exit")
-		private boolean version;
-
-	}
-
 }
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinMain.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinMain.java
@@ -4,16 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.errors.InvalidTextException;
+import org.marjoramgw.program.CommandLine;
 import org.marjoramgw.program.ExitCode;
-import org.marjoramgw.program.ProgramOptions;
 import org.marjoramgw.program.ReadyLine;
-import org.marjoramgw.program.Version;
 import org.marjoramgw.settings.TomlTable;
 
 /**
@@ -41,46 +38,19 @@
 	}
 
 	private static int run(String... arguments) {
-		ProgramOptions options = new ProgramOptions();
-		JCommander.Builder builder = JCommander.newBuilder().programName(NAME).addObject(options);
-		Map<String, Subcommand> commands = subcommands();
-		commands.forEach(builder::addCommand);
-		JCommander commander = builder.build();
-		try {
-			commander.parse(arguments);
-		}
-		catch (ParameterException ex) {
-			System.err.println(NAME + ": " + ex.getMessage());
-			return ExitCode.USAGE;
-		}
-		if (options.version()) {
-			System.out.println(NAME + " " + Version.TEXT);
-			return ExitCode.OK;
-		}
-		Subcommand command = commands.get(commander.getParsedCommand());
-		if (options.help() || command == null || command.help) {
-			commander.usage();
-			return (command == null && !options.help()) ? ExitCode.USAGE : ExitCode.OK;
-		}
-		return start(command);
+		return new CommandLine(NAME, System.out, System.err).runCommand(subcommands(), StandinMain::start, arguments);
 	}
 
-	private static int start(Subcommand command) {
-		try {
-			TomlTable settings = (command.config != null) ? TomlTable.ofFile(command.config)
-					: TomlTable.ofText("defaults", "");
-			StandinSet standins = StandinSet.read(command.kind, settings);
-			settings.throwIfInvalid();
-			StandinSystem system = new StandinSystem();
-			Map<String, HostPort> addresses = standins.start(system);
-			Runtime.getRuntime().addShutdownHook(new Thread(system::close, "shutdown"));
-			ReadyLine.print(addresses);
-			return ExitCode.OK;
-		}
-		catch (InvalidTextException ex) {
-			ex.problems().forEach(System.err::println);
-			return ExitCode.USAGE;
-		}
+	private static int start(Subcommand command) throws InvalidTextException {
+		TomlTable settings = (command.config != null) ? TomlTable.ofFile(command.config)
+				: TomlTable.ofText("defaults", "");
+		StandinSet standins = StandinSet.read(command.kind, settings);
+		settings.throwIfInvalid();
+		StandinSystem system = new StandinSystem();
+		Map<String, HostPort> addresses = standins.start(system);
+		Runtime.getRuntime().addShutdownHook(new Thread(system::close, "shutdown"));
+		ReadyLine.print(addresses);
+		return ExitCode.OK;
 	}
 
 	private static Map<String, Subcommand> subcommands() {
@@ -92,7 +62,7 @@
 	}
 
 	@Parameters(commandDescription = "Start this stand-in")
-	private static final class Subcommand {
+	private static final class Subcommand implements CommandLine.Command {
 
 		@Parameter(names = "--help", help = true, description = "Print the options and exit")
 		private boolean help;
@@ -106,6 +76,11 @@
 			this.kind = kind;
 		}
 
+		@Override
+		public boolean help() {
+			return this.help;
+		}
+
 	}
 
 }
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/program/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the command line that the programs share.
+ */
+package org.marjoramgw.program;
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/CommandLine.java
@@ -0,0 +1,161 @@
+package org.marjoramgw.program;
+
+import java.io.PrintStream;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import org.marjoramgw.errors.InvalidTextException;
+
+/**
+ * Command line of a program: help, version, and what mistakes in options and files print
+ * and exit with. It is used once.
+ *
+ * @author The marjoramgw authors
+ */
+public final class CommandLine {
+
+	private final String name;
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	private final General general = new General();
+
+	private final JCommander commander;
+
+	/**
+	 * Creates a command line.
+	 * @param name name of the program
+	 * @param out where help and the version go if they were asked for
+	 * @param err where mistakes go, and the options if a command is missing
+	 */
+	public CommandLine(String name, PrintStream out, PrintStream err) {
+		this.name = name;
+		this.out = out;
+		this.err = err;
+		this.commander = JCommander.newBuilder().programName(name).addObject(this.general).build();
+	}
+
+	/**
+	 * Runs a program that has no commands.
+	 * @param options object that takes its options
+	 * @param work what it does once the options are parsed
+	 * @param arguments the arguments
+	 * @return the exit code
+	 */
+	public int run(Object options, Work work, String... arguments) {
+		this.commander.addObject(options);
+		return parse(() -> this.general.help ? printUsage(this.commander, true) : work.run(), arguments);
+	}
+
+	/**
+	 * Runs the command that the arguments name.
+	 * @param <C> type of the commands
+	 * @param commands the commands by name
+	 * @param work what is done with the command once its options are parsed
+	 * @param arguments the arguments
+	 * @return the exit code
+	 */
+	public <C extends Command> int runCommand(Map<String, C> commands, CommandWork<C> work, String... arguments) {
+		commands.forEach(this.commander::addCommand);
+		return parse(() -> run(commands, work), arguments);
+	}
+
+	private <C extends Command> int run(Map<String, C> commands, CommandWork<C> work) throws InvalidTextException {
+		String chosen = this.commander.getParsedCommand();
+		if (this.general.help || chosen == null) {
+			return printUsage(this.commander, this.general.help);
+		}
+		C command = commands.get(chosen);
+		if (command.help()) {
+			return printUsage(this.commander.getCommands().get(chosen), true);
+		}
+		return work.run(command);
+	}
+
+	private int parse(Work work, String... arguments) {
+		try {
+			this.commander.parse(arguments);
+			if (this.general.version) {
+				this.out.println(this.name + " " + Version.TEXT);
+				return ExitCode.OK;
+			}
+			return work.run();
+		}
+		catch (ParameterException ex) {
+			this.err.println(this.name + ": " + ex.getMessage());
+			return ExitCode.USAGE;
+		}
+		catch (InvalidTextException ex) {
+			ex.problems().forEach(this.err::println);
+			return ExitCode.USAGE;
+		}
+	}
+
+	private int printUsage(JCommander of, boolean wanted) {
+		StringBuilder text = new StringBuilder();
+		of.getUsageFormatter().usage(text);
+		(wanted ? this.out : this.err).print(text);
+		return wanted ? ExitCode.OK : ExitCode.USAGE;
+	}
+
+	/**
+	 * Object that takes the options of a command.
+	 */
+	public interface Command {
+
+		/**
+		 * Tells whether only the options of the command are wanted.
+		 * @return whether to print help
+		 */
+		boolean help();
+
+	}
+
+	/**
+	 * What a program does once its options are parsed.
+	 */
+	@FunctionalInterface
+	public interface Work {
+
+		/**
+		 * Does it.
+		 * @return the exit code
+		 * @throws InvalidTextException if a file has mistakes
+		 */
+		int run() throws InvalidTextException;
+
+	}
+
+	/**
+	 * What a program does with a command once its options are parsed.
+	 *
+	 * @param <C> type of the commands
+	 */
+	@FunctionalInterface
+	public interface CommandWork<C extends Command> {
+
+		/**
+		 * Does it.
+		 * @param command the command
+		 * @return the exit code
+		 * @throws InvalidTextException if a file has mistakes
+		 */
+		int run(C command) throws InvalidTextException;
+
+	}
+
+	private static final class General {
+
+		@Parameter(names = "--help", help = true, description = "Print the options and exit")
+		private boolean help;
+
+		@Parameter(names = "--version", help = true, description = "Print the version and exit")
+		private boolean version;
+
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/program/Program.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/Program.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.program;
 
-import com.beust.jcommander.JCommander;
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.settings.TomlTable;
@@ -33,42 +35,19 @@
 	 * @return {@link ExitCode#OK} once started or after help, otherwise another code
 	 */
 	public int run(String... arguments) {
-		ProgramOptions options = new ProgramOptions();
-		JCommander commander = JCommander.newBuilder().programName(this.name).addObject(options).build();
-		try {
-			commander.parse(arguments);
-			if (options.help()) {
-				commander.usage();
-				return ExitCode.OK;
-			}
-			if (options.version()) {
-				System.out.println(this.name + " " + Version.TEXT);
-				return ExitCode.OK;
-			}
-			return start(options);
-		}
-		catch (ParameterException ex) {
-			System.err.println(this.name + ": " + ex.getMessage());
-			return ExitCode.USAGE;
-		}
+		Options options = new Options();
+		CommandLine commandLine = new CommandLine(this.name, System.out, System.err);
+		return commandLine.run(options, () -> start(options), arguments);
 	}
 
-	private int start(ProgramOptions options) {
-		if (options.config() == null) {
-			System.err.println(this.name + ": --config FILE.toml is required");
-			return ExitCode.USAGE;
-		}
-		try {
-			// Pekko's threads would start the logging library side by side and warn about
-			// it.
-			LoggerFactory.getILoggerFactory();
-			this.starter.start(TomlTable.ofFile(options.config()));
-			return ExitCode.OK;
-		}
-		catch (InvalidTextException ex) {
-			ex.problems().forEach(System.err::println);
-			return ExitCode.USAGE;
+	private int start(Options options) throws InvalidTextException {
+		if (options.config == null) {
+			throw new ParameterException("--config FILE.toml is required");
 		}
+		// Pekko's threads would start the logging library side by side and warn about it.
+		LoggerFactory.getILoggerFactory();
+		this.starter.start(TomlTable.ofFile(options.config));
+		return ExitCode.OK;
 	}
 
 	/**
@@ -86,4 +65,11 @@
 
 	}
 
+	private static final class Options {
+
+		@Parameter(names = "--config", description = "Settings file (TOML)")
+		private Path config;
+
+	}
+
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/program/package-info.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Command-line frame that the programs share.
+ * What the programs share: their command line, exit codes, version and ready line.
  */
 package org.marjoramgw.program;
