Start and control the HTTP stand-ins in one place

Endpoint, start, address, close and the reading of PUT /control stood in five stand-ins. HttpStandin holds them; a stand-in listens once its fields are set, where before a request could meet a half-made one. EngineStandin keeps its own two endpoints, since its crash closes one of them alone, and shares only the reading of bodies (Json.accept).

The log's PUT /control answers {} like the others, where it gave [].

--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/Json.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/Json.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.standin;
 
 import java.util.Map;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -73,4 +74,23 @@
 			.withEntity(ContentTypes.APPLICATION_JSON, write(Map.of("error", message)));
 	}
 
+	/**
+	 * Answers with an empty object after a body was taken in, or says what is wrong with
+	 * the body.
+	 * @param <T> type of the body
+	 * @param body the JSON text
+	 * @param type class of the body
+	 * @param action takes the body in
+	 * @return the answer
+	 */
+	public static <T> HttpResponse accept(String body, Class<T> type, Consumer<T> action) {
+		try {
+			action.accept(read(body, type));
+			return ok(Map.of());
+		}
+		catch (JsonProcessingException ex) {
+			return error(400, ex.getOriginalMessage());
+		}
+	}
+
 }
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/engine/EngineRoutes.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/engine/EngineRoutes.java
@@ -114,13 +114,7 @@
 	}
 
 	private HttpResponse control(String body) {
-		try {
-			this.engine.control(Json.read(body, EngineControl.class));
-			return Json.ok(Map.of());
-		}
-		catch (JsonProcessingException ex) {
-			return Json.error(400, ex.getOriginalMessage());
-		}
+		return Json.accept(body, EngineControl.class, this.engine::control);
 	}
 
 }
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogRoutes.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogRoutes.java
@@ -43,7 +43,7 @@
 	Route route() {
 		return concat(pathPrefix("streams", () -> path(PathMatchers.segment().slash("records"), this::stream)),
 				path("control", () -> concat(get(() -> complete(Json.ok(this.log.usage()))),
-						put(() -> entity(Unmarshaller.entityToString(), this::control)))));
+						put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(control(body)))))));
 	}
 
 	private Route stream(String stream) {
@@ -55,14 +55,8 @@
 								read(stream, from.orElse(0L), limit.orElse(DEFAULT_READ_COUNT)))))));
 	}
 
-	private Route control(String body) {
-		try {
-			this.log.control(Json.read(body, LogControl.class));
-			return complete(Json.ok(new Object[0]));
-		}
-		catch (JsonProcessingException ex) {
-			return complete(Json.error(400, ex.getOriginalMessage()));
-		}
+	private HttpResponse control(String body) {
+		return Json.accept(body, LogControl.class, this.log::control);
 	}
 
 	private CompletionStage<HttpResponse> append(HttpRequest request, String stream, String body) {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/log/LogStandin.java
@@ -2,9 +2,8 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.marjoramgw.HostPort;
-import org.marjoramgw.standin.HttpEndpoint;
-import org.marjoramgw.standin.Standin;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.marjoramgw.standin.HttpStandin;
 import org.marjoramgw.standin.StandinSystem;
 import org.marjoramgw.standin.TokenBucket;
 
@@ -13,14 +12,12 @@
  *
  * @author The marjoramgw authors
  */
-public final class LogStandin implements Standin {
+public final class LogStandin extends HttpStandin {
 
 	private final LogStore store;
 
 	private final TokenBucket appends;
 
-	private final HttpEndpoint endpoint;
-
 	private final AtomicInteger answersToLose = new AtomicInteger();
 
 	private volatile boolean outage;
@@ -28,9 +25,9 @@
 	private volatile long delayMillis;
 
 	private LogStandin(StandinSystem system, LogSettings settings) {
+		super(system, settings.httpAddress());
 		this.store = new LogStore(system.clock(), settings.retentionRecordCount(), settings.retentionMillis());
 		this.appends = new TokenBucket(system.clock(), settings.appendsPerSecond(), settings.burstCount());
-		this.endpoint = new HttpEndpoint(system, settings.httpAddress(), new LogRoutes(system, this).route());
 	}
 
 	/**
@@ -40,7 +37,7 @@
 	 * @return the running stand-in
 	 */
 	public static LogStandin start(StandinSystem system, LogSettings settings) {
-		return new LogStandin(system, settings);
+		return listening(new LogStandin(system, settings));
 	}
 
 	/**
@@ -71,13 +68,8 @@
 	}
 
 	@Override
-	public HostPort address() {
-		return this.endpoint.address();
-	}
-
-	@Override
-	public void close() {
-		this.endpoint.close();
+	protected Route route() {
+		return new LogRoutes(system(), this).route();
 	}
 
 	LogStore store() {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/plainservice/PlainStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/plainservice/PlainStandin.java
@@ -8,19 +8,16 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
-import org.apache.pekko.http.javadsl.server.AllDirectives;
 import org.apache.pekko.http.javadsl.server.PathMatchers;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
-import org.marjoramgw.HostPort;
 import org.marjoramgw.standin.HttpEndpoint;
+import org.marjoramgw.standin.HttpStandin;
 import org.marjoramgw.standin.Json;
-import org.marjoramgw.standin.Standin;
 import org.marjoramgw.standin.StandinSystem;
 
 /**
@@ -28,16 +25,12 @@
  *
  * @author The marjoramgw authors
  */
-public final class PlainStandin extends AllDirectives implements Standin {
-
-	private final StandinSystem system;
+public final class PlainStandin extends HttpStandin {
 
 	private final PlainSettings settings;
 
 	private final Deque<PlainExecution> executions = new ArrayDeque<>();
 
-	private final HttpEndpoint endpoint;
-
 	private volatile long delayMillis;
 
 	private volatile int status = 200;
@@ -45,10 +38,9 @@
 	private volatile boolean breakAfterRun;
 
 	private PlainStandin(StandinSystem system, PlainSettings settings) {
-		this.system = system;
+		super(system, settings.httpAddress());
 		this.settings = settings;
 		this.delayMillis = settings.delayMillis();
-		this.endpoint = new HttpEndpoint(system, settings.httpAddress(), route());
 	}
 
 	/**
@@ -58,7 +50,7 @@
 	 * @return the running stand-in
 	 */
 	public static PlainStandin start(StandinSystem system, PlainSettings settings) {
-		return new PlainStandin(system, settings);
+		return listening(new PlainStandin(system, settings));
 	}
 
 	/**
@@ -88,39 +80,18 @@
 	}
 
 	@Override
-	public HostPort address() {
-		return this.endpoint.address();
-	}
-
-	@Override
-	public void close() {
-		this.endpoint.close();
-	}
-
-	private Route route() {
-		return concat(
-				path("control",
-						() -> put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(control(body))))),
+	protected Route route() {
+		return concat(control(PlainControl.class, this::control),
 				path(PathMatchers.segment("control").slash("executions"),
 						() -> get(() -> complete(Json.ok(Map.of("executions", executions()))))),
 				extractRequest((request) -> entity(Unmarshaller.entityToString(),
 						(body) -> completeWithFuture(run(request, body)))));
 	}
 
-	private HttpResponse control(String body) {
-		try {
-			control(Json.read(body, PlainControl.class));
-			return Json.ok(Map.of());
-		}
-		catch (JsonProcessingException ex) {
-			return Json.error(400, ex.getOriginalMessage());
-		}
-	}
-
 	private CompletionStage<HttpResponse> run(HttpRequest request, String body) {
 		int number = record(request, body);
 		CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
-		this.system.timer().schedule(() -> {
+		system().timer().schedule(() -> {
 			if (this.breakAfterRun) {
 				HttpEndpoint.cut(request);
 				return;
@@ -134,7 +105,7 @@
 	private int record(HttpRequest request, String body) {
 		String requestId = request.getHeader("X-Request-Id").map(HttpHeader::value).orElse("");
 		PlainExecution execution = new PlainExecution(requestId, request.method().name(),
-				request.getUri().getPathString(), body, this.system.clock().nowMillis());
+				request.getUri().getPathString(), body, system().clock().nowMillis());
 		synchronized (this.executions) {
 			if (this.executions.size() >= this.settings.executionCount()) {
 				this.executions.removeFirst();
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/ProxyStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/ProxyStandin.java
@@ -6,14 +6,12 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.server.AllDirectives;
 import org.apache.pekko.http.javadsl.server.PathMatchers;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
 import org.marjoramgw.HostPort;
-import org.marjoramgw.standin.HttpEndpoint;
+import org.marjoramgw.standin.HttpStandin;
 import org.marjoramgw.standin.Json;
-import org.marjoramgw.standin.Standin;
 import org.marjoramgw.standin.StandinSystem;
 
 /**
@@ -21,14 +19,12 @@
  *
  * @author The marjoramgw authors
  */
-public final class ProxyStandin extends AllDirectives implements Standin {
+public final class ProxyStandin extends HttpStandin {
 
 	private final Map<String, Link> links = new ConcurrentSkipListMap<>();
 
-	private final HttpEndpoint endpoint;
-
 	private ProxyStandin(StandinSystem system, ProxySettings settings) {
-		this.endpoint = new HttpEndpoint(system, settings.httpAddress(), route());
+		super(system, settings.httpAddress());
 	}
 
 	/**
@@ -38,7 +34,7 @@
 	 * @return the running proxy
 	 */
 	public static ProxyStandin start(StandinSystem system, ProxySettings settings) {
-		return new ProxyStandin(system, settings);
+		return listening(new ProxyStandin(system, settings));
 	}
 
 	/**
@@ -66,14 +62,9 @@
 		return this.links.get(name);
 	}
 
-	@Override
-	public HostPort address() {
-		return this.endpoint.address();
-	}
-
 	@Override
 	public void close() {
-		this.endpoint.close();
+		super.close();
 		for (Link link : this.links.values()) {
 			try {
 				link.close();
@@ -84,7 +75,8 @@
 		}
 	}
 
-	private Route route() {
+	@Override
+	protected Route route() {
 		return concat(
 				path("links",
 						() -> concat(get(() -> complete(Json.ok(Map.of("links", states())))),
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/vmlist/VmListStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/vmlist/VmListStandin.java
@@ -5,20 +5,16 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.http.javadsl.server.AllDirectives;
 import org.apache.pekko.http.javadsl.server.PathMatchers;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
-import org.marjoramgw.HostPort;
-import org.marjoramgw.standin.HttpEndpoint;
+import org.marjoramgw.standin.HttpStandin;
 import org.marjoramgw.standin.Json;
 import org.marjoramgw.standin.LaggingValue;
-import org.marjoramgw.standin.Standin;
 import org.marjoramgw.standin.StandinSystem;
 import org.marjoramgw.vmlist.Vm;
 
@@ -27,19 +23,17 @@
  *
  * @author The marjoramgw authors
  */
-public final class VmListStandin extends AllDirectives implements Standin {
+public final class VmListStandin extends HttpStandin {
 
 	private final LaggingValue<List<Vm>> vms;
 
-	private final HttpEndpoint endpoint;
-
 	private final AtomicLong readCount = new AtomicLong();
 
 	private volatile boolean outage;
 
 	private VmListStandin(StandinSystem system, VmListSettings settings) {
+		super(system, settings.httpAddress());
 		this.vms = new LaggingValue<>(system.clock(), List.of(), settings.lagMillis());
-		this.endpoint = new HttpEndpoint(system, settings.httpAddress(), route());
 	}
 
 	/**
@@ -49,7 +43,7 @@
 	 * @return the running stand-in
 	 */
 	public static VmListStandin start(StandinSystem system, VmListSettings settings) {
-		return new VmListStandin(system, settings);
+		return listening(new VmListStandin(system, settings));
 	}
 
 	/**
@@ -93,29 +87,24 @@
 		return this.readCount.get();
 	}
 
-	@Override
-	public HostPort address() {
-		return this.endpoint.address();
-	}
-
-	@Override
-	public void close() {
-		this.endpoint.close();
-	}
-
 	private Map<String, Vm> byId() {
 		Map<String, Vm> byId = new LinkedHashMap<>();
 		this.vms.newest().forEach((vm) -> byId.put(vm.id(), vm));
 		return byId;
 	}
 
-	private Route route() {
-		return concat(path("vms", () -> get(() -> extractRequest((request) -> complete(list(request))))), path(
-				PathMatchers.segment("vms").slash(PathMatchers.segment()),
-				(id) -> concat(put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(write(body)))),
-						delete(() -> complete(removed(id))))),
-				path("control",
-						() -> put(() -> entity(Unmarshaller.entityToString(), (body) -> complete(control(body))))));
+	@Override
+	protected Route route() {
+		return concat(path("vms", () -> get(() -> extractRequest((request) -> complete(list(request))))),
+				path(PathMatchers.segment("vms").slash(PathMatchers.segment()), this::oneVm),
+				control(VmListControl.class, this::control));
+	}
+
+	private Route oneVm(String id) {
+		return concat(
+				put(() -> entity(Unmarshaller.entityToString(),
+						(body) -> complete(Json.accept(body, Vm.class, this::write)))),
+				delete(() -> complete(removed(id))));
 	}
 
 	private HttpResponse list(HttpRequest request) {
@@ -133,29 +122,9 @@
 		return response.addHeader(RawHeader.create("ETag", tag));
 	}
 
-	private HttpResponse write(String body) {
-		try {
-			write(Json.read(body, Vm.class));
-			return Json.ok(Map.of());
-		}
-		catch (JsonProcessingException ex) {
-			return Json.error(400, ex.getOriginalMessage());
-		}
-	}
-
 	private HttpResponse removed(String id) {
 		remove(id);
 		return Json.ok(Map.of());
 	}
 
-	private HttpResponse control(String body) {
-		try {
-			control(Json.read(body, VmListControl.class));
-			return Json.ok(Map.of());
-		}
-		catch (JsonProcessingException ex) {
-			return Json.error(400, ex.getOriginalMessage());
-		}
-	}
-
 }
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/weightstore/WeightStoreStandin.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/weightstore/WeightStoreStandin.java
@@ -7,12 +7,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.server.AllDirectives;
 import org.apache.pekko.http.javadsl.server.PathMatchers;
-import org.marjoramgw.HostPort;
-import org.marjoramgw.standin.HttpEndpoint;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.marjoramgw.standin.HttpStandin;
 import org.marjoramgw.standin.Json;
-import org.marjoramgw.standin.Standin;
 import org.marjoramgw.standin.StandinSystem;
 import org.marjoramgw.standin.TokenBucket;
 
@@ -21,28 +19,21 @@
  *
  * @author The marjoramgw authors
  */
-public final class WeightStoreStandin extends AllDirectives implements Standin {
+public final class WeightStoreStandin extends HttpStandin {
 
 	private static final double SECONDS_PER_MINUTE = 60;
 
-	private final StandinSystem system;
-
 	private final WeightStoreSettings settings;
 
 	private final TokenBucket loads;
 
 	private final AtomicInteger underWay = new AtomicInteger();
 
-	private final HttpEndpoint endpoint;
-
 	private WeightStoreStandin(StandinSystem system, WeightStoreSettings settings) {
-		this.system = system;
+		super(system, settings.httpAddress());
 		this.settings = settings;
 		this.loads = new TokenBucket(system.clock(), settings.loadsPerMinute() / SECONDS_PER_MINUTE,
 				settings.burstCount());
-		this.endpoint = new HttpEndpoint(system, settings.httpAddress(),
-				path(PathMatchers.segment("weights").slash(PathMatchers.segment()),
-						(model) -> get(() -> completeWithFuture(load(model)))));
 	}
 
 	/**
@@ -52,17 +43,13 @@
 	 * @return the running stand-in
 	 */
 	public static WeightStoreStandin start(StandinSystem system, WeightStoreSettings settings) {
-		return new WeightStoreStandin(system, settings);
-	}
-
-	@Override
-	public HostPort address() {
-		return this.endpoint.address();
+		return listening(new WeightStoreStandin(system, settings));
 	}
 
 	@Override
-	public void close() {
-		this.endpoint.close();
+	protected Route route() {
+		return path(PathMatchers.segment("weights").slash(PathMatchers.segment()),
+				(model) -> get(() -> completeWithFuture(load(model))));
 	}
 
 	private CompletionStage<HttpResponse> load(String model) {
@@ -71,7 +58,7 @@
 		}
 		CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
 		long millis = this.settings.loadMillis() * this.underWay.incrementAndGet();
-		this.system.timer().schedule(() -> {
+		system().timer().schedule(() -> {
 			this.underWay.decrementAndGet();
 			answer.complete(Json.ok(Map.of("model", model)));
 		}, millis, TimeUnit.MILLISECONDS);
