Share the threads of the HTTP client tests

HttpLogServiceTests, HttpVmListTests and HttpCallerTests set the same two systems, address and timeout up. HttpFixture does it for them; what they check is unchanged.

--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpCallerTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpCallerTests.java
@@ -6,11 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.marjoramgw.HostPort;
 import org.marjoramgw.errors.HttpCallException;
-import org.marjoramgw.standin.StandinSystem;
 import org.marjoramgw.standin.log.LogControl;
 import org.marjoramgw.standin.log.LogSettings;
 import org.marjoramgw.standin.log.LogStandin;
@@ -32,15 +28,9 @@
  */
 public class HttpCallerTests {
 
-	private static final long TIMEOUT_MILLIS = 1_000;
-
 	private static final int CONNECTIONS = 6;
 
-	private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
-
-	private ActorSystem<Void> system;
-
-	private StandinSystem standins;
+	private HttpFixture http;
 
 	private LogStandin server;
 
@@ -52,19 +42,19 @@
 
 	@BeforeMethod
 	public void start() throws Exception {
-		this.system = ActorSystem.create(Behaviors.empty(), "http-test");
-		this.standins = new StandinSystem();
-		this.server = LogStandin.start(this.standins, new LogSettings(ANY_PORT, 1_000, 1_000, 100, 3_600_000));
-		this.link = ProxyStandin.start(this.standins, new ProxySettings(ANY_PORT)).add("l", this.server.address());
-		this.caller = new HttpCaller(this.system, TIMEOUT_MILLIS, "");
+		this.http = new HttpFixture();
+		this.server = LogStandin.start(this.http.standins(),
+				new LogSettings(HttpFixture.ANY_PORT, 1_000, 1_000, 100, 3_600_000));
+		this.link = ProxyStandin.start(this.http.standins(), new ProxySettings(HttpFixture.ANY_PORT))
+			.add("l", this.server.address());
+		this.caller = this.http.newCaller();
 		this.uri = "http://" + this.link.address() + "/streams/s/records";
 	}
 
 	@AfterMethod
 	public void stop() throws Exception {
 		this.link.close();
-		this.system.terminate();
-		this.standins.close();
+		this.http.close();
 	}
 
 	@Test
@@ -94,7 +84,7 @@
 	}
 
 	private void openConnections() throws Exception {
-		this.server.control(new LogControl(null, null, TIMEOUT_MILLIS / 4, null));
+		this.server.control(new LogControl(null, null, HttpFixture.TIMEOUT_MILLIS / 4, null));
 		ExecutorService threads = Executors.newFixedThreadPool(CONNECTIONS);
 		Callable<HttpReply> call = () -> this.caller.get(this.uri);
 		for (Future<HttpReply> reply : threads.invokeAll(List.of(call, call, call, call, call, call))) {
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpFixture.java
@@ -0,0 +1,48 @@
+package org.marjoramgw.http;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.standin.StandinSystem;
+
+/**
+ * What a test of an HTTP client needs: threads for the client and others for the server
+ * that it calls.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpFixture implements AutoCloseable {
+
+	/** Any free port on loopback. */
+	public static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+
+	/** Timeout of each call. */
+	public static final long TIMEOUT_MILLIS = 1_000;
+
+	private final ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "http-test");
+
+	private final StandinSystem standins = new StandinSystem();
+
+	/**
+	 * Returns the threads of the servers.
+	 * @return the shared threads of the stand-ins
+	 */
+	public StandinSystem standins() {
+		return this.standins;
+	}
+
+	/**
+	 * Makes a client without connections.
+	 * @return the client
+	 */
+	public HttpCaller newCaller() {
+		return new HttpCaller(this.system, TIMEOUT_MILLIS, "");
+	}
+
+	@Override
+	public void close() {
+		this.system.terminate();
+		this.standins.close();
+	}
+
+}
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/log/HttpLogServiceTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/log/HttpLogServiceTests.java
@@ -3,15 +3,11 @@
 import java.io.IOException;
 import java.util.List;
 
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.marjoramgw.HostPort;
 import org.marjoramgw.errors.CodedException;
 import org.marjoramgw.errors.LogAnswerLostException;
 import org.marjoramgw.errors.LogUnavailableException;
 import org.marjoramgw.http.FixedAnswerServer;
-import org.marjoramgw.http.HttpCaller;
-import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.http.HttpFixture;
 import org.marjoramgw.standin.log.LogControl;
 import org.marjoramgw.standin.log.LogSettings;
 import org.marjoramgw.standin.log.LogStandin;
@@ -30,34 +26,28 @@
  */
 public class HttpLogServiceTests {
 
-	private static final long TIMEOUT_MILLIS = 1_000;
-
 	private static final long HOUR_MILLIS = 3_600_000;
 
-	private ActorSystem<Void> system;
-
-	private StandinSystem standins;
+	private HttpFixture http;
 
 	private LogStandin standin;
 
 	private HttpLogService log;
 
 	@BeforeClass
-	public void startSystems() {
-		this.system = ActorSystem.create(Behaviors.empty(), "log-test");
-		this.standins = new StandinSystem();
+	public void startFixture() {
+		this.http = new HttpFixture();
 	}
 
 	@AfterClass
-	public void stopSystems() {
-		this.system.terminate();
-		this.standins.close();
+	public void stopFixture() {
+		this.http.close();
 	}
 
 	@BeforeMethod
 	public void startStandin() {
-		this.standin = LogStandin.start(this.standins,
-				new LogSettings(new HostPort("127.0.0.1", 0), 10, 5, 100, HOUR_MILLIS));
+		this.standin = LogStandin.start(this.http.standins(),
+				new LogSettings(HttpFixture.ANY_PORT, 10, 5, 100, HOUR_MILLIS));
 		this.log = client("http://" + this.standin.address());
 	}
 
@@ -67,7 +57,7 @@
 	}
 
 	private HttpLogService client(String url) {
-		return new HttpLogService(new HttpCaller(this.system, TIMEOUT_MILLIS, ""), url);
+		return new HttpLogService(this.http.newCaller(), url);
 	}
 
 	@Test
@@ -100,7 +90,7 @@
 		Class<?> lost = LogAnswerLostException.class;
 		return new Object[][] { { new LogControl(true, null, null, null), away, 0 },
 				{ new LogControl(null, 1, null, null), lost, 1 },
-				{ new LogControl(null, null, TIMEOUT_MILLIS * 3, null), lost, 1 } };
+				{ new LogControl(null, null, HttpFixture.TIMEOUT_MILLIS * 3, null), lost, 1 } };
 	}
 
 	@Test(dataProvider = "appendFaults")
@@ -126,7 +116,7 @@
 	@DataProvider
 	public Object[][] readFaults() {
 		return new Object[][] { { new LogControl(true, null, null, null) },
-				{ new LogControl(null, null, TIMEOUT_MILLIS * 3, null) } };
+				{ new LogControl(null, null, HttpFixture.TIMEOUT_MILLIS * 3, null) } };
 	}
 
 	@Test(dataProvider = "readFaults")
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/vmlist/HttpVmListTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/vmlist/HttpVmListTests.java
@@ -6,13 +6,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.marjoramgw.HostPort;
 import org.marjoramgw.errors.VmListUnavailableException;
 import org.marjoramgw.http.FixedAnswerServer;
-import org.marjoramgw.http.HttpCaller;
-import org.marjoramgw.standin.StandinSystem;
+import org.marjoramgw.http.HttpFixture;
 import org.marjoramgw.standin.vmlist.VmListControl;
 import org.marjoramgw.standin.vmlist.VmListSettings;
 import org.marjoramgw.standin.vmlist.VmListStandin;
@@ -37,27 +33,23 @@
 
 	private static final long POLL_MILLIS = 20;
 
-	private ActorSystem<Void> system;
-
-	private StandinSystem standins;
+	private HttpFixture http;
 
 	private VmListStandin standin;
 
 	@BeforeClass
-	public void startSystems() {
-		this.system = ActorSystem.create(Behaviors.empty(), "vm-list-test");
-		this.standins = new StandinSystem();
+	public void startFixture() {
+		this.http = new HttpFixture();
 	}
 
 	@AfterClass
-	public void stopSystems() {
-		this.system.terminate();
-		this.standins.close();
+	public void stopFixture() {
+		this.http.close();
 	}
 
 	@BeforeMethod
 	public void startStandin() {
-		this.standin = VmListStandin.start(this.standins, new VmListSettings(new HostPort("127.0.0.1", 0), 0));
+		this.standin = VmListStandin.start(this.http.standins(), new VmListSettings(HttpFixture.ANY_PORT, 0));
 		this.standin.write(VM);
 	}
 
@@ -67,7 +59,7 @@
 	}
 
 	private HttpVmList client(String url) {
-		return new HttpVmList(new HttpCaller(this.system, 1_000, ""), url);
+		return new HttpVmList(this.http.newCaller(), url);
 	}
 
 	private HttpVmList client() {
