Part the stream of a partition from the claims made in it

PartitionClaims held reading, appending and counting beside its decisions. PartitionStream reads and appends, and says of an append that it is done, not done or unknown. No decision changed; the random sequences of PartitionClaimsTests pass as before.

--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionClaims.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/internal/PartitionClaims.java
@@ -14,11 +14,7 @@
 import org.marjoramgw.claim.ClaimKey;
 import org.marjoramgw.claim.ClaimSettings;
 import org.marjoramgw.claim.ClaimVerdict;
-import org.marjoramgw.errors.LogAnswerLostException;
-import org.marjoramgw.errors.LogUnavailableException;
-import org.marjoramgw.log.LogRecord;
 import org.marjoramgw.log.LogService;
-import org.marjoramgw.log.LogSlice;
 import org.marjoramgw.metrics.ResultCounters;
 
 /**
@@ -37,11 +33,7 @@
 
 	private static final int BATCH_RECORDS = 200;
 
-	private static final int PAGE_RECORDS = 128;
-
-	private final String stream;
-
-	private final LogService log;
+	private final PartitionStream stream;
 
 	private final ClaimSettings settings;
 
@@ -49,12 +41,8 @@
 
 	private final ClaimJudge judge;
 
-	private final ClaimRecordCodec codec;
-
 	private final MillisClock clock;
 
-	private final ResultCounters counters;
-
 	private final BiConsumer<ClaimKey, String> wonListener;
 
 	private final ClaimFold fold;
@@ -65,8 +53,6 @@
 
 	private final List<ClaimAttempt> attempts = new ArrayList<>();
 
-	private boolean readBack;
-
 	/**
 	 * Creates the claims of a partition.
 	 * @param stream name of the partition's stream
@@ -80,17 +66,15 @@
 	 */
 	public PartitionClaims(String stream, LogService log, ClaimSettings settings, ClaimHolder self, ClaimJudge judge,
 			MillisClock clock, ResultCounters counters, BiConsumer<ClaimKey, String> wonListener) {
-		this.stream = stream;
-		this.log = log;
 		this.settings = settings;
 		this.self = self;
 		this.judge = judge;
-		this.codec = new ClaimRecordCodec();
 		this.clock = clock;
-		this.counters = counters;
 		this.wonListener = wonListener;
 		long keptMillis = settings.windowMillis() + 2 * CLOCK_SKEW_MILLIS;
-		this.fold = new ClaimFold(keptMillis, settings.maxKeys(), this.codec);
+		ClaimRecordCodec codec = new ClaimRecordCodec();
+		this.fold = new ClaimFold(keptMillis, settings.maxKeys(), codec);
+		this.stream = new PartitionStream(stream, log, codec, this.fold, counters);
 	}
 
 	/**
@@ -123,7 +107,7 @@
 	 */
 	public CycleOutcome cycle() {
 		takeIncoming();
-		if (!this.readBack && !this.attempts.isEmpty() && !readToEnd()) {
+		if (!this.stream.isReadBack() && !this.attempts.isEmpty() && !this.stream.readToEnd()) {
 			dropTimedOut();
 			return CycleOutcome.LOG_AWAY;
 		}
@@ -131,7 +115,7 @@
 		boolean appended = appendWaiting();
 		// Without an open attempt nothing depends on what the stream shows.
 		boolean skipsRead = appended && this.attempts.isEmpty();
-		boolean read = skipsRead || readToEnd();
+		boolean read = skipsRead || this.stream.readToEnd();
 		if (read && !skipsRead) {
 			this.outbox.removeShown(this.fold);
 			settle();
@@ -175,29 +159,23 @@
 	private boolean appendWaiting() {
 		List<ClaimRecord> sent = this.outbox.first(BATCH_RECORDS);
 		List<ClaimAttempt> claims = attemptsToAppend(sent);
-		List<String> batch = new ArrayList<>();
-		sent.forEach((record) -> batch.add(this.codec.encode(record)));
-		for (ClaimAttempt claim : claims) {
-			batch.add(this.codec.encode(claim.record(this.self.processId(), this.self.incarnation())));
-		}
+		List<ClaimRecord> batch = new ArrayList<>(sent);
+		claims.forEach((claim) -> batch.add(claim.record(this.self.processId(), this.self.incarnation())));
 		if (batch.isEmpty()) {
 			return true;
 		}
-		try {
-			this.log.append(this.stream, batch);
-			this.outbox.removeAll(sent);
-			claims.forEach((claim) -> claim.setInLog(true));
-			return true;
-		}
-		catch (LogUnavailableException ex) {
-			this.counters.count(ResultCode.LOG_AWAY);
-			return false;
-		}
-		catch (LogAnswerLostException ex) {
-			this.counters.count(ResultCode.LOG_ANSWER_LOST);
-			claims.forEach(ClaimAttempt::setMayBeInLog);
-			return false;
-		}
+		return switch (this.stream.append(batch)) {
+			case DONE -> {
+				this.outbox.removeAll(sent);
+				claims.forEach((claim) -> claim.setInLog(true));
+				yield true;
+			}
+			case NOT_DONE -> false;
+			case UNKNOWN -> {
+				claims.forEach(ClaimAttempt::setMayBeInLog);
+				yield false;
+			}
+		};
 	}
 
 	private List<ClaimAttempt> attemptsToAppend(List<ClaimRecord> sent) {
@@ -228,26 +206,6 @@
 			.anyMatch((record) -> record instanceof ClaimRecord.Release && record.claimId().equals(claimId));
 	}
 
-	private boolean readToEnd() {
-		try {
-			LogSlice slice;
-			do {
-				slice = this.log.read(this.stream, this.fold.nextOffset(), PAGE_RECORDS);
-				this.fold.skipTo(slice.firstOffset());
-				for (LogRecord record : slice.records()) {
-					this.fold.apply(record);
-				}
-			}
-			while (this.fold.nextOffset() < slice.nextOffset() && !slice.records().isEmpty());
-			this.readBack = this.fold.nextOffset() >= slice.nextOffset();
-			return this.readBack;
-		}
-		catch (LogUnavailableException ex) {
-			this.counters.count(ResultCode.LOG_AWAY);
-			return false;
-		}
-	}
-
 	private void settle() {
 		Iterator<ClaimAttempt> iterator = this.attempts.iterator();
 		while (iterator.hasNext()) {
@@ -272,7 +230,7 @@
 		if (this.outbox.releases(holder.get().claimId())) {
 			return false;
 		}
-		ClaimVerdict verdict = this.judge.judge(this.stream, attempt.request(), holder.get());
+		ClaimVerdict verdict = this.judge.judge(this.stream.name(), attempt.request(), holder.get());
 		attempt.verdict().complete(verdict);
 		releaseStray(attempt);
 		return true;
