Part the holders of slots from the slot scheduler

SlotScheduler decides whose turn it is; SlotHolders keeps who holds a slot and charges the slot-time to class and account. Moved as it stood.

--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.policy.slot;
 
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,13 +42,13 @@
 
 	private final ClassQueues queues = new ClassQueues();
 
-	private final Map<RequestKey, SlotHolder> holders = new LinkedHashMap<>();
+	private final SlotTimes slotTimes = new SlotTimes();
 
 	private final ClassFloors floors;
 
 	private final AccountUsage usage = new AccountUsage();
 
-	private final SlotTimes slotTimes = new SlotTimes();
+	private final SlotHolders holders;
 
 	private final ArrivalEstimate estimate = new ArrivalEstimate(this.slotTimes);
 
@@ -77,6 +76,7 @@
 		this.model = model;
 		this.startTimes = new StartTimes(spreadSeed);
 		this.floors = new ClassFloors(nowMillis);
+		this.holders = new SlotHolders(this.floors, this.usage, this.slotTimes);
 	}
 
 	/**
@@ -191,16 +191,10 @@
 	}
 
 	private Optional<Swap> swapFor(Waiting top, long nowMillis) {
-		List<RunningRequest> running = this.holders.values()
-			.stream()
-			.filter(SlotHolder::resumable)
-			.map(SlotHolder::toRunning)
-			.toList();
-		Optional<RunningRequest> victim = this.preemption.choose(top.tier(), running,
+		Optional<RunningRequest> victim = this.preemption.choose(top.tier(), this.holders.resumable(),
 				(name) -> this.floors.maySpare(name, this.limit.slots(), nowMillis));
 		return victim.map((chosen) -> {
-			Waiting preempted = this.holders.get(chosen.key()).request().preempted();
-			free(chosen.key(), nowMillis);
+			Waiting preempted = this.holders.free(chosen.key(), nowMillis).orElseThrow().preempted();
 			this.queues.add(preempted, Integer.MAX_VALUE);
 			take(top, nowMillis);
 			return new Swap(chosen.key(), top);
@@ -214,8 +208,7 @@
 	 * @param preemptedCount how often it was preempted already
 	 */
 	public void resumable(RequestKey key, long contextTokens, int preemptedCount) {
-		Optional.ofNullable(this.holders.get(key))
-			.ifPresent((holder) -> holder.setResumable(contextTokens, preemptedCount));
+		this.holders.find(key).ifPresent((holder) -> holder.setResumable(contextTokens, preemptedCount));
 	}
 
 	/**
@@ -224,7 +217,7 @@
 	 * @param tokens how many
 	 */
 	public void generated(RequestKey key, int tokens) {
-		Optional.ofNullable(this.holders.get(key)).ifPresent((holder) -> holder.addTokens(tokens));
+		this.holders.find(key).ifPresent((holder) -> holder.addTokens(tokens));
 	}
 
 	/**
@@ -246,14 +239,7 @@
 	 * @param nowMillis the present time, in milliseconds
 	 */
 	public void free(RequestKey key, long nowMillis) {
-		SlotHolder holder = this.holders.remove(key);
-		if (holder == null) {
-			return;
-		}
-		Waiting request = holder.request();
-		long heldMillis = nowMillis - holder.takenMillis();
-		this.floors.freed(request.requestClass(), nowMillis);
-		this.usage.charge(request.tier(), request.account(), heldMillis - holder.chargedMillis(), nowMillis);
+		this.holders.free(key, nowMillis);
 	}
 
 	/**
@@ -333,15 +319,11 @@
 	private void take(Waiting request, long nowMillis) {
 		this.queues.remove(request.key());
 		this.estimate.left(true);
-		double expectedMillis = this.slotTimes.of(request.requestClass());
-		this.holders.put(request.key(), new SlotHolder(request, nowMillis, expectedMillis));
-		this.floors.taken(request.requestClass(), nowMillis);
-		this.usage.charge(request.tier(), request.account(), expectedMillis, nowMillis);
+		this.holders.take(request, nowMillis);
 	}
 
 	private long waitMillis(int tier) {
-		List<Waiting> holding = this.holders.values().stream().map(SlotHolder::request).toList();
-		return this.estimate.waitMillis(tier, this.queues.all(), holding, this.limit.slots());
+		return this.estimate.waitMillis(tier, this.queues.all(), this.holders.requests(), this.limit.slots());
 	}
 
 	private boolean isFcfs() {
