Part the kinds of values from the table that reads them

ValueKind holds conversion, number and wording of the mistake, so that each reader of the table is one line. A missing address is told in the words of a wrong one now; a text outside its choice is told the choices also where it isn't a text.

--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the reading of settings.
+ */
+package org.marjoramgw.settings;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -9,13 +9,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import org.marjoramgw.HostPort;
@@ -34,6 +34,8 @@
 
 	private static final TomlMapper MAPPER = new TomlMapper();
 
+	private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+
 	private static final String[] UNIT_SUFFIXES = { "_ms", "_bytes", "_percent", "_per_second", "_count" };
 
 	private final String file;
@@ -100,8 +102,7 @@
 	 * @return the text, or an empty text after a recorded mistake
 	 */
 	public String text(String key) {
-		JsonNode value = required(key, "a text");
-		return (value != null) ? asText(key, value, "") : "";
+		return require(key, ValueKind.TEXT, "");
 	}
 
 	/**
@@ -111,8 +112,7 @@
 	 * @return the text
 	 */
 	public String text(String key, String defaultValue) {
-		JsonNode value = read(key);
-		return (value != null) ? asText(key, value, defaultValue) : defaultValue;
+		return read(key, ValueKind.TEXT, defaultValue);
 	}
 
 	/**
@@ -123,12 +123,7 @@
 	 * @return the text
 	 */
 	public String choice(String key, String defaultValue, Set<String> allowed) {
-		String value = text(key, defaultValue);
-		if (!allowed.contains(value)) {
-			add(ResultCode.BAD_VALUE, key, "one of " + new TreeSet<>(allowed));
-			return defaultValue;
-		}
-		return value;
+		return read(key, ValueKind.choice(allowed), defaultValue);
 	}
 
 	/**
@@ -140,8 +135,7 @@
 	 * @return the number
 	 */
 	public long number(String key, long defaultValue, long min, long max) {
-		JsonNode value = read(key);
-		return (value != null) ? asNumber(key, value, defaultValue, min, max) : defaultValue;
+		return read(key, ValueKind.number(min, max), defaultValue);
 	}
 
 	/**
@@ -152,8 +146,7 @@
 	 * @return the number, or {@code min} after a recorded mistake
 	 */
 	public long number(String key, long min, long max) {
-		JsonNode value = required(key, "a whole number from " + min + " to " + max);
-		return (value != null) ? asNumber(key, value, min, min, max) : min;
+		return require(key, ValueKind.number(min, max), min);
 	}
 
 	/**
@@ -163,14 +156,7 @@
 	 * @return the truth value
 	 */
 	public boolean flag(String key, boolean defaultValue) {
-		JsonNode value = read(key);
-		if (value == null) {
-			return defaultValue;
-		}
-		if (!value.isBoolean()) {
-			add(ResultCode.BAD_VALUE, key, "true or false");
-		}
-		return value.asBoolean(defaultValue);
+		return read(key, ValueKind.FLAG, defaultValue);
 	}
 
 	/**
@@ -179,8 +165,7 @@
 	 * @return the address, or {@code 127.0.0.1:0} after a recorded mistake
 	 */
 	public HostPort address(String key) {
-		JsonNode value = required(key, "an address such as 127.0.0.1:8080");
-		return (value != null) ? asAddress(key, value) : new HostPort("127.0.0.1", 0);
+		return require(key, ValueKind.ADDRESS, ANY_PORT);
 	}
 
 	/**
@@ -190,8 +175,7 @@
 	 * @return the address
 	 */
 	public HostPort address(String key, HostPort defaultValue) {
-		JsonNode value = read(key);
-		return (value != null) ? asAddress(key, value) : defaultValue;
+		return read(key, ValueKind.ADDRESS, defaultValue);
 	}
 
 	/**
@@ -200,21 +184,7 @@
 	 * @return the texts, empty if the key is absent
 	 */
 	public List<String> texts(String key) {
-		JsonNode value = read(key);
-		if (value == null) {
-			return List.of();
-		}
-		List<String> texts = new ArrayList<>();
-		boolean valid = value.isArray();
-		for (JsonNode element : value) {
-			valid = valid && element.isTextual();
-			texts.add(element.asText());
-		}
-		if (!valid) {
-			add(ResultCode.BAD_VALUE, key, "a list of texts");
-			return List.of();
-		}
-		return List.copyOf(texts);
+		return read(key, ValueKind.TEXTS, List.of());
 	}
 
 	/**
@@ -223,16 +193,7 @@
 	 * @return texts, numbers and truth values by key, empty if the key is absent
 	 */
 	public Map<String, Object> values(String key) {
-		JsonNode value = read(key);
-		if (value == null) {
-			return Map.of();
-		}
-		if (!value.isObject()) {
-			add(ResultCode.BAD_VALUE, key, "a table");
-			return Map.of();
-		}
-		return Collections.unmodifiableMap(MAPPER.convertValue(value, new TypeReference<Map<String, Object>>() {
-		}));
+		return read(key, ValueKind.VALUES, Map.of());
 	}
 
 	/**
@@ -241,11 +202,7 @@
 	 * @return the table, empty if the key is absent
 	 */
 	public TomlTable table(String key) {
-		JsonNode value = read(key);
-		if (value != null && !value.isObject()) {
-			add(ResultCode.BAD_VALUE, key, "a table");
-		}
-		JsonNode object = (value != null && value.isObject()) ? value : MAPPER.createObjectNode();
+		JsonNode object = read(key, ValueKind.TABLE, MAPPER.createObjectNode());
 		return new TomlTable(this.file, qualified(key), object, this.lines, this.problems);
 	}
 
@@ -276,18 +233,11 @@
 	 * @return the converted tables in the order of the text
 	 */
 	public <T> List<T> tables(String key, Function<TomlTable, T> reader) {
-		JsonNode value = read(key);
+		JsonNode tables = read(key, ValueKind.ARRAY, MAPPER.createArrayNode());
 		List<T> result = new ArrayList<>();
-		if (value == null) {
-			return result;
-		}
-		if (!value.isArray()) {
-			add(ResultCode.BAD_VALUE, key, "an array of tables");
-			return result;
-		}
-		for (int index = 0; index < value.size(); index++) {
+		for (int index = 0; index < tables.size(); index++) {
 			String name = qualified(key) + "[" + index + "]";
-			TomlTable child = new TomlTable(this.file, name, value.get(index), this.lines, this.problems);
+			TomlTable child = new TomlTable(this.file, name, tables.get(index), this.lines, this.problems);
 			result.add(reader.apply(child));
 			child.finish();
 		}
@@ -337,43 +287,24 @@
 		add(ResultCode.UNKNOWN_KEY, key, "one of " + new TreeSet<>(this.readKeys));
 	}
 
-	private JsonNode read(String key) {
-		this.readKeys.add(key);
-		return this.node.get(key);
-	}
-
-	private JsonNode required(String key, String expected) {
-		JsonNode value = read(key);
-		if (value == null) {
-			add(ResultCode.MISSING_KEY, key, expected);
-		}
-		return value;
-	}
-
-	private String asText(String key, JsonNode value, String defaultValue) {
-		if (!value.isTextual()) {
-			add(ResultCode.BAD_VALUE, key, "a text");
-			return defaultValue;
+	private <T> T require(String key, ValueKind<T> kind, T replacement) {
+		if (!this.node.has(key)) {
+			add(ResultCode.MISSING_KEY, key, kind.expected());
 		}
-		return value.asText();
+		return read(key, kind, replacement);
 	}
 
-	private long asNumber(String key, JsonNode value, long defaultValue, long min, long max) {
-		if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < min || value.asLong() > max) {
-			add(ResultCode.BAD_VALUE, key, "a whole number from " + min + " to " + max);
+	private <T> T read(String key, ValueKind<T> kind, T defaultValue) {
+		this.readKeys.add(key);
+		JsonNode value = this.node.get(key);
+		if (value == null) {
 			return defaultValue;
 		}
-		return value.asLong();
-	}
-
-	private HostPort asAddress(String key, JsonNode value) {
-		try {
-			return HostPort.parse(value.asText());
-		}
-		catch (IllegalArgumentException ex) {
-			add(ResultCode.BAD_ADDRESS, key, "an IP number and a port such as 127.0.0.1:8080");
-			return new HostPort("127.0.0.1", 0);
+		Optional<T> converted = kind.convert(value);
+		if (converted.isEmpty()) {
+			add(kind.mistake(), key, kind.expected());
 		}
+		return converted.orElse(defaultValue);
 	}
 
 	private String qualified(String key) {
