Part choice and reconnects from the directory of side processes

SideDirectory keeps the links. WantedSides chooses the subset of the VM list that it keeps them to, and Reconnects says when a side process that couldn't be reached is due again. Moved as they stood.

--- /dev/null
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/Reconnects.java
@@ -0,0 +1,52 @@
+package org.marjoramgw.entry.side;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.marjoramgw.MillisClock;
+
+/**
+ * Times of the next attempts to connect; the wait for a side process that can't be
+ * reached doubles with each failure.
+ *
+ * @author The marjoramgw authors
+ */
+final class Reconnects {
+
+	private static final long MIN_DELAY_MILLIS = 50;
+
+	private static final long MAX_DELAY_MILLIS = 2_000;
+
+	private final MillisClock clock;
+
+	private final Map<String, Delay> delayById = new HashMap<>();
+
+	Reconnects(MillisClock clock) {
+		this.clock = clock;
+	}
+
+	boolean isDue(String sideId) {
+		Delay delay = this.delayById.get(sideId);
+		return delay == null || this.clock.nowMillis() >= delay.dueMillis();
+	}
+
+	void failed(String sideId) {
+		Delay before = this.delayById.get(sideId);
+		long delayMillis = (before != null) ? before.nextMillis() : MIN_DELAY_MILLIS;
+		this.delayById.put(sideId,
+				new Delay(this.clock.nowMillis() + delayMillis, Math.min(MAX_DELAY_MILLIS, delayMillis * 2)));
+	}
+
+	void reached(String sideId) {
+		this.delayById.remove(sideId);
+	}
+
+	void retain(Set<String> sideIds) {
+		this.delayById.keySet().retainAll(sideIds);
+	}
+
+	private record Delay(long dueMillis, long nextMillis) {
+	}
+
+}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideDirectory.java
@@ -2,13 +2,12 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -23,7 +22,6 @@
 import org.marjoramgw.entry.dispatch.OpenRequests;
 import org.marjoramgw.entry.dispatch.RequestEvent;
 import org.marjoramgw.metrics.ResultCounters;
-import org.marjoramgw.policy.candidate.Subset;
 import org.marjoramgw.transport.Transport;
 import org.marjoramgw.vmlist.Vm;
 import org.marjoramgw.wire.Message;
@@ -40,22 +38,16 @@
  */
 public final class SideDirectory extends AbstractBehavior<SideDirectory.Command> {
 
-	private static final int DEFAULT_SUBSET_COUNT = 24;
-
 	private static final int IDLE_HEARTBEATS_PER_SECOND = 24;
 
 	private static final long UNWANTED_LINK_MILLIS = 10_000;
 
-	private static final long MAX_RECONNECT_MILLIS = 2_000;
-
 	private final EntrySettings settings;
 
 	private final PeerIdentity identity;
 
 	private final Supplier<PeerStatus> status;
 
-	private final ConfigurationSource configuration;
-
 	private final Transport transport;
 
 	private final MillisClock clock;
@@ -70,15 +62,9 @@
 
 	private final Map<String, SideLink> linkById = new HashMap<>();
 
-	private final Map<String, ReconnectDelay> delayById = new HashMap<>();
-
-	private Map<String, Vm> vmById = Map.of();
-
-	private Set<String> entryIds = Set.of();
-
-	private Set<String> wanted;
+	private final Reconnects reconnects;
 
-	private int wantedCount;
+	private final WantedSides wanted;
 
 	private SideDirectory(ActorContext<Command> actor, EntrySettings settings, PeerIdentity identity,
 			Supplier<PeerStatus> status, ConfigurationSource configuration, Transport transport, MillisClock clock,
@@ -87,13 +73,14 @@
 		this.settings = settings;
 		this.identity = identity;
 		this.status = status;
-		this.configuration = configuration;
 		this.transport = transport;
 		this.clock = clock;
 		this.open = open;
 		this.sides = sides;
 		this.counters = counters;
 		this.inbox = new SideInbox(settings.peerToken(), open, configuration, counters, actor.getSelf());
+		this.reconnects = new Reconnects(clock);
+		this.wanted = new WantedSides(identity, configuration);
 	}
 
 	/**
@@ -130,16 +117,7 @@
 	}
 
 	private Behavior<Command> onVmsChanged(VmsChanged command) {
-		this.vmById = command.vms()
-			.stream()
-			.filter((vm) -> Vm.SIDE.equals(vm.role()))
-			.collect(Collectors.toMap(Vm::id, (vm) -> vm, (first, second) -> second));
-		this.entryIds = command.vms()
-			.stream()
-			.filter((vm) -> Vm.ENTRY.equals(vm.role()))
-			.map(Vm::id)
-			.collect(Collectors.toUnmodifiableSet());
-		this.wanted = null;
+		this.wanted.setVms(command.vms());
 		return onTick();
 	}
 
@@ -154,7 +132,7 @@
 		if (this.linkById.get(sideId) != link) {
 			return this;
 		}
-		this.delayById.remove(sideId);
+		this.reconnects.reached(sideId);
 		this.sides.put(sideId, link);
 		Logger.info("connected to side process {}", sideId);
 		this.open.tellAll(new RequestEvent.SideBack(sideId, link.incarnation().orElse(0)));
@@ -170,28 +148,28 @@
 	}
 
 	private Behavior<Command> onTick() {
-		Set<String> wantedIds = wantedSideIds();
+		Set<String> wantedIds = this.wanted.ids();
 		for (SideLink link : List.copyOf(this.linkById.values())) {
 			keep(link, wantedIds.contains(link.vm().id()));
 		}
 		for (String sideId : wantedIds) {
-			if (!this.linkById.containsKey(sideId) && isConnectDue(sideId)) {
-				connect(this.vmById.get(sideId));
+			if (!this.linkById.containsKey(sideId) && this.reconnects.isDue(sideId)) {
+				this.wanted.vm(sideId).ifPresent(this::connect);
 			}
 		}
-		this.delayById.keySet().retainAll(this.vmById.keySet());
+		this.reconnects.retain(this.wanted.listedIds());
 		return this;
 	}
 
 	private void keep(SideLink link, boolean inSubset) {
-		Vm listed = this.vmById.get(link.vm().id());
-		boolean moved = listed != null && !listed.peerAddress().equals(link.vm().peerAddress());
+		Optional<Vm> listed = this.wanted.vm(link.vm().id());
+		boolean moved = listed.filter((vm) -> !vm.peerAddress().equals(link.vm().peerAddress())).isPresent();
 		boolean unused = !inSubset && link.idleMillis() > UNWANTED_LINK_MILLIS;
 		if (moved || unused) {
 			drop(link, ResultCode.PEER_CLOSED);
 			return;
 		}
-		link.listAsLive(inSubset && Vm.LIVE.equals(listed.state()));
+		link.listAsLive(inSubset && listed.filter((vm) -> Vm.LIVE.equals(vm.state())).isPresent());
 		boolean busy = link.isBusy();
 		long intervalMillis = busy ? this.settings.heartbeatMillis() : idleIntervalMillis();
 		if (link.silentMillis() > this.settings.peerTimeoutMillis() + (busy ? 0 : intervalMillis)) {
@@ -221,21 +199,14 @@
 		if (link.isGreeted()) {
 			Logger.info("lost side process {}: {}", sideId, reason.text());
 			this.open.tellAll(new RequestEvent.SideGone(sideId));
-			if (this.vmById.containsKey(sideId)) {
-				connect(this.vmById.get(sideId));
-			}
+			this.wanted.vm(sideId).ifPresent(this::connect);
 		}
 		else {
 			this.open.tellAll(new RequestEvent.SideUnreachable(sideId));
-			this.delayById.computeIfAbsent(sideId, (key) -> new ReconnectDelay()).backOff(this.clock.nowMillis());
+			this.reconnects.failed(sideId);
 		}
 	}
 
-	private boolean isConnectDue(String sideId) {
-		ReconnectDelay delay = this.delayById.get(sideId);
-		return delay == null || this.clock.nowMillis() >= delay.dueMillis;
-	}
-
 	private void connect(Vm vm) {
 		this.transport.connect(HostPort.parse(vm.peerAddress()), (connection) -> {
 			SideLink link = new SideLink(vm, connection, this.inbox, this.clock, this.settings.peerTimeoutMillis());
@@ -250,30 +221,6 @@
 		link.send(new Message.Heartbeat(this.status.get()));
 	}
 
-	private Set<String> wantedSideIds() {
-		int count = this.configuration.current()
-			.map((current) -> current.limits().subsetCount())
-			.orElse(DEFAULT_SUBSET_COUNT);
-		if (this.wanted == null || count != this.wantedCount) {
-			this.wantedCount = count;
-			this.wanted = chooseSubsets(count);
-		}
-		return this.wanted;
-	}
-
-	private Set<String> chooseSubsets(int count) {
-		Map<String, Map<String, String>> domainByIdByPool = new HashMap<>();
-		for (Vm vm : this.vmById.values()) {
-			domainByIdByPool.computeIfAbsent(vm.pool(), (pool) -> new HashMap<>()).put(vm.id(), vm.failureDomain());
-		}
-		Set<String> chosen = new HashSet<>();
-		for (Map<String, String> domainById : domainByIdByPool.values()) {
-			chosen.addAll(Subset.choose(this.identity.processId(), this.identity.failureDomain(), this.entryIds,
-					domainById, count));
-		}
-		return chosen;
-	}
-
 	/**
 	 * Message to the directory.
 	 */
@@ -304,17 +251,4 @@
 	record Tick() implements Command {
 	}
 
-	private static final class ReconnectDelay {
-
-		private long delayMillis = 50;
-
-		private long dueMillis;
-
-		void backOff(long nowMillis) {
-			this.dueMillis = nowMillis + this.delayMillis;
-			this.delayMillis = Math.min(MAX_RECONNECT_MILLIS, this.delayMillis * 2);
-		}
-
-	}
-
 }
