Tell a wrong version from a wrong token at the entry

An entry that closed the connection of a side process with another protocol version counted it as a wrong token (6001), since the check gave a truth value. It gives the refusal now, as the side process's check does.

--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/side/SideInboxTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/side/SideInboxTests.java
@@ -1,5 +1,8 @@
 package org.marjoramgw.entry.side;
 
+import java.util.Optional;
+
+import org.marjoramgw.ResultCode;
 import org.marjoramgw.wire.Message;
 import org.marjoramgw.wire.MessageCodec;
 import org.marjoramgw.wire.PeerIdentity;
@@ -19,16 +22,18 @@
 
 	@DataProvider
 	public Object[][] greetings() {
-		return new Object[][] { { MessageCodec.VERSION, TOKEN, true }, { MessageCodec.VERSION, "", false },
-				{ MessageCodec.VERSION, TOKEN + "x", false }, { MessageCodec.VERSION + 1, TOKEN, false } };
+		return new Object[][] { { MessageCodec.VERSION, TOKEN, null },
+				{ MessageCodec.VERSION, "", ResultCode.BAD_TOKEN },
+				{ MessageCodec.VERSION, TOKEN + "x", ResultCode.BAD_TOKEN },
+				{ MessageCodec.VERSION + 1, TOKEN, ResultCode.BAD_VERSION } };
 	}
 
 	@Test(dataProvider = "greetings")
-	public void trustsTheTokenAndVersionAlone(int version, String token, boolean trusted) {
+	public void trustsTheTokenAndVersionAlone(int version, String token, ResultCode refusal) {
 		SideInbox inbox = new SideInbox(TOKEN, null, null, null, null);
 		Message.Hello hello = new Message.Hello(version, token,
 				new PeerIdentity("side-1", "side", "dal-a", 1, "model-runners"), new PeerStatus(1, false, 0, 0, 8));
-		Assert.assertEquals(inbox.isTrusted(hello), trusted);
+		Assert.assertEquals(inbox.refusal(hello), Optional.ofNullable(refusal));
 	}
 
 }
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.entry.side;
 
+import java.util.Optional;
+
 import org.apache.pekko.actor.typed.ActorRef;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.ConfigurationSource;
@@ -38,8 +40,8 @@
 	}
 
 	@Override
-	public boolean isTrusted(Message.Hello hello) {
-		return HelloCheck.refusal(hello, this.token).isEmpty();
+	public Optional<ResultCode> refusal(Message.Hello hello) {
+		return HelloCheck.refusal(hello, this.token);
 	}
 
 	@Override
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLink.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLink.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.entry.side;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.marjoramgw.MillisClock;
@@ -131,7 +132,7 @@
 	}
 
 	/**
-	 * Tells whether the peer owes signs of life at the fast pace.
+	 * Tells whether the peer has to send heartbeats at the fast pace.
 	 * @return whether requests are open there or a message about one passed lately
 	 */
 	boolean isBusy() {
@@ -154,14 +155,14 @@
 	}
 
 	private void onHello(Message.Hello hello) {
-		if (this.listener.isTrusted(hello)) {
-			this.status = hello.status();
-			this.identity = hello.peer();
-			this.listener.onGreeted(this, hello);
-		}
-		else {
-			this.listener.onRejected(this, ResultCode.BAD_TOKEN);
+		Optional<ResultCode> refusal = this.listener.refusal(hello);
+		if (refusal.isPresent()) {
+			this.listener.onRejected(this, refusal.get());
+			return;
 		}
+		this.status = hello.status();
+		this.identity = hello.peer();
+		this.listener.onGreeted(this, hello);
 	}
 
 }
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLinkListener.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideLinkListener.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.entry.side;
 
+import java.util.Optional;
+
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.wire.Message;
 import org.marjoramgw.wire.PeerStatus;
@@ -14,9 +16,9 @@
 	/**
 	 * Checks version and token of a greeting.
 	 * @param hello the greeting
-	 * @return whether the peer may go on
+	 * @return why it is refused, or empty if the peer may go on
 	 */
-	boolean isTrusted(Message.Hello hello);
+	Optional<ResultCode> refusal(Message.Hello hello);
 
 	/**
 	 * Learns that the peer was greeted and the link can be used.
