Count refused peers and operators, and name liveness by its term

SignsOfLife and HeartbeatRhythm are called Liveness and HeartbeatIntervals.

EntryConnectionsTests also shows that a connection that never greets is closed after the idle timeout and that connections over the bound are closed at once.

--- a/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/entry/EntryConnectionsTests.java
+++ b/org.marjoramgw.side.test/src/test/java/org/marjoramgw/side/entry/EntryConnectionsTests.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import com.codahale.metrics.MetricRegistry;
 import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.Configuration;
 import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.side.scheduler.SchedulerCommand;
 import org.marjoramgw.transport.Connection;
 import org.marjoramgw.transport.ConnectionHandler;
@@ -44,6 +46,8 @@
 
 	private boolean closed;
 
+	private ResultCounters counters;
+
 	private EntryConnections connections;
 
 	private ConnectionHandler handler;
@@ -54,8 +58,9 @@
 		this.told.clear();
 		this.offered.clear();
 		this.closed = false;
+		this.counters = new ResultCounters(new MetricRegistry());
 		this.connections = new EntryConnections(this.clock, new PeerIdentity("side", "side", "dal-a", 1, "pool"), TOKEN,
-				new HeartbeatRhythm(250, 1_000, 30_000), () -> IDLE, this, this.told::add);
+				new HeartbeatIntervals(250, 1_000, 30_000), () -> IDLE, this, this.told::add, this.counters);
 		this.handler = this.connections.accept(this);
 	}
 
@@ -78,10 +83,34 @@
 		else {
 			Assert.assertEquals(this.sent, List.of(new Message.Goodbye(refusal.number())), name);
 			Assert.assertEquals(this.told, List.of(), name + ": nothing passes");
+			Assert.assertEquals(this.counters.countOf(refusal), 1, name);
 		}
 		Assert.assertEquals(this.closed, refusal != null, name);
 	}
 
+	@Test
+	public void closesAConnectionThatNeverGreets() {
+		this.clock.advanceMillis(30_000);
+		this.connections.beat(true);
+		Assert.assertFalse(this.closed);
+		this.clock.advanceMillis(1);
+		this.connections.beat(true);
+		Assert.assertTrue(this.closed);
+		Assert.assertEquals(this.sent, List.of());
+		Assert.assertEquals(this.told, List.of());
+		Assert.assertEquals(this.counters.countOf(ResultCode.PEER_SILENT), 1);
+	}
+
+	@Test
+	public void closesConnectionsOverItsBoundAtOnce() {
+		for (int count = 1; count < EntryConnections.MAX_CONNECTIONS; count++) {
+			this.connections.accept(this);
+		}
+		Assert.assertFalse(this.closed);
+		this.connections.accept(this);
+		Assert.assertTrue(this.closed);
+	}
+
 	@Test
 	public void dropsASilentEntryAndTellsOnce() {
 		greet();
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -23,7 +23,7 @@
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.engine.EngineBackend;
 import org.marjoramgw.side.entry.EntryConnections;
-import org.marjoramgw.side.entry.HeartbeatRhythm;
+import org.marjoramgw.side.entry.HeartbeatIntervals;
 import org.marjoramgw.side.plainservice.PlainServiceBackend;
 import org.marjoramgw.side.scheduler.Scheduler;
 import org.marjoramgw.side.scheduler.SchedulerActor;
@@ -88,8 +88,8 @@
 		this.identity = new PeerIdentity(settings.processId(), Vm.SIDE, settings.failureDomain(),
 				this.clock.nowMillis(), settings.pool());
 		this.system = ActorSystem.create(Behaviors.empty(), "side");
-		this.platform = new Platform(this.system, settings, this.identity, this.clock,
-				new ResultCounters(this.registry), this::hasEntries);
+		ResultCounters counters = new ResultCounters(this.registry);
+		this.platform = new Platform(this.system, settings, this.identity, this.clock, counters, this::hasEntries);
 		CommandInbox inbox = new CommandInbox();
 		this.scheduler = new Scheduler(this.clock,
 				new SchedulerParameters(settings.processId(), settings.pool(), settings.model(),
@@ -98,9 +98,9 @@
 		this.actor = this.system.systemActorOf(SchedulerActor.create(this.scheduler), "scheduler", Props.empty());
 		inbox.open(this.actor);
 		this.entries = new EntryConnections(this.clock, this.identity, settings.peerToken(),
-				new HeartbeatRhythm(settings.heartbeatMillis(), settings.peerTimeoutMillis(),
+				new HeartbeatIntervals(settings.heartbeatMillis(), settings.peerTimeoutMillis(),
 						settings.idleTimeoutMillis()),
-				this.scheduler::status, this.platform.configuration(), this.actor::tell);
+				this.scheduler::status, this.platform.configuration(), this.actor::tell, counters);
 	}
 
 	@Override
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
@@ -25,7 +25,7 @@
 
 	private volatile PeerIdentity peer;
 
-	private final SignsOfLife life;
+	private final Liveness liveness;
 
 	private volatile boolean openRequests;
 
@@ -34,7 +34,7 @@
 	EntryConnection(Connection connection, EntryConnections owner) {
 		this.connection = connection;
 		this.owner = owner;
-		this.life = new SignsOfLife(owner.rhythm(), owner.clock().nowMillis());
+		this.liveness = new Liveness(owner.intervals(), owner.clock().nowMillis());
 	}
 
 	@Override
@@ -49,7 +49,7 @@
 
 	@Override
 	public void send(Message message) {
-		this.life.sent(message, this.owner.clock().nowMillis());
+		this.liveness.sent(message, this.owner.clock().nowMillis());
 		this.connection.send(message);
 	}
 
@@ -58,7 +58,7 @@
 		if (this.closed) {
 			return;
 		}
-		boolean woke = this.life.heard(message, this.owner.clock().nowMillis());
+		boolean woke = this.liveness.heard(message, this.owner.clock().nowMillis());
 		if (this.peer == null) {
 			greet(message);
 			return;
@@ -99,10 +99,10 @@
 	 */
 	void beat(PeerStatus status, boolean atOnce) {
 		long nowMillis = this.owner.clock().nowMillis();
-		if (this.life.isSilent(nowMillis)) {
+		if (this.liveness.isSilent(nowMillis)) {
 			drop(ResultCode.PEER_SILENT);
 		}
-		else if (this.peer != null && (atOnce || this.life.isHeartbeatDue(this.openRequests, nowMillis))) {
+		else if (this.peer != null && (atOnce || this.liveness.isHeartbeatDue(this.openRequests, nowMillis))) {
 			send(new Message.Heartbeat(status));
 		}
 	}
@@ -134,7 +134,7 @@
 
 	private void onHeartbeat(PeerStatus status) {
 		compareRevision(status);
-		if (this.life.isAnswerDue(this.owner.clock().nowMillis())) {
+		if (this.liveness.isAnswerDue(this.owner.clock().nowMillis())) {
 			send(new Message.Heartbeat(this.owner.status()));
 		}
 	}
@@ -159,7 +159,7 @@
 		}
 		Logger.info("connection of entry {} is gone: E{} {}", name(), reason.number(), reason.text());
 		this.connection.close();
-		this.owner.remove(this);
+		this.owner.remove(this, reason);
 		if (this.peer != null) {
 			this.owner.tell(new SchedulerCommand.EntryGone(this));
 		}
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnections.java
@@ -9,7 +9,9 @@
 import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.marjoramgw.MillisClock;
+import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.ConfigurationSource;
+import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.side.scheduler.SchedulerCommand;
 import org.marjoramgw.transport.Connection;
 import org.marjoramgw.transport.ConnectionAcceptor;
@@ -24,7 +26,7 @@
  */
 public final class EntryConnections implements ConnectionAcceptor, AutoCloseable {
 
-	private static final int MAX_CONNECTIONS = 2_048;
+	static final int MAX_CONNECTIONS = 2_048;
 
 	private final MillisClock clock;
 
@@ -32,7 +34,7 @@
 
 	private final String token;
 
-	private final HeartbeatRhythm rhythm;
+	private final HeartbeatIntervals intervals;
 
 	private final Supplier<PeerStatus> status;
 
@@ -40,6 +42,8 @@
 
 	private final Consumer<SchedulerCommand> scheduler;
 
+	private final ResultCounters counters;
+
 	private final Set<EntryConnection> connections = ConcurrentHashMap.newKeySet();
 
 	private Cancellable timer;
@@ -49,20 +53,23 @@
 	 * @param clock the clock
 	 * @param self identity of this process
 	 * @param token token of the deployment
-	 * @param rhythm times of the heartbeats
+	 * @param intervals times of the heartbeats
 	 * @param status what this process does now
 	 * @param configuration source of the configuration
 	 * @param scheduler takes what the entries say
+	 * @param counters counters of why connections were closed
 	 */
-	public EntryConnections(MillisClock clock, PeerIdentity self, String token, HeartbeatRhythm rhythm,
-			Supplier<PeerStatus> status, ConfigurationSource configuration, Consumer<SchedulerCommand> scheduler) {
+	public EntryConnections(MillisClock clock, PeerIdentity self, String token, HeartbeatIntervals intervals,
+			Supplier<PeerStatus> status, ConfigurationSource configuration, Consumer<SchedulerCommand> scheduler,
+			ResultCounters counters) {
 		this.clock = clock;
 		this.self = self;
 		this.token = token;
-		this.rhythm = rhythm;
+		this.intervals = intervals;
 		this.status = status;
 		this.configuration = configuration;
 		this.scheduler = scheduler;
+		this.counters = counters;
 	}
 
 	/**
@@ -70,7 +77,7 @@
 	 * @param system the actor system that runs the timer
 	 */
 	public void start(ActorSystem<?> system) {
-		Duration period = Duration.ofMillis(this.rhythm.busyMillis());
+		Duration period = Duration.ofMillis(this.intervals.busyMillis());
 		this.timer = system.scheduler()
 			.scheduleAtFixedRate(period, period, () -> beat(false), system.executionContext());
 	}
@@ -115,8 +122,8 @@
 		this.connections.forEach((connection) -> connection.beat(now, atOnce));
 	}
 
-	HeartbeatRhythm rhythm() {
-		return this.rhythm;
+	HeartbeatIntervals intervals() {
+		return this.intervals;
 	}
 
 	MillisClock clock() {
@@ -143,8 +150,9 @@
 		this.scheduler.accept(command);
 	}
 
-	void remove(EntryConnection connection) {
+	void remove(EntryConnection connection, ResultCode reason) {
 		this.connections.remove(connection);
+		this.counters.count(reason);
 	}
 
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/HeartbeatRhythm.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/HeartbeatIntervals.java
@@ -8,5 +8,5 @@
  * @param idleTimeoutMillis silence after which an idle peer is dropped, in milliseconds
  * @author The marjoramgw authors
  */
-public record HeartbeatRhythm(long busyMillis, long timeoutMillis, long idleTimeoutMillis) {
+public record HeartbeatIntervals(long busyMillis, long timeoutMillis, long idleTimeoutMillis) {
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/SignsOfLife.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/Liveness.java
@@ -3,7 +3,7 @@
 import org.marjoramgw.wire.Message;
 
 /**
- * Signs of life on one connection, in both directions; thread-safe.
+ * Liveness of one connection, in both directions; thread-safe.
  * <p>
  * A connection without messages about work for the length of the timeout is idle. On an
  * idle connection the entry sets the pace: its heartbeats are answered, and a long
@@ -12,9 +12,9 @@
  *
  * @author The marjoramgw authors
  */
-final class SignsOfLife {
+final class Liveness {
 
-	private final HeartbeatRhythm rhythm;
+	private final HeartbeatIntervals intervals;
 
 	private long heardMillis;
 
@@ -24,8 +24,8 @@
 
 	private long busySinceMillis;
 
-	SignsOfLife(HeartbeatRhythm rhythm, long nowMillis) {
-		this.rhythm = rhythm;
+	Liveness(HeartbeatIntervals intervals, long nowMillis) {
+		this.intervals = intervals;
 		this.heardMillis = nowMillis;
 		this.workMillis = nowMillis;
 		this.busySinceMillis = nowMillis;
@@ -48,7 +48,7 @@
 	}
 
 	synchronized boolean isSilent(long nowMillis) {
-		long limitMillis = isBusy(nowMillis) ? this.rhythm.timeoutMillis() : this.rhythm.idleTimeoutMillis();
+		long limitMillis = isBusy(nowMillis) ? this.intervals.timeoutMillis() : this.intervals.idleTimeoutMillis();
 		long sinceMillis = Math.max(this.heardMillis, this.busySinceMillis);
 		return nowMillis - sinceMillis > limitMillis;
 	}
@@ -73,7 +73,7 @@
 	}
 
 	private boolean isQuiet(long nowMillis) {
-		return nowMillis - this.sentMillis >= this.rhythm.busyMillis() / 2;
+		return nowMillis - this.sentMillis >= this.intervals.busyMillis() / 2;
 	}
 
 	private boolean work(Message message, long nowMillis) {
@@ -89,7 +89,7 @@
 	}
 
 	private boolean isBusy(long nowMillis) {
-		return nowMillis - this.workMillis < this.rhythm.timeoutMillis();
+		return nowMillis - this.workMillis < this.intervals.timeoutMillis();
 	}
 
 }
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/operator/OperatorRoutesTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/operator/OperatorRoutesTests.java
@@ -93,6 +93,22 @@
 		Assert.assertEquals(this.process.drained.get(), mayDrain);
 	}
 
+	@Test
+	public void healthTellsNoMoreThanWhetherItIsReady() throws Exception {
+		Assert.assertEquals(call("GET", "/healthz", "").body(), "ok\n");
+		Assert.assertEquals(call("GET", "/healthz", TOKEN).body(), "ok\n");
+	}
+
+	@Test
+	public void countsWrongTokens() throws Exception {
+		ResultCounters counters = new ResultCounters(this.registry);
+		long before = counters.countOf(ResultCode.BAD_TOKEN);
+		call("GET", "/operator/status", "wrong");
+		call("POST", "/operator/drain", "");
+		call("GET", "/operator/status", TOKEN);
+		Assert.assertEquals(counters.countOf(ResultCode.BAD_TOKEN), before + 2);
+	}
+
 	@Test
 	public void reportsIdentityAndStatus() throws Exception {
 		String body = call("GET", "/operator/status", TOKEN).body();
--- a/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/operator/OperatorRoutes.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.http.javadsl.server.Route;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.metrics.MetricsText;
+import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.trace.DecisionLog;
 
 /**
@@ -37,6 +38,8 @@
 
 	private final MetricsText metrics;
 
+	private final ResultCounters counters;
+
 	private final byte[] tokenDigest;
 
 	private final ObjectMapper mapper = OperatorJson.newMapper();
@@ -52,6 +55,7 @@
 		this.process = process;
 		this.decisions = decisions;
 		this.metrics = new MetricsText(registry);
+		this.counters = new ResultCounters(registry);
 		this.tokenDigest = digest(token);
 	}
 
@@ -77,8 +81,11 @@
 
 	private Route authorised(Route inner) {
 		return extractCredentials((credentials) -> {
-			boolean known = credentials.filter(this::isOperator).isPresent();
-			return known ? inner : complete(StatusCodes.UNAUTHORIZED, WRONG_TOKEN);
+			if (credentials.filter(this::isOperator).isPresent()) {
+				return inner;
+			}
+			this.counters.count(ResultCode.BAD_TOKEN);
+			return complete(StatusCodes.UNAUTHORIZED, WRONG_TOKEN);
 		});
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/wire/Message.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/wire/Message.java
@@ -27,7 +27,8 @@
 	}
 
 	/**
-	 * Periodic sign of life, also sent at once when the status changes.
+	 * Periodic message that shows that its sender is alive, also sent at once when the
+	 * status changes.
 	 *
 	 * @param status the sender's status
 	 */
