--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/wire/MessageCodecTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/wire/MessageCodecTests.java
@@ -20,6 +20,8 @@
 
 	private static final int MAX_FUZZ_BYTES = 64;
 
+	private static final int MUTATED_FRAMES = 2_000;
+
 	private final MessageCodec codec = new MessageCodec();
 
 	@DataProvider
@@ -74,6 +76,28 @@
 		}
 	}
 
+	@Test
+	public void refusesMutatedFramesWithACheckedException() {
+		Random random = TestSeed.random(2);
+		for (Object[] row : messages()) {
+			decodeOrRefuseMutated((Message) row[0], random);
+		}
+		BackendCall call = new BackendCall("POST", "/x", "application/json", new byte[] { 1, 2 }, "so far", false, "k");
+		decodeOrRefuseMutated(new Message.Run("r", 1, call), random);
+		decodeOrRefuseMutated(new Message.Chunk("r", 1, 0, 1, new byte[] { 1, 2 }), random);
+	}
+
+	private void decodeOrRefuseMutated(Message message, Random random) {
+		byte[] whole = this.codec.encode(message);
+		for (int count = 0; count < MUTATED_FRAMES; count++) {
+			byte[] frame = Arrays.copyOf(whole, whole.length - random.nextInt(2) + random.nextInt(3));
+			for (int edits = 1 + random.nextInt(3); edits > 0; edits--) {
+				frame[random.nextInt(frame.length)] = (byte) random.nextInt(256);
+			}
+			decodeOrRefuse(frame);
+		}
+	}
+
 	private void decodeOrRefuse(byte[] frame) {
 		try {
 			Assert.assertNotNull(this.codec.decode(frame));
