Keep the port of a proxy link that refuses connections

Cause: ProxyStandinTests.refusesAndListensAgainOnItsAddress failed on a machine with hundreds of other processes: a connect succeeded while the link was to refuse, and the link could not listen again. While nothing listens on it, its port may be given to another process. Now a bound socket that doesn't listen holds the address, and the test binds to it in vain.

--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
@@ -1,7 +1,9 @@
 package org.marjoramgw.standin.proxy;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -95,6 +97,7 @@
 	public void refusesAndListensAgainOnItsAddress() throws Exception {
 		this.link.control(LinkControl.of(LinkMode.REFUSE));
 		Assert.assertThrows(ConnectException.class, this::connect);
+		Assert.assertThrows(BindException.class, () -> listenAt(this.link.address()));
 		this.link.control(LinkControl.of(LinkMode.PASS));
 		try (Socket socket = connect()) {
 			Assert.assertEquals(echo(socket, 'a'), 'a');
@@ -112,6 +115,13 @@
 		}
 	}
 
+	private static void listenAt(HostPort address) throws IOException {
+		try (ServerSocket other = new ServerSocket()) {
+			other.setReuseAddress(false);
+			other.bind(new InetSocketAddress(address.host(), address.port()));
+		}
+	}
+
 	private void accept() {
 		while (!this.target.isClosed()) {
 			try {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
@@ -32,6 +32,8 @@
 
 	private ServerSocket server;
 
+	private Socket reservation;
+
 	private volatile LinkMode mode = LinkMode.PASS;
 
 	private volatile long delayMillis;
@@ -94,6 +96,7 @@
 	@Override
 	public synchronized void close() throws IOException {
 		unbind();
+		releaseAddress();
 		closeConnections();
 	}
 
@@ -130,6 +133,7 @@
 			}
 			case REFUSE -> {
 				unbind();
+				reserveAddress();
 				closeConnections();
 			}
 			default -> bind();
@@ -144,9 +148,10 @@
 		if (this.server != null) {
 			return;
 		}
+		releaseAddress();
 		ServerSocket bound = new ServerSocket();
 		bound.setReuseAddress(true);
-		bound.bind(new InetSocketAddress(this.listen.host(), this.listen.port()), BACKLOG_CONNECTIONS);
+		bound.bind(socketAddress(), BACKLOG_CONNECTIONS);
 		this.server = bound;
 		this.listen = new HostPort(this.listen.host(), bound.getLocalPort());
 		Threads.start("proxy-" + this.name, () -> accept(bound));
@@ -159,6 +164,27 @@
 		}
 	}
 
+	// without it another process could be given the port while nothing listens there
+	private void reserveAddress() throws IOException {
+		if (this.reservation == null) {
+			Socket socket = new Socket();
+			socket.setReuseAddress(true);
+			socket.bind(socketAddress());
+			this.reservation = socket;
+		}
+	}
+
+	private void releaseAddress() throws IOException {
+		if (this.reservation != null) {
+			this.reservation.close();
+			this.reservation = null;
+		}
+	}
+
+	private InetSocketAddress socketAddress() {
+		return new InetSocketAddress(this.listen.host(), this.listen.port());
+	}
+
 	private void accept(ServerSocket bound) {
 		while (!bound.isClosed()) {
 			try {
