Prove that plain calls in flight don't wait for their deadline

A plain call over a connection gone silent was proved only for calls that start after the silence. The new case strikes calls in flight: when old connections alone go silent every answer comes over a new one, each run once; when the link stays silent, orders end as unknown and quotes, which may be repeated, run again elsewhere, all within the completion target of 10 s (the deadline is 20 s). Count of unknown and of repeated calls must equal what ran at the struck side process.

Found: no fault of the product; an entry resumes after peer_timeout_ms and gives up after resume_wait_ms, as DESIGN says.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -99,16 +99,30 @@
 	}
 
 	/**
-	 * Books an order.
+	 * Books an order, which may not be repeated.
 	 * @param entry name of the entry
 	 * @param order unique text of the order
 	 * @param key idempotency key, or an empty text
 	 * @return the answer
 	 */
 	CompletableFuture<CallAnswer> order(String entry, String order, String key) {
+		return service(entry, "orders", order, key);
+	}
+
+	/**
+	 * Asks for a quote, which may be repeated.
+	 * @param entry name of the entry
+	 * @param quote unique text of the quote
+	 * @return the answer
+	 */
+	CompletableFuture<CallAnswer> quote(String entry, String quote) {
+		return service(entry, "quotes", quote, "");
+	}
+
+	private CompletableFuture<CallAnswer> service(String entry, String path, String text, String key) {
 		return this.caller
 			.service(new ServiceCall(this.deployment.entry(entry).address("http"), ProofConfiguration.KEY,
-					ProofConfiguration.ORDER, "orders", "orders", "{\"order\":\"" + order + "\"}", key))
+					ProofConfiguration.ORDER, "orders", path, "{\"order\":\"" + text + "\"}", key))
 			.toCompletableFuture();
 	}
 
@@ -126,17 +140,30 @@
 	}
 
 	/**
-	 * Counts the runs of an order at all plain backend servers.
-	 * @param order unique text of the order
+	 * Counts the runs of an order or quote at all plain backend servers.
+	 * @param order its unique text
 	 * @return how often it ran
 	 * @throws RigException if a stand-in doesn't answer
 	 */
 	int runsOfOrder(String order) throws RigException {
 		int runs = 0;
 		for (BackendPlan backend : backends(ServiceKind.PLAIN)) {
-			for (JsonNode execution : standins().executions(backend.standinName())) {
-				runs += execution.path("body").asText().contains("\"" + order + "\"") ? 1 : 0;
-			}
+			runs += runsOfOrder(order, backend);
+		}
+		return runs;
+	}
+
+	/**
+	 * Counts the runs of an order or quote at one plain backend server.
+	 * @param order its unique text
+	 * @param backend the backend server
+	 * @return how often it ran there
+	 * @throws RigException if the stand-in doesn't answer
+	 */
+	int runsOfOrder(String order, BackendPlan backend) throws RigException {
+		int runs = 0;
+		for (JsonNode execution : standins().executions(backend.standinName())) {
+			runs += execution.path("body").asText().contains("\"" + order + "\"") ? 1 : 0;
 		}
 		return runs;
 	}
@@ -232,6 +259,17 @@
 		standins().link(kind, process, json);
 	}
 
+	/**
+	 * Sets how long the plain services take for a call.
+	 * @param delayMillis the time, in milliseconds
+	 * @throws RigException if a stand-in doesn't answer
+	 */
+	void plainDelay(long delayMillis) throws RigException {
+		for (BackendPlan backend : backends(ServiceKind.PLAIN)) {
+			standins().control(backend.standinName(), "{\"delay_ms\":" + delayMillis + "}");
+		}
+	}
+
 	@Override
 	public void close() {
 		try {
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
@@ -2,10 +2,13 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.rig.BackendPlan;
 import org.marjoramgw.rig.CallAnswer;
 import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.LinkKind;
@@ -35,7 +38,7 @@
 
 	@Override
 	protected DeploymentPlan plan() {
-		return ProofPlan.of(2, 2, 1);
+		return ProofPlan.of(2, 2, 2);
 	}
 
 	@DataProvider
@@ -101,6 +104,70 @@
 		});
 	}
 
+	/**
+	 * Lists the silences: one that a new connection ends, and one that it doesn't.
+	 * @return what the link does, and whether the run can still be reached
+	 */
+	@DataProvider
+	public Object[][] silencesInFlight() {
+		return new Object[][] { { SILENCE, true }, { "{\"mode\":\"swallow\"}", false } };
+	}
+
+	@Test(dataProvider = "silencesInFlight")
+	public void callsInFlightDoNotWaitForTheirDeadline(String silence, boolean reachable) throws Exception {
+		BackendPlan struck = bed().backends(ServiceKind.PLAIN).get(0);
+		bed().plainDelay(2_500);
+		Map<String, CompletableFuture<CallAnswer>> orders = new LinkedHashMap<>();
+		Map<String, CompletableFuture<CallAnswer>> quotes = new LinkedHashMap<>();
+		for (int count = 0; count < STREAM_COUNT; count++) {
+			String order = newOrder();
+			orders.put(order, bed().order("entry-1", order, ""));
+			String quote = newOrder();
+			quotes.put(quote, bed().quote("entry-1", quote));
+		}
+		Await.until("calls run", () -> runs(orders.keySet()) + runs(quotes.keySet()) == 2 * STREAM_COUNT);
+		int lostOrders = reachable ? 0 : runsAt(struck, orders.keySet());
+		int movedQuotes = reachable ? 0 : runsAt(struck, quotes.keySet());
+		bed().link(LinkKind.ENTRY_SIDE, struck.name(), silence);
+		try {
+			int unknown = 0;
+			for (Map.Entry<String, CompletableFuture<CallAnswer>> call : orders.entrySet()) {
+				CallAnswer answer = call.getValue().get(ORDER_TARGET_MILLIS, TimeUnit.MILLISECONDS);
+				unknown += answer.complete() ? 0 : 1;
+				Assert.assertTrue(answer.complete() || answer.outcome().equals("unknown"), explained(answer));
+				Assert.assertEquals(bed().runsOfOrder(call.getKey()), 1, explained(answer));
+			}
+			for (CompletableFuture<CallAnswer> call : quotes.values()) {
+				CallAnswer answer = call.get(ORDER_TARGET_MILLIS, TimeUnit.MILLISECONDS);
+				Assert.assertTrue(answer.complete(), explained(answer));
+			}
+			Assert.assertEquals(unknown, lostOrders, "orders that ended as unknown");
+			Assert.assertEquals(runs(quotes.keySet()) - STREAM_COUNT, movedQuotes, "quotes that ran again");
+		}
+		finally {
+			bed().plainDelay(5);
+			bed().link(LinkKind.ENTRY_SIDE, struck.name(), "{\"mode\":\"cut\"}");
+			bed().link(LinkKind.ENTRY_SIDE, struck.name(), "{\"mode\":\"pass\"}");
+			bed().awaitServing();
+		}
+	}
+
+	private int runsAt(BackendPlan backend, Set<String> calls) throws Exception {
+		int runs = 0;
+		for (String call : calls) {
+			runs += bed().runsOfOrder(call, backend);
+		}
+		return runs;
+	}
+
+	private int runs(Set<String> calls) throws Exception {
+		int runs = 0;
+		for (String call : calls) {
+			runs += bed().runsOfOrder(call);
+		}
+		return runs;
+	}
+
 	private void silence(LinkKind kind) throws Exception {
 		for (ManagedProcess side : deployment().sides()) {
 			bed().link(kind, side.name(), SILENCE);
