Judge the tier proof by who takes a slot while the top tier waits

The proof looked at the top tier's refusals and preemptions alone. It now also reads the traces of the burst: no slot may go to the lowest class while a top-tier request waits there, unless the class holds none, since only a floor below one slot allows that.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TierPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TierPromiseTests.java
@@ -61,7 +61,13 @@
 		for (CallAnswer answer : topAnswers.values()) {
 			Assert.assertTrue(answer.complete(), answer.toString());
 		}
-		Assert.assertEquals(SteadyLoad.broken(lowest.finish()), List.of());
+		Map<String, CallAnswer> lowestAnswers = lowest.finish();
+		Assert.assertEquals(SteadyLoad.broken(lowestAnswers), List.of());
+		for (ManagedProcess side : deployment().sides()) {
+			SlotTrace slots = new SlotTrace(bed(), side, lowestAnswers.values());
+			Assert.assertTrue(slots.size() > 0, side.name() + " ran nothing of the burst");
+			Assert.assertEquals(slots.takenPastTheTopTier(), List.of(), side.name());
+		}
 	}
 
 	@Test(dependsOnMethods = "burstOfTheLowestClass")
