Prove revisions under late log answers and an entry cut off alone

Two cases more: answers of the log come 600 ms late each way, so that peers bring a revision before the log shows the one before it; and an entry serves on whole while it reaches no other failure domain and no platform service, then catches up within 4 s. The other entries are frozen for it, since the proxy has one link for each side process and not for each pair.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
@@ -1,13 +1,18 @@
 package org.marjoramgw.process;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.rig.CallAnswer;
 import org.marjoramgw.rig.EntryPlan;
 import org.marjoramgw.rig.LinkKind;
 import org.marjoramgw.rig.ManagedProcess;
 import org.marjoramgw.rig.StandinProcess;
+import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
@@ -24,8 +29,17 @@
 
 	private static final long IN_FORCE_MILLIS = 4_000;
 
+	private static final int CALL_COUNT = 3;
+
 	private static final String REFUSE = "{\"mode\":\"refuse\"}";
 
+	/** Delay each way on a log link; a read still ends within its limit of 2 s. */
+	private static final long LATE_MILLIS = 600;
+
+	private static final String LATE = "{\"delay_ms\":" + LATE_MILLIS + "}";
+
+	private static final String ON_TIME = "{\"delay_ms\":0}";
+
 	private static final String PASS = "{\"mode\":\"pass\"}";
 
 	private ProofBed bed;
@@ -133,6 +147,71 @@
 		}
 	}
 
+	/**
+	 * The entry of the first failure domain reaches its own side process alone and no
+	 * platform service, and goes on serving; the entries of the others are frozen, so
+	 * that nothing crosses the boundary.
+	 */
+	@Test
+	public void cutOffEntryServesOnAndCatchesUp() throws Exception {
+		long base = inForce();
+		ManagedProcess entry = this.bed.deployment().entry("entry-1");
+		List<ManagedProcess> others = this.bed.deployment().entries().stream().filter((one) -> one != entry).toList();
+		Map<String, CompletableFuture<CallAnswer>> calls = new LinkedHashMap<>();
+		startCalls(calls);
+		isolateFirstDomain("{\"mode\":\"swallow\"}");
+		for (ManagedProcess other : others) {
+			other.freeze();
+		}
+		try {
+			startCalls(calls);
+			publishAccepted(base);
+			publishAccepted(base + 1);
+			Await.until("runner-3 has the configuration",
+					() -> this.bed.revision(this.bed.deployment().side("runner-3")) == base + 2);
+			startCalls(calls);
+			for (Map.Entry<String, CompletableFuture<CallAnswer>> call : calls.entrySet()) {
+				CallAnswer answer = ProofBed.await(call.getValue());
+				Assert.assertTrue(answer.complete(), answer.toString());
+				Assert.assertEquals(answer.text(), ProofBed.expectedAnswer(call.getKey()));
+			}
+			Assert.assertEquals(this.bed.revision(entry), base, "entry-1 wasn't cut off");
+		}
+		finally {
+			for (ManagedProcess other : others) {
+				other.thaw();
+			}
+			isolateFirstDomain("{\"mode\":\"cut\"}");
+			isolateFirstDomain(PASS);
+		}
+		awaitEverywhere(base + 2);
+		this.bed.awaitServing();
+	}
+
+	/**
+	 * Each answer of the log comes late by more than a publish takes, so that peers bring
+	 * a revision before the log shows the one before it.
+	 */
+	@Test
+	public void lateAnswersOfTheLogTakeNoProcessBack() throws Exception {
+		long base = inForce();
+		for (String process : List.of("runner-2", "entry-2")) {
+			this.bed.link(LinkKind.PROCESS_LOG, process, LATE);
+		}
+		try {
+			for (int revision = 1; revision <= 4; revision++) {
+				publishAccepted(base + revision - 1);
+			}
+			awaitEverywhere(base + 4);
+			Thread.sleep(LATE_MILLIS * 2);
+			Assert.assertEquals(inForce(), base + 4);
+		}
+		finally {
+			this.bed.link(LinkKind.PROCESS_LOG, "runner-2", ON_TIME);
+			this.bed.link(LinkKind.PROCESS_LOG, "entry-2", ON_TIME);
+		}
+	}
+
 	@Test
 	public void newProcessesStartWithTheLogDown() throws Exception {
 		long base = inForce();
@@ -147,7 +226,8 @@
 	}
 
 	@Test(dependsOnMethods = { "oneOfTwoRacingOperatorsWins", "lostAnswersPublishOnce", "logDownPublishesNothing",
-			"cutOffFailureDomainCatchesUp", "processThatLostTheLogLearnsFromItsPeers",
+			"cutOffFailureDomainCatchesUp", "cutOffEntryServesOnAndCatchesUp",
+			"processThatLostTheLogLearnsFromItsPeers", "lateAnswersOfTheLogTakeNoProcessBack",
 			"newProcessesStartWithTheLogDown" }, alwaysRun = true)
 	public void revisionsOutliveTheRetentionOfTheLog() throws Exception {
 		long base = inForce();
@@ -179,6 +259,23 @@
 		}
 	}
 
+	private void isolateFirstDomain(String json) throws Exception {
+		for (String side : List.of("runner-2", "runner-3")) {
+			this.bed.link(LinkKind.ENTRY_SIDE, side, json);
+		}
+		for (String process : List.of("entry-1", "runner-1")) {
+			this.bed.link(LinkKind.PROCESS_LOG, process, json);
+			this.bed.link(LinkKind.PROCESS_VM_LIST, process, json);
+		}
+	}
+
+	private void startCalls(Map<String, CompletableFuture<CallAnswer>> calls) {
+		for (int count = 0; count < CALL_COUNT; count++) {
+			String prompt = "len=100 cut off " + TestSeed.value() + " " + System.nanoTime();
+			calls.put(prompt, this.bed.chat("entry-1", ProofConfiguration.TOP, prompt));
+		}
+	}
+
 	private OperatorCommand publish(long base, String operator) throws Exception {
 		return OperatorCommand.publish(this.bed.standins().address(StandinProcess.LOG),
 				ProofConfiguration.text("by " + operator + " on " + base), base, operator);
