--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
@@ -68,6 +68,14 @@
 		Assert.assertTrue(comparison.contains("-10.0"), comparison);
 	}
 
+	@Test
+	public void comparisonGivesADashForWhatARunDoesNotHave() {
+		String comparison = new ComparisonTable().of(result(1, 90), result(1, 90, "slow"));
+		Assert.assertTrue(comparison.matches("(?s).*fast \\(tier 1\\) worst % +90\\.0 +- +-\n.*"), comparison);
+		Assert.assertTrue(comparison.matches("(?s).*slow \\(tier 1\\) worst % +- +90\\.0 +-\n.*"), comparison);
+		Assert.assertTrue(comparison.matches("(?s).*wasted tokens % +2\\.0 +2\\.0 +\\+0\\.0\n.*"), comparison);
+	}
+
 	@Test
 	public void seriesGivesMedianAndRange() {
 		List<SeriesRun> runs = List.of(new SeriesRun("a", result(1, 90)), new SeriesRun("a", result(2, 70)),
@@ -77,9 +85,12 @@
 	}
 
 	private static ExperimentResult result(long seed, double worst) {
+		return result(seed, worst, "fast");
+	}
+
+	private static ExperimentResult result(long seed, double worst, String name) {
 		Percentiles latency = new Percentiles(10, 1, 2, 3);
-		ClassResult row = new ClassResult("fast", 1, 10, 9, 1, 0, 0, 90, worst, 0, latency, latency, latency, 50, 40,
-				30);
+		ClassResult row = new ClassResult(name, 1, 10, 9, 1, 0, 0, 90, worst, 0, latency, latency, latency, 50, 40, 30);
 		WorkResult work = new WorkResult(10, 1, 100, 98, 2, 2, Map.of("generated twice", 2L), 0);
 		WindowResult window = new WindowResult(0, Map.of("fast", worst), Map.of("fast", 2L));
 		return new ExperimentResult("e", "d", seed, Map.of("selector", "random"), 10_000, 5, 20_000, 1, List.of(row),
