Draw no wait for a window in which nothing was answered

Cause: a window in which all requests of a class were refused was drawn as a wait of 0 ms, which reads as the best there is. Windows and classes now count first tokens by the same rule.

--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/measure/ResultBuilderTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/measure/ResultBuilderTests.java
@@ -74,6 +74,19 @@
 		Assert.assertEquals(result.worstWindowPercent(), 95.0, "window 2 has too few requests to count");
 	}
 
+	@Test
+	public void windowWithoutAnAnswerHasNoFirstToken() {
+		List<Arrival> arrivals = new ArrayList<>();
+		List<RequestRecord> requests = new ArrayList<>();
+		add(arrivals, requests, 0, true);
+		arrivals.add(new Arrival(10_000, LOAD, "a", 5, "refused"));
+		requests.add(new RequestRecord("fast", "a", 10_000, 1, 1, -1, 0, 503, 3002, "not_run", false, false, "x", ""));
+		List<WindowResult> windows = builder(arrivals, requests).windows();
+		Assert.assertEquals(windows.get(0).firstTokenP95Millis(), Map.of("fast", 10L));
+		Assert.assertEquals(windows.get(1).firstTokenP95Millis(), Map.of());
+		Assert.assertEquals(windows.get(1).attainmentPercent(), Map.of("fast", 0.0));
+	}
+
 	@Test
 	public void workThatNoCallerGotIsWasted() {
 		List<Arrival> arrivals = new ArrayList<>();
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ResultBuilder.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ResultBuilder.java
@@ -114,13 +114,13 @@
 	}
 
 	private void addWindow(String name, int window, Map<String, Double> attainment, Map<String, Long> firstTokens) {
-		Histogram histogram = new Histogram(HISTOGRAM_DIGITS);
-		for (RequestRecord request : requests(name)) {
-			if (windowOf(request.arrivalMillis()) == window && request.firstTokenMillis() >= 0) {
-				histogram.recordValue(request.firstTokenMillis());
-			}
+		List<RequestRecord> arrived = requests(name).stream()
+			.filter((request) -> windowOf(request.arrivalMillis()) == window)
+			.toList();
+		Percentiles firstToken = Percentiles.of(firstTokens(arrived));
+		if (firstToken.count() > 0) {
+			firstTokens.put(name, firstToken.p95Millis());
 		}
-		firstTokens.put(name, Percentiles.of(histogram).p95Millis());
 		long[] counts = windowCounts(name).get(window);
 		if (counts != null) {
 			attainment.put(name, PERCENT * counts[1] / counts[0]);
