--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
@@ -47,6 +47,8 @@
 
 	private static final long WARM_UP_SETTLE_MILLIS = 10_000;
 
+	private static final int WARM_UP_MAX_TOKENS = 20;
+
 	private static final long START_DELAY_MILLIS = 200;
 
 	private static final int HISTOGRAM_DIGITS = 3;
@@ -150,9 +152,9 @@
 	private Set<String> warmUp(List<Arrival> arrivals, RequestCaller caller, List<HostPort> entries)
 			throws InterruptedException {
 		// Unmeasured, so that the processes have loaded their code when the first phase
-		// begins.
+		// begins. Short answers: a long one would still run then, and take its slot.
 		List<Arrival> first = arrivals.stream().filter((arrival) -> arrival.atMillis() < WARM_UP_MILLIS).toList();
-		List<Arrival> warm = first.stream().map((arrival) -> renamed(arrival, "-warm")).toList();
+		List<Arrival> warm = first.stream().map((arrival) -> renamed(arrival, "-warm", WARM_UP_MAX_TOKENS)).toList();
 		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false)) {
 			List<RequestRecord> requests = driver.run(warm, this.clock.nowMillis(), WARM_UP_SETTLE_MILLIS);
 			return requests.stream().map(RequestRecord::requestId).collect(Collectors.toSet());
@@ -169,7 +171,7 @@
 			.toList();
 		List<Arrival> chats = arrivals.stream()
 			.filter((arrival) -> arrival.load().isChat())
-			.map((arrival) -> renamed(arrival, "-direct"))
+			.map((arrival) -> renamed(arrival, "-direct", arrival.answerTokens()))
 			.toList();
 		Histogram histogram = new Histogram(HISTOGRAM_DIGITS);
 		try (LoadDriver driver = new LoadDriver(this.clock, caller, engines, true)) {
@@ -181,9 +183,9 @@
 		return Percentiles.of(histogram);
 	}
 
-	private static Arrival renamed(Arrival arrival, String suffix) {
-		return new Arrival(arrival.atMillis(), arrival.load(), arrival.account(), arrival.answerTokens(),
-				arrival.text() + suffix);
+	private static Arrival renamed(Arrival arrival, String suffix, int maxTokens) {
+		int tokens = Math.min(arrival.answerTokens(), maxTokens);
+		return new Arrival(arrival.atMillis(), arrival.load(), arrival.account(), tokens, arrival.text() + suffix);
 	}
 
 	private static List<EngineExecution> executions(Deployment deployment, long startMillis, Set<String> excluded)
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/SeriesRunner.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.load.measure;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +28,7 @@
 
 	private static final long WARM_UP_MILLIS = 8_000;
 
-	private static final int WARM_UP_PERCENT = 70;
+	private static final int WARM_UP_PERCENT = 200;
 
 	private final ExperimentRunner runner;
 
@@ -59,7 +61,7 @@
 			for (int number = 0; number < series.seedCount(); number++) {
 				int seed = series.firstSeed() + number;
 				for (Experiment experiment : series.experiments()) {
-					for (Variant variant : series.variants()) {
+					for (Variant variant : turn(series.variants(), seed)) {
 						listener.accept(run(experiment.withSeed(seed), variant, deployment));
 					}
 				}
@@ -67,10 +69,24 @@
 		}
 	}
 
+	/**
+	 * Orders the variants of a seed: each seed begins with another one, so that none is
+	 * always the first.
+	 * @param variants the variants
+	 * @param seed the seed
+	 * @return the variants in the order of their runs
+	 */
+	static List<Variant> turn(List<Variant> variants, int seed) {
+		List<Variant> turned = new ArrayList<>(variants);
+		Collections.rotate(turned, 1 - seed);
+		return turned;
+	}
+
 	private void warmUp(Experiment experiment, Deployment deployment)
 			throws IOException, InvalidTextException, RigException, InterruptedException {
 		// Its result is dropped: the variant that comes first would otherwise meet cold
-		// code.
+		// code. Overloaded, since refusals, retries and preemptions run code of their
+		// own.
 		Phase phase = new Phase("warm-up", WARM_UP_MILLIS, WARM_UP_PERCENT, Map.of(), "", 0);
 		this.runner.run(experiment.withPhases(List.of(phase)), deployment);
 	}
