Wait for the last accept before a proxy link refuses

Cause: after close() a server socket listens on until a pending accept has returned, so that a link that was to refuse took one more connection, and since could fail to bind to its own port. Ruled out: connections left open, which share their address by SO_REUSEADDR. The link now waits for the accepting thread; a test turns it off and on 200 times, and failed in HttpCallerTests' REFUSE case before. HttpCallerTests alone failed besides when its first calls met unloaded code and their time limit of 1 s: a patient call goes first now.

--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
@@ -23,6 +23,8 @@
  */
 public class ProxyStandinTests {
 
+	private static final int TURNS = 200;
+
 	private static final int SILENCE_MILLIS = 300;
 
 	private static final int TIMEOUT_MILLIS = 5_000;
@@ -104,6 +106,16 @@
 		}
 	}
 
+	@Test
+	public void refusesFromTheFirstMomentEachTime() throws Exception {
+		for (int turn = 0; turn < TURNS; turn++) {
+			this.link.control(LinkControl.of(LinkMode.REFUSE));
+			Assert.assertThrows(ConnectException.class, this::connect);
+			this.link.control(LinkControl.of(LinkMode.PASS));
+			connect().close();
+		}
+	}
+
 	@Test
 	public void cutsAfterBytes() throws Exception {
 		try (Socket socket = connect()) {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
@@ -18,6 +18,8 @@
 
 	private static final int BACKLOG_CONNECTIONS = 256;
 
+	private static final long ACCEPTOR_END_MILLIS = 1_000;
+
 	private final String name;
 
 	private final HostPort target;
@@ -32,6 +34,8 @@
 
 	private ServerSocket server;
 
+	private Thread acceptor;
+
 	private Socket reservation;
 
 	private volatile LinkMode mode = LinkMode.PASS;
@@ -154,13 +158,24 @@
 		bound.bind(socketAddress(), BACKLOG_CONNECTIONS);
 		this.server = bound;
 		this.listen = new HostPort(this.listen.host(), bound.getLocalPort());
-		Threads.start("proxy-" + this.name, () -> accept(bound));
+		this.acceptor = Threads.start("proxy-" + this.name, () -> accept(bound));
 	}
 
 	private void unbind() throws IOException {
 		if (this.server != null) {
 			this.server.close();
 			this.server = null;
+			awaitAcceptor();
+		}
+	}
+
+	// the system listens on until the pending accept has returned
+	private void awaitAcceptor() {
+		try {
+			this.acceptor.join(ACCEPTOR_END_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
 		}
 	}
 
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Threads.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Threads.java
@@ -12,10 +12,11 @@
 	private Threads() {
 	}
 
-	static void start(String name, Runnable task) {
+	static Thread start(String name, Runnable task) {
 		Thread thread = new Thread(null, task, name, STACK_BYTES);
 		thread.setDaemon(true);
 		thread.start();
+		return thread;
 	}
 
 }
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpCallerTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpCallerTests.java
@@ -30,6 +30,8 @@
 
 	private static final int CONNECTIONS = 6;
 
+	private static final String RECORDS_PATH = "/streams/s/records";
+
 	private HttpFixture http;
 
 	private LogStandin server;
@@ -48,7 +50,8 @@
 		this.link = ProxyStandin.start(this.http.standins(), new ProxySettings(HttpFixture.ANY_PORT))
 			.add("l", this.server.address());
 		this.caller = this.http.newCaller();
-		this.uri = "http://" + this.link.address() + "/streams/s/records";
+		this.uri = "http://" + this.link.address() + RECORDS_PATH;
+		this.http.warmUp("http://" + this.server.address() + RECORDS_PATH);
 	}
 
 	@AfterMethod
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpFixture.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/HttpFixture.java
@@ -4,6 +4,7 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.standin.StandinSystem;
+import org.testng.Assert;
 
 /**
  * What a test of an HTTP client needs: threads for the client and others for the server
@@ -19,6 +20,8 @@
 	/** Timeout of each call. */
 	public static final long TIMEOUT_MILLIS = 1_000;
 
+	private static final long WARM_UP_TIMEOUT_MILLIS = 30_000;
+
 	private final ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "http-test");
 
 	private final StandinSystem standins = new StandinSystem();
@@ -39,6 +42,16 @@
 		return new HttpCaller(this.system, TIMEOUT_MILLIS, "");
 	}
 
+	/**
+	 * Calls a server once with patience, so that a test's own calls don't meet code that
+	 * has still to be loaded.
+	 * @param uri URI to get
+	 * @throws Exception if the call fails
+	 */
+	public void warmUp(String uri) throws Exception {
+		Assert.assertTrue(new HttpCaller(this.system, WARM_UP_TIMEOUT_MILLIS, "").get(uri).isOk());
+	}
+
 	@Override
 	public void close() {
 		this.system.terminate();
