Freeze the entries too in the proof of whole answers

No fault of the table froze an entry, which wakes to links that look silent and to full socket buffers.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/WholeAnswerTests.java
@@ -58,6 +58,7 @@
 		return new Object[][] { { "engine crashes", fault((side) -> engine(side, "{\"crash_after_tokens\":1}")) },
 				{ "side process is killed", fault((side) -> deployment().side(side).kill()) },
 				{ "side process is frozen and goes on", fault(this::freezeForAWhile) },
+				{ "entries are frozen and go on", fault((side) -> freezeEntries()) },
 				{ "link is cut", fault((side) -> peer(side, "{\"mode\":\"cut\"}")) },
 				{ "link is cut over and over", fault(this::cutOverAndOver) },
 				{ "link is delayed", fault((side) -> peer(side, "{\"delay_ms\":120}")) },
@@ -122,6 +123,16 @@
 		deployment().side(side).thaw();
 	}
 
+	private void freezeEntries() throws Exception {
+		for (ManagedProcess entry : deployment().entries()) {
+			entry.freeze();
+		}
+		Thread.sleep(2_500);
+		for (ManagedProcess entry : deployment().entries()) {
+			entry.thaw();
+		}
+	}
+
 	private void cutOverAndOver(String side) throws Exception {
 		for (int count = 0; count < 5; count++) {
 			peer(side, "{\"mode\":\"cut\"}");
