Prove that an order that runs is never told not run

The cuts let the link come back at once, so that no case made an entry give a side process up. The new case keeps the links of both plain side processes refused while orders run.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/NotRunTests.java
@@ -1,9 +1,13 @@
 package org.marjoramgw.process;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import org.marjoramgw.config.ServiceKind;
+import org.marjoramgw.rig.BackendPlan;
 import org.marjoramgw.rig.CallAnswer;
 import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.LinkKind;
@@ -38,6 +42,7 @@
 		for (ManagedProcess side : deployment().sides()) {
 			bed().link(LinkKind.ENTRY_SIDE, side.name(), HEALED);
 		}
+		bed().plainDelay(5);
 		bed().awaitServing();
 	}
 
@@ -79,6 +84,32 @@
 		}
 	}
 
+	/**
+	 * The side processes stay away for longer than an answer waits for them, while the
+	 * orders run on at the plain services.
+	 */
+	@Test
+	public void runningOrderIsNeverToldNotRun() throws Exception {
+		bed().plainDelay(2_500);
+		Map<String, CompletableFuture<CallAnswer>> calls = new LinkedHashMap<>();
+		for (int count = 0; count < 6; count++) {
+			this.nextOrder++;
+			String order = "away-" + TestSeed.value() + "-" + this.nextOrder;
+			calls.put(order, bed().order("entry-" + (1 + count % 2), order, ""));
+		}
+		for (String order : calls.keySet()) {
+			Await.until(order + " runs", () -> bed().runsOfOrder(order) == 1);
+		}
+		for (BackendPlan backend : bed().backends(ServiceKind.PLAIN)) {
+			bed().link(LinkKind.ENTRY_SIDE, backend.name(), "{\"mode\":\"refuse\"}");
+		}
+		for (Map.Entry<String, CompletableFuture<CallAnswer>> call : calls.entrySet()) {
+			CallAnswer answer = ProofBed.await(call.getValue());
+			Assert.assertEquals(answer.outcome(), "unknown", call.getKey() + " was told " + answer);
+			Assert.assertEquals(bed().runsOfOrder(call.getKey()), 1, call.getKey() + " was told " + answer);
+		}
+	}
+
 	@Test(dataProvider = "cuts")
 	public void generationToldNotRunDidNotRun(String way, int bytes) throws Exception {
 		cut(way, bytes);
