Leave no gap in a connection of the fault proxy after a cut by bytes

One connection of a link could pass a part of its bytes, and another one take the limit off before the first saw that it was spent: the first went on with a gap. A trial of NotRunTests (cut at 300 bytes down, load of the machine 70) showed an answer with 11 bytes "084 00 00 00 38 97 04 d9 24", the head of the next frame in the place of the rest of a chunk. TCP leaves no such gap, so the fault is the proxy's, not the product's. A connection that passed fewer bytes than it had is now cut whatever the others did.

--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
@@ -112,6 +112,19 @@
 		}
 	}
 
+	@Test
+	public void leavesNoGapInAConnectionWhenAnotherOneTakesTheLimitOff() {
+		ByteCutter cutter = new ByteCutter();
+		cutter.arm(3);
+		int passed = cutter.take(5);
+		Assert.assertEquals(passed, 3);
+		Assert.assertEquals(cutter.take(4), 0);
+		Assert.assertTrue(cutter.isCutAfter(4, 0));
+		cutter.disarm();
+		Assert.assertTrue(cutter.isCutAfter(5, passed));
+		Assert.assertFalse(cutter.isCutAfter(4, cutter.take(4)));
+	}
+
 	private void accept() {
 		while (!this.target.isClosed()) {
 			try {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/ByteCutter.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/ByteCutter.java
@@ -32,8 +32,16 @@
 		return passed;
 	}
 
-	boolean isSpent() {
-		return this.leftBytes.get() == 0;
+	/**
+	 * Tells whether a connection is cut after it passed bytes. One that passed fewer than
+	 * it had must be: another connection may have taken the limit off meanwhile, and what
+	 * came next would follow a gap.
+	 * @param count how many bytes there were
+	 * @param passed how many of them were passed
+	 * @return whether to cut it
+	 */
+	boolean isCutAfter(int count, int passed) {
+		return passed < count || this.leftBytes.get() == 0;
 	}
 
 	/**
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/LinkConnection.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/LinkConnection.java
@@ -90,7 +90,7 @@
 		int passed = cutter.take(count);
 		out.write(buffer, 0, passed);
 		out.flush();
-		if (cutter.isSpent()) {
+		if (cutter.isCutAfter(count, passed)) {
 			cutter.disarm();
 			close();
 			return false;
