--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofConfiguration.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofConfiguration.java
@@ -33,8 +33,8 @@
 	/** Class of the orders, tier 1. */
 	static final String ORDER = "order-booking";
 
-	/** Floor of the lowest class, in percent of slot-time. */
-	static final int LOWEST_FLOOR_PERCENT = 10;
+	/** Floor of the classes below the top tier, in percent of slot-time. */
+	static final int FLOOR_PERCENT = 10;
 
 	/** Slots of a model engine. */
 	static final int SLOT_COUNT = 4;
@@ -83,7 +83,7 @@
 				first_token_ms = 20000
 				token_gap_ms = 500
 				completion_ms = 40000
-				floor_percent = 10
+				floor_percent = %d
 				queue_bound_count = 200
 				[classes.%s]
 				tier = 4
@@ -103,8 +103,8 @@
 				account = "*"
 				path_prefix = "/v1/chat/completions"
 				class = "%s"
-				""".formatted(mark, SLOT_COUNT, SLOT_COUNT, MODEL, TOP, ORDER, DRAFT, LOWEST, LOWEST_FLOOR_PERCENT,
-				ACCOUNT, digest, ORDER, DRAFT);
+				""".formatted(mark, SLOT_COUNT, SLOT_COUNT, MODEL, TOP, ORDER, DRAFT, FLOOR_PERCENT, LOWEST,
+				FLOOR_PERCENT, ACCOUNT, digest, ORDER, DRAFT);
 	}
 
 }
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
@@ -1,6 +1,9 @@
 package org.marjoramgw.process;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.marjoramgw.rig.DeploymentPlan;
 import org.marjoramgw.rig.ManagedProcess;
@@ -8,8 +11,7 @@
 import org.testng.annotations.Test;
 
 /**
- * Proves that the lowest class gets its floor of slot-time in each window of a long burst
- * of the top class.
+ * Proves that each class below a long burst gets its floor of slot-time in each window.
  *
  * @author The marjoramgw authors
  */
@@ -30,37 +32,65 @@
 
 	@Test
 	public void lowestClassGetsItsFloorInEachWindow() throws Exception {
+		assertFloors(ProofConfiguration.TOP, List.of(ProofConfiguration.LOWEST));
+	}
+
+	@Test
+	public void middleAndLowestClassGetTheirFloorInEachWindow() throws Exception {
+		assertFloors(ProofConfiguration.TOP, List.of(ProofConfiguration.DRAFT, ProofConfiguration.LOWEST));
+	}
+
+	@Test
+	public void lowestClassGetsItsFloorBelowABurstOfAMiddleClass() throws Exception {
+		assertFloors(ProofConfiguration.DRAFT, List.of(ProofConfiguration.LOWEST));
+	}
+
+	private void assertFloors(String burst, List<String> below) throws Exception {
 		ManagedProcess side = bed().deployment().side("runner-1");
-		SteadyLoad top = new SteadyLoad(bed(), List.of("entry-1"), ProofConfiguration.TOP, ANSWER_TOKENS, 40);
-		SteadyLoad lowest = new SteadyLoad(bed(), List.of("entry-1"), ProofConfiguration.LOWEST, ANSWER_TOKENS, 200);
+		List<SteadyLoad> loads = new ArrayList<>();
+		loads.add(load(burst, 40));
+		below.forEach((requestClass) -> loads.add(load(requestClass, 200)));
 		Thread.sleep(WINDOW_MILLIS / 2);
 		for (int window = 0; window < WINDOW_COUNT; window++) {
-			double lowestBefore = slotMillis(side, ProofConfiguration.LOWEST);
-			double allBefore = allSlotMillis(side);
+			Map<String, Double> before = slotMillis(side);
 			Thread.sleep(WINDOW_MILLIS);
-			double used = slotMillis(side, ProofConfiguration.LOWEST) - lowestBefore;
-			double all = allSlotMillis(side) - allBefore;
-			Assert.assertTrue(used >= all * ProofConfiguration.LOWEST_FLOOR_PERCENT / PERCENT,
-					"window " + window + ": " + used + " of " + all + " ms of slot-time");
+			Map<String, Double> after = slotMillis(side);
+			double all = sum(after) - sum(before);
+			for (String requestClass : below) {
+				double used = after.get(requestClass) - before.get(requestClass);
+				Assert.assertTrue(used >= all * ProofConfiguration.FLOOR_PERCENT / PERCENT, requestClass + " in window "
+						+ window + ": " + used + " of " + all + " ms of slot-time, " + burst + " bursts");
+			}
+		}
+		for (SteadyLoad load : loads) {
+			load.close();
+		}
+		for (SteadyLoad load : loads) {
+			Assert.assertEquals(SteadyLoad.broken(load.finish()), List.of());
 		}
-		top.close();
-		lowest.close();
-		Assert.assertEquals(SteadyLoad.broken(top.finish()), List.of());
-		Assert.assertEquals(SteadyLoad.broken(lowest.finish()), List.of());
 	}
 
-	private double allSlotMillis(ManagedProcess side) throws Exception {
-		return slotMillis(side, ProofConfiguration.TOP) + slotMillis(side, ProofConfiguration.LOWEST)
-				+ slotMillis(side, ProofConfiguration.DRAFT);
+	private SteadyLoad load(String requestClass, long periodMillis) {
+		return new SteadyLoad(bed(), List.of("entry-1"), requestClass, ANSWER_TOKENS, periodMillis);
+	}
+
+	private Map<String, Double> slotMillis(ManagedProcess side) throws Exception {
+		Map<String, Double> millisByClass = new HashMap<>();
+		String metrics = bed().metrics(side);
+		for (String requestClass : List.of(ProofConfiguration.TOP, ProofConfiguration.DRAFT,
+				ProofConfiguration.LOWEST)) {
+			String name = "slot_time_ms_" + requestClass.replace('-', '_') + " ";
+			millisByClass.put(requestClass,
+					metrics.lines()
+						.filter((line) -> line.startsWith(name))
+						.mapToDouble((line) -> Double.parseDouble(line.substring(name.length())))
+						.sum());
+		}
+		return millisByClass;
 	}
 
-	private double slotMillis(ManagedProcess side, String requestClass) throws Exception {
-		String name = "slot_time_ms_" + requestClass.replace('-', '_') + " ";
-		return bed().metrics(side)
-			.lines()
-			.filter((line) -> line.startsWith(name))
-			.mapToDouble((line) -> Double.parseDouble(line.substring(name.length())))
-			.sum();
+	private static double sum(Map<String, Double> millisByClass) {
+		return millisByClass.values().stream().mapToDouble(Double::doubleValue).sum();
 	}
 
 }
