--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
@@ -127,6 +127,19 @@
 		}
 	}
 
+	@Test
+	public void leavesNoGapInAConnectionWhenAnotherOneTakesTheLimitOff() {
+		ByteCutter cutter = new ByteCutter();
+		cutter.arm(3);
+		int passed = cutter.take(5);
+		Assert.assertEquals(passed, 3);
+		Assert.assertEquals(cutter.take(4), 0);
+		Assert.assertTrue(cutter.isCutAfter(4, 0));
+		cutter.disarm();
+		Assert.assertTrue(cutter.isCutAfter(5, passed));
+		Assert.assertFalse(cutter.isCutAfter(4, cutter.take(4)));
+	}
+
 	private static void listenAt(HostPort address) throws IOException {
 		try (ServerSocket other = new ServerSocket()) {
 			other.setReuseAddress(false);
