--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/ClientSettings.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/ClientSettings.java
@@ -28,7 +28,13 @@
 
 	static final ClientSettings NONE = new ClientSettings("", "", "", System.getProperty("user.name"));
 
-	static ClientSettings of(TomlTable table) throws InvalidTextException {
+	/**
+	 * Reads the settings.
+	 * @param table root table
+	 * @return the checked settings
+	 * @throws InvalidTextException if there are mistakes
+	 */
+	public static ClientSettings read(TomlTable table) throws InvalidTextException {
 		ClientSettings settings = new ClientSettings(table.text(LOG_URL, NONE.logUrl()),
 				table.text(VM_LIST_URL, NONE.vmListUrl()), table.text(OPERATOR_TOKEN, NONE.operatorToken()),
 				table.text(OPERATOR, NONE.operator()));
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/CommonOptions.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/CommonOptions.java
@@ -57,7 +57,7 @@
 	 * @throws InvalidTextException if the settings file has mistakes
 	 */
 	public ClientSettings settings() throws InvalidTextException {
-		ClientSettings file = (this.config != null) ? ClientSettings.of(TomlTable.ofFile(this.config))
+		ClientSettings file = (this.config != null) ? ClientSettings.read(TomlTable.ofFile(this.config))
 				: ClientSettings.NONE;
 		return new ClientSettings(first(this.logUrl, file.logUrl()), first(this.vmListUrl, file.vmListUrl()),
 				first(this.operatorToken, file.operatorToken()), first(this.operator, file.operator()));
