--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/caller/CallerRoutesTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/caller/CallerRoutesTests.java
@@ -10,7 +10,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -56,6 +58,8 @@
 
 	private final Set<String> livePools = new HashSet<>();
 
+	private final Queue<Message> sent = new ConcurrentLinkedQueue<>();
+
 	private final SystemMillisClock clock = new SystemMillisClock();
 
 	private ActorSystem<Void> system;
@@ -89,6 +93,7 @@
 
 	@AfterMethod
 	public void clearPools() {
+		Assert.assertTrue(this.sent.isEmpty(), "a refused request reached a side process: " + this.sent);
 		this.livePools.clear();
 	}
 
@@ -112,6 +117,8 @@
 				{ "/v1/services/no-such/x", known, "stock-lookup", "{}", ResultCode.UNKNOWN_SERVICE },
 				{ "/v1/services/assistant/x", known, "stock-lookup", "{}", ResultCode.UNKNOWN_SERVICE },
 				{ "/v1/nothing", known, "", "{}", ResultCode.UNKNOWN_PATH },
+				{ "/v1/nothing", "", "", "{}", ResultCode.UNKNOWN_PATH },
+				{ "/", "Bearer nobody", "", "{}", ResultCode.UNKNOWN_PATH },
 				{ CHAT, known, "weighbridge-reply", GOOD, ResultCode.NO_BACKEND } };
 	}
 
@@ -130,6 +137,19 @@
 		Assert.assertEquals(this.counters.countOf(expected), before + 1);
 	}
 
+	@DataProvider
+	public Object[][] strangers() {
+		return new Object[][] { { "" }, { "Bearer nobody" }, { "Bearer " + this.key + "x" }, { "Bearer o" },
+				{ "Bearer t" } };
+	}
+
+	@Test(dataProvider = "strangers")
+	public void sendsNothingForAStranger(String authorization) throws Exception {
+		this.configuration.services().values().forEach((service) -> this.livePools.add(service.pool()));
+		Assert.assertEquals(post(CHAT, authorization, "", "", GOOD).statusCode(), 401);
+		Assert.assertEquals(post("/v1/services/orders/orders", authorization, "", "k", "{}").statusCode(), 401);
+	}
+
 	@DataProvider
 	public Object[][] keys() {
 		return new Object[][] { { "has space" }, { "x".repeat(129) }, { "tab\tinside" } };
@@ -210,7 +230,7 @@
 	}
 
 	/**
-	 * Pools that are live or not; nothing is ever sent to them.
+	 * Pools that are live or not; what is sent to them is kept.
 	 */
 	private final class Pools implements SidePool {
 
@@ -222,7 +242,7 @@
 
 		@Override
 		public void send(String sideId, Message message) {
-			Assert.fail("a refused request reached a side process");
+			CallerRoutesTests.this.sent.add(message);
 		}
 
 		@Override
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/Repository.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/Repository.java
@@ -37,8 +37,20 @@
 	 * @return the files
 	 */
 	static List<Path> mainSources() {
+		return sources("src/main/java");
+	}
+
+	/**
+	 * Finds the Java sources of the tests.
+	 * @return the files
+	 */
+	static List<Path> testSources() {
+		return sources("src/test/java");
+	}
+
+	private static List<Path> sources(String directory) {
 		try (Stream<Path> modules = Files.list(ROOT)) {
-			return modules.map((module) -> module.resolve("src/main/java"))
+			return modules.map((module) -> module.resolve(directory))
 				.filter(Files::isDirectory)
 				.flatMap(Repository::javaFiles)
 				.sorted()
