Name the causes of a failed run

Cause: a run whose start failed on a busy machine (load average 62 to 96) said that the configuration can't be published, and not why.

--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/LoadMainTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/LoadMainTests.java
@@ -31,6 +31,12 @@
 		Assert.assertEquals(LoadMain.run(words), code);
 	}
 
+	@Test
+	public void failureNamesItsCauses() {
+		IOException inner = new IOException("timeout");
+		Assert.assertEquals(LoadMain.withCauses(new IOException("no start", inner)), "no start: timeout");
+	}
+
 	@Test
 	public void unknownKeyIsAUsageMistake() throws IOException {
 		Path file = Files.createTempFile("experiment", ".toml");
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadMain.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Objects;
+import java.util.StringJoiner;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -81,7 +83,7 @@
 			return ExitCode.USAGE;
 		}
 		catch (IOException | RigException ex) {
-			System.err.println(NAME + ": " + ex.getMessage());
+			System.err.println(NAME + ": " + withCauses(ex));
 			return ExitCode.FAILURE;
 		}
 		catch (InterruptedException ex) {
@@ -90,6 +92,20 @@
 		}
 	}
 
+	/**
+	 * Writes an exception's message with those of its causes, without which a failed
+	 * start can't be told from a refused one.
+	 * @param ex the exception
+	 * @return the messages, outermost first
+	 */
+	static String withCauses(Throwable ex) {
+		StringJoiner messages = new StringJoiner(": ");
+		for (Throwable cause = ex; cause != null; cause = cause.getCause()) {
+			messages.add(Objects.requireNonNullElse(cause.getMessage(), cause.getClass().getSimpleName()));
+		}
+		return messages.toString();
+	}
+
 	private static Map<String, LoadCommand> commands() {
 		Map<String, LoadCommand> commands = new LinkedHashMap<>();
 		commands.put("run", new RunCommand());
