Name the stolen share of the machine's time in each result

Ruled out: the load average, which counts what waits inside alone. The share is read from the kernel for the time of the load, and is unknown (a dash) where it isn't told.

--- a/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
+++ b/org.marjoramgw.load.test/src/test/java/org/marjoramgw/load/report/ReportTests.java
@@ -64,6 +64,7 @@
 		String table = new ResultTable().of(result(1, 90));
 		Assert.assertTrue(table.contains("worst window of 10 s with at least 5 requests"), table);
 		Assert.assertTrue(table.contains("fast"), table);
+		Assert.assertTrue(table.contains("machine load 1.0, 12.5% of its time stolen"), table);
 		String comparison = new ComparisonTable().of(result(1, 90), result(2, 80));
 		Assert.assertTrue(comparison.contains("-10.0"), comparison);
 	}
@@ -93,8 +94,8 @@
 		ClassResult row = new ClassResult(name, 1, 10, 9, 1, 0, 0, 90, worst, 0, latency, latency, latency, 50, 40, 30);
 		WorkResult work = new WorkResult(10, 1, 100, 98, 2, 2, Map.of("generated twice", 2L), 0);
 		WindowResult window = new WindowResult(0, Map.of("fast", worst), Map.of("fast", 2L));
-		return new ExperimentResult("e", "d", seed, Map.of("selector", "random"), 10_000, 5, 20_000, 1, List.of(row),
-				List.of(new AccountResult("a", 10, worst)), work, Map.of(3001, 1L), Map.of(), Map.of(), 0,
+		return new ExperimentResult("e", "d", seed, Map.of("selector", "random"), 10_000, 5, 20_000, 1, 12.5,
+				List.of(row), List.of(new AccountResult("a", 10, worst)), work, Map.of(3001, 1L), Map.of(), Map.of(), 0,
 				List.of(window), null);
 	}
 
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentResult.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentResult.java
@@ -14,6 +14,8 @@
  * @param minWindowRequests least number of requests of a class in a window that counts
  * @param durationMillis length of all phases, in milliseconds
  * @param machineLoad load average of the machine when the run ended
+ * @param stolenPercent share of the processors' time that a virtual machine's host gave
+ * to others during the run, in percent; -1 if unknown
  * @param classes measures by class, highest tier first
  * @param accounts measures by client account
  * @param work useful and wasted work
@@ -27,9 +29,10 @@
  * @author The marjoramgw authors
  */
 public record ExperimentResult(String experiment, String deployment, long seed, Map<String, Object> limits,
-		long windowMillis, int minWindowRequests, long durationMillis, double machineLoad, List<ClassResult> classes,
-		List<AccountResult> accounts, WorkResult work, Map<Integer, Long> errorCodes, Map<Integer, Long> entryResults,
-		Map<Integer, Long> sideResults, long misdelivered, List<WindowResult> windows, Percentiles directFirstToken) {
+		long windowMillis, int minWindowRequests, long durationMillis, double machineLoad, double stolenPercent,
+		List<ClassResult> classes, List<AccountResult> accounts, WorkResult work, Map<Integer, Long> errorCodes,
+		Map<Integer, Long> entryResults, Map<Integer, Long> sideResults, long misdelivered, List<WindowResult> windows,
+		Percentiles directFirstToken) {
 
 	/**
 	 * Finds the measures of a class.
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ExperimentRunner.java
@@ -126,8 +126,10 @@
 		try (LoadDriver driver = new LoadDriver(this.clock, caller, entries, false);
 				FaultTimer faults = new FaultTimer(deployment.standins())) {
 			long startMillis = this.clock.nowMillis() + START_DELAY_MILLIS;
+			StolenTime stolen = new StolenTime(StolenTime.KERNEL_STATISTICS);
 			faults.schedule(experiment.faults());
 			List<RequestRecord> requests = driver.run(arrivals, startMillis, experiment.settleMillis());
+			double stolenPercent = stolen.percentSinceCreation();
 			List<EngineExecution> executions = executions(deployment, startMillis, warmUp);
 			ResultBuilder builder = new ResultBuilder(experiment, configuration, arrivals, requests, startMillis);
 			List<ClassResult> classes = builder.classes(driver.gaps(), executions, this.clock.nowMillis());
@@ -135,7 +137,7 @@
 			return new ExperimentResult(experiment.name(), experiment.deployment().name(), experiment.seed(),
 					experiment.limits(), experiment.windowMillis(), experiment.minWindowRequests(),
 					experiment.durationMillis(), ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
-					classes, builder.accounts(), builder.work(executions), errorCodes(requests),
+					stolenPercent, classes, builder.accounts(), builder.work(executions), errorCodes(requests),
 					entryCounters.sinceCreation(), sideCounters.sinceCreation(),
 					requests.stream().filter(RequestRecord::misdelivered).count(), builder.windows(), direct);
 		}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/ComparisonTable.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/ComparisonTable.java
@@ -79,8 +79,9 @@
 	}
 
 	private static String description(String column, ExperimentResult result) {
-		return format("%s: %s on %s, seed %d, limits %s, machine load %.1f%n", column, result.experiment(),
-				result.deployment(), result.seed(), result.limits(), result.machineLoad());
+		return format("%s: %s on %s, seed %d, limits %s, machine load %.1f, stolen %s%n", column, result.experiment(),
+				result.deployment(), result.seed(), result.limits(), result.machineLoad(),
+				cell(result.stolenPercent()));
 	}
 
 	private static <T> void line(StringBuilder text, String name, List<Optional<T>> pair, ToDoubleFunction<T> measure) {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/ResultTable.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/ResultTable.java
@@ -31,9 +31,9 @@
 	 */
 	public String of(ExperimentResult result) {
 		StringBuilder text = new StringBuilder();
-		text.append(format("%s on %s, seed %d, %.0f s, limits %s, machine load %.1f%n", result.experiment(),
-				result.deployment(), result.seed(), result.durationMillis() / SECOND_MILLIS, result.limits(),
-				result.machineLoad()));
+		text.append(format("%s on %s, seed %d, %.0f s, limits %s, machine load %.1f, %s of its time stolen%n",
+				result.experiment(), result.deployment(), result.seed(), result.durationMillis() / SECOND_MILLIS,
+				result.limits(), result.machineLoad(), percent(result.stolenPercent())));
 		text.append(format("worst: attainment in the worst window of %.0f s with at least %d requests%n",
 				result.windowMillis() / SECOND_MILLIS, result.minWindowRequests()));
 		text.append(format("latencies in ms: p50/p95/p99; slots: share of the engines' slot-time, in all and least%n"));
@@ -53,7 +53,7 @@
 	}
 
 	private static String row(ClassResult row) {
-		String slots = (row.slotTimePercent() < 0) ? "-" : format("%.1f%%", row.slotTimePercent());
+		String slots = percent(row.slotTimePercent());
 		String least = (row.floorWindowPercent() < 0) ? "-"
 				: format("%.1f%% (%d%%)", row.floorWindowPercent(), row.floorPercent());
 		return format(ROW, row.name(), row.tier(), row.requests(), row.attainmentPercent(), row.worstWindowPercent(),
@@ -89,6 +89,10 @@
 		return (value.count() == 0) ? "-" : value.p50Millis() + "/" + value.p95Millis() + "/" + value.p99Millis();
 	}
 
+	private static String percent(double value) {
+		return (value < 0) ? "-" : format("%.1f%%", value);
+	}
+
 	private static String format(String pattern, Object... values) {
 		return String.format(Locale.ROOT, pattern, values);
 	}
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/SeriesTable.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/report/SeriesTable.java
@@ -46,8 +46,12 @@
 		ExperimentResult first = of.get(0).result();
 		double least = of.stream().mapToDouble((run) -> run.result().machineLoad()).min().orElse(0);
 		double most = of.stream().mapToDouble((run) -> run.result().machineLoad()).max().orElse(0);
-		text.append(format("%n%s: %d runs, window %d ms with at least %d requests, machine load %.1f to %.1f%n%n",
-				experiment, of.size(), first.windowMillis(), first.minWindowRequests(), least, most));
+		double leastStolen = of.stream().mapToDouble((run) -> run.result().stolenPercent()).min().orElse(0);
+		double mostStolen = of.stream().mapToDouble((run) -> run.result().stolenPercent()).max().orElse(0);
+		text.append(format(
+				"%n%s: %d runs, window %d ms with at least %d requests, machine load %.1f to %.1f, %.1f to %.1f %% of its time stolen%n%n",
+				experiment, of.size(), first.windowMillis(), first.minWindowRequests(), least, most, leastStolen,
+				mostStolen));
 		text.append("| measure |");
 		variants.forEach((variant) -> text.append(' ').append(variant).append(" |"));
 		text.append("\n|---|").append("---|".repeat(variants.size())).append('\n');
