Name the mistakes of a text in the order of its lines

`marjoramgw check` on a file with mistakes in lines 2, 3, 4 and 6 named line 4 first, since values are checked before unknown keys are looked for. The exception promised the order of the text already; now it sorts. The test of four mistakes compares the order of their lines too.

--- a/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
@@ -100,7 +100,7 @@
 		assertContains(this.err, file + ":4: E5002 bad value: limits.slot_count\n    remedy: give a whole number from");
 		assertContains(this.err, file + ":6: E5002 bad value: classes.a.tier\n    remedy: give a whole number from 1");
 		Assert.assertEquals(run("check", "--json", file.toString()), ExitCode.USAGE);
-		Assert.assertEquals(json().get("problems").size(), 4, this.out);
+		Assert.assertEquals(json().get("problems").findValuesAsText("line"), List.of("2", "3", "4", "6"), this.out);
 		Assert.assertFalse(json().get("valid").asBoolean());
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/errors/InvalidTextException.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/errors/InvalidTextException.java
@@ -1,7 +1,9 @@
 package org.marjoramgw.errors;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.marjoramgw.settings.Problem;
 
@@ -21,8 +23,14 @@
 	 * @param problems the mistakes, at least one
 	 */
 	public InvalidTextException(List<Problem> problems) {
-		super(problems.get(0).code(), problems.stream().map(Problem::toString).collect(Collectors.joining("\n")), null);
-		this.problems = List.copyOf(problems);
+		super(problems.get(0).code(), inOrder(problems).map(Problem::toString).collect(Collectors.joining("\n")), null);
+		this.problems = inOrder(problems).toList();
+	}
+
+	private static Stream<Problem> inOrder(List<Problem> problems) {
+		// Values are checked before unknown keys are looked for, so they come out of
+		// order.
+		return problems.stream().sorted(Comparator.comparingInt(Problem::line));
 	}
 
 	/**
