--- a/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
+++ b/org.marjoramgw.standin.test/src/test/java/org/marjoramgw/standin/proxy/ProxyStandinTests.java
@@ -1,7 +1,9 @@
 package org.marjoramgw.standin.proxy;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -21,6 +23,8 @@
  */
 public class ProxyStandinTests {
 
+	private static final int TURNS = 200;
+
 	private static final int SILENCE_MILLIS = 300;
 
 	private static final int TIMEOUT_MILLIS = 5_000;
@@ -95,12 +99,23 @@
 	public void refusesAndListensAgainOnItsAddress() throws Exception {
 		this.link.control(LinkControl.of(LinkMode.REFUSE));
 		Assert.assertThrows(ConnectException.class, this::connect);
+		Assert.assertThrows(BindException.class, () -> listenAt(this.link.address()));
 		this.link.control(LinkControl.of(LinkMode.PASS));
 		try (Socket socket = connect()) {
 			Assert.assertEquals(echo(socket, 'a'), 'a');
 		}
 	}
 
+	@Test
+	public void refusesFromTheFirstMomentEachTime() throws Exception {
+		for (int turn = 0; turn < TURNS; turn++) {
+			this.link.control(LinkControl.of(LinkMode.REFUSE));
+			Assert.assertThrows(ConnectException.class, this::connect);
+			this.link.control(LinkControl.of(LinkMode.PASS));
+			connect().close();
+		}
+	}
+
 	@Test
 	public void cutsAfterBytes() throws Exception {
 		try (Socket socket = connect()) {
@@ -112,6 +127,13 @@
 		}
 	}
 
+	private static void listenAt(HostPort address) throws IOException {
+		try (ServerSocket other = new ServerSocket()) {
+			other.setReuseAddress(false);
+			other.bind(new InetSocketAddress(address.host(), address.port()));
+		}
+	}
+
 	private void accept() {
 		while (!this.target.isClosed()) {
 			try {
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/proxy/Link.java
@@ -18,6 +18,8 @@
 
 	private static final int BACKLOG_CONNECTIONS = 256;
 
+	private static final long ACCEPTOR_END_MILLIS = 1_000;
+
 	private final String name;
 
 	private final HostPort target;
@@ -32,6 +34,10 @@
 
 	private ServerSocket server;
 
+	private Thread acceptor;
+
+	private Socket reservation;
+
 	private volatile LinkMode mode = LinkMode.PASS;
 
 	private volatile long delayMillis;
@@ -94,6 +100,7 @@
 	@Override
 	public synchronized void close() throws IOException {
 		unbind();
+		releaseAddress();
 		closeConnections();
 	}
 
@@ -130,6 +137,7 @@
 			}
 			case REFUSE -> {
 				unbind();
+				reserveAddress();
 				closeConnections();
 			}
 			default -> bind();
@@ -144,19 +152,52 @@
 		if (this.server != null) {
 			return;
 		}
+		releaseAddress();
 		ServerSocket bound = new ServerSocket();
 		bound.setReuseAddress(true);
-		bound.bind(new InetSocketAddress(this.listen.host(), this.listen.port()), BACKLOG_CONNECTIONS);
+		bound.bind(socketAddress(), BACKLOG_CONNECTIONS);
 		this.server = bound;
 		this.listen = new HostPort(this.listen.host(), bound.getLocalPort());
-		Threads.start("proxy-" + this.name, () -> accept(bound));
+		this.acceptor = Threads.start("proxy-" + this.name, () -> accept(bound));
 	}
 
 	private void unbind() throws IOException {
 		if (this.server != null) {
 			this.server.close();
 			this.server = null;
+			awaitAcceptor();
+		}
+	}
+
+	// the system listens on until the pending accept has returned
+	private void awaitAcceptor() {
+		try {
+			this.acceptor.join(ACCEPTOR_END_MILLIS);
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	// without it another process could be given the port while nothing listens there
+	private void reserveAddress() throws IOException {
+		if (this.reservation == null) {
+			Socket socket = new Socket();
+			socket.setReuseAddress(true);
+			socket.bind(socketAddress());
+			this.reservation = socket;
+		}
+	}
+
+	private void releaseAddress() throws IOException {
+		if (this.reservation != null) {
+			this.reservation.close();
+			this.reservation = null;
+		}
+	}
+
+	private InetSocketAddress socketAddress() {
+		return new InetSocketAddress(this.listen.host(), this.listen.port());
 	}
 
 	private void accept(ServerSocket bound) {
