Set no slot-time of a calm time against a class in a burst

Now what is beyond the floor is forgotten while slots are free and nothing waits, and 1.4 times the floor is kept in a burst, which is 2.4 s without a slot at most.

--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/FloorTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/FloorTests.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.policy.slot;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -29,6 +30,12 @@
 
 	private static final long STEP_MILLIS = 20;
 
+	private static final long FREE_MILLIS = 20_000;
+
+	private static final long BURST_WINDOW_MILLIS = 5_000;
+
+	private static final int ANSWER_MILLIS = 1_000;
+
 	private static final double PERCENT = 100.0;
 
 	@DataProvider
@@ -78,6 +85,50 @@
 		}
 	}
 
+	@Test
+	public void servesAClassThatHadFreeSlotsFromTheStartOfABurst() {
+		Map<String, RequestClass> classes = PolicyConfiguration.of("tiers").classes();
+		RequestClass top = tierOf(classes, 1);
+		RequestClass bottom = tierOf(classes, BOTTOM_TIER);
+		SlotScheduler scheduler = new SlotScheduler(true, 1, 0);
+		scheduler.configure(PolicyConfiguration.of("tiers"));
+		TreeMap<Long, RequestKey> ends = new TreeMap<>();
+		Map<String, Long> before = new HashMap<>();
+		int id = 0;
+		for (long now = 0; now <= FREE_MILLIS + BURST_WINDOW_MILLIS; now += STEP_MILLIS) {
+			while (!ends.isEmpty() && ends.firstKey() <= now) {
+				scheduler.free(ends.pollFirstEntry().getValue(), now);
+			}
+			boolean burst = now >= FREE_MILLIS;
+			if (now == FREE_MILLIS) {
+				usedSince(before, classes, scheduler, now);
+			}
+			for (RequestClass each : burst ? List.of(top, bottom) : List.of(bottom)) {
+				int wanted = burst ? each.queueBound() / 2 : 1;
+				while (scheduler.queues().size(each.name()) < wanted && (burst || ends.size() < 2)) {
+					RequestKey key = new RequestKey("entry", 1, each.name() + id++, 1);
+					scheduler.offer(new Waiting(key, each.name(), each.tier(), "large", now, Long.MAX_VALUE / 2,
+							Long.MAX_VALUE / 2, false), now);
+				}
+			}
+			Optional<Waiting> next = scheduler.next(now);
+			while (next.isPresent()) {
+				long end = now + ANSWER_MILLIS;
+				while (ends.putIfAbsent(end, next.get().key()) != null) {
+					end++;
+				}
+				next = scheduler.next(now);
+			}
+		}
+		long nowMillis = FREE_MILLIS + BURST_WINDOW_MILLIS;
+		checkWindow("first window of the burst", Map.of(bottom.name(), bottom),
+				usedSince(before, classes, scheduler, nowMillis));
+	}
+
+	private static RequestClass tierOf(Map<String, RequestClass> classes, int tier) {
+		return classes.values().stream().filter((each) -> each.tier() == tier).findFirst().orElseThrow();
+	}
+
 	private static Map<String, Long> usedSince(Map<String, Long> before, Map<String, RequestClass> classes,
 			SlotScheduler scheduler, long nowMillis) {
 		Map<String, Long> used = new HashMap<>();
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/SlotSchedulerRandomTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/slot/SlotSchedulerRandomTests.java
@@ -31,7 +31,7 @@
 
 	private static final double SERVED_FILL = 1.1;
 
-	private static final double MAX_FILL = 2;
+	private static final double MAX_FILL = 1.4;
 
 	private static final double TOLERANCE = 1.05;
 
@@ -157,6 +157,9 @@
 			take(next.get());
 			next = this.scheduler.next(this.nowMillis);
 		}
+		if (this.waiting.isEmpty() && this.holding.size() < this.scheduler.slotLimit()) {
+			capAt(SERVED_FILL);
+		}
 		Optional<Swap> swap = this.scheduler.preempt(this.nowMillis);
 		while (swap.isPresent()) {
 			checkSwap(swap.get());
@@ -198,9 +201,12 @@
 		this.usedByClass.replaceAll((name, used) -> used * faded);
 		this.holding.values()
 			.forEach((request) -> this.usedByClass.merge(request.requestClass(), (double) millis, Double::sum));
-		double all = this.totalUsed * faded + (double) this.holding.size() * millis;
-		this.totalUsed = all;
-		this.usedByClass.replaceAll((name, used) -> Math.min(used, all * floorOf(name) * MAX_FILL));
+		this.totalUsed = this.totalUsed * faded + (double) this.holding.size() * millis;
+		capAt(MAX_FILL);
+	}
+
+	private void capAt(double fill) {
+		this.usedByClass.replaceAll((name, used) -> Math.min(used, this.totalUsed * floorOf(name) * fill));
 	}
 
 	private double fillOf(String requestClass) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/ClassFloors.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/ClassFloors.java
@@ -24,10 +24,11 @@
 	private static final double SERVED_FILL = 1.1;
 
 	/**
-	 * Part of the floor above which slot-time is forgotten. What a class got beyond its
-	 * floor while slots were free must not be set against it in the next window.
+	 * Part of the floor above which slot-time is forgotten. It bounds how long a class
+	 * may go without a slot after long answers of its own: 2.4 s with the time constant
+	 * above.
 	 */
-	private static final double MAX_FILL = 2;
+	private static final double MAX_FILL = 1.4;
 
 	private final Map<String, ClassTime> times = new HashMap<>();
 
@@ -74,6 +75,16 @@
 		timeOf(requestClass).inFlight--;
 	}
 
+	/**
+	 * Forgets what classes got beyond their floors, since slots were free: it must not be
+	 * set against them in the next burst.
+	 * @param nowMillis the present time, in milliseconds
+	 */
+	public void forgetSurplus(long nowMillis) {
+		update(nowMillis);
+		capAt(SERVED_FILL, nowMillis);
+	}
+
 	/**
 	 * Tells whether a class is below its floor.
 	 * @param requestClass name of the class
@@ -149,15 +160,15 @@
 			this.total.add(slotMillis, nowMillis);
 		}
 		this.updatedMillis = nowMillis;
-		forgetSurplus(nowMillis);
+		capAt(MAX_FILL, nowMillis);
 	}
 
-	private void forgetSurplus(long nowMillis) {
+	private void capAt(double fill, long nowMillis) {
 		double all = this.total.valueAt(nowMillis);
 		this.times.forEach((name, time) -> {
 			int percent = this.floorPercents.getOrDefault(name, 0);
 			if (percent > 0) {
-				time.recent.capAt(all * percent / PERCENT * MAX_FILL, nowMillis);
+				time.recent.capAt(all * percent / PERCENT * fill, nowMillis);
 			}
 		});
 	}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -150,7 +150,11 @@
 	 */
 	public Optional<Waiting> next(long nowMillis) {
 		int free = this.limit.slots() - this.holders.size();
-		if (free <= 0 || this.queues.size() == 0) {
+		if (free <= 0) {
+			return Optional.empty();
+		}
+		if (this.queues.size() == 0) {
+			this.floors.forgetSurplus(nowMillis);
 			return Optional.empty();
 		}
 		Optional<Waiting> next = this.order.next(ready(nowMillis), free, this.limit.slots(), nowMillis);
