--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.config.PublishVerdict;
 import org.marjoramgw.rig.CallAnswer;
 import org.marjoramgw.rig.EntryPlan;
 import org.marjoramgw.rig.LinkKind;
@@ -36,6 +37,8 @@
 	/** Delay each way on a log link; a read still ends within its limit of 2 s. */
 	private static final long LATE_MILLIS = 600;
 
+	private static final int LATE_REVISIONS = 10;
+
 	private static final String LATE = "{\"delay_ms\":" + LATE_MILLIS + "}";
 
 	private static final String ON_TIME = "{\"delay_ms\":0}";
@@ -199,12 +202,14 @@
 			this.bed.link(LinkKind.PROCESS_LOG, process, LATE);
 		}
 		try {
-			for (int revision = 1; revision <= 4; revision++) {
-				publishAccepted(base + revision - 1);
+			for (int revision = 1; revision <= LATE_REVISIONS; revision++) {
+				PublishVerdict verdict = this.bed.publish(ProofConfiguration.text("late " + revision),
+						base + revision - 1);
+				Assert.assertEquals(verdict, new PublishVerdict.Accepted(base + revision));
+				awaitEverywhere(base + revision);
 			}
-			awaitEverywhere(base + 4);
 			Thread.sleep(LATE_MILLIS * 2);
-			Assert.assertEquals(inForce(), base + 4);
+			Assert.assertEquals(inForce(), base + LATE_REVISIONS);
 		}
 		finally {
 			this.bed.link(LinkKind.PROCESS_LOG, "runner-2", ON_TIME);
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ProofBed.java
@@ -10,9 +10,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.config.ConfigurationPublisher;
+import org.marjoramgw.config.PublishVerdict;
 import org.marjoramgw.config.ServiceKind;
 import org.marjoramgw.http.HttpCaller;
 import org.marjoramgw.http.HttpReply;
+import org.marjoramgw.log.HttpLogService;
 import org.marjoramgw.rig.BackendPlan;
 import org.marjoramgw.rig.CallAnswer;
 import org.marjoramgw.rig.ChatCall;
@@ -255,6 +259,21 @@
 		return count;
 	}
 
+	/**
+	 * Publishes a configuration from this process, which takes less time than the
+	 * operators' command.
+	 * @param text the operators' text
+	 * @param baseRevision revision that it is based on
+	 * @return the verdict
+	 * @throws Exception if the log stand-in doesn't answer
+	 */
+	PublishVerdict publish(String text, long baseRevision) throws Exception {
+		HttpLogService log = new HttpLogService(new HttpCaller(this.system, OPERATOR_TIMEOUT_MILLIS, ""),
+				"http://" + standins().address(StandinProcess.LOG));
+		return new ConfigurationPublisher(log, new SystemMillisClock(), OPERATOR_TIMEOUT_MILLIS).publish(text,
+				baseRevision, "proof");
+	}
+
 	void link(LinkKind kind, String process, String json) throws RigException {
 		standins().link(kind, process, json);
 	}
