End the loads of the starvation proof when a case fails

Cause: a case that failed left its loads running, and the next one met 391 answers that had not ended. The loads are closed in any case now. Both cases stay in KNOWN-RED.txt, with what was seen, until they have passed more often.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
@@ -17,6 +17,10 @@
  */
 public class StarvationTests extends ProofTests {
 
+	private static final long BURST_PERIOD_MILLIS = 40;
+
+	private static final long PERIOD_MILLIS = 200;
+
 	private static final long WINDOW_MILLIS = 5_000;
 
 	private static final int WINDOW_COUNT = 4;
@@ -46,10 +50,24 @@
 	}
 
 	private void assertFloors(String burst, List<String> below) throws Exception {
-		ManagedProcess side = bed().deployment().side("runner-1");
 		List<SteadyLoad> loads = new ArrayList<>();
-		loads.add(load(burst, 40));
-		below.forEach((requestClass) -> loads.add(load(requestClass, 200)));
+		try {
+			loads.add(load(burst, BURST_PERIOD_MILLIS));
+			below.forEach((requestClass) -> loads.add(load(requestClass, PERIOD_MILLIS)));
+			assertFloorsInEachWindow(burst, below);
+		}
+		finally {
+			for (SteadyLoad load : loads) {
+				load.close();
+			}
+		}
+		for (SteadyLoad load : loads) {
+			Assert.assertEquals(SteadyLoad.broken(load.finish()), List.of());
+		}
+	}
+
+	private void assertFloorsInEachWindow(String burst, List<String> below) throws Exception {
+		ManagedProcess side = bed().deployment().side("runner-1");
 		Thread.sleep(WINDOW_MILLIS / 2);
 		for (int window = 0; window < WINDOW_COUNT; window++) {
 			Map<String, Double> before = slotMillis(side);
@@ -62,12 +80,6 @@
 						+ window + ": " + used + " of " + all + " ms of slot-time, " + burst + " bursts");
 			}
 		}
-		for (SteadyLoad load : loads) {
-			load.close();
-		}
-		for (SteadyLoad load : loads) {
-			Assert.assertEquals(SteadyLoad.broken(load.finish()), List.of());
-		}
 	}
 
 	private SteadyLoad load(String requestClass, long periodMillis) {
