Compare revisions with a peer in one place

Entry and side process each worked out for themselves whether a peer is ahead and whether its question has an answer. Both rules belong to the configuration source and stand there now.

No behaviour changes.

--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/side/SideInbox.java
@@ -52,10 +52,7 @@
 
 	@Override
 	public void onStatus(SideLink link, PeerStatus status) {
-		long revision = currentRevision();
-		if (status.configRevision() > revision) {
-			link.send(new Message.ConfigFetch(revision));
-		}
+		this.configuration.fetchFrom(status).ifPresent(link::send);
 	}
 
 	@Override
@@ -64,7 +61,7 @@
 			this.configuration.offerFromPeer(text);
 		}
 		else if (message instanceof Message.ConfigFetch fetch) {
-			answer(link, fetch);
+			this.configuration.answerTo(fetch).ifPresent(link::send);
 		}
 		else {
 			onAnswer(link, message);
@@ -110,12 +107,4 @@
 		return this.open.tell(requestId, new RequestEvent.FromSide(sideId, message));
 	}
 
-	private void answer(SideLink link, Message.ConfigFetch fetch) {
-		this.configuration.currentText().filter((text) -> text.revision() > fetch.haveRevision()).ifPresent(link::send);
-	}
-
-	private long currentRevision() {
-		return this.configuration.currentText().map(Message.ConfigText::revision).orElse(0L);
-	}
-
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/entry/EntryConnection.java
@@ -74,7 +74,7 @@
 			onHeartbeat(heartbeat.status());
 		}
 		else if (message instanceof Message.ConfigFetch fetch) {
-			sendConfiguration(fetch.haveRevision());
+			this.owner.configuration().answerTo(fetch).ifPresent(this::send);
 		}
 		else if (message instanceof Message.ConfigText text) {
 			this.owner.configuration().offerFromPeer(text);
@@ -140,14 +140,7 @@
 	}
 
 	private void compareRevision(PeerStatus status) {
-		long ownRevision = this.owner.configuration().currentText().map(Message.ConfigText::revision).orElse(0L);
-		if (status.configRevision() > ownRevision) {
-			send(new Message.ConfigFetch(ownRevision));
-		}
-	}
-
-	private void sendConfiguration(long haveRevision) {
-		this.owner.configuration().currentText().filter((text) -> text.revision() > haveRevision).ifPresent(this::send);
+		this.owner.configuration().fetchFrom(status).ifPresent(this::send);
 	}
 
 	private void drop(ResultCode reason) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/ConfigurationSource.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/ConfigurationSource.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import org.marjoramgw.wire.Message;
+import org.marjoramgw.wire.PeerStatus;
 
 /**
  * Source of the accepted configuration of a process; thread-safe.
@@ -37,6 +38,26 @@
 	 */
 	void listen(Consumer<Configuration> listener);
 
+	/**
+	 * Returns what to ask of a peer that is ahead of this process.
+	 * @param peer what the peer said of itself
+	 * @return the question, or empty if the peer knows nothing newer
+	 */
+	default Optional<Message.ConfigFetch> fetchFrom(PeerStatus peer) {
+		long ownRevision = currentText().map(Message.ConfigText::revision).orElse(0L);
+		return (peer.configRevision() > ownRevision) ? Optional.of(new Message.ConfigFetch(ownRevision))
+				: Optional.empty();
+	}
+
+	/**
+	 * Returns the answer to a peer's question.
+	 * @param fetch the question
+	 * @return the text in force, or empty if it isn't newer than the peer's
+	 */
+	default Optional<Message.ConfigText> answerTo(Message.ConfigFetch fetch) {
+		return currentText().filter((text) -> text.revision() > fetch.haveRevision());
+	}
+
 	@Override
 	void close();
 
