Drop and refuse requests in one place at a side process

Three classes noted and sent a refusal by hand, two dropped a reservation in the same three steps, and four spelt out which states are before the body. Refusals, Slots.drop and TicketState.awaitsBody serve them all.

No behaviour changes.

--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Answers.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Answers.java
@@ -3,7 +3,6 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.policy.queue.RequestKey;
-import org.marjoramgw.wire.Message;
 
 /**
  * Answers on their way to the entries: acknowledgement, resumption and forgetting.
@@ -26,14 +25,18 @@
 
 	private final Journal journal;
 
+	private final Refusals refusals;
+
 	private final long keepMillis;
 
-	Answers(MillisClock clock, Tickets tickets, Slots slots, Sessions sessions, Journal journal, long keepMillis) {
+	Answers(MillisClock clock, Tickets tickets, Slots slots, Sessions sessions, Journal journal, Refusals refusals,
+			long keepMillis) {
 		this.clock = clock;
 		this.tickets = tickets;
 		this.slots = slots;
 		this.sessions = sessions;
 		this.journal = journal;
+		this.refusals = refusals;
 		this.keepMillis = keepMillis;
 	}
 
@@ -51,7 +54,7 @@
 			refuse(link, key, code);
 			return;
 		}
-		if (!ticket.state().isInFlight() && ticket.state() != TicketState.DONE) {
+		if (ticket.state().awaitsBody()) {
 			refuseUnstarted(link, ticket);
 			return;
 		}
@@ -90,15 +93,12 @@
 
 	// the body was lost with the old connection: makes sure that it can't arrive later
 	private void refuseUnstarted(EntryLink link, Ticket ticket) {
-		this.slots.policy().withdraw(ticket.key());
-		this.tickets.remove(ticket, ResultCode.GRANT_EXPIRED);
-		this.slots.free(ticket);
+		this.slots.drop(ticket, ResultCode.GRANT_EXPIRED);
 		refuse(link, ticket.key(), ResultCode.GRANT_EXPIRED);
 	}
 
 	private void refuse(EntryLink link, RequestKey key, ResultCode code) {
-		this.journal.note(key.requestId(), "refuse", code, "attempt=" + key.attempt() + " on_resume=true");
-		link.send(new Message.Refusal(key.requestId(), key.attempt(), code.number(), 0));
+		this.refusals.send(link, key, code, 0, "on_resume=true");
 	}
 
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Reservations.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Reservations.java
@@ -40,19 +40,22 @@
 
 	private final Journal journal;
 
+	private final Refusals refusals;
+
 	private final BackendHealth health;
 
 	private final AnswerBudget budget;
 
 	private boolean leaving;
 
-	Reservations(MillisClock clock, String pool, Slots slots, Tickets tickets, Journal journal, BackendHealth health,
-			AnswerBudget budget) {
+	Reservations(MillisClock clock, String pool, Slots slots, Tickets tickets, Journal journal, Refusals refusals,
+			BackendHealth health, AnswerBudget budget) {
 		this.clock = clock;
 		this.pool = pool;
 		this.slots = slots;
 		this.tickets = tickets;
 		this.journal = journal;
+		this.refusals = refusals;
 		this.health = health;
 		this.budget = budget;
 	}
@@ -75,7 +78,7 @@
 		if (refusal.isPresent()) {
 			long retryAfterMillis = (refusal.get() == ResultCode.BACKEND_UNREACHABLE)
 					? this.health.leftMillis(this.clock.nowMillis()) : LEAVING_RETRY_MILLIS;
-			refuse(link, reserve, refusal.get(), retryAfterMillis, "");
+			this.refusals.send(link, key, refusal.get(), retryAfterMillis, "");
 			return;
 		}
 		admit(link, newTicket(link, key, reserve));
@@ -89,7 +92,7 @@
 				+ this.slots.policy().taken();
 		if (!admission.isAccepted()) {
 			long retryAfterMillis = Math.max(admission.waitMillis(), LEAVING_RETRY_MILLIS);
-			refuse(link, ticket.reserve(), admission.refusal(), retryAfterMillis,
+			this.refusals.send(link, ticket.key(), admission.refusal(), retryAfterMillis,
 					"class=" + ticket.waiting().requestClass() + " tier=" + ticket.waiting().tier() + " " + detail);
 			return;
 		}
@@ -146,14 +149,8 @@
 		}
 	}
 
-	private void refuse(EntryLink link, Message.Reserve reserve, ResultCode code, long retryAfterMillis,
-			String detail) {
-		this.journal.note(reserve.requestId(), "refuse", code, "attempt=" + reserve.attempt() + " " + detail);
-		link.send(new Message.Refusal(reserve.requestId(), reserve.attempt(), code.number(), retryAfterMillis));
-	}
-
 	private static boolean isWaitingOf(Ticket ticket, EntryLink link) {
-		return ticket.link() == link && !ticket.state().isInFlight() && ticket.state() != TicketState.DONE;
+		return ticket.link() == link && ticket.state().awaitsBody();
 	}
 
 	private static boolean isFinal(ResultCode code) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
@@ -43,6 +43,8 @@
 
 	private final AnswerBudget budget = new AnswerBudget(MAX_ANSWERS_BYTES, MAX_ANSWER_BYTES);
 
+	private final Refusals refusals;
+
 	private final Slots slots;
 
 	private final Runs runs;
@@ -75,6 +77,7 @@
 		this.clock = clock;
 		this.parameters = parameters;
 		this.journal = new Journal(recorder.decisions(), recorder.registry());
+		this.refusals = new Refusals(this.journal);
 		BackendHealth health = new BackendHealth();
 		SlotScheduler policy = new SlotScheduler(parameters.model(), parameters.processId().hashCode(),
 				clock.nowMillis());
@@ -82,9 +85,9 @@
 		this.runs = new Runs(clock, backend, parameters.model(), this.slots, this.tickets,
 				new Claims(claimBook, events), this.journal, health, events);
 		this.slots.bind(this.runs);
-		this.reservations = new Reservations(clock, parameters.pool(), this.slots, this.tickets, this.journal, health,
-				this.budget);
-		this.answers = new Answers(clock, this.tickets, this.slots, this.sessions, this.journal,
+		this.reservations = new Reservations(clock, parameters.pool(), this.slots, this.tickets, this.journal,
+				this.refusals, health, this.budget);
+		this.answers = new Answers(clock, this.tickets, this.slots, this.sessions, this.journal, this.refusals,
 				parameters.answerKeepMillis());
 	}
 
@@ -190,7 +193,7 @@
 			acceptRun(link, ticket, run);
 		}
 		else if (ticket.state() == TicketState.QUEUED) {
-			drop(ticket, ResultCode.UNKNOWN_RESERVATION);
+			this.slots.drop(ticket, ResultCode.UNKNOWN_RESERVATION);
 			refuse(link, key, ResultCode.UNKNOWN_RESERVATION, "body before its grant");
 		}
 		else {
@@ -201,7 +204,7 @@
 	private void acceptRun(EntryLink link, Ticket ticket, Message.Run run) {
 		int maxBodyBytes = this.slots.configuration().orElseThrow().limits().bodyBytes();
 		if (run.call().body().length > maxBodyBytes) {
-			drop(ticket, ResultCode.BODY_TOO_LARGE);
+			this.slots.drop(ticket, ResultCode.BODY_TOO_LARGE);
 			refuse(link, ticket.key(), ResultCode.BODY_TOO_LARGE, "");
 			return;
 		}
@@ -211,9 +214,9 @@
 
 	private void onRelease(RequestKey key) {
 		Ticket ticket = this.tickets.get(key);
-		if (ticket != null && !ticket.state().isInFlight() && ticket.state() != TicketState.DONE) {
+		if (ticket != null && ticket.state().awaitsBody()) {
 			this.journal.note(ticket, "release", ResultCode.RELEASED, "");
-			drop(ticket, ResultCode.RELEASED);
+			this.slots.drop(ticket, ResultCode.RELEASED);
 		}
 	}
 
@@ -239,7 +242,7 @@
 			this.runs.stop(ticket, ResultCode.CANCELLED_IN_FLIGHT);
 		}
 		else {
-			drop(ticket, ResultCode.CANCELLED_BEFORE_START);
+			this.slots.drop(ticket, ResultCode.CANCELLED_BEFORE_START);
 			refuse(link, key, ResultCode.CANCELLED_BEFORE_START, "cancel");
 		}
 	}
@@ -247,9 +250,9 @@
 	private void onGone(EntryLink link) {
 		this.sessions.gone(link, this.clock.nowMillis());
 		for (Ticket ticket : this.tickets.matching((candidate) -> candidate.link() == link)) {
-			if (ticket.state() == TicketState.QUEUED || ticket.state() == TicketState.GRANTED) {
+			if (ticket.state().awaitsBody()) {
 				this.journal.note(ticket, "drop", null, "connection of its entry is gone");
-				drop(ticket, ResultCode.GRANT_EXPIRED);
+				this.slots.drop(ticket, ResultCode.GRANT_EXPIRED);
 			}
 			else {
 				ticket.setLink(null);
@@ -266,7 +269,7 @@
 			}
 			else {
 				boolean done = ticket.state() == TicketState.DONE;
-				drop(ticket, done ? ResultCode.ANSWER_NOT_KEPT : ResultCode.GRANT_EXPIRED);
+				this.slots.drop(ticket, done ? ResultCode.ANSWER_NOT_KEPT : ResultCode.GRANT_EXPIRED);
 			}
 		}
 	}
@@ -325,15 +328,8 @@
 		});
 	}
 
-	private void drop(Ticket ticket, ResultCode code) {
-		this.slots.policy().withdraw(ticket.key());
-		this.tickets.remove(ticket, code);
-		this.slots.free(ticket);
-	}
-
 	private void refuse(EntryLink link, RequestKey key, ResultCode code, String detail) {
-		this.journal.note(key.requestId(), "refuse", code, "attempt=" + key.attempt() + " " + detail);
-		link.send(new Message.Refusal(key.requestId(), key.attempt(), code.number(), 0));
+		this.refusals.send(link, key, code, 0, detail);
 	}
 
 	private static RequestKey keyOf(EntryLink link, String requestId, int attempt) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Slots.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Slots.java
@@ -87,6 +87,17 @@
 		dispatch();
 	}
 
+	/**
+	 * Forgets a request wherever it stands and frees the slot that it may hold.
+	 * @param ticket the request
+	 * @param code what a late message about it is told
+	 */
+	void drop(Ticket ticket, ResultCode code) {
+		this.policy.withdraw(ticket.key());
+		this.tickets.remove(ticket, code);
+		free(ticket);
+	}
+
 	/**
 	 * Takes back the grants whose body didn't come in time.
 	 */
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/TicketState.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/TicketState.java
@@ -25,6 +25,14 @@
 	/** Is over; its answer is kept for the entry. */
 	DONE;
 
+	/**
+	 * Tells whether it is a reservation whose body is still to come.
+	 * @return whether nothing of the request was accepted yet
+	 */
+	boolean awaitsBody() {
+		return this == QUEUED || this == GRANTED;
+	}
+
 	/**
 	 * Tells whether a body was accepted and its end is still to come.
 	 * @return whether the request is in flight
