--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/EngineOrders.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/EngineOrders.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.Configuration;
 import org.marjoramgw.config.ConfigurationSource;
@@ -68,11 +69,7 @@
 		this.pool = pool;
 		this.random = random;
 		this.counters = counters;
-		this.thread = Executors.newSingleThreadScheduledExecutor((task) -> {
-			Thread thread = new Thread(task, "engine-orders");
-			thread.setDaemon(true);
-			return thread;
-		});
+		this.thread = Executors.newSingleThreadScheduledExecutor(new DaemonThreadFactory("engine-orders"));
 		fencingNumber.thenAccept((number) -> later(0, number));
 	}
 
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinSystem.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinSystem.java
@@ -5,6 +5,7 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 
@@ -17,11 +18,8 @@
 
 	private final ActorSystem<Void> actors = ActorSystem.create(Behaviors.empty(), "standin");
 
-	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((task) -> {
-		Thread thread = new Thread(task, "standin-timer");
-		thread.setDaemon(true);
-		return thread;
-	});
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor(new DaemonThreadFactory("standin-timer"));
 
 	private final MillisClock clock = new SystemMillisClock();
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/claim/LogClaimBook.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/claim/LogClaimBook.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.claim.internal.ClaimAttempt;
@@ -66,7 +67,7 @@
 		this.settings = settings;
 		this.self = self;
 		this.clock = clock;
-		this.threads = Executors.newScheduledThreadPool(THREADS, LogClaimBook::newThread);
+		this.threads = Executors.newScheduledThreadPool(THREADS, new DaemonThreadFactory("claims"));
 		ClaimJudge judge = new ClaimJudge(log, new StartStream(log), self, clock, new ClaimRecordCodec());
 		this.partitions = IntStream.range(0, settings.partitionCount())
 			.mapToObj((partition) -> new PartitionClaims(ClaimPartitions.streamOf(partition), log, settings, self,
@@ -160,10 +161,4 @@
 		}
 	}
 
-	private static Thread newThread(Runnable task) {
-		Thread thread = new Thread(task, "claims");
-		thread.setDaemon(true);
-		return thread;
-	}
-
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.internal.AcceptedText;
@@ -94,7 +95,7 @@
 		this.fold = new ConfigurationFold(codec);
 		this.reader = new ConfigurationLogReader(log, codec, this.fold);
 		this.checkpoints = new CheckpointKeeper(log, codec, this.fold, this.reader, clock, random);
-		this.thread = Executors.newSingleThreadScheduledExecutor(LogConfigurationSource::newThread);
+		this.thread = Executors.newSingleThreadScheduledExecutor(new DaemonThreadFactory("configuration"));
 		this.thread.execute(this::poll);
 	}
 
@@ -247,10 +248,4 @@
 		}
 	}
 
-	private static Thread newThread(Runnable task) {
-		Thread thread = new Thread(task, "configuration");
-		thread.setDaemon(true);
-		return thread;
-	}
-
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/log/StartRegistrar.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/log/StartRegistrar.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.errors.CodedException;
 import org.tinylog.Logger;
 
@@ -38,11 +39,7 @@
 	public StartRegistrar(StartStream stream, StartRecord start) {
 		this.stream = stream;
 		this.start = start;
-		this.thread = Executors.newSingleThreadScheduledExecutor((task) -> {
-			Thread thread = new Thread(task, "start-record");
-			thread.setDaemon(true);
-			return thread;
-		});
+		this.thread = Executors.newSingleThreadScheduledExecutor(new DaemonThreadFactory("start-record"));
 		this.thread.execute(this::register);
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/VmListWatcher.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/vmlist/VmListWatcher.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.errors.VmListUnavailableException;
 import org.tinylog.Logger;
 
@@ -41,7 +42,7 @@
 	 */
 	public VmListWatcher(VmList source, long pollMillis) {
 		this.source = source;
-		this.thread = Executors.newSingleThreadScheduledExecutor(VmListWatcher::newThread);
+		this.thread = Executors.newSingleThreadScheduledExecutor(new DaemonThreadFactory("vm-list"));
 		this.pollMillis = pollMillis;
 		this.thread.execute(this::poll);
 	}
@@ -122,10 +123,4 @@
 		}
 	}
 
-	private static Thread newThread(Runnable task) {
-		Thread thread = new Thread(task, "vm-list");
-		thread.setDaemon(true);
-		return thread;
-	}
-
 }
