Share the bound of a frame and the pauses of a stop

Both ends of a connection must agree on the bound of a frame, but each program had a copy of the number. It belongs to the protocol. The pause of a stopping process stood in both programs too.

No behaviour changes.

--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.Gauge;
@@ -32,6 +31,7 @@
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.OperatedProcess;
 import org.marjoramgw.operator.OperatorRoutes;
+import org.marjoramgw.program.Pause;
 import org.marjoramgw.program.ReadyLine;
 import org.marjoramgw.trace.DecisionLog;
 import org.marjoramgw.transport.PekkoTransport;
@@ -52,8 +52,6 @@
 
 	private static final int MAX_DECISIONS = 20_000;
 
-	private static final int MAX_FRAME_BYTES = 4_194_304;
-
 	private static final int BUFFER_FRAMES = 8_192;
 
 	private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
@@ -149,7 +147,8 @@
 	}
 
 	private ActorRef<SideDirectory.Command> startDirectory() {
-		PekkoTransport transport = new PekkoTransport(this.system, new MessageCodec(), MAX_FRAME_BYTES, BUFFER_FRAMES);
+		PekkoTransport transport = new PekkoTransport(this.system, new MessageCodec(), MessageCodec.MAX_FRAME_BYTES,
+				BUFFER_FRAMES);
 		ActorRef<SideDirectory.Command> actor = this.system
 			.systemActorOf(SideDirectory.create(this.settings, this.identity, this::status, this.configuration,
 					transport, this.clock, this.open, this.sides, this.counters), "sides", Props.empty());
@@ -167,26 +166,17 @@
 		this.leaving.set(true);
 		this.directory.tell(new SideDirectory.StatusChanged());
 		Logger.info("leaving with {} open requests", this.open.count());
-		sleep(LEAVE_NOTICE_MILLIS);
+		Pause.millis(LEAVE_NOTICE_MILLIS);
 		binding.unbind();
 		long deadlineMillis = this.clock.nowMillis() + this.settings.drainMillis();
 		while (this.open.count() > 0 && this.clock.nowMillis() < deadlineMillis) {
-			sleep(POLL_OPEN_MILLIS);
+			Pause.millis(POLL_OPEN_MILLIS);
 		}
 		this.parts.close();
-		sleep(LAST_WRITES_MILLIS);
+		Pause.millis(LAST_WRITES_MILLIS);
 		this.vms.close();
 		this.configuration.close();
 		Logger.info("stopped with {} open requests", this.open.count());
 	}
 
-	private static void sleep(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityRun.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityRun.java
@@ -34,8 +34,6 @@
 
 	static final String DOMAIN = "dal-a";
 
-	private static final int MAX_FRAME_BYTES = 4_194_304;
-
 	private static final int BUFFER_FRAMES = 16_384;
 
 	private static final long HTTP_TIMEOUT_MILLIS = 5_000;
@@ -58,7 +56,7 @@
 	}
 
 	Transport transport() {
-		return new PekkoTransport(this.system, this.codec, MAX_FRAME_BYTES, BUFFER_FRAMES);
+		return new PekkoTransport(this.system, this.codec, MessageCodec.MAX_FRAME_BYTES, BUFFER_FRAMES);
 	}
 
 	WireCount newCount() {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -19,6 +19,7 @@
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.OperatedProcess;
 import org.marjoramgw.operator.OperatorRoutes;
+import org.marjoramgw.program.Pause;
 import org.marjoramgw.program.ReadyLine;
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.engine.EngineBackend;
@@ -47,8 +48,6 @@
 
 	private static final int MAX_DECISIONS = 10_000;
 
-	private static final int MAX_FRAME_BYTES = 4_194_304;
-
 	private static final int BUFFER_FRAMES = 8_192;
 
 	private static final int MAX_PLAIN_BODY_BYTES = 1_048_576;
@@ -125,7 +124,8 @@
 	 */
 	void run() {
 		try {
-			HostPort peerAddress = new PekkoTransport(this.system, new MessageCodec(), MAX_FRAME_BYTES, BUFFER_FRAMES)
+			HostPort peerAddress = new PekkoTransport(this.system, new MessageCodec(), MessageCodec.MAX_FRAME_BYTES,
+					BUFFER_FRAMES)
 				.listen(this.settings.peerAddress(), this.entries)
 				.toCompletableFuture()
 				.get(START_MILLIS, TimeUnit.MILLISECONDS);
@@ -177,7 +177,7 @@
 		awaitDrained();
 		this.entries.close();
 		this.platform.close();
-		pause(LAST_WRITES_MILLIS);
+		Pause.millis(LAST_WRITES_MILLIS);
 		Logger.info("stopped with {} requests in flight", status().inFlight());
 	}
 
@@ -194,13 +194,4 @@
 		}
 	}
 
-	private static void pause(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/wire/MessageCodec.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/wire/MessageCodec.java
@@ -22,6 +22,9 @@
 	/** Version of the protocol, carried by {@link Message.Hello}. */
 	public static final int VERSION = 1;
 
+	/** Bound of a frame between processes, in bytes; the same on both sides. */
+	public static final int MAX_FRAME_BYTES = 4_194_304;
+
 	private static final List<Class<? extends Message>> TYPES = List.of(Message.Hello.class, Message.Heartbeat.class,
 			Message.Goodbye.class, Message.Reserve.class, Message.Grant.class, Message.Release.class, Message.Run.class,
 			Message.Refusal.class, Message.Chunk.class, Message.End.class, Message.Ack.class, Message.Resume.class,
