--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Command.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Command.java
@@ -9,7 +9,7 @@
  *
  * @author The marjoramgw authors
  */
-public abstract class Command implements CommandLine.Command {
+public abstract class Command extends CommandLine.Command {
 
 	private final String name;
 
@@ -40,11 +40,6 @@
 		return this.options;
 	}
 
-	@Override
-	public boolean help() {
-		return this.options.help();
-	}
-
 	/**
 	 * Runs the command once its options are parsed.
 	 * @param console where its result goes
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/CommonOptions.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/CommonOptions.java
@@ -14,9 +14,6 @@
  */
 public final class CommonOptions {
 
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
-
 	@Parameter(names = "--json", description = "Print the result as JSON")
 	private boolean json;
 
@@ -35,14 +32,6 @@
 	@Parameter(names = "--operator", description = "Name of the operator, kept with each published revision")
 	private String operator;
 
-	/**
-	 * Tells whether help was asked for.
-	 * @return whether to print help
-	 */
-	public boolean help() {
-		return this.help;
-	}
-
 	/**
 	 * Tells whether JSON was asked for.
 	 * @return whether to print JSON
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/CompareCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/CompareCommand.java
@@ -17,19 +17,11 @@
  * @author The marjoramgw authors
  */
 @Parameters(commandDescription = "Put two results side by side")
-final class CompareCommand implements LoadCommand {
-
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
+final class CompareCommand extends LoadCommand {
 
 	@Parameter(description = "A.json B.json", required = true)
 	private List<String> files = new ArrayList<>();
 
-	@Override
-	public boolean help() {
-		return this.help;
-	}
-
 	@Override
 	public void run() throws IOException {
 		if (this.files.size() != 2) {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/DemoCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/DemoCommand.java
@@ -28,15 +28,12 @@
  * @author The marjoramgw authors
  */
 @Parameters(commandDescription = "Start an example deployment, send mixed load and stop it again")
-final class DemoCommand implements LoadCommand {
+final class DemoCommand extends LoadCommand {
 
 	private static final long SECOND_MILLIS = 1_000;
 
 	private static final int MAX_SECONDS = 300;
 
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
-
 	@Parameter(names = "--deployment", description = "Example deployment: rogac or petalbook")
 	private String deployment = "rogac";
 
@@ -46,11 +43,6 @@
 	@Parameter(names = "--keep", description = "Leave the deployment running until Ctrl-C")
 	private boolean keep;
 
-	@Override
-	public boolean help() {
-		return this.help;
-	}
-
 	@Override
 	public void run() throws IOException, InvalidTextException, RigException, InterruptedException {
 		Experiment experiment = experiment();
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/LoadCommand.java
@@ -11,7 +11,7 @@
  *
  * @author The marjoramgw authors
  */
-public interface LoadCommand extends CommandLine.Command {
+public abstract class LoadCommand extends CommandLine.Command {
 
 	/**
 	 * Runs the subcommand.
@@ -20,6 +20,6 @@
 	 * @throws RigException if a deployment can't be started or controlled
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	void run() throws IOException, InvalidTextException, RigException, InterruptedException;
+	public abstract void run() throws IOException, InvalidTextException, RigException, InterruptedException;
 
 }
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/PlotCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/PlotCommand.java
@@ -14,10 +14,7 @@
  * @author The marjoramgw authors
  */
 @Parameters(commandDescription = "Draw attainment and wait of a result over time")
-final class PlotCommand implements LoadCommand {
-
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
+final class PlotCommand extends LoadCommand {
 
 	@Parameter(description = "RESULT.json", required = true)
 	private String file;
@@ -25,11 +22,6 @@
 	@Parameter(names = "--out", required = true, description = "File to draw: FILE.png or FILE.svg")
 	private Path out;
 
-	@Override
-	public boolean help() {
-		return this.help;
-	}
-
 	@Override
 	public void run() throws IOException {
 		new ResultChart(new ResultFile(Path.of(this.file)).read()).write(this.out);
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/RunCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/RunCommand.java
@@ -24,10 +24,7 @@
  * @author The marjoramgw authors
  */
 @Parameters(commandDescription = "Run an experiment and print its measures")
-final class RunCommand implements LoadCommand {
-
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
+final class RunCommand extends LoadCommand {
 
 	@Parameter(description = "EXPERIMENT.toml", required = true)
 	private String file;
@@ -41,11 +38,6 @@
 	@Parameter(names = "--set", description = "KEY=VALUE: replaces a key of the configuration's limits; repeatable")
 	private List<String> set = new ArrayList<>();
 
-	@Override
-	public boolean help() {
-		return this.help;
-	}
-
 	@Override
 	public void run() throws IOException, InvalidTextException, RigException, InterruptedException {
 		Experiment experiment = new ExperimentParser().parse(Path.of(this.file));
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/SeriesCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/SeriesCommand.java
@@ -25,10 +25,7 @@
  * @author The marjoramgw authors
  */
 @Parameters(commandDescription = "Run variants in turn on the same experiments and print medians and ranges")
-final class SeriesCommand implements LoadCommand {
-
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
+final class SeriesCommand extends LoadCommand {
 
 	@Parameter(description = "SERIES.toml", required = true)
 	private String file;
@@ -45,11 +42,6 @@
 	@Parameter(names = "--table", description = "Run nothing, print the table of the results in the directory")
 	private boolean table;
 
-	@Override
-	public boolean help() {
-		return this.help;
-	}
-
 	@Override
 	public void run() throws IOException, InvalidTextException, RigException, InterruptedException {
 		Series series = chosen(new SeriesParser().parse(Path.of(this.file)));
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityCommand.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/CapacityCommand.java
@@ -22,7 +22,7 @@
  * @author The marjoramgw authors
  */
 @Parameters(commandDescription = "Measure what a process costs as its peers, queues and keys grow")
-public final class CapacityCommand implements LoadCommand {
+public final class CapacityCommand extends LoadCommand {
 
 	private static final int[] PEER_COUNTS = { 8, 16, 32, 64, 128 };
 
@@ -31,17 +31,9 @@
 	/** The first of the measurements watch idle processes and run side by side. */
 	private static final int IDLE_COUNT = 3;
 
-	@Parameter(names = "--help", help = true, description = "Print the options and exit")
-	private boolean help;
-
 	@Parameter(names = "--only", description = "Number of the one measurement to run, from 1")
 	private int only;
 
-	@Override
-	public boolean help() {
-		return this.help;
-	}
-
 	@Override
 	public void run() throws IOException, RigException, InterruptedException {
 		ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "capacity");
--- a/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinMain.java
+++ b/org.marjoramgw.standin/src/main/java/org/marjoramgw/standin/StandinMain.java
@@ -62,10 +62,7 @@
 	}
 
 	@Parameters(commandDescription = "Start this stand-in")
-	private static final class Subcommand implements CommandLine.Command {
-
-		@Parameter(names = "--help", help = true, description = "Print the options and exit")
-		private boolean help;
+	private static final class Subcommand extends CommandLine.Command {
 
 		@Parameter(names = "--config", description = "Settings file (TOML); every key has a default")
 		private Path config;
@@ -76,11 +73,6 @@
 			this.kind = kind;
 		}
 
-		@Override
-		public boolean help() {
-			return this.help;
-		}
-
 	}
 
 }
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/program/CommandLineTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/program/CommandLineTests.java
@@ -82,19 +82,11 @@
 
 	}
 
-	private static final class Greet implements CommandLine.Command {
+	private static final class Greet extends CommandLine.Command {
 
 		@Parameter(names = "--text", required = true)
 		private String text;
 
-		@Parameter(names = "--help", help = true)
-		private boolean help;
-
-		@Override
-		public boolean help() {
-			return this.help;
-		}
-
 	}
 
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/program/CommandLine.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/CommandLine.java
@@ -48,7 +48,7 @@
 	 */
 	public int run(Object options, Work work, String... arguments) {
 		this.commander.addObject(options);
-		return parse(() -> this.general.help ? printUsage(this.commander, true) : work.run(), arguments);
+		return parse(() -> this.general.isHelpWanted() ? printUsage(this.commander, true) : work.run(), arguments);
 	}
 
 	/**
@@ -66,11 +66,11 @@
 
 	private <C extends Command> int run(Map<String, C> commands, CommandWork<C> work) throws InvalidTextException {
 		String chosen = this.commander.getParsedCommand();
-		if (this.general.help || chosen == null) {
-			return printUsage(this.commander, this.general.help);
+		if (this.general.isHelpWanted() || chosen == null) {
+			return printUsage(this.commander, this.general.isHelpWanted());
 		}
 		C command = commands.get(chosen);
-		if (command.help()) {
+		if (command.isHelpWanted()) {
 			return printUsage(this.commander.getCommands().get(chosen), true);
 		}
 		return work.run(command);
@@ -103,15 +103,16 @@
 	}
 
 	/**
-	 * Object that takes the options of a command.
+	 * Options of one command, whose help is printed when it is asked for.
 	 */
-	public interface Command {
+	public abstract static class Command {
 
-		/**
-		 * Tells whether only the options of the command are wanted.
-		 * @return whether to print help
-		 */
-		boolean help();
+		@Parameter(names = "--help", help = true, description = "Print the options and exit")
+		private boolean help;
+
+		final boolean isHelpWanted() {
+			return this.help;
+		}
 
 	}
 
@@ -148,10 +149,7 @@
 
 	}
 
-	private static final class General {
-
-		@Parameter(names = "--help", help = true, description = "Print the options and exit")
-		private boolean help;
+	private static final class General extends Command {
 
 		@Parameter(names = "--version", help = true, description = "Print the version and exit")
 		private boolean version;
