Count windows once, and poll with one client

The result builder counted all arrivals of a class again for each window, and made a target check for each request. The measurement of a change made an HTTP client for each look at a process, inside the time that it measures, and the rig a JSON mapper. The rig's two pauses are one.

No behaviour changes.

--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ChangeMeasurement.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/capacity/ChangeMeasurement.java
@@ -32,14 +32,19 @@
 
 	private static final int SETTLE_MILLIS = 2_000;
 
+	private static final long STATUS_TIMEOUT_MILLIS = 2_000;
+
 	private static final List<String> DOMAINS = List.of("dal-a", "dal-b", "dal-c");
 
 	private final CapacityRun run;
 
 	private final ObjectMapper mapper = OperatorJson.newMapper();
 
+	private final HttpCaller operator;
+
 	ChangeMeasurement(CapacityRun run) {
 		this.run = run;
+		this.operator = new HttpCaller(run.system(), STATUS_TIMEOUT_MILLIS, Deployment.OPERATOR_TOKEN);
 	}
 
 	@Override
@@ -86,9 +91,8 @@
 	}
 
 	private long revisionOf(HostPort address) {
-		HttpCaller http = new HttpCaller(this.run.system(), 2_000, Deployment.OPERATOR_TOKEN);
 		try {
-			String body = http.get("http://" + address + "/operator/status").body();
+			String body = this.operator.get("http://" + address + "/operator/status").body();
 			return this.mapper.readValue(body, ProcessReport.class).status().configRevision();
 		}
 		catch (HttpCallException | IOException ex) {
--- a/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ResultBuilder.java
+++ b/org.marjoramgw.load/src/main/java/org/marjoramgw/load/measure/ResultBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -42,6 +43,8 @@
 
 	private final SlotTime slotTime;
 
+	private final Map<String, Map<Integer, long[]>> windowCountsByClass = new HashMap<>();
+
 	ResultBuilder(Experiment experiment, Configuration configuration, List<Arrival> arrivals,
 			List<RequestRecord> requests, long startMillis) {
 		this.experiment = experiment;
@@ -52,13 +55,19 @@
 			.filter((request) -> !request.requestId().isEmpty())
 			.collect(Collectors.toMap(RequestRecord::requestId, Function.identity(), (first, second) -> first));
 		this.slotTime = new SlotTime(startMillis, experiment.windowMillis(), windowCount());
+		experiment.deployment()
+			.classLoads()
+			.keySet()
+			.forEach((name) -> this.windowCountsByClass.put(name, windowCounts(name)));
 	}
 
 	List<ClassResult> classes(Map<String, ? extends AbstractHistogram> gaps, List<EngineExecution> executions,
 			long nowMillis) {
 		this.slotTime.addExecutions(executions, this.requestsById, nowMillis);
-		this.requestsByClass.forEach((name, requests) -> requests
-			.forEach((request) -> this.slotTime.addRequest(request, check(name).isRefused(request))));
+		this.requestsByClass.forEach((name, requests) -> {
+			TargetCheck check = check(name);
+			requests.forEach((request) -> this.slotTime.addRequest(request, check.isRefused(request)));
+		});
 		List<ClassResult> results = new ArrayList<>();
 		for (ClassLoad load : this.experiment.deployment().classLoads().values()) {
 			AbstractHistogram histogram = gaps.get(load.requestClass());
@@ -121,7 +130,7 @@
 		if (firstToken.count() > 0) {
 			firstTokens.put(name, firstToken.p95Millis());
 		}
-		long[] counts = windowCounts(name).get(window);
+		long[] counts = this.windowCountsByClass.get(name).get(window);
 		if (counts != null) {
 			attainment.put(name, PERCENT * counts[1] / counts[0]);
 		}
@@ -147,7 +156,7 @@
 
 	private WorstWindow worstWindow(String name) {
 		WorstWindow worst = new WorstWindow(PERCENT, 0);
-		for (Map.Entry<Integer, long[]> window : windowCounts(name).entrySet()) {
+		for (Map.Entry<Integer, long[]> window : this.windowCountsByClass.get(name).entrySet()) {
 			long[] counts = window.getValue();
 			double percent = PERCENT * counts[1] / counts[0];
 			if (counts[0] >= this.experiment.minWindowRequests() && percent < worst.percent()) {
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ConfigurationControl.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ConfigurationControl.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.SystemMillisClock;
@@ -26,10 +27,10 @@
 
 	private static final long IN_FORCE_TIMEOUT_MILLIS = 20_000;
 
-	private static final long POLL_MILLIS = 50;
-
 	private static final String OPERATOR = "rig";
 
+	private static final ObjectMapper MAPPER = OperatorJson.newMapper();
+
 	private final ActorSystem<?> system;
 
 	private long revision;
@@ -63,7 +64,7 @@
 				if (System.nanoTime() > deadlineNanos) {
 					throw new RigException("revision " + this.revision + " isn't in force at " + process.name(), null);
 				}
-				pause();
+				Polling.pause();
 			}
 		}
 	}
@@ -71,21 +72,11 @@
 	private static long revisionOf(ManagedProcess process, HttpCaller operator) {
 		try {
 			String body = operator.get("http://" + process.address("http") + "/operator/status").body();
-			return OperatorJson.newMapper().readValue(body, ProcessReport.class).status().configRevision();
+			return MAPPER.readValue(body, ProcessReport.class).status().configRevision();
 		}
 		catch (HttpCallException | JsonProcessingException ex) {
 			return -1;
 		}
 	}
 
-	private static void pause() throws RigException {
-		try {
-			Thread.sleep(POLL_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new RigException("interrupted", ex);
-		}
-	}
-
 }
--- /dev/null
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/Polling.java
@@ -0,0 +1,29 @@
+package org.marjoramgw.rig;
+
+/**
+ * Pause between two looks at a process that is to change.
+ *
+ * @author The marjoramgw authors
+ */
+final class Polling {
+
+	private static final long POLL_MILLIS = 50;
+
+	private Polling() {
+	}
+
+	/**
+	 * Waits until it is time for the next look.
+	 * @throws RigException if the thread is interrupted
+	 */
+	static void pause() throws RigException {
+		try {
+			Thread.sleep(POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new RigException("interrupted", ex);
+		}
+	}
+
+}
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/StandinProcess.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/StandinProcess.java
@@ -41,8 +41,6 @@
 
 	private static final long HEALTHY_TIMEOUT_MILLIS = 30_000;
 
-	private static final long HEALTHY_POLL_MILLIS = 50;
-
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	private final DeploymentPlan plan;
@@ -176,7 +174,7 @@
 			if (System.nanoTime() > deadlineNanos) {
 				throw new RigException("entry at " + entry + " isn't healthy", null);
 			}
-			pause();
+			Polling.pause();
 		}
 	}
 
@@ -193,16 +191,6 @@
 		}
 	}
 
-	private static void pause() throws RigException {
-		try {
-			Thread.sleep(HEALTHY_POLL_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new RigException("interrupted", ex);
-		}
-	}
-
 	private JsonNode get(String uri) throws RigException {
 		return read(call(() -> this.http.get(uri)));
 	}
