--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
@@ -52,14 +52,7 @@
 	public void killBetweenClaimAndRun() throws Exception {
 		String order = newOrder();
 		CompletableFuture<CallAnswer> first = claimAtTheFirstSide(order);
-		deployment().side("orders-1").kill();
-		openTheSecondSide();
-		List<CallAnswer> answers = repeat(order);
-		answers.add(0, ProofBed.await(first));
-		assertAtMostOnce(order, answers);
-		deployment().side("orders-1").restart();
-		answers.addAll(repeat(order));
-		assertAtMostOnce(order, answers);
+		killTheFirstSideAndRepeat(order, first);
 	}
 
 	@Test
@@ -69,14 +62,7 @@
 		String order = newOrder();
 		CompletableFuture<CallAnswer> first = bed().order("entry-1", order, order);
 		Await.until("the order runs", () -> bed().runsOfOrder(order) == 1);
-		deployment().side("orders-1").kill();
-		openTheSecondSide();
-		List<CallAnswer> answers = repeat(order);
-		answers.add(0, ProofBed.await(first));
-		assertAtMostOnce(order, answers);
-		deployment().side("orders-1").restart();
-		answers.addAll(repeat(order));
-		assertAtMostOnce(order, answers);
+		killTheFirstSideAndRepeat(order, first);
 		Assert.assertEquals(bed().runsOfOrder(order), 1, order);
 	}
 
@@ -199,6 +185,17 @@
 		return call;
 	}
 
+	private void killTheFirstSideAndRepeat(String order, CompletableFuture<CallAnswer> first) throws Exception {
+		deployment().side("orders-1").kill();
+		openTheSecondSide();
+		List<CallAnswer> answers = repeat(order);
+		answers.add(0, ProofBed.await(first));
+		assertAtMostOnce(order, answers);
+		deployment().side("orders-1").restart();
+		answers.addAll(repeat(order));
+		assertAtMostOnce(order, answers);
+	}
+
 	private void openTheSecondSide() throws Exception {
 		bed().link(LinkKind.ENTRY_SIDE, "orders-2", PASS);
 	}
