--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -0,0 +1,247 @@
+package org.marjoramgw.direct;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.direct.backend.ConnectionPool;
+import org.marjoramgw.direct.backend.ServerHealth;
+import org.marjoramgw.direct.caller.CallerListener;
+import org.marjoramgw.direct.follow.RoutingInForce;
+import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.follow.TopicFollower;
+import org.marjoramgw.direct.forward.Admission;
+import org.marjoramgw.direct.forward.ForwardParts;
+import org.marjoramgw.direct.forward.Forwarder;
+import org.marjoramgw.direct.forward.Outcomes;
+import org.marjoramgw.direct.forward.ServerChoice;
+import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.model.Routing;
+import org.marjoramgw.http.HttpConnector;
+import org.marjoramgw.metrics.MetricsText;
+import org.marjoramgw.policy.placement.AffinityPlacement;
+import org.marjoramgw.policy.placement.LeastLoadedPlacement;
+import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.program.Pause;
+import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.Moment;
+import org.marjoramgw.time.PekkoTimers;
+import org.marjoramgw.time.Timers;
+import org.tinylog.Logger;
+
+/**
+ * Entry process that talks to backend servers directly: wires its parts, starts them and
+ * stops them in order.
+ *
+ * @author The marjoramgw authors
+ */
+public final class DirectProcess {
+
+	/** How long a read of the configuration waits; bounds the age of its confirmation. */
+	private static final long CONFIGURATION_WAIT_MILLIS = 1_500;
+
+	/**
+	 * How long a read of the registrations waits; bounds how long silence goes unseen.
+	 */
+	private static final long SERVERS_WAIT_MILLIS = 2_000;
+
+	/** Reserve between the last use of a key and the end of its revocation time. */
+	private static final long REVOCATION_MARGIN_MILLIS = 300;
+
+	/**
+	 * Time before keys stop being accepted at which the balancer is told, so that callers
+	 * are elsewhere by then.
+	 */
+	private static final long READY_MARGIN_MILLIS = 1_000;
+
+	/** Entry processes that are assumed to share the retries that need no requests. */
+	private static final int ASSUMED_PROCESSES = 16;
+
+	/**
+	 * Requests that a server may always have from this process, for its cached prompts.
+	 */
+	private static final double AFFINITY_SLACK = 4;
+
+	/** Pause of the regular upkeep. */
+	private static final long UPKEEP_MILLIS = 500;
+
+	/** Change of the time of day that makes the confirmation be asked for anew. */
+	private static final long CLOCK_JUMP_MILLIS = 300;
+
+	/** Time that the balancer needs to take this process out, in milliseconds. */
+	private static final long BALANCER_MILLIS = 2_600;
+
+	/** Reserve between the own end and being killed, in milliseconds. */
+	private static final long STOP_RESERVE_MILLIS = 700;
+
+	private static final long POLL_OPEN_MILLIS = 50;
+
+	private static final long LAST_WRITES_MILLIS = 300;
+
+	private final DirectSettings settings;
+
+	private final MillisClock steady = new SystemMillisClock();
+
+	private final AgeClock clock = new AgeClock(this.steady, System::currentTimeMillis);
+
+	private final ActorSystem<Void> system;
+
+	private final Timers timers;
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final RoutingInForce routing;
+
+	private final ServerDirectory directory;
+
+	private final ServerHealth health = new ServerHealth(this.steady);
+
+	private final ConnectionPool pool;
+
+	private final Forwarder forwarder;
+
+	private final TopicFollower configurationFollower;
+
+	private final TopicFollower serversFollower;
+
+	private Moment lastUpkeep = this.clock.now();
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a process.
+	 * @param settings its settings
+	 * @param platforms makes the platform's side from the actor system and a connector
+	 */
+	public DirectProcess(DirectSettings settings, BiFunction<ActorSystem<?>, HttpConnector, Platform> platforms) {
+		this.settings = settings;
+		Config config = ConfigFactory.load("direct");
+		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
+		this.timers = new PekkoTimers(this.system);
+		HttpConnector connector = new HttpConnector(this.system, ClientConnectionSettings.create(config));
+		Platform platform = platforms.apply(this.system, connector);
+		this.routing = new RoutingInForce(platform.configurationKey(), platform.routingDecoder(), this.clock);
+		this.directory = new ServerDirectory(platform.serverDecoder(), this.clock);
+		this.pool = new ConnectionPool(connector, this.steady);
+		this.forwarder = new Forwarder(parts(platform));
+		this.configurationFollower = new TopicFollower("configuration", platform.configuration(), this.routing,
+				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS);
+		this.serversFollower = new TopicFollower("servers", platform.servers(), this.directory, this.clock, this.timers,
+				SERVERS_WAIT_MILLIS);
+		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
+	}
+
+	/**
+	 * Starts listening and following.
+	 */
+	public void run() {
+		this.configurationFollower.start();
+		this.serversFollower.start();
+		upkeep();
+		MetricsText metrics = new MetricsText(this.registry);
+		bound("health", new HealthEndpoint(this.system, Map.of(this.settings.healthPath(), this::readiness))
+			.bind(this.settings.healthAddress()));
+		bound("metrics", new HealthEndpoint(this.system, Map.of(this.settings.metricsPath(), () -> text(metrics)))
+			.bind(this.settings.metricsAddress()));
+		CompletionStage<Tcp.ServerBinding> callers = new CallerListener(this.system,
+				ServerSettings.create(this.system.settings().config()), this::limits, this.forwarder::handle)
+			.bind(this.settings.callerAddress());
+		bound("callers", callers);
+		callers.thenAccept((binding) -> Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding), "stop")));
+		Logger.info("started process={} failure_domain={}", this.settings.processId(), this.settings.failureDomain());
+	}
+
+	private ForwardParts parts(Platform platform) {
+		Random random = new Random();
+		Placement plain = new LeastLoadedPlacement(random);
+		ServerChoice servers = new ServerChoice(this.directory, this.health,
+				new AffinityPlacement(AFFINITY_SLACK, plain), plain, this.settings.failureDomain());
+		WindowRetryBudget budget = new WindowRetryBudget(this.steady, this.settings.retryWindowMillis(),
+				this.settings.retryRatio(), this.settings.freeRetryCount() / ASSUMED_PROCESSES);
+		return new ForwardParts(this.system, platform.callerDialect(), platform.backendDialect(), this.routing,
+				new Admission(this.routing, maxAgeMillis()), this.directory, this.health, servers, this.pool, budget,
+				new Outcomes(this.registry), this.clock, this.timers, random);
+	}
+
+	private long maxAgeMillis() {
+		return this.settings.revocationMillis() - REVOCATION_MARGIN_MILLIS;
+	}
+
+	private CallerLimits limits() {
+		return this.routing.current().map(Routing::limits).orElse(CallerLimits.DEFAULT);
+	}
+
+	private boolean isReady() {
+		return !this.leaving && this.directory.isComplete()
+				&& this.routing.ageMillis() < maxAgeMillis() - READY_MARGIN_MILLIS;
+	}
+
+	private HttpResponse readiness() {
+		return HttpResponse.create().withStatus(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+	}
+
+	private static HttpResponse text(MetricsText metrics) {
+		return HttpResponse.create().withEntity(ContentTypes.TEXT_PLAIN_UTF8, metrics.write());
+	}
+
+	private void upkeep() {
+		if (Math.abs(this.clock.driftMillis(this.lastUpkeep)) > CLOCK_JUMP_MILLIS) {
+			Logger.info("time of day jumped or the VM slept: confirming the configuration");
+			this.configurationFollower.confirm();
+			this.serversFollower.confirm();
+		}
+		this.lastUpkeep = this.clock.now();
+		this.pool.closeExpired();
+		this.health.retain(Set.copyOf(this.directory.ids()));
+		this.timers.after(UPKEEP_MILLIS, this::upkeep);
+	}
+
+	private void bound(String name, CompletionStage<?> binding) {
+		binding.whenComplete((ignored, failure) -> {
+			if (failure != null) {
+				Logger.error(failure, "can't listen for {}", name);
+				Runtime.getRuntime().halt(1);
+			}
+		});
+	}
+
+	/**
+	 * Stops in order: not ready, accepting until the balancer has seen it, answering what
+	 * is open, closing idle connections last.
+	 * @param callers the callers' endpoint
+	 */
+	private void stop(Tcp.ServerBinding callers) {
+		long startMillis = this.steady.nowMillis();
+		this.leaving = true;
+		this.forwarder.leave();
+		Logger.info("stopping with {} open requests", this.forwarder.openCount());
+		Pause.millis(BALANCER_MILLIS);
+		callers.unbind();
+		long endMillis = startMillis + this.settings.stopGraceMillis() - STOP_RESERVE_MILLIS;
+		while (this.forwarder.openCount() > 0 && this.steady.nowMillis() < endMillis) {
+			Pause.millis(POLL_OPEN_MILLIS);
+		}
+		Pause.millis(LAST_WRITES_MILLIS);
+		this.configurationFollower.close();
+		this.serversFollower.close();
+		Logger.info("stopped with {} open requests", this.forwarder.openCount());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -0,0 +1,55 @@
+package org.marjoramgw.direct;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.settings.TomlTable;
+
+/**
+ * Checked settings of an entry that talks to backend servers directly.
+ *
+ * @param processId id of this process
+ * @param failureDomain failure domain of its VM
+ * @param callerAddress where callers connect
+ * @param healthAddress where the balancer asks whether this process is ready
+ * @param healthPath path of that question
+ * @param metricsAddress where metrics are read
+ * @param metricsPath path of the metrics
+ * @param storeAddress address of the platform's store
+ * @param stopGraceMillis time from the request to stop until the process is killed, in
+ * milliseconds
+ * @param revocationMillis time within which a revoked key stops working, in milliseconds
+ * @param retryRatio retries for each request that a service may get
+ * @param retryWindowMillis window over which retries are counted, in milliseconds
+ * @param freeRetryCount retries in a window that need no requests, for all processes
+ * together
+ * @author The marjoramgw authors
+ */
+public record DirectSettings(String processId, String failureDomain, HostPort callerAddress, HostPort healthAddress,
+		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
+		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount) {
+
+	private static final double MAX_SECONDS = 3_600;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private static final long MAX_MILLIS = 3_600_000;
+
+	private static final int MAX_RETRIES = 1_000_000;
+
+	/**
+	 * Reads settings.
+	 * @param root root table of the settings
+	 * @return the settings; mistakes are recorded in the table
+	 */
+	public static DirectSettings of(TomlTable root) {
+		return new DirectSettings(root.text("process_id"), root.text("failure_domain"), root.address("callers"),
+				root.address("health"), root.text("health_path"), root.address("metrics"),
+				root.text("metrics_path", "/metrics"), root.address("store"), seconds(root, "stop_grace_s", 8),
+				root.number("revocation_ms", 5_000, 100, MAX_MILLIS), root.decimal("retry_ratio", 0.1, 0, 10),
+				seconds(root, "retry_window_s", 10), (int) root.number("free_retry_count", 0, 0, MAX_RETRIES));
+	}
+
+	private static long seconds(TomlTable root, String key, double defaultValue) {
+		return (long) (root.decimal(key, defaultValue, 0, MAX_SECONDS) * MILLIS_PER_SECOND);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/HealthEndpoint.java
@@ -0,0 +1,41 @@
+package org.marjoramgw.direct;
+
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.marjoramgw.HostPort;
+
+/**
+ * Small endpoint that answers some paths without a body of the request being read.
+ *
+ * @author The marjoramgw authors
+ */
+final class HealthEndpoint {
+
+	private final ActorSystem<?> system;
+
+	private final Map<String, Supplier<HttpResponse>> answerByPath;
+
+	HealthEndpoint(ActorSystem<?> system, Map<String, Supplier<HttpResponse>> answerByPath) {
+		this.system = system;
+		this.answerByPath = answerByPath;
+	}
+
+	CompletionStage<ServerBinding> bind(HostPort address) {
+		return Http.get(this.system).newServerAt(address.host(), address.port()).bindSync(this::answer);
+	}
+
+	private HttpResponse answer(HttpRequest request) {
+		request.discardEntityBytes(this.system);
+		Supplier<HttpResponse> answer = this.answerByPath.get(request.getUri().path());
+		return (answer != null) ? answer.get() : HttpResponse.create().withStatus(StatusCodes.NOT_FOUND);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/ConnectionPool.java
@@ -0,0 +1,120 @@
+package org.marjoramgw.direct.backend;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.marjoramgw.HostPort;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.http.HttpConnector;
+
+/**
+ * Kept connections to backend servers; thread-safe.
+ * <p>
+ * A connection is used again only within the time for which its server said it keeps it.
+ * A request that must not run twice gets a fresh one: on a kept one, a server that closes
+ * it at that moment would leave open whether the request ran.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ConnectionPool implements AutoCloseable {
+
+	/** A server that does not accept within this time is passed over, in milliseconds. */
+	private static final long CONNECT_TIMEOUT_MILLIS = 400;
+
+	private final HttpConnector connector;
+
+	private final MillisClock clock;
+
+	private final Map<HostPort, Deque<Idle>> idleByAddress = new HashMap<>();
+
+	/**
+	 * Creates an empty pool.
+	 * @param connector opens connections
+	 * @param clock monotonic clock
+	 */
+	public ConnectionPool(HttpConnector connector, MillisClock clock) {
+		this.connector = connector;
+		this.clock = clock;
+	}
+
+	/**
+	 * Gives a connection.
+	 * @param address address of the server
+	 * @param fresh whether it must not have been used before
+	 * @return an open connection; fails if the server did not accept one
+	 */
+	public CompletionStage<HttpConnection> acquire(HostPort address, boolean fresh) {
+		HttpConnection kept = fresh ? null : takeIdle(address);
+		if (kept != null) {
+			return CompletableFuture.completedFuture(kept);
+		}
+		return this.connector.connect(address, CONNECT_TIMEOUT_MILLIS);
+	}
+
+	/**
+	 * Takes a connection back whose last answer was read to its end.
+	 * @param connection the connection
+	 * @param keepMillis how long it may be used again, in milliseconds; 0 closes it
+	 */
+	public void release(HttpConnection connection, long keepMillis) {
+		if (!connection.release() || keepMillis <= 0) {
+			connection.close();
+			return;
+		}
+		synchronized (this) {
+			this.idleByAddress.computeIfAbsent(connection.address(), (key) -> new ArrayDeque<>())
+				.addLast(new Idle(connection, this.clock.nowMillis() + keepMillis));
+		}
+	}
+
+	/**
+	 * Closes kept connections whose time is over.
+	 */
+	public synchronized void closeExpired() {
+		long nowMillis = this.clock.nowMillis();
+		for (Iterator<Deque<Idle>> each = this.idleByAddress.values().iterator(); each.hasNext();) {
+			Deque<Idle> idle = each.next();
+			idle.removeIf((kept) -> kept.closeIfOver(nowMillis));
+			if (idle.isEmpty()) {
+				each.remove();
+			}
+		}
+	}
+
+	@Override
+	public synchronized void close() {
+		this.idleByAddress.values().forEach((idle) -> idle.forEach((kept) -> kept.connection.close()));
+		this.idleByAddress.clear();
+	}
+
+	private synchronized HttpConnection takeIdle(HostPort address) {
+		Deque<Idle> idle = this.idleByAddress.get(address);
+		long nowMillis = this.clock.nowMillis();
+		while (idle != null && !idle.isEmpty()) {
+			Idle kept = idle.removeLast();
+			if (!kept.closeIfOver(nowMillis)) {
+				return kept.connection;
+			}
+		}
+		return null;
+	}
+
+	private record Idle(HttpConnection connection, long untilMillis) {
+
+		boolean closeIfOver(long nowMillis) {
+			if (nowMillis < this.untilMillis && this.connection.isUsable()) {
+				return false;
+			}
+			this.connection.close();
+			return true;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections to backend servers, and what their answers tell about them.
+ */
+package org.marjoramgw.direct.backend;
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -0,0 +1,106 @@
+package org.marjoramgw.direct.caller;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.function.Supplier;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.io.Inet;
+import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.stream.OverflowStrategy;
+import org.apache.pekko.stream.TLSProtocol;
+import org.apache.pekko.stream.javadsl.BidiFlow;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.http.PlainBytes;
+import scala.concurrent.duration.Duration;
+
+/**
+ * Listens for callers and notices at once when one closes its connection, also while it
+ * waits for an answer.
+ *
+ * @author The marjoramgw authors
+ */
+public final class CallerListener {
+
+	/** Reads ahead of the parser, so that the end of a connection is noticed early. */
+	private static final int READ_AHEAD_COUNT = 16;
+
+	/** Connections that may wait to be accepted. */
+	private static final int BACKLOG = 512;
+
+	private static final List<Inet.SocketOption> NO_DELAY = List.of(TcpSO.tcpNoDelay(true));
+
+	private final ActorSystem<?> system;
+
+	private final ServerSettings settings;
+
+	private final Supplier<CallerLimits> limits;
+
+	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
+
+	/**
+	 * Creates a listener.
+	 * @param system the actor system
+	 * @param settings how requests are parsed
+	 * @param limits bounds of what callers may send
+	 * @param handler answers a request of a connection
+	 */
+	public CallerListener(ActorSystem<?> system, ServerSettings settings, Supplier<CallerLimits> limits,
+			BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler) {
+		this.system = system;
+		this.settings = settings;
+		this.limits = limits;
+		this.handler = handler;
+	}
+
+	/**
+	 * Starts listening.
+	 * @param address where to listen
+	 * @return the binding once it is open
+	 */
+	public CompletionStage<Tcp.ServerBinding> bind(HostPort address) {
+		return Tcp.get(this.system)
+			.bind(address.host(), address.port(), BACKLOG, NO_DELAY, false, Optional.empty())
+			.to(Sink.foreach(this::accept))
+			.run(this.system);
+	}
+
+	private void accept(Tcp.IncomingConnection incoming) {
+		CallerConnection caller = new CallerConnection();
+		Flow<HttpRequest, HttpResponse, NotUsed> answers = Flow.<HttpRequest>create()
+			.mapAsync(1, (request) -> answer(request, caller));
+		Flow<ByteString, ByteString, NotUsed> bytes = Flow.<ByteString>create().watchTermination((notUsed, ended) -> {
+			ended.whenComplete((done, failure) -> caller.close());
+			return notUsed;
+		}).buffer(READ_AHEAD_COUNT, OverflowStrategy.backpressure()).via(server().reversed().join(answers));
+		incoming.handleWith(bytes, this.system);
+	}
+
+	private CompletionStage<HttpResponse> answer(HttpRequest request, CallerConnection caller) {
+		return this.handler.apply(request, caller);
+	}
+
+	private BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> server() {
+		CallerLimits current = this.limits.get();
+		ServerSettings adapted = this.settings.withTimeouts(this.settings.getTimeouts()
+			.withIdleTimeout(Duration.create(current.idleTimeoutMillis(), TimeUnit.MILLISECONDS)));
+		BidiFlow<HttpResponse, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpRequest, NotUsed> layer = Http
+			.get(this.system)
+			.serverLayer(adapted);
+		return layer.atop(PlainBytes.layer());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -0,0 +1,43 @@
+package org.marjoramgw.direct.caller;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.marjoramgw.direct.model.PromptPart;
+
+/**
+ * What the head of a caller's request says.
+ *
+ * @param id id of the request
+ * @param host host that it names, without port
+ * @param path path of its target, undecoded
+ * @param deadlineMillis how long the caller waits, in milliseconds, or empty
+ * @param key key of the client account, or empty
+ * @param promptParts parts of the prompt in order, the last one its own
+ * @param promptTokenCount tokens of the prompt, 0 if it has none
+ * @param resuming whether the caller goes on with a stream that broke off
+ * @author The marjoramgw authors
+ */
+public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
+		List<PromptPart> promptParts, long promptTokenCount, boolean resuming) {
+
+	/**
+	 * Returns the key of the longest prompt that other requests may share.
+	 * @return id of the last shared part, or an empty text if nothing is shared
+	 */
+	public String sharedPromptKey() {
+		int shared = this.promptParts.size() - 1;
+		return (shared > 0) ? this.promptParts.get(shared - 1).id() : "";
+	}
+
+	/**
+	 * Returns the size of the part that no other request shares.
+	 * @return tokens
+	 */
+	public long ownTokenCount() {
+		int parts = this.promptParts.size();
+		return (parts > 0) ? this.promptParts.get(parts - 1).tokenCount() : this.promptTokenCount;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections of callers, and what their requests say.
+ */
+package org.marjoramgw.direct.caller;
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/RoutingInForce.java
@@ -0,0 +1,111 @@
+package org.marjoramgw.direct.follow;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.marjoramgw.direct.model.Routing;
+import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.Moment;
+import org.tinylog.Logger;
+
+/**
+ * Configuration in force, and how recently it was confirmed; thread-safe.
+ * <p>
+ * Versions only rise. A record that can't be decoded is logged and changes nothing.
+ *
+ * @author The marjoramgw authors
+ */
+public final class RoutingInForce implements TopicListener {
+
+	private final String key;
+
+	private final RoutingDecoder decoder;
+
+	private final AgeClock clock;
+
+	private volatile Routing current;
+
+	private volatile Moment confirmed;
+
+	/**
+	 * Creates a holder without a configuration.
+	 * @param key key of the record that holds the configuration
+	 * @param decoder decodes the record
+	 * @param clock clock for ages
+	 */
+	public RoutingInForce(String key, RoutingDecoder decoder, AgeClock clock) {
+		this.key = key;
+		this.decoder = decoder;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, or empty if none is known yet
+	 */
+	public Optional<Routing> current() {
+		return Optional.ofNullable(this.current);
+	}
+
+	/**
+	 * Returns how long ago the configuration in force was surely the newest.
+	 * @return the age in milliseconds, {@link Long#MAX_VALUE} before the first
+	 * confirmation
+	 */
+	public long ageMillis() {
+		Moment moment = this.confirmed;
+		return (moment != null && this.current != null) ? this.clock.ageMillis(moment) : Long.MAX_VALUE;
+	}
+
+	@Override
+	public void onSnapshot(List<KeyedRecord> records) {
+		onRecords(records);
+	}
+
+	@Override
+	public void onRecords(List<KeyedRecord> records) {
+		for (KeyedRecord record : records) {
+			if (record.key().equals(this.key)) {
+				record.value().ifPresent(this::apply);
+			}
+		}
+	}
+
+	@Override
+	public void onConfirmed(Moment moment) {
+		this.confirmed = moment;
+	}
+
+	@Override
+	public void onUnreachable() {
+		// The last configuration stays in force; its age tells how far to trust it.
+	}
+
+	private void apply(byte[] value) {
+		Optional<Routing> decoded = this.decoder.decode(value);
+		if (decoded.isEmpty()) {
+			return;
+		}
+		Routing routing = decoded.get();
+		if (this.current == null || routing.version() > this.current.version()) {
+			Logger.info("configuration version {} in force", routing.version());
+			this.current = routing;
+		}
+	}
+
+	/**
+	 * Decodes the record that holds the configuration.
+	 */
+	@FunctionalInterface
+	public interface RoutingDecoder {
+
+		/**
+		 * Decodes a record and logs one that it can't decode.
+		 * @param value bytes of the record
+		 * @return the configuration, or empty if the bytes hold none
+		 */
+		Optional<Routing> decode(byte[] value);
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -0,0 +1,216 @@
+package org.marjoramgw.direct.follow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.Moment;
+import org.tinylog.Logger;
+
+/**
+ * Backend servers that are registered and not leaving; thread-safe.
+ * <p>
+ * A registration may lapse because the store was away and not because the server left.
+ * One that disappears in or shortly after such a time stays usable until the server had
+ * time to register again.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ServerDirectory implements TopicListener {
+
+	/** Time within which live servers register again, in milliseconds. */
+	private static final long LAPSE_GRACE_MILLIS = 2_000;
+
+	/** Reads that took no longer than this show a store that works, in milliseconds. */
+	private static final long CALM_AFTER_MILLIS = 4_000;
+
+	private final ServerDecoder decoder;
+
+	private final AgeClock clock;
+
+	private final Map<String, Entry> entryById = new HashMap<>();
+
+	private Moment lastUnreachable;
+
+	private Moment reachableSince;
+
+	private boolean complete;
+
+	/**
+	 * Creates an empty directory.
+	 * @param decoder decodes registrations
+	 * @param clock clock for ages
+	 */
+	public ServerDirectory(ServerDecoder decoder, AgeClock clock) {
+		this.decoder = decoder;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns the servers of a service that may get work.
+	 * @param service name of the service
+	 * @return the servers
+	 */
+	public synchronized List<BackendServer> usable(String service) {
+		List<BackendServer> usable = new ArrayList<>();
+		for (Entry entry : this.entryById.values()) {
+			if (entry.server.service().equals(service) && isUsable(entry)) {
+				usable.add(entry.server);
+			}
+		}
+		return usable;
+	}
+
+	/**
+	 * Tells whether a server may still get work.
+	 * @param id id of the server
+	 * @return whether it is registered and not leaving
+	 */
+	public synchronized boolean isUsable(String id) {
+		Entry entry = this.entryById.get(id);
+		return entry != null && isUsable(entry);
+	}
+
+	/**
+	 * Tells whether registrations were ever read.
+	 * @return whether they were
+	 */
+	public synchronized boolean isComplete() {
+		return this.complete;
+	}
+
+	/**
+	 * Drops a server whose address answers for another one.
+	 * @param id id of the server
+	 */
+	public synchronized void drop(String id) {
+		if (this.entryById.remove(id) != null) {
+			Logger.info("backend server {} dropped: its address answers for another one", id);
+		}
+	}
+
+	/**
+	 * Returns all servers that are known.
+	 * @return ids of the servers
+	 */
+	public synchronized Collection<String> ids() {
+		return Set.copyOf(this.entryById.keySet());
+	}
+
+	@Override
+	public synchronized void onSnapshot(List<KeyedRecord> records) {
+		Set<String> present = new HashSet<>();
+		records.forEach((record) -> present.add(record.key()));
+		for (String id : Set.copyOf(this.entryById.keySet())) {
+			if (!present.contains(id)) {
+				remove(id);
+			}
+		}
+		onRecords(records);
+		this.complete = true;
+	}
+
+	@Override
+	public synchronized void onRecords(List<KeyedRecord> records) {
+		for (KeyedRecord record : records) {
+			Optional<BackendServer> server = record.value()
+				.flatMap((value) -> this.decoder.decode(record.key(), value));
+			if (server.isPresent()) {
+				put(server.get());
+			}
+			else {
+				remove(record.key());
+			}
+		}
+	}
+
+	@Override
+	public synchronized void onConfirmed(Moment moment) {
+		if (this.lastUnreachable != null && this.reachableSince == null) {
+			this.reachableSince = this.clock.now();
+		}
+		this.entryById.values().removeIf(this::isLapsed);
+	}
+
+	@Override
+	public synchronized void onUnreachable() {
+		this.lastUnreachable = this.clock.now();
+		this.reachableSince = null;
+	}
+
+	private void put(BackendServer server) {
+		Entry before = this.entryById.put(server.id(), new Entry(server));
+		if (before == null || before.server.draining() != server.draining()) {
+			Logger.info("backend server {} of {} at {} {}", server.id(), server.service(), server.address(),
+					server.draining() ? "is leaving" : "is usable");
+		}
+	}
+
+	private void remove(String id) {
+		Entry entry = this.entryById.get(id);
+		if (entry == null) {
+			return;
+		}
+		if (entry.server.draining() || !isStoreTroubled()) {
+			this.entryById.remove(id);
+			Logger.info("backend server {} is gone", id);
+			return;
+		}
+		if (entry.lapsedAt == null) {
+			entry.lapsedAt = this.clock.now();
+			Logger.info("registration of backend server {} lapsed while the store was away", id);
+		}
+	}
+
+	private boolean isStoreTroubled() {
+		return this.lastUnreachable != null && this.clock.ageMillis(this.lastUnreachable) < CALM_AFTER_MILLIS;
+	}
+
+	private boolean isUsable(Entry entry) {
+		return !entry.server.draining() && !isLapsed(entry);
+	}
+
+	private boolean isLapsed(Entry entry) {
+		if (entry.lapsedAt == null || this.reachableSince == null) {
+			return false;
+		}
+		long sinceReturn = Math.min(this.clock.ageMillis(this.reachableSince), this.clock.ageMillis(entry.lapsedAt));
+		return sinceReturn > LAPSE_GRACE_MILLIS;
+	}
+
+	/**
+	 * Decodes the registration of a backend server.
+	 */
+	@FunctionalInterface
+	public interface ServerDecoder {
+
+		/**
+		 * Decodes a registration.
+		 * @param id id of the server
+		 * @param value bytes of the registration
+		 * @return the server, or empty if the bytes name none
+		 */
+		Optional<BackendServer> decode(String id, byte[] value);
+
+	}
+
+	private static final class Entry {
+
+		private final BackendServer server;
+
+		private Moment lapsedAt;
+
+		private Entry(BackendServer server) {
+			this.server = server;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
@@ -0,0 +1,26 @@
+package org.marjoramgw.direct.forward;
+
+/**
+ * Receiver of how a body ended; exactly one method is called, once.
+ *
+ * @author The marjoramgw authors
+ */
+interface BodyObserver {
+
+	/**
+	 * The body was read to its end.
+	 */
+	void onComplete();
+
+	/**
+	 * The sender of the body broke off.
+	 * @param failure what happened
+	 */
+	void onBroken(Throwable failure);
+
+	/**
+	 * The reader of the body wants no more.
+	 */
+	void onCancelled();
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -0,0 +1,401 @@
+package org.marjoramgw.direct.forward;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.direct.backend.KeepAlive;
+import org.marjoramgw.direct.backend.SendOrders;
+import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.model.Account;
+import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.time.Moment;
+import org.marjoramgw.time.Timers;
+
+/**
+ * Course of one request from its whole body to its final answer; thread-safe.
+ * <p>
+ * An attempt may have run from the moment its first byte may have left. It is sent again
+ * only after the server said that it did not run, or if the request may run twice.
+ *
+ * @author The marjoramgw authors
+ */
+final class ForwardedRequest {
+
+	/** Sends and connection attempts that one request may take. */
+	private static final int MAX_TRIES = 4;
+
+	/** Less time than this is not worth another attempt, in milliseconds. */
+	private static final long LEAST_REMAINING_MILLIS = 30;
+
+	/** Greatest plain answer that is held in memory, in bytes. */
+	private static final long MAX_PLAIN_ANSWER_BYTES = 8L << 20;
+
+	private final ForwardParts parts;
+
+	private final HttpRequest request;
+
+	private final CallerRequest caller;
+
+	private final Moment arrived;
+
+	private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+
+	private final Set<String> excluded = new HashSet<>();
+
+	private Admitted admitted;
+
+	private String service = "";
+
+	private Timers.Handle timer = () -> {
+	};
+
+	private Attempt attempt;
+
+	private int tries;
+
+	private int runs;
+
+	private boolean sentBefore;
+
+	private boolean done;
+
+	ForwardedRequest(ForwardParts parts, HttpRequest request, CallerRequest caller, Moment arrived) {
+		this.parts = parts;
+		this.request = request;
+		this.caller = caller;
+		this.arrived = arrived;
+	}
+
+	/**
+	 * Starts the request.
+	 * @return its final answer
+	 */
+	synchronized CompletionStage<HttpResponse> start() {
+		try {
+			this.admitted = this.parts.admission().admit(this.caller);
+			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
+			this.parts.budget().onRequest(this.service);
+			this.timer = this.parts.timers().after(Math.max(0, remainingMillis()), this::onTimeout);
+			tryNext(ResultCode.NO_BACKEND);
+		}
+		catch (RequestRejectedException ex) {
+			refuse(ex.code(), ex.getMessage());
+		}
+		return this.answer;
+	}
+
+	/**
+	 * Ends the request because its caller is gone.
+	 */
+	synchronized void cancel() {
+		if (this.done && this.attempt == null) {
+			return;
+		}
+		boolean streaming = this.done;
+		endAttempt(true);
+		if (streaming) {
+			record(ResultCode.CALLER_GONE, 0, "while the answer was streamed");
+		}
+		else {
+			finish(ResultCode.CALLER_GONE, Refusals.of(ResultCode.CALLER_GONE), "before an answer");
+		}
+	}
+
+	private void tryNext(ResultCode reason) {
+		if (this.done) {
+			return;
+		}
+		if (remainingMillis() < LEAST_REMAINING_MILLIS) {
+			refuse(ResultCode.TIMEOUT_BEFORE_SEND, "tries=" + this.tries);
+			return;
+		}
+		Optional<BackendServer> server = (this.tries < MAX_TRIES)
+				? this.parts.servers().choose(this.service, this.caller, this.excluded) : Optional.empty();
+		if (server.isEmpty()) {
+			refuse(reason, "tries=" + this.tries + " service=" + this.service);
+			return;
+		}
+		if (this.sentBefore && !this.parts.budget().tryRetry(this.service)) {
+			refuse(ResultCode.RETRY_BUDGET_SPENT, "tries=" + this.tries);
+			return;
+		}
+		this.tries++;
+		Attempt next = new Attempt(server.get());
+		this.attempt = next;
+		this.parts.health().addWork(next.server.id(), next.work);
+		this.parts.pool()
+			.acquire(next.server.address(), !this.admitted.route().isRepeatable())
+			.whenComplete((connection, failure) -> onConnection(next, connection, failure));
+	}
+
+	private synchronized void onConnection(Attempt of, HttpConnection connection, Throwable failure) {
+		if (this.attempt != of) {
+			if (connection != null) {
+				connection.close();
+			}
+			return;
+		}
+		if (failure != null) {
+			this.parts.health().onUnreachable(of.server.id());
+			retry(of, ResultCode.NO_BACKEND, "connect failed: " + failure.getMessage());
+			return;
+		}
+		of.connection = connection;
+		try {
+			this.admitted = this.parts.admission().admit(this.caller);
+			send(of);
+		}
+		catch (RequestRejectedException ex) {
+			endAttempt(true);
+			refuse(ex.code(), ex.getMessage());
+		}
+	}
+
+	private void send(Attempt of) {
+		long remainingMillis = remainingMillis();
+		if (remainingMillis < LEAST_REMAINING_MILLIS || !this.parts.directory().isUsable(of.server.id())) {
+			retry(of, ResultCode.NO_BACKEND, "server left before the send");
+			return;
+		}
+		HttpRequest sent = this.parts.backendDialect()
+			.toBackend(this.request, new SendOrders(of.server.id(), remainingMillis,
+					this.admitted.account().map(Account::name), this.admitted.priority()));
+		this.sentBefore = true;
+		of.maySent = true;
+		of.connection.send(sent).whenComplete((response, failure) -> onHead(of, response, failure));
+	}
+
+	private synchronized void onHead(Attempt of, HttpResponse response, Throwable failure) {
+		if (this.attempt != of) {
+			return;
+		}
+		if (failure != null) {
+			onBroken(of, "no answer: " + failure.getMessage());
+			return;
+		}
+		switch (this.parts.backendDialect().kindOf(response, this.caller.id())) {
+			case NOT_RUN -> onNotRun(of, response);
+			case WRONG_SERVER -> onWrongServer(of, response);
+			case UNTRUSTED -> onBroken(of, "untrusted answer, status=" + response.status().intValue());
+			case OWN_FAILURE -> onOwnFailure(of, response);
+			default -> onOwnAnswer(of, response);
+		}
+	}
+
+	private void onNotRun(Attempt of, HttpResponse response) {
+		of.maySent = false;
+		this.parts.health().onFailure(of.server.id());
+		response.discardEntityBytes(this.parts.system());
+		retry(of, ResultCode.BACKENDS_REFUSED, "status=" + response.status().intValue());
+	}
+
+	private void onWrongServer(Attempt of, HttpResponse response) {
+		of.maySent = false;
+		this.parts.directory().drop(of.server.id());
+		response.discardEntityBytes(this.parts.system());
+		retry(of, ResultCode.BACKENDS_REFUSED, "address answers for another server");
+	}
+
+	private void onOwnFailure(Attempt of, HttpResponse response) {
+		this.parts.health().onFailure(of.server.id());
+		if (mayRepeat() && remainingMillis() > LEAST_REMAINING_MILLIS) {
+			this.runs++;
+			response.discardEntityBytes(this.parts.system());
+			retry(of, ResultCode.BACKEND_ERROR, "status=" + response.status().intValue());
+			return;
+		}
+		readWhole(of, response);
+	}
+
+	private void onOwnAnswer(Attempt of, HttpResponse response) {
+		if (this.admitted.route().isStreaming()) {
+			stream(of, response);
+		}
+		else {
+			readWhole(of, response);
+		}
+	}
+
+	private void readWhole(Attempt of, HttpResponse response) {
+		response.entity()
+			.toStrict(Math.max(1, remainingMillis()), MAX_PLAIN_ANSWER_BYTES, this.parts.system())
+			.whenComplete((body, failure) -> onWhole(of, response, body, failure));
+	}
+
+	private synchronized void onWhole(Attempt of, HttpResponse response, HttpEntity.Strict body, Throwable failure) {
+		if (this.attempt != of) {
+			return;
+		}
+		if (failure != null) {
+			onBroken(of, "answer broke off: " + failure.getMessage());
+			return;
+		}
+		if (response.status().isSuccess()) {
+			this.parts.health().onSuccess(of.server.id());
+		}
+		keepConnection(of, response);
+		endAttempt(false);
+		ResultCode code = response.status().isSuccess() ? ResultCode.OK : ResultCode.BACKEND_ERROR;
+		finish(code, this.parts.callerDialect().toCaller(response).withEntity(body), "server=" + of.server.id());
+	}
+
+	private void stream(Attempt of, HttpResponse response) {
+		this.parts.health().onSuccess(of.server.id());
+		Source<ByteString, ?> body = response.entity()
+			.getDataBytes()
+			.via(new ObservedBody(new StreamEnd(of, response)));
+		HttpResponse head = this.parts.callerDialect().toCaller(response);
+		this.done = true;
+		this.answer.complete(head.withEntity(HttpEntities.createChunked(response.entity().getContentType(), body)));
+	}
+
+	private synchronized void onStreamEnd(Attempt of, HttpResponse response, ResultCode code, String detail) {
+		if (this.attempt != of) {
+			return;
+		}
+		if (code == ResultCode.OK) {
+			keepConnection(of, response);
+		}
+		else if (code == ResultCode.BACKEND_BROKE_OFF) {
+			this.parts.health().onFailure(of.server.id());
+		}
+		endAttempt(code != ResultCode.OK);
+		record(code, response.status().intValue(), "server=" + of.server.id() + detail);
+	}
+
+	private void onBroken(Attempt of, String detail) {
+		this.parts.health().onFailure(of.server.id());
+		if (mayRepeat()) {
+			this.runs++;
+			retry(of, ResultCode.BACKEND_BROKE_OFF, detail);
+			return;
+		}
+		endAttempt(true);
+		refuse(ResultCode.BACKEND_BROKE_OFF, "server=" + of.server.id() + " " + detail);
+	}
+
+	private boolean mayRepeat() {
+		return this.admitted.route().isRepeatable() && this.runs + 1 < this.admitted.route().maxAttempts();
+	}
+
+	private void retry(Attempt of, ResultCode reason, String detail) {
+		this.parts.outcomes().retried(ResultCode.RETRY_NOT_RUN, this.caller.id(), of.server.id(), detail);
+		endAttempt(true);
+		this.excluded.add(of.server.id());
+		tryNext(reason);
+	}
+
+	private synchronized void onTimeout() {
+		if (this.attempt == null && this.done) {
+			return;
+		}
+		boolean mayHaveRun = this.runs > 0 || this.attempt != null && this.attempt.maySent;
+		endAttempt(true);
+		if (this.done) {
+			record(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream ended at its timeout");
+			return;
+		}
+		refuse(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND, "service=" + this.service);
+	}
+
+	private void keepConnection(Attempt of, HttpResponse response) {
+		this.parts.pool().release(of.connection, KeepAlive.keepMillis(response));
+		of.connection = null;
+	}
+
+	private void endAttempt(boolean broken) {
+		Attempt ended = this.attempt;
+		this.attempt = null;
+		if (ended == null) {
+			return;
+		}
+		this.parts.health().addWork(ended.server.id(), -ended.work);
+		if (broken && ended.connection != null) {
+			ended.connection.close();
+		}
+	}
+
+	private void refuse(ResultCode code, String detail) {
+		boolean promised = this.runs == 0;
+		ResultCode said = (!promised && code.httpStatus() == Refusals.UNAVAILABLE) ? ResultCode.BACKEND_BROKE_OFF
+				: code;
+		finish(said, this.parts.callerDialect().withRequestId(Refusals.of(said), this.caller.id()), detail);
+	}
+
+	private void finish(ResultCode code, HttpResponse response, String detail) {
+		this.done = true;
+		this.timer.cancel();
+		record(code, response.status().intValue(), detail);
+		this.answer.complete(response);
+	}
+
+	private void record(ResultCode code, int status, String detail) {
+		this.timer.cancel();
+		String route = (this.admitted != null) ? this.admitted.route().name() : "";
+		this.parts.outcomes()
+			.ended(code, this.caller.id(), route, status, this.parts.clock().ageMillis(this.arrived), detail);
+	}
+
+	private long remainingMillis() {
+		long timeoutMillis = this.admitted.route().timeoutMillis();
+		long limitMillis = Math.min(timeoutMillis, this.caller.deadlineMillis().orElse(timeoutMillis));
+		return limitMillis - this.parts.clock().ageMillis(this.arrived);
+	}
+
+	private static final class Attempt {
+
+		private final BackendServer server;
+
+		private final double work = 1;
+
+		private HttpConnection connection;
+
+		private boolean maySent;
+
+		private Attempt(BackendServer server) {
+			this.server = server;
+		}
+
+	}
+
+	private final class StreamEnd implements BodyObserver {
+
+		private final Attempt of;
+
+		private final HttpResponse response;
+
+		private StreamEnd(Attempt of, HttpResponse response) {
+			this.of = of;
+			this.response = response;
+		}
+
+		@Override
+		public void onComplete() {
+			onStreamEnd(this.of, this.response, ResultCode.OK, "");
+		}
+
+		@Override
+		public void onBroken(Throwable failure) {
+			onStreamEnd(this.of, this.response, ResultCode.BACKEND_BROKE_OFF, " " + failure.getMessage());
+		}
+
+		@Override
+		public void onCancelled() {
+			onStreamEnd(this.of, this.response, ResultCode.CALLER_GONE, "");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -0,0 +1,106 @@
+package org.marjoramgw.direct.forward;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.direct.caller.CallerConnection;
+import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.model.Routing;
+import org.marjoramgw.time.Moment;
+
+/**
+ * Answers the requests of all callers.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Forwarder {
+
+	/** Longest time that a body may take to arrive, in milliseconds. */
+	private static final long BODY_TIMEOUT_MILLIS = 10_000;
+
+	private final ForwardParts parts;
+
+	private final AtomicInteger open = new AtomicInteger();
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a forwarder.
+	 * @param parts what all requests use
+	 */
+	public Forwarder(ForwardParts parts) {
+		this.parts = parts;
+	}
+
+	/**
+	 * Answers one request.
+	 * @param request the request
+	 * @param connection connection of its caller
+	 * @return the answer; its body may go on for a while
+	 */
+	public CompletionStage<HttpResponse> handle(HttpRequest request, CallerConnection connection) {
+		Moment arrived = this.parts.clock().now();
+		CallerRequest caller = this.parts.callerDialect().decode(request);
+		this.open.incrementAndGet();
+		long maxBodyBytes = this.parts.routing()
+			.current()
+			.map(Routing::limits)
+			.orElse(CallerLimits.DEFAULT)
+			.maxBodyBytes();
+		return request.entity()
+			.toStrict(BODY_TIMEOUT_MILLIS, maxBodyBytes, this.parts.system())
+			.handle((body, failure) -> (failure != null) ? refuseBody(caller, arrived, failure)
+					: forward(request, caller, body, arrived, connection))
+			.thenCompose((answer) -> answer)
+			.thenApply(this::withClose)
+			.whenComplete((response, failure) -> this.open.decrementAndGet());
+	}
+
+	/**
+	 * Asks callers to close their connections after the next answer.
+	 */
+	public void leave() {
+		this.leaving = true;
+	}
+
+	/**
+	 * Returns how many requests have no answer yet.
+	 * @return the number of requests
+	 */
+	public int openCount() {
+		return this.open.get();
+	}
+
+	private CompletionStage<HttpResponse> forward(HttpRequest request, CallerRequest caller, HttpEntity.Strict body,
+			Moment arrived, CallerConnection connection) {
+		ForwardedRequest forwarded = new ForwardedRequest(this.parts, request.withEntity(body), caller, arrived);
+		connection.whenClosed(forwarded::cancel);
+		return forwarded.start();
+	}
+
+	private CompletionStage<HttpResponse> refuseBody(CallerRequest caller, Moment arrived, Throwable failure) {
+		ResultCode code = isTooLarge(failure) ? ResultCode.BODY_TOO_LARGE : ResultCode.BODY_INCOMPLETE;
+		HttpResponse response = Refusals.of(code);
+		this.parts.outcomes()
+			.ended(code, caller.id(), "", code.httpStatus(), this.parts.clock().ageMillis(arrived),
+					String.valueOf(failure.getMessage()));
+		return CompletableFuture.completedFuture(this.parts.callerDialect().withRequestId(response, caller.id()));
+	}
+
+	private static boolean isTooLarge(Throwable failure) {
+		return failure instanceof EntityStreamSizeException || failure.getCause() instanceof EntityStreamSizeException;
+	}
+
+	private HttpResponse withClose(HttpResponse response) {
+		return this.leaving ? response.addHeader(Connection.create("close")) : response;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -0,0 +1,88 @@
+package org.marjoramgw.direct.forward;
+
+import org.apache.pekko.stream.Attributes;
+import org.apache.pekko.stream.FlowShape;
+import org.apache.pekko.stream.Inlet;
+import org.apache.pekko.stream.Outlet;
+import org.apache.pekko.stream.stage.AbstractInHandler;
+import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.GraphStage;
+import org.apache.pekko.stream.stage.GraphStageLogic;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Passes a body on as it comes and tells how it ended.
+ *
+ * @author The marjoramgw authors
+ */
+final class ObservedBody extends GraphStage<FlowShape<ByteString, ByteString>> {
+
+	private final Inlet<ByteString> in = Inlet.create("body.in");
+
+	private final Outlet<ByteString> out = Outlet.create("body.out");
+
+	private final FlowShape<ByteString, ByteString> shape = FlowShape.of(this.in, this.out);
+
+	private final BodyObserver observer;
+
+	ObservedBody(BodyObserver observer) {
+		this.observer = observer;
+	}
+
+	@Override
+	public FlowShape<ByteString, ByteString> shape() {
+		return this.shape;
+	}
+
+	@Override
+	public GraphStageLogic createLogic(Attributes attributes) {
+		return new Logic();
+	}
+
+	private final class Logic extends GraphStageLogic {
+
+		private Logic() {
+			super(ObservedBody.this.shape);
+			setHandler(ObservedBody.this.in, new Upstream());
+			setHandler(ObservedBody.this.out, new Downstream());
+		}
+
+		private final class Upstream extends AbstractInHandler {
+
+			@Override
+			public void onPush() {
+				push(ObservedBody.this.out, grab(ObservedBody.this.in));
+			}
+
+			@Override
+			public void onUpstreamFinish() {
+				ObservedBody.this.observer.onComplete();
+				completeStage();
+			}
+
+			@Override
+			public void onUpstreamFailure(Throwable failure) {
+				ObservedBody.this.observer.onBroken(failure);
+				failStage(failure);
+			}
+
+		}
+
+		private final class Downstream extends AbstractOutHandler {
+
+			@Override
+			public void onPull() {
+				pull(ObservedBody.this.in);
+			}
+
+			@Override
+			public void onDownstreamFinish(Throwable cause) {
+				ObservedBody.this.observer.onCancelled();
+				cancelStage(cause);
+			}
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Outcomes.java
@@ -0,0 +1,62 @@
+package org.marjoramgw.direct.forward;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.metrics.ResultCounters;
+import org.tinylog.Logger;
+
+/**
+ * Counts outcomes of requests and writes a log line for each decision about them.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Outcomes {
+
+	private final MetricRegistry registry;
+
+	private final ResultCounters counters;
+
+	/**
+	 * Creates a recorder.
+	 * @param registry the metrics
+	 */
+	public Outcomes(MetricRegistry registry) {
+		this.registry = registry;
+		this.counters = new ResultCounters(registry);
+	}
+
+	/**
+	 * Records a final answer.
+	 * @param code the result
+	 * @param requestId id of the request
+	 * @param route name of the route, or an empty text
+	 * @param status status that the caller got
+	 * @param tookMillis time since the request came in, in milliseconds
+	 * @param detail what decided it, for people
+	 */
+	public void ended(ResultCode code, String requestId, String route, int status, long tookMillis, String detail) {
+		this.counters.count(code);
+		this.registry.timer("requests." + (route.isEmpty() ? "none" : route)).update(tookMillis, TimeUnit.MILLISECONDS);
+		if (code == ResultCode.OK) {
+			Logger.debug("request={} route={} status={} took_ms={} {}", requestId, route, status, tookMillis, detail);
+			return;
+		}
+		Logger.info("request={} code={} route={} status={} took_ms={} {}", requestId, code.number(), route, status,
+				tookMillis, detail);
+	}
+
+	/**
+	 * Records a decision to send a request again.
+	 * @param code reason
+	 * @param requestId id of the request
+	 * @param serverId backend server that did not serve it
+	 * @param detail what decided it, for people
+	 */
+	public void retried(ResultCode code, String requestId, String serverId, String detail) {
+		this.counters.count(code);
+		Logger.info("request={} code={} server={} {}", requestId, code.number(), serverId, detail);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerChoice.java
@@ -0,0 +1,69 @@
+package org.marjoramgw.direct.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.marjoramgw.direct.backend.ServerHealth;
+import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.placement.ServerView;
+
+/**
+ * Chooses the backend server for an attempt.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ServerChoice {
+
+	private final ServerDirectory directory;
+
+	private final ServerHealth health;
+
+	private final Placement prompts;
+
+	private final Placement plain;
+
+	private final String failureDomain;
+
+	/**
+	 * Creates a choice.
+	 * @param directory registered backend servers
+	 * @param health work and failures of backend servers
+	 * @param prompts placement of requests with a prompt
+	 * @param plain placement of other requests
+	 * @param failureDomain failure domain of this process
+	 */
+	public ServerChoice(ServerDirectory directory, ServerHealth health, Placement prompts, Placement plain,
+			String failureDomain) {
+		this.directory = directory;
+		this.health = health;
+		this.prompts = prompts;
+		this.plain = plain;
+		this.failureDomain = failureDomain;
+	}
+
+	/**
+	 * Chooses a server.
+	 * @param service service that is wanted
+	 * @param request the request
+	 * @param excluded ids of servers that refused it or could not be reached
+	 * @return the server, or empty if none is left
+	 */
+	public Optional<BackendServer> choose(String service, CallerRequest request, Set<String> excluded) {
+		List<BackendServer> servers = this.directory.usable(service);
+		servers.removeIf((server) -> excluded.contains(server.id()));
+		List<ServerView> views = new ArrayList<>();
+		for (BackendServer server : servers) {
+			views.add(new ServerView(server.id(), server.failureDomain(), this.health.work(server.id()),
+					this.health.isSuspect(server.id())));
+		}
+		Placement placement = request.promptParts().isEmpty() ? this.plain : this.prompts;
+		return placement.choose(request.sharedPromptKey(), this.failureDomain, views)
+			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
@@ -0,0 +1,114 @@
+package org.marjoramgw.direct.model;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * One version of the configuration: routes, services, client accounts and limits.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Routing {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost;
+
+	private final Map<String, ServiceRule> serviceByName;
+
+	private final Map<String, Account> accountByKey;
+
+	private final boolean keysRequired;
+
+	private final CallerLimits limits;
+
+	/**
+	 * Creates a configuration.
+	 * @param version its version
+	 * @param routes the routes
+	 * @param services the services
+	 * @param accountByKey client accounts by key
+	 * @param keysRequired whether requests need a key
+	 * @param limits bounds of what callers may send
+	 */
+	public Routing(long version, List<Route> routes, List<ServiceRule> services, Map<String, Account> accountByKey,
+			boolean keysRequired, CallerLimits limits) {
+		this.version = version;
+		this.routesByHost = routes.stream().collect(Collectors.groupingBy(Route::host));
+		this.routesByHost.values().forEach((list) -> list.sort(longestPrefixFirst()));
+		this.serviceByName = new HashMap<>();
+		services.forEach((service) -> this.serviceByName.put(service.name(), service));
+		this.accountByKey = Map.copyOf(accountByKey);
+		this.keysRequired = keysRequired;
+		this.limits = limits;
+	}
+
+	private static Comparator<Route> longestPrefixFirst() {
+		return Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Finds the route of a request.
+	 * @param host host that the request names, without port
+	 * @param path path of the request, undecoded
+	 * @return the route with the longest matching prefix, or empty if none matches
+	 */
+	public Optional<Route> route(String host, String path) {
+		List<Route> routes = this.routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
+		for (Route route : routes) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name name of the service
+	 * @return its bounds, or empty if it is not configured
+	 */
+	public Optional<ServiceRule> service(String name) {
+		return Optional.ofNullable(this.serviceByName.get(name));
+	}
+
+	/**
+	 * Finds the client account of a key.
+	 * @param key the key
+	 * @return the account, or empty if nobody holds the key
+	 */
+	public Optional<Account> account(String key) {
+		return Optional.ofNullable(this.accountByKey.get(key));
+	}
+
+	/**
+	 * Tells whether a request of a route needs a key.
+	 * @param route the route
+	 * @return whether it does
+	 */
+	public boolean needsKey(Route route) {
+		return this.keysRequired && !route.anonymous();
+	}
+
+	/**
+	 * Returns the bounds of what callers may send.
+	 * @return the bounds
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/WeightedService.java
@@ -0,0 +1,11 @@
+package org.marjoramgw.direct.model;
+
+/**
+ * Service that gets a share of a route's requests.
+ *
+ * @param name name of the service
+ * @param weight its share, relative to the other services of the route
+ * @author The marjoramgw authors
+ */
+public record WeightedService(String name, double weight) {
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
@@ -0,0 +1,14 @@
+package org.marjoramgw.policy.placement;
+
+/**
+ * What a sender knows about a backend server.
+ *
+ * @param id id of the server
+ * @param failureDomain its failure domain
+ * @param load work that the sender has there, in units that are the same for all servers
+ * of a service
+ * @param suspect whether it failed lately
+ * @author The marjoramgw authors
+ */
+public record ServerView(String id, String failureDomain, double load, boolean suspect) {
+}
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AtMostOnceTests.java
@@ -39,7 +39,7 @@
 		bed().standins().control(StandinProcess.LOG, "{\"outage\":false,\"lose_answers\":0,\"delay_ms\":0}");
 		for (ManagedProcess side : deployment().sides()) {
 			bed().link(LinkKind.ENTRY_SIDE, side.name(), PASS);
-			bed().link(LinkKind.PROCESS_LOG, side.name(), PASS);
+			bed().link(LinkKind.PROCESS_TO_LOG, side.name(), PASS);
 			bed().standins().control("plain." + side.name(), "{\"delay_ms\":5,\"break_after_run\":false}");
 			if (!side.isAlive()) {
 				side.restart();
@@ -178,7 +178,7 @@
 
 	private CompletableFuture<CallAnswer> claimAtTheFirstSide(String order) throws Exception {
 		bed().link(LinkKind.ENTRY_SIDE, "orders-2", "{\"mode\":\"refuse\"}");
-		bed().link(LinkKind.PROCESS_LOG, "orders-1", "{\"delay_ms\":700}");
+		bed().link(LinkKind.PROCESS_TO_LOG, "orders-1", "{\"delay_ms\":700}");
 		long before = bed().claimAppends();
 		CompletableFuture<CallAnswer> call = bed().order("entry-1", order, order);
 		Await.until("the claim is in the log", () -> bed().claimAppends() > before);
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
@@ -138,15 +138,15 @@
 	@Test
 	public void processThatLostTheLogLearnsFromItsPeers() throws Exception {
 		long base = inForce();
-		this.bed.link(LinkKind.PROCESS_LOG, "runner-2", REFUSE);
-		this.bed.link(LinkKind.PROCESS_LOG, "entry-2", REFUSE);
+		this.bed.link(LinkKind.PROCESS_TO_LOG, "runner-2", REFUSE);
+		this.bed.link(LinkKind.PROCESS_TO_LOG, "entry-2", REFUSE);
 		try {
 			publishAccepted(base);
 			awaitEverywhere(base + 1);
 		}
 		finally {
-			this.bed.link(LinkKind.PROCESS_LOG, "runner-2", PASS);
-			this.bed.link(LinkKind.PROCESS_LOG, "entry-2", PASS);
+			this.bed.link(LinkKind.PROCESS_TO_LOG, "runner-2", PASS);
+			this.bed.link(LinkKind.PROCESS_TO_LOG, "entry-2", PASS);
 		}
 	}
 
@@ -199,7 +199,7 @@
 	public void lateAnswersOfTheLogTakeNoProcessBack() throws Exception {
 		long base = inForce();
 		for (String process : List.of("runner-2", "entry-2")) {
-			this.bed.link(LinkKind.PROCESS_LOG, process, LATE);
+			this.bed.link(LinkKind.PROCESS_TO_LOG, process, LATE);
 		}
 		try {
 			for (int revision = 1; revision <= LATE_REVISIONS; revision++) {
@@ -212,8 +212,8 @@
 			Assert.assertEquals(inForce(), base + LATE_REVISIONS);
 		}
 		finally {
-			this.bed.link(LinkKind.PROCESS_LOG, "runner-2", ON_TIME);
-			this.bed.link(LinkKind.PROCESS_LOG, "entry-2", ON_TIME);
+			this.bed.link(LinkKind.PROCESS_TO_LOG, "runner-2", ON_TIME);
+			this.bed.link(LinkKind.PROCESS_TO_LOG, "entry-2", ON_TIME);
 		}
 	}
 
@@ -259,7 +259,7 @@
 	}
 
 	private void cutOff(String side, String json) throws Exception {
-		for (LinkKind kind : List.of(LinkKind.ENTRY_SIDE, LinkKind.PROCESS_LOG, LinkKind.PROCESS_VM_LIST)) {
+		for (LinkKind kind : List.of(LinkKind.ENTRY_SIDE, LinkKind.PROCESS_TO_LOG, LinkKind.PROCESS_TO_VM_LIST)) {
 			this.bed.link(kind, side, json);
 		}
 	}
@@ -269,8 +269,8 @@
 			this.bed.link(LinkKind.ENTRY_SIDE, side, json);
 		}
 		for (String process : List.of("entry-1", "runner-1")) {
-			this.bed.link(LinkKind.PROCESS_LOG, process, json);
-			this.bed.link(LinkKind.PROCESS_VM_LIST, process, json);
+			this.bed.link(LinkKind.PROCESS_TO_LOG, process, json);
+			this.bed.link(LinkKind.PROCESS_TO_VM_LIST, process, json);
 		}
 	}
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
@@ -81,7 +81,7 @@
 	@DataProvider
 	public Object[][] orderSilences() {
 		return new Object[][] { { "side process and plain service", LinkKind.SIDE_BACKEND },
-				{ "side process and log service", LinkKind.PROCESS_LOG },
+				{ "side process and log service", LinkKind.PROCESS_TO_LOG },
 				{ "entry and side process", LinkKind.ENTRY_SIDE } };
 	}
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TwoFaultsTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TwoFaultsTests.java
@@ -71,7 +71,7 @@
 	public void failureDomainCutOffDuringAPublish() throws Exception {
 		try (RevisionWatch watch = new RevisionWatch(bed())) {
 			long base = bed().revision(deployment().entry("entry-1"));
-			for (LinkKind kind : List.of(LinkKind.ENTRY_SIDE, LinkKind.PROCESS_LOG, LinkKind.PROCESS_VM_LIST)) {
+			for (LinkKind kind : List.of(LinkKind.ENTRY_SIDE, LinkKind.PROCESS_TO_LOG, LinkKind.PROCESS_TO_VM_LIST)) {
 				bed().link(kind, "runner-3", "{\"mode\":\"swallow\"}");
 			}
 			deployment().entry("entry-3").freeze();
@@ -81,7 +81,7 @@
 				Assert.assertEquals(publish.exitCode(), 0, publish.output());
 			}
 			deployment().entry("entry-3").thaw();
-			for (LinkKind kind : List.of(LinkKind.ENTRY_SIDE, LinkKind.PROCESS_LOG, LinkKind.PROCESS_VM_LIST)) {
+			for (LinkKind kind : List.of(LinkKind.ENTRY_SIDE, LinkKind.PROCESS_TO_LOG, LinkKind.PROCESS_TO_VM_LIST)) {
 				bed().link(kind, "runner-3", "{\"mode\":\"cut\"}");
 				bed().link(kind, "runner-3", "{\"mode\":\"pass\"}");
 			}
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/LinkKind.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/LinkKind.java
@@ -14,10 +14,10 @@
 	SIDE_BACKEND("backend."),
 
 	/** Process to the log service; one link for each process. */
-	PROCESS_LOG("log."),
+	PROCESS_TO_LOG("log."),
 
 	/** Process to the VM list; one link for each process. */
-	PROCESS_VM_LIST("vmlist.");
+	PROCESS_TO_VM_LIST("vmlist.");
 
 	private final String prefix;
 
--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/SettingsWriter.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/SettingsWriter.java
@@ -49,8 +49,8 @@
 		settings.put("http_address", ANY_PORT);
 		settings.put("peer_token", PEER_TOKEN);
 		settings.put("operator_token", Deployment.OPERATOR_TOKEN);
-		settings.put("log_url", url(LinkKind.PROCESS_LOG, name, StandinProcess.LOG));
-		settings.put("vm_list_url", url(LinkKind.PROCESS_VM_LIST, name, StandinProcess.VM_LIST));
+		settings.put("log_url", url(LinkKind.PROCESS_TO_LOG, name, StandinProcess.LOG));
+		settings.put("vm_list_url", url(LinkKind.PROCESS_TO_VM_LIST, name, StandinProcess.VM_LIST));
 		settings.putAll(this.plan.processSettings());
 		return settings;
 	}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -51,6 +51,18 @@
 	UNKNOWN_PATH(2014, 404, Outcome.NOT_RUN, "unknown path"),
 	/** Idempotency key is malformed. */
 	MALFORMED_KEY(2015, 400, Outcome.NOT_RUN, "malformed idempotency key"),
+	/** Configuration was not confirmed recently enough to trust a key. */
+	CONFIGURATION_STALE(2016, 503, Outcome.NOT_RUN, "configuration was not confirmed recently"),
+	/** Every backend server that was asked refused the request. */
+	BACKENDS_REFUSED(2017, 503, Outcome.NOT_RUN, "every backend server asked refused"),
+	/** Backend server's answer was not whole or not its own. */
+	ANSWER_UNTRUSTED(2018, 502, Outcome.UNKNOWN, "backend server's answer was not whole or not its own"),
+	/** Caller closed its connection. */
+	CALLER_GONE(2019, 499, Outcome.UNKNOWN, "caller closed its connection"),
+	/** Time for the request was over before it was sent to a backend server. */
+	TIMEOUT_BEFORE_SEND(2020, 503, Outcome.NOT_RUN, "time was over before the request was sent"),
+	/** Body was not complete. */
+	BODY_INCOMPLETE(2021, 400, Outcome.NOT_RUN, "body was not complete"),
 
 	/** Queue of the class is full. */
 	QUEUE_FULL(3001, 429, Outcome.NOT_RUN, "queue of the class is full"),
@@ -161,6 +173,10 @@
 	ENGINE_AWAY(6013, 0, Outcome.UNKNOWN, "engine can't be ordered or asked for its state"),
 	/** Operators' endpoint of a process can't be reached. */
 	PROCESS_UNREACHABLE(6014, 0, Outcome.UNKNOWN, "operators' endpoint of the process can't be reached"),
+	/** Records of a topic are no longer held. */
+	RECORDS_EXPIRED(6015, 0, Outcome.NOT_RUN, "records are no longer held"),
+	/** Platform's store refused a call or gave no usable answer. */
+	STORE_AWAY(6016, 0, Outcome.UNKNOWN, "platform's store refused or gave no usable answer"),
 	/** Fault inside the program. */
 	INTERNAL(6999, 500, Outcome.UNKNOWN, "internal fault");
 
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
@@ -0,0 +1,113 @@
+package org.marjoramgw.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Host;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.io.Inet;
+import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.OverflowStrategy;
+import org.apache.pekko.stream.TLSProtocol;
+import org.apache.pekko.stream.UniqueKillSwitch;
+import org.apache.pekko.stream.javadsl.BidiFlow;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.SourceQueueWithComplete;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.HostPort;
+
+/**
+ * Opens single HTTP connections, whose use and end their owner decides.
+ *
+ * @author The marjoramgw authors
+ */
+public final class HttpConnector {
+
+	/** Reads ahead of the parser, so that the end of a connection is noticed early. */
+	private static final int READ_AHEAD_COUNT = 4;
+
+	private static final List<Inet.SocketOption> NO_DELAY = List.of(TcpSO.tcpNoDelay(true));
+
+	private final ActorSystem<?> system;
+
+	private final ClientConnectionSettings settings;
+
+	/**
+	 * Creates a connector.
+	 * @param system the actor system that runs the connections
+	 * @param settings limits of what a server may send
+	 */
+	public HttpConnector(ActorSystem<?> system, ClientConnectionSettings settings) {
+		this.system = system;
+		this.settings = settings;
+	}
+
+	/**
+	 * Opens a connection.
+	 * @param address address of the server
+	 * @param timeoutMillis how long the server may take to accept, in milliseconds
+	 * @return the open connection; fails if the server did not accept, and then nothing
+	 * was sent
+	 */
+	public CompletionStage<HttpConnection> connect(HostPort address, long timeoutMillis) {
+		HttpConnection connection = new HttpConnection(address);
+		Flow<ByteString, ByteString, CompletionStage<Tcp.OutgoingConnection>> tcp = Tcp.get(this.system)
+			.outgoingConnection(address.toSocketAddress(), Optional.<InetSocketAddress>empty(), NO_DELAY, true,
+					Optional.of(Duration.ofMillis(timeoutMillis)), Optional.empty());
+		BidiFlow<ByteString, ByteString, ByteString, ByteString, UniqueKillSwitch> guard = BidiFlow
+			.fromGraph(KillSwitches.<ByteString, ByteString>singleBidi());
+		Flow<ByteString, ByteString, Link> guarded = guard.join(tcp, Link::new)
+			.via(Flow.<ByteString>create()
+				.map(connection::onBytes)
+				.buffer(READ_AHEAD_COUNT, OverflowStrategy.backpressure()));
+		Pair<SourceQueueWithComplete<HttpRequest>, Link> started = Source
+			.<HttpRequest>queue(1, OverflowStrategy.dropNew())
+			.viaMat(clientLayer(address).join(guarded, Keep.right()), Keep.both())
+			.to(Sink.foreach(connection::onResponse)
+				.<CompletionStage<?>>mapMaterializedValue((done) -> done.whenComplete(connection::onEnd)))
+			.run(this.system);
+		connection.started(started.first(), started.second().killSwitch());
+		return whenOpen(connection, started.second().opened());
+	}
+
+	private BidiFlow<HttpRequest, ByteString, ByteString, HttpResponse, NotUsed> clientLayer(HostPort address) {
+		BidiFlow<HttpRequest, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpResponse, NotUsed> layer = Http
+			.get(this.system)
+			.clientLayer(Host.create(address.host(), address.port()), this.settings);
+		return layer.atop(PlainBytes.layer());
+	}
+
+	private static CompletionStage<HttpConnection> whenOpen(HttpConnection connection,
+			CompletionStage<Tcp.OutgoingConnection> opened) {
+		CompletableFuture<HttpConnection> result = new CompletableFuture<>();
+		opened.whenComplete((ignored, failure) -> {
+			if (failure != null) {
+				connection.close();
+				result.completeExceptionally(failure);
+			}
+			else {
+				result.complete(connection);
+			}
+		});
+		return result;
+	}
+
+	private record Link(UniqueKillSwitch killSwitch, CompletionStage<Tcp.OutgoingConnection> opened) {
+	}
+
+}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -149,6 +149,18 @@
 		return require(key, ValueKind.number(min, max), min);
 	}
 
+	/**
+	 * Reads an optional number within bounds, with or without a fraction.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @param min the least allowed value
+	 * @param max the greatest allowed value
+	 * @return the number
+	 */
+	public double decimal(String key, double defaultValue, double min, double max) {
+		return read(key, ValueKind.decimal(min, max), defaultValue);
+	}
+
 	/**
 	 * Reads an optional truth value.
 	 * @param key the key
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/ValueKind.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/ValueKind.java
@@ -58,6 +58,17 @@
 				JsonNode::asLong);
 	}
 
+	/**
+	 * Makes the kind of a number within bounds, with or without a fraction.
+	 * @param min the least allowed value
+	 * @param max the greatest allowed value
+	 * @return the kind
+	 */
+	static ValueKind<Double> decimal(double min, double max) {
+		return of("a number from " + min + " to " + max,
+				(value) -> value.isNumber() && value.asDouble() >= min && value.asDouble() <= max, JsonNode::asDouble);
+	}
+
 	/**
 	 * Makes the kind of a text that must be one of a set.
 	 * @param allowed the allowed texts
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/time/AgeClock.java
@@ -0,0 +1,60 @@
+package org.marjoramgw.time;
+
+import org.marjoramgw.MillisClock;
+
+/**
+ * Clock for ages that must not be underestimated.
+ * <p>
+ * The monotonic clock stands still while a VM is suspended, and the time of day may be
+ * changed. An age is the larger of what the two clocks say.
+ *
+ * @author The marjoramgw authors
+ */
+public final class AgeClock {
+
+	private final MillisClock steady;
+
+	private final MillisClock timeOfDay;
+
+	/**
+	 * Creates a clock.
+	 * @param steady monotonic clock
+	 * @param timeOfDay clock that follows the time of day, also through sleep
+	 */
+	public AgeClock(MillisClock steady, MillisClock timeOfDay) {
+		this.steady = steady;
+		this.timeOfDay = timeOfDay;
+	}
+
+	/**
+	 * Reads both clocks.
+	 * @return the present moment
+	 */
+	public Moment now() {
+		return new Moment(this.steady.nowMillis(), this.timeOfDay.nowMillis());
+	}
+
+	/**
+	 * Returns the age of a moment.
+	 * @param moment an earlier moment
+	 * @return its age in milliseconds, never too small
+	 */
+	public long ageMillis(Moment moment) {
+		Moment now = now();
+		long steadyAge = now.steadyMillis() - moment.steadyMillis();
+		long dayAge = now.dayMillis() - moment.dayMillis();
+		return Math.max(steadyAge, dayAge);
+	}
+
+	/**
+	 * Returns by how much the time of day ran ahead of the monotonic clock since a
+	 * moment.
+	 * @param moment an earlier moment
+	 * @return the difference in milliseconds, negative if it fell behind
+	 */
+	public long driftMillis(Moment moment) {
+		Moment now = now();
+		return (now.dayMillis() - moment.dayMillis()) - (now.steadyMillis() - moment.steadyMillis());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/time/Timers.java
@@ -0,0 +1,32 @@
+package org.marjoramgw.time;
+
+/**
+ * Runs tasks later.
+ *
+ * @author The marjoramgw authors
+ */
+@FunctionalInterface
+public interface Timers {
+
+	/**
+	 * Runs a task once.
+	 * @param delayMillis delay in milliseconds
+	 * @param task the task; it must not block
+	 * @return handle that takes the task back
+	 */
+	Handle after(long delayMillis, Runnable task);
+
+	/**
+	 * Task that waits for its time.
+	 */
+	@FunctionalInterface
+	interface Handle {
+
+		/**
+		 * Takes the task back if it has not run.
+		 */
+		void cancel();
+
+	}
+
+}
