--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.direct;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
@@ -18,11 +20,13 @@
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.stream.javadsl.Tcp;
+import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.backend.ConnectionPool;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
+import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.RoutingInForce;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.follow.TopicFollower;
@@ -33,6 +37,7 @@
 import org.marjoramgw.direct.forward.ServerChoice;
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.direct.model.Routing;
+import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.metrics.MetricsText;
 import org.marjoramgw.policy.placement.AffinityPlacement;
@@ -93,6 +98,12 @@
 
 	private static final long POLL_OPEN_MILLIS = 50;
 
+	/** Requests after which most of the code is compiled. */
+	private static final int WARM_UP_REQUESTS = 300;
+
+	/** Time after which callers are served by code that is not warm, in milliseconds. */
+	private static final long WARM_UP_LIMIT_MILLIS = 2_500;
+
 	private static final long LAST_WRITES_MILLIS = 300;
 
 	private final DirectSettings settings;
@@ -105,6 +116,12 @@
 
 	private final Timers timers;
 
+	private final ServerSettings serverSettings;
+
+	private final HttpConnector connector;
+
+	private final Platform platform;
+
 	private final MetricRegistry registry = new MetricRegistry();
 
 	private final RoutingInForce routing;
@@ -123,6 +140,8 @@
 
 	private Moment lastUpkeep = this.clock.now();
 
+	private volatile boolean warm;
+
 	private volatile boolean leaving;
 
 	/**
@@ -135,16 +154,18 @@
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
 		this.timers = new PekkoTimers(this.system);
-		HttpConnector connector = new HttpConnector(this.system, ClientConnectionSettings.create(config));
-		Platform platform = platforms.apply(this.system, connector);
-		this.routing = new RoutingInForce(platform.configurationKey(), platform.routingDecoder(), this.clock);
-		this.directory = new ServerDirectory(platform.serverDecoder(), this.clock);
-		this.pool = new ConnectionPool(connector, this.steady);
-		this.forwarder = new Forwarder(parts(platform));
-		this.configurationFollower = new TopicFollower("configuration", platform.configuration(), this.routing,
+		this.serverSettings = ServerSettings.create(config);
+		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config));
+		this.platform = platforms.apply(this.system, this.connector);
+		this.routing = new RoutingInForce(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
+		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
+		this.pool = new ConnectionPool(this.connector, this.steady);
+		this.forwarder = new Forwarder(
+				parts(this.routing, this.directory, new Outcomes(this.registry), maxAgeMillis()));
+		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
 				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS);
-		this.serversFollower = new TopicFollower("servers", platform.servers(), this.directory, this.clock, this.timers,
-				SERVERS_WAIT_MILLIS);
+		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
+				this.timers, SERVERS_WAIT_MILLIS);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
 
@@ -160,24 +181,50 @@
 			.bind(this.settings.healthAddress()));
 		bound("metrics", new HealthEndpoint(this.system, Map.of(this.settings.metricsPath(), () -> text(metrics)))
 			.bind(this.settings.metricsAddress()));
-		CompletionStage<Tcp.ServerBinding> callers = new CallerListener(this.system,
-				ServerSettings.create(this.system.settings().config()), this::limits, this.forwarder::handle)
-			.bind(this.settings.callerAddress());
+		CallerListener listener = new CallerListener(this.system, this.serverSettings, this::limits,
+				this.forwarder::handle);
+		CompletionStage<Tcp.ServerBinding> callers = listener.bind(this.settings.callerAddress());
 		bound("callers", callers);
-		callers.thenAccept((binding) -> Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding), "stop")));
+		callers.thenAccept(
+				(binding) -> Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding, listener), "stop")));
+		warmUp();
 		Logger.info("started process={} failure_domain={}", this.settings.processId(), this.settings.failureDomain());
 	}
 
-	private ForwardParts parts(Platform platform) {
+	private void warmUp() {
+		new WarmUp(this.system, this.connector, this.platform.samples(), this.steady, WARM_UP_REQUESTS,
+				WARM_UP_LIMIT_MILLIS)
+			.run(this::startSample)
+			.thenAccept((done) -> {
+				this.warm = true;
+				if (this.settings.stopAfterWarmUp()) {
+					new Thread(() -> System.exit(0), "exit").start();
+				}
+			});
+	}
+
+	private CompletionStage<HostPort> startSample(List<KeyedRecord> registrations, HostPort address) {
+		RoutingInForce sampleRouting = new RoutingInForce("", this.platform.routingDecoder(), this.clock);
+		sampleRouting.onSnapshot(List.of(new KeyedRecord("", Optional.of(this.platform.samples().configuration()), 0)));
+		sampleRouting.onConfirmed(this.clock.now());
+		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
+		sampleDirectory.onSnapshot(registrations);
+		Forwarder sample = new Forwarder(
+				parts(sampleRouting, sampleDirectory, new Outcomes(new MetricRegistry()), WARM_UP_LIMIT_MILLIS * 2));
+		return new CallerListener(this.system, this.serverSettings, this::limits, sample::handle).bind(address)
+			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
+	}
+
+	private ForwardParts parts(RoutingInForce inForce, ServerDirectory servers, Outcomes outcomes, long maxAgeMillis) {
 		Random random = new Random();
 		Placement plain = new LeastLoadedPlacement(random);
-		ServerChoice servers = new ServerChoice(this.directory, this.health,
-				new AffinityPlacement(AFFINITY_SLACK, plain), plain, this.settings.failureDomain());
+		ServerChoice choice = new ServerChoice(servers, this.health, new AffinityPlacement(AFFINITY_SLACK, plain),
+				plain, this.settings.failureDomain());
 		WindowRetryBudget budget = new WindowRetryBudget(this.steady, this.settings.retryWindowMillis(),
 				this.settings.retryRatio(), this.settings.freeRetryCount() / ASSUMED_PROCESSES);
-		return new ForwardParts(this.system, platform.callerDialect(), platform.backendDialect(), this.routing,
-				new Admission(this.routing, maxAgeMillis()), this.directory, this.health, servers, this.pool, budget,
-				new Outcomes(this.registry), this.clock, this.timers, random);
+		return new ForwardParts(this.system, this.platform.callerDialect(), this.platform.backendDialect(), inForce,
+				new Admission(inForce, maxAgeMillis), servers, this.health, choice, this.pool, budget, outcomes,
+				this.clock, this.timers, random);
 	}
 
 	private long maxAgeMillis() {
@@ -189,7 +236,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.leaving && this.directory.isComplete()
+		return !this.leaving && this.warm && this.directory.isComplete()
 				&& this.routing.ageMillis() < maxAgeMillis() - READY_MARGIN_MILLIS;
 	}
 
@@ -226,17 +273,20 @@
 	 * Stops in order: not ready, accepting until the balancer has seen it, answering what
 	 * is open, closing idle connections last.
 	 * @param callers the callers' endpoint
+	 * @param listener its connections
 	 */
-	private void stop(Tcp.ServerBinding callers) {
+	private void stop(Tcp.ServerBinding callers, CallerListener listener) {
 		long startMillis = this.steady.nowMillis();
 		this.leaving = true;
 		this.forwarder.leave();
 		Logger.info("stopping with {} open requests", this.forwarder.openCount());
 		Pause.millis(BALANCER_MILLIS);
 		callers.unbind();
+		listener.closeIdle();
 		long endMillis = startMillis + this.settings.stopGraceMillis() - STOP_RESERVE_MILLIS;
 		while (this.forwarder.openCount() > 0 && this.steady.nowMillis() < endMillis) {
 			Pause.millis(POLL_OPEN_MILLIS);
+			listener.closeIdle();
 		}
 		Pause.millis(LAST_WRITES_MILLIS);
 		this.configurationFollower.close();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -21,11 +21,12 @@
  * @param retryWindowMillis window over which retries are counted, in milliseconds
  * @param freeRetryCount retries in a window that need no requests, for all processes
  * together
+ * @param stopAfterWarmUp whether the process ends once it is warmed up, for a trial start
  * @author The marjoramgw authors
  */
 public record DirectSettings(String processId, String failureDomain, HostPort callerAddress, HostPort healthAddress,
 		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
-		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount) {
+		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, boolean stopAfterWarmUp) {
 
 	private static final double MAX_SECONDS = 3_600;
 
@@ -45,7 +46,8 @@
 				root.address("health"), root.text("health_path"), root.address("metrics"),
 				root.text("metrics_path", "/metrics"), root.address("store"), seconds(root, "stop_grace_s", 8),
 				root.number("revocation_ms", 5_000, 100, MAX_MILLIS), root.decimal("retry_ratio", 0.1, 0, 10),
-				seconds(root, "retry_window_s", 10), (int) root.number("free_retry_count", 0, 0, MAX_RETRIES));
+				seconds(root, "retry_window_s", 10), (int) root.number("free_retry_count", 0, 0, MAX_RETRIES),
+				root.flag("stop_after_warm_up", false));
 	}
 
 	private static long seconds(TomlTable root, String key, double defaultValue) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
@@ -5,6 +5,7 @@
 import org.marjoramgw.direct.follow.KeyedTopic;
 import org.marjoramgw.direct.follow.RoutingInForce.RoutingDecoder;
 import org.marjoramgw.direct.follow.ServerDirectory.ServerDecoder;
+import org.marjoramgw.direct.warmup.Samples;
 
 /**
  * What a deployment's platform provides, in the product's terms.
@@ -16,8 +17,10 @@
  * @param routingDecoder decodes that record
  * @param servers topic that holds the registrations of backend servers
  * @param serverDecoder decodes a registration
+ * @param samples sample messages
  * @author The marjoramgw authors
  */
 public record Platform(CallerDialect callerDialect, BackendDialect backendDialect, KeyedTopic configuration,
-		String configurationKey, RoutingDecoder routingDecoder, KeyedTopic servers, ServerDecoder serverDecoder) {
+		String configurationKey, RoutingDecoder routingDecoder, KeyedTopic servers, ServerDecoder serverDecoder,
+		Samples samples) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -7,10 +7,34 @@
  */
 public final class CallerConnection {
 
+	private final Runnable hangUp;
+
 	private boolean closed;
 
+	private boolean busy;
+
 	private Runnable onClose;
 
+	/**
+	 * Creates a connection.
+	 * @param hangUp closes it from this side
+	 */
+	public CallerConnection(Runnable hangUp) {
+		this.hangUp = hangUp;
+	}
+
+	/**
+	 * Notes that a request was read.
+	 * @return whether it may be answered; if not, the connection is being closed
+	 */
+	public synchronized boolean begin() {
+		if (this.closed) {
+			return false;
+		}
+		this.busy = true;
+		return true;
+	}
+
 	/**
 	 * Sets what happens to the request under way when the caller closes the connection.
 	 * @param action what is done; at once if the connection is closed already
@@ -26,9 +50,10 @@
 	}
 
 	/**
-	 * Notes that no request is under way.
+	 * Notes that the request under way was answered to its end.
 	 */
-	public synchronized void idle() {
+	public synchronized void end() {
+		this.busy = false;
 		this.onClose = null;
 	}
 
@@ -40,10 +65,24 @@
 		synchronized (this) {
 			this.closed = true;
 			action = this.onClose;
+			this.onClose = null;
 		}
 		if (action != null) {
 			action.run();
 		}
 	}
 
+	/**
+	 * Closes the connection from this side if no request is under way.
+	 */
+	public void closeIfIdle() {
+		synchronized (this) {
+			if (this.busy || this.closed) {
+				return;
+			}
+			this.closed = true;
+		}
+		this.hangUp.run();
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
@@ -15,7 +17,9 @@
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.io.Inet;
 import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.OverflowStrategy;
+import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.TLSProtocol;
 import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
@@ -51,6 +55,8 @@
 
 	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
 
+	private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
+
 	/**
 	 * Creates a listener.
 	 * @param system the actor system
@@ -78,19 +84,32 @@
 			.run(this.system);
 	}
 
+	/**
+	 * Closes the connections on which no request is under way.
+	 */
+	public void closeIdle() {
+		this.open.forEach(CallerConnection::closeIfIdle);
+	}
+
 	private void accept(Tcp.IncomingConnection incoming) {
-		CallerConnection caller = new CallerConnection();
+		SharedKillSwitch end = KillSwitches.shared("caller");
+		CallerConnection caller = new CallerConnection(end::shutdown);
+		this.open.add(caller);
 		Flow<HttpRequest, HttpResponse, NotUsed> answers = Flow.<HttpRequest>create()
-			.mapAsync(1, (request) -> answer(request, caller));
+			.mapAsync(1, (request) -> this.handler.apply(request, caller));
 		Flow<ByteString, ByteString, NotUsed> bytes = Flow.<ByteString>create().watchTermination((notUsed, ended) -> {
-			ended.whenComplete((done, failure) -> caller.close());
+			ended.whenComplete((done, failure) -> onEnd(caller));
 			return notUsed;
-		}).buffer(READ_AHEAD_COUNT, OverflowStrategy.backpressure()).via(server().reversed().join(answers));
+		})
+			.buffer(READ_AHEAD_COUNT, OverflowStrategy.backpressure())
+			.via(server().reversed().join(answers))
+			.via(end.flow());
 		incoming.handleWith(bytes, this.system);
 	}
 
-	private CompletionStage<HttpResponse> answer(HttpRequest request, CallerConnection caller) {
-		return this.handler.apply(request, caller);
+	private void onEnd(CallerConnection caller) {
+		this.open.remove(caller);
+		caller.close();
 	}
 
 	private BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> server() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -50,6 +50,8 @@
 
 	private final Moment arrived;
 
+	private final Runnable onEnd;
+
 	private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
 
 	private final Set<String> excluded = new HashSet<>();
@@ -71,11 +73,20 @@
 
 	private boolean done;
 
-	ForwardedRequest(ForwardParts parts, HttpRequest request, CallerRequest caller, Moment arrived) {
+	/**
+	 * Creates a request.
+	 * @param parts what all requests use
+	 * @param request the request with its whole body
+	 * @param caller what its head says
+	 * @param arrived when it came in
+	 * @param onEnd called once when nothing of it is left to send to the caller
+	 */
+	ForwardedRequest(ForwardParts parts, HttpRequest request, CallerRequest caller, Moment arrived, Runnable onEnd) {
 		this.parts = parts;
 		this.request = request;
 		this.caller = caller;
 		this.arrived = arrived;
+		this.onEnd = onEnd;
 	}
 
 	/**
@@ -336,13 +347,13 @@
 
 	private void finish(ResultCode code, HttpResponse response, String detail) {
 		this.done = true;
-		this.timer.cancel();
 		record(code, response.status().intValue(), detail);
 		this.answer.complete(response);
 	}
 
 	private void record(ResultCode code, int status, String detail) {
 		this.timer.cancel();
+		this.onEnd.run();
 		String route = (this.admitted != null) ? this.admitted.route().name() : "";
 		this.parts.outcomes()
 			.ended(code, this.caller.id(), route, status, this.parts.clock().ageMillis(this.arrived), detail);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct.forward;
 
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,6 +48,9 @@
 	 * @return the answer; its body may go on for a while
 	 */
 	public CompletionStage<HttpResponse> handle(HttpRequest request, CallerConnection connection) {
+		if (!connection.begin()) {
+			return CompletableFuture.failedFuture(new IOException("connection is being closed"));
+		}
 		Moment arrived = this.parts.clock().now();
 		CallerRequest caller = this.parts.callerDialect().decode(request);
 		this.open.incrementAndGet();
@@ -57,11 +61,10 @@
 			.maxBodyBytes();
 		return request.entity()
 			.toStrict(BODY_TIMEOUT_MILLIS, maxBodyBytes, this.parts.system())
-			.handle((body, failure) -> (failure != null) ? refuseBody(caller, arrived, failure)
+			.handle((body, failure) -> (failure != null) ? refuseBody(caller, arrived, failure, connection)
 					: forward(request, caller, body, arrived, connection))
 			.thenCompose((answer) -> answer)
-			.thenApply(this::withClose)
-			.whenComplete((response, failure) -> this.open.decrementAndGet());
+			.thenApply(this::withClose);
 	}
 
 	/**
@@ -72,7 +75,7 @@
 	}
 
 	/**
-	 * Returns how many requests have no answer yet.
+	 * Returns how many requests have no whole answer yet.
 	 * @return the number of requests
 	 */
 	public int openCount() {
@@ -81,20 +84,28 @@
 
 	private CompletionStage<HttpResponse> forward(HttpRequest request, CallerRequest caller, HttpEntity.Strict body,
 			Moment arrived, CallerConnection connection) {
-		ForwardedRequest forwarded = new ForwardedRequest(this.parts, request.withEntity(body), caller, arrived);
+		ForwardedRequest forwarded = new ForwardedRequest(this.parts, request.withEntity(body), caller, arrived,
+				() -> end(connection));
 		connection.whenClosed(forwarded::cancel);
 		return forwarded.start();
 	}
 
-	private CompletionStage<HttpResponse> refuseBody(CallerRequest caller, Moment arrived, Throwable failure) {
+	private CompletionStage<HttpResponse> refuseBody(CallerRequest caller, Moment arrived, Throwable failure,
+			CallerConnection connection) {
 		ResultCode code = isTooLarge(failure) ? ResultCode.BODY_TOO_LARGE : ResultCode.BODY_INCOMPLETE;
 		HttpResponse response = Refusals.of(code);
+		end(connection);
 		this.parts.outcomes()
 			.ended(code, caller.id(), "", code.httpStatus(), this.parts.clock().ageMillis(arrived),
 					String.valueOf(failure.getMessage()));
 		return CompletableFuture.completedFuture(this.parts.callerDialect().withRequestId(response, caller.id()));
 	}
 
+	private void end(CallerConnection connection) {
+		this.open.decrementAndGet();
+		connection.end();
+	}
+
 	private static boolean isTooLarge(Throwable failure) {
 		return failure instanceof EntityStreamSizeException || failure.getCause() instanceof EntityStreamSizeException;
 	}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
@@ -0,0 +1,138 @@
+package org.marjoramgw.direct.warmup;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.http.HttpConnector;
+import org.tinylog.Logger;
+
+/**
+ * Sends sample requests through a private copy of the caller's path to a sample backend
+ * server on the loopback address.
+ *
+ * @author The marjoramgw authors
+ */
+public final class WarmUp {
+
+	private static final HostPort ANY_LOOPBACK_PORT = new HostPort("127.0.0.1", 0);
+
+	private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
+
+	private static final int REQUESTS_PER_CONNECTION = 10;
+
+	private static final long MAX_BODY_BYTES = 1L << 20;
+
+	private final ActorSystem<?> system;
+
+	private final HttpConnector connector;
+
+	private final Samples samples;
+
+	private final MillisClock clock;
+
+	private final int maxRequests;
+
+	private final long limitMillis;
+
+	private final AtomicInteger sent = new AtomicInteger();
+
+	/**
+	 * Creates a warm-up.
+	 * @param system the actor system
+	 * @param connector opens connections
+	 * @param samples sample messages
+	 * @param clock monotonic clock
+	 * @param maxRequests requests after which it ends
+	 * @param limitMillis time after which it ends, in milliseconds
+	 */
+	public WarmUp(ActorSystem<?> system, HttpConnector connector, Samples samples, MillisClock clock, int maxRequests,
+			long limitMillis) {
+		this.system = system;
+		this.connector = connector;
+		this.samples = samples;
+		this.clock = clock;
+		this.maxRequests = maxRequests;
+		this.limitMillis = limitMillis;
+	}
+
+	/**
+	 * Runs the warm-up.
+	 * @param target starts the private copy of the caller's path
+	 * @return completes when it is over, also if it failed
+	 */
+	public CompletionStage<Void> run(Target target) {
+		long endMillis = this.clock.nowMillis() + this.limitMillis;
+		return Http.get(this.system)
+			.newServerAt(ANY_LOOPBACK_PORT.host(), ANY_LOOPBACK_PORT.port())
+			.bindSync(this.samples::answer)
+			.thenCompose((server) -> target.start(records(server), ANY_LOOPBACK_PORT)
+				.thenCompose((address) -> sendAll(address, endMillis))
+				.whenComplete((done, failure) -> server.unbind()))
+			.handle((done, failure) -> {
+				if (failure != null) {
+					Logger.warn("warm-up ended early: {}", failure.toString());
+				}
+				Logger.info("warmed up with {} requests", this.sent.get());
+				return null;
+			});
+	}
+
+	private List<KeyedRecord> records(ServerBinding server) {
+		HostPort address = new HostPort(ANY_LOOPBACK_PORT.host(), server.localAddress().getPort());
+		return List.of(new KeyedRecord(Samples.SERVER_ID, Optional.of(this.samples.registration(address)), 0));
+	}
+
+	private CompletionStage<Void> sendAll(HostPort address, long endMillis) {
+		if (this.sent.get() >= this.maxRequests || this.clock.nowMillis() >= endMillis) {
+			return CompletableFuture.completedFuture(null);
+		}
+		return this.connector.connect(address, CONNECT_TIMEOUT_MILLIS)
+			.thenCompose((connection) -> sendSome(connection, REQUESTS_PER_CONNECTION)
+				.whenComplete((done, failure) -> connection.close()))
+			.thenCompose((done) -> sendAll(address, endMillis));
+	}
+
+	private CompletionStage<Void> sendSome(HttpConnection connection, int count) {
+		if (count == 0 || !connection.isUsable()) {
+			return CompletableFuture.completedFuture(null);
+		}
+		return connection.send(this.samples.request(this.sent.getAndIncrement()))
+			.thenCompose(this::read)
+			.thenCompose((read) -> {
+				connection.release();
+				return sendSome(connection, count - 1);
+			});
+	}
+
+	private CompletionStage<?> read(HttpResponse response) {
+		return response.entity().toStrict(CONNECT_TIMEOUT_MILLIS, MAX_BODY_BYTES, this.system);
+	}
+
+	/**
+	 * Private copy of the caller's path.
+	 */
+	@FunctionalInterface
+	public interface Target {
+
+		/**
+		 * Starts it.
+		 * @param registrations backend servers that it may use
+		 * @param address where it listens
+		 * @return the address once it listens
+		 */
+		CompletionStage<HostPort> start(List<KeyedRecord> registrations, HostPort address);
+
+	}
+
+}
