Build the layers of HTTP connections once

Cause: each connection built its HTTP layer anew, which fills a table of all known header names; a request took 65 ms of a cold core in the warm-up. Requests name their host themselves now, so that one client layer serves all addresses. The warm-up ends once callers' requests do the same work.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -101,6 +101,11 @@
 	/** Requests after which most of the code is compiled. */
 	private static final int WARM_UP_REQUESTS = 300;
 
+	/**
+	 * Open requests of callers beyond which the warm-up would only take time from them.
+	 */
+	private static final int MAX_OPEN_IN_WARM_UP = 1;
+
 	/** Time after which callers are served by code that is not warm, in milliseconds. */
 	private static final long WARM_UP_LIMIT_MILLIS = 2_500;
 
@@ -193,7 +198,7 @@
 
 	private void warmUp() {
 		new WarmUp(this.system, this.connector, this.platform.samples(), this.steady, WARM_UP_REQUESTS,
-				WARM_UP_LIMIT_MILLIS)
+				WARM_UP_LIMIT_MILLIS, () -> this.forwarder.openCount() > MAX_OPEN_IN_WARM_UP)
 			.run(this::startSample)
 			.thenAccept((done) -> {
 				this.warm = true;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.direct.caller;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
@@ -56,6 +57,9 @@
 
 	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
 
+	/** Built once for each timeout: building one fills a table of all known headers. */
+	private final Map<Long, BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed>> layerByIdleTimeout = new ConcurrentHashMap<>();
+
 	private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
 
 	/**
@@ -114,9 +118,12 @@
 	}
 
 	private BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> server() {
-		CallerLimits current = this.limits.get();
-		ServerSettings adapted = this.settings.withTimeouts(this.settings.getTimeouts()
-			.withIdleTimeout(Duration.create(current.idleTimeoutMillis(), TimeUnit.MILLISECONDS)));
+		return this.layerByIdleTimeout.computeIfAbsent(this.limits.get().idleTimeoutMillis(), this::serverLayer);
+	}
+
+	private BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> serverLayer(long idleTimeoutMillis) {
+		ServerSettings adapted = this.settings.withTimeouts(
+				this.settings.getTimeouts().withIdleTimeout(Duration.create(idleTimeoutMillis, TimeUnit.MILLISECONDS)));
 		BidiFlow<HttpResponse, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpRequest, NotUsed> layer = Http
 			.get(this.system)
 			.serverLayer(adapted);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
@@ -46,6 +47,8 @@
 
 	private final long limitMillis;
 
+	private final BooleanSupplier superseded;
+
 	private final AtomicInteger sent = new AtomicInteger();
 
 	/**
@@ -56,15 +59,17 @@
 	 * @param clock monotonic clock
 	 * @param maxRequests requests after which it ends
 	 * @param limitMillis time after which it ends, in milliseconds
+	 * @param superseded whether callers' requests do the same already
 	 */
 	public WarmUp(ActorSystem<?> system, HttpConnector connector, Samples samples, MillisClock clock, int maxRequests,
-			long limitMillis) {
+			long limitMillis, BooleanSupplier superseded) {
 		this.system = system;
 		this.connector = connector;
 		this.samples = samples;
 		this.clock = clock;
 		this.maxRequests = maxRequests;
 		this.limitMillis = limitMillis;
+		this.superseded = superseded;
 	}
 
 	/**
@@ -96,7 +101,8 @@
 	}
 
 	private CompletionStage<Void> sendAll(HostPort address, long endMillis) {
-		if (this.sent.get() >= this.maxRequests || this.clock.nowMillis() >= endMillis) {
+		if (this.sent.get() >= this.maxRequests || this.superseded.getAsBoolean()
+				|| this.clock.nowMillis() >= endMillis) {
 			return CompletableFuture.completedFuture(null);
 		}
 		return this.connector.connect(address, CONNECT_TIMEOUT_MILLIS)
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
@@ -33,7 +33,8 @@
 import org.marjoramgw.Stages;
 
 /**
- * Opens single HTTP connections, whose use and end their owner decides.
+ * Opens single HTTP connections, whose use and end their owner decides. Requests name
+ * their host themselves.
  *
  * @author The marjoramgw authors
  */
@@ -46,7 +47,8 @@
 
 	private final ActorSystem<?> system;
 
-	private final ClientConnectionSettings settings;
+	/** Built once: building it fills a table of all known headers. */
+	private final BidiFlow<HttpRequest, ByteString, ByteString, HttpResponse, NotUsed> clientLayer;
 
 	/**
 	 * Creates a connector.
@@ -55,7 +57,10 @@
 	 */
 	public HttpConnector(ActorSystem<?> system, ClientConnectionSettings settings) {
 		this.system = system;
-		this.settings = settings;
+		BidiFlow<HttpRequest, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpResponse, NotUsed> layer = Http
+			.get(system)
+			.clientLayer(Host.create(""), settings);
+		this.clientLayer = layer.atop(PlainBytes.layer());
 	}
 
 	/**
@@ -78,7 +83,7 @@
 				.buffer(READ_AHEAD_COUNT, OverflowStrategy.backpressure()));
 		Pair<SourceQueueWithComplete<HttpRequest>, Link> started = Source
 			.<HttpRequest>queue(1, OverflowStrategy.dropNew())
-			.viaMat(clientLayer(address).join(guarded, Keep.right()), Keep.both())
+			.viaMat(this.clientLayer.join(guarded, Keep.right()), Keep.both())
 			.to(Sink.foreach(connection::onResponse)
 				.<CompletionStage<?>>mapMaterializedValue(
 						(done) -> Stages.direct(done).whenComplete(connection::onEnd)))
@@ -87,13 +92,6 @@
 		return whenOpen(connection, started.second().opened());
 	}
 
-	private BidiFlow<HttpRequest, ByteString, ByteString, HttpResponse, NotUsed> clientLayer(HostPort address) {
-		BidiFlow<HttpRequest, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpResponse, NotUsed> layer = Http
-			.get(this.system)
-			.clientLayer(Host.create(address.host(), address.port()), this.settings);
-		return layer.atop(PlainBytes.layer());
-	}
-
 	private static CompletionStage<HttpConnection> whenOpen(HttpConnection connection,
 			CompletionStage<Tcp.OutgoingConnection> opened) {
 		CompletableFuture<HttpConnection> result = new CompletableFuture<>();
