Let few requests start at once, place prompts by expected wait, read settings again

Now four start at once, the most urgent first, and one whose caller leaves is dropped. Placing: a prompt goes where its wait and the time to read its shared part again are least; before, a short prompt waited behind long ones for the sake of a part of 2 ms.

--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.direct.backend.
+ */
+package org.marjoramgw.direct.backend;
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.direct.follow.
+ */
+package org.marjoramgw.direct.follow;
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.direct.forward.
+ */
+package org.marjoramgw.direct.forward;
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Values that the tests share.
+ */
+package org.marjoramgw.direct;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -24,6 +25,8 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.backend.ConnectionPool;
+import org.marjoramgw.direct.backend.FirstEventDelays;
+import org.marjoramgw.direct.backend.PrefillEstimate;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
 import org.marjoramgw.direct.follow.KeyedRecord;
@@ -40,9 +43,10 @@
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.metrics.MetricsText;
-import org.marjoramgw.policy.placement.AffinityPlacement;
+import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.placement.PromptPlacement;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
@@ -50,6 +54,7 @@
 import org.marjoramgw.time.PekkoTimers;
 import org.marjoramgw.time.Timers;
 import org.tinylog.Logger;
+import sun.misc.Signal;
 
 /**
  * Entry process that talks to backend servers directly: wires its parts, starts them and
@@ -80,9 +85,12 @@
 	private static final int ASSUMED_PROCESSES = 16;
 
 	/**
-	 * Requests that a server may always have from this process, for its cached prompts.
+	 * Time for which a shared part that was sent to a server is expected in its cache.
 	 */
-	private static final double AFFINITY_SLACK = 4;
+	private static final long CACHED_MILLIS = 20_000;
+
+	/** Requests that start at once; a start takes processor time above all. */
+	private static final int MAX_STARTING = 4;
 
 	/** Pause of the regular upkeep. */
 	private static final long UPKEEP_MILLIS = 500;
@@ -107,11 +115,11 @@
 	private static final int MAX_OPEN_IN_WARM_UP = 1;
 
 	/** Time after which callers are served by code that is not warm, in milliseconds. */
-	private static final long WARM_UP_LIMIT_MILLIS = 2_500;
+	private static final long WARM_UP_LIMIT_MILLIS = 1_500;
 
 	private static final long LAST_WRITES_MILLIS = 300;
 
-	private final DirectSettings settings;
+	private final SettingsFile settings;
 
 	private final MillisClock steady = new SystemMillisClock();
 
@@ -151,11 +159,11 @@
 
 	/**
 	 * Creates a process.
-	 * @param settings its settings
+	 * @param settingsFile its settings
 	 * @param platforms makes the platform's side from the actor system and a connector
 	 */
-	public DirectProcess(DirectSettings settings, BiFunction<ActorSystem<?>, HttpConnector, Platform> platforms) {
-		this.settings = settings;
+	public DirectProcess(SettingsFile settingsFile, BiFunction<ActorSystem<?>, HttpConnector, Platform> platforms) {
+		this.settings = settingsFile;
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
 		this.timers = new PekkoTimers(this.system);
@@ -166,7 +174,7 @@
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.pool = new ConnectionPool(this.connector, this.steady);
 		this.forwarder = new Forwarder(
-				parts(this.routing, this.directory, new Outcomes(this.registry), maxAgeMillis()));
+				parts(this.routing, this.directory, new Outcomes(this.registry), this::maxAgeMillis));
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
 				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS);
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
@@ -182,18 +190,20 @@
 		this.serversFollower.start();
 		upkeep();
 		MetricsText metrics = new MetricsText(this.registry);
-		bound("health", new HealthEndpoint(this.system, Map.of(this.settings.healthPath(), this::readiness))
-			.bind(this.settings.healthAddress()));
-		bound("metrics", new HealthEndpoint(this.system, Map.of(this.settings.metricsPath(), () -> text(metrics)))
-			.bind(this.settings.metricsAddress()));
+		bound("health", new HealthEndpoint(this.system, Map.of(this.settings.get().healthPath(), this::readiness))
+			.bind(this.settings.get().healthAddress()));
+		bound("metrics", new HealthEndpoint(this.system, Map.of(this.settings.get().metricsPath(), () -> text(metrics)))
+			.bind(this.settings.get().metricsAddress()));
 		CallerListener listener = new CallerListener(this.system, this.serverSettings, this::limits,
 				this.forwarder::handle);
-		CompletionStage<Tcp.ServerBinding> callers = listener.bind(this.settings.callerAddress());
+		CompletionStage<Tcp.ServerBinding> callers = listener.bind(this.settings.get().callerAddress());
 		bound("callers", callers);
 		callers.thenAccept(
 				(binding) -> Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding, listener), "stop")));
+		Signal.handle(new Signal("HUP"), (signal) -> reload("SIGHUP"));
 		warmUp();
-		Logger.info("started process={} failure_domain={}", this.settings.processId(), this.settings.failureDomain());
+		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
+				this.settings.get().failureDomain());
 	}
 
 	private void warmUp() {
@@ -202,7 +212,7 @@
 			.run(this::startSample)
 			.thenAccept((done) -> {
 				this.warm = true;
-				if (this.settings.stopAfterWarmUp()) {
+				if (this.settings.get().stopAfterWarmUp()) {
 					new Thread(() -> System.exit(0), "exit").start();
 				}
 			});
@@ -214,26 +224,30 @@
 		sampleRouting.onConfirmed(this.clock.now());
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
-		Forwarder sample = new Forwarder(
-				parts(sampleRouting, sampleDirectory, new Outcomes(new MetricRegistry()), WARM_UP_LIMIT_MILLIS * 2));
+		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory, new Outcomes(new MetricRegistry()),
+				() -> WARM_UP_LIMIT_MILLIS * 2));
 		return new CallerListener(this.system, this.serverSettings, this::limits, sample::handle).bind(address)
 			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
 	}
 
-	private ForwardParts parts(RoutingInForce inForce, ServerDirectory servers, Outcomes outcomes, long maxAgeMillis) {
+	private ForwardParts parts(RoutingInForce inForce, ServerDirectory servers, Outcomes outcomes,
+			LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		Placement plain = new LeastLoadedPlacement(random);
-		ServerChoice choice = new ServerChoice(servers, this.health, new AffinityPlacement(AFFINITY_SLACK, plain),
-				plain, this.settings.failureDomain());
-		WindowRetryBudget budget = new WindowRetryBudget(this.steady, this.settings.retryWindowMillis(),
-				this.settings.retryRatio(), this.settings.freeRetryCount() / ASSUMED_PROCESSES);
+		FirstEventDelays delays = new FirstEventDelays(this.steady);
+		ServerChoice choice = new ServerChoice(servers, this.health, delays,
+				new PromptPlacement(this.steady, PrefillEstimate.TOKENS_PER_MILLI, CACHED_MILLIS), plain,
+				this.settings.get().failureDomain());
+		WindowRetryBudget budget = new WindowRetryBudget(this.steady, this.settings.get().retryWindowMillis(),
+				this.settings.get().retryRatio(), this.settings.get().freeRetryCount() / ASSUMED_PROCESSES);
 		return new ForwardParts(this.system, this.platform.callerDialect(), this.platform.backendDialect(), inForce,
-				new Admission(inForce, maxAgeMillis), servers, this.health, choice, this.pool, budget, outcomes,
-				this.clock, this.timers, random);
+				new Admission(inForce, maxAgeMillis), servers, this.health,
+				new StartGate(MAX_STARTING, this.system.executionContext()), delays, choice, this.pool, budget,
+				outcomes, this.clock, this.timers, random);
 	}
 
 	private long maxAgeMillis() {
-		return this.settings.revocationMillis() - REVOCATION_MARGIN_MILLIS;
+		return this.settings.get().revocationMillis() - REVOCATION_MARGIN_MILLIS;
 	}
 
 	private CallerLimits limits() {
@@ -260,11 +274,20 @@
 			this.serversFollower.confirm();
 		}
 		this.lastUpkeep = this.clock.now();
+		if (this.settings.hasChanged()) {
+			reload("file changed");
+		}
 		this.pool.closeExpired();
 		this.health.retain(Set.copyOf(this.directory.ids()));
 		this.timers.after(UPKEEP_MILLIS, this::upkeep);
 	}
 
+	private void reload(String reason) {
+		if (this.settings.reload()) {
+			Logger.info("settings read again: {}", reason);
+		}
+	}
+
 	private void bound(String name, CompletionStage<?> binding) {
 		binding.whenComplete((ignored, failure) -> {
 			if (failure != null) {
@@ -288,7 +311,7 @@
 		Pause.millis(BALANCER_MILLIS);
 		callers.unbind();
 		listener.closeIdle();
-		long endMillis = startMillis + this.settings.stopGraceMillis() - STOP_RESERVE_MILLIS;
+		long endMillis = startMillis + this.settings.get().stopGraceMillis() - STOP_RESERVE_MILLIS;
 		while (this.forwarder.openCount() > 0 && this.steady.nowMillis() < endMillis) {
 			Pause.millis(POLL_OPEN_MILLIS);
 			listener.closeIdle();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -31,6 +31,17 @@
 		return (shared > 0) ? this.promptParts.get(shared - 1).id() : "";
 	}
 
+	/**
+	 * Returns the size of the prompt that other requests may share.
+	 * @return tokens
+	 */
+	public long sharedTokenCount() {
+		return this.promptParts.stream()
+			.limit(Math.max(0, this.promptParts.size() - 1))
+			.mapToLong(PromptPart::tokenCount)
+			.sum();
+	}
+
 	/**
 	 * Returns the size of the part that no other request shares.
 	 * @return tokens
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.direct.forward;
 
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerRequest;
@@ -23,7 +24,7 @@
 
 	private final RoutingInForce routing;
 
-	private final long maxAgeMillis;
+	private final LongSupplier maxAgeMillis;
 
 	/**
 	 * Creates an admission.
@@ -31,7 +32,7 @@
 	 * @param maxAgeMillis greatest age of a confirmation that still admits keys, in
 	 * milliseconds
 	 */
-	public Admission(RoutingInForce routing, long maxAgeMillis) {
+	public Admission(RoutingInForce routing, LongSupplier maxAgeMillis) {
 		this.routing = routing;
 		this.maxAgeMillis = maxAgeMillis;
 	}
@@ -71,7 +72,7 @@
 	}
 
 	private boolean isRecent() {
-		return this.routing.ageMillis() < this.maxAgeMillis;
+		return this.routing.ageMillis() < this.maxAgeMillis.getAsLong();
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardParts.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardParts.java
@@ -5,10 +5,12 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.marjoramgw.direct.backend.BackendDialect;
 import org.marjoramgw.direct.backend.ConnectionPool;
+import org.marjoramgw.direct.backend.FirstEventDelays;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerDialect;
 import org.marjoramgw.direct.follow.RoutingInForce;
 import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Timers;
@@ -23,6 +25,8 @@
  * @param admission judge of requests
  * @param directory registered backend servers
  * @param health work and failures of backend servers
+ * @param gate order in which requests start
+ * @param delays delays of first events
  * @param servers choice of backend servers
  * @param pool connections to backend servers
  * @param budget retries that are allowed
@@ -33,7 +37,7 @@
  * @author The marjoramgw authors
  */
 public record ForwardParts(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
-		RoutingInForce routing, Admission admission, ServerDirectory directory, ServerHealth health,
-		ServerChoice servers, ConnectionPool pool, WindowRetryBudget budget, Outcomes outcomes, AgeClock clock,
-		Timers timers, Random random) {
+		RoutingInForce routing, Admission admission, ServerDirectory directory, ServerHealth health, StartGate gate,
+		FirstEventDelays delays, ServerChoice servers, ConnectionPool pool, WindowRetryBudget budget, Outcomes outcomes,
+		AgeClock clock, Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -15,12 +15,14 @@
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.Stages;
 import org.marjoramgw.direct.backend.KeepAlive;
+import org.marjoramgw.direct.backend.PrefillEstimate;
 import org.marjoramgw.direct.backend.SendOrders;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.time.Moment;
 import org.marjoramgw.time.Timers;
 
@@ -37,6 +39,9 @@
 	/** Sends and connection attempts that one request may take. */
 	private static final int MAX_TRIES = 4;
 
+	/** Longest time for which a request counts as starting, in milliseconds. */
+	private static final long MAX_STARTING_MILLIS = 100;
+
 	/** Less time than this is not worth another attempt, in milliseconds. */
 	private static final long LEAST_REMAINING_MILLIS = 30;
 
@@ -61,6 +66,8 @@
 
 	private String service = "";
 
+	private StartGate.Place place;
+
 	private Timers.Handle timer = () -> {
 	};
 
@@ -100,7 +107,10 @@
 			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
 			this.parts.budget().onRequest(this.service);
 			this.timer = this.parts.timers().after(Math.max(0, remainingMillis()), this::onTimeout);
-			tryNext(ResultCode.NO_BACKEND);
+			this.place = this.parts.gate().enter(this.admitted.priority(), this::begin);
+			if (this.done || this.sentBefore) {
+				leaveGate();
+			}
 		}
 		catch (RequestRejectedException ex) {
 			refuse(ex.code(), ex.getMessage());
@@ -125,6 +135,22 @@
 		}
 	}
 
+	private synchronized void begin() {
+		if (this.done) {
+			leaveGate();
+			return;
+		}
+		// A server that does not answer must not keep the others from starting.
+		this.parts.timers().after(MAX_STARTING_MILLIS, this::leaveGate);
+		tryNext(ResultCode.NO_BACKEND);
+	}
+
+	private synchronized void leaveGate() {
+		if (this.place != null) {
+			this.place.leave();
+		}
+	}
+
 	private void tryNext(ResultCode reason) {
 		if (this.done) {
 			return;
@@ -134,7 +160,8 @@
 			return;
 		}
 		Optional<BackendServer> server = (this.tries < MAX_TRIES)
-				? this.parts.servers().choose(this.service, this.caller, this.excluded) : Optional.empty();
+				? this.parts.servers().choose(this.service, this.admitted.priority(), this.caller, this.excluded)
+				: Optional.empty();
 		if (server.isEmpty()) {
 			refuse(reason, "tries=" + this.tries + " service=" + this.service);
 			return;
@@ -144,7 +171,7 @@
 			return;
 		}
 		this.tries++;
-		Attempt next = new Attempt(server.get());
+		Attempt next = new Attempt(server.get(), PrefillEstimate.workOf(this.caller));
 		this.attempt = next;
 		this.parts.health().addWork(next.server.id(), next.work);
 		this.parts.pool()
@@ -186,7 +213,9 @@
 					this.admitted.account().map(Account::name), this.admitted.priority()));
 		this.sentBefore = true;
 		of.maySent = true;
+		of.sent = this.parts.clock().now();
 		of.connection.send(sent).whenComplete((response, failure) -> onHead(of, response, failure));
+		leaveGate();
 	}
 
 	private synchronized void onHead(Attempt of, HttpResponse response, Throwable failure) {
@@ -274,6 +303,16 @@
 		this.answer.complete(head.withEntity(HttpEntities.createChunked(response.entity().getContentType(), body)));
 	}
 
+	private synchronized void onFirstEvent(Attempt of) {
+		if (this.attempt != of) {
+			return;
+		}
+		double excessMillis = this.parts.clock().ageMillis(of.sent) - of.work - PrefillEstimate.BASE_MILLIS;
+		this.parts.delays().observe(of.server.id(), this.admitted.priority(), excessMillis);
+		this.parts.health().addWork(of.server.id(), PrefillEstimate.RUNNING_WORK - of.work);
+		of.work = PrefillEstimate.RUNNING_WORK;
+	}
+
 	private synchronized void onStreamEnd(Attempt of, HttpResponse response, ResultCode code, String detail) {
 		if (this.attempt != of) {
 			return;
@@ -355,6 +394,7 @@
 
 	private void record(ResultCode code, int status, String detail) {
 		this.timer.cancel();
+		leaveGate();
 		this.onEnd.run();
 		String route = (this.admitted != null) ? this.admitted.route().name() : "";
 		this.parts.outcomes()
@@ -371,14 +411,17 @@
 
 		private final BackendServer server;
 
-		private final double work = 1;
+		private double work;
+
+		private Moment sent;
 
 		private HttpConnection connection;
 
 		private boolean maySent;
 
-		private Attempt(BackendServer server) {
+		private Attempt(BackendServer server, double work) {
 			this.server = server;
+			this.work = work;
 		}
 
 	}
@@ -394,6 +437,11 @@
 			this.response = response;
 		}
 
+		@Override
+		public void onFirst() {
+			onFirstEvent(this.of);
+		}
+
 		@Override
 		public void onComplete() {
 			onStreamEnd(this.of, this.response, ResultCode.OK, "");
--- /dev/null
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -0,0 +1,120 @@
+package org.marjoramgw.platform;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.marjoramgw.direct.backend.AnswerKind;
+import org.marjoramgw.direct.backend.SendOrders;
+import org.marjoramgw.direct.caller.CallerRequest;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link HeaderDialect}.
+ *
+ * @author The marjoramgw authors
+ */
+public class HeaderDialectTests {
+
+	private static final SendOrders ORDERS = new SendOrders("i-1", 1_234, Optional.of("coop"), 12);
+
+	private final HeaderDialect dialect = new HeaderDialect();
+
+	@Test
+	public void decodesACallersHead() {
+		CallerRequest request = this.dialect.decode(HttpRequest.POST("/lohu/2f?x=1")
+			.addHeader(RawHeader.create("Host", "carob.example:80"))
+			.addHeader(RawHeader.create("X-Request-Id", "r1"))
+			.addHeader(RawHeader.create("X-Deadline-Ms", "8000"))
+			.addHeader(RawHeader.create("Authorization", "Token abc"))
+			.addHeader(RawHeader.create("X-Prompt-Prefix", "5c:800,91:410,e4:250"))
+			.addHeader(RawHeader.create("X-Token-Usage", "1460,80")));
+		Assert.assertEquals(request.host(), "carob.example");
+		Assert.assertEquals(request.path(), "/lohu/2f");
+		Assert.assertEquals(request.deadlineMillis().getAsLong(), 8_000);
+		Assert.assertEquals(request.key(), Optional.of("abc"));
+		Assert.assertEquals(request.sharedPromptKey(), "91");
+		Assert.assertEquals(request.sharedTokenCount(), 1_210);
+		Assert.assertEquals(request.ownTokenCount(), 250);
+	}
+
+	@Test
+	public void malformedHeadIsReadAsFarAsItGoes() {
+		CallerRequest request = this.dialect.decode(HttpRequest.GET("/a")
+			.addHeader(RawHeader.create("X-Deadline-Ms", "soon"))
+			.addHeader(RawHeader.create("Authorization", "Basic abc"))
+			.addHeader(RawHeader.create("X-Prompt-Prefix", "5c,:7,a:b")));
+		Assert.assertTrue(request.deadlineMillis().isEmpty());
+		Assert.assertTrue(request.key().isEmpty());
+		Assert.assertEquals(request.sharedTokenCount(), 0);
+	}
+
+	@DataProvider
+	public Object[][] ownHeaders() {
+		return new Object[][] { { "x-tenant" }, { "X-TENANT" }, { "Authorization" }, { "X-Expect-Instance" },
+				{ "X-Request-Priority" }, { "X-Kv-Hold" }, { "X-Pin-Ms" }, { "X-Kv-Backup" }, { "Kv-From" },
+				{ "Kv-Fetch" }, { "X-Expect-Version" }, { "Connection" }, { "Keep-Alive" }, { "Transfer-Encoding" } };
+	}
+
+	@Test(dataProvider = "ownHeaders")
+	public void callersCantSetHeadersOfTheSystem(String name) {
+		HttpRequest sent = this.dialect.toBackend(HttpRequest.GET("/a").addHeader(RawHeader.create(name, "forged")),
+				ORDERS);
+		for (HttpHeader header : sent.getHeaders()) {
+			Assert.assertFalse(header.value().contains("forged"), header.toString());
+		}
+	}
+
+	@Test
+	public void headersThatTheConnectionHeaderNamesStayBehind() {
+		HttpRequest sent = this.dialect.toBackend(HttpRequest.GET("/a")
+			.addHeader(RawHeader.create("Connection", "close, X-Hop"))
+			.addHeader(RawHeader.create("X-Hop", "1"))
+			.addHeader(RawHeader.create("X-End", "2")), ORDERS);
+		Assert.assertTrue(sent.getHeader("X-Hop").isEmpty());
+		Assert.assertEquals(value(sent, "X-End"), "2");
+		Assert.assertEquals(value(sent, "X-Tenant"), "coop");
+		Assert.assertEquals(value(sent, "X-Expect-Instance"), "i-1");
+		Assert.assertEquals(value(sent, "X-Deadline-Ms"), "1234");
+		Assert.assertEquals(value(sent, "X-Request-Priority"), "9");
+	}
+
+	@Test
+	public void headersNamedTwiceByConnectionDoNoHarm() {
+		HttpRequest sent = this.dialect
+			.toBackend(HttpRequest.GET("/a").addHeader(RawHeader.create("Connection", "close, close")), ORDERS);
+		Assert.assertTrue(sent.getHeader("Connection").isEmpty());
+	}
+
+	@DataProvider
+	public Object[][] answers() {
+		return new Object[][] { { 200, Set.of("id", "stamp"), AnswerKind.OWN_ANSWER },
+				{ 500, Set.of("id", "stamp"), AnswerKind.OWN_FAILURE }, { 200, Set.of("id"), AnswerKind.UNTRUSTED },
+				{ 200, Set.of("stamp"), AnswerKind.UNTRUSTED }, { 200, Set.of("other", "stamp"), AnswerKind.UNTRUSTED },
+				{ 503, Set.of("id", "not-run"), AnswerKind.NOT_RUN }, { 503, Set.of("not-run"), AnswerKind.NOT_RUN },
+				{ 503, Set.of("id"), AnswerKind.UNTRUSTED }, { 503, Set.of("id", "stamp"), AnswerKind.UNTRUSTED },
+				{ 429, Set.of("id", "stamp"), AnswerKind.UNTRUSTED },
+				{ 503, Set.of("other", "not-run"), AnswerKind.UNTRUSTED }, { 421, Set.of(), AnswerKind.WRONG_SERVER },
+				{ 400, Set.of("id", "not-run"), AnswerKind.NOT_RUN } };
+	}
+
+	@Test(dataProvider = "answers")
+	public void tellsWhatAnAnswerSaysAboutExecution(int status, Set<String> marks, AnswerKind kind) {
+		HttpResponse response = HttpResponse.create().withStatus(status);
+		response = marks.contains("id") ? response.addHeader(RawHeader.create("X-Request-Id", "r1")) : response;
+		response = marks.contains("other") ? response.addHeader(RawHeader.create("X-Request-Id", "r2")) : response;
+		response = marks.contains("stamp") ? response.addHeader(RawHeader.create("X-Response-Stamp", "s")) : response;
+		response = marks.contains("not-run") ? response.addHeader(RawHeader.create("X-Not-Executed", "1")) : response;
+		Assert.assertEquals(this.dialect.kindOf(response, "r1"), kind);
+	}
+
+	private static String value(HttpRequest request, String name) {
+		return request.getHeader(name).map(HttpHeader::value).orElse("");
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
@@ -0,0 +1,93 @@
+package org.marjoramgw.platform;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.Random;
+import java.util.concurrent.CompletionException;
+
+import org.marjoramgw.direct.follow.TopicPage;
+import org.marjoramgw.direct.follow.TopicSlice;
+import org.marjoramgw.errors.StoreUnavailableException;
+import org.marjoramgw.testkit.TestSeed;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link StoreFormat}.
+ *
+ * @author The marjoramgw authors
+ */
+public class StoreFormatTests {
+
+	@Test
+	public void decodesConsecutiveRecordsAndDeletions() {
+		TopicSlice slice = StoreFormat.slice(read(content("a", "one"), content("b", "")), 40);
+		Assert.assertEquals(slice.nextOffset(), 42);
+		Assert.assertEquals(slice.records().get(0).key(), "a");
+		Assert.assertEquals(slice.records().get(0).value().orElseThrow(), bytes("one"));
+		Assert.assertEquals(slice.records().get(0).offset(), 40);
+		Assert.assertTrue(slice.records().get(1).value().isEmpty());
+	}
+
+	@Test
+	public void emptyReadStaysAtItsOffset() {
+		Assert.assertEquals(StoreFormat.slice(read(), 7).nextOffset(), 7);
+	}
+
+	@Test
+	public void decodesAPage() {
+		String value = Base64.getEncoder().encodeToString(bytes("one"));
+		TopicPage page = StoreFormat.page(bytes(
+				"{\"items\":[{\"key\":\"a\",\"value\":\"" + value + "\",\"offset\":4}],\"hasMore\":true,\"end\":6}"));
+		Assert.assertTrue(page.more());
+		Assert.assertEquals(page.endOffset(), 6);
+		Assert.assertEquals(page.records().get(0).value().orElseThrow(), bytes("one"));
+	}
+
+	@Test
+	public void damagedBytesAreRefusedWithANumberedError() {
+		Random random = TestSeed.random(5);
+		byte[] whole = read(content("a", "one"), content("b", "two"));
+		for (int step = 0; step < 2_000; step++) {
+			byte[] damaged = Arrays.copyOf(whole, random.nextInt(whole.length + 1));
+			if (damaged.length > 0) {
+				damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+			}
+			decodeOrRefuse(() -> StoreFormat.slice(damaged, 0));
+			decodeOrRefuse(() -> StoreFormat.page(damaged));
+		}
+	}
+
+	private static void decodeOrRefuse(Runnable decoding) {
+		try {
+			decoding.run();
+		}
+		catch (CompletionException ex) {
+			Assert.assertTrue(ex.getCause() instanceof StoreUnavailableException,
+					"seed " + TestSeed.value() + ": " + ex);
+		}
+	}
+
+	private static byte[] read(byte[]... contents) {
+		ByteBuffer buffer = ByteBuffer.allocate(1_000).putLong(99).putLong(0);
+		for (byte[] content : contents) {
+			buffer.putInt(content.length).put(content);
+		}
+		return Arrays.copyOf(buffer.array(), buffer.position());
+	}
+
+	private static byte[] content(String key, String value) {
+		return ByteBuffer.allocate(1 + key.length() + value.length())
+			.put((byte) key.length())
+			.put(bytes(key))
+			.put(bytes(value))
+			.array();
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the adapter to the users' platform.
+ */
+package org.marjoramgw.platform;
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/gate/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the order in which requests start.
+ */
+package org.marjoramgw.policy.gate;
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the choice of backend servers.
+ */
+package org.marjoramgw.policy.placement;
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/gate/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Order in which requests are worked on while a process has less processor time than they
+ * need.
+ */
+package org.marjoramgw.policy.gate;
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/time/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of clocks for ages.
+ */
+package org.marjoramgw.time;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -96,6 +96,14 @@
 		}
 	}
 
+	/**
+	 * Returns the name of the file.
+	 * @return the name that messages use
+	 */
+	public String file() {
+		return this.file;
+	}
+
 	/**
 	 * Reads a required text.
 	 * @param key the key
