Open few callers' connections at once; place prompts by bounded affinity again

Failed try, reverted: placing by expected wait (own work times an assumed number of senders, and the decayed excess of first events). Cause: one delayed stream made a server look slow to its sender, prompts moved, shared parts were read again elsewhere (1.7 M tokens against 0.2 M), and that made every server slow. Ruled out: the gate for starts, which stays.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/backend/BackendTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/backend/BackendTests.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.Test;
 
 /**
- * Tests {@link ServerHealth}, {@link FirstEventDelays} and {@link KeepAlive}.
+ * Tests {@link ServerHealth} and {@link KeepAlive}.
  *
  * @author The marjoramgw authors
  */
@@ -47,17 +47,6 @@
 		Assert.assertEquals(health.work("a"), 0.0);
 	}
 
-	@Test
-	public void delaysLoseTheirWeightAndAreKeptApartByRank() {
-		FirstEventDelays delays = new FirstEventDelays(this.clock);
-		delays.observe("a", 2, 1_000);
-		double fresh = delays.expectedMillis("a", 2);
-		Assert.assertTrue(fresh > 300, "" + fresh);
-		Assert.assertEquals(delays.expectedMillis("a", 0), 0.0);
-		this.clock.advanceMillis(10_000);
-		Assert.assertTrue(delays.expectedMillis("a", 2) < 1);
-	}
-
 	@DataProvider
 	public Object[][] keepAlives() {
 		return new Object[][] { { "Keep-Alive", "timeout=5", 3_000 }, { "Keep-Alive", "timeout=5, max=100", 3_000 },
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -25,8 +25,6 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.backend.ConnectionPool;
-import org.marjoramgw.direct.backend.FirstEventDelays;
-import org.marjoramgw.direct.backend.PrefillEstimate;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
 import org.marjoramgw.direct.follow.KeyedRecord;
@@ -44,9 +42,9 @@
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.metrics.MetricsText;
 import org.marjoramgw.policy.gate.StartGate;
+import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
-import org.marjoramgw.policy.placement.PromptPlacement;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
@@ -85,9 +83,9 @@
 	private static final int ASSUMED_PROCESSES = 16;
 
 	/**
-	 * Time for which a shared part that was sent to a server is expected in its cache.
+	 * Requests that a server may always have from this process, for its cached prompts.
 	 */
-	private static final long CACHED_MILLIS = 20_000;
+	private static final double AFFINITY_SLACK = 4;
 
 	/** Requests that start at once; a start takes processor time above all. */
 	private static final int MAX_STARTING = 4;
@@ -194,7 +192,7 @@
 			.bind(this.settings.get().healthAddress()));
 		bound("metrics", new HealthEndpoint(this.system, Map.of(this.settings.get().metricsPath(), () -> text(metrics)))
 			.bind(this.settings.get().metricsAddress()));
-		CallerListener listener = new CallerListener(this.system, this.serverSettings, this::limits,
+		CallerListener listener = new CallerListener(this.system, this.serverSettings, this.timers, this::limits,
 				this.forwarder::handle);
 		CompletionStage<Tcp.ServerBinding> callers = listener.bind(this.settings.get().callerAddress());
 		bound("callers", callers);
@@ -226,7 +224,8 @@
 		sampleDirectory.onSnapshot(registrations);
 		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory, new Outcomes(new MetricRegistry()),
 				() -> WARM_UP_LIMIT_MILLIS * 2));
-		return new CallerListener(this.system, this.serverSettings, this::limits, sample::handle).bind(address)
+		return new CallerListener(this.system, this.serverSettings, this.timers, this::limits, sample::handle)
+			.bind(address)
 			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
 	}
 
@@ -234,16 +233,14 @@
 			LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		Placement plain = new LeastLoadedPlacement(random);
-		FirstEventDelays delays = new FirstEventDelays(this.steady);
-		ServerChoice choice = new ServerChoice(servers, this.health, delays,
-				new PromptPlacement(this.steady, PrefillEstimate.TOKENS_PER_MILLI, CACHED_MILLIS), plain,
-				this.settings.get().failureDomain());
+		ServerChoice choice = new ServerChoice(servers, this.health, new AffinityPlacement(AFFINITY_SLACK, plain),
+				plain, this.settings.get().failureDomain());
 		WindowRetryBudget budget = new WindowRetryBudget(this.steady, this.settings.get().retryWindowMillis(),
 				this.settings.get().retryRatio(), this.settings.get().freeRetryCount() / ASSUMED_PROCESSES);
 		return new ForwardParts(this.system, this.platform.callerDialect(), this.platform.backendDialect(), inForce,
 				new Admission(inForce, maxAgeMillis), servers, this.health,
-				new StartGate(MAX_STARTING, this.system.executionContext()), delays, choice, this.pool, budget,
-				outcomes, this.clock, this.timers, random);
+				new StartGate(MAX_STARTING, this.system.executionContext()), choice, this.pool, budget, outcomes,
+				this.clock, this.timers, random);
 	}
 
 	private long maxAgeMillis() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -1,5 +1,8 @@
 package org.marjoramgw.direct.caller;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
 /**
  * Connection of one caller, on which one request at a time is answered; thread-safe.
  *
@@ -9,6 +12,8 @@
 
 	private final Runnable hangUp;
 
+	private final CompletableFuture<CallerConnection> opened = new CompletableFuture<>();
+
 	private boolean closed;
 
 	private boolean busy;
@@ -23,6 +28,22 @@
 		this.hangUp = hangUp;
 	}
 
+	/**
+	 * Returns when the work of opening is over.
+	 * @return completes when the first request was passed on or answered, or the
+	 * connection ended before
+	 */
+	public CompletionStage<CallerConnection> opened() {
+		return this.opened;
+	}
+
+	/**
+	 * Notes that the work of opening is over.
+	 */
+	public void started() {
+		this.opened.complete(this);
+	}
+
 	/**
 	 * Notes that a request was read.
 	 * @return whether it may be answered; if not, the connection is being closed
@@ -67,6 +88,7 @@
 			action = this.onClose;
 			this.onClose = null;
 		}
+		started();
 		if (action != null) {
 			action.run();
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -31,6 +31,7 @@
 import org.marjoramgw.Stages;
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.http.PlainBytes;
+import org.marjoramgw.time.Timers;
 import scala.concurrent.duration.Duration;
 
 /**
@@ -44,6 +45,17 @@
 	/** Reads ahead of the parser, so that the end of a connection is noticed early. */
 	private static final int READ_AHEAD_COUNT = 16;
 
+	/**
+	 * Connections that are opened at once. A process that has just started is slow at it:
+	 * if it opened all that wait, it would learn late which callers have left meanwhile.
+	 */
+	private static final int MAX_OPENING_COUNT = 4;
+
+	/**
+	 * Time after which a connection without a request counts as open, in milliseconds.
+	 */
+	private static final long MAX_OPENING_MILLIS = 100;
+
 	/** Connections that may wait to be accepted. */
 	private static final int BACKLOG = 512;
 
@@ -53,6 +65,8 @@
 
 	private final ServerSettings settings;
 
+	private final Timers timers;
+
 	private final Supplier<CallerLimits> limits;
 
 	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
@@ -66,13 +80,15 @@
 	 * Creates a listener.
 	 * @param system the actor system
 	 * @param settings how requests are parsed
+	 * @param timers timers
 	 * @param limits bounds of what callers may send
 	 * @param handler answers a request of a connection
 	 */
-	public CallerListener(ActorSystem<?> system, ServerSettings settings, Supplier<CallerLimits> limits,
+	public CallerListener(ActorSystem<?> system, ServerSettings settings, Timers timers, Supplier<CallerLimits> limits,
 			BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler) {
 		this.system = system;
 		this.settings = settings;
+		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
 	}
@@ -85,7 +101,8 @@
 	public CompletionStage<Tcp.ServerBinding> bind(HostPort address) {
 		return Tcp.get(this.system)
 			.bind(address.host(), address.port(), BACKLOG, NO_DELAY, false, Optional.empty())
-			.to(Sink.foreach(this::accept))
+			.mapAsyncUnordered(MAX_OPENING_COUNT, this::accept)
+			.to(Sink.ignore())
 			.run(this.system);
 	}
 
@@ -96,7 +113,7 @@
 		this.open.forEach(CallerConnection::closeIfIdle);
 	}
 
-	private void accept(Tcp.IncomingConnection incoming) {
+	private CompletionStage<CallerConnection> accept(Tcp.IncomingConnection incoming) {
 		SharedKillSwitch end = KillSwitches.shared("caller");
 		CallerConnection caller = new CallerConnection(end::shutdown);
 		this.open.add(caller);
@@ -110,6 +127,8 @@
 			.via(server().reversed().join(answers))
 			.via(end.flow());
 		incoming.handleWith(bytes, this.system);
+		this.timers.after(MAX_OPENING_MILLIS, caller::started);
+		return caller.opened();
 	}
 
 	private void onEnd(CallerConnection caller) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
@@ -1,17 +1,12 @@
 package org.marjoramgw.direct.forward;
 
 /**
- * Receiver of how a body goes; one of the methods about its end is called, once.
+ * Receiver of how a body ended; exactly one method is called, once.
  *
  * @author The marjoramgw authors
  */
 interface BodyObserver {
 
-	/**
-	 * The first bytes came.
-	 */
-	void onFirst();
-
 	/**
 	 * The body was read to its end.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardParts.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardParts.java
@@ -5,7 +5,6 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.marjoramgw.direct.backend.BackendDialect;
 import org.marjoramgw.direct.backend.ConnectionPool;
-import org.marjoramgw.direct.backend.FirstEventDelays;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerDialect;
 import org.marjoramgw.direct.follow.RoutingInForce;
@@ -26,7 +25,6 @@
  * @param directory registered backend servers
  * @param health work and failures of backend servers
  * @param gate order in which requests start
- * @param delays delays of first events
  * @param servers choice of backend servers
  * @param pool connections to backend servers
  * @param budget retries that are allowed
@@ -38,6 +36,6 @@
  */
 public record ForwardParts(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		RoutingInForce routing, Admission admission, ServerDirectory directory, ServerHealth health, StartGate gate,
-		FirstEventDelays delays, ServerChoice servers, ConnectionPool pool, WindowRetryBudget budget, Outcomes outcomes,
-		AgeClock clock, Timers timers, Random random) {
+		ServerChoice servers, ConnectionPool pool, WindowRetryBudget budget, Outcomes outcomes, AgeClock clock,
+		Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -15,7 +15,6 @@
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.Stages;
 import org.marjoramgw.direct.backend.KeepAlive;
-import org.marjoramgw.direct.backend.PrefillEstimate;
 import org.marjoramgw.direct.backend.SendOrders;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Account;
@@ -56,6 +55,8 @@
 
 	private final Moment arrived;
 
+	private final Runnable onStarted;
+
 	private final Runnable onEnd;
 
 	private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
@@ -87,13 +88,16 @@
 	 * @param request the request with its whole body
 	 * @param caller what its head says
 	 * @param arrived when it came in
+	 * @param onStarted called when it was passed on or answered, more than once perhaps
 	 * @param onEnd called once when nothing of it is left to send to the caller
 	 */
-	ForwardedRequest(ForwardParts parts, HttpRequest request, CallerRequest caller, Moment arrived, Runnable onEnd) {
+	ForwardedRequest(ForwardParts parts, HttpRequest request, CallerRequest caller, Moment arrived, Runnable onStarted,
+			Runnable onEnd) {
 		this.parts = parts;
 		this.request = request;
 		this.caller = caller;
 		this.arrived = arrived;
+		this.onStarted = onStarted;
 		this.onEnd = onEnd;
 	}
 
@@ -146,6 +150,7 @@
 	}
 
 	private synchronized void leaveGate() {
+		this.onStarted.run();
 		if (this.place != null) {
 			this.place.leave();
 		}
@@ -160,8 +165,7 @@
 			return;
 		}
 		Optional<BackendServer> server = (this.tries < MAX_TRIES)
-				? this.parts.servers().choose(this.service, this.admitted.priority(), this.caller, this.excluded)
-				: Optional.empty();
+				? this.parts.servers().choose(this.service, this.caller, this.excluded) : Optional.empty();
 		if (server.isEmpty()) {
 			refuse(reason, "tries=" + this.tries + " service=" + this.service);
 			return;
@@ -171,7 +175,7 @@
 			return;
 		}
 		this.tries++;
-		Attempt next = new Attempt(server.get(), PrefillEstimate.workOf(this.caller));
+		Attempt next = new Attempt(server.get());
 		this.attempt = next;
 		this.parts.health().addWork(next.server.id(), next.work);
 		this.parts.pool()
@@ -213,7 +217,6 @@
 					this.admitted.account().map(Account::name), this.admitted.priority()));
 		this.sentBefore = true;
 		of.maySent = true;
-		of.sent = this.parts.clock().now();
 		of.connection.send(sent).whenComplete((response, failure) -> onHead(of, response, failure));
 		leaveGate();
 	}
@@ -303,16 +306,6 @@
 		this.answer.complete(head.withEntity(HttpEntities.createChunked(response.entity().getContentType(), body)));
 	}
 
-	private synchronized void onFirstEvent(Attempt of) {
-		if (this.attempt != of) {
-			return;
-		}
-		double excessMillis = this.parts.clock().ageMillis(of.sent) - of.work - PrefillEstimate.BASE_MILLIS;
-		this.parts.delays().observe(of.server.id(), this.admitted.priority(), excessMillis);
-		this.parts.health().addWork(of.server.id(), PrefillEstimate.RUNNING_WORK - of.work);
-		of.work = PrefillEstimate.RUNNING_WORK;
-	}
-
 	private synchronized void onStreamEnd(Attempt of, HttpResponse response, ResultCode code, String detail) {
 		if (this.attempt != of) {
 			return;
@@ -411,17 +404,14 @@
 
 		private final BackendServer server;
 
-		private double work;
-
-		private Moment sent;
+		private final double work = 1;
 
 		private HttpConnection connection;
 
 		private boolean maySent;
 
-		private Attempt(BackendServer server, double work) {
+		private Attempt(BackendServer server) {
 			this.server = server;
-			this.work = work;
 		}
 
 	}
@@ -437,11 +427,6 @@
 			this.response = response;
 		}
 
-		@Override
-		public void onFirst() {
-			onFirstEvent(this.of);
-		}
-
 		@Override
 		public void onComplete() {
 			onStreamEnd(this.of, this.response, ResultCode.OK, "");
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -85,7 +85,7 @@
 	private CompletionStage<HttpResponse> forward(HttpRequest request, CallerRequest caller, HttpEntity.Strict body,
 			Moment arrived, CallerConnection connection) {
 		ForwardedRequest forwarded = new ForwardedRequest(this.parts, request.withEntity(body), caller, arrived,
-				() -> end(connection));
+				connection::started, () -> end(connection));
 		connection.whenClosed(forwarded::cancel);
 		return forwarded.start();
 	}
@@ -103,6 +103,7 @@
 
 	private void end(CallerConnection connection) {
 		this.open.decrementAndGet();
+		connection.started();
 		connection.end();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -49,14 +49,8 @@
 
 		private final class Upstream extends AbstractInHandler {
 
-			private boolean started;
-
 			@Override
 			public void onPush() {
-				if (!this.started) {
-					this.started = true;
-					ObservedBody.this.observer.onFirst();
-				}
 				push(ObservedBody.this.out, grab(ObservedBody.this.in));
 			}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerChoice.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerChoice.java
@@ -5,13 +5,11 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.marjoramgw.direct.backend.FirstEventDelays;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.policy.placement.Placement;
-import org.marjoramgw.policy.placement.PlacementQuery;
 import org.marjoramgw.policy.placement.ServerView;
 
 /**
@@ -21,15 +19,10 @@
  */
 public final class ServerChoice {
 
-	/** Work of other senders that is assumed for each unit of the own one. */
-	private static final double OTHER_SENDERS_FACTOR = 3;
-
 	private final ServerDirectory directory;
 
 	private final ServerHealth health;
 
-	private final FirstEventDelays delays;
-
 	private final Placement prompts;
 
 	private final Placement plain;
@@ -40,16 +33,14 @@
 	 * Creates a choice.
 	 * @param directory registered backend servers
 	 * @param health work and failures of backend servers
-	 * @param delays delays of first events
 	 * @param prompts placement of requests with a prompt
 	 * @param plain placement of other requests
 	 * @param failureDomain failure domain of this process
 	 */
-	public ServerChoice(ServerDirectory directory, ServerHealth health, FirstEventDelays delays, Placement prompts,
-			Placement plain, String failureDomain) {
+	public ServerChoice(ServerDirectory directory, ServerHealth health, Placement prompts, Placement plain,
+			String failureDomain) {
 		this.directory = directory;
 		this.health = health;
-		this.delays = delays;
 		this.prompts = prompts;
 		this.plain = plain;
 		this.failureDomain = failureDomain;
@@ -58,24 +49,20 @@
 	/**
 	 * Chooses a server.
 	 * @param service service that is wanted
-	 * @param priority rank of the request
 	 * @param request the request
 	 * @param excluded ids of servers that refused it or could not be reached
 	 * @return the server, or empty if none is left
 	 */
-	public Optional<BackendServer> choose(String service, int priority, CallerRequest request, Set<String> excluded) {
+	public Optional<BackendServer> choose(String service, CallerRequest request, Set<String> excluded) {
 		List<BackendServer> servers = this.directory.usable(service);
 		servers.removeIf((server) -> excluded.contains(server.id()));
 		List<ServerView> views = new ArrayList<>();
 		for (BackendServer server : servers) {
-			double load = this.health.work(server.id()) * OTHER_SENDERS_FACTOR
-					+ this.delays.expectedMillis(server.id(), priority);
-			views.add(new ServerView(server.id(), server.failureDomain(), load, this.health.isSuspect(server.id())));
+			views.add(new ServerView(server.id(), server.failureDomain(), this.health.work(server.id()),
+					this.health.isSuspect(server.id())));
 		}
 		Placement placement = request.promptParts().isEmpty() ? this.plain : this.prompts;
-		PlacementQuery query = new PlacementQuery(this.failureDomain, request.sharedPromptKey(),
-				request.sharedTokenCount());
-		return placement.choose(query, views)
+		return placement.choose(request.sharedPromptKey(), this.failureDomain, views)
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
@@ -23,7 +23,6 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.backend.ConnectionPool;
-import org.marjoramgw.direct.backend.FirstEventDelays;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
 import org.marjoramgw.direct.follow.KeyedRecord;
@@ -80,19 +79,18 @@
 		ServerDirectory directory = new ServerDirectory(ServerRegistration::decode, clock);
 		directory.onSnapshot(registrations(servers));
 		ServerHealth health = new ServerHealth(steady);
-		FirstEventDelays delays = new FirstEventDelays(steady);
 		Random random = TestSeed.random(7);
 		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
 		ForwardParts parts = new ForwardParts(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> KEEP_CONFIRMED_MILLIS), directory, health,
-				new StartGate(4, this.system.executionContext()), delays,
-				new ServerChoice(directory, health, delays, placement, placement, "a"),
+				new StartGate(4, this.system.executionContext()),
+				new ServerChoice(directory, health, placement, placement, "a"),
 				new ConnectionPool(new HttpConnector(this.system, ClientConnectionSettings.create(config)), steady),
 				new WindowRetryBudget(steady, 10_000, 0.2, 50), new Outcomes(new MetricRegistry()), clock,
 				new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(parts);
 		Tcp.ServerBinding binding = new CallerListener(this.system, ServerSettings.create(config),
-				() -> CallerLimits.DEFAULT, forwarder::handle)
+				new PekkoTimers(this.system), () -> CallerLimits.DEFAULT, forwarder::handle)
 			.bind(new HostPort("127.0.0.1", 0))
 			.toCompletableFuture()
 			.get(10, TimeUnit.SECONDS);
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/PlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/PlacementTests.java
@@ -9,96 +9,100 @@
 import java.util.Random;
 import java.util.Set;
 
-import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
 /**
- * Tests {@link PromptPlacement} and {@link LeastLoadedPlacement}.
+ * Tests {@link AffinityPlacement} and {@link LeastLoadedPlacement}.
  *
  * @author The marjoramgw authors
  */
 public class PlacementTests {
 
-	private static final double TOKENS_PER_MILLI = 100;
-
-	private static final long CACHED_MILLIS = 20_000;
+	private static final double SLACK = 4;
 
 	private static final int SERVERS = 6;
 
-	private static final PlacementQuery LONG_PROMPT = new PlacementQuery("a", "contract", 20_000);
-
-	private static final PlacementQuery SHORT_PROMPT = new PlacementQuery("a", "greeting", 300);
+	private final Placement plain = new LeastLoadedPlacement(TestSeed.random(1));
 
-	private final ManualMillisClock clock = new ManualMillisClock(1_000);
+	private final Placement affinity = new AffinityPlacement(SLACK, this.plain);
 
 	@Test
-	public void longSharedPromptStaysWhereItIsCached() {
-		PromptPlacement placement = prompts();
+	public void sharedPromptStaysWhereItIsCachedWhileTheLoadAllowsIt() {
 		Set<String> chosen = new HashSet<>();
-		for (int request = 0; request < 50; request++) {
-			chosen.add(placement.choose(LONG_PROMPT, servers(Map.of())).orElseThrow().id());
+		for (int load = 0; load <= SLACK; load++) {
+			chosen.add(choose("contract", Map.of("s0", (double) load)));
 		}
 		Assert.assertEquals(chosen.size(), 1);
+		String home = choose("contract", Map.of());
+		Assert.assertEquals(choose("contract", Map.of(home, SLACK)), home);
 	}
 
 	@Test
-	public void longSharedPromptMovesOnceWaitingCostsMoreThanReadingIt() {
-		PromptPlacement placement = prompts();
-		String home = placement.choose(LONG_PROMPT, servers(Map.of())).orElseThrow().id();
-		Assert.assertEquals(choose(placement, LONG_PROMPT, Map.of(home, 190.0)), home);
-		String second = choose(placement, LONG_PROMPT, Map.of(home, 250.0));
-		Assert.assertNotEquals(second, home);
-		Assert.assertEquals(choose(placement, LONG_PROMPT, Map.of(home, 20.0)), second, "cached there by now");
+	public void overloadedHomeIsLeftForTheSameNextServer() {
+		String home = choose("contract", Map.of());
+		String next = choose("contract", Map.of(home, SLACK * 3));
+		Assert.assertNotEquals(next, home);
+		Assert.assertEquals(choose("contract", Map.of(home, SLACK * 5)), next);
 	}
 
 	@Test
-	public void forgetsWhereAPartWasSentAfterAWhile() {
-		PromptPlacement placement = prompts();
-		String home = choose(placement, LONG_PROMPT, Map.of());
-		choose(placement, LONG_PROMPT, Map.of(home, 250.0));
-		this.clock.advanceMillis(CACHED_MILLIS + 1);
-		Assert.assertEquals(choose(placement, LONG_PROMPT, Map.of(home, 20.0)), home);
+	public void hotPromptSpreadsSoThatNoServerLiesFarAboveTheMean() {
+		Map<String, Double> loads = new HashMap<>();
+		for (int request = 1; request <= 600; request++) {
+			loads.merge(choose("hot", loads), 1.0, Double::sum);
+			double bound = 1.5 * request / SERVERS + SLACK + 1;
+			for (double load : loads.values()) {
+				Assert.assertTrue(load <= bound, loads.toString());
+			}
+		}
 	}
 
 	@Test
-	public void shortPromptGoesWhereTheWaitIsLeast() {
-		PromptPlacement placement = prompts();
-		Map<String, Double> loads = new HashMap<>();
-		for (int server = 0; server < SERVERS; server++) {
-			loads.put("s" + server, 50.0 + server);
+	public void manyPromptsSpreadOverAllServers() {
+		Map<String, Integer> counts = new HashMap<>();
+		for (int prompt = 0; prompt < 1_200; prompt++) {
+			counts.merge(choose("prompt-" + prompt, Map.of()), 1, Integer::sum);
 		}
-		loads.put("s4", 1.0);
-		Assert.assertEquals(choose(placement, SHORT_PROMPT, loads), "s4");
+		Assert.assertEquals(counts.size(), SERVERS);
+		counts.values().forEach((count) -> Assert.assertTrue(count > 120, counts.toString()));
 	}
 
 	@Test
-	public void anotherSenderExpectsAPromptAtTheSameServer() {
-		Assert.assertEquals(choose(prompts(), LONG_PROMPT, Map.of()), choose(prompts(), LONG_PROMPT, Map.of()));
+	public void lossOfAServerMovesOnlyItsPrompts() {
+		for (int prompt = 0; prompt < 200; prompt++) {
+			String key = "prompt-" + prompt;
+			String before = choose(key, Map.of());
+			List<ServerView> rest = servers(Map.of());
+			rest.remove(0);
+			String after = this.affinity.choose(key, "a", rest).orElseThrow().id();
+			Assert.assertTrue(after.equals(before) || before.equals("s0"), key);
+		}
 	}
 
 	@Test
 	public void suspectServersAreLeftOutUnlessAllAre() {
 		ServerView sound = new ServerView("sound", "b", 9, false);
 		ServerView suspect = new ServerView("suspect", "a", 0, true);
-		for (Placement placement : List.of(prompts(), new LeastLoadedPlacement(TestSeed.random(1)))) {
-			Assert.assertEquals(placement.choose(LONG_PROMPT, List.of(suspect, sound)), Optional.of(sound));
-			Assert.assertEquals(placement.choose(LONG_PROMPT, List.of(suspect)), Optional.of(suspect));
-			Assert.assertEquals(placement.choose(LONG_PROMPT, List.of()), Optional.empty());
+		for (Placement placement : List.of(this.affinity, this.plain)) {
+			for (String key : List.of("", "contract")) {
+				Assert.assertEquals(placement.choose(key, "a", List.of(suspect, sound)), Optional.of(sound));
+				Assert.assertEquals(placement.choose(key, "a", List.of(suspect)), Optional.of(suspect));
+				Assert.assertEquals(placement.choose(key, "a", List.of()), Optional.empty());
+			}
 		}
 	}
 
 	@Test
 	public void plainRequestsGoToTheLeastLoadedOfTheOwnDomainFirst() {
 		Random random = TestSeed.random(2);
-		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
 		for (int step = 0; step < 1_000; step++) {
 			List<ServerView> servers = new ArrayList<>();
 			for (int server = 0; server < 1 + random.nextInt(SERVERS); server++) {
 				servers.add(new ServerView("s" + server, random.nextBoolean() ? "a" : "b", random.nextInt(3), false));
 			}
-			ServerView chosen = placement.choose(LONG_PROMPT, servers).orElseThrow();
+			ServerView chosen = this.plain.choose("", "a", servers).orElseThrow();
 			for (ServerView other : servers) {
 				boolean better = other.load() < chosen.load() || other.load() == chosen.load()
 						&& other.failureDomain().equals("a") && chosen.failureDomain().equals("b");
@@ -107,12 +111,8 @@
 		}
 	}
 
-	private PromptPlacement prompts() {
-		return new PromptPlacement(this.clock, TOKENS_PER_MILLI, CACHED_MILLIS);
-	}
-
-	private static String choose(Placement placement, PlacementQuery query, Map<String, Double> loads) {
-		return placement.choose(query, servers(loads)).orElseThrow().id();
+	private String choose(String key, Map<String, Double> loads) {
+		return this.affinity.choose(key, "a", servers(loads)).orElseThrow().id();
 	}
 
 	private static List<ServerView> servers(Map<String, Double> loads) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
@@ -24,14 +24,14 @@
 	}
 
 	@Override
-	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
+	public Optional<ServerView> choose(String affinityKey, String failureDomain, List<ServerView> servers) {
 		List<ServerView> sound = Suspects.without(servers);
 		if (sound.isEmpty()) {
 			return Optional.empty();
 		}
 		int start = this.random.nextInt(sound.size());
 		Comparator<ServerView> order = Comparator.comparingDouble(ServerView::load)
-			.thenComparing((server) -> !server.failureDomain().equals(query.failureDomain()));
+			.thenComparing((server) -> !server.failureDomain().equals(failureDomain));
 		ServerView best = sound.get(start);
 		for (int step = 1; step < sound.size(); step++) {
 			ServerView next = sound.get((start + step) % sound.size());
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
@@ -12,10 +12,11 @@
 
 	/**
 	 * Chooses a server.
-	 * @param query what the choice is for
+	 * @param affinityKey text that requests with a common prompt share, or an empty text
+	 * @param failureDomain failure domain of the sender
 	 * @param servers the servers to choose from
 	 * @return the server, or empty if there is none
 	 */
-	Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers);
+	Optional<ServerView> choose(String affinityKey, String failureDomain, List<ServerView> servers);
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
@@ -5,8 +5,8 @@
  *
  * @param id id of the server
  * @param failureDomain its failure domain
- * @param load how long a request waits there, in units that are the same for all servers
- * of a service; milliseconds for servers that read prompts
+ * @param load work that the sender has there, in units that are the same for all servers
+ * of a service
  * @param suspect whether it failed lately
  * @author The marjoramgw authors
  */
