Start a request in a lagging process after the news that waits was looked at

The process now measures its lag, waits as long before it begins, and is not ready above half a second of lag, so that callers go to warm processes.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -48,6 +48,7 @@
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.LagMeter;
 import org.marjoramgw.time.Moment;
 import org.marjoramgw.time.PekkoTimers;
 import org.marjoramgw.time.Timers;
@@ -79,6 +80,9 @@
 	 */
 	private static final long READY_MARGIN_MILLIS = 1_000;
 
+	/** Lag beyond which callers are better served by other processes, in milliseconds. */
+	private static final long MAX_READY_LAG_MILLIS = 500;
+
 	/** Entry processes that are assumed to share the retries that need no requests. */
 	private static final int ASSUMED_PROCESSES = 16;
 
@@ -127,6 +131,8 @@
 
 	private final Timers timers;
 
+	private final LagMeter lag;
+
 	private final ServerSettings serverSettings;
 
 	private final HttpConnector connector;
@@ -165,6 +171,7 @@
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
 		this.timers = new PekkoTimers(this.system);
+		this.lag = new LagMeter(this.steady, this.timers);
 		this.serverSettings = ServerSettings.create(config);
 		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config));
 		this.platform = platforms.apply(this.system, this.connector);
@@ -177,6 +184,7 @@
 				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS);
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
 				this.timers, SERVERS_WAIT_MILLIS);
+		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
 
@@ -187,6 +195,7 @@
 		this.configurationFollower.start();
 		this.serversFollower.start();
 		upkeep();
+		this.lag.start();
 		MetricsText metrics = new MetricsText(this.registry);
 		bound("health", new HealthEndpoint(this.system, Map.of(this.settings.get().healthPath(), this::readiness))
 			.bind(this.settings.get().healthAddress()));
@@ -239,8 +248,8 @@
 				this.settings.get().retryRatio(), this.settings.get().freeRetryCount() / ASSUMED_PROCESSES);
 		return new ForwardParts(this.system, this.platform.callerDialect(), this.platform.backendDialect(), inForce,
 				new Admission(inForce, maxAgeMillis), servers, this.health,
-				new StartGate(MAX_STARTING, this.system.executionContext()), choice, this.pool, budget, outcomes,
-				this.clock, this.timers, random);
+				new StartGate(MAX_STARTING, this.system.executionContext()), choice, this.pool, this.lag, budget,
+				outcomes, this.clock, this.timers, random);
 	}
 
 	private long maxAgeMillis() {
@@ -252,7 +261,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.leaving && this.warm && this.directory.isComplete()
+		return !this.leaving && this.warm && this.directory.isComplete() && this.lag.lagMillis() < MAX_READY_LAG_MILLIS
 				&& this.routing.ageMillis() < maxAgeMillis() - READY_MARGIN_MILLIS;
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -38,6 +38,12 @@
 	/** Sends and connection attempts that one request may take. */
 	private static final int MAX_TRIES = 4;
 
+	/** Lag that is no mere delay of a timer, in milliseconds. */
+	private static final long NOTICEABLE_LAG_MILLIS = 120;
+
+	/** Longest wait of a request because of lag, in milliseconds. */
+	private static final long MAX_LAG_WAIT_MILLIS = 400;
+
 	/** Longest time for which a request counts as starting, in milliseconds. */
 	private static final long MAX_STARTING_MILLIS = 100;
 
@@ -111,10 +117,7 @@
 			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
 			this.parts.budget().onRequest(this.service);
 			this.timer = this.parts.timers().after(Math.max(0, remainingMillis()), this::onTimeout);
-			this.place = this.parts.gate().enter(this.admitted.priority(), this::begin);
-			if (this.done || this.sentBefore) {
-				leaveGate();
-			}
+			startOnceNewsIsKnown();
 		}
 		catch (RequestRejectedException ex) {
 			refuse(ex.code(), ex.getMessage());
@@ -139,6 +142,30 @@
 		}
 	}
 
+	/**
+	 * Starts the request, in a process that lags after all that has arrived by now was
+	 * looked at: the end of the caller's connection may be among it.
+	 */
+	private void startOnceNewsIsKnown() {
+		long lagMillis = this.parts.lag().lagMillis();
+		if (lagMillis < NOTICEABLE_LAG_MILLIS) {
+			enterGate();
+		}
+		else {
+			this.parts.timers().after(Math.min(lagMillis, MAX_LAG_WAIT_MILLIS), this::enterGate);
+		}
+	}
+
+	private synchronized void enterGate() {
+		if (this.done) {
+			return;
+		}
+		this.place = this.parts.gate().enter(this.admitted.priority(), this::begin);
+		if (this.done || this.sentBefore) {
+			leaveGate();
+		}
+	}
+
 	private synchronized void begin() {
 		if (this.done) {
 			leaveGate();
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
@@ -40,6 +40,7 @@
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.testkit.TestSeed;
 import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.LagMeter;
 import org.marjoramgw.time.PekkoTimers;
 
 /**
@@ -79,6 +80,8 @@
 		ServerDirectory directory = new ServerDirectory(ServerRegistration::decode, clock);
 		directory.onSnapshot(registrations(servers));
 		ServerHealth health = new ServerHealth(steady);
+		LagMeter lag = new LagMeter(steady, new PekkoTimers(this.system));
+		lag.start();
 		Random random = TestSeed.random(7);
 		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
 		ForwardParts parts = new ForwardParts(this.system, dialect, dialect, routing,
@@ -86,7 +89,7 @@
 				new StartGate(4, this.system.executionContext()),
 				new ServerChoice(directory, health, placement, placement, "a"),
 				new ConnectionPool(new HttpConnector(this.system, ClientConnectionSettings.create(config)), steady),
-				new WindowRetryBudget(steady, 10_000, 0.2, 50), new Outcomes(new MetricRegistry()), clock,
+				lag, new WindowRetryBudget(steady, 10_000, 0.2, 50), new Outcomes(new MetricRegistry()), clock,
 				new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(parts);
 		Tcp.ServerBinding binding = new CallerListener(this.system, ServerSettings.create(config),
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/time/LagMeter.java
@@ -0,0 +1,64 @@
+package org.marjoramgw.time;
+
+import org.marjoramgw.MillisClock;
+
+/**
+ * Measures how late this process is at its own work, by a timer that should fire
+ * regularly; thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+public final class LagMeter {
+
+	/** Time between two measurements, in milliseconds. */
+	private static final long INTERVAL_MILLIS = 100;
+
+	private final MillisClock clock;
+
+	private final Timers timers;
+
+	private long dueMillis;
+
+	private long lastLagMillis;
+
+	/**
+	 * Creates a meter.
+	 * @param clock monotonic clock
+	 * @param timers timers whose tasks wait behind the work of the process
+	 */
+	public LagMeter(MillisClock clock, Timers timers) {
+		this.clock = clock;
+		this.timers = timers;
+		this.dueMillis = clock.nowMillis() + INTERVAL_MILLIS;
+	}
+
+	/**
+	 * Starts measuring.
+	 */
+	public void start() {
+		synchronized (this) {
+			this.dueMillis = this.clock.nowMillis() + INTERVAL_MILLIS;
+		}
+		this.timers.after(INTERVAL_MILLIS, this::measure);
+	}
+
+	/**
+	 * Returns how long what arrives now waits before it is worked on.
+	 * @return the lag in milliseconds, not negative
+	 */
+	public synchronized long lagMillis() {
+		return Math.max(this.lastLagMillis, overdueMillis());
+	}
+
+	private void measure() {
+		synchronized (this) {
+			this.lastLagMillis = overdueMillis();
+		}
+		start();
+	}
+
+	private long overdueMillis() {
+		return Math.max(0, this.clock.nowMillis() - this.dueMillis);
+	}
+
+}
