--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -179,7 +179,7 @@
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.pool = new ConnectionPool(this.connector, this.steady);
 		this.forwarder = new Forwarder(
-				parts(this.routing, this.directory, new Outcomes(this.registry), this::maxAgeMillis));
+				parts(this.routing, this.directory, new Outcomes(this.registry, this.steady), this::maxAgeMillis));
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
 				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS);
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
@@ -231,8 +231,8 @@
 		sampleRouting.onConfirmed(this.clock.now());
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
-		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory, new Outcomes(new MetricRegistry()),
-				() -> WARM_UP_LIMIT_MILLIS * 2));
+		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory,
+				new Outcomes(new MetricRegistry(), this.steady), () -> WARM_UP_LIMIT_MILLIS * 2));
 		return new CallerListener(this.system, this.serverSettings, this.timers, this::limits, sample::handle)
 			.bind(address)
 			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -28,7 +28,7 @@
 		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
 		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, boolean stopAfterWarmUp) {
 
-	private static final double MAX_SECONDS = 3_600;
+	private static final int MAX_SECONDS = 3_600;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -42,9 +42,9 @@
 	 * @return the settings; mistakes are recorded in the table
 	 */
 	public static DirectSettings of(TomlTable root) {
-		return new DirectSettings(root.text("process_id"), root.text("failure_domain"), root.address("callers"),
-				root.address("health"), root.text("health_path"), root.address("metrics"),
-				root.text("metrics_path", "/metrics"), root.address("store"), seconds(root, "stop_grace_s", 8),
+		return new DirectSettings(root.text("process_id"), root.text("failure_domain"), root.address("callers_address"),
+				root.address("health_address"), root.text("health_path"), root.address("metrics_address"),
+				root.text("metrics_path", "/metrics"), root.address("store_address"), seconds(root, "stop_grace_s", 8),
 				root.number("revocation_ms", 5_000, 100, MAX_MILLIS), root.decimal("retry_ratio", 0.1, 0, 10),
 				seconds(root, "retry_window_s", 10), (int) root.number("free_retry_count", 0, 0, MAX_RETRIES),
 				root.flag("stop_after_warm_up", false));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -418,7 +418,9 @@
 		this.onEnd.run();
 		String route = (this.admitted != null) ? this.admitted.route().name() : "";
 		this.parts.outcomes()
-			.ended(code, this.caller.id(), route, status, this.parts.clock().ageMillis(this.arrived), detail);
+			.ended(code, this.caller.id(), route, status, this.parts.clock().ageMillis(this.arrived),
+					detail + " version=" + ((this.admitted != null) ? this.admitted.version() : 0) + " confirmed_ms="
+							+ this.parts.routing().ageMillis() + " tries=" + this.tries);
 	}
 
 	private long remainingMillis() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Outcomes.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Outcomes.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import org.marjoramgw.MillisClock;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.metrics.ResultCounters;
 import org.tinylog.Logger;
@@ -14,16 +15,26 @@
  */
 public final class Outcomes {
 
+	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
+
 	private final MetricRegistry registry;
 
 	private final ResultCounters counters;
 
+	/**
+	 * Bounds the lines about requests that were served in order; failures are always
+	 * logged.
+	 */
+	private final LineRate served;
+
 	/**
 	 * Creates a recorder.
 	 * @param registry the metrics
+	 * @param clock monotonic clock
 	 */
-	public Outcomes(MetricRegistry registry) {
+	public Outcomes(MetricRegistry registry, MillisClock clock) {
 		this.registry = registry;
+		this.served = new LineRate(clock, MAX_SERVED_LINES_PER_SECOND);
 		this.counters = new ResultCounters(registry);
 	}
 
@@ -39,8 +50,8 @@
 	public void ended(ResultCode code, String requestId, String route, int status, long tookMillis, String detail) {
 		this.counters.count(code);
 		this.registry.timer("requests." + (route.isEmpty() ? "none" : route)).update(tookMillis, TimeUnit.MILLISECONDS);
-		if (code == ResultCode.OK) {
-			Logger.debug("request={} route={} status={} took_ms={} {}", requestId, route, status, tookMillis, detail);
+		if (code == ResultCode.OK && !this.served.tryTake()) {
+			this.registry.counter("log.lines.omitted").inc();
 			return;
 		}
 		Logger.info("request={} code={} route={} status={} took_ms={} {}", requestId, code.number(), route, status,
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsDocument.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsDocument.java
@@ -6,6 +6,7 @@
 
 import org.marjoramgw.config.ConfigurationParser;
 import org.marjoramgw.ctl.internal.ClientSettings;
+import org.marjoramgw.direct.DirectSettings;
 import org.marjoramgw.entry.EntrySettings;
 import org.marjoramgw.errors.InvalidTextException;
 import org.marjoramgw.settings.Problem;
@@ -29,8 +30,8 @@
 	private static final Map<String, Reader> READERS = Map.of("EntrySettings", EntrySettings::read, "SideSettings",
 			SideSettings::read, "ClientSettings", ClientSettings::read, "LogSettings", LogSettings::read,
 			"VmListSettings", VmListSettings::read, "EngineSettings", EngineSettings::read, "PlainSettings",
-			PlainSettings::read, "WeightStoreSettings", WeightStoreSettings::read, "ProxySettings",
-			ProxySettings::read);
+			PlainSettings::read, "WeightStoreSettings", WeightStoreSettings::read, "ProxySettings", ProxySettings::read,
+			"DirectSettings", DirectSettings::of);
 
 	private static final String CONFIGURATION = "ConfigurationParser";
 
@@ -53,6 +54,9 @@
 			put("[[rules]]", "path_prefix", "\"/\"");
 			put("[[rules]]", "class", "\"NAME\"");
 		}
+		else if ("DirectSettings".equals(reader)) {
+			putDirect();
+		}
 		else if (List.of("EntrySettings", "SideSettings").contains(reader)) {
 			for (String key : List.of("process_id", "failure_domain", "peer_token", "operator_token", "log_url",
 					"vm_list_url")) {
@@ -67,6 +71,15 @@
 		}
 	}
 
+	private void putDirect() {
+		for (String key : List.of("process_id", "failure_domain", "health_path")) {
+			put("", key, "\"x\"");
+		}
+		for (String key : List.of("callers_address", "health_address", "metrics_address", "store_address")) {
+			put("", key, "\"127.0.0.1:0\"");
+		}
+	}
+
 	/**
 	 * Sets a key.
 	 * @param table heading of the table, empty for the root
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsValuesTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsValuesTests.java
@@ -98,7 +98,7 @@
 		if (below.isEmpty() && above.isEmpty()) {
 			return "";
 		}
-		return (below.isEmpty() ? above : below).get(0).expected().replace("a whole number from ", "");
+		return (below.isEmpty() ? above : below).get(0).expected().replaceFirst("a (whole )?number from ", "");
 	}
 
 	private static String defaultValue(SettingsRow row) {
--- /dev/null
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of log output.
+ */
+package org.marjoramgw.logging;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/logging/JsonLinesWriter.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/logging/JsonLinesWriter.java
@@ -28,12 +28,17 @@
 
 	private final PrintStream out;
 
+	/** Absent for commands, whose errors are few and wanted before they end. */
+	private final BoundedLines lines;
+
 	/**
 	 * Creates a writer; called by tinylog.
 	 * @param properties the properties of the writer
 	 */
 	public JsonLinesWriter(Map<String, String> properties) {
-		this.out = "err".equals(properties.get("stream")) ? System.err : System.out;
+		boolean command = "err".equals(properties.get("stream"));
+		this.out = command ? System.err : System.out;
+		this.lines = command ? null : new BoundedLines(this.out);
 	}
 
 	@Override
@@ -52,7 +57,7 @@
 		if (entry.getException() != null) {
 			line.put("error", stackTrace(entry.getException()));
 		}
-		this.out.println(this.mapper.writeValueAsString(line));
+		print(this.mapper.writeValueAsString(line));
 	}
 
 	@Override
@@ -60,8 +65,20 @@
 		this.out.flush();
 	}
 
+	private void print(String line) {
+		if (this.lines != null) {
+			this.lines.add(line);
+		}
+		else {
+			this.out.println(line);
+		}
+	}
+
 	@Override
 	public void close() {
+		if (this.lines != null) {
+			this.lines.close();
+		}
 		this.out.flush();
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/ValueKind.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/ValueKind.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.settings;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -65,10 +66,14 @@
 	 * @return the kind
 	 */
 	static ValueKind<Double> decimal(double min, double max) {
-		return of("a number from " + min + " to " + max,
+		return of("a number from " + plain(min) + " to " + plain(max),
 				(value) -> value.isNumber() && value.asDouble() >= min && value.asDouble() <= max, JsonNode::asDouble);
 	}
 
+	private static String plain(double number) {
+		return BigDecimal.valueOf(number).stripTrailingZeros().toPlainString();
+	}
+
 	/**
 	 * Makes the kind of a text that must be one of a set.
 	 * @param allowed the allowed texts
