--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -7,10 +7,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import com.codahale.metrics.MetricRegistry;
 import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.direct.Fixtures;
 import org.marjoramgw.errors.RecordsExpiredException;
 import org.marjoramgw.errors.StoreUnavailableException;
+import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Moment;
 import org.testng.Assert;
@@ -97,7 +99,7 @@
 			this.follower = new TopicFollower("t", this.topic, this, ages, (delayMillis, task) -> {
 				this.later.add(task);
 				return () -> this.later.remove(task);
-			}, 1_500);
+			}, 1_500, new ResultCounters(new MetricRegistry()));
 			this.follower.start();
 		}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -40,7 +40,9 @@
 import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
+import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.MetricsText;
+import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -106,6 +108,9 @@
 	/** Reserve between the own end and being killed, in milliseconds. */
 	private static final long STOP_RESERVE_MILLIS = 700;
 
+	/** Log lines about requests that were served in order; failures are always logged. */
+	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
+
 	private static final long POLL_OPEN_MILLIS = 50;
 
 	/** Requests after which most of the code is compiled. */
@@ -135,6 +140,8 @@
 
 	private final ServerSettings serverSettings;
 
+	private final HttpListener listener;
+
 	private final HttpConnector connector;
 
 	private final Platform platform;
@@ -173,17 +180,19 @@
 		this.timers = new PekkoTimers(this.system);
 		this.lag = new LagMeter(this.steady, this.timers);
 		this.serverSettings = ServerSettings.create(config);
+		this.listener = new HttpListener(this.system, this.serverSettings);
 		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config));
 		this.platform = platforms.apply(this.system, this.connector);
 		this.routing = new RoutingInForce(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.pool = new ConnectionPool(this.connector, this.steady);
-		this.forwarder = new Forwarder(
-				parts(this.routing, this.directory, new Outcomes(this.registry, this.steady), this::maxAgeMillis));
+		this.forwarder = new Forwarder(parts(this.routing, this.directory,
+				new Outcomes(this.registry, this.steady, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis));
+		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
-				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS);
+				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS, counters);
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
-				this.timers, SERVERS_WAIT_MILLIS);
+				this.timers, SERVERS_WAIT_MILLIS, counters);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
@@ -197,16 +206,20 @@
 		upkeep();
 		this.lag.start();
 		MetricsText metrics = new MetricsText(this.registry);
-		bound("health", new HealthEndpoint(this.system, Map.of(this.settings.get().healthPath(), this::readiness))
-			.bind(this.settings.get().healthAddress()));
-		bound("metrics", new HealthEndpoint(this.system, Map.of(this.settings.get().metricsPath(), () -> text(metrics)))
-			.bind(this.settings.get().metricsAddress()));
-		CallerListener listener = new CallerListener(this.system, this.serverSettings, this.timers, this::limits,
+		bound("health",
+				new HealthEndpoint(this.system, this.listener,
+						Map.of(this.settings.get().healthPath(), this::readiness))
+					.bind(this.settings.get().healthAddress()));
+		bound("metrics",
+				new HealthEndpoint(this.system, this.listener,
+						Map.of(this.settings.get().metricsPath(), () -> text(metrics)))
+					.bind(this.settings.get().metricsAddress()));
+		CallerListener callerListener = new CallerListener(this.system, this.serverSettings, this.timers, this::limits,
 				this.forwarder::handle);
-		CompletionStage<Tcp.ServerBinding> callers = listener.bind(this.settings.get().callerAddress());
+		CompletionStage<Tcp.ServerBinding> callers = callerListener.bind(this.settings.get().callerAddress());
 		bound("callers", callers);
-		callers.thenAccept(
-				(binding) -> Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding, listener), "stop")));
+		callers.thenAccept((binding) -> Runtime.getRuntime()
+			.addShutdownHook(new Thread(() -> stop(binding, callerListener), "stop")));
 		Signal.handle(new Signal("HUP"), (signal) -> reload("SIGHUP"));
 		warmUp();
 		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
@@ -214,7 +227,7 @@
 	}
 
 	private void warmUp() {
-		new WarmUp(this.system, this.connector, this.platform.samples(), this.steady, WARM_UP_REQUESTS,
+		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.steady, WARM_UP_REQUESTS,
 				WARM_UP_LIMIT_MILLIS, () -> this.forwarder.openCount() > MAX_OPEN_IN_WARM_UP)
 			.run(this::startSample)
 			.thenAccept((done) -> {
@@ -232,7 +245,7 @@
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
 		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory,
-				new Outcomes(new MetricRegistry(), this.steady), () -> WARM_UP_LIMIT_MILLIS * 2));
+				new Outcomes(new MetricRegistry(), this.steady, 0), () -> WARM_UP_LIMIT_MILLIS * 2));
 		return new CallerListener(this.system, this.serverSettings, this.timers, this::limits, sample::handle)
 			.bind(address)
 			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/HealthEndpoint.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/HealthEndpoint.java
@@ -5,12 +5,12 @@
 import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.HostPort;
+import org.marjoramgw.http.HttpListener;
 
 /**
  * Small endpoint that answers some paths without a body of the request being read.
@@ -21,15 +21,18 @@
 
 	private final ActorSystem<?> system;
 
+	private final HttpListener listener;
+
 	private final Map<String, Supplier<HttpResponse>> answerByPath;
 
-	HealthEndpoint(ActorSystem<?> system, Map<String, Supplier<HttpResponse>> answerByPath) {
+	HealthEndpoint(ActorSystem<?> system, HttpListener listener, Map<String, Supplier<HttpResponse>> answerByPath) {
 		this.system = system;
+		this.listener = listener;
 		this.answerByPath = answerByPath;
 	}
 
-	CompletionStage<ServerBinding> bind(HostPort address) {
-		return Http.get(this.system).newServerAt(address.host(), address.port()).bindSync(this::answer);
+	CompletionStage<Tcp.ServerBinding> bind(HostPort address) {
+		return this.listener.bind(address, this::answer);
 	}
 
 	private HttpResponse answer(HttpRequest request) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.concurrent.CompletionException;
 
+import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.RecordsExpiredException;
+import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Moment;
 import org.marjoramgw.time.Timers;
@@ -35,6 +37,8 @@
 
 	private final long waitMillis;
 
+	private final ResultCounters counters;
+
 	private long nextOffset = -1;
 
 	private boolean reachable = true;
@@ -49,15 +53,17 @@
 	 * @param clock clock for ages
 	 * @param timers timers
 	 * @param waitMillis how long one read waits for records, in milliseconds
+	 * @param counters counters of results
 	 */
 	public TopicFollower(String name, KeyedTopic topic, TopicListener listener, AgeClock clock, Timers timers,
-			long waitMillis) {
+			long waitMillis, ResultCounters counters) {
 		this.name = name;
 		this.topic = topic;
 		this.listener = listener;
 		this.clock = clock;
 		this.timers = timers;
 		this.waitMillis = waitMillis;
+		this.counters = counters;
 	}
 
 	/**
@@ -133,6 +139,7 @@
 				onSlice(slice, sent);
 			}
 			else if (isExpired(failure)) {
+				this.counters.count(ResultCode.RECORDS_EXPIRED);
 				Logger.info("{}: records expired, reading the newest of each key", this.name);
 				start();
 			}
@@ -155,6 +162,7 @@
 	}
 
 	private void onFailure(Throwable failure, Runnable retry) {
+		this.counters.count(ResultCode.STORE_AWAY);
 		synchronized (this) {
 			if (this.reachable) {
 				Logger.warn("{}: lost contact with the store: {}", this.name, failure.toString());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Outcomes.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Outcomes.java
@@ -15,8 +15,6 @@
  */
 public final class Outcomes {
 
-	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
-
 	private final MetricRegistry registry;
 
 	private final ResultCounters counters;
@@ -31,10 +29,11 @@
 	 * Creates a recorder.
 	 * @param registry the metrics
 	 * @param clock monotonic clock
+	 * @param maxServedLinesPerSecond log lines about requests that were served in order
 	 */
-	public Outcomes(MetricRegistry registry, MillisClock clock) {
+	public Outcomes(MetricRegistry registry, MillisClock clock, int maxServedLinesPerSecond) {
 		this.registry = registry;
-		this.served = new LineRate(clock, MAX_SERVED_LINES_PER_SECOND);
+		this.served = new LineRate(clock, maxServedLinesPerSecond);
 		this.counters = new ResultCounters(registry);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
@@ -8,15 +8,15 @@
 import java.util.function.BooleanSupplier;
 
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.Stages;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.http.HttpConnector;
+import org.marjoramgw.http.HttpListener;
 import org.tinylog.Logger;
 
 /**
@@ -37,6 +37,8 @@
 
 	private final ActorSystem<?> system;
 
+	private final HttpListener listener;
+
 	private final HttpConnector connector;
 
 	private final Samples samples;
@@ -54,6 +56,7 @@
 	/**
 	 * Creates a warm-up.
 	 * @param system the actor system
+	 * @param listener listens for the sample backend server
 	 * @param connector opens connections
 	 * @param samples sample messages
 	 * @param clock monotonic clock
@@ -61,9 +64,10 @@
 	 * @param limitMillis time after which it ends, in milliseconds
 	 * @param superseded whether callers' requests do the same already
 	 */
-	public WarmUp(ActorSystem<?> system, HttpConnector connector, Samples samples, MillisClock clock, int maxRequests,
-			long limitMillis, BooleanSupplier superseded) {
+	public WarmUp(ActorSystem<?> system, HttpListener listener, HttpConnector connector, Samples samples,
+			MillisClock clock, int maxRequests, long limitMillis, BooleanSupplier superseded) {
 		this.system = system;
+		this.listener = listener;
 		this.connector = connector;
 		this.samples = samples;
 		this.clock = clock;
@@ -79,10 +83,7 @@
 	 */
 	public CompletionStage<Void> run(Target target) {
 		long endMillis = this.clock.nowMillis() + this.limitMillis;
-		return Stages
-			.direct(Http.get(this.system)
-				.newServerAt(ANY_LOOPBACK_PORT.host(), ANY_LOOPBACK_PORT.port())
-				.bindSync(this.samples::answer))
+		return this.listener.bind(ANY_LOOPBACK_PORT, this.samples::answer)
 			.thenCompose((server) -> target.start(records(server), ANY_LOOPBACK_PORT)
 				.thenCompose((address) -> sendAll(address, endMillis))
 				.whenComplete((done, failure) -> server.unbind()))
@@ -95,7 +96,7 @@
 			});
 	}
 
-	private List<KeyedRecord> records(ServerBinding server) {
+	private List<KeyedRecord> records(Tcp.ServerBinding server) {
 		HostPort address = new HostPort(ANY_LOOPBACK_PORT.host(), server.localAddress().getPort());
 		return List.of(new KeyedRecord(Samples.SERVER_ID, Optional.of(this.samples.registration(address)), 0));
 	}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
@@ -89,8 +89,8 @@
 				new StartGate(4, this.system.executionContext()),
 				new ServerChoice(directory, health, placement, placement, "a"),
 				new ConnectionPool(new HttpConnector(this.system, ClientConnectionSettings.create(config)), steady),
-				lag, new WindowRetryBudget(steady, 10_000, 0.2, 50), new Outcomes(new MetricRegistry(), steady), clock,
-				new PekkoTimers(this.system), random);
+				lag, new WindowRetryBudget(steady, 10_000, 0.2, 50), new Outcomes(new MetricRegistry(), steady, 20),
+				clock, new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(parts);
 		Tcp.ServerBinding binding = new CallerListener(this.system, ServerSettings.create(config),
 				new PekkoTimers(this.system), () -> CallerLimits.DEFAULT, forwarder::handle)
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/PlainBytes.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/PlainBytes.java
@@ -3,11 +3,14 @@
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.stream.TLSProtocol;
 import org.apache.pekko.stream.javadsl.BidiFlow;
-import org.apache.pekko.stream.javadsl.TLSPlacebo;
+import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 
 /**
  * Stands where encryption would be in the layers of an HTTP connection.
+ * <p>
+ * The library's own stand-in makes a session of the default TLS context for each process,
+ * which reads all trusted certificates at the start.
  *
  * @author The marjoramgw authors
  */
@@ -20,11 +23,18 @@
 	 * Returns the layer between HTTP messages and plain bytes.
 	 * @return the layer
 	 */
-	@SuppressWarnings("unchecked")
 	public static BidiFlow<TLSProtocol.SslTlsOutbound, ByteString, ByteString, TLSProtocol.SslTlsInbound, NotUsed> layer() {
-		// Elements that flow out are only read, so the wider type is safe.
-		return (BidiFlow<TLSProtocol.SslTlsOutbound, ByteString, ByteString, TLSProtocol.SslTlsInbound, NotUsed>) (BidiFlow<?, ?, ?, ?, ?>) TLSPlacebo
-			.getInstance();
+		Flow<TLSProtocol.SslTlsOutbound, ByteString, NotUsed> out = Flow.<TLSProtocol.SslTlsOutbound>create()
+			.map(PlainBytes::bytes);
+		Flow<ByteString, TLSProtocol.SslTlsInbound, NotUsed> in = Flow.<ByteString>create()
+			.map((bytes) -> new TLSProtocol.SessionBytes(null, bytes));
+		return BidiFlow.fromFlows(out, in);
+	}
+
+	private static ByteString bytes(TLSProtocol.SslTlsOutbound message) {
+		// Other messages ask for a new TLS session, of which there is none.
+		return (message instanceof TLSProtocol.SendBytes) ? ((TLSProtocol.SendBytes) message).bytes()
+				: ByteString.emptyByteString();
 	}
 
 }
