--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
@@ -0,0 +1,70 @@
+package org.marjoramgw.direct.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link CallerConnection}.
+ *
+ * @author The marjoramgw authors
+ */
+public class CallerConnectionTests {
+
+	private List<String> events;
+
+	private CallerConnection connection;
+
+	@BeforeMethod
+	public void open() {
+		this.events = new ArrayList<>();
+		this.connection = new CallerConnection(() -> this.events.add("hung up"));
+	}
+
+	@Test
+	public void stopClosesOnlyIdleConnections() {
+		Assert.assertTrue(this.connection.begin());
+		this.connection.closeIfIdle();
+		Assert.assertEquals(this.events, List.of());
+		this.connection.end();
+		this.connection.closeIfIdle();
+		this.connection.closeIfIdle();
+		Assert.assertEquals(this.events, List.of("hung up"));
+	}
+
+	@Test
+	public void requestThatCrossesTheCloseIsNotBegun() {
+		this.connection.closeIfIdle();
+		Assert.assertFalse(this.connection.begin());
+	}
+
+	@Test
+	public void requestUnderWayHearsOnceThatItsCallerLeft() {
+		this.connection.begin();
+		this.connection.whenClosed(() -> this.events.add("cancelled"));
+		this.connection.close();
+		this.connection.close();
+		Assert.assertEquals(this.events, List.of("cancelled"));
+	}
+
+	@Test
+	public void requestThatBeginsAfterItsCallerLeftHearsItAtOnce() {
+		this.connection.close();
+		this.connection.whenClosed(() -> this.events.add("cancelled"));
+		Assert.assertEquals(this.events, List.of("cancelled"));
+	}
+
+	@Test
+	public void answeredRequestHearsNothingMore() {
+		this.connection.begin();
+		this.connection.whenClosed(() -> this.events.add("cancelled"));
+		this.connection.end();
+		this.connection.close();
+		Assert.assertEquals(this.events, List.of());
+		Assert.assertTrue(this.connection.opened().toCompletableFuture().isDone());
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.direct.caller.
+ */
+package org.marjoramgw.direct.caller;
