--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -21,7 +21,6 @@
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
-import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.time.Moment;
 import org.marjoramgw.time.Timers;
 
@@ -38,14 +37,8 @@
 	/** Sends and connection attempts that one request may take. */
 	private static final int MAX_TRIES = 4;
 
-	/** Lag that is no mere delay of a timer, in milliseconds. */
-	private static final long NOTICEABLE_LAG_MILLIS = 120;
-
-	/** Longest wait of a request because of lag, in milliseconds. */
-	private static final long MAX_LAG_WAIT_MILLIS = 400;
-
-	/** Longest time for which a request counts as starting, in milliseconds. */
-	private static final long MAX_STARTING_MILLIS = 100;
+	/** Work that an attempt puts on its server: requests are counted. */
+	private static final double ATTEMPT_WORK = 1;
 
 	/** Less time than this is not worth another attempt, in milliseconds. */
 	private static final long LEAST_REMAINING_MILLIS = 30;
@@ -61,7 +54,7 @@
 
 	private final Moment arrived;
 
-	private final Runnable onStarted;
+	private final RequestStart start;
 
 	private final Runnable onEnd;
 
@@ -73,8 +66,6 @@
 
 	private String service = "";
 
-	private StartGate.Place place;
-
 	private Timers.Handle timer = () -> {
 	};
 
@@ -103,7 +94,7 @@
 		this.request = request;
 		this.caller = caller;
 		this.arrived = arrived;
-		this.onStarted = onStarted;
+		this.start = new RequestStart(parts, onStarted);
 		this.onEnd = onEnd;
 	}
 
@@ -117,7 +108,7 @@
 			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
 			this.parts.budget().onRequest(this.service);
 			this.timer = this.parts.timers().after(Math.max(0, remainingMillis()), this::onTimeout);
-			startOnceNewsIsKnown();
+			this.start.run(this.admitted.priority(), this::begin);
 		}
 		catch (RequestRejectedException ex) {
 			refuse(ex.code(), ex.getMessage());
@@ -142,47 +133,10 @@
 		}
 	}
 
-	/**
-	 * Starts the request, in a process that lags after all that has arrived by now was
-	 * looked at: the end of the caller's connection may be among it.
-	 */
-	private void startOnceNewsIsKnown() {
-		long lagMillis = this.parts.lag().lagMillis();
-		if (lagMillis < NOTICEABLE_LAG_MILLIS) {
-			enterGate();
-		}
-		else {
-			this.parts.timers().after(Math.min(lagMillis, MAX_LAG_WAIT_MILLIS), this::enterGate);
-		}
-	}
-
-	private synchronized void enterGate() {
-		if (this.done) {
-			return;
-		}
-		this.place = this.parts.gate().enter(this.admitted.priority(), this::begin);
-		if (this.done || this.sentBefore) {
-			leaveGate();
-		}
-	}
-
 	private synchronized void begin() {
-		if (this.done) {
-			leaveGate();
-			return;
-		}
-		// A server that does not answer must not keep the others from starting.
-		this.parts.timers().after(MAX_STARTING_MILLIS, this::leaveGate);
 		tryNext(ResultCode.NO_BACKEND);
 	}
 
-	private synchronized void leaveGate() {
-		this.onStarted.run();
-		if (this.place != null) {
-			this.place.leave();
-		}
-	}
-
 	private void tryNext(ResultCode reason) {
 		if (this.done) {
 			return;
@@ -204,9 +158,9 @@
 		this.tries++;
 		Attempt next = new Attempt(server.get());
 		this.attempt = next;
-		this.parts.health().addWork(next.server.id(), next.work);
+		this.parts.health().addWork(next.serverId(), ATTEMPT_WORK);
 		this.parts.pool()
-			.acquire(next.server.address(), !this.admitted.route().isRepeatable())
+			.acquire(next.server().address(), !this.admitted.route().isRepeatable())
 			.whenComplete((connection, failure) -> onConnection(next, connection, failure));
 	}
 
@@ -218,11 +172,11 @@
 			return;
 		}
 		if (failure != null) {
-			this.parts.health().onUnreachable(of.server.id());
+			this.parts.health().onUnreachable(of.serverId());
 			retry(of, ResultCode.NO_BACKEND, "connect failed: " + failure.getMessage());
 			return;
 		}
-		of.connection = connection;
+		of.hold(connection);
 		try {
 			this.admitted = this.parts.admission().admit(this.caller);
 			send(of);
@@ -234,18 +188,23 @@
 	}
 
 	private void send(Attempt of) {
+		if (!this.admitted.route().leadsTo(this.service)) {
+			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
+			retry(of, ResultCode.NO_BACKEND, "route leads to another service now");
+			return;
+		}
 		long remainingMillis = remainingMillis();
-		if (remainingMillis < LEAST_REMAINING_MILLIS || !this.parts.directory().isUsable(of.server.id())) {
+		if (remainingMillis < LEAST_REMAINING_MILLIS || !this.parts.directory().isUsable(of.serverId())) {
 			retry(of, ResultCode.NO_BACKEND, "server left before the send");
 			return;
 		}
 		HttpRequest sent = this.parts.backendDialect()
-			.toBackend(this.request, new SendOrders(of.server.id(), remainingMillis,
+			.toBackend(this.request, new SendOrders(of.serverId(), remainingMillis,
 					this.admitted.account().map(Account::name), this.admitted.priority()));
 		this.sentBefore = true;
-		of.maySent = true;
-		of.connection.send(sent).whenComplete((response, failure) -> onHead(of, response, failure));
-		leaveGate();
+		of.markSent();
+		of.connection().send(sent).whenComplete((response, failure) -> onHead(of, response, failure));
+		this.start.over();
 	}
 
 	private synchronized void onHead(Attempt of, HttpResponse response, Throwable failure) {
@@ -266,21 +225,21 @@
 	}
 
 	private void onNotRun(Attempt of, HttpResponse response) {
-		of.maySent = false;
-		this.parts.health().onFailure(of.server.id());
+		of.markNotRun();
+		this.parts.health().onFailure(of.serverId());
 		response.discardEntityBytes(this.parts.system());
 		retry(of, ResultCode.BACKENDS_REFUSED, "status=" + response.status().intValue());
 	}
 
 	private void onWrongServer(Attempt of, HttpResponse response) {
-		of.maySent = false;
-		this.parts.directory().drop(of.server.id());
+		of.markNotRun();
+		this.parts.directory().drop(of.serverId());
 		response.discardEntityBytes(this.parts.system());
 		retry(of, ResultCode.BACKENDS_REFUSED, "address answers for another server");
 	}
 
 	private void onOwnFailure(Attempt of, HttpResponse response) {
-		this.parts.health().onFailure(of.server.id());
+		this.parts.health().onFailure(of.serverId());
 		if (mayRepeat() && remainingMillis() > LEAST_REMAINING_MILLIS) {
 			this.runs++;
 			response.discardEntityBytes(this.parts.system());
@@ -315,16 +274,16 @@
 			return;
 		}
 		if (response.status().isSuccess()) {
-			this.parts.health().onSuccess(of.server.id());
+			this.parts.health().onSuccess(of.serverId());
 		}
 		keepConnection(of, response);
 		endAttempt(false);
 		ResultCode code = response.status().isSuccess() ? ResultCode.OK : ResultCode.BACKEND_ERROR;
-		finish(code, this.parts.callerDialect().toCaller(response).withEntity(body), "server=" + of.server.id());
+		finish(code, this.parts.callerDialect().toCaller(response).withEntity(body), "server=" + of.serverId());
 	}
 
 	private void stream(Attempt of, HttpResponse response) {
-		this.parts.health().onSuccess(of.server.id());
+		this.parts.health().onSuccess(of.serverId());
 		Source<ByteString, ?> body = response.entity()
 			.getDataBytes()
 			.via(new ObservedBody(new StreamEnd(of, response)));
@@ -341,21 +300,21 @@
 			keepConnection(of, response);
 		}
 		else if (code == ResultCode.BACKEND_BROKE_OFF) {
-			this.parts.health().onFailure(of.server.id());
+			this.parts.health().onFailure(of.serverId());
 		}
 		endAttempt(code != ResultCode.OK);
-		record(code, response.status().intValue(), "server=" + of.server.id() + detail);
+		record(code, response.status().intValue(), "server=" + of.serverId() + detail);
 	}
 
 	private void onBroken(Attempt of, String detail) {
-		this.parts.health().onFailure(of.server.id());
+		this.parts.health().onFailure(of.serverId());
 		if (mayRepeat()) {
 			this.runs++;
 			retry(of, ResultCode.BACKEND_BROKE_OFF, detail);
 			return;
 		}
 		endAttempt(true);
-		refuse(ResultCode.BACKEND_BROKE_OFF, "server=" + of.server.id() + " " + detail);
+		refuse(ResultCode.BACKEND_BROKE_OFF, "server=" + of.serverId() + " " + detail);
 	}
 
 	private boolean mayRepeat() {
@@ -363,9 +322,10 @@
 	}
 
 	private void retry(Attempt of, ResultCode reason, String detail) {
-		this.parts.outcomes().retried(ResultCode.RETRY_NOT_RUN, this.caller.id(), of.server.id(), detail);
+		ResultCode kind = of.mayHaveRun() ? ResultCode.RETRY_REPEATABLE : ResultCode.RETRY_NOT_RUN;
+		this.parts.outcomes().retried(kind, this.caller.id(), of.serverId(), detail);
 		endAttempt(true);
-		this.excluded.add(of.server.id());
+		this.excluded.add(of.serverId());
 		tryNext(reason);
 	}
 
@@ -373,7 +333,7 @@
 		if (this.attempt == null && this.done) {
 			return;
 		}
-		boolean mayHaveRun = this.runs > 0 || this.attempt != null && this.attempt.maySent;
+		boolean mayHaveRun = this.runs > 0 || this.attempt != null && this.attempt.mayHaveRun();
 		endAttempt(true);
 		if (this.done) {
 			record(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream ended at its timeout");
@@ -383,8 +343,7 @@
 	}
 
 	private void keepConnection(Attempt of, HttpResponse response) {
-		this.parts.pool().release(of.connection, KeepAlive.keepMillis(response));
-		of.connection = null;
+		this.parts.pool().release(of.giveUp(), KeepAlive.keepMillis(response));
 	}
 
 	private void endAttempt(boolean broken) {
@@ -393,9 +352,10 @@
 		if (ended == null) {
 			return;
 		}
-		this.parts.health().addWork(ended.server.id(), -ended.work);
-		if (broken && ended.connection != null) {
-			ended.connection.close();
+		this.parts.health().addWork(ended.serverId(), -ATTEMPT_WORK);
+		HttpConnection held = ended.giveUp();
+		if (broken && held != null) {
+			held.close();
 		}
 	}
 
@@ -414,7 +374,7 @@
 
 	private void record(ResultCode code, int status, String detail) {
 		this.timer.cancel();
-		leaveGate();
+		this.start.over();
 		this.onEnd.run();
 		String route = (this.admitted != null) ? this.admitted.route().name() : "";
 		this.parts.outcomes()
@@ -429,22 +389,6 @@
 		return limitMillis - this.parts.clock().ageMillis(this.arrived);
 	}
 
-	private static final class Attempt {
-
-		private final BackendServer server;
-
-		private final double work = 1;
-
-		private HttpConnection connection;
-
-		private boolean maySent;
-
-		private Attempt(BackendServer server) {
-			this.server = server;
-		}
-
-	}
-
 	private final class StreamEnd implements BodyObserver {
 
 		private final Attempt of;
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestStart.java
@@ -0,0 +1,107 @@
+package org.marjoramgw.direct.forward;
+
+import org.marjoramgw.policy.gate.StartGate;
+import org.marjoramgw.time.LagMeter;
+import org.marjoramgw.time.Timers;
+
+/**
+ * Lets a request begin when its turn has come; thread-safe.
+ * <p>
+ * A process that lags first looks at all that has arrived by now, since the end of the
+ * caller's connection may be among it. Then the request passes the gate that lets a few
+ * start at once.
+ *
+ * @author The marjoramgw authors
+ */
+final class RequestStart {
+
+	/** Lag that is no mere delay of a timer, in milliseconds. */
+	private static final long NOTICEABLE_LAG_MILLIS = 120;
+
+	/** Longest wait of a request because of lag, in milliseconds. */
+	private static final long MAX_LAG_WAIT_MILLIS = 400;
+
+	/**
+	 * Longest time for which a request counts as starting, in milliseconds: a server that
+	 * does not answer must not keep the others from starting.
+	 */
+	private static final long MAX_STARTING_MILLIS = 100;
+
+	private final StartGate gate;
+
+	private final LagMeter lag;
+
+	private final Timers timers;
+
+	private final Runnable onOver;
+
+	private StartGate.Place place;
+
+	private boolean over;
+
+	/**
+	 * Creates a start.
+	 * @param parts what all requests use
+	 * @param onOver called when the request has started or ended, more than once perhaps
+	 */
+	RequestStart(ForwardParts parts, Runnable onOver) {
+		this.gate = parts.gate();
+		this.lag = parts.lag();
+		this.timers = parts.timers();
+		this.onOver = onOver;
+	}
+
+	/**
+	 * Begins the request now or later, unless it ends before.
+	 * @param priority its rank, 0 is the most urgent
+	 * @param begin begins it
+	 */
+	void run(int priority, Runnable begin) {
+		long lagMillis = this.lag.lagMillis();
+		if (lagMillis < NOTICEABLE_LAG_MILLIS) {
+			enter(priority, begin);
+		}
+		else {
+			this.timers.after(Math.min(lagMillis, MAX_LAG_WAIT_MILLIS), () -> enter(priority, begin));
+		}
+	}
+
+	/**
+	 * Notes that the request has started or ended.
+	 */
+	void over() {
+		synchronized (this) {
+			this.over = true;
+			if (this.place != null) {
+				this.place.leave();
+			}
+		}
+		this.onOver.run();
+	}
+
+	private void enter(int priority, Runnable begin) {
+		if (isOver()) {
+			return;
+		}
+		StartGate.Place entered = this.gate.enter(priority, () -> begin(begin));
+		synchronized (this) {
+			this.place = entered;
+			if (this.over) {
+				entered.leave();
+			}
+		}
+	}
+
+	private void begin(Runnable begin) {
+		if (isOver()) {
+			return;
+		}
+		this.timers.after(MAX_STARTING_MILLIS, this::over);
+		begin.run();
+	}
+
+	private synchronized boolean isOver() {
+		return this.over;
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
@@ -37,6 +37,15 @@
 		return this.kind == RequestKind.STREAMING;
 	}
 
+	/**
+	 * Tells whether the route's requests may go to a service.
+	 * @param service name of the service
+	 * @return whether they may
+	 */
+	public boolean leadsTo(String service) {
+		return this.services.stream().anyMatch((share) -> share.name().equals(service));
+	}
+
 	/**
 	 * Chooses a service by weight.
 	 * @param draw a number from 0 to below 1
