Send callers elsewhere while the process lags; refuse oversized bodies with 413

Above 300 ms of lag the caller is told at once that nothing ran and when to come back, and meets a warm process. The size of a body with a stated length was reported as an incomplete body.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -108,7 +108,12 @@
 			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
 			this.parts.budget().onRequest(this.service);
 			this.timer = this.parts.timers().after(Math.max(0, remainingMillis()), this::onTimeout);
-			this.start.run(this.admitted.priority(), this::begin);
+			if (this.start.isTooLate()) {
+				refuse(ResultCode.ENTRY_LAGGING, "lag_ms=" + this.parts.lag().lagMillis());
+			}
+			else {
+				this.start.run(this.admitted.priority(), this::begin);
+			}
 		}
 		catch (RequestRejectedException ex) {
 			refuse(ex.code(), ex.getMessage());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -60,7 +60,8 @@
 			.map(Routing::limits)
 			.orElse(CallerLimits.DEFAULT)
 			.maxBodyBytes();
-		return Stages.direct(request.entity().toStrict(BODY_TIMEOUT_MILLIS, maxBodyBytes, this.parts.system()))
+		return Stages
+			.direct(request.entity().withSizeLimit(maxBodyBytes).toStrict(BODY_TIMEOUT_MILLIS, this.parts.system()))
 			.handle((body, failure) -> (failure != null) ? refuseBody(caller, arrived, failure, connection)
 					: forward(request, caller, body, arrived, connection))
 			.thenCompose((answer) -> answer)
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestStart.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestStart.java
@@ -18,8 +18,11 @@
 	/** Lag that is no mere delay of a timer, in milliseconds. */
 	private static final long NOTICEABLE_LAG_MILLIS = 120;
 
-	/** Longest wait of a request because of lag, in milliseconds. */
-	private static final long MAX_LAG_WAIT_MILLIS = 400;
+	/**
+	 * Lag above which a caller is better served elsewhere, in milliseconds: its request
+	 * has waited as long before it was read, and its leaving would be seen as late.
+	 */
+	private static final long MAX_LAG_MILLIS = 300;
 
 	/**
 	 * Longest time for which a request counts as starting, in milliseconds: a server that
@@ -51,6 +54,14 @@
 		this.onOver = onOver;
 	}
 
+	/**
+	 * Tells whether this process is so late that the request should go elsewhere.
+	 * @return whether it is
+	 */
+	boolean isTooLate() {
+		return this.lag.lagMillis() >= MAX_LAG_MILLIS;
+	}
+
 	/**
 	 * Begins the request now or later, unless it ends before.
 	 * @param priority its rank, 0 is the most urgent
@@ -62,7 +73,7 @@
 			enter(priority, begin);
 		}
 		else {
-			this.timers.after(Math.min(lagMillis, MAX_LAG_WAIT_MILLIS), () -> enter(priority, begin));
+			this.timers.after(Math.min(lagMillis, MAX_LAG_MILLIS), () -> enter(priority, begin));
 		}
 	}
 
