--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -94,7 +94,7 @@
 		this.request = request;
 		this.caller = caller;
 		this.arrived = arrived;
-		this.start = new RequestStart(parts, onStarted);
+		this.start = new RequestStart(parts.gate(), parts.lag(), parts.timers(), onStarted);
 		this.onEnd = onEnd;
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestStart.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestStart.java
@@ -44,13 +44,15 @@
 
 	/**
 	 * Creates a start.
-	 * @param parts what all requests use
+	 * @param gate order in which requests start
+	 * @param lag how late this process is
+	 * @param timers timers
 	 * @param onOver called when the request has started or ended, more than once perhaps
 	 */
-	RequestStart(ForwardParts parts, Runnable onOver) {
-		this.gate = parts.gate();
-		this.lag = parts.lag();
-		this.timers = parts.timers();
+	RequestStart(StartGate gate, LagMeter lag, Timers timers, Runnable onOver) {
+		this.gate = gate;
+		this.lag = lag;
+		this.timers = timers;
 		this.onOver = onOver;
 	}
 
