--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
@@ -36,8 +35,6 @@
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.Outcomes;
 import org.marjoramgw.direct.forward.ServerChoice;
-import org.marjoramgw.direct.model.CallerLimits;
-import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.HttpListener;
@@ -214,8 +211,8 @@
 				new HealthEndpoint(this.system, this.listener,
 						Map.of(this.settings.get().metricsPath(), () -> text(metrics)))
 					.bind(this.settings.get().metricsAddress()));
-		CallerListener callerListener = new CallerListener(this.system, this.serverSettings, this.timers, this::limits,
-				this.forwarder::handle);
+		CallerListener callerListener = new CallerListener(this.system, this.serverSettings, this.timers,
+				this.routing::limits, this.forwarder::handle);
 		CompletionStage<Tcp.ServerBinding> callers = callerListener.bind(this.settings.get().callerAddress());
 		bound("callers", callers);
 		callers.thenAccept((binding) -> Runtime.getRuntime()
@@ -246,7 +243,7 @@
 		sampleDirectory.onSnapshot(registrations);
 		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory,
 				new Outcomes(new MetricRegistry(), this.steady, 0), () -> WARM_UP_LIMIT_MILLIS * 2));
-		return new CallerListener(this.system, this.serverSettings, this.timers, this::limits, sample::handle)
+		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, sample::handle)
 			.bind(address)
 			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
 	}
@@ -269,10 +266,6 @@
 		return this.settings.get().revocationMillis() - REVOCATION_MARGIN_MILLIS;
 	}
 
-	private CallerLimits limits() {
-		return this.routing.current().map(Routing::limits).orElse(CallerLimits.DEFAULT);
-	}
-
 	private boolean isReady() {
 		return !this.leaving && this.warm && this.directory.isComplete() && this.lag.lagMillis() < MAX_READY_LAG_MILLIS
 				&& this.routing.ageMillis() < maxAgeMillis() - READY_MARGIN_MILLIS;
@@ -297,7 +290,7 @@
 			reload("file changed");
 		}
 		this.pool.closeExpired();
-		this.health.retain(Set.copyOf(this.directory.ids()));
+		this.health.retain(this.directory.ids());
 		this.timers.after(UPKEEP_MILLIS, this::upkeep);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -12,7 +12,6 @@
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
@@ -21,7 +20,6 @@
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.OverflowStrategy;
 import org.apache.pekko.stream.SharedKillSwitch;
-import org.apache.pekko.stream.TLSProtocol;
 import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
@@ -155,10 +153,7 @@
 		Duration idleTimeout = Duration.create(current.idleTimeoutMillis(), TimeUnit.MILLISECONDS);
 		ServerSettings adapted = this.settings.withTimeouts(this.settings.getTimeouts().withIdleTimeout(idleTimeout))
 			.withParserSettings(this.settings.getParserSettings().withMaxHeaderValueLength(current.maxHeaderBytes()));
-		BidiFlow<HttpResponse, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpRequest, NotUsed> layer = Http
-			.get(this.system)
-			.serverLayer(adapted);
-		return layer.atop(PlainBytes.layer());
+		return PlainBytes.serverLayer(this.system, adapted);
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/RoutingInForce.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/RoutingInForce.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Moment;
@@ -47,6 +48,14 @@
 		return Optional.ofNullable(this.current);
 	}
 
+	/**
+	 * Returns the bounds of what callers may send.
+	 * @return the bounds of the configuration in force, or the default ones
+	 */
+	public CallerLimits limits() {
+		return current().map(Routing::limits).orElse(CallerLimits.DEFAULT);
+	}
+
 	/**
 	 * Returns how long ago the configuration in force was surely the newest.
 	 * @return the age in milliseconds, {@link Long#MAX_VALUE} before the first
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.direct.follow;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -100,7 +99,7 @@
 	 * Returns all servers that are known.
 	 * @return ids of the servers
 	 */
-	public synchronized Collection<String> ids() {
+	public synchronized Set<String> ids() {
 		return Set.copyOf(this.entryById.keySet());
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -14,8 +14,6 @@
 import org.marjoramgw.Stages;
 import org.marjoramgw.direct.caller.CallerConnection;
 import org.marjoramgw.direct.caller.CallerRequest;
-import org.marjoramgw.direct.model.CallerLimits;
-import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.time.Moment;
 
 /**
@@ -55,11 +53,7 @@
 		Moment arrived = this.parts.clock().now();
 		CallerRequest caller = this.parts.callerDialect().decode(request);
 		this.open.incrementAndGet();
-		long maxBodyBytes = this.parts.routing()
-			.current()
-			.map(Routing::limits)
-			.orElse(CallerLimits.DEFAULT)
-			.maxBodyBytes();
+		long maxBodyBytes = this.parts.routing().limits().maxBodyBytes();
 		return Stages
 			.direct(request.entity().withSizeLimit(maxBodyBytes).toStrict(BODY_TIMEOUT_MILLIS, this.parts.system()))
 			.handle((body, failure) -> (failure != null) ? refuseBody(caller, arrived, failure, connection)
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpListener.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpListener.java
@@ -6,12 +6,10 @@
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.japi.function.Function;
-import org.apache.pekko.stream.TLSProtocol;
 import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
@@ -41,10 +39,7 @@
 	 */
 	public HttpListener(ActorSystem<?> system, ServerSettings settings) {
 		this.system = system;
-		BidiFlow<HttpResponse, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpRequest, NotUsed> layer = Http
-			.get(system)
-			.serverLayer(settings);
-		this.serverLayer = layer.atop(PlainBytes.layer());
+		this.serverLayer = PlainBytes.serverLayer(system, settings);
 	}
 
 	/**
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/PlainBytes.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/PlainBytes.java
@@ -1,6 +1,11 @@
 package org.marjoramgw.http;
 
 import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.stream.TLSProtocol;
 import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
@@ -31,6 +36,21 @@
 		return BidiFlow.fromFlows(out, in);
 	}
 
+	/**
+	 * Builds the layers of a server's connections.
+	 * @param system the actor system
+	 * @param settings how requests are parsed
+	 * @return the layers between answers and requests and plain bytes, for any number of
+	 * connections
+	 */
+	public static BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> serverLayer(
+			ActorSystem<?> system, ServerSettings settings) {
+		BidiFlow<HttpResponse, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpRequest, NotUsed> messages = Http
+			.get(system)
+			.serverLayer(settings);
+		return messages.atop(layer());
+	}
+
 	private static ByteString bytes(TLSProtocol.SslTlsOutbound message) {
 		// Other messages ask for a new TLS session, of which there is none.
 		return (message instanceof TLSProtocol.SendBytes) ? ((TLSProtocol.SendBytes) message).bytes()
