Accept callers' sockets before the actor system exists, ask for their end just before a send

GONE after restarts: a connection waited in the system's queue, its request and its end were both there, and the request was sent on before the end was read; the library's TCP offers no way to look. Ruled out: fewer openings at once (still GONE), refusing by lag alone (lag stays low). Change: SocketAcceptor binds first of all and reads ahead; a request asks the socket for its end in the same step as the send. A stop leaves connections alone whose request has arrived unread.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
@@ -18,10 +18,13 @@
 
 	private CallerConnection connection;
 
+	private boolean hasUnread;
+
 	@BeforeMethod
 	public void open() {
 		this.events = new ArrayList<>();
-		this.connection = new CallerConnection(() -> this.events.add("hung up"));
+		this.hasUnread = false;
+		this.connection = new CallerConnection(new FakeLine());
 	}
 
 	@Test
@@ -83,4 +86,31 @@
 		Assert.assertEquals(this.events, List.of("hung up"));
 	}
 
+	@Test
+	public void stopLeavesAConnectionAloneWhoseRequestHasArrivedUnread() {
+		this.hasUnread = true;
+		this.connection.closeIfIdle();
+		Assert.assertEquals(this.events, List.of());
+		Assert.assertTrue(this.connection.begin());
+	}
+
+	private final class FakeLine implements CallerLine {
+
+		@Override
+		public void finish() {
+			CallerConnectionTests.this.events.add("hung up");
+		}
+
+		@Override
+		public boolean hasEnded() {
+			return false;
+		}
+
+		@Override
+		public boolean hasReceived() {
+			return CallerConnectionTests.this.hasUnread;
+		}
+
+	}
+
 }
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -0,0 +1,203 @@
+package org.marjoramgw.direct.socket;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.SystemMillisClock;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link SocketAcceptor}, {@link AcceptedSocket} and {@link SocketFlow} between raw
+ * sockets.
+ *
+ * @author The marjoramgw authors
+ */
+public class SocketAcceptorTests {
+
+	private static final int WAIT_SECONDS = 10;
+
+	private static final int LARGE_BYTES = 8 << 20;
+
+	private final BlockingQueue<AcceptedSocket> accepted = new LinkedBlockingQueue<>();
+
+	private ActorSystem<Void> system;
+
+	private SocketAcceptor acceptor;
+
+	@BeforeMethod
+	public void start() throws IOException {
+		this.accepted.clear();
+		this.system = ActorSystem.create(Behaviors.empty(), "sockets");
+		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), new SystemMillisClock());
+	}
+
+	@AfterMethod
+	public void stop() {
+		this.acceptor.close();
+		this.system.terminate();
+	}
+
+	@Test
+	public void requestSentBeforeTheProcessServesIsServedThen() throws Exception {
+		try (Socket caller = connect()) {
+			caller.getOutputStream().write("early".getBytes(StandardCharsets.US_ASCII));
+			serveEcho();
+			Assert.assertEquals(new String(caller.getInputStream().readNBytes(5), StandardCharsets.US_ASCII), "early");
+		}
+	}
+
+	@Test
+	public void endIsKnownAtOnceThoughNobodyTookWhatCameBefore() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		Socket caller = connect();
+		caller.getOutputStream().write("request".getBytes(StandardCharsets.US_ASCII));
+		AcceptedSocket socket = next();
+		Assert.assertFalse(socket.hasEnded());
+		CountDownLatch told = new CountDownLatch(1);
+		socket.whenEnded(told::countDown);
+		caller.close();
+		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(socket.hasEnded());
+		Assert.assertEquals(socket.take().utf8String(), "request");
+		Assert.assertTrue(socket.isExhausted());
+	}
+
+	@Test
+	public void resetCountsAsEnd() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		Socket caller = connect();
+		AcceptedSocket socket = next();
+		caller.setSoLinger(true, 0);
+		caller.close();
+		CountDownLatch told = new CountDownLatch(1);
+		socket.whenEnded(told::countDown);
+		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+	}
+
+	@Test
+	public void largeAnswerReachesACallerThatReadsLate() throws Exception {
+		ByteString answer = ByteString.fromArray(new byte[LARGE_BYTES]);
+		this.acceptor.serve((socket) -> socket.flow()
+			.join(Flow.fromSinkAndSource(Sink.ignore(), Source.single(answer)))
+			.run(this.system));
+		try (Socket caller = connect()) {
+			Thread.sleep(200);
+			Assert.assertEquals(caller.getInputStream().readAllBytes().length, LARGE_BYTES);
+		}
+	}
+
+	@Test
+	public void largeRequestIsReadWhole() throws Exception {
+		serveEcho();
+		try (Socket caller = connect()) {
+			byte[] request = new byte[LARGE_BYTES];
+			Arrays.fill(request, (byte) 'x');
+			Thread writer = new Thread(() -> write(caller, request));
+			writer.start();
+			Assert.assertEquals(caller.getInputStream().readNBytes(LARGE_BYTES), request);
+			writer.join();
+		}
+	}
+
+	@Test
+	public void finishedConnectionEndsAlthoughItsPeerKeepsItOpen() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		try (Socket caller = connect()) {
+			AcceptedSocket socket = next();
+			socket.finish();
+			Assert.assertEquals(caller.getInputStream().read(), -1);
+			CountDownLatch told = new CountDownLatch(1);
+			socket.whenEnded(told::countDown);
+			Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+			Assert.assertFalse(socket.isOpen());
+		}
+	}
+
+	@Test
+	public void brokenAnswerEndsTheConnection() throws Exception {
+		this.acceptor.serve((socket) -> socket.flow()
+			.join(Flow.fromSinkAndSource(Sink.ignore(), Source.failed(new IOException("backend server broke off"))))
+			.run(this.system));
+		try (Socket caller = connect()) {
+			Assert.assertTrue(endsSoon(caller));
+		}
+	}
+
+	@Test
+	public void acceptedConnectionsGoOnWhenListeningEnds() throws Exception {
+		serveEcho();
+		try (Socket caller = connect()) {
+			caller.getOutputStream().write('a');
+			Assert.assertEquals(caller.getInputStream().read(), 'a');
+			HostPort address = this.acceptor.address();
+			this.acceptor.stopAccepting();
+			Assert.assertTrue(refusesSoon(address));
+			caller.getOutputStream().write('b');
+			Assert.assertEquals(caller.getInputStream().read(), 'b');
+		}
+	}
+
+	private void serveEcho() {
+		this.acceptor.serve((socket) -> socket.flow().join(Flow.<ByteString>create()).run(this.system));
+	}
+
+	private Socket connect() throws IOException {
+		Socket caller = new Socket("127.0.0.1", this.acceptor.address().port());
+		caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+		return caller;
+	}
+
+	private AcceptedSocket next() throws InterruptedException {
+		AcceptedSocket socket = this.accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+		Assert.assertNotNull(socket);
+		return socket;
+	}
+
+	private static boolean endsSoon(Socket caller) throws IOException {
+		try {
+			return caller.getInputStream().read() < 0;
+		}
+		catch (SocketException ex) {
+			return true;
+		}
+	}
+
+	private static boolean refusesSoon(HostPort address) throws InterruptedException {
+		for (int attempt = 0; attempt < 100; attempt++) {
+			try (Socket refused = new Socket(address.host(), address.port())) {
+				Thread.sleep(20);
+			}
+			catch (IOException ex) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static void write(Socket socket, byte[] bytes) {
+		try {
+			socket.getOutputStream().write(bytes);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.direct.socket.
+ */
+package org.marjoramgw.direct.socket;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -19,8 +19,6 @@
 import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
-import org.apache.pekko.stream.javadsl.Tcp;
-import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.backend.ConnectionPool;
@@ -35,6 +33,7 @@
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.Outcomes;
 import org.marjoramgw.direct.forward.ServerChoice;
+import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.HttpListener;
@@ -141,6 +140,10 @@
 
 	private final HttpConnector connector;
 
+	private final SocketAcceptor callers;
+
+	private final CallerListener callerListener;
+
 	private final Platform platform;
 
 	private final MetricRegistry registry = new MetricRegistry();
@@ -168,10 +171,13 @@
 	/**
 	 * Creates a process.
 	 * @param settingsFile its settings
+	 * @param callers listens for callers already
 	 * @param platforms makes the platform's side from the actor system and a connector
 	 */
-	public DirectProcess(SettingsFile settingsFile, BiFunction<ActorSystem<?>, HttpConnector, Platform> platforms) {
+	public DirectProcess(SettingsFile settingsFile, SocketAcceptor callers,
+			BiFunction<ActorSystem<?>, HttpConnector, Platform> platforms) {
 		this.settings = settingsFile;
+		this.callers = callers;
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
 		this.timers = new PekkoTimers(this.system);
@@ -185,6 +191,8 @@
 		this.pool = new ConnectionPool(this.connector, this.steady);
 		this.forwarder = new Forwarder(parts(this.routing, this.directory,
 				new Outcomes(this.registry, this.steady, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis));
+		this.callerListener = new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits,
+				this.forwarder::handle);
 		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
 				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS, counters);
@@ -211,12 +219,8 @@
 				new HealthEndpoint(this.system, this.listener,
 						Map.of(this.settings.get().metricsPath(), () -> text(metrics)))
 					.bind(this.settings.get().metricsAddress()));
-		CallerListener callerListener = new CallerListener(this.system, this.serverSettings, this.timers,
-				this.routing::limits, this.forwarder::handle);
-		CompletionStage<Tcp.ServerBinding> callers = callerListener.bind(this.settings.get().callerAddress());
-		bound("callers", callers);
-		callers.thenAccept((binding) -> Runtime.getRuntime()
-			.addShutdownHook(new Thread(() -> stop(binding, callerListener), "stop")));
+		this.callerListener.serve(this.callers);
+		Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
 		Signal.handle(new Signal("HUP"), (signal) -> reload("SIGHUP"));
 		warmUp();
 		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
@@ -235,7 +239,7 @@
 			});
 	}
 
-	private CompletionStage<HostPort> startSample(List<KeyedRecord> registrations, HostPort address) {
+	private void startSample(List<KeyedRecord> registrations, SocketAcceptor acceptor) {
 		RoutingInForce sampleRouting = new RoutingInForce("", this.platform.routingDecoder(), this.clock);
 		sampleRouting.onSnapshot(List.of(new KeyedRecord("", Optional.of(this.platform.samples().configuration()), 0)));
 		sampleRouting.onConfirmed(this.clock.now());
@@ -243,9 +247,8 @@
 		sampleDirectory.onSnapshot(registrations);
 		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory,
 				new Outcomes(new MetricRegistry(), this.steady, 0), () -> WARM_UP_LIMIT_MILLIS * 2));
-		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, sample::handle)
-			.bind(address)
-			.thenApply((binding) -> new HostPort(address.host(), binding.localAddress().getPort()));
+		new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, sample::handle)
+			.serve(acceptor);
 	}
 
 	private ForwardParts parts(RoutingInForce inForce, ServerDirectory servers, Outcomes outcomes,
@@ -312,21 +315,19 @@
 	/**
 	 * Stops in order: not ready, accepting until the balancer has seen it, answering what
 	 * is open, closing idle connections last.
-	 * @param callers the callers' endpoint
-	 * @param listener its connections
 	 */
-	private void stop(Tcp.ServerBinding callers, CallerListener listener) {
+	private void stop() {
 		long startMillis = this.steady.nowMillis();
 		this.leaving = true;
 		this.forwarder.leave();
 		Logger.info("stopping with {} open requests", this.forwarder.openCount());
 		Pause.millis(BALANCER_MILLIS);
-		callers.unbind();
-		listener.closeIdle();
+		this.callers.stopAccepting();
+		this.callerListener.closeIdle();
 		long endMillis = startMillis + this.settings.get().stopGraceMillis() - STOP_RESERVE_MILLIS;
 		while (this.forwarder.openCount() > 0 && this.steady.nowMillis() < endMillis) {
 			Pause.millis(POLL_OPEN_MILLIS);
-			listener.closeIdle();
+			this.callerListener.closeIdle();
 		}
 		Pause.millis(LAST_WRITES_MILLIS);
 		this.configurationFollower.close();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -10,7 +10,7 @@
  */
 public final class CallerConnection {
 
-	private final Runnable hangUp;
+	private final CallerLine line;
 
 	private final CompletableFuture<CallerConnection> opened = new CompletableFuture<>();
 
@@ -26,10 +26,10 @@
 
 	/**
 	 * Creates a connection.
-	 * @param hangUp closes it from this side
+	 * @param line its socket
 	 */
-	public CallerConnection(Runnable hangUp) {
-		this.hangUp = hangUp;
+	public CallerConnection(CallerLine line) {
+		this.line = line;
 	}
 
 	/**
@@ -72,7 +72,7 @@
 			}
 			this.closed = true;
 		}
-		this.hangUp.run();
+		this.line.finish();
 	}
 
 	/**
@@ -88,6 +88,15 @@
 		return true;
 	}
 
+	/**
+	 * Asks the system whether the caller has closed the connection, which may be known
+	 * there before this process has noticed it.
+	 * @return whether it has
+	 */
+	public boolean hasLeft() {
+		return this.line.hasEnded();
+	}
+
 	/**
 	 * Sets what happens to the request under way when the caller closes the connection.
 	 * @param action what is done; at once if the connection is closed already
@@ -127,16 +136,16 @@
 	}
 
 	/**
-	 * Closes the connection from this side if no request is under way.
+	 * Closes the connection from this side if no request is under way or has arrived.
 	 */
 	public void closeIfIdle() {
 		synchronized (this) {
-			if (this.busy || this.readingHead || this.closed) {
+			if (this.busy || this.readingHead || this.closed || this.line.hasReceived()) {
 				return;
 			}
 			this.closed = true;
 		}
-		this.hangUp.run();
+		this.line.finish();
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -1,12 +1,12 @@
 package org.marjoramgw.direct.caller;
 
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 
@@ -15,34 +15,25 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
-import org.apache.pekko.io.Inet;
-import org.apache.pekko.io.TcpSO;
-import org.apache.pekko.stream.KillSwitches;
-import org.apache.pekko.stream.OverflowStrategy;
-import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
-import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
-import org.marjoramgw.HostPort;
-import org.marjoramgw.Stages;
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.socket.AcceptedSocket;
+import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.PlainBytes;
+import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.time.Timers;
 import scala.concurrent.duration.Duration;
 
 /**
- * Listens for callers and notices at once when one closes its connection, also while it
- * waits for an answer.
+ * Opens HTTP connections on the sockets of callers and notices at once when a caller
+ * closes one, also while it waits for an answer.
  *
  * @author The marjoramgw authors
  */
 public final class CallerListener {
 
-	/** Reads ahead of the parser, so that the end of a connection is noticed early. */
-	private static final int READ_AHEAD_COUNT = 16;
-
 	/**
 	 * Connections that are opened at once. A process that has just started is slow at it:
 	 * if it opened all that wait, it would learn late which callers have left meanwhile.
@@ -54,10 +45,8 @@
 	 */
 	private static final long MAX_OPENING_MILLIS = 100;
 
-	/** Connections that may wait to be accepted. */
-	private static final int BACKLOG = 512;
-
-	private static final List<Inet.SocketOption> NO_DELAY = List.of(TcpSO.tcpNoDelay(true));
+	/** Connections are opened in the order in which their first bytes came. */
+	private static final int EQUAL_RANK = 0;
 
 	private final ActorSystem<?> system;
 
@@ -76,6 +65,8 @@
 
 	private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
 
+	private final StartGate opening;
+
 	/**
 	 * Creates a listener.
 	 * @param system the actor system
@@ -91,19 +82,15 @@
 		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
+		this.opening = new StartGate(MAX_OPENING_COUNT, Runnable::run);
 	}
 
 	/**
-	 * Starts listening.
-	 * @param address where to listen
-	 * @return the binding once it is open
+	 * Starts serving what connects to an address.
+	 * @param acceptor listens on the address
 	 */
-	public CompletionStage<Tcp.ServerBinding> bind(HostPort address) {
-		return Tcp.get(this.system)
-			.bind(address.host(), address.port(), BACKLOG, NO_DELAY, false, Optional.empty())
-			.mapAsyncUnordered(MAX_OPENING_COUNT, this::accept)
-			.to(Sink.ignore())
-			.run(this.system);
+	public void serve(SocketAcceptor acceptor) {
+		acceptor.serve(this::accept);
 	}
 
 	/**
@@ -113,23 +100,41 @@
 		this.open.forEach(CallerConnection::closeIfIdle);
 	}
 
-	private CompletionStage<CallerConnection> accept(Tcp.IncomingConnection incoming) {
-		SharedKillSwitch end = KillSwitches.shared("caller");
-		CallerConnection caller = new CallerConnection(end::shutdown);
+	private void accept(AcceptedSocket socket) {
+		CallerConnection caller = new CallerConnection(socket);
 		this.open.add(caller);
+		AtomicBoolean waiting = new AtomicBoolean();
+		socket.whenReceived(() -> {
+			if (!waiting.getAndSet(true)) {
+				waitForOpening(socket, caller);
+			}
+		});
+		socket.whenEnded(() -> onEnd(caller));
+		this.timers.after(this.limits.get().idleTimeoutMillis(), () -> {
+			if (!waiting.get()) {
+				caller.closeIfIdle();
+			}
+		});
+	}
+
+	private void waitForOpening(AcceptedSocket socket, CallerConnection caller) {
+		Executor executor = this.system.executionContext();
+		StartGate.Place place = this.opening.enter(EQUAL_RANK, () -> executor.execute(() -> open(socket, caller)));
+		caller.opened().whenComplete((opened, failure) -> place.leave());
+	}
+
+	private void open(AcceptedSocket socket, CallerConnection caller) {
+		if (socket.hasEnded()) {
+			socket.finish();
+			return;
+		}
 		Flow<HttpRequest, HttpResponse, NotUsed> answers = Flow.<HttpRequest>create()
 			.mapAsync(1, (request) -> this.handler.apply(request, caller));
-		Flow<ByteString, ByteString, NotUsed> bytes = Flow.<ByteString>create().watchTermination((notUsed, ended) -> {
-			Stages.direct(ended).whenComplete((done, failure) -> onEnd(caller));
-			return notUsed;
-		})
+		Flow<ByteString, ByteString, NotUsed> bytes = Flow.<ByteString>create()
 			.map((received) -> limitHead(received, caller))
-			.buffer(READ_AHEAD_COUNT, OverflowStrategy.backpressure())
-			.via(server().reversed().join(answers))
-			.via(end.flow());
-		incoming.handleWith(bytes, this.system);
+			.via(server().reversed().join(answers));
+		socket.flow().join(bytes).run(this.system);
 		this.timers.after(MAX_OPENING_MILLIS, caller::started);
-		return caller.opened();
 	}
 
 	private ByteString limitHead(ByteString received, CallerConnection caller) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
@@ -56,6 +57,8 @@
 
 	private final RequestStart start;
 
+	private final BooleanSupplier callerHasLeft;
+
 	private final Runnable onEnd;
 
 	private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
@@ -86,15 +89,17 @@
 	 * @param caller what its head says
 	 * @param arrived when it came in
 	 * @param onStarted called when it was passed on or answered, more than once perhaps
+	 * @param callerHasLeft asks the system whether the caller has closed its connection
 	 * @param onEnd called once when nothing of it is left to send to the caller
 	 */
 	ForwardedRequest(ForwardParts parts, HttpRequest request, CallerRequest caller, Moment arrived, Runnable onStarted,
-			Runnable onEnd) {
+			BooleanSupplier callerHasLeft, Runnable onEnd) {
 		this.parts = parts;
 		this.request = request;
 		this.caller = caller;
 		this.arrived = arrived;
 		this.start = new RequestStart(parts.gate(), parts.lag(), parts.timers(), onStarted);
+		this.callerHasLeft = callerHasLeft;
 		this.onEnd = onEnd;
 	}
 
@@ -203,6 +208,10 @@
 			retry(of, ResultCode.NO_BACKEND, "server left before the send");
 			return;
 		}
+		if (this.callerHasLeft.getAsBoolean()) {
+			cancel();
+			return;
+		}
 		HttpRequest sent = this.parts.backendDialect()
 			.toBackend(this.request, new SendOrders(of.serverId(), remainingMillis,
 					this.admitted.account().map(Account::name), this.admitted.priority()));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -80,7 +80,7 @@
 	private CompletionStage<HttpResponse> forward(HttpRequest request, CallerRequest caller, HttpEntity.Strict body,
 			Moment arrived, CallerConnection connection) {
 		ForwardedRequest forwarded = new ForwardedRequest(this.parts, request.withEntity(body), caller, arrived,
-				connection::started, () -> end(connection));
+				connection::started, connection::hasLeft, () -> end(connection));
 		connection.whenClosed(forwarded::cancel);
 		return forwarded.start();
 	}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -0,0 +1,319 @@
+package org.marjoramgw.direct.socket;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.direct.caller.CallerLine;
+
+/**
+ * Accepted socket that is read ahead, so that the end of its connection is known while a
+ * request of it is under way; thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+public final class AcceptedSocket implements CallerLine {
+
+	/** Received bytes that are kept; the socket is not read while there are more. */
+	private static final int READ_AHEAD_BYTES = 128 << 10;
+
+	private static final Runnable NOTHING = () -> {
+	};
+
+	private final SocketAcceptor acceptor;
+
+	private final SocketChannel channel;
+
+	private final SelectionKey key;
+
+	private ByteString received = ByteString.emptyByteString();
+
+	private ByteBuffer unwritten = ByteBuffer.allocate(0);
+
+	private boolean ended;
+
+	private boolean finished;
+
+	private long finishedAtMillis;
+
+	private Runnable onReceived = NOTHING;
+
+	private Runnable onWritten = NOTHING;
+
+	private Runnable onEnded = NOTHING;
+
+	AcceptedSocket(SocketAcceptor acceptor, SocketChannel channel, SelectionKey key) {
+		this.acceptor = acceptor;
+		this.channel = channel;
+		this.key = key;
+	}
+
+	/**
+	 * Sets what happens when bytes arrive, or at the end; at once if they are there.
+	 * @param action what is done; it replaces the action that was set before
+	 */
+	public void whenReceived(Runnable action) {
+		boolean due;
+		synchronized (this) {
+			this.onReceived = action;
+			due = this.ended || this.received.nonEmpty();
+		}
+		if (due) {
+			action.run();
+		}
+	}
+
+	/**
+	 * Sets what happens when the peer has closed the connection or it broke; at once if
+	 * that happened before.
+	 * @param action what is done, once
+	 */
+	public void whenEnded(Runnable action) {
+		synchronized (this) {
+			if (!this.ended) {
+				this.onEnded = action;
+				return;
+			}
+		}
+		action.run();
+	}
+
+	@Override
+	public boolean hasEnded() {
+		read();
+		synchronized (this) {
+			return this.ended;
+		}
+	}
+
+	@Override
+	public boolean hasReceived() {
+		read();
+		synchronized (this) {
+			return this.received.nonEmpty();
+		}
+	}
+
+	/**
+	 * Returns the bytes of the connection as a flow, which can be run once.
+	 * @return flow from the bytes to write to the bytes that are read
+	 */
+	public Flow<ByteString, ByteString, NotUsed> flow() {
+		return Flow.fromGraph(new SocketFlow(this));
+	}
+
+	@Override
+	public void finish() {
+		synchronized (this) {
+			if (this.finished) {
+				return;
+			}
+			// What the peer still sends is discarded.
+			this.finished = true;
+			this.finishedAtMillis = this.acceptor.nowMillis();
+			this.received = ByteString.emptyByteString();
+			this.unwritten = ByteBuffer.allocate(0);
+		}
+		if (hasEnded() || !shutdownOutput()) {
+			close();
+		}
+		else {
+			this.acceptor.linger(this);
+		}
+	}
+
+	/**
+	 * Closes the connection at once.
+	 */
+	void close() {
+		SocketAcceptor.closeQuietly(this.channel);
+		noteEnd();
+	}
+
+	boolean isOpen() {
+		return this.channel.isOpen();
+	}
+
+	/**
+	 * Closes a finished connection that its peer keeps open for too long.
+	 * @param finishedBeforeMillis connections finished before this time are closed
+	 * @return whether it is closed now
+	 */
+	boolean closeIfFinishedBefore(long finishedBeforeMillis) {
+		synchronized (this) {
+			if (this.channel.isOpen() && this.finishedAtMillis > finishedBeforeMillis) {
+				return false;
+			}
+		}
+		close();
+		return true;
+	}
+
+	/**
+	 * Takes all bytes that were received.
+	 * @return the bytes, empty if there are none
+	 */
+	ByteString take() {
+		ByteString taken;
+		boolean wasFull;
+		synchronized (this) {
+			taken = this.received;
+			wasFull = isFull();
+			this.received = ByteString.emptyByteString();
+		}
+		if (wasFull) {
+			this.acceptor.execute(this::updateInterest);
+		}
+		return taken;
+	}
+
+	/**
+	 * Tells whether the end was reached and all bytes before it were taken.
+	 * @return whether nothing more will come
+	 */
+	synchronized boolean isExhausted() {
+		return this.ended && this.received.isEmpty();
+	}
+
+	/**
+	 * Writes bytes; only one write at a time.
+	 * @param bytes the bytes
+	 * @param whenWritten called once they are written, if that is not at once
+	 * @return whether they were written at once
+	 * @throws IOException if the connection broke
+	 */
+	boolean write(ByteString bytes, Runnable whenWritten) throws IOException {
+		synchronized (this) {
+			this.unwritten = bytes.toByteBuffer();
+			this.channel.write(this.unwritten);
+			if (!this.unwritten.hasRemaining()) {
+				return true;
+			}
+			this.onWritten = whenWritten;
+		}
+		this.acceptor.execute(this::updateInterest);
+		return false;
+	}
+
+	/**
+	 * Acts on what the system says of the socket; called by the thread that reads.
+	 * @param operations operations that are possible now
+	 */
+	void onSelected(int operations) {
+		if ((operations & SelectionKey.OP_WRITE) != 0) {
+			writeRest();
+		}
+		if ((operations & SelectionKey.OP_READ) != 0) {
+			read();
+		}
+		updateInterest();
+	}
+
+	private void writeRest() {
+		Runnable action = NOTHING;
+		synchronized (this) {
+			try {
+				this.channel.write(this.unwritten);
+			}
+			catch (IOException ex) {
+				// Whoever writes learns it from the end of the connection.
+				close();
+				return;
+			}
+			if (!this.unwritten.hasRemaining()) {
+				action = this.onWritten;
+				this.onWritten = NOTHING;
+			}
+		}
+		action.run();
+	}
+
+	private void read() {
+		Runnable action = NOTHING;
+		boolean over;
+		synchronized (this) {
+			if (this.ended || isFull()) {
+				return;
+			}
+			int before = this.received.size();
+			over = readOnce();
+			if (this.received.size() > before) {
+				action = this.onReceived;
+			}
+		}
+		action.run();
+		if (over) {
+			noteEnd();
+		}
+	}
+
+	private void noteEnd() {
+		Runnable afterEnd;
+		Runnable afterReceived;
+		synchronized (this) {
+			if (this.ended) {
+				return;
+			}
+			this.ended = true;
+			afterEnd = this.onEnded;
+			afterReceived = this.onReceived;
+			this.onEnded = NOTHING;
+		}
+		if (isFinished()) {
+			close();
+		}
+		afterEnd.run();
+		afterReceived.run();
+	}
+
+	private synchronized boolean isFinished() {
+		return this.finished;
+	}
+
+	private boolean readOnce() {
+		try {
+			return this.acceptor.read(this.channel, this::keep) < 0;
+		}
+		catch (IOException ex) {
+			// A reset is an end like another: nothing was promised to the peer.
+			return true;
+		}
+	}
+
+	private void keep(ByteBuffer bytes) {
+		if (!this.finished) {
+			this.received = this.received.concat(ByteString.fromByteBuffer(bytes));
+		}
+	}
+
+	private boolean shutdownOutput() {
+		try {
+			this.channel.shutdownOutput();
+			return true;
+		}
+		catch (IOException ex) {
+			// The connection is gone already.
+			return false;
+		}
+	}
+
+	private void updateInterest() {
+		synchronized (this) {
+			if (!this.key.isValid()) {
+				return;
+			}
+			int reading = (this.ended || isFull()) ? 0 : SelectionKey.OP_READ;
+			int writing = this.unwritten.hasRemaining() ? SelectionKey.OP_WRITE : 0;
+			this.key.interestOps(reading | writing);
+		}
+	}
+
+	private boolean isFull() {
+		return this.received.size() >= READ_AHEAD_BYTES;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
@@ -0,0 +1,142 @@
+package org.marjoramgw.direct.socket;
+
+import java.io.IOException;
+
+import org.apache.pekko.stream.Attributes;
+import org.apache.pekko.stream.FlowShape;
+import org.apache.pekko.stream.Inlet;
+import org.apache.pekko.stream.Outlet;
+import org.apache.pekko.stream.stage.AbstractInHandler;
+import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.AsyncCallback;
+import org.apache.pekko.stream.stage.GraphStage;
+import org.apache.pekko.stream.stage.GraphStageLogic;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Bytes of one socket as a flow: what comes in is written, what goes out was read.
+ *
+ * @author The marjoramgw authors
+ */
+final class SocketFlow extends GraphStage<FlowShape<ByteString, ByteString>> {
+
+	private final Inlet<ByteString> in = Inlet.create("socket.in");
+
+	private final Outlet<ByteString> out = Outlet.create("socket.out");
+
+	private final FlowShape<ByteString, ByteString> shape = FlowShape.of(this.in, this.out);
+
+	private final AcceptedSocket socket;
+
+	SocketFlow(AcceptedSocket socket) {
+		this.socket = socket;
+	}
+
+	@Override
+	public FlowShape<ByteString, ByteString> shape() {
+		return this.shape;
+	}
+
+	@Override
+	public GraphStageLogic createLogic(Attributes attributes) {
+		return new Logic();
+	}
+
+	private final class Logic extends GraphStageLogic {
+
+		private final Inlet<ByteString> toWrite = SocketFlow.this.in;
+
+		private final Outlet<ByteString> read = SocketFlow.this.out;
+
+		private final AcceptedSocket peer = SocketFlow.this.socket;
+
+		private final AsyncCallback<Boolean> received = createAsyncCallback((ignored) -> pushReceived());
+
+		private final AsyncCallback<Boolean> written = createAsyncCallback((ignored) -> onWritten());
+
+		private boolean writing;
+
+		private Logic() {
+			super(SocketFlow.this.shape);
+			setHandler(this.toWrite, new Writer());
+			setHandler(this.read, new Reader());
+		}
+
+		@Override
+		public void preStart() {
+			this.peer.whenReceived(() -> this.received.invoke(true));
+			pull(this.toWrite);
+		}
+
+		@Override
+		public void postStop() {
+			this.peer.finish();
+		}
+
+		private void pushReceived() {
+			if (!isAvailable(this.read)) {
+				return;
+			}
+			ByteString bytes = this.peer.take();
+			if (bytes.nonEmpty()) {
+				push(this.read, bytes);
+			}
+			else if (this.peer.isExhausted()) {
+				complete(this.read);
+			}
+		}
+
+		private void onWritten() {
+			this.writing = false;
+			if (isClosed(this.toWrite)) {
+				completeStage();
+			}
+			else {
+				pull(this.toWrite);
+			}
+		}
+
+		private final class Writer extends AbstractInHandler {
+
+			@Override
+			public void onPush() throws IOException {
+				Logic logic = Logic.this;
+				logic.writing = !logic.peer.write(grab(logic.toWrite), () -> logic.written.invoke(true));
+				if (!logic.writing) {
+					pull(logic.toWrite);
+				}
+			}
+
+			@Override
+			public void onUpstreamFinish() {
+				if (!Logic.this.writing) {
+					completeStage();
+				}
+			}
+
+			@Override
+			public void onUpstreamFailure(Throwable failure) {
+				// A broken answer must not look whole: nothing more is written.
+				Logic.this.peer.close();
+				failStage(failure);
+			}
+
+		}
+
+		private final class Reader extends AbstractOutHandler {
+
+			@Override
+			public void onPull() {
+				pushReceived();
+			}
+
+			@Override
+			public void onDownstreamFinish(Throwable cause) {
+				// Nothing more is wanted from the peer, which still gets its answer.
+			}
+
+		}
+
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct.warmup;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,7 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.Stages;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.HttpListener;
@@ -84,8 +86,7 @@
 	public CompletionStage<Void> run(Target target) {
 		long endMillis = this.clock.nowMillis() + this.limitMillis;
 		return this.listener.bind(ANY_LOOPBACK_PORT, this.samples::answer)
-			.thenCompose((server) -> target.start(records(server), ANY_LOOPBACK_PORT)
-				.thenCompose((address) -> sendAll(address, endMillis))
+			.thenCompose((server) -> sendTo(target, records(server), endMillis)
 				.whenComplete((done, failure) -> server.unbind()))
 			.handle((done, failure) -> {
 				if (failure != null) {
@@ -96,6 +97,17 @@
 			});
 	}
 
+	private CompletionStage<Void> sendTo(Target target, List<KeyedRecord> registrations, long endMillis) {
+		try {
+			SocketAcceptor acceptor = SocketAcceptor.bind(ANY_LOOPBACK_PORT, this.clock);
+			target.start(registrations, acceptor);
+			return sendAll(acceptor.address(), endMillis).whenComplete((done, failure) -> acceptor.close());
+		}
+		catch (IOException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	private List<KeyedRecord> records(Tcp.ServerBinding server) {
 		HostPort address = new HostPort(ANY_LOOPBACK_PORT.host(), server.localAddress().getPort());
 		return List.of(new KeyedRecord(Samples.SERVER_ID, Optional.of(this.samples.registration(address)), 0));
@@ -113,7 +125,7 @@
 	}
 
 	private CompletionStage<Void> sendSome(HttpConnection connection, int count) {
-		if (count == 0 || !connection.isUsable()) {
+		if (count == 0 || !connection.isUsable() || this.superseded.getAsBoolean()) {
 			return CompletableFuture.completedFuture(null);
 		}
 		return connection.send(this.samples.request(this.sent.getAndIncrement()))
@@ -137,10 +149,9 @@
 		/**
 		 * Starts it.
 		 * @param registrations backend servers that it may use
-		 * @param address where it listens
-		 * @return the address once it listens
+		 * @param acceptor listens for its callers
 		 */
-		CompletionStage<HostPort> start(List<KeyedRecord> registrations, HostPort address);
+		void start(List<KeyedRecord> registrations, SocketAcceptor acceptor);
 
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import com.typesafe.config.Config;
@@ -18,7 +17,6 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
-import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
@@ -34,6 +32,7 @@
 import org.marjoramgw.direct.forward.Outcomes;
 import org.marjoramgw.direct.forward.ServerChoice;
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.policy.gate.StartGate;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -66,12 +65,29 @@
 
 	private final ActorSystem<Void> system;
 
+	private final SocketAcceptor acceptor;
+
 	private final HostPort address;
 
 	ForwardingBed(ScriptedServer... servers) throws Exception {
+		this((early) -> {
+		}, servers);
+	}
+
+	/**
+	 * Creates a bed with callers that come before the process serves them.
+	 * @param earlyCallers gets the address while the process listens and does nothing
+	 * else yet
+	 * @param servers backend servers
+	 * @throws Exception if it can't be set up
+	 */
+	ForwardingBed(EarlyCallers earlyCallers, ScriptedServer... servers) throws Exception {
+		MillisClock steady = new SystemMillisClock();
+		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), steady);
+		this.address = this.acceptor.address();
+		earlyCallers.call(this);
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "bed", config);
-		MillisClock steady = new SystemMillisClock();
 		AgeClock clock = new AgeClock(steady, steady);
 		HeaderDialect dialect = new HeaderDialect();
 		RoutingInForce routing = new RoutingInForce("config", RoutingDocument::decode, clock);
@@ -92,12 +108,9 @@
 				lag, new WindowRetryBudget(steady, 10_000, 0.2, 50), new Outcomes(new MetricRegistry(), steady, 20),
 				clock, new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(parts);
-		Tcp.ServerBinding binding = new CallerListener(this.system, ServerSettings.create(config),
-				new PekkoTimers(this.system), () -> CallerLimits.DEFAULT, forwarder::handle)
-			.bind(new HostPort("127.0.0.1", 0))
-			.toCompletableFuture()
-			.get(10, TimeUnit.SECONDS);
-		this.address = new HostPort("127.0.0.1", binding.localAddress().getPort());
+		new CallerListener(this.system, ServerSettings.create(config), new PekkoTimers(this.system),
+				() -> CallerLimits.DEFAULT, forwarder::handle)
+			.serve(this.acceptor);
 	}
 
 	/**
@@ -148,6 +161,7 @@
 
 	@Override
 	public void close() {
+		this.acceptor.close();
 		this.system.terminate();
 	}
 
@@ -164,4 +178,19 @@
 		return new KeyedRecord(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)), 0);
 	}
 
+	/**
+	 * What callers do before the process serves them.
+	 */
+	@FunctionalInterface
+	interface EarlyCallers {
+
+		/**
+		 * Calls.
+		 * @param bed the bed, which does not answer yet
+		 * @throws Exception if a connection can't be used
+		 */
+		void call(ForwardingBed bed) throws Exception;
+
+	}
+
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
@@ -39,6 +39,31 @@
 				{ "no length, then a reset", (ScriptedServer.Script) ForwardingTests::resetWithoutLength } };
 	}
 
+	@Test
+	public void requestWhoseCallerLeftBeforeItWasSentReachesNoServer() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(GOOD);
+				ForwardingBed bed = new ForwardingBed((early) -> early.open("POST /book/gone", KEY, "order").close(),
+						server)) {
+			bed.call("POST /book/stays", KEY, "order");
+			Assert.assertEquals(server.requests().size(), 1);
+			Assert.assertTrue(server.requests().get(0).startsWith("POST /book/stays "));
+		}
+	}
+
+	@Test
+	public void requestThatCameWhileTheProcessStartedIsServed() throws Exception {
+		Socket[] caller = new Socket[1];
+		try (ScriptedServer server = new ScriptedServer(GOOD);
+				ForwardingBed bed = new ForwardingBed((early) -> caller[0] = early.open("POST /book/early", KEY, "o"),
+						server)) {
+			byte[] status = caller[0].getInputStream().readNBytes(12);
+			Assert.assertEquals(new String(status, StandardCharsets.ISO_8859_1), "HTTP/1.1 200");
+		}
+		finally {
+			caller[0].close();
+		}
+	}
+
 	@Test(dataProvider = "badAnswers")
 	public void callThatMayHaveRunIsNeitherRepeatedNorCalledNotRun(String what, ScriptedServer.Script bad)
 			throws Exception {
