Hold prompts back while first tokens come late, the newest first

Change: ReadingGate keeps an adaptive number of prompts unread for each server and kind, from the time of first tokens alone. Of those that wait the newest goes first. What has waited 0.3 of its target is sent at the least urgent rank, so that it is served when nothing that can be in time is; nothing is refused for it.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -43,6 +43,7 @@
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.reading.ReadingGate;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
@@ -154,6 +155,8 @@
 
 	private final ServerHealth health = new ServerHealth(this.steady);
 
+	private final ReadingGate reading;
+
 	private final ConnectionPool pool;
 
 	private final Forwarder forwarder;
@@ -188,6 +191,7 @@
 		this.platform = platforms.apply(this.system, this.connector);
 		this.routing = new RoutingInForce(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
+		this.reading = new ReadingGate(this.steady, this.system.executionContext());
 		this.pool = new ConnectionPool(this.connector, this.steady);
 		this.forwarder = new Forwarder(parts(this.routing, this.directory,
 				new Outcomes(this.registry, this.steady, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis));
@@ -199,6 +203,7 @@
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
 				this.timers, SERVERS_WAIT_MILLIS, counters);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
+		this.registry.register("requests.held", (Gauge<Integer>) this.reading::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
 
@@ -261,8 +266,8 @@
 				this.settings.get().retryRatio(), this.settings.get().freeRetryCount() / ASSUMED_PROCESSES);
 		return new ForwardParts(this.system, this.platform.callerDialect(), this.platform.backendDialect(), inForce,
 				new Admission(inForce, maxAgeMillis), servers, this.health,
-				new StartGate(MAX_STARTING, this.system.executionContext()), choice, this.pool, budget, outcomes,
-				this.clock, this.timers, random);
+				new StartGate(MAX_STARTING, this.system.executionContext()), this.reading, choice, this.pool, budget,
+				outcomes, this.clock, this.timers, random);
 	}
 
 	private long maxAgeMillis() {
@@ -294,6 +299,7 @@
 		}
 		this.pool.closeExpired();
 		this.health.retain(this.directory.ids());
+		this.reading.retain(this.directory.ids()::contains);
 		this.timers.after(UPKEEP_MILLIS, this::upkeep);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -32,23 +32,11 @@
 	}
 
 	/**
-	 * Returns the size of the prompt that other requests may share.
-	 * @return tokens
+	 * Tells whether a model has to read a prompt for this request.
+	 * @return whether it names one
 	 */
-	public long sharedTokenCount() {
-		return this.promptParts.stream()
-			.limit(Math.max(0, this.promptParts.size() - 1))
-			.mapToLong(PromptPart::tokenCount)
-			.sum();
-	}
-
-	/**
-	 * Returns the size of the part that no other request shares.
-	 * @return tokens
-	 */
-	public long ownTokenCount() {
-		int parts = this.promptParts.size();
-		return (parts > 0) ? this.promptParts.get(parts - 1).tokenCount() : this.promptTokenCount;
+	public boolean hasPrompt() {
+		return !this.promptParts.isEmpty() || this.promptTokenCount > 0;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -2,6 +2,7 @@
 
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.reading.ReadingGate;
 
 /**
  * One try of a request at one backend server; guarded by its request.
@@ -14,6 +15,14 @@
 
 	private HttpConnection connection;
 
+	private ReadingGate.Place place;
+
+	private boolean started;
+
+	private boolean passedBy;
+
+	private boolean over;
+
 	private boolean sent;
 
 	Attempt(BackendServer server) {
@@ -50,6 +59,54 @@
 		return held;
 	}
 
+	/**
+	 * Takes the place at which this attempt waits for its turn, and then for its first
+	 * token.
+	 * @param entered the place
+	 */
+	void take(ReadingGate.Place entered) {
+		this.place = entered;
+		if (this.over) {
+			entered.leave();
+		}
+	}
+
+	void markStarted() {
+		this.started = true;
+	}
+
+	boolean isStarted() {
+		return this.started;
+	}
+
+	/**
+	 * Lets this attempt go on without its place, behind all that can still be in time.
+	 */
+	void passBy() {
+		this.passedBy = true;
+		this.place.leave();
+	}
+
+	boolean isPassedBy() {
+		return this.passedBy;
+	}
+
+	void onFirstToken() {
+		if (this.place != null) {
+			this.place.onFirstToken();
+		}
+	}
+
+	/**
+	 * Notes that this attempt is over.
+	 */
+	void end() {
+		this.over = true;
+		if (this.place != null) {
+			this.place.leave();
+		}
+	}
+
 	/**
 	 * Tells whether the request may have reached the server, which did not say that it
 	 * did not run.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardParts.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardParts.java
@@ -10,6 +10,7 @@
 import org.marjoramgw.direct.follow.RoutingInForce;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.policy.gate.StartGate;
+import org.marjoramgw.policy.reading.ReadingGate;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Timers;
@@ -25,6 +26,7 @@
  * @param directory registered backend servers
  * @param health work and failures of backend servers
  * @param gate order in which requests start
+ * @param reading prompts that backend servers have still to read
  * @param servers choice of backend servers
  * @param pool connections to backend servers
  * @param budget retries that are allowed
@@ -36,6 +38,6 @@
  */
 public record ForwardParts(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		RoutingInForce routing, Admission admission, ServerDirectory directory, ServerHealth health, StartGate gate,
-		ServerChoice servers, ConnectionPool pool, WindowRetryBudget budget, Outcomes outcomes, AgeClock clock,
-		Timers timers, Random random) {
+		ReadingGate reading, ServerChoice servers, ConnectionPool pool, WindowRetryBudget budget, Outcomes outcomes,
+		AgeClock clock, Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -20,8 +20,11 @@
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.direct.model.Ranks;
+import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.reading.ReadingGate;
 import org.marjoramgw.time.Moment;
 import org.marjoramgw.time.Timers;
 
@@ -173,6 +176,37 @@
 		Attempt next = new Attempt(server.get());
 		this.attempt = next;
 		this.parts.health().addWork(next.serverId(), ATTEMPT_WORK);
+		Route route = this.admitted.route();
+		if (route.isStreaming() && route.targetLatencyMillis() > 0 && this.caller.hasPrompt()) {
+			waitForTurn(next);
+		}
+		else {
+			connect(next);
+		}
+	}
+
+	private void waitForTurn(Attempt next) {
+		Route route = this.admitted.route();
+		next.take(this.parts.reading()
+			.enter(next.serverId(), route.name(), route.targetLatencyMillis(), () -> connect(next)));
+		if (!next.isStarted()) {
+			this.start.over();
+			this.parts.timers().after(ReadingGate.holdMillis(route.targetLatencyMillis()), () -> passBy(next));
+		}
+	}
+
+	private synchronized void passBy(Attempt next) {
+		if (this.attempt == next && !next.isStarted()) {
+			next.passBy();
+			connect(next);
+		}
+	}
+
+	private synchronized void connect(Attempt next) {
+		if (this.attempt != next || next.isStarted()) {
+			return;
+		}
+		next.markStarted();
 		this.parts.pool()
 			.acquire(next.server().address(), !this.admitted.route().isRepeatable())
 			.whenComplete((connection, failure) -> onConnection(next, connection, failure));
@@ -217,8 +251,9 @@
 			return;
 		}
 		HttpRequest sent = this.parts.backendDialect()
-			.toBackend(this.request, new SendOrders(of.serverId(), remainingMillis,
-					this.admitted.account().map(Account::name), this.admitted.rank()));
+			.toBackend(this.request,
+					new SendOrders(of.serverId(), remainingMillis, this.admitted.account().map(Account::name),
+							of.isPassedBy() ? Ranks.LEAST_URGENT : this.admitted.rank()));
 		this.sentBefore = true;
 		this.sentMillis = this.parts.clock().ageMillis(this.arrived);
 		of.markSent();
@@ -311,7 +346,8 @@
 		this.answer.complete(head.withEntity(HttpEntities.createChunked(response.entity().getContentType(), body)));
 	}
 
-	private synchronized void onFirstEvent() {
+	private synchronized void onFirstEvent(Attempt of) {
+		of.onFirstToken();
 		this.firstMillis = this.parts.clock().ageMillis(this.arrived);
 	}
 
@@ -375,6 +411,7 @@
 		if (ended == null) {
 			return;
 		}
+		ended.end();
 		this.parts.health().addWork(ended.serverId(), -ATTEMPT_WORK);
 		HttpConnection held = ended.giveUp();
 		if (broken && held != null) {
@@ -427,7 +464,7 @@
 
 		@Override
 		public void onFirst() {
-			onFirstEvent();
+			onFirstEvent(this.of);
 		}
 
 		@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Ranks.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Ranks.java
@@ -17,6 +17,9 @@
 	/** Ranks that backend servers tell apart. */
 	private static final int MAX_RANK_COUNT = 10;
 
+	/** Rank of what runs only when nothing else can. */
+	public static final int LEAST_URGENT = MAX_RANK_COUNT - 1;
+
 	private static final int NO_PRIORITY = Integer.MAX_VALUE;
 
 	/** Priorities of accounts that occur, each once, ascending. */
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/reading/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.policy.reading.
+ */
+package org.marjoramgw.policy.reading;
