Warm up for 2 s at most; take a socket's actions outside its lock

A write that broke off ran the actions of the connection's end under the socket's lock, and could deadlock with a request that asks for that end; found by reading. CallerRequest.resuming was decoded and read nowhere.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -154,6 +154,24 @@
 		}
 	}
 
+	@Test
+	public void actionsAreTakenWithoutALockOfTheSocket() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		Socket caller = connect();
+		caller.setReceiveBufferSize(1);
+		AcceptedSocket socket = next();
+		CountDownLatch told = new CountDownLatch(1);
+		socket.whenEnded(() -> {
+			Assert.assertFalse(Thread.holdsLock(socket));
+			told.countDown();
+		});
+		socket.write(ByteString.fromArray(new byte[LARGE_BYTES]), () -> {
+		});
+		caller.setSoLinger(true, 0);
+		caller.close();
+		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+	}
+
 	private void serveEcho() {
 		this.acceptor.serve((socket) -> socket.flow().join(Flow.<ByteString>create()).run(this.system));
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -119,7 +119,7 @@
 	private static final int MAX_OPEN_IN_WARM_UP = 1;
 
 	/** Time after which callers are served by code that is not warm, in milliseconds. */
-	private static final long WARM_UP_LIMIT_MILLIS = 4_000;
+	private static final long WARM_UP_LIMIT_MILLIS = 2_000;
 
 	private static final long LAST_WRITES_MILLIS = 300;
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -139,8 +139,9 @@
 	 * Closes the connection from this side if no request is under way or has arrived.
 	 */
 	public void closeIfIdle() {
+		boolean hasUnread = this.line.hasReceived();
 		synchronized (this) {
-			if (this.busy || this.readingHead || this.closed || this.line.hasReceived()) {
+			if (this.busy || this.readingHead || this.closed || hasUnread) {
 				return;
 			}
 			this.closed = true;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -16,11 +16,10 @@
  * @param key key of the client account, or empty
  * @param promptParts parts of the prompt in order, the last one its own
  * @param promptTokenCount tokens of the prompt, 0 if it has none
- * @param resuming whether the caller goes on with a stream that broke off
  * @author The marjoramgw authors
  */
 public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
-		List<PromptPart> promptParts, long promptTokenCount, boolean resuming) {
+		List<PromptPart> promptParts, long promptTokenCount) {
 
 	/**
 	 * Returns the key of the longest prompt that other requests may share.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -215,20 +215,24 @@
 
 	private void writeRest() {
 		Runnable action = NOTHING;
+		boolean broken = false;
 		synchronized (this) {
 			try {
 				this.channel.write(this.unwritten);
 			}
 			catch (IOException ex) {
 				// Whoever writes learns it from the end of the connection.
-				close();
-				return;
+				broken = true;
 			}
-			if (!this.unwritten.hasRemaining()) {
+			if (!broken && !this.unwritten.hasRemaining()) {
 				action = this.onWritten;
 				this.onWritten = NOTHING;
 			}
 		}
+		// Outside the lock: actions take locks of their own.
+		if (broken) {
+			close();
+		}
 		action.run();
 	}
 
