--- a/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
@@ -233,6 +233,34 @@
 		assertContains(this.err, "no process remembers request r9");
 	}
 
+	@Test
+	public void explainReadsTheCourseOfARequestFromLogs() throws Exception {
+		Path first = write("edge-1.log",
+				"""
+						{"time":"2026-12-04T10:00:00.000Z","level":"WARN","message":"configuration: lost contact with the store: reset"}
+						{"time":"2026-12-04T10:00:01.000Z","level":"INFO","message":"backend server i-9 is gone"}
+						{"time":"2026-12-04T10:00:01.500Z","level":"INFO","message":"backend server i-7 is gone"}
+						{"time":"2026-12-04T10:00:02.000Z","level":"INFO","message":"request=r2 code=1000 route=a status=200"}
+						no line of ours
+						12.5 edge-1 {"time":"2026-12-04T10:00:02.500Z","level":"INFO","message":"request=r1 code=3014 route=a status=502 server=i-7 no answer"}
+						""");
+		Path second = write("edge-2.log",
+				"{\"time\":\"2026-12-04T09:59:58Z\",\"message\":\"request=r1 code=4001 server=i-8 status=503\"}\n");
+		Assert.assertEquals(run("explain", "r1", "--json", "--logs", first + "," + second), ExitCode.OK, this.err);
+		JsonNode steps = json().get("steps");
+		Assert.assertEquals(steps.findValuesAsText("process_id"),
+				List.of("edge-2.log", "edge-1.log", "edge-1.log", "edge-1.log"));
+		Assert.assertEquals(steps.findValuesAsText("step"), List.of("request", "state", "state", "request"));
+		Assert.assertEquals(steps.findValuesAsText("code"), List.of("4001", "0", "0", "3014"));
+		Assert.assertEquals(run("explain", "r1", "--logs", first.toString()), ExitCode.OK, this.err);
+		assertContains(this.out, "E3014  backend server broke off");
+		Assert.assertFalse(this.out.contains("i-9"), this.out);
+		Assert.assertEquals(run("explain", "r3", "--logs", first.toString()), ExitCode.FAILURE);
+		assertContains(this.err, "no log tells of request r3");
+		Assert.assertEquals(run("explain", "r1", "--logs", "/nonexistent.log"), ExitCode.USAGE);
+		assertContains(this.err, "log /nonexistent.log can't be read");
+	}
+
 	@DataProvider
 	public Object[][] usage() {
 		return new Object[][] { { "", ExitCode.USAGE }, { "--help", ExitCode.OK }, { "--version", ExitCode.OK },
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.ctl.internal;
 
+import java.nio.file.Path;
 import java.time.Instant;
 
 import org.marjoramgw.ResultCode;
@@ -126,6 +127,25 @@
 				+ "; each keeps only its latest decisions, and loses them when it restarts";
 	}
 
+	/**
+	 * Says that no log tells of a request.
+	 * @param requestId id of the request
+	 * @return the message
+	 */
+	public static String notInLogs(String requestId) {
+		return "no log tells of request " + requestId + "; of requests that were served in order, only some are logged";
+	}
+
+	/**
+	 * Says that a log can't be read.
+	 * @param file the file
+	 * @param reason why
+	 * @return the message
+	 */
+	static String unreadableLog(Path file, String reason) {
+		return "log " + file + " can't be read: " + reason;
+	}
+
 	/**
 	 * Says that two texts are the same.
 	 * @return the text
