--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -30,6 +30,15 @@
 		return (shared > 0) ? this.promptParts.get(shared - 1).id() : "";
 	}
 
+	/**
+	 * Returns how long the caller may be kept waiting in all.
+	 * @param timeoutMillis longest time that the route allows, in milliseconds
+	 * @return the lesser of that time and the caller's own, in milliseconds
+	 */
+	public long waitMillis(long timeoutMillis) {
+		return Math.min(timeoutMillis, this.deadlineMillis.orElse(timeoutMillis));
+	}
+
 	/**
 	 * Tells whether a model has to read a prompt for this request.
 	 * @return whether it names one
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admitted.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admitted.java
@@ -15,4 +15,16 @@
  * @author The marjoramgw authors
  */
 public record Admitted(Route route, Optional<Account> account, int rank, long version) {
+
+	/** Description of a request that was not admitted. */
+	static final String NOT_ADMITTED = "version=0 rank=-1";
+
+	/**
+	 * Describes what decided about the request, for a log line.
+	 * @return version of the configuration and rank
+	 */
+	String describe() {
+		return "version=" + this.version + " rank=" + this.rank;
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -1,6 +1,9 @@
 package org.marjoramgw.direct.forward;
 
+import org.marjoramgw.direct.backend.SendOrders;
+import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.policy.reading.ReadingGate;
 
@@ -87,8 +90,15 @@
 		this.place.leave();
 	}
 
-	boolean isPassedBy() {
-		return this.passedBy;
+	/**
+	 * Returns what the server is told beside the caller's request.
+	 * @param admitted what the configuration says of the request
+	 * @param remainingMillis how long its caller still waits, in milliseconds
+	 * @return what to add to the request
+	 */
+	SendOrders orders(Admitted admitted, long remainingMillis) {
+		return new SendOrders(serverId(), remainingMillis, admitted.account().map(Account::name),
+				this.passedBy ? Ranks.LEAST_URGENT : admitted.rank());
 	}
 
 	void onFirstToken() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -1,26 +1,17 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 
-import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.util.ByteString;
 import org.marjoramgw.ResultCode;
-import org.marjoramgw.Stages;
 import org.marjoramgw.direct.backend.KeepAlive;
-import org.marjoramgw.direct.backend.SendOrders;
 import org.marjoramgw.direct.caller.CallerRequest;
-import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
-import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
@@ -38,18 +29,12 @@
  */
 final class ForwardedRequest {
 
-	/** Sends and connection attempts that one request may take. */
-	private static final int MAX_TRIES = 4;
-
 	/** Work that an attempt puts on its server: requests are counted. */
 	private static final double ATTEMPT_WORK = 1;
 
 	/** Less time than this is not worth another attempt, in milliseconds. */
 	private static final long LEAST_REMAINING_MILLIS = 30;
 
-	/** Greatest plain answer that is held in memory, in bytes. */
-	private static final long MAX_PLAIN_ANSWER_BYTES = 8L << 20;
-
 	private final ForwardParts parts;
 
 	private final HttpRequest request;
@@ -66,32 +51,16 @@
 
 	private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
 
-	private final Set<String> excluded = new HashSet<>();
+	private final RequestHistory history = new RequestHistory();
 
 	private Admitted admitted;
 
 	private String service = "";
 
-	private Timers.Handle timer = () -> {
-	};
+	private Timers.Handle timer = Timers.Handle.NONE;
 
 	private Attempt attempt;
 
-	/** Age of the request when it was last sent, in milliseconds; -1 before. */
-	private long sentMillis = -1;
-
-	/**
-	 * Age of the request when the first bytes of a stream came, in milliseconds; -1
-	 * before.
-	 */
-	private long firstMillis = -1;
-
-	private int tries;
-
-	private int runs;
-
-	private boolean sentBefore;
-
 	private boolean done;
 
 	/**
@@ -125,7 +94,7 @@
 			this.service = this.admitted.route().serviceFor(this.parts.random().nextDouble());
 			this.parts.budget().onRequest(this.service);
 			this.timer = this.parts.timers().after(Math.max(0, remainingMillis()), this::onTimeout);
-			this.start.run(this.admitted.rank(), this::begin);
+			this.start.run(this.admitted.rank(), () -> tryNext(ResultCode.NO_BACKEND));
 		}
 		catch (RequestRejectedException ex) {
 			refuse(ex.code(), ex.getMessage());
@@ -150,29 +119,25 @@
 		}
 	}
 
-	private synchronized void begin() {
-		tryNext(ResultCode.NO_BACKEND);
-	}
-
-	private void tryNext(ResultCode reason) {
+	private synchronized void tryNext(ResultCode reason) {
 		if (this.done) {
 			return;
 		}
 		if (remainingMillis() < LEAST_REMAINING_MILLIS) {
-			refuse(ResultCode.TIMEOUT_BEFORE_SEND, "tries=" + this.tries);
+			refuse(ResultCode.TIMEOUT_BEFORE_SEND, "");
 			return;
 		}
-		Optional<BackendServer> server = (this.tries < MAX_TRIES)
-				? this.parts.servers().choose(this.service, this.caller, this.excluded) : Optional.empty();
+		Optional<BackendServer> server = this.history.mayTry()
+				? this.parts.servers().choose(this.service, this.caller, this.history.excluded()) : Optional.empty();
 		if (server.isEmpty()) {
-			refuse(reason, "tries=" + this.tries + " service=" + this.service);
+			refuse(reason, "service=" + this.service);
 			return;
 		}
-		if (this.sentBefore && !this.parts.budget().tryRetry(this.service)) {
-			refuse(ResultCode.RETRY_BUDGET_SPENT, "tries=" + this.tries);
+		if (this.history.wasSent() && !this.parts.budget().tryRetry(this.service)) {
+			refuse(ResultCode.RETRY_BUDGET_SPENT, "");
 			return;
 		}
-		this.tries++;
+		this.history.onTry();
 		Attempt next = new Attempt(server.get());
 		this.attempt = next;
 		this.parts.health().addWork(next.serverId(), ATTEMPT_WORK);
@@ -251,11 +216,8 @@
 			return;
 		}
 		HttpRequest sent = this.parts.backendDialect()
-			.toBackend(this.request,
-					new SendOrders(of.serverId(), remainingMillis, this.admitted.account().map(Account::name),
-							of.isPassedBy() ? Ranks.LEAST_URGENT : this.admitted.rank()));
-		this.sentBefore = true;
-		this.sentMillis = this.parts.clock().ageMillis(this.arrived);
+			.toBackend(this.request, of.orders(this.admitted, remainingMillis));
+		this.history.onSent(ageMillis());
 		of.markSent();
 		of.connection().send(sent).whenComplete((response, failure) -> onHead(of, response, failure));
 		this.start.over();
@@ -270,32 +232,37 @@
 			return;
 		}
 		switch (this.parts.backendDialect().kindOf(response, this.caller.id())) {
-			case NOT_RUN -> onNotRun(of, response);
-			case WRONG_SERVER -> onWrongServer(of, response);
+			case NOT_RUN -> {
+				this.parts.health().onFailure(of.serverId());
+				onNotRun(of, response, "status=" + response.status().intValue());
+			}
+			case WRONG_SERVER -> {
+				this.parts.directory().drop(of.serverId());
+				onNotRun(of, response, "address answers for another server");
+			}
 			case UNTRUSTED -> onBroken(of, "untrusted answer, status=" + response.status().intValue());
 			case OWN_FAILURE -> onOwnFailure(of, response);
-			default -> onOwnAnswer(of, response);
+			default -> {
+				if (this.admitted.route().isStreaming()) {
+					stream(of, response);
+				}
+				else {
+					readWhole(of, response);
+				}
+			}
 		}
 	}
 
-	private void onNotRun(Attempt of, HttpResponse response) {
+	private void onNotRun(Attempt of, HttpResponse response, String detail) {
 		of.markNotRun();
-		this.parts.health().onFailure(of.serverId());
 		response.discardEntityBytes(this.parts.system());
-		retry(of, ResultCode.BACKENDS_REFUSED, "status=" + response.status().intValue());
-	}
-
-	private void onWrongServer(Attempt of, HttpResponse response) {
-		of.markNotRun();
-		this.parts.directory().drop(of.serverId());
-		response.discardEntityBytes(this.parts.system());
-		retry(of, ResultCode.BACKENDS_REFUSED, "address answers for another server");
+		retry(of, ResultCode.BACKENDS_REFUSED, detail);
 	}
 
 	private void onOwnFailure(Attempt of, HttpResponse response) {
 		this.parts.health().onFailure(of.serverId());
-		if (mayRepeat() && remainingMillis() > LEAST_REMAINING_MILLIS) {
-			this.runs++;
+		if (this.history.mayRunAgain(this.admitted.route()) && remainingMillis() > LEAST_REMAINING_MILLIS) {
+			this.history.onRun();
 			response.discardEntityBytes(this.parts.system());
 			retry(of, ResultCode.BACKEND_ERROR, "status=" + response.status().intValue());
 			return;
@@ -303,19 +270,8 @@
 		readWhole(of, response);
 	}
 
-	private void onOwnAnswer(Attempt of, HttpResponse response) {
-		if (this.admitted.route().isStreaming()) {
-			stream(of, response);
-		}
-		else {
-			readWhole(of, response);
-		}
-	}
-
 	private void readWhole(Attempt of, HttpResponse response) {
-		Stages
-			.direct(response.entity()
-				.toStrict(Math.max(1, remainingMillis()), MAX_PLAIN_ANSWER_BYTES, this.parts.system()))
+		AnswerBodies.whole(response, remainingMillis(), this.parts.system())
 			.whenComplete((body, failure) -> onWhole(of, response, body, failure));
 	}
 
@@ -330,7 +286,7 @@
 		if (response.status().isSuccess()) {
 			this.parts.health().onSuccess(of.serverId());
 		}
-		keepConnection(of, response);
+		this.parts.pool().release(of.giveUp(), KeepAlive.keepMillis(response));
 		endAttempt(false);
 		ResultCode code = response.status().isSuccess() ? ResultCode.OK : ResultCode.BACKEND_ERROR;
 		finish(code, this.parts.callerDialect().toCaller(response).withEntity(body), "server=" + of.serverId());
@@ -338,17 +294,16 @@
 
 	private void stream(Attempt of, HttpResponse response) {
 		this.parts.health().onSuccess(of.serverId());
-		Source<ByteString, ?> body = response.entity()
-			.getDataBytes()
-			.via(new ObservedBody(new StreamEnd(of, response)));
-		HttpResponse head = this.parts.callerDialect().toCaller(response);
+		BodyObserver observer = new StreamObserver(() -> onFirstEvent(of),
+				(code, detail) -> onStreamEnd(of, response, code, detail));
 		this.done = true;
-		this.answer.complete(head.withEntity(HttpEntities.createChunked(response.entity().getContentType(), body)));
+		this.answer.complete(
+				this.parts.callerDialect().toCaller(response).withEntity(AnswerBodies.streamed(response, observer)));
 	}
 
 	private synchronized void onFirstEvent(Attempt of) {
 		of.onFirstToken();
-		this.firstMillis = this.parts.clock().ageMillis(this.arrived);
+		this.history.onFirstBytes(ageMillis());
 	}
 
 	private synchronized void onStreamEnd(Attempt of, HttpResponse response, ResultCode code, String detail) {
@@ -356,7 +311,7 @@
 			return;
 		}
 		if (code == ResultCode.OK) {
-			keepConnection(of, response);
+			this.parts.pool().release(of.giveUp(), KeepAlive.keepMillis(response));
 		}
 		else if (code == ResultCode.BACKEND_BROKE_OFF) {
 			this.parts.health().onFailure(of.serverId());
@@ -367,8 +322,8 @@
 
 	private void onBroken(Attempt of, String detail) {
 		this.parts.health().onFailure(of.serverId());
-		if (mayRepeat()) {
-			this.runs++;
+		if (this.history.mayRunAgain(this.admitted.route())) {
+			this.history.onRun();
 			retry(of, ResultCode.BACKEND_BROKE_OFF, detail);
 			return;
 		}
@@ -376,15 +331,11 @@
 		refuse(ResultCode.BACKEND_BROKE_OFF, "server=" + of.serverId() + " " + detail);
 	}
 
-	private boolean mayRepeat() {
-		return this.admitted.route().isRepeatable() && this.runs + 1 < this.admitted.route().maxAttempts();
-	}
-
 	private void retry(Attempt of, ResultCode reason, String detail) {
 		ResultCode kind = of.mayHaveRun() ? ResultCode.RETRY_REPEATABLE : ResultCode.RETRY_NOT_RUN;
 		this.parts.outcomes().retried(kind, this.caller.id(), of.serverId(), detail);
 		endAttempt(true);
-		this.excluded.add(of.serverId());
+		this.history.exclude(of.serverId());
 		tryNext(reason);
 	}
 
@@ -392,7 +343,7 @@
 		if (this.attempt == null && this.done) {
 			return;
 		}
-		boolean mayHaveRun = this.runs > 0 || this.attempt != null && this.attempt.mayHaveRun();
+		boolean mayHaveRun = this.history.mayHaveRun() || this.attempt != null && this.attempt.mayHaveRun();
 		endAttempt(true);
 		if (this.done) {
 			record(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream ended at its timeout");
@@ -401,10 +352,6 @@
 		refuse(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND, "service=" + this.service);
 	}
 
-	private void keepConnection(Attempt of, HttpResponse response) {
-		this.parts.pool().release(of.giveUp(), KeepAlive.keepMillis(response));
-	}
-
 	private void endAttempt(boolean broken) {
 		Attempt ended = this.attempt;
 		this.attempt = null;
@@ -420,9 +367,7 @@
 	}
 
 	private void refuse(ResultCode code, String detail) {
-		boolean promised = this.runs == 0;
-		ResultCode said = (!promised && code.httpStatus() == Refusals.UNAVAILABLE) ? ResultCode.BACKEND_BROKE_OFF
-				: code;
+		ResultCode said = this.history.truthful(code);
 		finish(said, this.parts.callerDialect().withRequestId(Refusals.of(said), this.caller.id()), detail);
 	}
 
@@ -436,52 +381,19 @@
 		this.timer.cancel();
 		this.start.over();
 		this.onEnd.run();
+		String decidedBy = (this.admitted != null) ? this.admitted.describe() : Admitted.NOT_ADMITTED;
 		String route = (this.admitted != null) ? this.admitted.route().name() : "";
 		this.parts.outcomes()
-			.ended(code, this.caller.id(), route, status, this.parts.clock().ageMillis(this.arrived),
-					detail + " version=" + ((this.admitted != null) ? this.admitted.version() : 0) + " confirmed_ms="
-							+ this.parts.routing().ageMillis() + " tries=" + this.tries + " rank="
-							+ ((this.admitted != null) ? this.admitted.rank() : -1) + " sent_ms=" + this.sentMillis
-							+ " first_ms=" + this.firstMillis);
+			.ended(code, this.caller.id(), route, status, ageMillis(), detail + " " + decidedBy + " confirmed_ms="
+					+ this.parts.routing().ageMillis() + " " + this.history.describe());
 	}
 
-	private long remainingMillis() {
-		long timeoutMillis = this.admitted.route().timeoutMillis();
-		long limitMillis = Math.min(timeoutMillis, this.caller.deadlineMillis().orElse(timeoutMillis));
-		return limitMillis - this.parts.clock().ageMillis(this.arrived);
+	private long ageMillis() {
+		return this.parts.clock().ageMillis(this.arrived);
 	}
 
-	private final class StreamEnd implements BodyObserver {
-
-		private final Attempt of;
-
-		private final HttpResponse response;
-
-		private StreamEnd(Attempt of, HttpResponse response) {
-			this.of = of;
-			this.response = response;
-		}
-
-		@Override
-		public void onFirst() {
-			onFirstEvent(this.of);
-		}
-
-		@Override
-		public void onComplete() {
-			onStreamEnd(this.of, this.response, ResultCode.OK, "");
-		}
-
-		@Override
-		public void onBroken(Throwable failure) {
-			onStreamEnd(this.of, this.response, ResultCode.BACKEND_BROKE_OFF, " " + failure.getMessage());
-		}
-
-		@Override
-		public void onCancelled() {
-			onStreamEnd(this.of, this.response, ResultCode.CALLER_GONE, "");
-		}
-
+	private long remainingMillis() {
+		return this.caller.waitMillis(this.admitted.route().timeoutMillis()) - ageMillis();
 	}
 
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/time/Timers.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/time/Timers.java
@@ -22,6 +22,10 @@
 	@FunctionalInterface
 	interface Handle {
 
+		/** Handle of no task. */
+		Handle NONE = () -> {
+		};
+
 		/**
 		 * Takes the task back if it has not run.
 		 */
