Take a server as gone at once when it is removed two seconds after the store's return

Ruled out: the followers (a removal is read within some ten milliseconds; the line "regained contact" stands 2 s late only because a waiting read is answered then). Change: the two seconds count from the sending of the first read that was answered, less the time that a request needs to reach a server; a later removal counts at once. Two tests that failed before.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
@@ -6,6 +6,7 @@
 import org.marjoramgw.direct.Fixtures;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.Moment;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -68,6 +69,35 @@
 		Assert.assertTrue(this.directory.isUsable("b"));
 	}
 
+	@Test
+	public void serverRemovedTwoSecondsAfterTheStoreCameBackIsGoneAtOnce() {
+		this.directory.onSnapshot(List.of(Fixtures.record("a", "ready", 1)));
+		this.directory.onConfirmed(this.ages.now());
+		this.directory.onUnreachable();
+		this.clock.advanceMillis(100);
+		Moment sent = this.ages.now();
+		this.clock.advanceMillis(2_000);
+		this.directory.onConfirmed(sent);
+		this.clock.advanceMillis(100);
+		this.directory.onRecords(List.of(Fixtures.record("a", null, 2)));
+		Assert.assertFalse(this.directory.isUsable("a"), "its registration did not lapse in the outage");
+	}
+
+	@Test
+	public void serverRemovedJustAfterTheStoreCameBackGetsNoWorkTwoSecondsLater() {
+		this.directory.onSnapshot(List.of(Fixtures.record("a", "ready", 1)));
+		this.directory.onConfirmed(this.ages.now());
+		this.directory.onUnreachable();
+		this.clock.advanceMillis(100);
+		Moment sent = this.ages.now();
+		this.clock.advanceMillis(10);
+		this.directory.onRecords(List.of(Fixtures.record("a", null, 2)));
+		this.directory.onConfirmed(sent);
+		Assert.assertTrue(this.directory.isUsable("a"));
+		this.clock.advanceMillis(1_950);
+		Assert.assertFalse(this.directory.isUsable("a"));
+	}
+
 	@Test
 	public void droppedServerComesBackOnlyWhenItRegistersAgain() {
 		ServerDirectory servers = new ServerDirectory(Fixtures::server, this.ages);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -17,18 +17,18 @@
  * Backend servers that are registered and not leaving; thread-safe.
  * <p>
  * A registration may lapse because the store was away and not because the server left.
- * One that disappears in or shortly after such a time stays usable until the server had
- * time to register again.
+ * One that disappears in such a time, or before live servers had time to register again
+ * after it, stays usable until that time is over, and no longer.
  *
  * @author The marjoramgw authors
  */
 public final class ServerDirectory implements TopicListener {
 
-	/** Time within which live servers register again, in milliseconds. */
-	private static final long LAPSE_GRACE_MILLIS = 2_000;
-
-	/** Reads that took no longer than this show a store that works, in milliseconds. */
-	private static final long CALM_AFTER_MILLIS = 4_000;
+	/**
+	 * Time after the store's return within which live servers register again, in
+	 * milliseconds: two seconds, less what a request needs to reach a server that left.
+	 */
+	private static final long LAPSE_GRACE_MILLIS = 1_900;
 
 	private final ServerDecoder decoder;
 
@@ -36,9 +36,10 @@
 
 	private final Map<String, Entry> entryById = new HashMap<>();
 
-	private Moment lastUnreachable;
+	private boolean reachable = true;
 
-	private Moment reachableSince;
+	/** When the first read that was answered after an outage was sent. */
+	private Moment returned;
 
 	private boolean complete;
 
@@ -132,16 +133,16 @@
 
 	@Override
 	public synchronized void onConfirmed(Moment moment) {
-		if (this.lastUnreachable != null && this.reachableSince == null) {
-			this.reachableSince = this.clock.now();
+		if (!this.reachable) {
+			this.returned = moment;
 		}
+		this.reachable = true;
 		this.entryById.values().removeIf(this::isLapsed);
 	}
 
 	@Override
 	public synchronized void onUnreachable() {
-		this.lastUnreachable = this.clock.now();
-		this.reachableSince = null;
+		this.reachable = false;
 	}
 
 	private void put(BackendServer server) {
@@ -157,19 +158,23 @@
 		if (entry == null) {
 			return;
 		}
-		if (entry.server.draining() || !isStoreTroubled()) {
+		if (entry.server.draining() || hadTimeToRegister()) {
 			this.entryById.remove(id);
 			Logger.info("backend server {} is gone", id);
 			return;
 		}
-		if (entry.lapsedAt == null) {
-			entry.lapsedAt = this.clock.now();
+		if (!entry.lapsed) {
+			entry.lapsed = true;
 			Logger.info("registration of backend server {} lapsed while the store was away", id);
 		}
 	}
 
-	private boolean isStoreTroubled() {
-		return this.lastUnreachable != null && this.clock.ageMillis(this.lastUnreachable) < CALM_AFTER_MILLIS;
+	/**
+	 * Tells whether live servers are registered again after the last outage.
+	 * @return whether they had time to, or there was no outage
+	 */
+	private boolean hadTimeToRegister() {
+		return this.reachable && (this.returned == null || this.clock.ageMillis(this.returned) > LAPSE_GRACE_MILLIS);
 	}
 
 	private boolean isUsable(Entry entry) {
@@ -177,11 +182,7 @@
 	}
 
 	private boolean isLapsed(Entry entry) {
-		if (entry.lapsedAt == null || this.reachableSince == null) {
-			return false;
-		}
-		long sinceReturn = Math.min(this.clock.ageMillis(this.reachableSince), this.clock.ageMillis(entry.lapsedAt));
-		return sinceReturn > LAPSE_GRACE_MILLIS;
+		return entry.lapsed && hadTimeToRegister();
 	}
 
 	/**
@@ -204,7 +205,7 @@
 
 		private final BackendServer server;
 
-		private Moment lapsedAt;
+		private boolean lapsed;
 
 		private Entry(BackendServer server) {
 			this.server = server;
