--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ConfigurationPromiseTests.java
@@ -68,7 +68,7 @@
 	@AfterMethod
 	public void nothingWentBack() throws Exception {
 		this.bed.standins().control(StandinProcess.LOG, "{\"outage\":false,\"lose_answers\":0,\"delay_ms\":0}");
-		Assert.assertEquals(this.watch.reverts(), List.of());
+		Assert.assertEquals(this.watch.reverts(), List.of(), this.watch.reverts().toString());
 	}
 
 	@Test
