--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
@@ -48,8 +48,9 @@
 		for (List<LogLine> log : this.logs) {
 			List<LogLine> own = log.stream().filter((line) -> line.isAbout(requestId)).toList();
 			if (!own.isEmpty()) {
+				Set<String> servers = servers(own);
 				log.stream()
-					.filter((line) -> isStateOf(line, own))
+					.filter((line) -> isStateOf(line, own, servers))
 					.map((line) -> step("state", line))
 					.forEach(steps::add);
 				own.forEach((line) -> steps.add(step("request", line)));
@@ -59,15 +60,19 @@
 		return new Explanation(requestId, steps, List.of());
 	}
 
-	private static boolean isStateOf(LogLine line, List<LogLine> own) {
+	private static Set<String> servers(List<LogLine> lines) {
+		Set<String> servers = new HashSet<>();
+		lines.forEach((line) -> servers.addAll(line.servers()));
+		return servers;
+	}
+
+	private static boolean isStateOf(LogLine line, List<LogLine> own, Set<String> servers) {
 		long firstMillis = own.get(0).timeMillis();
 		long lastMillis = own.get(own.size() - 1).timeMillis();
 		boolean near = line.timeMillis() >= firstMillis - STATE_MILLIS && line.timeMillis() <= lastMillis;
 		if (!near || line.requestId().isPresent()) {
 			return false;
 		}
-		Set<String> servers = new HashSet<>();
-		own.forEach((each) -> servers.addAll(each.servers()));
 		return line.servers().stream().anyMatch(servers::contains)
 				|| STATE_WORDS.stream().anyMatch(line.message()::contains);
 	}
