Close the socket of a caller that left before its connection was opened

Found by reading: a connection that ends while it waits for its turn leaves the gate, so that open, the only place that closed it, never ran, and its descriptor stayed open. Its end now finishes a socket whose flow nobody took; one that was opened is closed by its flow as before. The test asks for the new method, so that it can't run on the code before: there nothing closes the socket.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -172,6 +172,21 @@
 		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
 	}
 
+	@Test
+	public void connectionThatEndsBeforeItIsOpenedIsClosed() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		Socket caller = connect();
+		AcceptedSocket socket = next();
+		CountDownLatch closed = new CountDownLatch(1);
+		socket.whenEnded(() -> {
+			socket.finishIfUnused();
+			closed.countDown();
+		});
+		caller.close();
+		Assert.assertTrue(closed.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertFalse(socket.isOpen());
+	}
+
 	private void serveEcho() {
 		this.acceptor.serve((socket) -> socket.flow().join(Flow.<ByteString>create()).run(this.system));
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -109,7 +109,7 @@
 				waitForOpening(socket, caller);
 			}
 		});
-		socket.whenEnded(() -> onEnd(caller));
+		socket.whenEnded(() -> onEnd(socket, caller));
 		this.timers.after(this.limits.get().idleTimeoutMillis(), () -> {
 			if (!waiting.get()) {
 				caller.closeIfIdle();
@@ -145,9 +145,11 @@
 		return received;
 	}
 
-	private void onEnd(CallerConnection caller) {
+	private void onEnd(AcceptedSocket socket, CallerConnection caller) {
 		this.open.remove(caller);
 		caller.close();
+		// A connection that ended while it waited is never opened.
+		socket.finishIfUnused();
 	}
 
 	private BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> server() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -34,6 +34,8 @@
 
 	private ByteBuffer unwritten = ByteBuffer.allocate(0);
 
+	private boolean used;
+
 	private boolean ended;
 
 	private boolean finished;
@@ -103,9 +105,24 @@
 	 * @return flow from the bytes to write to the bytes that are read
 	 */
 	public Flow<ByteString, ByteString, NotUsed> flow() {
+		synchronized (this) {
+			this.used = true;
+		}
 		return Flow.fromGraph(new SocketFlow(this));
 	}
 
+	/**
+	 * Ends the connection from this side if nobody took its flow, which would end it.
+	 */
+	public void finishIfUnused() {
+		synchronized (this) {
+			if (this.used) {
+				return;
+			}
+		}
+		finish();
+	}
+
 	@Override
 	public void finish() {
 		synchronized (this) {
