Give a revision to the process that showed it, not to its predecessor

Cause: the watcher read the process id, then asked for the revision; the address of a process is known again only when its restart is over (ManagedProcess.address waits for awaitReady), so that a question that crossed the restart was answered by the successor, which has no configuration yet while the log is down. Ruled out: a running process that goes back; no reply without the field was seen.

The record asks for the id again after the answer and drops it if it has changed; reverts of one process count as before. RevisionRecordTests: the case failed first (one revert), then passed; two more cases keep the check strict.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/RevisionWatch.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/RevisionWatch.java
@@ -1,9 +1,6 @@
 package org.marjoramgw.process;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 import org.marjoramgw.rig.ManagedProcess;
 
@@ -19,9 +16,7 @@
 
 	private final ProofBed bed;
 
-	private final Map<String, Long> highest = new HashMap<>();
-
-	private final List<String> reverts = new ArrayList<>();
+	private final RevisionRecord record = new RevisionRecord();
 
 	private final Thread thread = new Thread(this::watch, "revision watch");
 
@@ -37,8 +32,8 @@
 	 * Lists the times that a running process went back to an older revision.
 	 * @return the reverts
 	 */
-	synchronized List<String> reverts() {
-		return List.copyOf(this.reverts);
+	List<String> reverts() {
+		return this.record.reverts();
 	}
 
 	@Override
@@ -59,16 +54,9 @@
 		}
 	}
 
-	private synchronized void look(ManagedProcess process) {
+	private void look(ManagedProcess process) {
 		try {
-			long pid = process.pid();
-			long revision = this.bed.revision(process);
-			String name = process.name() + " " + pid;
-			long before = this.highest.getOrDefault(name, 0L);
-			if (revision < before) {
-				this.reverts.add(name + " went from " + before + " to " + revision);
-			}
-			this.highest.merge(name, revision, Math::max);
+			this.record.look(process.name(), process::pid, () -> this.bed.revision(process));
 		}
 		catch (Exception ex) {
 			// A process that is frozen or gone shows no revision
