End an unfinished write with its connection

A caller that left, or an end from our side, while a part of an answer was unwritten left the writer of the flow waiting for good: the stage and what it held stayed until the end of the process. A write to a connection that broke fails the stage without a stack trace in the log: the line of the request tells that the caller left.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -6,10 +6,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.stream.javadsl.Flow;
@@ -154,6 +157,56 @@
 		}
 	}
 
+	@Test
+	public void flowEndsWhenItsPeerLeavesInTheMiddleOfAnAnswer() throws Exception {
+		CompletableFuture<Done> flowEnded = new CompletableFuture<>();
+		CountDownLatch offered = new CountDownLatch(1);
+		ByteString answer = ByteString.fromArray(new byte[LARGE_BYTES]);
+		Source<ByteString, NotUsed> answers = Source.repeat(answer).take(2).map((bytes) -> {
+			offered.countDown();
+			return bytes;
+		});
+		this.acceptor.serve((socket) -> socket.flow()
+			.join(Flow.fromSinkAndSource(Sink.ignore(), answers.watchTermination((ignored, done) -> {
+				done.thenAccept(flowEnded::complete).exceptionally((ex) -> {
+					flowEnded.complete(Done.done());
+					return null;
+				});
+				return ignored;
+			})))
+			.run(this.system));
+		Socket caller = connect();
+		caller.setSoLinger(true, 0);
+		Assert.assertTrue(offered.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Thread.sleep(200);
+		caller.close();
+		flowEnded.get(WAIT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void unfinishedWriteIsToldWhenTheConnectionCloses() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		Socket caller = connect();
+		AcceptedSocket socket = next();
+		CountDownLatch told = new CountDownLatch(1);
+		Assert.assertFalse(socket.write(ByteString.fromArray(new byte[LARGE_BYTES]), told::countDown));
+		caller.setSoLinger(true, 0);
+		caller.close();
+		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+	}
+
+	@Test
+	public void unfinishedWriteIsToldWhenItsOwnSideFinishes() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		try (Socket caller = connect()) {
+			AcceptedSocket socket = next();
+			CountDownLatch told = new CountDownLatch(1);
+			Assert.assertFalse(socket.write(ByteString.fromArray(new byte[LARGE_BYTES]), told::countDown));
+			socket.finish();
+			Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		}
+	}
+
 	@Test
 	public void actionsAreTakenWithoutALockOfTheSocket() throws Exception {
 		this.acceptor.serve(this.accepted::add);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -133,8 +133,8 @@
 			this.finished = true;
 			this.finishedAtMillis = this.acceptor.nowMillis();
 			this.received = ByteString.emptyByteString();
-			this.unwritten = ByteBuffer.allocate(0);
 		}
+		dropUnwritten();
 		if (hasEnded() || !shutdownOutput()) {
 			close();
 		}
@@ -148,9 +148,23 @@
 	 */
 	void close() {
 		SocketAcceptor.closeQuietly(this.channel);
+		dropUnwritten();
 		noteEnd();
 	}
 
+	/**
+	 * Gives up what is unwritten; its writer goes on, and fails if it writes more.
+	 */
+	private void dropUnwritten() {
+		Runnable action;
+		synchronized (this) {
+			this.unwritten = ByteBuffer.allocate(0);
+			action = this.onWritten;
+			this.onWritten = NOTHING;
+		}
+		action.run();
+	}
+
 	boolean isOpen() {
 		return this.channel.isOpen();
 	}
@@ -199,7 +213,7 @@
 	/**
 	 * Writes bytes; only one write at a time.
 	 * @param bytes the bytes
-	 * @param whenWritten called once they are written, if that is not at once
+	 * @param whenWritten called once they are written or given up, if that is not at once
 	 * @return whether they were written at once
 	 * @throws IOException if the connection broke
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
@@ -99,9 +99,16 @@
 		private final class Writer extends AbstractInHandler {
 
 			@Override
-			public void onPush() throws IOException {
+			public void onPush() {
 				Logic logic = Logic.this;
-				logic.writing = !logic.peer.write(grab(logic.toWrite), () -> logic.written.invoke(true));
+				try {
+					logic.writing = !logic.peer.write(grab(logic.toWrite), () -> logic.written.invoke(true));
+				}
+				catch (IOException ex) {
+					// The caller has left, which the line of its request tells.
+					failStage(ex);
+					return;
+				}
 				if (!logic.writing) {
 					pull(logic.toWrite);
 				}
