Relink the lambdas of libraries, so that the class archive keeps them

Cause: after a stop or the loss of all processes callers wait for processes that start; a start took 2.2 to 2.6 s of one core on this machine (pinned, to the line 'started'). Of its classes 612 lambdas were generated anew in every process: the Scala compiler makes every lambda serializable, and the JDK archives no serializable lambda (LambdaMetafactory.altMetafactory). Ruled out: flags of the JVM (no option archives them); fewer lambdas of ours (few are ours).

A build step (org.marjoramgw.relink, ASM) changes these call sites in target/lib to the plain factory where nothing but being serializable is lost: no markers, no bridge that the interface declares, no class that asks for or casts to Serializable (a test fails without that: a cast lambda broke).

--- /dev/null
+++ b/org.marjoramgw.relink.test/src/test/java/org/marjoramgw/relink/CastSamples.java
@@ -0,0 +1,19 @@
+package org.marjoramgw.relink;
+
+import java.io.Serializable;
+import java.util.function.Supplier;
+
+/**
+ * Lambda that is cast to a serializable one.
+ *
+ * @author The marjoramgw authors
+ */
+public final class CastSamples implements Supplier<String> {
+
+	@Override
+	public String get() {
+		Supplier<String> cast = (Supplier<String> & Serializable) () -> "cast";
+		return cast.get() + " " + (cast instanceof Serializable);
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.relink.test/src/test/java/org/marjoramgw/relink/Samples.java
@@ -0,0 +1,46 @@
+package org.marjoramgw.relink;
+
+import java.io.Serializable;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * Lambdas of each kind that a compiler makes.
+ *
+ * @author The marjoramgw authors
+ */
+public final class Samples implements Supplier<String> {
+
+	@Override
+	public String get() {
+		String captured = "captured";
+		Text plain = () -> captured;
+		Named bridged = () -> "bridged";
+		@SuppressWarnings("unchecked")
+		Function<String, Integer> marked = (Function<String, Integer> & Marker) String::length;
+		return plain.get() + " " + asSupplier(bridged).get() + " " + marked.apply("four") + " "
+				+ (marked instanceof Marker);
+	}
+
+	private static Supplier<? extends CharSequence> asSupplier(Named named) {
+		return named;
+	}
+
+	/** Marker interface that must stay. */
+	interface Marker {
+
+	}
+
+	/** Serializable interface with one method. */
+	interface Text extends Serializable {
+
+		String get();
+
+	}
+
+	/** Interface with one method under two descriptors, which need a bridge. */
+	interface Named extends Supplier<String>, Text {
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.relink.test/src/test/java/org/marjoramgw/relink/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the build step that rewrites libraries.
+ */
+package org.marjoramgw.relink;
--- /dev/null
+++ b/org.marjoramgw.relink/src/main/java/org/marjoramgw/relink/LibraryRelinker.java
@@ -0,0 +1,78 @@
+package org.marjoramgw.relink;
+
+import java.io.IOException;
+import java.net.MalformedURLException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.marjoramgw.relink.errors.RelinkException;
+import org.marjoramgw.relink.internal.JarRewriter;
+import org.marjoramgw.relink.internal.LambdaRelinker;
+import org.marjoramgw.relink.internal.LoadedInterfaces;
+
+/**
+ * Rewriting of all JARs of a program, so that a class data sharing archive can keep the
+ * classes of their lambdas.
+ * <p>
+ * The Scala compiler makes every lambda serializable. The JDK archives no class of a
+ * serializable lambda, so that each is generated anew in every process, which took half
+ * the processor time of a start. Nothing here serializes a lambda.
+ *
+ * @author The marjoramgw authors
+ */
+public final class LibraryRelinker {
+
+	private static final String JAR_SUFFIX = ".jar";
+
+	private final Path directory;
+
+	/**
+	 * Creates a relinker.
+	 * @param directory directory with all JARs of the program
+	 */
+	public LibraryRelinker(Path directory) {
+		this.directory = directory;
+	}
+
+	/**
+	 * Rewrites the JARs in place; those that need no change stay as they are.
+	 * @return number of lambdas that were changed
+	 * @throws RelinkException if a JAR can't be read or written
+	 */
+	public int relink() throws RelinkException {
+		List<Path> jars = jars();
+		int relinked = 0;
+		try (URLClassLoader loader = new URLClassLoader(urls(jars), ClassLoader.getPlatformClassLoader())) {
+			LambdaRelinker lambdas = new LambdaRelinker(new LoadedInterfaces(loader));
+			for (Path jar : jars) {
+				relinked += new JarRewriter(jar, lambdas).rewrite();
+			}
+		}
+		catch (IOException ex) {
+			throw new RelinkException("can't rewrite the libraries in " + this.directory, ex);
+		}
+		return relinked;
+	}
+
+	private List<Path> jars() throws RelinkException {
+		try (Stream<Path> files = Files.list(this.directory)) {
+			return files.filter((file) -> file.toString().endsWith(JAR_SUFFIX)).sorted().toList();
+		}
+		catch (IOException ex) {
+			throw new RelinkException("can't list the libraries in " + this.directory, ex);
+		}
+	}
+
+	private static URL[] urls(List<Path> jars) throws MalformedURLException {
+		URL[] urls = new URL[jars.size()];
+		for (int index = 0; index < urls.length; index++) {
+			urls[index] = jars.get(index).toUri().toURL();
+		}
+		return urls;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.relink/src/main/java/org/marjoramgw/relink/errors/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Errors of the build step.
+ */
+package org.marjoramgw.relink.errors;
--- /dev/null
+++ b/org.marjoramgw.relink/src/main/java/org/marjoramgw/relink/internal/SerializableUse.java
@@ -0,0 +1,43 @@
+package org.marjoramgw.relink.internal;
+
+import java.io.Serializable;
+
+import org.objectweb.asm.ClassVisitor;
+import org.objectweb.asm.MethodVisitor;
+import org.objectweb.asm.Opcodes;
+import org.objectweb.asm.Type;
+
+/**
+ * Search of a class for casts to {@link Serializable} and for questions about it.
+ *
+ * @author The marjoramgw authors
+ */
+final class SerializableUse extends ClassVisitor {
+
+	private static final String SERIALIZABLE = Type.getInternalName(Serializable.class);
+
+	private boolean found;
+
+	SerializableUse() {
+		super(Opcodes.ASM9);
+	}
+
+	boolean isFound() {
+		return this.found;
+	}
+
+	@Override
+	public MethodVisitor visitMethod(int access, String name, String descriptor, String signature,
+			String[] exceptions) {
+		return new MethodVisitor(Opcodes.ASM9) {
+
+			@Override
+			public void visitTypeInsn(int opcode, String type) {
+				boolean asks = opcode == Opcodes.CHECKCAST || opcode == Opcodes.INSTANCEOF;
+				SerializableUse.this.found |= asks && type.equals(SERIALIZABLE);
+			}
+
+		};
+	}
+
+}
