Open connections that wait in the order of their routes' ranks

Ruled out: the backend servers' queues (the request reached its server after the deadline).

Request line and host are read from the first bytes; the route's rank decides who is opened next. The HTTP layer still reads and judges the request. CallerListenerTests: an urgent request that came after 30 others was opened last, now among the first.

--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -0,0 +1,113 @@
+package org.marjoramgw.direct.caller;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.typesafe.config.ConfigFactory;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.socket.SocketAcceptor;
+import org.marjoramgw.time.PekkoTimers;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests the order in which {@link CallerListener} opens connections that wait.
+ *
+ * @author The marjoramgw authors
+ */
+public class CallerListenerTests {
+
+	private static final int WAIT_SECONDS = 10;
+
+	private static final int WAITING_COUNT = 30;
+
+	/** Connections that may be opened before the most urgent one: those under way. */
+	private static final int OPENED_BEFORE_COUNT = 8;
+
+	private static final String URGENT = "/urgent";
+
+	private static final String ORDINARY = "/ordinary";
+
+	private final BlockingQueue<String> handled = new LinkedBlockingQueue<>();
+
+	private ActorSystem<Void> system;
+
+	private SocketAcceptor acceptor;
+
+	@BeforeMethod
+	public void start() throws Exception {
+		this.handled.clear();
+		this.system = ActorSystem.create(Behaviors.empty(), "callers");
+		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), new SystemMillisClock());
+	}
+
+	@AfterMethod
+	public void stop() {
+		this.acceptor.close();
+		this.system.terminate();
+	}
+
+	/**
+	 * Callers wait for a process that starts; the most urgent request came last.
+	 */
+	@Test
+	public void opensTheMostUrgentRequestFirst() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		try {
+			for (int number = 0; number < WAITING_COUNT; number++) {
+				callers.add(send(ORDINARY));
+			}
+			callers.add(send(URGENT));
+			Thread.sleep(200);
+			serve();
+			List<String> order = new ArrayList<>();
+			while (order.size() < callers.size()) {
+				String path = this.handled.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+				Assert.assertNotNull(path, "only " + order.size() + " were served");
+				order.add(path);
+			}
+			Assert.assertTrue(order.indexOf(URGENT) <= OPENED_BEFORE_COUNT, order.toString());
+		}
+		finally {
+			for (Socket caller : callers) {
+				caller.close();
+			}
+		}
+	}
+
+	private void serve() {
+		new CallerListener(this.system, ServerSettings.create(ConfigFactory.load()), new PekkoTimers(this.system),
+				() -> CallerLimits.DEFAULT, (preview) -> preview.path().equals(URGENT) ? 0 : 1, this::answer)
+			.serve(this.acceptor);
+	}
+
+	private CompletionStage<HttpResponse> answer(HttpRequest request, CallerConnection connection) {
+		this.handled.add(request.getUri().path());
+		connection.started();
+		return CompletableFuture.completedFuture(HttpResponse.create());
+	}
+
+	private Socket send(String path) throws Exception {
+		Socket caller = new Socket("127.0.0.1", this.acceptor.address().port());
+		String head = "GET " + path + " HTTP/1.1\r\nHost: one.example\r\n\r\n";
+		caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+		return caller;
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -24,6 +24,7 @@
 import org.marjoramgw.direct.backend.ConnectionPool;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
+import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.RoutingInForce;
 import org.marjoramgw.direct.follow.ServerDirectory;
@@ -196,7 +197,7 @@
 		this.forwarder = new Forwarder(parts(this.routing, this.directory,
 				new Outcomes(this.registry, this.steady, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis));
 		this.callerListener = new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits,
-				this.forwarder::handle);
+				this::rank, this.forwarder::handle);
 		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
 				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS, counters);
@@ -252,7 +253,8 @@
 		sampleDirectory.onSnapshot(registrations);
 		Forwarder sample = new Forwarder(parts(sampleRouting, sampleDirectory,
 				new Outcomes(new MetricRegistry(), this.steady, 0), () -> WARM_UP_LIMIT_MILLIS * 2));
-		new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, sample::handle)
+		new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, this::rank,
+				sample::handle)
 			.serve(acceptor);
 	}
 
@@ -270,6 +272,10 @@
 				outcomes, this.clock, this.timers, random);
 	}
 
+	private int rank(HeadPreview preview) {
+		return this.routing.rank(preview.host(), preview.path());
+	}
+
 	private long maxAgeMillis() {
 		return this.settings.get().revocationMillis() - REVOCATION_MARGIN_MILLIS;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -19,6 +20,7 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.direct.socket.AcceptedSocket;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.PlainBytes;
@@ -45,9 +47,6 @@
 	 */
 	private static final long MAX_OPENING_MILLIS = 100;
 
-	/** Connections are opened in the order in which their first bytes came. */
-	private static final int EQUAL_RANK = 0;
-
 	private final ActorSystem<?> system;
 
 	private final ServerSettings settings;
@@ -56,6 +55,8 @@
 
 	private final Supplier<CallerLimits> limits;
 
+	private final ToIntFunction<HeadPreview> ranks;
+
 	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
 
 	/**
@@ -73,14 +74,17 @@
 	 * @param settings how requests are parsed
 	 * @param timers timers
 	 * @param limits bounds of what callers may send
+	 * @param ranks rank of a request by its preview, 0 is the most urgent
 	 * @param handler answers a request of a connection
 	 */
 	public CallerListener(ActorSystem<?> system, ServerSettings settings, Timers timers, Supplier<CallerLimits> limits,
+			ToIntFunction<HeadPreview> ranks,
 			BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler) {
 		this.system = system;
 		this.settings = settings;
 		this.timers = timers;
 		this.limits = limits;
+		this.ranks = ranks;
 		this.handler = handler;
 		this.opening = new StartGate(MAX_OPENING_COUNT, Runnable::run);
 	}
@@ -119,7 +123,8 @@
 
 	private void waitForOpening(AcceptedSocket socket, CallerConnection caller) {
 		Executor executor = this.system.executionContext();
-		StartGate.Place place = this.opening.enter(EQUAL_RANK, () -> executor.execute(() -> open(socket, caller)));
+		int rank = HeadPreview.of(socket.peek()).map(this.ranks::applyAsInt).orElse(Ranks.LEAST_URGENT);
+		StartGate.Place place = this.opening.enter(rank, () -> executor.execute(() -> open(socket, caller)));
 		caller.opened().whenComplete((opened, failure) -> place.leave());
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/RoutingInForce.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/RoutingInForce.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Moment;
@@ -56,6 +57,18 @@
 		return current().map(Routing::limits).orElse(CallerLimits.DEFAULT);
 	}
 
+	/**
+	 * Returns the rank of a request of which only the target is known yet.
+	 * @param host host that the request names, without port
+	 * @param path path of the request, undecoded
+	 * @return rank of its route, 0 is the most urgent
+	 */
+	public int rank(String host, String path) {
+		return current()
+			.flatMap((routing) -> routing.route(host, path).map((route) -> routing.rank(Optional.empty(), route)))
+			.orElse(Ranks.LEAST_URGENT);
+	}
+
 	/**
 	 * Returns how long ago the configuration in force was surely the newest.
 	 * @return the age in milliseconds, {@link Long#MAX_VALUE} before the first
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -184,6 +184,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns the bytes that were received and not taken yet, which stay.
+	 * @return the bytes, empty if there are none
+	 */
+	public synchronized ByteString peek() {
+		return this.received;
+	}
+
 	/**
 	 * Takes all bytes that were received.
 	 * @return the bytes, empty if there are none
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingBed.java
@@ -108,7 +108,8 @@
 				new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(parts);
 		new CallerListener(this.system, ServerSettings.create(config), new PekkoTimers(this.system),
-				() -> CallerLimits.DEFAULT, forwarder::handle)
+				() -> CallerLimits.DEFAULT, (preview) -> routing.rank(preview.host(), preview.path()),
+				forwarder::handle)
 			.serve(this.acceptor);
 	}
 
