--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -207,6 +207,25 @@
 		}
 	}
 
+	@Test
+	public void failureOfOneSocketLeavesTheOthers() throws Exception {
+		this.acceptor.serve(this.accepted::add);
+		try (Socket failing = connect(); Socket other = connect()) {
+			next().whenReceived(() -> {
+				throw new IllegalStateException("action fails");
+			});
+			CountDownLatch told = new CountDownLatch(1);
+			next().whenReceived(told::countDown);
+			failing.getOutputStream().write('a');
+			Thread.sleep(200);
+			other.getOutputStream().write('b');
+			Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+			try (Socket later = connect()) {
+				next();
+			}
+		}
+	}
+
 	@Test
 	public void actionsAreTakenWithoutALockOfTheSocket() throws Exception {
 		this.acceptor.serve(this.accepted::add);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -196,7 +197,7 @@
 	private void runTasks() {
 		Runnable task = this.tasks.poll();
 		while (task != null) {
-			task.run();
+			guarded(task);
 			task = this.tasks.poll();
 		}
 	}
@@ -206,15 +207,32 @@
 		while (selected.hasNext()) {
 			SelectionKey key = selected.next();
 			selected.remove();
-			if (!key.isValid()) {
-				continue;
-			}
-			if (key.isAcceptable()) {
-				accept();
-			}
-			else {
-				((AcceptedSocket) key.attachment()).onSelected(key.readyOps());
-			}
+			guarded(() -> onSelected(key));
+		}
+	}
+
+	private void onSelected(SelectionKey key) {
+		if (!key.isValid()) {
+			return;
+		}
+		if (key.isAcceptable()) {
+			accept();
+		}
+		else {
+			((AcceptedSocket) key.attachment()).onSelected(key.readyOps());
+		}
+	}
+
+	// Keeps a failure over one socket from the others, which this thread serves too.
+	private static void guarded(Runnable action) {
+		try {
+			action.run();
+		}
+		catch (CancelledKeyException ex) {
+			Logger.debug("a socket was closed while it was looked at");
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "an action on a caller's socket failed");
 		}
 	}
 
