--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ConfigurationControl.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ConfigurationControl.java
@@ -25,6 +25,9 @@
 
 	private static final long CALL_TIMEOUT_MILLIS = 5_000;
 
+	/** A deployment publishes while all its processes start beside those of others. */
+	private static final long PUBLISH_TIMEOUT_MILLIS = 20_000;
+
 	private static final long IN_FORCE_TIMEOUT_MILLIS = 20_000;
 
 	private static final String OPERATOR = "rig";
@@ -40,10 +43,10 @@
 	}
 
 	void publish(HostPort log, String text) throws RigException {
-		HttpLogService service = new HttpLogService(new HttpCaller(this.system, CALL_TIMEOUT_MILLIS, ""),
+		HttpLogService service = new HttpLogService(new HttpCaller(this.system, PUBLISH_TIMEOUT_MILLIS, ""),
 				"http://" + log);
 		ConfigurationPublisher publisher = new ConfigurationPublisher(service, new SystemMillisClock(),
-				CALL_TIMEOUT_MILLIS);
+				PUBLISH_TIMEOUT_MILLIS);
 		try {
 			PublishVerdict verdict = publisher.publish(text, this.revision, OPERATOR);
 			if (!(verdict instanceof PublishVerdict.Accepted accepted)) {
