--- a/org.marjoramgw.relink/src/main/java/org/marjoramgw/relink/LibraryRelinker.java
+++ b/org.marjoramgw.relink/src/main/java/org/marjoramgw/relink/LibraryRelinker.java
@@ -19,8 +19,8 @@
  * classes of their lambdas.
  * <p>
  * The Scala compiler makes every lambda serializable. The JDK archives no class of a
- * serializable lambda, so that each is generated anew in every process, which took half
- * the processor time of a start. Nothing here serializes a lambda.
+ * serializable lambda, so that each is generated anew in every process, which slows its
+ * start. No part of the programs serializes a lambda.
  *
  * @author The marjoramgw authors
  */
