Call what the project has: pause, thread factory, parts of a target; drop a dead method

Read again: SocketAcceptor and BoundedLines had their own interruptible sleep (Pause.millis), the acceptor its own daemon thread (DaemonThreadFactory); HeadPreview took port and query off as HeaderDialect does (both call RequestTarget now); the two tests of accepted sockets set up the same bed (AcceptorBed, assertions as they were); the upkeep copied the servers' ids twice; RequestHistory.tries had no caller. Behaviour is the same.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -11,15 +11,11 @@
 import java.util.concurrent.TimeUnit;
 
 import com.typesafe.config.ConfigFactory;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
-import org.marjoramgw.HostPort;
-import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.model.CallerLimits;
-import org.marjoramgw.direct.socket.SocketAcceptor;
+import org.marjoramgw.direct.socket.AcceptorBed;
 import org.marjoramgw.time.PekkoTimers;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -33,8 +29,6 @@
  */
 public class CallerListenerTests {
 
-	private static final int WAIT_SECONDS = 10;
-
 	private static final int WAITING_COUNT = 30;
 
 	/** Connections that may be opened before the most urgent one: those under way. */
@@ -46,21 +40,17 @@
 
 	private final BlockingQueue<String> handled = new LinkedBlockingQueue<>();
 
-	private ActorSystem<Void> system;
-
-	private SocketAcceptor acceptor;
+	private AcceptorBed bed;
 
 	@BeforeMethod
 	public void start() throws Exception {
 		this.handled.clear();
-		this.system = ActorSystem.create(Behaviors.empty(), "callers");
-		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), new SystemMillisClock());
+		this.bed = new AcceptorBed();
 	}
 
 	@AfterMethod
 	public void stop() {
-		this.acceptor.close();
-		this.system.terminate();
+		this.bed.close();
 	}
 
 	/**
@@ -78,7 +68,7 @@
 			serve();
 			List<String> order = new ArrayList<>();
 			while (order.size() < callers.size()) {
-				String path = this.handled.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+				String path = this.handled.poll(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS);
 				Assert.assertNotNull(path, "only " + order.size() + " were served");
 				order.add(path);
 			}
@@ -92,9 +82,10 @@
 	}
 
 	private void serve() {
-		new CallerListener(this.system, ServerSettings.create(ConfigFactory.load()), new PekkoTimers(this.system),
-				() -> CallerLimits.DEFAULT, (preview) -> preview.path().equals(URGENT) ? 0 : 1, this::answer)
-			.serve(this.acceptor);
+		new CallerListener(this.bed.system(), ServerSettings.create(ConfigFactory.load()),
+				new PekkoTimers(this.bed.system()), () -> CallerLimits.DEFAULT,
+				(preview) -> preview.path().equals(URGENT) ? 0 : 1, this::answer)
+			.serve(this.bed.acceptor());
 	}
 
 	private CompletionStage<HttpResponse> answer(HttpRequest request, CallerConnection connection) {
@@ -104,7 +95,7 @@
 	}
 
 	private Socket send(String path) throws Exception {
-		Socket caller = new Socket("127.0.0.1", this.acceptor.address().port());
+		Socket caller = this.bed.connect();
 		String head = "GET " + path + " HTTP/1.1\r\nHost: one.example\r\n\r\n";
 		caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
 		return caller;
--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/AcceptorBed.java
@@ -0,0 +1,67 @@
+package org.marjoramgw.direct.socket;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramgw.HostPort;
+import org.marjoramgw.SystemMillisClock;
+
+/**
+ * Acceptor on a free port of loopback, with an actor system for what it serves.
+ *
+ * @author The marjoramgw authors
+ */
+public final class AcceptorBed implements AutoCloseable {
+
+	/** Longest wait for anything that a test expects. */
+	public static final int WAIT_SECONDS = 10;
+
+	private final ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "sockets");
+
+	private final SocketAcceptor acceptor;
+
+	/**
+	 * Starts listening.
+	 * @throws IOException if no port can be bound
+	 */
+	public AcceptorBed() throws IOException {
+		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), new SystemMillisClock());
+	}
+
+	/**
+	 * Returns the actor system.
+	 * @return the actor system
+	 */
+	public ActorSystem<Void> system() {
+		return this.system;
+	}
+
+	/**
+	 * Returns the acceptor.
+	 * @return the acceptor
+	 */
+	public SocketAcceptor acceptor() {
+		return this.acceptor;
+	}
+
+	/**
+	 * Connects as a caller.
+	 * @return the caller's socket; a read of it ends after the longest wait
+	 * @throws IOException if it can't connect
+	 */
+	public Socket connect() throws IOException {
+		Socket caller = new Socket("127.0.0.1", this.acceptor.address().port());
+		caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+		return caller;
+	}
+
+	@Override
+	public void close() {
+		this.acceptor.close();
+		this.system.terminate();
+	}
+
+}
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -13,14 +13,11 @@
 
 import org.apache.pekko.Done;
 import org.apache.pekko.NotUsed;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.HostPort;
-import org.marjoramgw.SystemMillisClock;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -34,32 +31,26 @@
  */
 public class SocketAcceptorTests {
 
-	private static final int WAIT_SECONDS = 10;
-
 	private static final int LARGE_BYTES = 8 << 20;
 
 	private final BlockingQueue<AcceptedSocket> accepted = new LinkedBlockingQueue<>();
 
-	private ActorSystem<Void> system;
-
-	private SocketAcceptor acceptor;
+	private AcceptorBed bed;
 
 	@BeforeMethod
 	public void start() throws IOException {
 		this.accepted.clear();
-		this.system = ActorSystem.create(Behaviors.empty(), "sockets");
-		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), new SystemMillisClock());
+		this.bed = new AcceptorBed();
 	}
 
 	@AfterMethod
 	public void stop() {
-		this.acceptor.close();
-		this.system.terminate();
+		this.bed.close();
 	}
 
 	@Test
 	public void requestSentBeforeTheProcessServesIsServedThen() throws Exception {
-		try (Socket caller = connect()) {
+		try (Socket caller = this.bed.connect()) {
 			caller.getOutputStream().write("early".getBytes(StandardCharsets.US_ASCII));
 			serveEcho();
 			Assert.assertEquals(new String(caller.getInputStream().readNBytes(5), StandardCharsets.US_ASCII), "early");
@@ -68,15 +59,15 @@
 
 	@Test
 	public void endIsKnownAtOnceThoughNobodyTookWhatCameBefore() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		Socket caller = connect();
+		this.bed.acceptor().serve(this.accepted::add);
+		Socket caller = this.bed.connect();
 		caller.getOutputStream().write("request".getBytes(StandardCharsets.US_ASCII));
 		AcceptedSocket socket = next();
 		Assert.assertFalse(socket.hasEnded());
 		CountDownLatch told = new CountDownLatch(1);
 		socket.whenEnded(told::countDown);
 		caller.close();
-		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 		Assert.assertTrue(socket.hasEnded());
 		Assert.assertEquals(socket.take().utf8String(), "request");
 		Assert.assertTrue(socket.isExhausted());
@@ -84,23 +75,24 @@
 
 	@Test
 	public void resetCountsAsEnd() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		Socket caller = connect();
+		this.bed.acceptor().serve(this.accepted::add);
+		Socket caller = this.bed.connect();
 		AcceptedSocket socket = next();
 		caller.setSoLinger(true, 0);
 		caller.close();
 		CountDownLatch told = new CountDownLatch(1);
 		socket.whenEnded(told::countDown);
-		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 	}
 
 	@Test
 	public void largeAnswerReachesACallerThatReadsLate() throws Exception {
 		ByteString answer = ByteString.fromArray(new byte[LARGE_BYTES]);
-		this.acceptor.serve((socket) -> socket.flow()
-			.join(Flow.fromSinkAndSource(Sink.ignore(), Source.single(answer)))
-			.run(this.system));
-		try (Socket caller = connect()) {
+		this.bed.acceptor()
+			.serve((socket) -> socket.flow()
+				.join(Flow.fromSinkAndSource(Sink.ignore(), Source.single(answer)))
+				.run(this.bed.system()));
+		try (Socket caller = this.bed.connect()) {
 			Thread.sleep(200);
 			Assert.assertEquals(caller.getInputStream().readAllBytes().length, LARGE_BYTES);
 		}
@@ -109,7 +101,7 @@
 	@Test
 	public void largeRequestIsReadWhole() throws Exception {
 		serveEcho();
-		try (Socket caller = connect()) {
+		try (Socket caller = this.bed.connect()) {
 			byte[] request = new byte[LARGE_BYTES];
 			Arrays.fill(request, (byte) 'x');
 			Thread writer = new Thread(() -> write(caller, request));
@@ -121,24 +113,25 @@
 
 	@Test
 	public void finishedConnectionEndsAlthoughItsPeerKeepsItOpen() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		try (Socket caller = connect()) {
+		this.bed.acceptor().serve(this.accepted::add);
+		try (Socket caller = this.bed.connect()) {
 			AcceptedSocket socket = next();
 			socket.finish();
 			Assert.assertEquals(caller.getInputStream().read(), -1);
 			CountDownLatch told = new CountDownLatch(1);
 			socket.whenEnded(told::countDown);
-			Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+			Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 			Assert.assertFalse(socket.isOpen());
 		}
 	}
 
 	@Test
 	public void brokenAnswerEndsTheConnection() throws Exception {
-		this.acceptor.serve((socket) -> socket.flow()
-			.join(Flow.fromSinkAndSource(Sink.ignore(), Source.failed(new IOException("backend server broke off"))))
-			.run(this.system));
-		try (Socket caller = connect()) {
+		this.bed.acceptor()
+			.serve((socket) -> socket.flow()
+				.join(Flow.fromSinkAndSource(Sink.ignore(), Source.failed(new IOException("backend server broke off"))))
+				.run(this.bed.system()));
+		try (Socket caller = this.bed.connect()) {
 			Assert.assertTrue(endsSoon(caller));
 		}
 	}
@@ -146,11 +139,11 @@
 	@Test
 	public void acceptedConnectionsGoOnWhenListeningEnds() throws Exception {
 		serveEcho();
-		try (Socket caller = connect()) {
+		try (Socket caller = this.bed.connect()) {
 			caller.getOutputStream().write('a');
 			Assert.assertEquals(caller.getInputStream().read(), 'a');
-			HostPort address = this.acceptor.address();
-			this.acceptor.stopAccepting();
+			HostPort address = this.bed.acceptor().address();
+			this.bed.acceptor().stopAccepting();
 			Assert.assertTrue(refusesSoon(address));
 			caller.getOutputStream().write('b');
 			Assert.assertEquals(caller.getInputStream().read(), 'b');
@@ -166,51 +159,52 @@
 			offered.countDown();
 			return bytes;
 		});
-		this.acceptor.serve((socket) -> socket.flow()
-			.join(Flow.fromSinkAndSource(Sink.ignore(), answers.watchTermination((ignored, done) -> {
-				done.thenAccept(flowEnded::complete).exceptionally((ex) -> {
-					flowEnded.complete(Done.done());
-					return null;
-				});
-				return ignored;
-			})))
-			.run(this.system));
-		Socket caller = connect();
+		this.bed.acceptor()
+			.serve((socket) -> socket.flow()
+				.join(Flow.fromSinkAndSource(Sink.ignore(), answers.watchTermination((ignored, done) -> {
+					done.thenAccept(flowEnded::complete).exceptionally((ex) -> {
+						flowEnded.complete(Done.done());
+						return null;
+					});
+					return ignored;
+				})))
+				.run(this.bed.system()));
+		Socket caller = this.bed.connect();
 		caller.setSoLinger(true, 0);
-		Assert.assertTrue(offered.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(offered.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 		Thread.sleep(200);
 		caller.close();
-		flowEnded.get(WAIT_SECONDS, TimeUnit.SECONDS);
+		flowEnded.get(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS);
 	}
 
 	@Test
 	public void unfinishedWriteIsToldWhenTheConnectionCloses() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		Socket caller = connect();
+		this.bed.acceptor().serve(this.accepted::add);
+		Socket caller = this.bed.connect();
 		AcceptedSocket socket = next();
 		CountDownLatch told = new CountDownLatch(1);
 		Assert.assertFalse(socket.write(ByteString.fromArray(new byte[LARGE_BYTES]), told::countDown));
 		caller.setSoLinger(true, 0);
 		caller.close();
-		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 	}
 
 	@Test
 	public void unfinishedWriteIsToldWhenItsOwnSideFinishes() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		try (Socket caller = connect()) {
+		this.bed.acceptor().serve(this.accepted::add);
+		try (Socket caller = this.bed.connect()) {
 			AcceptedSocket socket = next();
 			CountDownLatch told = new CountDownLatch(1);
 			Assert.assertFalse(socket.write(ByteString.fromArray(new byte[LARGE_BYTES]), told::countDown));
 			socket.finish();
-			Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+			Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 		}
 	}
 
 	@Test
 	public void failureOfOneSocketLeavesTheOthers() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		try (Socket failing = connect(); Socket other = connect()) {
+		this.bed.acceptor().serve(this.accepted::add);
+		try (Socket failing = this.bed.connect(); Socket other = this.bed.connect()) {
 			next().whenReceived(() -> {
 				throw new IllegalStateException("action fails");
 			});
@@ -219,8 +213,8 @@
 			failing.getOutputStream().write('a');
 			Thread.sleep(200);
 			other.getOutputStream().write('b');
-			Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
-			try (Socket later = connect()) {
+			Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
+			try (Socket later = this.bed.connect()) {
 				next();
 			}
 		}
@@ -228,8 +222,8 @@
 
 	@Test
 	public void actionsAreTakenWithoutALockOfTheSocket() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		Socket caller = connect();
+		this.bed.acceptor().serve(this.accepted::add);
+		Socket caller = this.bed.connect();
 		caller.setReceiveBufferSize(1);
 		AcceptedSocket socket = next();
 		CountDownLatch told = new CountDownLatch(1);
@@ -241,13 +235,13 @@
 		});
 		caller.setSoLinger(true, 0);
 		caller.close();
-		Assert.assertTrue(told.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(told.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 	}
 
 	@Test
 	public void connectionThatEndsBeforeItIsOpenedIsClosed() throws Exception {
-		this.acceptor.serve(this.accepted::add);
-		Socket caller = connect();
+		this.bed.acceptor().serve(this.accepted::add);
+		Socket caller = this.bed.connect();
 		AcceptedSocket socket = next();
 		CountDownLatch closed = new CountDownLatch(1);
 		socket.whenEnded(() -> {
@@ -255,22 +249,16 @@
 			closed.countDown();
 		});
 		caller.close();
-		Assert.assertTrue(closed.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		Assert.assertTrue(closed.await(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS));
 		Assert.assertFalse(socket.isOpen());
 	}
 
 	private void serveEcho() {
-		this.acceptor.serve((socket) -> socket.flow().join(Flow.<ByteString>create()).run(this.system));
-	}
-
-	private Socket connect() throws IOException {
-		Socket caller = new Socket("127.0.0.1", this.acceptor.address().port());
-		caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-		return caller;
+		this.bed.acceptor().serve((socket) -> socket.flow().join(Flow.<ByteString>create()).run(this.bed.system()));
 	}
 
 	private AcceptedSocket next() throws InterruptedException {
-		AcceptedSocket socket = this.accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+		AcceptedSocket socket = this.accepted.poll(AcceptorBed.WAIT_SECONDS, TimeUnit.SECONDS);
 		Assert.assertNotNull(socket);
 		return socket;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
@@ -304,8 +305,9 @@
 			reload("file changed");
 		}
 		this.pool.closeExpired();
-		this.health.retain(this.directory.ids());
-		this.reading.retain(this.directory.ids()::contains);
+		Set<String> servers = this.directory.ids();
+		this.health.retain(servers);
+		this.reading.retain(servers::contains);
 		this.timers.after(UPKEEP_MILLIS, this::upkeep);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/HeadPreview.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/HeadPreview.java
@@ -36,21 +36,11 @@
 		}
 		for (int index = 1; index < lines.length && !lines[index].isEmpty(); index++) {
 			if (lines[index].regionMatches(true, 0, HOST, 0, HOST.length())) {
-				return Optional.of(new HeadPreview(withoutPort(lines[index]), withoutQuery(request[1])));
+				String host = lines[index].substring(HOST.length()).trim();
+				return Optional.of(new HeadPreview(RequestTarget.hostOf(host), RequestTarget.pathOf(request[1])));
 			}
 		}
 		return Optional.empty();
 	}
 
-	private static String withoutPort(String hostLine) {
-		String host = hostLine.substring(HOST.length()).trim();
-		int colon = host.lastIndexOf(':');
-		return (colon >= 0) ? host.substring(0, colon) : host;
-	}
-
-	private static String withoutQuery(String target) {
-		int query = target.indexOf('?');
-		return (query >= 0) ? target.substring(0, query) : target;
-	}
-
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestHistory.java
@@ -36,10 +36,6 @@
 		this.tries++;
 	}
 
-	int tries() {
-		return this.tries;
-	}
-
 	/**
 	 * Returns the servers that are not tried again.
 	 * @return their ids
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -18,8 +18,10 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 
+import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
+import org.marjoramgw.program.Pause;
 import org.tinylog.Logger;
 
 /**
@@ -90,9 +92,7 @@
 		Selector selector = Selector.open();
 		server.register(selector, SelectionKey.OP_ACCEPT);
 		SocketAcceptor acceptor = new SocketAcceptor(server, selector, clock);
-		Thread thread = new Thread(acceptor::run, "callers");
-		thread.setDaemon(true);
-		thread.start();
+		new DaemonThreadFactory("callers").newThread(acceptor::run).start();
 		return acceptor;
 	}
 
@@ -246,7 +246,7 @@
 		}
 		catch (IOException ex) {
 			Logger.warn("a connection can't be accepted: {}", ex.toString());
-			pause();
+			Pause.millis(ACCEPT_PAUSE_MILLIS);
 		}
 	}
 
@@ -283,15 +283,6 @@
 		closeQuietly(this.selector);
 	}
 
-	private static void pause() {
-		try {
-			Thread.sleep(ACCEPT_PAUSE_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	static void closeQuietly(AutoCloseable closeable) {
 		try {
 			closeable.close();
--- a/org.marjoramgw/src/main/java/org/marjoramgw/logging/BoundedLines.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/logging/BoundedLines.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.marjoramgw.DaemonThreadFactory;
+import org.marjoramgw.program.Pause;
 
 /**
  * Lines that a thread of their own prints, so that who logs never waits for the reader of
@@ -54,7 +55,7 @@
 	public void close() {
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_CLOSE_MILLIS);
 		while (!this.waiting.isEmpty() && System.nanoTime() < endNanos) {
-			sleep();
+			Pause.millis(POLL_MILLIS);
 		}
 		this.closed = true;
 		this.out.flush();
@@ -77,13 +78,4 @@
 		}
 	}
 
-	private static void sleep() {
-		try {
-			Thread.sleep(POLL_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/program/Pause.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/Pause.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Pause of a thread that stops a program.
+ * Pause of a thread that has nothing else to do meanwhile.
  *
  * @author The marjoramgw authors
  */
