Read any number that the platform supplies for a bound

Cause: on the small twins budgetMinRetries comes as a fraction and free_retry_count took whole numbers alone, so that no process started (E5002, exit 2). Bounds are now moved into their range with a warning and rounded to the rule's safe side; only what is no number is refused, by name.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -39,20 +39,24 @@
 
 	/**
 	 * Reads the settings from a table.
+	 * <p>
+	 * The platform supplies the times and the limits of retries, and a figure that this
+	 * release doesn't expect must not keep it from serving. These numbers are moved into
+	 * their range and may be fractions, which are rounded so that revoked keys stop
+	 * working earlier and retries are fewer.
 	 * @param root root table of the settings
 	 * @return the settings; errors are recorded in the table
 	 */
 	public static DirectSettings of(TomlTable root) {
 		return new DirectSettings(root.text("process_id"), root.text("failure_domain"), root.address("callers_address"),
 				root.address("health_address"), root.text("health_path"), root.address("metrics_address"),
-				root.text("metrics_path", "/metrics"), root.address("store_address"), seconds(root, "stop_grace_s", 8),
-				root.number("revocation_ms", 5_000, 100, MAX_MILLIS), root.decimal("retry_ratio", 0.1, 0, 10),
-				seconds(root, "retry_window_s", 10), (int) root.number("free_retry_count", 0, 0, MAX_RETRIES),
+				root.text("metrics_path", "/metrics"), root.address("store_address"),
+				(long) (root.clampedDecimal("stop_grace_s", 8, 0, MAX_SECONDS) * MILLIS_PER_SECOND),
+				(long) root.clampedDecimal("revocation_ms", 5_000, 100, MAX_MILLIS),
+				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
+				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
+				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
 				root.flag("stop_after_warm_up", false));
 	}
 
-	private static long seconds(TomlTable root, String key, double defaultValue) {
-		return (long) (root.decimal(key, defaultValue, 0, MAX_SECONDS) * MILLIS_PER_SECOND);
-	}
-
 }
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsValuesTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsValuesTests.java
@@ -27,6 +27,8 @@
 
 	private static final Pattern RANGE = Pattern.compile("([0-9,]+)(?: \\([a-z]+\\))? to ([0-9,]+)");
 
+	private static final Pattern CLAMPED_RANGE = Pattern.compile("nearest of ([0-9,]+) to ([0-9,]+)");
+
 	private static final Pattern CODE_SPAN = Pattern.compile("`([^`]+)`");
 
 	/**
@@ -89,6 +91,20 @@
 		}
 	}
 
+	@Test(dataProvider = "rows")
+	public void numberOutOfClampedBoundsIsMovedToTheNearest(SettingsRow row) throws InvalidTomlException {
+		Matcher range = CLAMPED_RANGE.matcher(row.bounds());
+		if (!range.matches()) {
+			return;
+		}
+		long min = Long.parseLong(range.group(1).replace(",", ""));
+		long max = Long.parseLong(range.group(2).replace(",", ""));
+		Assert.assertEquals(read(row, min - 1), read(row, min));
+		Assert.assertEquals(read(row, max + 1), read(row, max));
+		Assert.assertNotEquals(read(row, min + 1), read(row, min));
+		Assert.assertNotEquals(read(row, max - 1), read(row, max));
+	}
+
 	@Test
 	public void pageStatesTheMaximumTextSize() {
 		Assert.assertTrue(Repository.read(Repository.page("SETTINGS.md"))
@@ -126,6 +142,10 @@
 		return result;
 	}
 
+	private static Object read(SettingsRow row, long value) throws InvalidTomlException {
+		return new SettingsDocument(row.reader()).put(row.table(), row.key(), String.valueOf(value)).read();
+	}
+
 	private static List<Problem> problems(SettingsRow row, String value) {
 		return new SettingsDocument(row.reader()).put(row.table(), row.key(), value).problems();
 	}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -21,6 +21,7 @@
 import org.marjoramgw.HostPort;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.InvalidTomlException;
+import org.tinylog.Logger;
 
 /**
  * Validating view of a TOML table that collects all errors.
@@ -170,6 +171,25 @@
 		return read(key, ValueKind.decimal(min, max), defaultValue);
 	}
 
+	/**
+	 * Reads an optional number that another system supplies, and moves one that is out of
+	 * range to the nearest bound, with a warning in the log. Only a value that is no
+	 * number is an error.
+	 * @param key the key
+	 * @param defaultValue the value if the key is absent
+	 * @param min the minimum, inclusive
+	 * @param max the maximum, inclusive
+	 * @return the number, within the range
+	 */
+	public double clampedDecimal(String key, double defaultValue, double min, double max) {
+		double value = read(key, ValueKind.NUMBER, defaultValue);
+		double clamped = Math.min(Math.max(value, min), max);
+		if (clamped != value) {
+			Logger.warn("{}: {} = {} is out of range, using {}", this.file, qualified(key), value, clamped);
+		}
+		return clamped;
+	}
+
 	/**
 	 * Reads an optional boolean.
 	 * @param key the key
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/ValueKind.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/ValueKind.java
@@ -34,6 +34,9 @@
 
 	static final ValueKind<Boolean> FLAG = of("true or false", JsonNode::isBoolean, JsonNode::asBoolean);
 
+	static final ValueKind<Double> NUMBER = of("a number",
+			(value) -> value.isNumber() && !Double.isNaN(value.asDouble()), JsonNode::asDouble);
+
 	static final ValueKind<JsonNode> TABLE = of("a table", JsonNode::isObject, Function.identity());
 
 	static final ValueKind<JsonNode> ARRAY = of("an array of tables", JsonNode::isArray, Function.identity());
