Read changes of the store together and back off while it is away

Cause: each registration is a record of its own, and a read returns as soon as there is one, so that an entry reads once for each server that starts or changes; while the store is away each entry calls it eight times a second. A read that returned records is now followed by the next one after 250 ms, failed reads back off with jitter, and registrations wait 3 s instead of 2 s.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -13,6 +13,8 @@
 import org.marjoramgw.errors.RecordsExpiredException;
 import org.marjoramgw.errors.StoreUnavailableException;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.retry.Backoff;
+import org.marjoramgw.testkit.TestSeed;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
 import org.testng.Assert;
@@ -25,6 +27,12 @@
  */
 public class TopicFollowerTests {
 
+	private static final long GATHER_MILLIS = 250;
+
+	private static final long BASE_BACKOFF_MILLIS = 200;
+
+	private static final long MAX_BACKOFF_MILLIS = 900;
+
 	@Test
 	public void followsFromEndOffsetOfFirstPage() {
 		Fixture fixture = new Fixture();
@@ -46,9 +54,42 @@
 		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8));
 		Assert.assertEquals(fixture.events.subList(fixture.events.size() - 2, fixture.events.size()),
 				List.of("records a", "confirmed 11500"));
+		fixture.runScheduled();
 		Assert.assertEquals(fixture.topic.lastRequest(), "read 8");
 	}
 
+	@Test
+	public void changesInQuickSuccessionAreReadTogether() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8));
+		Assert.assertEquals(fixture.topic.requests, List.of("newest ''", "read 7"));
+		Assert.assertEquals(fixture.delays, List.of(GATHER_MILLIS));
+		fixture.runScheduled();
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 8));
+		Assert.assertEquals(fixture.topic.requests, List.of("newest ''", "read 7", "read 8", "read 8"),
+				"a read without records is followed by the next one at once");
+	}
+
+	@Test
+	public void failedReadsBackOffUntilOneSucceeds() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		for (int failure = 0; failure < 6; failure++) {
+			fixture.topic.failSlice(new StoreUnavailableException("down", null));
+			fixture.runScheduled();
+		}
+		assertBetween(fixture.delays.get(0), BASE_BACKOFF_MILLIS / 2, BASE_BACKOFF_MILLIS);
+		assertBetween(fixture.delays.get(5), MAX_BACKOFF_MILLIS / 2, MAX_BACKOFF_MILLIS);
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 7));
+		fixture.topic.failSlice(new StoreUnavailableException("down", null));
+		assertBetween(fixture.delays.get(6), BASE_BACKOFF_MILLIS / 2, BASE_BACKOFF_MILLIS);
+	}
+
+	private static void assertBetween(long value, long min, long max) {
+		Assert.assertTrue(min <= value && value <= max, value + " is not between " + min + " and " + max);
+	}
+
 	@Test
 	public void expiredRecordsTriggerNewSnapshot() {
 		Fixture fixture = new Fixture();
@@ -92,17 +133,26 @@
 
 		private final Deque<Runnable> scheduled = new ArrayDeque<>();
 
+		private final List<Long> delays = new ArrayList<>();
+
 		private final TopicFollower follower;
 
 		private Fixture() {
 			AgeClock ages = new AgeClock(this.clock, this.clock);
 			this.follower = new TopicFollower("t", this.topic, this, ages, (delayMillis, task) -> {
 				this.scheduled.add(task);
+				this.delays.add(delayMillis);
 				return () -> this.scheduled.remove(task);
-			}, 1_500, new ResultCounters(new MetricRegistry()));
+			}, new ReadSchedule(1_500, GATHER_MILLIS,
+					new Backoff(BASE_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, TestSeed.random(1))),
+					new ResultCounters(new MetricRegistry()));
 			this.follower.start();
 		}
 
+		private void runScheduled() {
+			this.scheduled.remove().run();
+		}
+
 		private String lastEvent() {
 			return this.events.get(this.events.size() - 1);
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -28,6 +28,7 @@
 import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.follow.ReadSchedule;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.follow.TopicFollower;
 import org.marjoramgw.direct.forward.Admission;
@@ -46,6 +47,7 @@
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
@@ -74,7 +76,22 @@
 	 * Long-poll timeout of a registration read; bounds how long an unresponsive store
 	 * goes undetected.
 	 */
-	private static final long SERVERS_WAIT_MILLIS = 2_000;
+	private static final long SERVERS_WAIT_MILLIS = 3_000;
+
+	/** Delay within which changes in the store are read together, in milliseconds. */
+	private static final long GATHER_MILLIS = 250;
+
+	/** Maximum delay of the first retry of a read from the store, in milliseconds. */
+	private static final long BASE_STORE_BACKOFF_MILLIS = 250;
+
+	/**
+	 * Maximum delay of a retry for the configuration, in milliseconds; keys are accepted
+	 * again only after a successful read.
+	 */
+	private static final long MAX_CONFIGURATION_BACKOFF_MILLIS = 600;
+
+	/** Maximum delay of a retry for the registrations, in milliseconds. */
+	private static final long MAX_SERVERS_BACKOFF_MILLIS = 1_500;
 
 	/** Margin between the last use of a key and the end of its revocation time. */
 	private static final long REVOCATION_MARGIN_MILLIS = 300;
@@ -213,9 +230,10 @@
 				this::rank, this.forwarder::handle);
 		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
-				this.clock, this.timers, CONFIGURATION_WAIT_MILLIS, counters);
+				this.clock, this.timers, schedule(CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS),
+				counters);
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
-				this.timers, SERVERS_WAIT_MILLIS, counters);
+				this.timers, schedule(SERVERS_WAIT_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.prefillLimiter::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
@@ -287,6 +305,11 @@
 				serverSelector, this.pool, retryBudget, requestLog, this.clock, this.timers, random);
 	}
 
+	private static ReadSchedule schedule(long waitMillis, long maxBackoffMillis) {
+		return new ReadSchedule(waitMillis, GATHER_MILLIS,
+				new Backoff(BASE_STORE_BACKOFF_MILLIS, maxBackoffMillis, new Random()));
+	}
+
 	private int rank(HeadPreview preview) {
 		return this.routing.rank(preview.host(), preview.path());
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -23,12 +23,6 @@
  */
 public final class TopicFollower implements AutoCloseable {
 
-	/**
-	 * Delay before a failed read is retried, in milliseconds. Limits the rate of calls,
-	 * each of which has a cost.
-	 */
-	private static final long RETRY_DELAY_MILLIS = 250;
-
 	private final String name;
 
 	private final CompactedTopic topic;
@@ -39,7 +33,7 @@
 
 	private final Timers timers;
 
-	private final long waitMillis;
+	private final ReadSchedule schedule;
 
 	private final ResultCounters counters;
 
@@ -47,6 +41,8 @@
 
 	private boolean reachable = true;
 
+	private int failureCount;
+
 	private volatile boolean closed;
 
 	/**
@@ -56,17 +52,17 @@
 	 * @param listener receiver of the records
 	 * @param clock clock that measures ages
 	 * @param timers timers
-	 * @param waitMillis long-poll timeout of a read, in milliseconds
+	 * @param schedule times of the reads
 	 * @param counters counters of result codes
 	 */
 	public TopicFollower(String name, CompactedTopic topic, TopicListener listener, AgeClock clock, Timers timers,
-			long waitMillis, ResultCounters counters) {
+			ReadSchedule schedule, ResultCounters counters) {
 		this.name = name;
 		this.topic = topic;
 		this.listener = listener;
 		this.clock = clock;
 		this.timers = timers;
-		this.waitMillis = waitMillis;
+		this.schedule = schedule;
 		this.counters = counters;
 	}
 
@@ -138,7 +134,7 @@
 			return;
 		}
 		ClockReading sent = this.clock.now();
-		this.topic.read(position(), this.waitMillis).whenComplete((slice, failure) -> {
+		this.topic.read(position(), this.schedule.waitMillis()).whenComplete((slice, failure) -> {
 			if (failure == null) {
 				onSlice(slice, sent);
 			}
@@ -162,19 +158,27 @@
 			this.listener.onConfirmed(sent);
 			this.nextOffset = slice.nextOffset();
 		}
-		readNext();
+		if (slice.records().isEmpty()) {
+			readNext();
+		}
+		else {
+			this.timers.schedule(this.schedule.gatherMillis(), this::readNext);
+		}
 	}
 
 	private void onFailure(Throwable failure, Runnable retry) {
 		this.counters.count(ResultCode.STORE_AWAY);
+		long delayMillis;
 		synchronized (this) {
 			if (this.reachable) {
 				Logger.warn("{}: lost contact with the store: {}", this.name, failure.toString());
 			}
 			this.reachable = false;
 			this.listener.onUnreachable();
+			this.failureCount++;
+			delayMillis = this.schedule.backoff().delayMillis(this.failureCount);
 		}
-		this.timers.schedule(RETRY_DELAY_MILLIS, retry);
+		this.timers.schedule(delayMillis, retry);
 	}
 
 	private void markReachable() {
@@ -182,6 +186,7 @@
 			Logger.info("{}: regained contact with the store", this.name);
 		}
 		this.reachable = true;
+		this.failureCount = 0;
 	}
 
 	private static boolean isExpired(Throwable failure) {
