Resume broken streams of resumable routes on another server

Cause: a stream whose server crashed or reset was broken off on every route, though routes with resumable allow another run after the last event.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.Optional;
+
 import org.marjoramgw.direct.backend.ForwardingMetadata;
 import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
@@ -96,11 +98,12 @@
 	 * Returns the metadata that is added to the forwarded request.
 	 * @param admitted the admitted request
 	 * @param remainingMillis time left until the caller's deadline, in milliseconds
+	 * @param lastEventId id of the event after which a stream continues, or empty
 	 * @return the metadata
 	 */
-	ForwardingMetadata metadata(AdmittedRequest admitted, long remainingMillis) {
+	ForwardingMetadata metadata(AdmittedRequest admitted, long remainingMillis, Optional<String> lastEventId) {
 		return new ForwardingMetadata(serverId(), remainingMillis, admitted.account().map(Account::name),
-				this.demoted ? Ranks.LEAST_URGENT : admitted.rank());
+				this.demoted ? Ranks.LEAST_URGENT : admitted.rank(), lastEventId);
 	}
 
 	void onFirstToken() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -8,6 +8,8 @@
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.backend.KeepAlive;
 import org.marjoramgw.direct.caller.CallerRequest;
@@ -62,6 +64,9 @@
 
 	private Attempt currentAttempt;
 
+	/** Body of a stream that may be resumed, or {@code null} before it has started. */
+	private ResumableBody resumableBody;
+
 	private boolean responded;
 
 	/**
@@ -122,7 +127,7 @@
 	}
 
 	private synchronized void tryNextServer(ResultCode reason) {
-		if (this.responded) {
+		if (this.responded && !isResuming()) {
 			return;
 		}
 		if (remainingMillis() < MIN_REMAINING_MILLIS) {
@@ -145,7 +150,7 @@
 		this.currentAttempt = attempt;
 		this.context.health().addLoad(attempt.serverId(), ATTEMPT_LOAD);
 		Route route = this.admittedRequest.route();
-		if (route.isStreaming() && route.targetLatencyMillis() > 0 && this.caller.hasPrompt()) {
+		if (route.isStreaming() && route.targetLatencyMillis() > 0 && this.caller.hasPrompt() && !isResuming()) {
 			acquirePrefillPermit(attempt);
 		}
 		else {
@@ -220,7 +225,8 @@
 			return;
 		}
 		HttpRequest backendRequest = this.context.backendDialect()
-			.toBackendRequest(this.request, attempt.metadata(this.admittedRequest, remainingMillis));
+			.toBackendRequest(this.request, attempt.metadata(this.admittedRequest, remainingMillis,
+					isResuming() ? this.resumableBody.lastEventId() : Optional.empty()));
 		this.history.onSent(ageMillis());
 		attempt.markSent();
 		attempt.connection()
@@ -249,7 +255,10 @@
 			case UNTRUSTED -> onBrokenResponse(attempt, "untrusted response, status=" + response.status().intValue());
 			case SERVER_ERROR -> onServerError(attempt, response);
 			default -> {
-				if (this.admittedRequest.route().isStreaming()) {
+				if (isResuming() && !response.status().isSuccess()) {
+					onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
+				}
+				else if (this.admittedRequest.route().isStreaming()) {
 					stream(attempt, response);
 				}
 				else {
@@ -266,6 +275,10 @@
 	}
 
 	private void onServerError(Attempt attempt, HttpResponse response) {
+		if (isResuming()) {
+			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
+			return;
+		}
 		this.context.health().onFailure(attempt.serverId());
 		if (this.history.mayRunAgain(this.admittedRequest.route()) && remainingMillis() > MIN_REMAINING_MILLIS) {
 			this.history.countPossibleRun();
@@ -304,10 +317,19 @@
 		this.context.health().onSuccess(attempt.serverId());
 		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt),
 				(code, detail) -> onStreamEnd(attempt, response, code, detail));
+		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
+		if (isResuming()) {
+			this.resumableBody.continueWith(body);
+			return;
+		}
+		if (this.admittedRequest.route().resumable()) {
+			this.resumableBody = new ResumableBody();
+			body = this.resumableBody.start(body);
+		}
 		this.responded = true;
 		this.response.complete(this.context.callerDialect()
 			.toCallerResponse(response)
-			.withEntity(ResponseBodies.stream(response, observer)));
+			.withEntity(ResponseBodies.streamed(response, body)));
 	}
 
 	private synchronized void onFirstEvent(Attempt attempt) {
@@ -324,11 +346,26 @@
 		}
 		else if (code == ResultCode.BACKEND_BROKE_OFF) {
 			this.context.health().onFailure(attempt.serverId());
+			if (this.resumableBody != null && this.history.mayRunAgain(this.admittedRequest.route())) {
+				resume(attempt, detail);
+				return;
+			}
 		}
 		endAttempt(code != ResultCode.OK);
 		recordOutcome(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
 	}
 
+	private void resume(Attempt attempt, String detail) {
+		this.resumableBody.interrupt();
+		this.history.countPossibleRun();
+		retry(attempt, ResultCode.BACKEND_BROKE_OFF,
+				"last_event=" + this.resumableBody.lastEventId().orElse("none") + detail);
+	}
+
+	private boolean isResuming() {
+		return this.resumableBody != null && this.resumableBody.isInterrupted();
+	}
+
 	private void onBrokenResponse(Attempt attempt, String detail) {
 		this.context.health().onFailure(attempt.serverId());
 		if (this.history.mayRunAgain(this.admittedRequest.route())) {
@@ -342,7 +379,9 @@
 
 	private void retry(Attempt attempt, ResultCode reason, String detail) {
 		ResultCode kind = attempt.mayHaveRun() ? ResultCode.RETRY_REPEATABLE : ResultCode.RETRY_NOT_RUN;
-		this.context.requestLog().recordRetry(kind, this.caller.id(), attempt.serverId(), detail);
+		this.context.requestLog()
+			.recordRetry(isResuming() ? ResultCode.RETRY_CONTINUED : kind, this.caller.id(), attempt.serverId(),
+					detail);
 		endAttempt(true);
 		this.history.exclude(attempt.serverId());
 		tryNextServer(reason);
@@ -356,6 +395,7 @@
 				|| this.currentAttempt != null && this.currentAttempt.mayHaveRun();
 		endAttempt(true);
 		if (this.responded) {
+			abandonStream("timeout of the request");
 			recordOutcome(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream cut off at the timeout of the request");
 			return;
 		}
@@ -378,10 +418,21 @@
 
 	private void reject(ResultCode code, String detail) {
 		ResultCode adjustedCode = this.history.adjustForPossibleRun(code);
+		if (isResuming()) {
+			abandonStream(detail);
+			recordOutcome(adjustedCode, 0, "stream not resumed: " + detail);
+			return;
+		}
 		complete(adjustedCode,
 				this.context.callerDialect().withRequestId(ErrorResponses.of(adjustedCode), this.caller.id()), detail);
 	}
 
+	private void abandonStream(String reason) {
+		if (this.resumableBody != null) {
+			this.resumableBody.abandon(reason);
+		}
+	}
+
 	private void complete(ResultCode code, HttpResponse response, String detail) {
 		this.responded = true;
 		recordOutcome(code, response.status().intValue(), detail);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -7,6 +7,8 @@
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
 import org.marjoramgw.CompletionStages;
 
 /**
@@ -36,14 +38,14 @@
 	}
 
 	/**
-	 * Streams the body of a response.
-	 * @param response the response
-	 * @param observer observer of the start and end of the body
-	 * @return the entity to send to the caller
+	 * Creates the entity of a streamed response to a caller.
+	 * @param response response of the backend server
+	 * @param body bytes for the caller
+	 * @return the entity
 	 */
-	static ResponseEntity stream(HttpResponse response, BodyObserver observer) {
+	static ResponseEntity streamed(HttpResponse response, Source<ByteString, ?> body) {
 		return HttpEntities.createChunked(response.entity().getContentType(),
-				response.entity().getDataBytes().via(new ObservedBody(observer)));
+				body.mapMaterializedValue((value) -> value));
 	}
 
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -53,6 +53,8 @@
 			{"version":1,"routes":[
 			{"name":"stream","host":"carob.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":1500,
 			"priority":2,"service":"s","attempts":1},
+			{"name":"resume","host":"carob.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":1500,
+			"priority":2,"service":"s","attempts":2,"resumable":true},
 			{"name":"book","host":"carob.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1500,
 			"priority":1,"service":"s","attempts":1},
 			{"name":"read","host":"carob.example","pathPrefix":"/read/","kind":"idempotent","timeoutMs":1500,
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -21,7 +21,8 @@
  */
 public class HeaderDialectTests {
 
-	private static final ForwardingMetadata METADATA = new ForwardingMetadata("i-1", 1_234, Optional.of("coop"), 12);
+	private static final ForwardingMetadata METADATA = new ForwardingMetadata("i-1", 1_234, Optional.of("coop"), 12,
+			Optional.empty());
 
 	private final HeaderDialect dialect = new HeaderDialect();
 
