Keep long prompts on a part of the servers while short pauses suffer

Policy PromptPartition divides the servers once pauses were seen late, by prompt tokens and running time; the limit of pauses of a route and the longest pause of each stream are now known and logged.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/model/RanksTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/model/RanksTests.java
@@ -76,7 +76,7 @@
 	}
 
 	private static Route route(int priority) {
-		return new Route("r" + priority, "host", "/p/", RequestKind.STREAMING, false, false, 2_000, 300, priority, 1,
+		return new Route("r" + priority, "host", "/p/", RequestKind.STREAMING, false, false, 2_000, 300, 0, priority, 1,
 				List.of(new WeightedService("s", 1)));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -43,6 +43,7 @@
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
@@ -294,15 +295,17 @@
 			RequestLog requestLog, LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		Placement leastLoaded = new LeastLoadedPlacement(random);
+		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		ServerSelector serverSelector = new ServerSelector(servers, this.health,
-				new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded, this.settings.get().failureDomain());
+				new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded, promptPartition,
+				this.settings.get().failureDomain());
 		WindowRetryBudget retryBudget = new WindowRetryBudget(this.monotonicClock,
 				this.settings.get().retryWindowMillis(), this.settings.get().retryRatio(),
 				this.settings.get().freeRetryCount() / ASSUMED_PROCESS_COUNT);
 		return new ForwardingContext(this.system, this.platform.callerDialect(), this.platform.backendDialect(),
 				activeRouting, new Admission(activeRouting, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
-				serverSelector, this.pool, retryBudget, requestLog, this.clock, this.timers, random);
+				promptPartition, serverSelector, this.pool, retryBudget, requestLog, this.clock, this.timers, random);
 	}
 
 	private static ReadSchedule schedule(long waitMillis, long maxBackoffMillis) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -29,6 +29,8 @@
 
 	private long firstBytesMillis = NEVER;
 
+	private long pauseMillis;
+
 	boolean mayTry() {
 		return this.tries < MAX_TRIES;
 	}
@@ -69,6 +71,22 @@
 		this.firstBytesMillis = ageMillis;
 	}
 
+	/**
+	 * Returns the age of the request when it was last sent.
+	 * @return time in milliseconds, or -1 if it was never sent
+	 */
+	long sentMillis() {
+		return this.sentMillis;
+	}
+
+	/**
+	 * Records the longest pause of a stream.
+	 * @param pauseMillis longest time between events, in milliseconds
+	 */
+	void onPause(long pauseMillis) {
+		this.pauseMillis = Math.max(this.pauseMillis, pauseMillis);
+	}
+
 	/**
 	 * Counts a failed attempt that may have run and is followed by another attempt.
 	 */
@@ -104,10 +122,11 @@
 	/**
 	 * Returns the log fields of the history.
 	 * @return number of attempts, and age of the request at the last send and at the
-	 * first bytes of a stream, -1 if there was none
+	 * first bytes of a stream, -1 if there was none, and longest pause of a stream
 	 */
 	String describe() {
-		return "tries=" + this.tries + " sent_ms=" + this.sentMillis + " first_ms=" + this.firstBytesMillis;
+		return "tries=" + this.tries + " sent_ms=" + this.sentMillis + " first_ms=" + this.firstBytesMillis
+				+ " pause_ms=" + this.pauseMillis;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
@@ -13,6 +13,16 @@
 	 */
 	void onFirstBytes();
 
+	/**
+	 * Called when the reader of the body waits for more bytes.
+	 */
+	void onDemand();
+
+	/**
+	 * Called when bytes arrive, the first ones included.
+	 */
+	void onBytes();
+
 	/**
 	 * Called when the body was read completely.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -100,6 +100,7 @@
 			this.admittedRequest = this.context.admission().admit(this.caller);
 			this.service = this.admittedRequest.route().selectService(this.context.random().nextDouble());
 			this.context.retryBudget().onRequest(this.service);
+			recordPrompt(this.admittedRequest.route());
 			this.timer = this.context.timers().schedule(Math.max(0, remainingMillis()), this::onTimeout);
 			this.limitedStart.run(this.admittedRequest.rank(), () -> tryNextServer(ResultCode.NO_BACKEND));
 		}
@@ -135,7 +136,8 @@
 			return;
 		}
 		Optional<BackendServer> server = this.history.mayTry()
-				? this.context.serverSelector().choose(this.service, this.caller, this.history.excluded())
+				? this.context.serverSelector()
+					.choose(this.service, this.admittedRequest.route().name(), this.caller, this.history.excluded())
 				: Optional.empty();
 		if (server.isEmpty()) {
 			reject(reason, "service=" + this.service);
@@ -315,8 +317,9 @@
 
 	private void stream(Attempt attempt, HttpResponse response) {
 		this.context.health().onSuccess(attempt.serverId());
-		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt),
-				(code, detail) -> onStreamEnd(attempt, response, code, detail));
+		PauseMeter pauses = new PauseMeter(() -> this.context.clock().now().monotonicMillis());
+		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), pauses,
+				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
 		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
 		if (isResuming()) {
 			this.resumableBody.continueWith(body);
@@ -337,10 +340,12 @@
 		this.history.onFirstBytes(ageMillis());
 	}
 
-	private synchronized void onStreamEnd(Attempt attempt, HttpResponse response, ResultCode code, String detail) {
+	private synchronized void onStreamEnd(Attempt attempt, HttpResponse response, PauseMeter pauses, ResultCode code,
+			String detail) {
 		if (this.currentAttempt != attempt) {
 			return;
 		}
+		recordStream(this.admittedRequest.route(), pauses);
 		if (code == ResultCode.OK) {
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
@@ -355,6 +360,20 @@
 		recordOutcome(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
 	}
 
+	private void recordPrompt(Route route) {
+		if (route.isStreaming() && this.caller.hasPrompt()) {
+			this.context.promptPartition()
+				.onRequest(this.service, route.name(), this.caller.promptTokenCount(), route.targetPauseMillis());
+		}
+	}
+
+	private void recordStream(Route route, PauseMeter pauses) {
+		this.history.onPause(pauses.longestMillis());
+		boolean late = route.targetPauseMillis() > 0 && pauses.longestMillis() > route.targetPauseMillis();
+		this.context.promptPartition()
+			.onStreamEnd(this.service, route.name(), ageMillis() - this.history.sentMillis(), late);
+	}
+
 	private void resume(Attempt attempt, String detail) {
 		this.resumableBody.interrupt();
 		this.history.countPossibleRun();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -10,6 +10,7 @@
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.time.AgeClock;
@@ -27,6 +28,7 @@
  * @param health load and failure state of backend servers
  * @param startLimiter limits concurrently starting requests
  * @param prefillLimiter limits the prompts in prefill at each backend server
+ * @param promptPartition partition of backend servers by the length of prompts
  * @param serverSelector selects backend servers
  * @param pool pool of connections to backend servers
  * @param retryBudget budget of retries
@@ -38,6 +40,7 @@
  */
 public record ForwardingContext(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
-		StartLimiter startLimiter, PrefillLimiter prefillLimiter, ServerSelector serverSelector, ConnectionPool pool,
-		WindowRetryBudget retryBudget, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
+		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
+		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, RequestLog requestLog,
+		AgeClock clock, Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -57,6 +57,7 @@
 					Logic.this.started = true;
 					ObservedBody.this.observer.onFirstBytes();
 				}
+				ObservedBody.this.observer.onBytes();
 				push(ObservedBody.this.out, grab(ObservedBody.this.in));
 			}
 
@@ -78,6 +79,7 @@
 
 			@Override
 			public void onPull() {
+				ObservedBody.this.observer.onDemand();
 				pull(ObservedBody.this.in);
 			}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -9,6 +9,7 @@
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.ServerView;
 
@@ -27,6 +28,8 @@
 
 	private final Placement plainPlacement;
 
+	private final PromptPartition promptPartition;
+
 	private final String failureDomain;
 
 	/**
@@ -35,35 +38,47 @@
 	 * @param health load and failure state of backend servers
 	 * @param promptPlacement placement policy for requests with a prompt
 	 * @param plainPlacement placement policy for other requests
+	 * @param promptPartition partition of the servers by the length of prompts
 	 * @param failureDomain failure domain of this process
 	 */
 	public ServerSelector(ServerDirectory directory, ServerHealth health, Placement promptPlacement,
-			Placement plainPlacement, String failureDomain) {
+			Placement plainPlacement, PromptPartition promptPartition, String failureDomain) {
 		this.directory = directory;
 		this.health = health;
 		this.promptPlacement = promptPlacement;
 		this.plainPlacement = plainPlacement;
+		this.promptPartition = promptPartition;
 		this.failureDomain = failureDomain;
 	}
 
 	/**
 	 * Selects a server.
 	 * @param service name of the service
+	 * @param kind kind of the request
 	 * @param request the request
 	 * @param excluded ids of servers that earlier attempts failed on
 	 * @return the server, or empty if no usable server is left
 	 */
-	public Optional<BackendServer> choose(String service, CallerRequest request, Set<String> excluded) {
+	public Optional<BackendServer> choose(String service, String kind, CallerRequest request, Set<String> excluded) {
 		List<BackendServer> servers = this.directory.usable(service);
-		servers.removeIf((server) -> excluded.contains(server.id()));
 		List<ServerView> views = new ArrayList<>();
 		for (BackendServer server : servers) {
 			views.add(new ServerView(server.id(), server.failureDomain(), this.health.load(server.id()),
 					this.health.isSuspect(server.id())));
 		}
 		Placement placement = request.promptParts().isEmpty() ? this.plainPlacement : this.promptPlacement;
-		return placement.choose(request.sharedPrefixKey(), this.failureDomain, views)
+		return placement
+			.choose(request.sharedPrefixKey(), this.failureDomain, candidates(service, kind, views, excluded))
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
 	}
 
+	private List<ServerView> candidates(String service, String kind, List<ServerView> servers, Set<String> excluded) {
+		List<ServerView> part = without(excluded, this.promptPartition.select(service, kind, servers));
+		return part.isEmpty() ? without(excluded, servers) : part;
+	}
+
+	private static List<ServerView> without(Set<String> excluded, List<ServerView> servers) {
+		return servers.stream().filter((server) -> !excluded.contains(server.id())).toList();
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
@@ -15,13 +15,17 @@
 
 	private final BiConsumer<ResultCode, String> onEnd;
 
+	private final PauseMeter pauses;
+
 	/**
 	 * Creates an observer.
 	 * @param onFirstBytes called when the first bytes arrive
+	 * @param pauses measures the pauses of the stream
 	 * @param onEnd called once with the result code and a detail for the log
 	 */
-	StreamObserver(Runnable onFirstBytes, BiConsumer<ResultCode, String> onEnd) {
+	StreamObserver(Runnable onFirstBytes, PauseMeter pauses, BiConsumer<ResultCode, String> onEnd) {
 		this.onFirstBytes = onFirstBytes;
+		this.pauses = pauses;
 		this.onEnd = onEnd;
 	}
 
@@ -30,6 +34,16 @@
 		this.onFirstBytes.run();
 	}
 
+	@Override
+	public void onDemand() {
+		this.pauses.onDemand();
+	}
+
+	@Override
+	public void onBytes() {
+		this.pauses.onBytes();
+	}
+
 	@Override
 	public void onComplete() {
 		this.onEnd.accept(ResultCode.OK, "");
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
@@ -13,13 +13,16 @@
  * @param anonymous whether requests are admitted without a key
  * @param timeoutMillis timeout of a request, in milliseconds
  * @param targetLatencyMillis latency target of a response, in milliseconds
+ * @param targetPauseMillis longest pause between events for which a stream is in time, in
+ * milliseconds; 0 if none is set
  * @param priority priority of the requests; 0 is the most urgent
  * @param maxAttempts maximum number of backend servers that may run one request
  * @param services weighted services, at least one
  * @author The marjoramgw authors
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, boolean resumable, boolean anonymous,
-		long timeoutMillis, long targetLatencyMillis, int priority, int maxAttempts, List<WeightedService> services) {
+		long timeoutMillis, long targetLatencyMillis, long targetPauseMillis, int priority, int maxAttempts,
+		List<WeightedService> services) {
 
 	/**
 	 * Tells whether a request may run more than once.
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -35,6 +35,7 @@
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
@@ -99,11 +100,12 @@
 		ServerHealth health = new ServerHealth(monotonicClock);
 		Random random = TestSeed.random(7);
 		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
+		PromptPartition partition = new PromptPartition(monotonicClock);
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS), directory, health,
 				new StartLimiter(4, this.system.executionContext()),
-				new PrefillLimiter(monotonicClock, this.system.executionContext()),
-				new ServerSelector(directory, health, placement, placement, "a"),
+				new PrefillLimiter(monotonicClock, this.system.executionContext()), partition,
+				new ServerSelector(directory, health, placement, placement, partition, "a"),
 				new ConnectionPool(new HttpConnector(this.system, ClientConnectionSettings.create(config)),
 						monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, 50),
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/DecayingSum.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/DecayingSum.java
@@ -5,7 +5,7 @@
  *
  * @author The marjoramgw authors
  */
-final class DecayingSum {
+public final class DecayingSum {
 
 	private final double timeConstantMillis;
 
@@ -13,12 +13,22 @@
 
 	private long updatedMillis;
 
-	DecayingSum(long timeConstantMillis, long nowMillis) {
+	/**
+	 * Creates a sum of 0.
+	 * @param timeConstantMillis time in which a part decays to 1/e, in milliseconds
+	 * @param nowMillis current time of a monotonic clock, in milliseconds
+	 */
+	public DecayingSum(long timeConstantMillis, long nowMillis) {
 		this.timeConstantMillis = timeConstantMillis;
 		this.updatedMillis = nowMillis;
 	}
 
-	void add(double amount, long nowMillis) {
+	/**
+	 * Adds to the sum.
+	 * @param amount amount to add
+	 * @param nowMillis current time, in milliseconds
+	 */
+	public void add(double amount, long nowMillis) {
 		this.value = valueAt(nowMillis) + amount;
 		this.updatedMillis = Math.max(this.updatedMillis, nowMillis);
 	}
@@ -28,7 +38,12 @@
 		this.updatedMillis = Math.max(this.updatedMillis, nowMillis);
 	}
 
-	double valueAt(long nowMillis) {
+	/**
+	 * Returns the sum.
+	 * @param nowMillis time, in milliseconds
+	 * @return the sum of the decayed parts
+	 */
+	public double valueAt(long nowMillis) {
 		long elapsedMillis = Math.max(nowMillis - this.updatedMillis, 0);
 		return this.value * Math.exp(-elapsedMillis / this.timeConstantMillis);
 	}
