Rank late prompts behind those of their own rank, not behind all others

Cause: a prompt that waited too long for its permit was sent with the least urgent rank of all. The ranks that a configuration leaves unused now divide its least urgent ranks.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/model/RanksTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/model/RanksTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.IntStream;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -75,6 +76,36 @@
 		Assert.assertEquals(before, 9);
 	}
 
+	@Test
+	public void lateRequestStaysAheadOfLessUrgentOnes() {
+		for (int routeCount = 1; routeCount <= 14; routeCount++) {
+			List<Route> routes = IntStream.range(0, routeCount).mapToObj(RanksTests::route).toList();
+			Ranks ranks = new Ranks(routes, List.of());
+			int previousRank = -1;
+			int previousLate = -1;
+			for (Route route : routes) {
+				int rank = ranks.rank(Optional.empty(), route);
+				int onTime = ranks.serverRank(rank, false);
+				int late = ranks.serverRank(rank, true);
+				Assert.assertTrue(rank == previousRank || onTime > previousLate, routeCount + " routes, " + rank);
+				Assert.assertTrue(onTime <= late && late <= 9, routeCount + " routes, " + rank);
+				previousRank = rank;
+				previousLate = late;
+			}
+		}
+	}
+
+	@Test
+	public void unusedRanksDivideTheLeastUrgentOnes() {
+		Ranks ranks = new Ranks(ROUTES, List.of(LARGE, SMALL));
+		List<Integer> serverRanks = new ArrayList<>();
+		for (int rank = 0; rank < 6; rank++) {
+			serverRanks.add(ranks.serverRank(rank, false));
+			serverRanks.add(ranks.serverRank(rank, true));
+		}
+		Assert.assertEquals(serverRanks, List.of(0, 0, 1, 1, 2, 3, 4, 5, 6, 7, 8, 9));
+	}
+
 	private static Route route(int priority) {
 		return new Route("r" + priority, "host", "/p/", RequestKind.STREAMING, false, false, 2_000, 300, 0, priority, 1,
 				List.of(new WeightedService("s", 1)));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
@@ -66,7 +66,9 @@
 	}
 
 	private static AdmittedRequest admitted(Routing current, Route route, Optional<Account> account) {
-		return new AdmittedRequest(route, account, current.rank(account, route), current.version());
+		int rank = current.rank(account, route);
+		return new AdmittedRequest(route, account, rank, current.serverRank(rank, false),
+				current.serverRank(rank, true), current.version());
 	}
 
 	private RequestRejectedException denied(ResultCode code, String detail) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AdmittedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AdmittedRequest.java
@@ -11,10 +11,13 @@
  * @param route route of the request
  * @param account client account, or empty on an anonymous route
  * @param rank priority rank within the configuration; 0 is the most urgent
+ * @param serverRank rank under which the server queues the request
+ * @param lateServerRank the same for a request that can no longer meet its latency target
  * @param version version of the configuration that admitted it
  * @author The marjoramgw authors
  */
-public record AdmittedRequest(Route route, Optional<Account> account, int rank, long version) {
+public record AdmittedRequest(Route route, Optional<Account> account, int rank, int serverRank, int lateServerRank,
+		long version) {
 
 	/** Log fields of a request that was not admitted. */
 	static final String NOT_ADMITTED = "version=0 rank=-1";
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -5,7 +5,6 @@
 import org.marjoramgw.direct.backend.ForwardingMetadata;
 import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
-import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 
@@ -25,7 +24,7 @@
 
 	private boolean started;
 
-	private boolean demoted;
+	private boolean late;
 
 	private boolean ended;
 
@@ -86,11 +85,11 @@
 	}
 
 	/**
-	 * Releases the permit and sends this attempt at the least urgent rank, behind all
-	 * requests that can still meet their latency target.
+	 * Releases the permit and marks this attempt as too late for its latency target, so
+	 * that the server runs it after requests of its rank that can still meet theirs.
 	 */
-	void demote() {
-		this.demoted = true;
+	void markLate() {
+		this.late = true;
 		this.prefillPermit.release();
 	}
 
@@ -103,7 +102,7 @@
 	 */
 	ForwardingMetadata metadata(AdmittedRequest admitted, long remainingMillis, Optional<String> lastEventId) {
 		return new ForwardingMetadata(serverId(), remainingMillis, admitted.account().map(Account::name),
-				this.demoted ? Ranks.LEAST_URGENT : admitted.rank(), lastEventId);
+				this.late ? admitted.lateServerRank() : admitted.serverRank(), lastEventId);
 	}
 
 	void onFirstToken() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -167,13 +167,13 @@
 		if (!attempt.isStarted()) {
 			this.limitedStart.finish();
 			this.context.timers()
-				.schedule(PrefillLimiter.maxWaitMillis(route.targetLatencyMillis()), () -> demote(attempt));
+				.schedule(PrefillLimiter.maxWaitMillis(route.targetLatencyMillis()), () -> sendLate(attempt));
 		}
 	}
 
-	private synchronized void demote(Attempt attempt) {
+	private synchronized void sendLate(Attempt attempt) {
 		if (this.currentAttempt == attempt && !attempt.isStarted()) {
-			attempt.demote();
+			attempt.markLate();
 			connect(attempt);
 		}
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Ranks.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Ranks.java
@@ -17,7 +17,7 @@
 	/** Number of ranks that backend servers distinguish. */
 	private static final int MAX_RANK_COUNT = 10;
 
-	/** Rank of requests that run only when no other request can. */
+	/** Least urgent rank. */
 	public static final int LEAST_URGENT = MAX_RANK_COUNT - 1;
 
 	private static final int NO_PRIORITY = Integer.MAX_VALUE;
@@ -47,10 +47,30 @@
 	public int rank(Optional<Account> account, Route route) {
 		int accountLevel = account.map((known) -> level(this.accountPriorities, priority(known))).orElse(0);
 		int position = accountLevel * this.routePriorities.length + level(this.routePriorities, route.priority());
-		int count = Math.max(1, this.accountPriorities.length) * this.routePriorities.length;
+		int count = count();
 		return (count <= MAX_RANK_COUNT) ? position : position * MAX_RANK_COUNT / count;
 	}
 
+	/**
+	 * Returns the rank under which a backend server queues a request. The ranks that the
+	 * configuration leaves unused separate late requests from the others of their rank,
+	 * for the least urgent ranks first. A late request never ranks with or after less
+	 * urgent ones, since the server would preempt it for them.
+	 * @param rank rank of the request
+	 * @param late whether the request can no longer meet its latency target
+	 * @return the rank, from 0 (most urgent) to at most 9
+	 */
+	public int serverRank(int rank, boolean late) {
+		int count = Math.min(count(), MAX_RANK_COUNT);
+		int firstDivided = count - Math.min(count, MAX_RANK_COUNT - count);
+		int dividedBefore = Math.max(0, rank - firstDivided);
+		return rank + dividedBefore + ((late && rank >= firstDivided) ? 1 : 0);
+	}
+
+	private int count() {
+		return Math.max(1, this.accountPriorities.length) * this.routePriorities.length;
+	}
+
 	private static int priority(Account account) {
 		return account.priority().orElse(NO_PRIORITY);
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
@@ -101,6 +101,16 @@
 		return this.ranks.rank(account, route);
 	}
 
+	/**
+	 * Returns the rank under which a backend server queues a request.
+	 * @param rank rank of the request
+	 * @param late whether the request can no longer meet its latency target
+	 * @return the rank; 0 is the most urgent
+	 */
+	public int serverRank(int rank, boolean late) {
+		return this.ranks.serverRank(rank, late);
+	}
+
 	/**
 	 * Returns the limits on callers.
 	 * @return the limits
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
@@ -18,8 +18,7 @@
  * target. Requests above the limit therefore wait here and are admitted last in, first
  * out, since the newest can still meet its target. A request that has waited for
  * {@link #maxWaitMillis} no longer can: its owner releases the permit and sends the
- * request at the lowest priority, so that it is processed when no request that can still
- * meet its target is.
+ * request behind those of its rank that can still meet their target.
  *
  * @author The marjoramgw authors
  */
