Bound what a backend server that sends bytes without end can occupy

Heads and chunks of backend servers have tighter limits, bodies that are read whole share a budget beyond their first 64 KB, an event ends at 256 KB; the server is judged by it and the caller gets code 3020 or 3014.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -22,6 +22,7 @@
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.direct.backend.BackendHttpSettings;
 import org.marjoramgw.direct.backend.ConnectionPool;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
@@ -32,6 +33,7 @@
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.follow.TopicFollower;
 import org.marjoramgw.direct.forward.Admission;
+import org.marjoramgw.direct.forward.BodyBudget;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.ForwardingContext;
 import org.marjoramgw.direct.forward.RequestLog;
@@ -135,6 +137,12 @@
 	/** Rate limit for log lines about successful requests; failures are always logged. */
 	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
 
+	/** Maximum size of a response body that is read completely. */
+	private static final long MAX_BODY_BYTES = 8L << 20;
+
+	/** Maximum size of all such bodies together, a quarter of the heap. */
+	private static final long MAX_BODIES_BYTES = 16L << 20;
+
 	private static final long OPEN_POLL_MILLIS = 50;
 
 	/** Number of requests after which most of the code is compiled. */
@@ -190,6 +198,8 @@
 
 	private final ConnectionPool pool;
 
+	private final BodyBudget bodyBudget = new BodyBudget(MAX_BODY_BYTES, MAX_BODIES_BYTES);
+
 	private final Forwarder forwarder;
 
 	private final TopicFollower configurationFollower;
@@ -224,7 +234,8 @@
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.prefillLimiter = new PrefillLimiter(this.monotonicClock, this.system.executionContext());
-		this.pool = new ConnectionPool(this.connector, this.monotonicClock);
+		this.pool = new ConnectionPool(new HttpConnector(this.system, BackendHttpSettings.of(config)),
+				this.monotonicClock);
 		this.forwarder = new Forwarder(forwardingContext(this.routing, this.directory,
 				new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis));
 		this.callerListener = new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits,
@@ -305,7 +316,8 @@
 		return new ForwardingContext(this.system, this.platform.callerDialect(), this.platform.backendDialect(),
 				activeRouting, new Admission(activeRouting, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
-				promptPartition, serverSelector, this.pool, retryBudget, requestLog, this.clock, this.timers, random);
+				promptPartition, serverSelector, this.pool, retryBudget, this.bodyBudget, requestLog, this.clock,
+				this.timers, random);
 	}
 
 	private static ReadSchedule schedule(long waitMillis, long maxBackoffMillis) {
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
@@ -0,0 +1,88 @@
+package org.marjoramgw.direct.forward;
+
+import org.marjoramgw.errors.ResponseTooLargeException;
+
+/**
+ * Memory budget of the response bodies that are read completely before they are passed
+ * on; thread-safe.
+ * <p>
+ * A small body never waits for the budget, so that servers that send bytes without end
+ * use it up only for other large bodies.
+ *
+ * @author The marjoramgw authors
+ */
+public final class BodyBudget {
+
+	/** Size up to which a body needs no budget. */
+	private static final long SMALL_BODY_BYTES = 64 << 10;
+
+	private final long maxBodyBytes;
+
+	private final long maxTotalBytes;
+
+	private long usedBytes;
+
+	/**
+	 * Creates a budget.
+	 * @param maxBodyBytes limit for one body, in bytes
+	 * @param maxTotalBytes limit for all large bodies together, in bytes
+	 */
+	public BodyBudget(long maxBodyBytes, long maxTotalBytes) {
+		this.maxBodyBytes = maxBodyBytes;
+		this.maxTotalBytes = maxTotalBytes;
+	}
+
+	/**
+	 * Starts a body.
+	 * @return the memory of the body, to be closed when it was read
+	 */
+	Reservation open() {
+		return new Reservation();
+	}
+
+	private synchronized void reserve(long bytes) throws ResponseTooLargeException {
+		if (this.usedBytes + bytes > this.maxTotalBytes) {
+			throw new ResponseTooLargeException("total of the bodies being read", this.maxTotalBytes);
+		}
+		this.usedBytes += bytes;
+	}
+
+	private synchronized void release(long bytes) {
+		this.usedBytes -= bytes;
+	}
+
+	/**
+	 * Memory of one body. Not thread-safe.
+	 */
+	final class Reservation implements AutoCloseable {
+
+		private long bodyBytes;
+
+		private long reservedBytes;
+
+		/**
+		 * Reserves memory for more bytes of the body.
+		 * @param bytes number of bytes
+		 * @throws ResponseTooLargeException if a limit is exceeded
+		 */
+		void grow(long bytes) throws ResponseTooLargeException {
+			this.bodyBytes += bytes;
+			if (this.bodyBytes > BodyBudget.this.maxBodyBytes) {
+				throw new ResponseTooLargeException("body", BodyBudget.this.maxBodyBytes);
+			}
+			long missingBytes = this.bodyBytes - SMALL_BODY_BYTES - this.reservedBytes;
+			if (missingBytes > 0) {
+				reserve(missingBytes);
+				this.reservedBytes += missingBytes;
+			}
+		}
+
+		@Override
+		public void close() {
+			release(this.reservedBytes);
+			this.reservedBytes = 0;
+		}
+
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventFraming.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventFraming.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.direct.forward;
 
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
 import org.apache.pekko.stream.Attributes;
@@ -20,9 +19,6 @@
  */
 final class EventFraming extends GraphStage<FlowShape<ByteString, ByteString>> {
 
-	/** Maximum size of an event; a server that sends a larger one has failed. */
-	private static final int MAX_EVENT_BYTES = 256 << 10;
-
 	private static final String EVENT_END = "\n\n";
 
 	private final Inlet<ByteString> in = Inlet.create("events.in");
@@ -83,10 +79,7 @@
 			@Override
 			public void onPush() {
 				String events = takeEvents(grab(EventFraming.this.in));
-				if (Logic.this.rest.length() > MAX_EVENT_BYTES) {
-					failStage(new IOException("event is larger than " + MAX_EVENT_BYTES + " bytes"));
-				}
-				else if (events.isEmpty()) {
+				if (events.isEmpty()) {
 					pull(EventFraming.this.in);
 				}
 				else {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -292,7 +292,7 @@
 	}
 
 	private void readFully(Attempt attempt, HttpResponse response) {
-		ResponseBodies.readFully(response, remainingMillis(), this.context.system())
+		ResponseBodies.readFully(response, remainingMillis(), this.context.bodyBudget(), this.context.system())
 			.whenComplete((body, failure) -> onFullBody(attempt, response, body, failure));
 	}
 
@@ -302,7 +302,8 @@
 			return;
 		}
 		if (failure != null) {
-			onBrokenResponse(attempt, "incomplete response: " + failure.getMessage());
+			onBrokenResponse(attempt, ResponseBodies.failureCode(failure),
+					"incomplete response: " + failure.getMessage());
 			return;
 		}
 		if (response.status().isSuccess()) {
@@ -349,7 +350,7 @@
 		if (code == ResultCode.OK) {
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
-		else if (code == ResultCode.BACKEND_BROKE_OFF) {
+		else if (code != ResultCode.CALLER_GONE) {
 			this.context.health().onFailure(attempt.serverId());
 			if (this.resumableBody != null && this.history.mayRunAgain(this.admittedRequest.route())) {
 				resume(attempt, detail);
@@ -386,14 +387,18 @@
 	}
 
 	private void onBrokenResponse(Attempt attempt, String detail) {
+		onBrokenResponse(attempt, ResultCode.BACKEND_BROKE_OFF, detail);
+	}
+
+	private void onBrokenResponse(Attempt attempt, ResultCode code, String detail) {
 		this.context.health().onFailure(attempt.serverId());
 		if (this.history.mayRunAgain(this.admittedRequest.route())) {
 			this.history.countPossibleRun();
-			retry(attempt, ResultCode.BACKEND_BROKE_OFF, detail);
+			retry(attempt, code, detail);
 			return;
 		}
 		endAttempt(true);
-		reject(ResultCode.BACKEND_BROKE_OFF, "server=" + attempt.serverId() + " " + detail);
+		reject(code, "server=" + attempt.serverId() + " " + detail);
 	}
 
 	private void retry(Attempt attempt, ResultCode reason, String detail) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -32,6 +32,7 @@
  * @param serverSelector selects backend servers
  * @param pool pool of connections to backend servers
  * @param retryBudget budget of retries
+ * @param bodyBudget memory budget of response bodies
  * @param requestLog counts and logs outcomes
  * @param clock clock that measures ages
  * @param timers timers
@@ -41,6 +42,6 @@
 public record ForwardingContext(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
-		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, RequestLog requestLog,
-		AgeClock clock, Timers timers, Random random) {
+		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyBudget bodyBudget,
+		RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -9,9 +9,11 @@
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
+import org.marjoramgw.errors.ResponseTooLargeException;
 
 /**
- * Stream stage that passes a body through and reports its start and end to an observer.
+ * Stream stage that passes a body of events through and reports its start and end to an
+ * observer. It fails if the server sends an event without end.
  *
  * @author The marjoramgw authors
  */
@@ -41,6 +43,8 @@
 
 	private final class Logic extends GraphStageLogic {
 
+		private final EventSizeLimit eventSize = new EventSizeLimit();
+
 		private boolean started;
 
 		private Logic() {
@@ -58,7 +62,15 @@
 					ObservedBody.this.observer.onFirstBytes();
 				}
 				ObservedBody.this.observer.onBytes();
-				push(ObservedBody.this.out, grab(ObservedBody.this.in));
+				ByteString bytes = grab(ObservedBody.this.in);
+				try {
+					Logic.this.eventSize.check(bytes);
+					push(ObservedBody.this.out, bytes);
+				}
+				catch (ResponseTooLargeException ex) {
+					ObservedBody.this.observer.onFailure(ex);
+					failStage(ex);
+				}
 			}
 
 			@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct.forward;
 
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -10,6 +12,8 @@
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.CompletionStages;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.errors.ResponseTooLargeException;
 
 /**
  * Reads and streams the response bodies of backend servers.
@@ -18,9 +22,6 @@
  */
 final class ResponseBodies {
 
-	/** Maximum size of a response that is buffered in memory, in bytes. */
-	private static final long MAX_BUFFERED_BYTES = 8L << 20;
-
 	private ResponseBodies() {
 	}
 
@@ -28,13 +29,34 @@
 	 * Reads the complete body of a response into memory.
 	 * @param response the response
 	 * @param timeoutMillis timeout, in milliseconds
+	 * @param budget memory budget
 	 * @param system the actor system
-	 * @return the body; fails if it is incomplete, too large or not received in time
+	 * @return the body; fails if it is incomplete, not received in time, or with a
+	 * {@link ResponseTooLargeException}
 	 */
-	static CompletionStage<HttpEntity.Strict> readFully(HttpResponse response, long timeoutMillis,
+	static CompletionStage<HttpEntity.Strict> readFully(HttpResponse response, long timeoutMillis, BodyBudget budget,
 			ActorSystem<?> system) {
-		return CompletionStages
-			.withDirectExecutor(response.entity().toStrict(Math.max(1, timeoutMillis), MAX_BUFFERED_BYTES, system));
+		BodyBudget.Reservation reservation = budget.open();
+		return CompletionStages.withDirectExecutor(response.entity()
+			.getDataBytes()
+			.completionTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)))
+			.runFold(ByteString.emptyByteString(), (body, bytes) -> {
+				reservation.grow(bytes.length());
+				return body.concat(bytes);
+			}, system))
+			.whenComplete((body, failure) -> reservation.close())
+			.thenApply((body) -> HttpEntities.create(response.entity().getContentType(), body));
+	}
+
+	/**
+	 * Returns the result code of a body that could not be read.
+	 * @param failure the failure
+	 * @return the code
+	 */
+	static ResultCode failureCode(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		return (cause instanceof ResponseTooLargeException) ? ResultCode.ANSWER_TOO_LARGE
+				: ResultCode.BACKEND_BROKE_OFF;
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
@@ -51,7 +51,7 @@
 
 	@Override
 	public void onFailure(Throwable failure) {
-		this.onEnd.accept(ResultCode.BACKEND_BROKE_OFF, " " + failure.getMessage());
+		this.onEnd.accept(ResponseBodies.failureCode(failure), " " + failure.getMessage());
 	}
 
 	@Override
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -15,11 +15,11 @@
 import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.direct.backend.BackendHttpSettings;
 import org.marjoramgw.direct.backend.ConnectionPool;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
@@ -27,6 +27,7 @@
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.forward.Admission;
+import org.marjoramgw.direct.forward.BodyBudget;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.ForwardingContext;
 import org.marjoramgw.direct.forward.RequestLog;
@@ -106,9 +107,8 @@
 				new StartLimiter(4, this.system.executionContext()),
 				new PrefillLimiter(monotonicClock, this.system.executionContext()), partition,
 				new ServerSelector(directory, health, placement, placement, partition, "a"),
-				new ConnectionPool(new HttpConnector(this.system, ClientConnectionSettings.create(config)),
-						monotonicClock),
-				new WindowRetryBudget(monotonicClock, 10_000, 0.2, 50),
+				new ConnectionPool(new HttpConnector(this.system, BackendHttpSettings.of(config)), monotonicClock),
+				new WindowRetryBudget(monotonicClock, 10_000, 0.2, 50), new BodyBudget(1 << 20, 4 << 20),
 				new RequestLog(new MetricRegistry(), monotonicClock, 20), clock, new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(context);
 		new CallerListener(this.system, ServerSettings.create(config), new PekkoTimers(this.system),
