--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -71,14 +71,6 @@
 		this.firstBytesMillis = ageMillis;
 	}
 
-	/**
-	 * Returns the age of the request when it was last sent.
-	 * @return time in milliseconds, or -1 if it was never sent
-	 */
-	long sentMillis() {
-		return this.sentMillis;
-	}
-
 	/**
 	 * Records the longest pause of a stream.
 	 * @param pauseMillis longest time between events, in milliseconds
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -17,6 +17,7 @@
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.Timers;
@@ -58,6 +59,10 @@
 
 	private AdmittedRequest admittedRequest;
 
+	/** Ends the request in the account of prompts, if it has one. */
+	private Runnable promptEnd = () -> {
+	};
+
 	private String service = "";
 
 	private Timers.Handle timer = Timers.Handle.NONE;
@@ -363,16 +368,17 @@
 
 	private void recordPrompt(Route route) {
 		if (route.isStreaming() && this.caller.hasPrompt()) {
-			this.context.promptPartition()
-				.onRequest(this.service, route.name(), this.caller.promptTokenCount(), route.targetPauseMillis());
+			PromptPartition partition = this.context.promptPartition();
+			String startService = this.service;
+			partition.onRequest(startService, route.name(), this.caller.promptTokenCount(), route.targetPauseMillis());
+			this.promptEnd = () -> partition.onEnd(startService, route.name());
 		}
 	}
 
 	private void recordStream(Route route, PauseMeter pauses) {
 		this.history.onPause(pauses.longestMillis());
 		boolean late = route.targetPauseMillis() > 0 && pauses.longestMillis() > route.targetPauseMillis();
-		this.context.promptPartition()
-			.onStreamEnd(this.service, route.name(), ageMillis() - this.history.sentMillis(), late);
+		this.context.promptPartition().onStream(this.service, route.name(), late);
 	}
 
 	private void resume(Attempt attempt, String detail) {
@@ -466,6 +472,7 @@
 	private void recordOutcome(ResultCode code, int status, String detail) {
 		this.timer.cancel();
 		this.limitedStart.finish();
+		this.promptEnd.run();
 		this.onEnd.run();
 		String decision = (this.admittedRequest != null) ? this.admittedRequest.describe()
 				: AdmittedRequest.NOT_ADMITTED;
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PrefillServer.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PrefillServer.java
@@ -108,10 +108,6 @@
 			return this.arrivedMillis;
 		}
 
-		double endedMillis() {
-			return this.lastEventMillis;
-		}
-
 		boolean pauseWasLate() {
 			return this.longestPauseMillis > this.kind.maxPauseMillis();
 		}
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PromptPartitionTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PromptPartitionTests.java
@@ -71,7 +71,6 @@
 				new HashSet<>(longPart).removeAll(shortPart) || longPart.stream().noneMatch(shortPart::contains));
 		for (int burst = 0; burst < 400; burst++) {
 			partition.onRequest(SERVICE, "plan", 9_000, 500);
-			partition.onStreamEnd(SERVICE, "plan", 2_000, false);
 		}
 		this.clock.advanceMillis(300);
 		Assert.assertTrue(ids(partition, "plan", 8).size() > longPart.size(), "more work, more servers");
@@ -105,10 +104,12 @@
 	private void feed(PromptPartition partition, int requestCount, int everyNthIsLate) {
 		for (int request = 0; request < requestCount; request++) {
 			partition.onRequest(SERVICE, "chat", 800, 120);
-			partition.onStreamEnd(SERVICE, "chat", 1_500, everyNthIsLate > 0 && request % everyNthIsLate == 0);
+			partition.onStream(SERVICE, "chat", everyNthIsLate > 0 && request % everyNthIsLate == 0);
+			partition.onEnd(SERVICE, "chat");
 			if (request % 2 == 0) {
 				partition.onRequest(SERVICE, "plan", 9_000, 500);
-				partition.onStreamEnd(SERVICE, "plan", 2_000, false);
+				partition.onStream(SERVICE, "plan", false);
+				partition.onEnd(SERVICE, "plan");
 			}
 			this.clock.advanceMillis(50);
 		}
@@ -137,8 +138,8 @@
 			for (PrefillServer server : servers) {
 				for (PrefillServer.Stream stream : server.runUntil(now + TICK_MILLIS)) {
 					String kind = stream.kind().name();
-					partition.onStreamEnd(SERVICE, kind, (long) (stream.endedMillis() - stream.arrivedMillis()),
-							stream.pauseWasLate());
+					partition.onStream(SERVICE, kind, stream.pauseWasLate());
+					partition.onEnd(SERVICE, kind);
 					if (stream.arrivedMillis() > WARM_UP_MILLIS) {
 						ended.merge(kind, 1, Integer::sum);
 						inTime.merge(kind, stream.isInTime() ? 1 : 0, Integer::sum);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/KindTraffic.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/KindTraffic.java
@@ -26,7 +26,7 @@
 
 	private final DecayingSum promptTokens;
 
-	private final DecayingSum busyMillis;
+	private final DecayingSum openMillis;
 
 	private final DecayingSum streams;
 
@@ -34,6 +34,10 @@
 
 	private long maxPauseMillis = Long.MAX_VALUE;
 
+	private int openCount;
+
+	private long accountedMillis;
+
 	private long lastRequestMillis;
 
 	private long harmedUntilMillis = Long.MIN_VALUE;
@@ -41,21 +45,35 @@
 	KindTraffic(long nowMillis) {
 		this.requests = new DecayingSum(WORK_TIME_CONSTANT_MILLIS, nowMillis);
 		this.promptTokens = new DecayingSum(WORK_TIME_CONSTANT_MILLIS, nowMillis);
-		this.busyMillis = new DecayingSum(WORK_TIME_CONSTANT_MILLIS, nowMillis);
+		this.openMillis = new DecayingSum(WORK_TIME_CONSTANT_MILLIS, nowMillis);
 		this.streams = new DecayingSum(PAUSE_TIME_CONSTANT_MILLIS, nowMillis);
 		this.lateStreams = new DecayingSum(PAUSE_TIME_CONSTANT_MILLIS, nowMillis);
 		this.lastRequestMillis = nowMillis;
+		this.accountedMillis = nowMillis;
 	}
 
 	void onRequest(long promptTokenCount, long newMaxPauseMillis, long nowMillis) {
+		this.openCount++;
 		this.requests.add(1, nowMillis);
 		this.promptTokens.add(promptTokenCount, nowMillis);
 		this.maxPauseMillis = newMaxPauseMillis;
 		this.lastRequestMillis = nowMillis;
 	}
 
-	void onStreamEnd(long durationMillis, boolean pauseWasLate, long nowMillis) {
-		this.busyMillis.add(durationMillis, nowMillis);
+	void onEnd() {
+		this.openCount--;
+	}
+
+	/**
+	 * Accounts for the time that the open requests spent since the last call.
+	 * @param nowMillis current time, in milliseconds
+	 */
+	void accountOpenTime(long nowMillis) {
+		this.openMillis.add((double) this.openCount * (nowMillis - this.accountedMillis), nowMillis);
+		this.accountedMillis = nowMillis;
+	}
+
+	void onStream(boolean pauseWasLate, long nowMillis) {
 		this.streams.add(1, nowMillis);
 		this.lateStreams.add(pauseWasLate ? 1 : 0, nowMillis);
 		double lateFraction = this.lateStreams.valueAt(nowMillis) / (this.streams.valueAt(nowMillis) + PRIOR_STREAMS);
@@ -72,16 +90,16 @@
 		return this.maxPauseMillis;
 	}
 
-	long lastRequestMillis() {
-		return this.lastRequestMillis;
+	boolean isIdleSince(long sinceMillis) {
+		return this.openCount == 0 && this.lastRequestMillis < sinceMillis;
 	}
 
 	double promptTokens(long nowMillis) {
 		return this.promptTokens.valueAt(nowMillis);
 	}
 
-	double busyMillis(long nowMillis) {
-		return this.busyMillis.valueAt(nowMillis);
+	double openMillis(long nowMillis) {
+		return this.openMillis.valueAt(nowMillis);
 	}
 
 	double meanPromptTokens(long nowMillis) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -20,10 +20,9 @@
  * prefills a long prompt delays the tokens of every stream that it runs, whatever the
  * ranks, so that few long prompts, spread over all servers, make many streams late. The
  * servers are divided only once pauses were seen to be late, and the parts follow the
- * work: half by the square roots of the prompt tokens, which minimises the total waiting
- * time for prefill, and half by the time for which requests run. All processes rank the
- * servers alike and see about the same traffic, so that they agree without coordination
- * on all but the servers next to the boundary.
+ * prompt tokens and the open requests of the last seconds. All processes rank the servers
+ * alike and see about the same traffic, so that they agree without coordination on all
+ * but the servers next to the boundary.
  *
  * @author The marjoramgw authors
  */
@@ -35,6 +34,12 @@
 	/** Distance from the ideal boundary up to which it stays, in servers. */
 	private static final double BOUNDARY_HYSTERESIS = 0.75;
 
+	/**
+	 * Weight of the prompt tokens in the division of the servers; the rest is that of the
+	 * open requests, which occupy slots and memory.
+	 */
+	private static final double TOKEN_WEIGHT = 0.7;
+
 	private static final long UPDATE_INTERVAL_MILLIS = 250;
 
 	private static final long FORGET_KIND_MILLIS = 60_000;
@@ -68,16 +73,23 @@
 	}
 
 	/**
-	 * Records the end of a stream.
+	 * Records the pauses of a stream.
 	 * @param service name of the service
 	 * @param kind kind of the request
-	 * @param durationMillis time since the request was sent to its server, in
-	 * milliseconds
 	 * @param pauseWasLate whether a pause between its events was longer than allowed
 	 */
-	public synchronized void onStreamEnd(String service, String kind, long durationMillis, boolean pauseWasLate) {
+	public synchronized void onStream(String service, String kind, boolean pauseWasLate) {
 		long nowMillis = this.clock.nowMillis();
-		state(service).kind(kind, nowMillis).onStreamEnd(durationMillis, pauseWasLate, nowMillis);
+		state(service).kind(kind, nowMillis).onStream(pauseWasLate, nowMillis);
+	}
+
+	/**
+	 * Records the end of a request, once for each call of {@link #onRequest}.
+	 * @param service name of the service
+	 * @param kind kind of the request
+	 */
+	public synchronized void onEnd(String service, String kind) {
+		state(service).kind(kind, this.clock.nowMillis()).onEnd();
 	}
 
 	/**
@@ -135,8 +147,8 @@
 				return;
 			}
 			this.updatedMillis = nowMillis;
-			this.trafficByKind.values()
-				.removeIf((traffic) -> nowMillis - traffic.lastRequestMillis() > FORGET_KIND_MILLIS);
+			this.trafficByKind.values().forEach((traffic) -> traffic.accountOpenTime(nowMillis));
+			this.trafficByKind.values().removeIf((traffic) -> traffic.isIdleSince(nowMillis - FORGET_KIND_MILLIS));
 			Set<String> newLongKinds = findLongKinds(nowMillis);
 			boolean sameParts = newLongKinds.equals(this.longKinds) && newServerCount == this.serverCount;
 			double ideal = newServerCount * longShare(newLongKinds, nowMillis);
@@ -167,21 +179,21 @@
 		private double longShare(Set<String> kinds, long nowMillis) {
 			double longTokens = 0;
 			double shortTokens = 0;
-			double longBusyMillis = 0;
-			double shortBusyMillis = 0;
+			double longOpenMillis = 0;
+			double shortOpenMillis = 0;
 			for (Map.Entry<String, KindTraffic> entry : this.trafficByKind.entrySet()) {
 				KindTraffic traffic = entry.getValue();
 				if (kinds.contains(entry.getKey())) {
 					longTokens += traffic.promptTokens(nowMillis);
-					longBusyMillis += traffic.busyMillis(nowMillis);
+					longOpenMillis += traffic.openMillis(nowMillis);
 				}
 				else {
 					shortTokens += traffic.promptTokens(nowMillis);
-					shortBusyMillis += traffic.busyMillis(nowMillis);
+					shortOpenMillis += traffic.openMillis(nowMillis);
 				}
 			}
-			double tokenShare = share(Math.sqrt(longTokens), Math.sqrt(shortTokens));
-			return (tokenShare + share(longBusyMillis, shortBusyMillis)) / 2;
+			return TOKEN_WEIGHT * share(longTokens, shortTokens)
+					+ (1 - TOKEN_WEIGHT) * share(longOpenMillis, shortOpenMillis);
 		}
 
 		private static double share(double part, double rest) {
