--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -323,7 +323,7 @@
 
 	private void stream(Attempt attempt, HttpResponse response) {
 		this.context.health().onSuccess(attempt.serverId());
-		PauseMeter pauses = new PauseMeter(() -> this.context.clock().now().monotonicMillis());
+		PauseMeter pauses = pauseMeter(this.admittedRequest.route());
 		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), pauses,
 				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
 		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
@@ -351,7 +351,8 @@
 		if (this.currentAttempt != attempt) {
 			return;
 		}
-		recordStream(this.admittedRequest.route(), pauses);
+		this.history.onPause(pauses.longestMillis());
+		this.context.promptPartition().onStream(this.service, this.admittedRequest.route().name());
 		if (code == ResultCode.OK) {
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
@@ -375,10 +376,12 @@
 		}
 	}
 
-	private void recordStream(Route route, PauseMeter pauses) {
-		this.history.onPause(pauses.longestMillis());
-		boolean late = route.targetPauseMillis() > 0 && pauses.longestMillis() > route.targetPauseMillis();
-		this.context.promptPartition().onStream(this.service, route.name(), late);
+	private PauseMeter pauseMeter(Route route) {
+		long maxPauseMillis = (route.targetPauseMillis() > 0) ? route.targetPauseMillis() : Long.MAX_VALUE;
+		PromptPartition partition = this.context.promptPartition();
+		String streamService = this.service;
+		return new PauseMeter(() -> this.context.clock().now().monotonicMillis(), maxPauseMillis,
+				() -> partition.onLatePause(streamService, route.name()));
 	}
 
 	private void resume(Attempt attempt, String detail) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
@@ -14,6 +14,10 @@
 
 	private final LongSupplier nowMillis;
 
+	private final long maxPauseMillis;
+
+	private final Runnable onLate;
+
 	private boolean started;
 
 	private long demandMillis;
@@ -23,9 +27,13 @@
 	/**
 	 * Creates a meter.
 	 * @param nowMillis current time of a monotonic clock, in milliseconds
+	 * @param maxPauseMillis longest pause that is in time, in milliseconds
+	 * @param onLate called at the first pause that is longer
 	 */
-	PauseMeter(LongSupplier nowMillis) {
+	PauseMeter(LongSupplier nowMillis, long maxPauseMillis, Runnable onLate) {
 		this.nowMillis = nowMillis;
+		this.maxPauseMillis = maxPauseMillis;
+		this.onLate = onLate;
 	}
 
 	/**
@@ -40,7 +48,11 @@
 	 */
 	void onBytes() {
 		if (this.started) {
-			this.longestMillis = Math.max(this.longestMillis, this.nowMillis.getAsLong() - this.demandMillis);
+			long pauseMillis = this.nowMillis.getAsLong() - this.demandMillis;
+			if (pauseMillis > this.maxPauseMillis && this.longestMillis <= this.maxPauseMillis) {
+				this.onLate.run();
+			}
+			this.longestMillis = Math.max(this.longestMillis, pauseMillis);
 		}
 		this.started = true;
 	}
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PromptPartitionTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PromptPartitionTests.java
@@ -60,6 +60,13 @@
 		Assert.assertEquals(partition.select(SERVICE, "chat", servers(8)), servers(8));
 	}
 
+	@Test
+	public void fewLatePausesAmongManyStreamsDivideNothing() {
+		PromptPartition partition = new PromptPartition(this.clock);
+		feed(partition, 2_000, 50);
+		Assert.assertEquals(partition.select(SERVICE, "chat", servers(8)), servers(8));
+	}
+
 	@Test
 	public void partsAreDisjointAndFollowTheWork() {
 		PromptPartition partition = new PromptPartition(this.clock);
@@ -104,11 +111,14 @@
 	private void feed(PromptPartition partition, int requestCount, int everyNthIsLate) {
 		for (int request = 0; request < requestCount; request++) {
 			partition.onRequest(SERVICE, "chat", 800, 120);
-			partition.onStream(SERVICE, "chat", everyNthIsLate > 0 && request % everyNthIsLate == 0);
+			partition.onStream(SERVICE, "chat");
+			if (everyNthIsLate > 0 && request % everyNthIsLate == 0) {
+				partition.onLatePause(SERVICE, "chat");
+			}
 			partition.onEnd(SERVICE, "chat");
 			if (request % 2 == 0) {
 				partition.onRequest(SERVICE, "plan", 9_000, 500);
-				partition.onStream(SERVICE, "plan", false);
+				partition.onStream(SERVICE, "plan");
 				partition.onEnd(SERVICE, "plan");
 			}
 			this.clock.advanceMillis(50);
@@ -138,7 +148,10 @@
 			for (PrefillServer server : servers) {
 				for (PrefillServer.Stream stream : server.runUntil(now + TICK_MILLIS)) {
 					String kind = stream.kind().name();
-					partition.onStream(SERVICE, kind, stream.pauseWasLate());
+					partition.onStream(SERVICE, kind);
+					if (stream.pauseWasLate()) {
+						partition.onLatePause(SERVICE, kind);
+					}
 					partition.onEnd(SERVICE, kind);
 					if (stream.arrivedMillis() > WARM_UP_MILLIS) {
 						ended.merge(kind, 1, Integer::sum);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/KindTraffic.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/KindTraffic.java
@@ -14,10 +14,10 @@
 	private static final long PAUSE_TIME_CONSTANT_MILLIS = 20_000;
 
 	/** Weight of the assumption that pauses are in time, in streams. */
-	private static final double PRIOR_STREAMS = 30;
+	private static final double PRIOR_STREAMS = 10;
 
 	/** Fraction of streams with a late pause above which a kind counts as harmed. */
-	private static final double HARMED_FRACTION = 0.05;
+	private static final double HARMED_FRACTION = 0.1;
 
 	/** Time for which a kind stays harmed, so that the partition that helps it stays. */
 	private static final long HARMED_MILLIS = 600_000;
@@ -73,9 +73,12 @@
 		this.accountedMillis = nowMillis;
 	}
 
-	void onStream(boolean pauseWasLate, long nowMillis) {
+	void onStream(long nowMillis) {
 		this.streams.add(1, nowMillis);
-		this.lateStreams.add(pauseWasLate ? 1 : 0, nowMillis);
+	}
+
+	void onLatePause(long nowMillis) {
+		this.lateStreams.add(1, nowMillis);
 		double lateFraction = this.lateStreams.valueAt(nowMillis) / (this.streams.valueAt(nowMillis) + PRIOR_STREAMS);
 		if (lateFraction > HARMED_FRACTION) {
 			this.harmedUntilMillis = nowMillis + HARMED_MILLIS;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -73,14 +73,23 @@
 	}
 
 	/**
-	 * Records the pauses of a stream.
+	 * Records a stream that a server sent.
 	 * @param service name of the service
 	 * @param kind kind of the request
-	 * @param pauseWasLate whether a pause between its events was longer than allowed
 	 */
-	public synchronized void onStream(String service, String kind, boolean pauseWasLate) {
+	public synchronized void onStream(String service, String kind) {
 		long nowMillis = this.clock.nowMillis();
-		state(service).kind(kind, nowMillis).onStream(pauseWasLate, nowMillis);
+		state(service).kind(kind, nowMillis).onStream(nowMillis);
+	}
+
+	/**
+	 * Records a pause between events that is longer than allowed, once for each stream.
+	 * @param service name of the service
+	 * @param kind kind of the request
+	 */
+	public synchronized void onLatePause(String service, String kind) {
+		long nowMillis = this.clock.nowMillis();
+		state(service).kind(kind, nowMillis).onLatePause(nowMillis);
 	}
 
 	/**
