Load the configuration before the warm-up, and leave short prompts more room

It now starts when the configuration and the registrations are loaded, and not at all beside callers.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -160,6 +160,11 @@
 	 */
 	private static final long WARM_UP_LIMIT_MILLIS = 2_000;
 
+	/** Time after which the warm-up starts even if the store has not responded. */
+	private static final long LOAD_LIMIT_MILLIS = 1_500;
+
+	private static final long LOAD_POLL_MILLIS = 10;
+
 	private static final long FINAL_WRITE_MILLIS = 300;
 
 	private final SettingsFile settings;
@@ -272,12 +277,31 @@
 		this.callerListener.serve(this.callerAcceptor);
 		Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
 		Signal.handle(new Signal("HUP"), (signal) -> reload("SIGHUP"));
-		warmUp();
+		warmUpWhenLoaded(this.monotonicClock.nowMillis() + LOAD_LIMIT_MILLIS);
 		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
 				this.settings.get().failureDomain());
 	}
 
+	/**
+	 * Starts the warm-up once the configuration and the registrations are loaded, since
+	 * it would delay them, and callers are refused until then.
+	 * @param limitMillis time of the monotonic clock at which the warm-up starts anyway
+	 */
+	private void warmUpWhenLoaded(long limitMillis) {
+		boolean loaded = this.routing.current().isPresent() && this.directory.isLoaded();
+		if (loaded || this.monotonicClock.nowMillis() >= limitMillis) {
+			warmUp();
+		}
+		else {
+			this.timers.schedule(LOAD_POLL_MILLIS, () -> warmUpWhenLoaded(limitMillis));
+		}
+	}
+
 	private void warmUp() {
+		if (this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP) {
+			this.warmedUp = true;
+			return;
+		}
 		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.monotonicClock,
 				WARM_UP_REQUESTS, WARM_UP_LIMIT_MILLIS, () -> this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP)
 			.run(this::startSampleListener)
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -20,9 +20,11 @@
  * prefills a long prompt delays the tokens of every stream that it runs, whatever the
  * ranks, so that few long prompts, spread over all servers, make many streams late. The
  * servers are divided only once pauses were seen to be late, and the parts follow the
- * prompt tokens and the open requests of the last seconds. All processes rank the servers
- * alike and see about the same traffic, so that they agree without coordination on all
- * but the servers next to the boundary.
+ * open requests and the square roots of the prompt tokens of the last seconds; square
+ * roots leave the short prompts more room than their share of the work, since pauses are
+ * late long before a server is busy all the time. All processes rank the servers alike
+ * and see about the same traffic, so that they agree without coordination on all but the
+ * servers next to the boundary.
  *
  * @author The marjoramgw authors
  */
@@ -201,7 +203,7 @@
 					shortOpenMillis += traffic.openMillis(nowMillis);
 				}
 			}
-			return TOKEN_WEIGHT * share(longTokens, shortTokens)
+			return TOKEN_WEIGHT * share(Math.sqrt(longTokens), Math.sqrt(shortTokens))
 					+ (1 - TOKEN_WEIGHT) * share(longOpenMillis, shortOpenMillis);
 		}
 
