--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -4,10 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
-import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -22,9 +20,6 @@
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
-import org.marjoramgw.direct.backend.BackendHttpSettings;
-import org.marjoramgw.direct.backend.ConnectionPool;
-import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerListener;
 import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
@@ -32,26 +27,15 @@
 import org.marjoramgw.direct.follow.ReadSchedule;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.follow.TopicFollower;
-import org.marjoramgw.direct.forward.Admission;
-import org.marjoramgw.direct.forward.BodyBudget;
 import org.marjoramgw.direct.forward.Forwarder;
-import org.marjoramgw.direct.forward.ForwardingContext;
 import org.marjoramgw.direct.forward.RequestLog;
-import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
-import org.marjoramgw.policy.limiter.StartLimiter;
-import org.marjoramgw.policy.partition.PromptPartition;
-import org.marjoramgw.policy.placement.AffinityPlacement;
-import org.marjoramgw.policy.placement.LeastLoadedPlacement;
-import org.marjoramgw.policy.placement.Placement;
-import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.Backoff;
-import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -111,18 +95,6 @@
 	 */
 	private static final long MAX_READY_LAG_MILLIS = 500;
 
-	/** Number of entry processes assumed to share the configured free retries. */
-	private static final int ASSUMED_PROCESS_COUNT = 16;
-
-	/**
-	 * Load from this process that a server may always have while it is preferred for the
-	 * prompts in its cache, in requests.
-	 */
-	private static final double AFFINITY_SLACK = 4;
-
-	/** Requests that may start concurrently; starting a request is mostly CPU-bound. */
-	private static final int MAX_STARTING_REQUESTS = 4;
-
 	private static final long MAINTENANCE_INTERVAL_MILLIS = 500;
 
 	/** Jump of the time of day that triggers a new confirmation of the configuration. */
@@ -137,12 +109,6 @@
 	/** Rate limit for log lines about successful requests; failures are always logged. */
 	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
 
-	/** Maximum size of a response body that is read completely. */
-	private static final long MAX_BODY_BYTES = 8L << 20;
-
-	/** Maximum size of all such bodies together, a quarter of the heap. */
-	private static final long MAX_BODIES_BYTES = 16L << 20;
-
 	private static final long OPEN_POLL_MILLIS = 50;
 
 	/** Number of requests after which most of the code is compiled. */
@@ -197,13 +163,7 @@
 
 	private final ServerDirectory directory;
 
-	private final ServerHealth health = new ServerHealth(this.monotonicClock);
-
-	private final PrefillLimiter prefillLimiter;
-
-	private final ConnectionPool pool;
-
-	private final BodyBudget bodyBudget = new BodyBudget(MAX_BODY_BYTES, MAX_BODIES_BYTES);
+	private final RequestPath requestPath;
 
 	private final Forwarder forwarder;
 
@@ -238,13 +198,11 @@
 		this.platform = platformFactory.apply(this.system, this.connector);
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
-		this.prefillLimiter = new PrefillLimiter(this.monotonicClock, this.system.executionContext());
-		this.pool = new ConnectionPool(new HttpConnector(this.system, BackendHttpSettings.of(config)),
-				this.monotonicClock);
-		this.forwarder = new Forwarder(forwardingContext(this.routing, this.directory,
-				new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis));
-		this.callerListener = new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits,
-				this::rank, this.forwarder::handle);
+		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
+				this.clock, this.timers);
+		this.forwarder = this.requestPath.forwarder(this.routing, this.directory,
+				new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis);
+		this.callerListener = callerListener(this.forwarder);
 		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
 				this.clock, this.timers, schedule(CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS),
@@ -252,7 +210,7 @@
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
 				this.timers, schedule(SERVERS_WAIT_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
-		this.registry.register("requests.held", (Gauge<Integer>) this.prefillLimiter::waitingCount);
+		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
 
@@ -319,29 +277,14 @@
 		sampleRouting.onConfirmed(this.clock.now());
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
-		Forwarder sampleForwarder = new Forwarder(forwardingContext(sampleRouting, sampleDirectory,
-				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), () -> WARM_UP_LIMIT_MILLIS * 2));
-		new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, this::rank,
-				sampleForwarder::handle)
-			.serve(acceptor);
+		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory,
+				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), () -> WARM_UP_LIMIT_MILLIS * 2);
+		callerListener(sampleForwarder).serve(acceptor);
 	}
 
-	private ForwardingContext forwardingContext(ActiveRouting activeRouting, ServerDirectory servers,
-			RequestLog requestLog, LongSupplier maxAgeMillis) {
-		Random random = new Random();
-		Placement leastLoaded = new LeastLoadedPlacement(random);
-		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
-		ServerSelector serverSelector = new ServerSelector(servers, this.health,
-				new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded, promptPartition,
-				this.settings.get().failureDomain());
-		WindowRetryBudget retryBudget = new WindowRetryBudget(this.monotonicClock,
-				this.settings.get().retryWindowMillis(), this.settings.get().retryRatio(),
-				this.settings.get().freeRetryCount() / ASSUMED_PROCESS_COUNT);
-		return new ForwardingContext(this.system, this.platform.callerDialect(), this.platform.backendDialect(),
-				activeRouting, new Admission(activeRouting, maxAgeMillis), servers, this.health,
-				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
-				promptPartition, serverSelector, this.pool, retryBudget, this.bodyBudget, requestLog, this.clock,
-				this.timers, random);
+	private CallerListener callerListener(Forwarder target) {
+		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, this::rank,
+				target::handle);
 	}
 
 	private static ReadSchedule schedule(long waitMillis, long maxBackoffMillis) {
@@ -381,10 +324,7 @@
 		if (this.settings.hasChanged()) {
 			reload("file changed");
 		}
-		this.pool.closeExpired();
-		Set<String> servers = this.directory.serverIds();
-		this.health.retain(servers);
-		this.prefillLimiter.retainServers(servers::contains);
+		this.requestPath.cleanUp(this.directory.serverIds());
 		this.timers.schedule(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
 	}
 
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -0,0 +1,150 @@
+package org.marjoramgw.direct;
+
+import java.util.Random;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import com.typesafe.config.Config;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.direct.backend.BackendHttpSettings;
+import org.marjoramgw.direct.backend.ConnectionPool;
+import org.marjoramgw.direct.backend.ServerHealth;
+import org.marjoramgw.direct.follow.ActiveRouting;
+import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.forward.Admission;
+import org.marjoramgw.direct.forward.BodyBudget;
+import org.marjoramgw.direct.forward.Forwarder;
+import org.marjoramgw.direct.forward.ForwardingContext;
+import org.marjoramgw.direct.forward.RequestLog;
+import org.marjoramgw.direct.forward.ServerSelector;
+import org.marjoramgw.http.HttpConnector;
+import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.partition.PromptPartition;
+import org.marjoramgw.policy.placement.AffinityPlacement;
+import org.marjoramgw.policy.placement.LeastLoadedPlacement;
+import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.Timers;
+
+/**
+ * Components on the path of a request, and the state that they keep of backend servers.
+ * Forwarders for callers and for the warm-up share it.
+ *
+ * @author The marjoramgw authors
+ */
+final class RequestPath {
+
+	/** Number of entry processes assumed to share the configured free retries. */
+	private static final int ASSUMED_PROCESS_COUNT = 16;
+
+	/**
+	 * Load from this process that a server may always have while it is preferred for the
+	 * prompts in its cache, in requests.
+	 */
+	private static final double AFFINITY_SLACK = 4;
+
+	/** Requests that may start concurrently; starting a request is mostly CPU-bound. */
+	private static final int MAX_STARTING_REQUESTS = 4;
+
+	/** Maximum size of a response body that is read completely. */
+	private static final long MAX_BODY_BYTES = 8L << 20;
+
+	/** Maximum size of all such bodies together, a quarter of the heap. */
+	private static final long MAX_BODIES_BYTES = 16L << 20;
+
+	private final ActorSystem<?> system;
+
+	private final Platform platform;
+
+	private final SettingsFile settings;
+
+	private final MillisClock monotonicClock;
+
+	private final AgeClock clock;
+
+	private final Timers timers;
+
+	private final ServerHealth health;
+
+	private final PrefillLimiter prefillLimiter;
+
+	private final ConnectionPool pool;
+
+	private final BodyBudget bodyBudget = new BodyBudget(MAX_BODY_BYTES, MAX_BODIES_BYTES);
+
+	/**
+	 * Creates a request path.
+	 * @param system the actor system
+	 * @param config configuration of the HTTP library
+	 * @param platform the platform adapter
+	 * @param settings settings of the process
+	 * @param monotonicClock monotonic clock
+	 * @param clock clock that measures ages
+	 * @param timers timers
+	 */
+	RequestPath(ActorSystem<?> system, Config config, Platform platform, SettingsFile settings,
+			MillisClock monotonicClock, AgeClock clock, Timers timers) {
+		this.system = system;
+		this.platform = platform;
+		this.settings = settings;
+		this.monotonicClock = monotonicClock;
+		this.clock = clock;
+		this.timers = timers;
+		this.health = new ServerHealth(monotonicClock);
+		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext());
+		this.pool = new ConnectionPool(new HttpConnector(system, BackendHttpSettings.of(config)), monotonicClock);
+	}
+
+	/**
+	 * Creates a forwarder.
+	 * @param routing the configuration that it applies
+	 * @param servers the backend servers that it uses
+	 * @param requestLog log of its requests
+	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
+	 * milliseconds
+	 * @return the forwarder
+	 */
+	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, RequestLog requestLog,
+			LongSupplier maxAgeMillis) {
+		Random random = new Random();
+		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
+		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
+				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
+				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
+				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(),
+				this.bodyBudget, requestLog, this.clock, this.timers, random));
+	}
+
+	/**
+	 * Returns the number of requests that wait before they are sent to a server.
+	 * @return the number of requests
+	 */
+	int waitingCount() {
+		return this.prefillLimiter.waitingCount();
+	}
+
+	/**
+	 * Closes expired connections, and discards the state of servers that no longer exist.
+	 * @param serverIds ids of the servers that exist
+	 */
+	void cleanUp(Set<String> serverIds) {
+		this.pool.closeExpired();
+		this.health.retain(serverIds);
+		this.prefillLimiter.retainServers(serverIds::contains);
+	}
+
+	private ServerSelector serverSelector(ServerDirectory servers, PromptPartition promptPartition, Random random) {
+		Placement leastLoaded = new LeastLoadedPlacement(random);
+		return new ServerSelector(servers, this.health, new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded,
+				promptPartition, this.settings.get().failureDomain());
+	}
+
+	private WindowRetryBudget retryBudget() {
+		return new WindowRetryBudget(this.monotonicClock, this.settings.get().retryWindowMillis(),
+				this.settings.get().retryRatio(), this.settings.get().freeRetryCount() / ASSUMED_PROCESS_COUNT);
+	}
+
+}
