--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -37,8 +37,12 @@
  */
 final class RequestPath {
 
-	/** Number of entry processes assumed to share the configured free retries. */
-	private static final int ASSUMED_PROCESS_COUNT = 16;
+	/**
+	 * Minimum number of entry processes assumed to share the configured free retries.
+	 * They don't know each other; deployments with more of them have at least as many
+	 * backend servers.
+	 */
+	private static final int MIN_ASSUMED_PROCESS_COUNT = 16;
 
 	/**
 	 * Load from this process that a server may always have while it is preferred for the
@@ -114,7 +118,7 @@
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
-				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(),
+				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
 				this.bodyBudget, requestLog, this.clock, this.timers, random));
 	}
 
@@ -142,9 +146,10 @@
 				promptPartition, this.settings.get().failureDomain());
 	}
 
-	private WindowRetryBudget retryBudget() {
+	private WindowRetryBudget retryBudget(ServerDirectory servers) {
 		return new WindowRetryBudget(this.monotonicClock, this.settings.get().retryWindowMillis(),
-				this.settings.get().retryRatio(), this.settings.get().freeRetryCount() / ASSUMED_PROCESS_COUNT);
+				this.settings.get().retryRatio(), () -> (double) this.settings.get().freeRetryCount()
+						/ Math.max(MIN_ASSUMED_PROCESS_COUNT, servers.count()));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -106,6 +106,14 @@
 		return Set.copyOf(this.registrationById.keySet());
 	}
 
+	/**
+	 * Returns the number of servers in this directory, usable or not.
+	 * @return the number of servers of all services
+	 */
+	public synchronized int count() {
+		return this.registrationById.size();
+	}
+
 	@Override
 	public synchronized void onSnapshot(List<KeyedRecord> records) {
 		Set<String> present = new HashSet<>();
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -108,7 +108,7 @@
 				new PrefillLimiter(monotonicClock, this.system.executionContext()), partition,
 				new ServerSelector(directory, health, placement, placement, partition, "a"),
 				new ConnectionPool(new HttpConnector(this.system, BackendHttpSettings.of(config)), monotonicClock),
-				new WindowRetryBudget(monotonicClock, 10_000, 0.2, 50), new BodyBudget(1 << 20, 4 << 20),
+				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyBudget(1 << 20, 4 << 20),
 				new RequestLog(new MetricRegistry(), monotonicClock, 20), clock, new PekkoTimers(this.system), random);
 		Forwarder forwarder = new Forwarder(context);
 		new CallerListener(this.system, ServerSettings.create(config), new PekkoTimers(this.system),
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/retry/WindowRetryBudget.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/retry/WindowRetryBudget.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 
 import org.marjoramgw.MillisClock;
 
@@ -30,7 +31,7 @@
 
 	private final double ratio;
 
-	private final int freeCount;
+	private final DoubleSupplier freeCount;
 
 	private final Map<String, Usage> usageByService = new HashMap<>();
 
@@ -39,9 +40,10 @@
 	 * @param clock monotonic clock
 	 * @param windowMillis length of the window, in milliseconds
 	 * @param ratio retries earned by each request in the window
-	 * @param freeCount retries allowed in a window without any requests
+	 * @param freeCount retries that this process may make in a window without any
+	 * requests
 	 */
-	public WindowRetryBudget(MillisClock clock, long windowMillis, double ratio, int freeCount) {
+	public WindowRetryBudget(MillisClock clock, long windowMillis, double ratio, DoubleSupplier freeCount) {
 		this.clock = clock;
 		this.windowMillis = windowMillis;
 		this.ratio = ratio;
@@ -63,7 +65,7 @@
 	 */
 	public synchronized boolean tryRetry(String service) {
 		Usage usage = usage(service);
-		double allowed = this.freeCount + USABLE_FRACTION * this.ratio * usage.requests.size();
+		double allowed = this.freeCount.getAsDouble() + USABLE_FRACTION * this.ratio * usage.requests.size();
 		if (usage.retries.size() + 1 > allowed) {
 			return false;
 		}
