--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -126,8 +126,14 @@
 	 */
 	private static final long WARM_UP_LIMIT_MILLIS = 2_000;
 
-	/** Time after which the warm-up starts even if the store has not responded. */
-	private static final long LOAD_LIMIT_MILLIS = 1_500;
+	/**
+	 * Time for which callers wait for the configuration after a start; after it they are
+	 * refused.
+	 */
+	private static final long LOAD_LIMIT_MILLIS = 700;
+
+	/** Time in which waiting callers are noticed, who make a warm-up needless. */
+	private static final long WARM_UP_DELAY_MILLIS = 200;
 
 	private static final long LOAD_POLL_MILLIS = 10;
 
@@ -232,26 +238,27 @@
 				new ManagementEndpoint(this.system, this.listener,
 						Map.of(this.settings.get().metricsPath(), () -> metricsResponse(metrics)))
 					.bind(this.settings.get().metricsAddress()));
-		this.callerListener.serve(this.callerAcceptor);
 		Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
 		Signal.handle(new Signal("HUP"), (signal) -> reload("SIGHUP"));
-		warmUpWhenLoaded(this.monotonicClock.nowMillis() + LOAD_LIMIT_MILLIS);
+		serveWhenLoaded(this.monotonicClock.nowMillis() + LOAD_LIMIT_MILLIS);
 		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
 				this.settings.get().failureDomain());
 	}
 
 	/**
-	 * Starts the warm-up once the configuration and the registrations are loaded, since
-	 * it would delay them, and callers are refused until then.
-	 * @param limitMillis time of the monotonic clock at which the warm-up starts anyway
+	 * Starts to serve callers once the configuration and the registrations are loaded.
+	 * Until then callers could only be refused, and refusing them would delay the
+	 * loading, since a process that has just started is short of CPU time.
+	 * @param limitMillis time of the monotonic clock at which callers are served anyway
 	 */
-	private void warmUpWhenLoaded(long limitMillis) {
+	private void serveWhenLoaded(long limitMillis) {
 		boolean loaded = this.routing.current().isPresent() && this.directory.isLoaded();
 		if (loaded || this.monotonicClock.nowMillis() >= limitMillis) {
-			warmUp();
+			this.callerListener.serve(this.callerAcceptor);
+			this.timers.schedule(WARM_UP_DELAY_MILLIS, this::warmUp);
 		}
 		else {
-			this.timers.schedule(LOAD_POLL_MILLIS, () -> warmUpWhenLoaded(limitMillis));
+			this.timers.schedule(LOAD_POLL_MILLIS, () -> serveWhenLoaded(limitMillis));
 		}
 	}
 
