--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -380,8 +380,8 @@
 		long maxPauseMillis = (route.targetPauseMillis() > 0) ? route.targetPauseMillis() : Long.MAX_VALUE;
 		PromptPartition partition = this.context.promptPartition();
 		String streamService = this.service;
-		return new PauseMeter(() -> this.context.clock().now().monotonicMillis(), maxPauseMillis,
-				() -> partition.onLatePause(streamService, route.name()));
+		return new PauseMeter(() -> this.context.clock().now().monotonicMillis(), this.context.lag()::lagMillis,
+				maxPauseMillis, () -> partition.onLatePause(streamService, route.name()));
 	}
 
 	private void resume(Attempt attempt, String detail) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
@@ -14,12 +14,16 @@
 
 	private final LongSupplier nowMillis;
 
+	private final LongSupplier lagMillis;
+
 	private final long maxPauseMillis;
 
 	private final Runnable onLate;
 
 	private boolean started;
 
+	private boolean late;
+
 	private long demandMillis;
 
 	private volatile long longestMillis;
@@ -27,11 +31,15 @@
 	/**
 	 * Creates a meter.
 	 * @param nowMillis current time of a monotonic clock, in milliseconds
+	 * @param lagMillis time for which bytes that arrive now wait before this process
+	 * handles them, in milliseconds
 	 * @param maxPauseMillis longest pause that is in time, in milliseconds
-	 * @param onLate called at the first pause that is longer
+	 * @param onLate called once if the server made a pause that is longer; a pause that
+	 * the lag of this process explains doesn't count
 	 */
-	PauseMeter(LongSupplier nowMillis, long maxPauseMillis, Runnable onLate) {
+	PauseMeter(LongSupplier nowMillis, LongSupplier lagMillis, long maxPauseMillis, Runnable onLate) {
 		this.nowMillis = nowMillis;
+		this.lagMillis = lagMillis;
 		this.maxPauseMillis = maxPauseMillis;
 		this.onLate = onLate;
 	}
@@ -49,7 +57,8 @@
 	void onBytes() {
 		if (this.started) {
 			long pauseMillis = this.nowMillis.getAsLong() - this.demandMillis;
-			if (pauseMillis > this.maxPauseMillis && this.longestMillis <= this.maxPauseMillis) {
+			if (!this.late && pauseMillis - this.lagMillis.getAsLong() > this.maxPauseMillis) {
+				this.late = true;
 				this.onLate.run();
 			}
 			this.longestMillis = Math.max(this.longestMillis, pauseMillis);
