--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
@@ -50,16 +51,7 @@
 
 	@Test(dataProvider = "faults")
 	public void streamContinuesOnAnotherServer(String description, String sentBeforeTheFault) throws Exception {
-		AtomicInteger requests = new AtomicInteger();
-		ScriptedServer.Script script = (request, connection) -> {
-			boolean fails = requests.getAndIncrement() == 0;
-			write(connection, ScriptedServer.head("200 OK", request, STREAM_HEADERS)
-					+ (fails ? sentBeforeTheFault : chunk(events(lastEventId(request) + 1)) + "0\r\n\r\n"));
-			if (fails) {
-				connection.close();
-			}
-			return !fails;
-		};
+		ScriptedServer.Script script = breakingOffFirst((next) -> sentBeforeTheFault, (next) -> chunk(events(next)));
 		try (ScriptedServer first = new ScriptedServer(script);
 				ScriptedServer second = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
@@ -71,17 +63,7 @@
 
 	@Test
 	public void callersOwnPositionIsReplacedByThePresentOne() throws Exception {
-		AtomicInteger requests = new AtomicInteger();
-		ScriptedServer.Script script = (request, connection) -> {
-			boolean fails = requests.getAndIncrement() == 0;
-			int next = lastEventId(request) + 1;
-			write(connection, ScriptedServer.head("200 OK", request, STREAM_HEADERS)
-					+ (fails ? chunk(event(next)) : chunk(events(next)) + "0\r\n\r\n"));
-			if (fails) {
-				connection.close();
-			}
-			return !fails;
-		};
+		ScriptedServer.Script script = breakingOffFirst((next) -> chunk(event(next)), (next) -> chunk(events(next)));
 		try (ScriptedServer first = new ScriptedServer(script);
 				ScriptedServer second = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
@@ -92,16 +74,8 @@
 
 	@Test
 	public void eventsSentAgainReachTheCallerOnce() throws Exception {
-		AtomicInteger requests = new AtomicInteger();
-		ScriptedServer.Script script = (request, connection) -> {
-			boolean fails = requests.getAndIncrement() == 0;
-			write(connection, ScriptedServer.head("200 OK", request, STREAM_HEADERS)
-					+ (fails ? chunk(event(1) + event(2)) : chunk(events(1)) + "0\r\n\r\n"));
-			if (fails) {
-				connection.close();
-			}
-			return !fails;
-		};
+		ScriptedServer.Script script = breakingOffFirst((next) -> chunk(event(1) + event(2)),
+				(next) -> chunk(events(1)));
 		try (ScriptedServer first = new ScriptedServer(script);
 				ScriptedServer second = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
@@ -200,6 +174,29 @@
 		}
 	}
 
+	/**
+	 * Returns a script for several servers that breaks off the first stream and completes
+	 * the others.
+	 * @param firstBody body of the first stream up to the fault, by the id of its first
+	 * event
+	 * @param otherBody body of the others, without the last chunk
+	 * @return the script
+	 */
+	private static ScriptedServer.Script breakingOffFirst(IntFunction<String> firstBody,
+			IntFunction<String> otherBody) {
+		AtomicInteger requests = new AtomicInteger();
+		return (request, connection) -> {
+			boolean fails = requests.getAndIncrement() == 0;
+			int next = lastEventId(request) + 1;
+			write(connection, ScriptedServer.head("200 OK", request, STREAM_HEADERS)
+					+ (fails ? firstBody.apply(next) : otherBody.apply(next) + "0\r\n\r\n"));
+			if (fails) {
+				connection.close();
+			}
+			return !fails;
+		};
+	}
+
 	private static void assertComplete(String response, String description) {
 		Assert.assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("0\r\n\r\n"),
 				description + ": " + response);
