--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -17,7 +17,6 @@
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
-import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.Timers;
@@ -59,9 +58,7 @@
 
 	private AdmittedRequest admittedRequest;
 
-	/** Ends the request in the account of prompts, if it has one. */
-	private Runnable promptEnd = () -> {
-	};
+	private PromptRecord promptRecord;
 
 	private String service = "";
 
@@ -69,8 +66,8 @@
 
 	private Attempt currentAttempt;
 
-	/** Body of a stream that may be resumed, or {@code null} before it has started. */
-	private ResumableBody resumableBody;
+	/** Body of the response, if it is a stream that may be resumed. */
+	private final ResumableBody resumableBody = new ResumableBody();
 
 	private boolean responded;
 
@@ -105,7 +102,7 @@
 			this.admittedRequest = this.context.admission().admit(this.caller);
 			this.service = this.admittedRequest.route().selectService(this.context.random().nextDouble());
 			this.context.retryBudget().onRequest(this.service);
-			recordPrompt(this.admittedRequest.route());
+			this.promptRecord = startPromptRecord(this.admittedRequest.route());
 			this.timer = this.context.timers().schedule(Math.max(0, remainingMillis()), this::onTimeout);
 			this.limitedStart.run(this.admittedRequest.rank(), () -> tryNextServer(ResultCode.NO_BACKEND));
 		}
@@ -323,7 +320,8 @@
 
 	private void stream(Attempt attempt, HttpResponse response) {
 		this.context.health().onSuccess(attempt.serverId());
-		PauseMeter pauses = pauseMeter(this.admittedRequest.route());
+		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis(),
+				this.context.lag()::lagMillis);
 		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), pauses,
 				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
 		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
@@ -332,7 +330,6 @@
 			return;
 		}
 		if (this.admittedRequest.route().resumable()) {
-			this.resumableBody = new ResumableBody();
 			body = this.resumableBody.start(body);
 		}
 		this.responded = true;
@@ -352,13 +349,13 @@
 			return;
 		}
 		this.history.onPause(pauses.longestMillis());
-		this.context.promptPartition().onStream(this.service, this.admittedRequest.route().name());
+		this.promptRecord.endStream();
 		if (code == ResultCode.OK) {
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
 		else if (code != ResultCode.CALLER_GONE) {
 			this.context.health().onFailure(attempt.serverId());
-			if (this.resumableBody != null && this.history.mayRunAgain(this.admittedRequest.route())) {
+			if (this.resumableBody.isStarted() && this.history.mayRunAgain(this.admittedRequest.route())) {
 				resume(attempt, detail);
 				return;
 			}
@@ -367,21 +364,12 @@
 		recordOutcome(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
 	}
 
-	private void recordPrompt(Route route) {
+	private PromptRecord startPromptRecord(Route route) {
+		PromptRecord started = new PromptRecord(this.context.promptPartition(), this.service, route);
 		if (route.isStreaming() && this.caller.hasPrompt()) {
-			PromptPartition partition = this.context.promptPartition();
-			String startService = this.service;
-			partition.onRequest(startService, route.name(), this.caller.promptTokenCount(), route.targetPauseMillis());
-			this.promptEnd = () -> partition.onEnd(startService, route.name());
+			started.start(this.caller.promptTokenCount());
 		}
-	}
-
-	private PauseMeter pauseMeter(Route route) {
-		long maxPauseMillis = (route.targetPauseMillis() > 0) ? route.targetPauseMillis() : Long.MAX_VALUE;
-		PromptPartition partition = this.context.promptPartition();
-		String streamService = this.service;
-		return new PauseMeter(() -> this.context.clock().now().monotonicMillis(), this.context.lag()::lagMillis,
-				maxPauseMillis, () -> partition.onLatePause(streamService, route.name()));
+		return started;
 	}
 
 	private void resume(Attempt attempt, String detail) {
@@ -392,7 +380,7 @@
 	}
 
 	private boolean isResuming() {
-		return this.resumableBody != null && this.resumableBody.isInterrupted();
+		return this.resumableBody.isInterrupted();
 	}
 
 	private void onBrokenResponse(Attempt attempt, String detail) {
@@ -428,7 +416,7 @@
 				|| this.currentAttempt != null && this.currentAttempt.mayHaveRun();
 		endAttempt(true);
 		if (this.responded) {
-			abandonStream("timeout of the request");
+			this.resumableBody.abandon("timeout of the request");
 			recordOutcome(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream cut off at the timeout of the request");
 			return;
 		}
@@ -452,7 +440,7 @@
 	private void reject(ResultCode code, String detail) {
 		ResultCode adjustedCode = this.history.adjustForPossibleRun(code);
 		if (isResuming()) {
-			abandonStream(detail);
+			this.resumableBody.abandon(detail);
 			recordOutcome(adjustedCode, 0, "stream not resumed: " + detail);
 			return;
 		}
@@ -460,12 +448,6 @@
 				this.context.callerDialect().withRequestId(ErrorResponses.of(adjustedCode), this.caller.id()), detail);
 	}
 
-	private void abandonStream(String reason) {
-		if (this.resumableBody != null) {
-			this.resumableBody.abandon(reason);
-		}
-	}
-
 	private void complete(ResultCode code, HttpResponse response, String detail) {
 		this.responded = true;
 		recordOutcome(code, response.status().intValue(), detail);
@@ -475,7 +457,9 @@
 	private void recordOutcome(ResultCode code, int status, String detail) {
 		this.timer.cancel();
 		this.limitedStart.finish();
-		this.promptEnd.run();
+		if (this.promptRecord != null) {
+			this.promptRecord.end();
+		}
 		this.onEnd.run();
 		String decision = (this.admittedRequest != null) ? this.admittedRequest.describe()
 				: AdmittedRequest.NOT_ADMITTED;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResumableBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResumableBody.java
@@ -29,6 +29,8 @@
 
 	private CompletableFuture<Source<ByteString, NotUsed>> continuation;
 
+	private boolean started;
+
 	private boolean awaited;
 
 	/**
@@ -37,7 +39,8 @@
 	 * @return the body for the caller; fails if a server fails and the stream doesn't
 	 * continue
 	 */
-	Source<ByteString, NotUsed> start(Source<ByteString, ?> events) {
+	synchronized Source<ByteString, NotUsed> start(Source<ByteString, ?> events) {
+		this.started = true;
 		return framed(events).recoverWithRetries(UNLIMITED_CONTINUATIONS,
 				new PFBuilder<Throwable, Graph<SourceShape<ByteString>, NotUsed>>()
 					.match(Throwable.class, (failure) -> mayContinue(),
@@ -46,6 +49,14 @@
 					.build());
 	}
 
+	/**
+	 * Tells whether the body was started.
+	 * @return whether it was
+	 */
+	synchronized boolean isStarted() {
+		return this.started;
+	}
+
 	/**
 	 * Returns the id of the last event that the caller received.
 	 * @return the id, or empty if there was no event with an id
