--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -70,6 +70,15 @@
 		}
 	}
 
+	@Test
+	public void hostWithMalformedPortIsForwardedWithoutIt() {
+		for (String port : new String[] { "x", "", "99999999999", "70000", "-1" }) {
+			HttpRequest sent = this.dialect.toBackendRequest(
+					HttpRequest.GET("/a").addHeader(RawHeader.create("Host", "carob.example:" + port)), METADATA);
+			Assert.assertEquals(sent.getHeader("Host").orElseThrow().value(), "carob.example");
+		}
+	}
+
 	@Test
 	public void removesHeadersNamedByConnectionHeader() {
 		HttpRequest sent = this.dialect.toBackendRequest(HttpRequest.GET("/a")
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
@@ -46,6 +46,12 @@
 		Assert.assertEquals(page.records().get(0).value().orElseThrow(), bytes("one"));
 	}
 
+	@Test
+	public void lengthBeyondTheBodyFailsBeforeItIsAllocated() {
+		byte[] body = ByteBuffer.allocate(20).putLong(0).putLong(0).putInt(Integer.MAX_VALUE).array();
+		Assert.assertThrows(CompletionException.class, () -> StoreFormat.decodeSlice(body, 0));
+	}
+
 	@Test
 	public void corruptedBytesFailWithStoreUnavailable() {
 		Random random = TestSeed.random(5);
