--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -1,15 +1,10 @@
 package org.marjoramgw.policy.partition;
 
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 
 import org.marjoramgw.MillisClock;
-import org.marjoramgw.policy.candidate.RendezvousHash;
 import org.marjoramgw.policy.placement.ServerView;
 
 /**
@@ -30,27 +25,9 @@
  */
 public final class PromptPartition {
 
-	/** Ratio of mean prompt lengths from which on a kind counts as long. */
-	private static final double LONG_RATIO = 4;
-
-	/** Distance from the ideal boundary up to which it stays, in servers. */
-	private static final double BOUNDARY_HYSTERESIS = 0.75;
-
-	/**
-	 * Weight of the prompt tokens in the division of the servers; the rest is that of the
-	 * open requests, which occupy slots and memory.
-	 */
-	private static final double TOKEN_WEIGHT = 0.7;
-
-	private static final long UPDATE_INTERVAL_MILLIS = 250;
-
-	private static final long FORGET_KIND_MILLIS = 60_000;
-
-	private static final String RANKING_KEY = "long-prompts";
-
 	private final MillisClock clock;
 
-	private final Map<String, ServiceState> stateByService = new HashMap<>();
+	private final Map<String, ServicePartition> partitionByService = new HashMap<>();
 
 	/**
 	 * Creates a partition without any traffic.
@@ -70,7 +47,7 @@
 	 */
 	public synchronized void onRequest(String service, String kind, long promptTokenCount, long maxPauseMillis) {
 		long nowMillis = this.clock.nowMillis();
-		state(service).kind(kind, nowMillis)
+		partition(service).kind(kind, nowMillis)
 			.onRequest(promptTokenCount, (maxPauseMillis > 0) ? maxPauseMillis : Long.MAX_VALUE, nowMillis);
 	}
 
@@ -81,7 +58,7 @@
 	 */
 	public synchronized void onStream(String service, String kind) {
 		long nowMillis = this.clock.nowMillis();
-		state(service).kind(kind, nowMillis).onStream(nowMillis);
+		partition(service).kind(kind, nowMillis).onStream(nowMillis);
 	}
 
 	/**
@@ -91,7 +68,7 @@
 	 */
 	public synchronized void onLatePause(String service, String kind) {
 		long nowMillis = this.clock.nowMillis();
-		state(service).kind(kind, nowMillis).onLatePause(nowMillis);
+		partition(service).kind(kind, nowMillis).onLatePause(nowMillis);
 	}
 
 	/**
@@ -100,7 +77,7 @@
 	 * @param kind kind of the request
 	 */
 	public synchronized void onEnd(String service, String kind) {
-		state(service).kind(kind, this.clock.nowMillis()).onEnd();
+		partition(service).kind(kind, this.clock.nowMillis()).onEnd();
 	}
 
 	/**
@@ -112,105 +89,16 @@
 	 * of the part all failed recently
 	 */
 	public synchronized List<ServerView> select(String service, String kind, List<ServerView> servers) {
-		ServiceState state = this.stateByService.get(service);
-		if (state == null || servers.size() < 2) {
+		ServicePartition partition = this.partitionByService.get(service);
+		if (partition == null || servers.size() < 2) {
 			return servers;
 		}
-		state.update(servers.size(), this.clock.nowMillis());
-		if (state.longKinds.isEmpty()) {
-			return servers;
-		}
-		List<ServerView> ranked = servers.stream()
-			.map((server) -> new Ranked(server, RendezvousHash.score(RANKING_KEY, server.id())))
-			.sorted(Comparator.comparingLong(Ranked::score).thenComparing((rank) -> rank.server().id()))
-			.map(Ranked::server)
-			.toList();
-		List<ServerView> part = state.longKinds.contains(kind) ? ranked.subList(0, state.longServerCount)
-				: ranked.subList(state.longServerCount, ranked.size());
+		List<ServerView> part = partition.select(kind, servers, this.clock.nowMillis());
 		return part.stream().allMatch(ServerView::suspect) ? servers : part;
 	}
 
-	private ServiceState state(String service) {
-		return this.stateByService.computeIfAbsent(service, (name) -> new ServiceState());
-	}
-
-	private record Ranked(ServerView server, long score) {
-	}
-
-	private static final class ServiceState {
-
-		private final Map<String, KindTraffic> trafficByKind = new HashMap<>();
-
-		private Set<String> longKinds = Set.of();
-
-		private int longServerCount;
-
-		private int serverCount;
-
-		private long updatedMillis = Long.MIN_VALUE / 2;
-
-		private KindTraffic kind(String name, long nowMillis) {
-			return this.trafficByKind.computeIfAbsent(name, (key) -> new KindTraffic(nowMillis));
-		}
-
-		private void update(int newServerCount, long nowMillis) {
-			if (newServerCount == this.serverCount && nowMillis - this.updatedMillis < UPDATE_INTERVAL_MILLIS) {
-				return;
-			}
-			this.updatedMillis = nowMillis;
-			this.trafficByKind.values().forEach((traffic) -> traffic.accountOpenTime(nowMillis));
-			this.trafficByKind.values().removeIf((traffic) -> traffic.isIdleSince(nowMillis - FORGET_KIND_MILLIS));
-			Set<String> newLongKinds = findLongKinds(nowMillis);
-			boolean sameParts = newLongKinds.equals(this.longKinds) && newServerCount == this.serverCount;
-			double ideal = newServerCount * longShare(newLongKinds, nowMillis);
-			if (!sameParts || Math.abs(ideal - this.longServerCount) > BOUNDARY_HYSTERESIS) {
-				this.longServerCount = (int) Math.max(1, Math.min(newServerCount - 1, Math.round(ideal)));
-			}
-			this.longKinds = newLongKinds;
-			this.serverCount = newServerCount;
-		}
-
-		// The kinds that harm others have much longer prompts than the harmed kind with
-		// the shortest pauses, and are allowed longer pauses themselves.
-		private Set<String> findLongKinds(long nowMillis) {
-			Optional<KindTraffic> harmed = this.trafficByKind.values()
-				.stream()
-				.filter((traffic) -> traffic.isHarmed(nowMillis) && traffic.meanPromptTokens(nowMillis) > 0)
-				.min(Comparator.comparingLong(KindTraffic::maxPauseMillis));
-			Set<String> kinds = new HashSet<>();
-			harmed.ifPresent((victim) -> this.trafficByKind.forEach((kind, traffic) -> {
-				if (traffic.maxPauseMillis() > victim.maxPauseMillis()
-						&& traffic.meanPromptTokens(nowMillis) >= LONG_RATIO * victim.meanPromptTokens(nowMillis)) {
-					kinds.add(kind);
-				}
-			}));
-			return kinds;
-		}
-
-		private double longShare(Set<String> kinds, long nowMillis) {
-			double longTokens = 0;
-			double shortTokens = 0;
-			double longOpenMillis = 0;
-			double shortOpenMillis = 0;
-			for (Map.Entry<String, KindTraffic> entry : this.trafficByKind.entrySet()) {
-				KindTraffic traffic = entry.getValue();
-				if (kinds.contains(entry.getKey())) {
-					longTokens += traffic.promptTokens(nowMillis);
-					longOpenMillis += traffic.openMillis(nowMillis);
-				}
-				else {
-					shortTokens += traffic.promptTokens(nowMillis);
-					shortOpenMillis += traffic.openMillis(nowMillis);
-				}
-			}
-			return TOKEN_WEIGHT * share(Math.sqrt(longTokens), Math.sqrt(shortTokens))
-					+ (1 - TOKEN_WEIGHT) * share(longOpenMillis, shortOpenMillis);
-		}
-
-		private static double share(double part, double rest) {
-			return (part + rest > 0) ? part / (part + rest) : 0.5;
-		}
-
+	private ServicePartition partition(String service) {
+		return this.partitionByService.computeIfAbsent(service, (name) -> new ServicePartition());
 	}
 
 }
