--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -45,6 +45,12 @@
 	 */
 	private static final int MIN_ASSUMED_PROCESS_COUNT = 16;
 
+	/**
+	 * Load from this process that a server may always have while it is preferred for the
+	 * prompts in its cache, in requests.
+	 */
+	private static final double AFFINITY_SLACK = 4;
+
 	/** Requests that may start concurrently; starting a request is mostly CPU-bound. */
 	private static final int MAX_STARTING_REQUESTS = 4;
 
@@ -141,7 +147,7 @@
 
 	private ServerSelector serverSelector(ServerDirectory servers, PromptPartition promptPartition, Random random) {
 		Placement leastLoaded = new LeastLoadedPlacement(random);
-		return new ServerSelector(servers, this.health, new AffinityPlacement(servers::count, leastLoaded), leastLoaded,
+		return new ServerSelector(servers, this.health, new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded,
 				promptPartition, this.settings.get().failureDomain());
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -64,7 +64,7 @@
 		List<ServerView> views = new ArrayList<>();
 		for (BackendServer server : servers) {
 			views.add(new ServerView(server.id(), server.failureDomain(), this.health.load(server.id()),
-					server.slotCount(), this.health.isSuspect(server.id())));
+					this.health.isSuspect(server.id())));
 		}
 		Placement placement = request.promptParts().isEmpty() ? this.plainPlacement : this.promptPlacement;
 		return placement
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.IntSupplier;
 
 import org.marjoramgw.policy.candidate.RendezvousHash;
 
@@ -14,9 +13,6 @@
  * The key of the prompt ranks the servers, and the first one whose load stays near the
  * mean is chosen. A prompt that many requests share at the same time therefore spreads
  * over as many servers as it needs, always the same ones.
- * <p>
- * Each sender counts only its own requests. Where many senders share a server, each may
- * therefore have but its part of the slots there while it prefers the server.
  *
  * @author The marjoramgw authors
  */
@@ -25,23 +21,18 @@
 	/** Maximum ratio of a server's load to the mean. */
 	private static final double LOAD_BOUND_FACTOR = 1.5;
 
-	/**
-	 * Fraction of a server's slots that its preferred prompts may occupy while the other
-	 * servers are idle.
-	 */
-	private static final double SLOT_FRACTION = 0.25;
-
-	private final IntSupplier senderCount;
+	private final double slack;
 
 	private final Placement fallback;
 
 	/**
 	 * Creates a placement.
-	 * @param senderCount number of processes that place requests on the same servers
+	 * @param slack load allowed in addition to that ratio, in the unit of
+	 * {@link ServerView#load}
 	 * @param fallback placement of requests without an affinity key
 	 */
-	public AffinityPlacement(IntSupplier senderCount, Placement fallback) {
-		this.senderCount = senderCount;
+	public AffinityPlacement(double slack, Placement fallback) {
+		this.slack = slack;
 		this.fallback = fallback;
 	}
 
@@ -52,9 +43,9 @@
 			return this.fallback.choose(affinityKey, failureDomain, candidates);
 		}
 		double mean = candidates.stream().mapToDouble(ServerView::load).average().orElse(0);
-		double slackPerSlot = SLOT_FRACTION / Math.max(1, this.senderCount.getAsInt());
+		double bound = LOAD_BOUND_FACTOR * mean + this.slack;
 		return candidates.stream()
-			.filter((server) -> server.load() <= LOAD_BOUND_FACTOR * mean + slackPerSlot * server.slotCount())
+			.filter((server) -> server.load() <= bound)
 			.max(Comparator.comparingLong((server) -> RendezvousHash.score(affinityKey, server.id())));
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
@@ -7,9 +7,8 @@
  * @param failureDomain its failure domain
  * @param load work that the sender has there, in a unit that is the same for all servers
  * of a service
- * @param slotCount number of requests that the server runs at once
  * @param suspect whether it failed recently
  * @author The marjoramgw authors
  */
-public record ServerView(String id, String failureDomain, double load, int slotCount, boolean suspect) {
+public record ServerView(String id, String failureDomain, double load, boolean suspect) {
 }
