--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -205,7 +205,7 @@
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, this.lag);
+				this.clock, this.timers);
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory,
 				new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -27,7 +27,6 @@
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.time.AgeClock;
-import org.marjoramgw.time.LagMeter;
 import org.marjoramgw.time.Timers;
 
 /**
@@ -72,8 +71,6 @@
 
 	private final Timers timers;
 
-	private final LagMeter lag;
-
 	private final ServerHealth health;
 
 	private final PrefillLimiter prefillLimiter;
@@ -91,17 +88,15 @@
 	 * @param monotonicClock monotonic clock
 	 * @param clock clock that measures ages
 	 * @param timers timers
-	 * @param lag meter of the lag of this process
 	 */
 	RequestPath(ActorSystem<?> system, Config config, Platform platform, SettingsFile settings,
-			MillisClock monotonicClock, AgeClock clock, Timers timers, LagMeter lag) {
+			MillisClock monotonicClock, AgeClock clock, Timers timers) {
 		this.system = system;
 		this.platform = platform;
 		this.settings = settings;
 		this.monotonicClock = monotonicClock;
 		this.clock = clock;
 		this.timers = timers;
-		this.lag = lag;
 		this.health = new ServerHealth(monotonicClock);
 		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext());
 		this.pool = new ConnectionPool(new HttpConnector(system, BackendHttpSettings.of(config)), monotonicClock);
@@ -124,7 +119,7 @@
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
 				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
-				this.bodyBudget, requestLog, this.clock, this.timers, this.lag, random));
+				this.bodyBudget, requestLog, this.clock, this.timers, random));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -320,8 +320,7 @@
 
 	private void stream(Attempt attempt, HttpResponse response) {
 		this.context.health().onSuccess(attempt.serverId());
-		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis(),
-				this.context.lag()::lagMillis);
+		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis());
 		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), pauses,
 				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
 		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -14,7 +14,6 @@
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.time.AgeClock;
-import org.marjoramgw.time.LagMeter;
 import org.marjoramgw.time.Timers;
 
 /**
@@ -37,7 +36,6 @@
  * @param requestLog counts and logs outcomes
  * @param clock clock that measures ages
  * @param timers timers
- * @param lag meter of the lag of this process
  * @param random source of randomness
  * @author The marjoramgw authors
  */
@@ -45,5 +43,5 @@
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
 		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyBudget bodyBudget,
-		RequestLog requestLog, AgeClock clock, Timers timers, LagMeter lag, Random random) {
+		RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
@@ -14,8 +14,6 @@
 
 	private final LongSupplier nowMillis;
 
-	private final LongSupplier lagMillis;
-
 	private final long maxPauseMillis;
 
 	private final Runnable onLate;
@@ -31,15 +29,11 @@
 	/**
 	 * Creates a meter.
 	 * @param nowMillis current time of a monotonic clock, in milliseconds
-	 * @param lagMillis time for which bytes that arrive now wait before this process
-	 * handles them, in milliseconds
 	 * @param maxPauseMillis longest pause that is in time, in milliseconds
-	 * @param onLate called once if the server made a pause that is longer; a pause that
-	 * the lag of this process explains doesn't count
+	 * @param onLate called once, at the first pause that is longer
 	 */
-	PauseMeter(LongSupplier nowMillis, LongSupplier lagMillis, long maxPauseMillis, Runnable onLate) {
+	PauseMeter(LongSupplier nowMillis, long maxPauseMillis, Runnable onLate) {
 		this.nowMillis = nowMillis;
-		this.lagMillis = lagMillis;
 		this.maxPauseMillis = maxPauseMillis;
 		this.onLate = onLate;
 	}
@@ -57,7 +51,7 @@
 	void onBytes() {
 		if (this.started) {
 			long pauseMillis = this.nowMillis.getAsLong() - this.demandMillis;
-			if (!this.late && pauseMillis - this.lagMillis.getAsLong() > this.maxPauseMillis) {
+			if (!this.late && pauseMillis > this.maxPauseMillis) {
 				this.late = true;
 				this.onLate.run();
 			}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
@@ -45,12 +45,11 @@
 	/**
 	 * Creates the meter of a stream, which records its first late pause.
 	 * @param nowMillis current time of a monotonic clock, in milliseconds
-	 * @param lagMillis lag of this process, in milliseconds
 	 * @return the meter
 	 */
-	PauseMeter pauseMeter(LongSupplier nowMillis, LongSupplier lagMillis) {
+	PauseMeter pauseMeter(LongSupplier nowMillis) {
 		long maxPauseMillis = (this.route.targetPauseMillis() > 0) ? this.route.targetPauseMillis() : Long.MAX_VALUE;
-		return new PauseMeter(nowMillis, lagMillis, maxPauseMillis,
+		return new PauseMeter(nowMillis, maxPauseMillis,
 				() -> this.partition.onLatePause(this.service, this.route.name()));
 	}
 
