Take a small body as it was received, and state the limit of pauses once

Found on rereading. A response of a plain service that arrived whole was run through a stream again to be counted (the read before the budget took it as it was); no limit of pauses was turned into the longest time in two places; a flag of PauseMeter stood for what its longest pause says; the check for a stream that another server doesn't resume stood twice. Behaviour is the same.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
@@ -32,6 +32,15 @@
 		this.maxTotalBytes = maxTotalBytes;
 	}
 
+	/**
+	 * Tells whether a body needs no budget.
+	 * @param bytes size of the body, in bytes
+	 * @return whether it is small
+	 */
+	static boolean isSmall(long bytes) {
+		return bytes <= SMALL_BODY_BYTES;
+	}
+
 	/**
 	 * Starts a body.
 	 * @return the memory of the body, to be closed when it was read
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -12,6 +12,7 @@
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.backend.KeepAlive;
+import org.marjoramgw.direct.backend.ResponseKind;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.Route;
@@ -247,7 +248,12 @@
 			onBrokenResponse(attempt, "no response: " + failure.getMessage());
 			return;
 		}
-		switch (this.context.backendDialect().classify(response, this.caller.id())) {
+		ResponseKind kind = this.context.backendDialect().classify(response, this.caller.id());
+		if (isResuming() && isExecuted(kind) && !response.status().isSuccess()) {
+			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
+			return;
+		}
+		switch (kind) {
 			case NOT_RUN -> {
 				this.context.health().onFailure(attempt.serverId());
 				onNotRun(attempt, response, "status=" + response.status().intValue());
@@ -259,10 +265,7 @@
 			case UNTRUSTED -> onBrokenResponse(attempt, "untrusted response, status=" + response.status().intValue());
 			case SERVER_ERROR -> onServerError(attempt, response);
 			default -> {
-				if (isResuming() && !response.status().isSuccess()) {
-					onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
-				}
-				else if (this.admittedRequest.route().isStreaming()) {
+				if (this.admittedRequest.route().isStreaming()) {
 					stream(attempt, response);
 				}
 				else {
@@ -272,6 +275,10 @@
 		}
 	}
 
+	private static boolean isExecuted(ResponseKind kind) {
+		return kind == ResponseKind.VALID || kind == ResponseKind.SERVER_ERROR;
+	}
+
 	private void onNotRun(Attempt attempt, HttpResponse response, String detail) {
 		attempt.markNotRun();
 		response.discardEntityBytes(this.context.system());
@@ -279,10 +286,6 @@
 	}
 
 	private void onServerError(Attempt attempt, HttpResponse response) {
-		if (isResuming()) {
-			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
-			return;
-		}
 		this.context.health().onFailure(attempt.serverId());
 		if (this.history.mayRunAgain(this.admittedRequest.route()) && remainingMillis() > MIN_REMAINING_MILLIS) {
 			this.history.countPossibleRun();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
@@ -20,8 +20,6 @@
 
 	private boolean started;
 
-	private boolean late;
-
 	private long demandMillis;
 
 	private volatile long longestMillis;
@@ -51,8 +49,7 @@
 	void onBytes() {
 		if (this.started) {
 			long pauseMillis = this.nowMillis.getAsLong() - this.demandMillis;
-			if (!this.late && pauseMillis > this.maxPauseMillis) {
-				this.late = true;
+			if (pauseMillis > this.maxPauseMillis && this.longestMillis <= this.maxPauseMillis) {
 				this.onLate.run();
 			}
 			this.longestMillis = Math.max(this.longestMillis, pauseMillis);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
@@ -39,7 +39,7 @@
 	 */
 	void start(long promptTokenCount) {
 		this.open = true;
-		this.partition.onRequest(this.service, this.route.name(), promptTokenCount, this.route.targetPauseMillis());
+		this.partition.onRequest(this.service, this.route.name(), promptTokenCount, this.route.maxPauseMillis());
 	}
 
 	/**
@@ -48,8 +48,7 @@
 	 * @return the meter
 	 */
 	PauseMeter pauseMeter(LongSupplier nowMillis) {
-		long maxPauseMillis = (this.route.targetPauseMillis() > 0) ? this.route.targetPauseMillis() : Long.MAX_VALUE;
-		return new PauseMeter(nowMillis, maxPauseMillis,
+		return new PauseMeter(nowMillis, this.route.maxPauseMillis(),
 				() -> this.partition.onLatePause(this.service, this.route.name()));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.direct.forward;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 
@@ -36,6 +37,10 @@
 	 */
 	static CompletionStage<HttpEntity.Strict> readFully(HttpResponse response, long timeoutMillis, BodyBudget budget,
 			ActorSystem<?> system) {
+		if (response.entity() instanceof HttpEntity.Strict received
+				&& BodyBudget.isSmall(received.getData().length())) {
+			return CompletableFuture.completedFuture(received);
+		}
 		BodyBudget.Reservation reservation = budget.open();
 		return CompletionStages.withDirectExecutor(response.entity()
 			.getDataBytes()
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
@@ -49,6 +49,14 @@
 		return this.services.stream().anyMatch((share) -> share.name().equals(service));
 	}
 
+	/**
+	 * Returns the longest pause between events for which a stream is in time.
+	 * @return time in milliseconds, {@link Long#MAX_VALUE} if none is set
+	 */
+	public long maxPauseMillis() {
+		return (this.targetPauseMillis > 0) ? this.targetPauseMillis : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Selects a service in proportion to the weights.
 	 * @param draw random number from 0 (inclusive) to 1 (exclusive)
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -43,12 +43,11 @@
 	 * @param kind kind of the request
 	 * @param promptTokenCount length of its prompt
 	 * @param maxPauseMillis longest pause between events for which its stream is in time,
-	 * in milliseconds; 0 if none is set
+	 * in milliseconds; {@link Long#MAX_VALUE} if there is no limit
 	 */
 	public synchronized void onRequest(String service, String kind, long promptTokenCount, long maxPauseMillis) {
 		long nowMillis = this.clock.nowMillis();
-		partition(service).kind(kind, nowMillis)
-			.onRequest(promptTokenCount, (maxPauseMillis > 0) ? maxPauseMillis : Long.MAX_VALUE, nowMillis);
+		partition(service).kind(kind, nowMillis).onRequest(promptTokenCount, maxPauseMillis, nowMillis);
 	}
 
 	/**
