Log the prompt's shared parts of attempts that broke off

A request whose server broke off left no trace of what it asked for, and of whether its answer had begun. Crashes that follow a part of prompts can't be told from crashes of other causes by such logs.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -15,13 +15,14 @@
  * @param deadlineMillis time that the caller waits for the response, in milliseconds, or
  * empty
  * @param key key of the client account, or empty
+ * @param model name of the model, or an empty string
  * @param promptParts parts of the prompt in order; the last one belongs to this request
  * alone
  * @param promptTokenCount number of prompt tokens, 0 if there is no prompt
  * @author The marjoramgw authors
  */
 public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
-		List<PromptPart> promptParts, long promptTokenCount) {
+		String model, List<PromptPart> promptParts, long promptTokenCount) {
 
 	/**
 	 * Returns the key of the longest prompt prefix that other requests may have in
@@ -29,8 +30,17 @@
 	 * @return id of the last shared part, or an empty string if nothing is shared
 	 */
 	public String sharedPrefixKey() {
-		int shared = this.promptParts.size() - 1;
-		return (shared > 0) ? this.promptParts.get(shared - 1).id() : "";
+		List<String> shared = sharedPartIds();
+		return shared.isEmpty() ? "" : shared.get(shared.size() - 1);
+	}
+
+	/**
+	 * Returns the parts of the prompt that other requests may have in common.
+	 * @return ids of all parts but the last one
+	 */
+	public List<String> sharedPartIds() {
+		int shared = Math.max(0, this.promptParts.size() - 1);
+		return this.promptParts.subList(0, shared).stream().map(PromptPart::id).toList();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -30,6 +30,8 @@
 
 	private boolean sent;
 
+	private boolean begun;
+
 	Attempt(BackendServer server) {
 		this.server = server;
 	}
@@ -105,7 +107,16 @@
 				this.late ? admitted.lateServerRank() : admitted.serverRank(), lastEventId);
 	}
 
+	/**
+	 * Tells whether the server began to write an answer.
+	 * @return whether bytes of the body were received
+	 */
+	boolean hasBegun() {
+		return this.begun;
+	}
+
 	void onFirstToken() {
+		this.begun = true;
 		if (this.prefillPermit != null) {
 			this.prefillPermit.onFirstToken();
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -346,10 +346,11 @@
 	}
 
 	private synchronized void onStreamEnd(Attempt attempt, HttpResponse response, PauseMeter pauses, ResultCode code,
-			String detail) {
+			String cause) {
 		if (this.currentAttempt != attempt) {
 			return;
 		}
+		String detail = (code != ResultCode.OK) ? cause + describePrompt(attempt) : cause;
 		this.history.onPause(pauses.longestMillis());
 		this.promptRecord.endStream();
 		if (code == ResultCode.OK) {
@@ -389,7 +390,8 @@
 		onBrokenResponse(attempt, ResultCode.BACKEND_BROKE_OFF, detail);
 	}
 
-	private void onBrokenResponse(Attempt attempt, ResultCode code, String detail) {
+	private void onBrokenResponse(Attempt attempt, ResultCode code, String cause) {
+		String detail = cause + describePrompt(attempt);
 		this.context.health().onFailure(attempt.serverId());
 		if (this.history.mayRunAgain(this.admittedRequest.route())) {
 			this.history.countPossibleRun();
@@ -400,6 +402,11 @@
 		reject(code, "server=" + attempt.serverId() + " " + detail);
 	}
 
+	private String describePrompt(Attempt attempt) {
+		return this.caller.hasPrompt() ? " begun=" + attempt.hasBegun() + " model=" + this.caller.model() + " parts="
+				+ String.join(",", this.caller.sharedPartIds()) : "";
+	}
+
 	private void retry(Attempt attempt, ResultCode reason, String detail) {
 		ResultCode kind = attempt.mayHaveRun() ? ResultCode.RETRY_REPEATABLE : ResultCode.RETRY_NOT_RUN;
 		this.context.requestLog()
