Count and log how each route missed its targets

A report named a class of requests that earned less than its floor, and no log line or metric told whether its requests began late, paused, broke off or were refused: lines of requests that were answered are limited in number. Each route now has counters of its attainment, and each entry a line for each route and five seconds in which a target was missed.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -97,6 +97,9 @@
 
 	private static final long MAINTENANCE_INTERVAL_MILLIS = 500;
 
+	/** Interval of the log lines about the attainment of each route. */
+	private static final long ATTAINMENT_INTERVAL_MILLIS = 5_000;
+
 	/** Jump of the time of day that triggers a new confirmation of the configuration. */
 	private static final long CLOCK_JUMP_MILLIS = 300;
 
@@ -171,6 +174,8 @@
 
 	private final RequestPath requestPath;
 
+	private final RequestLog requestLog;
+
 	private final Forwarder forwarder;
 
 	private final TopicFollower configurationFollower;
@@ -206,8 +211,8 @@
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
 				this.clock, this.timers);
-		this.forwarder = this.requestPath.forwarder(this.routing, this.directory,
-				new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND), this::maxAgeMillis);
+		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
+		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.requestLog, this::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder);
 		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
@@ -228,6 +233,7 @@
 		this.configurationFollower.start();
 		this.serversFollower.start();
 		runMaintenance();
+		logAttainment();
 		this.lag.start();
 		PrometheusTextWriter metrics = new PrometheusTextWriter(this.registry);
 		haltOnBindFailure("health",
@@ -335,6 +341,11 @@
 		this.timers.schedule(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
 	}
 
+	private void logAttainment() {
+		this.requestLog.endAttainmentInterval();
+		this.timers.schedule(ATTAINMENT_INTERVAL_MILLIS, this::logAttainment);
+	}
+
 	private void reload(String reason) {
 		if (this.settings.reload()) {
 			Logger.info("settings read again: {}", reason);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -111,6 +111,18 @@
 		return route.isRepeatable() && this.possibleRuns + 1 < route.maxAttempts();
 	}
 
+	/**
+	 * Classifies the completed request by the targets of its route.
+	 * @param code result code of the request
+	 * @param route route of the request
+	 * @param tookMillis age of the request at its completion, in milliseconds
+	 * @return the attainment
+	 */
+	Attainment attainment(ResultCode code, Route route, long tookMillis) {
+		return Attainment.of(code, route, (this.firstBytesMillis != NEVER) ? this.firstBytesMillis : tookMillis,
+				this.pauseMillis);
+	}
+
 	/**
 	 * Returns the log fields of the history.
 	 * @return number of attempts, and age of the request at the last send and at the
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -470,11 +470,17 @@
 			this.promptRecord.end();
 		}
 		this.onEnd.run();
-		String decision = (this.admittedRequest != null) ? this.admittedRequest.describe()
-				: AdmittedRequest.NOT_ADMITTED;
-		String route = (this.admittedRequest != null) ? this.admittedRequest.route().name() : "";
+		long tookMillis = ageMillis();
+		String decision = AdmittedRequest.NOT_ADMITTED;
+		String route = "";
+		if (this.admittedRequest != null) {
+			decision = this.admittedRequest.describe();
+			route = this.admittedRequest.route().name();
+			this.context.requestLog()
+				.recordAttainment(route, this.history.attainment(code, this.admittedRequest.route(), tookMillis));
+		}
 		this.context.requestLog()
-			.recordCompletion(code, this.caller.id(), route, status, ageMillis(), detail + " " + decision
+			.recordCompletion(code, this.caller.id(), route, status, tookMillis, detail + " " + decision
 					+ " confirmed_ms=" + this.context.routing().ageMillis() + " " + this.history.describe());
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
@@ -19,6 +19,8 @@
 
 	private final ResultCounters counters;
 
+	private final AttainmentLog attainmentLog;
+
 	/**
 	 * Rate limit for lines about successful requests; failures are always logged.
 	 */
@@ -34,6 +36,23 @@
 		this.registry = registry;
 		this.servedLimiter = new LogRateLimiter(clock, maxServedLinesPerSecond);
 		this.counters = new ResultCounters(registry);
+		this.attainmentLog = new AttainmentLog(registry);
+	}
+
+	/**
+	 * Records how a request met or missed the targets of its route.
+	 * @param route name of the route
+	 * @param attainment the attainment
+	 */
+	void recordAttainment(String route, Attainment attainment) {
+		this.attainmentLog.record(route, attainment);
+	}
+
+	/**
+	 * Logs the attainment of the routes since the last call.
+	 */
+	public void endAttainmentInterval() {
+		this.attainmentLog.endInterval();
 	}
 
 	/**
