Keep prompt parts that crash servers away from them

Cause: a failed request was judged alone. Each entry took the server for the culprit and sent the next request with the same part to the next server. No entry sees more than a share of the crashes, so none could have known better.

Change: entries share crash reports and verdicts in a topic of the platform's store. A part is refused, with code 2022, once several crashes at different moments have it in common while no answer to a prompt with it begins; an answer clears its parts everywhere. A request whose server crashed is sent to another one only if its parts are known to be sound.

--- a/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/CommandTests.java
@@ -264,6 +264,27 @@
 		assertContains(this.err, "log /nonexistent.log can't be read");
 	}
 
+	@Test
+	public void explainLeadsFromARefusedPromptToTheCrashes() throws Exception {
+		Path first = write("edge-1.log",
+				"""
+						{"time":"2026-12-04T10:00:00.000Z","message":"quarantine: backend server i-7@5 crashed, unanswered=1 prompts=p1![m/bad]"}
+						{"time":"2026-12-04T10:00:01.000Z","message":"quarantine: backend server i-9@5 crashed, unanswered=1 prompts=p2[m/x]"}
+						{"time":"2026-12-04T10:05:00.000Z","message":"request=r1 code=2022 route=a status=400 model=m part=bad servers=i-7@5,i-8@6"}
+						""");
+		Path second = write("edge-2.log",
+				"""
+						{"time":"2026-12-04T10:00:02.000Z","message":"quarantine: backend server i-8@6 crashed, unanswered=1 prompts=p3![m/bad]"}
+						{"time":"2026-12-04T10:00:03.000Z","message":"quarantine: verdict on model=m part=bad term=1 author=edge-2 servers=i-7@5,i-8@6"}
+						{"time":"2026-12-04T10:00:04.000Z","message":"quarantine: verdict on model=m part=other term=1 author=edge-2 servers=i-7@5"}
+						""");
+		Assert.assertEquals(run("explain", "r1", "--json", "--logs", first + "," + second), ExitCode.OK, this.err);
+		JsonNode steps = json().get("steps");
+		Assert.assertEquals(steps.findValuesAsText("process_id"),
+				List.of("edge-1.log", "edge-2.log", "edge-2.log", "edge-1.log"));
+		Assert.assertEquals(steps.findValuesAsText("code"), List.of("0", "0", "0", "2022"));
+	}
+
 	@DataProvider
 	public Object[][] usage() {
 		return new Object[][] { { "", ExitCode.USAGE }, { "--help", ExitCode.OK }, { "--version", ExitCode.OK },
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogLine.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogLine.java
@@ -2,6 +2,7 @@
 
 import java.time.DateTimeException;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -28,7 +29,9 @@
 
 	private static final Pattern CODE = Pattern.compile(" code=(\\d+)");
 
-	private static final Pattern SERVER = Pattern.compile("(?: server=|backend server )(\\S+)");
+	private static final Pattern SERVER = Pattern.compile("(?: servers?=|backend server )(\\S+)");
+
+	private static final Pattern PROMPT_PART = Pattern.compile(" part=(\\S+)");
 
 	/**
 	 * Parses a line. A prefix that a log collector added before the JSON object is
@@ -81,11 +84,27 @@
 		Set<String> servers = new HashSet<>();
 		Matcher matcher = SERVER.matcher(this.message);
 		while (matcher.find()) {
-			servers.add(matcher.group(1));
+			servers.addAll(Arrays.asList(matcher.group(1).split(",")));
 		}
 		return servers;
 	}
 
+	/**
+	 * Returns the id of the prompt part that the line is about.
+	 * @return the id, or empty if the line names none
+	 */
+	Optional<String> promptPart() {
+		return firstGroup(PROMPT_PART);
+	}
+
+	/**
+	 * Tells whether the line belongs to the history of quarantined prompt parts.
+	 * @return whether it does
+	 */
+	boolean isQuarantine() {
+		return this.message.startsWith("quarantine: ");
+	}
+
 	private Optional<String> firstGroup(Pattern pattern) {
 		Matcher matcher = pattern.matcher(this.message);
 		return matcher.find() ? Optional.of(matcher.group(1)) : Optional.empty();
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -47,6 +48,7 @@
 	 */
 	public ExplainReport explain(String requestId) {
 		List<ExplainReport.Step> steps = new ArrayList<>();
+		quarantineLines(requestId).forEach((line) -> steps.add(step("state", line)));
 		for (List<LogLine> log : this.logs) {
 			List<LogLine> requestLines = log.stream().filter((line) -> line.isForRequest(requestId)).toList();
 			if (!requestLines.isEmpty()) {
@@ -62,6 +64,29 @@
 		return new ExplainReport(requestId, steps, List.of());
 	}
 
+	/**
+	 * Finds the verdict for which a request was refused, and the crashes that led to it.
+	 * All processes report them, at any time before.
+	 * @param requestId id of the request
+	 * @return the lines of all logs
+	 */
+	private List<LogLine> quarantineLines(String requestId) {
+		List<LogLine> refusals = allLines()
+			.filter((line) -> line.isForRequest(requestId) && line.promptPart().isPresent())
+			.toList();
+		Set<String> servers = servers(refusals);
+		Set<Optional<String>> parts = new HashSet<>();
+		refusals.forEach((line) -> parts.add(line.promptPart()));
+		return allLines().filter(LogLine::isQuarantine)
+			.filter((line) -> line.promptPart().isPresent() ? parts.contains(line.promptPart())
+					: line.servers().stream().anyMatch(servers::contains))
+			.toList();
+	}
+
+	private Stream<LogLine> allLines() {
+		return this.logs.stream().flatMap(List::stream);
+	}
+
 	private static Set<String> servers(List<LogLine> lines) {
 		Set<String> servers = new HashSet<>();
 		lines.forEach((line) -> servers.addAll(line.servers()));
@@ -72,7 +97,7 @@
 		long firstMillis = requestLines.get(0).timeMillis();
 		long lastMillis = requestLines.get(requestLines.size() - 1).timeMillis();
 		boolean inWindow = line.timeMillis() >= firstMillis - STATE_WINDOW_MILLIS && line.timeMillis() <= lastMillis;
-		if (!inWindow || line.requestId().isPresent()) {
+		if (!inWindow || line.requestId().isPresent() || line.isQuarantine()) {
 			return false;
 		}
 		return line.servers().stream().anyMatch(servers::contains)
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
@@ -94,7 +94,7 @@
 			return Optional.empty();
 		}
 		return Optional
-			.of(new BackendServer(id, "trade", new HostPort("127.0.0.1", 1), "a", 4, state.equals("draining")));
+			.of(new BackendServer(id, "trade", new HostPort("127.0.0.1", 1), "a", 4, 0, state.equals("draining")));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -29,6 +29,8 @@
 import org.marjoramgw.direct.follow.TopicFollower;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.RequestLog;
+import org.marjoramgw.direct.quarantine.PromptGuard;
+import org.marjoramgw.direct.quarantine.QuarantineGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
@@ -65,9 +67,15 @@
 	 */
 	private static final long SERVERS_WAIT_MILLIS = 3_000;
 
+	/** Long-poll timeout of a read of crash reports and verdicts. */
+	private static final long QUARANTINE_WAIT_MILLIS = 2_000;
+
 	/** Delay within which changes in the store are read together, in milliseconds. */
 	private static final long GATHER_MILLIS = 250;
 
+	/** The same for crash reports, which are urgent. */
+	private static final long QUARANTINE_GATHER_MILLIS = 100;
+
 	/** Maximum delay of the first retry of a read from the store, in milliseconds. */
 	private static final long BASE_STORE_BACKOFF_MILLIS = 250;
 
@@ -182,6 +190,10 @@
 
 	private final TopicFollower serversFollower;
 
+	private final QuarantineGuard quarantineGuard;
+
+	private final TopicFollower quarantineFollower;
+
 	private ClockReading lastMaintenance = this.clock.now();
 
 	private volatile boolean warmedUp;
@@ -211,15 +223,21 @@
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
 				this.clock, this.timers);
+		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
-		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.requestLog, this::maxAgeMillis);
+		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
+				this::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder);
 		ResultCounters counters = new ResultCounters(this.registry);
 		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
-				this.clock, this.timers, schedule(CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS),
-				counters);
+				this.clock, this.timers,
+				schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS), counters);
 		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
-				this.timers, schedule(SERVERS_WAIT_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
+				this.timers, schedule(SERVERS_WAIT_MILLIS, GATHER_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
+		this.quarantineFollower = new TopicFollower("quarantine", this.platform.quarantine(), this.quarantineGuard,
+				this.clock, this.timers,
+				schedule(QUARANTINE_WAIT_MILLIS, QUARANTINE_GATHER_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
+		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
@@ -232,6 +250,8 @@
 	public void run() {
 		this.configurationFollower.start();
 		this.serversFollower.start();
+		this.quarantineFollower.start();
+		this.quarantineGuard.start();
 		runMaintenance();
 		logAttainment();
 		this.lag.start();
@@ -290,7 +310,7 @@
 		sampleRouting.onConfirmed(this.clock.now());
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
-		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory,
+		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
 				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), () -> WARM_UP_LIMIT_MILLIS * 2);
 		callerListener(sampleForwarder).serve(acceptor);
 	}
@@ -300,8 +320,8 @@
 				target::handle);
 	}
 
-	private static ReadSchedule schedule(long waitMillis, long maxBackoffMillis) {
-		return new ReadSchedule(waitMillis, GATHER_MILLIS,
+	private static ReadSchedule schedule(long waitMillis, long gatherMillis, long maxBackoffMillis) {
+		return new ReadSchedule(waitMillis, gatherMillis,
 				new Backoff(BASE_STORE_BACKOFF_MILLIS, maxBackoffMillis, new Random()));
 	}
 
@@ -332,6 +352,7 @@
 			Logger.info("time of day jumped or the VM was suspended; confirming the configuration");
 			this.configurationFollower.confirm();
 			this.serversFollower.confirm();
+			this.quarantineFollower.confirm();
 		}
 		this.lastMaintenance = this.clock.now();
 		if (this.settings.hasChanged()) {
@@ -382,6 +403,7 @@
 		Pause.millis(FINAL_WRITE_MILLIS);
 		this.configurationFollower.close();
 		this.serversFollower.close();
+		this.quarantineFollower.close();
 		Logger.info("stopped with {} open requests", this.forwarder.openCount());
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
@@ -3,6 +3,7 @@
 import org.marjoramgw.direct.backend.BackendDialect;
 import org.marjoramgw.direct.caller.CallerDialect;
 import org.marjoramgw.direct.follow.ActiveRouting.RoutingDecoder;
+import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.CompactedTopic;
 import org.marjoramgw.direct.follow.ServerDirectory.ServerDecoder;
 import org.marjoramgw.direct.warmup.Samples;
@@ -18,10 +19,11 @@
  * @param routingDecoder decoder of that record
  * @param servers topic that holds the registrations of backend servers
  * @param serverDecoder decoder of a registration
+ * @param quarantine topic of this system for crash reports and verdicts
  * @param samples sample messages for the warm-up
  * @author The marjoramgw authors
  */
 public record Platform(CallerDialect callerDialect, BackendDialect backendDialect, CompactedTopic configuration,
 		String configurationKey, RoutingDecoder routingDecoder, CompactedTopic servers, ServerDecoder serverDecoder,
-		Samples samples) {
+		AppendableTopic quarantine, Samples samples) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -18,6 +18,8 @@
 import org.marjoramgw.direct.forward.ForwardingContext;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
+import org.marjoramgw.direct.quarantine.PromptGuard;
+import org.marjoramgw.direct.quarantine.QuarantineGuard;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
@@ -25,6 +27,8 @@
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.quarantine.Quarantine;
+import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Timers;
@@ -59,6 +63,11 @@
 	/** Maximum size of all such bodies together, a quarter of the heap. */
 	private static final long MAX_BODIES_BYTES = 16L << 20;
 
+	/** Maximum delay of the first repetition of an append, in milliseconds. */
+	private static final long BASE_APPEND_BACKOFF_MILLIS = 250;
+
+	private static final long MAX_APPEND_BACKOFF_MILLIS = 1_000;
+
 	private final ActorSystem<?> system;
 
 	private final Platform platform;
@@ -75,6 +84,8 @@
 
 	private final PrefillLimiter prefillLimiter;
 
+	private final HttpConnector connector;
+
 	private final ConnectionPool pool;
 
 	private final BodyBudget bodyBudget = new BodyBudget(MAX_BODY_BYTES, MAX_BODIES_BYTES);
@@ -99,19 +110,21 @@
 		this.timers = timers;
 		this.health = new ServerHealth(monotonicClock);
 		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext());
-		this.pool = new ConnectionPool(new HttpConnector(system, BackendHttpSettings.of(config)), monotonicClock);
+		this.connector = new HttpConnector(system, BackendHttpSettings.of(config));
+		this.pool = new ConnectionPool(this.connector, monotonicClock);
 	}
 
 	/**
 	 * Creates a forwarder.
 	 * @param routing the configuration that it applies
 	 * @param servers the backend servers that it uses
+	 * @param promptGuard guard of the backend servers
 	 * @param requestLog log of its requests
 	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
 	 * milliseconds
 	 * @return the forwarder
 	 */
-	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, RequestLog requestLog,
+	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
 			LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
@@ -119,7 +132,19 @@
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
 				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
-				this.bodyBudget, requestLog, this.clock, this.timers, random));
+				this.bodyBudget, promptGuard, requestLog, this.clock, this.timers, random));
+	}
+
+	/**
+	 * Creates a guard that shares its verdicts with all processes.
+	 * @return the guard
+	 */
+	QuarantineGuard quarantineGuard() {
+		String processId = this.settings.get().processId();
+		Quarantine quarantine = new Quarantine(processId, this.monotonicClock, System::currentTimeMillis, new Random());
+		return new QuarantineGuard(processId, quarantine, this.platform.quarantine(), this.connector, this.health,
+				this.monotonicClock, this.timers,
+				new Backoff(BASE_APPEND_BACKOFF_MILLIS, MAX_APPEND_BACKOFF_MILLIS, new Random()));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -43,6 +43,15 @@
 		return this.promptParts.subList(0, shared).stream().map(PromptPart::id).toList();
 	}
 
+	/**
+	 * Returns the identity of the prompt, which is the same if the caller repeats the
+	 * request.
+	 * @return id of the last part, or the id of the request if the prompt has no parts
+	 */
+	public String promptId() {
+		return this.promptParts.isEmpty() ? this.id : this.promptParts.get(this.promptParts.size() - 1).id();
+	}
+
 	/**
 	 * Returns the total time allowed for the request.
 	 * @param timeoutMillis timeout of the route, in milliseconds
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -32,6 +32,10 @@
 
 	private boolean begun;
 
+	private boolean answering;
+
+	private long sentMillis;
+
 	Attempt(BackendServer server) {
 		this.server = server;
 	}
@@ -115,6 +119,26 @@
 		return this.begun;
 	}
 
+	/**
+	 * Tells whether the head of an answer was received.
+	 * @return whether it was
+	 */
+	boolean isAnswering() {
+		return this.answering;
+	}
+
+	void markAnswering() {
+		this.answering = true;
+	}
+
+	/**
+	 * Returns when this attempt was sent.
+	 * @return time of the monotonic clock, in milliseconds
+	 */
+	long sentMillis() {
+		return this.sentMillis;
+	}
+
 	void onFirstToken() {
 		this.begun = true;
 		if (this.prefillPermit != null) {
@@ -141,8 +165,13 @@
 		return this.sent;
 	}
 
-	void markSent() {
+	/**
+	 * Marks this attempt as sent.
+	 * @param nowMillis present time by the monotonic clock, in milliseconds
+	 */
+	void markSent(long nowMillis) {
 		this.sent = true;
+		this.sentMillis = nowMillis;
 	}
 
 	void markNotRun() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -19,6 +19,7 @@
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.quarantine.Verdict;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.Timers;
 
@@ -39,6 +40,8 @@
 	/** Minimum remaining time for another attempt, in milliseconds. */
 	private static final long MIN_REMAINING_MILLIS = 30;
 
+	private static final String SUSPECTED_PROMPT = "not sent again, its prompt may have crashed the server: ";
+
 	private final ForwardingContext context;
 
 	private final HttpRequest request;
@@ -101,6 +104,7 @@
 	synchronized CompletionStage<HttpResponse> start() {
 		try {
 			this.admittedRequest = this.context.admission().admit(this.caller);
+			refuseIfQuarantined(this.context.promptGuard().check(this.caller));
 			this.service = this.admittedRequest.route().selectService(this.context.random().nextDouble());
 			this.context.retryBudget().onRequest(this.service);
 			this.promptRecord = startPromptRecord(this.admittedRequest.route());
@@ -206,7 +210,10 @@
 		attempt.setConnection(connection);
 		try {
 			this.admittedRequest = this.context.admission().admit(this.caller);
-			send(attempt);
+			if (!mustChooseAgain(attempt)) {
+				refuseIfQuarantined(this.context.promptGuard().checkBeforeSend(this.caller));
+				send(attempt);
+			}
 		}
 		catch (RequestRejectedException ex) {
 			endAttempt(true);
@@ -214,26 +221,43 @@
 		}
 	}
 
-	private void send(Attempt attempt) {
+	private void refuseIfQuarantined(Optional<Verdict> verdict) throws RequestRejectedException {
+		if (verdict.isPresent()) {
+			throw new RequestRejectedException(ResultCode.PROMPT_PART_QUARANTINED,
+					"model=" + verdict.get().part().model() + " part=" + verdict.get().part().part() + " servers="
+							+ String.join(",", verdict.get().servers()));
+		}
+	}
+
+	/**
+	 * Retries or ends the request if it can't be sent to the server that was chosen.
+	 * @param attempt the attempt
+	 * @return whether it can't be sent
+	 */
+	private boolean mustChooseAgain(Attempt attempt) {
 		if (!this.admittedRequest.route().hasService(this.service)) {
 			this.service = this.admittedRequest.route().selectService(this.context.random().nextDouble());
 			retry(attempt, ResultCode.NO_BACKEND, "route no longer uses this service");
-			return;
+			return true;
 		}
-		long remainingMillis = remainingMillis();
-		if (remainingMillis < MIN_REMAINING_MILLIS || !this.context.directory().isUsable(attempt.serverId())) {
+		if (remainingMillis() < MIN_REMAINING_MILLIS || !this.context.directory().isUsable(attempt.serverId())) {
 			retry(attempt, ResultCode.NO_BACKEND, "server no longer usable or deadline too close before sending");
-			return;
+			return true;
 		}
 		if (this.callerDisconnected.getAsBoolean()) {
 			cancel();
-			return;
+			return true;
 		}
+		return false;
+	}
+
+	private void send(Attempt attempt) {
+		long remainingMillis = remainingMillis();
 		HttpRequest backendRequest = this.context.backendDialect()
 			.toBackendRequest(this.request, attempt.metadata(this.admittedRequest, remainingMillis,
 					isResuming() ? this.resumableBody.lastEventId() : Optional.empty()));
 		this.history.onSent(ageMillis());
-		attempt.markSent();
+		attempt.markSent(this.context.clock().now().monotonicMillis());
 		attempt.connection()
 			.send(backendRequest)
 			.whenComplete((response, failure) -> onResponseHead(attempt, response, failure));
@@ -248,6 +272,7 @@
 			onBrokenResponse(attempt, "no response: " + failure.getMessage());
 			return;
 		}
+		attempt.markAnswering();
 		ResponseKind kind = this.context.backendDialect().classify(response, this.caller.id());
 		if (isResuming() && isExecuted(kind) && !response.status().isSuccess()) {
 			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
@@ -313,6 +338,7 @@
 		}
 		if (response.status().isSuccess()) {
 			this.context.health().onSuccess(attempt.serverId());
+			this.context.promptGuard().onAnswer(this.caller);
 		}
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		endAttempt(false);
@@ -324,7 +350,7 @@
 	private void stream(Attempt attempt, HttpResponse response) {
 		this.context.health().onSuccess(attempt.serverId());
 		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis());
-		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), pauses,
+		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), () -> onProgress(attempt), pauses,
 				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
 		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
 		if (isResuming()) {
@@ -345,6 +371,13 @@
 		this.history.onFirstBytes(ageMillis());
 	}
 
+	private synchronized void onProgress(Attempt attempt) {
+		if (!this.history.hasAnswered()) {
+			this.history.markAnswered();
+			this.context.promptGuard().onAnswer(this.caller);
+		}
+	}
+
 	private synchronized void onStreamEnd(Attempt attempt, HttpResponse response, PauseMeter pauses, ResultCode code,
 			String cause) {
 		if (this.currentAttempt != attempt) {
@@ -354,12 +387,15 @@
 		this.history.onPause(pauses.longestMillis());
 		this.promptRecord.endStream();
 		if (code == ResultCode.OK) {
+			onProgress(attempt);
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
 		else if (code != ResultCode.CALLER_GONE) {
 			this.context.health().onFailure(attempt.serverId());
+			CompletionStage<Boolean> mayRetry = checkServer(attempt);
 			if (this.resumableBody.isStarted() && this.history.mayRunAgain(this.admittedRequest.route())) {
-				resume(attempt, detail);
+				this.resumableBody.interrupt();
+				mayRetry.thenAccept((allowed) -> resume(attempt, allowed, detail));
 				return;
 			}
 		}
@@ -375,9 +411,16 @@
 		return started;
 	}
 
-	private void resume(Attempt attempt, String detail) {
-		this.resumableBody.interrupt();
+	private synchronized void resume(Attempt attempt, boolean allowed, String detail) {
+		if (this.currentAttempt != attempt) {
+			return;
+		}
 		this.history.countPossibleRun();
+		if (!allowed) {
+			endAttempt(true);
+			reject(ResultCode.BACKEND_BROKE_OFF, SUSPECTED_PROMPT + detail);
+			return;
+		}
 		retry(attempt, ResultCode.BACKEND_BROKE_OFF,
 				"last_event=" + this.resumableBody.lastEventId().orElse("none") + detail);
 	}
@@ -393,15 +436,41 @@
 	private void onBrokenResponse(Attempt attempt, ResultCode code, String cause) {
 		String detail = cause + describePrompt(attempt);
 		this.context.health().onFailure(attempt.serverId());
+		CompletionStage<Boolean> mayRetry = checkServer(attempt);
 		if (this.history.mayRunAgain(this.admittedRequest.route())) {
-			this.history.countPossibleRun();
-			retry(attempt, code, detail);
+			mayRetry.thenAccept((allowed) -> runAgain(attempt, allowed, code, detail));
 			return;
 		}
 		endAttempt(true);
 		reject(code, "server=" + attempt.serverId() + " " + detail);
 	}
 
+	/**
+	 * Asks the guard about a server whose connection broke.
+	 * @param attempt the attempt that failed
+	 * @return whether the request may be sent to another server
+	 */
+	private CompletionStage<Boolean> checkServer(Attempt attempt) {
+		if (this.history.hasAnswered() || !attempt.mayHaveRun()) {
+			return CompletableFuture.completedFuture(true);
+		}
+		return this.context.promptGuard()
+			.onUnanswered(attempt.server(), this.caller, attempt.isAnswering(), attempt.sentMillis());
+	}
+
+	private synchronized void runAgain(Attempt attempt, boolean allowed, ResultCode code, String detail) {
+		if (this.currentAttempt != attempt) {
+			return;
+		}
+		this.history.countPossibleRun();
+		if (allowed) {
+			retry(attempt, code, detail);
+			return;
+		}
+		endAttempt(true);
+		reject(code, "server=" + attempt.serverId() + " " + SUSPECTED_PROMPT + detail);
+	}
+
 	private String describePrompt(Attempt attempt) {
 		return this.caller.hasPrompt() ? " begun=" + attempt.hasBegun() + " model=" + this.caller.model() + " parts="
 				+ String.join(",", this.caller.sharedPartIds()) : "";
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -9,6 +9,7 @@
 import org.marjoramgw.direct.caller.CallerDialect;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
@@ -33,6 +34,7 @@
  * @param pool pool of connections to backend servers
  * @param retryBudget budget of retries
  * @param bodyBudget memory budget of response bodies
+ * @param promptGuard keeps prompts that crash backend servers away from them
  * @param requestLog counts and logs outcomes
  * @param clock clock that measures ages
  * @param timers timers
@@ -43,5 +45,5 @@
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
 		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyBudget bodyBudget,
-		RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
+		PromptGuard promptGuard, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
@@ -13,18 +13,25 @@
 
 	private final Runnable onFirstBytes;
 
+	private final Runnable onProgress;
+
 	private final BiConsumer<ResultCode, String> onEnd;
 
 	private final PauseMeter pauses;
 
+	private int chunkCount;
+
 	/**
 	 * Creates an observer.
 	 * @param onFirstBytes called when the first bytes arrive
+	 * @param onProgress called when further bytes arrive for the first time
 	 * @param pauses measures the pauses of the stream
 	 * @param onEnd called once with the result code and a detail for the log
 	 */
-	StreamObserver(Runnable onFirstBytes, PauseMeter pauses, BiConsumer<ResultCode, String> onEnd) {
+	StreamObserver(Runnable onFirstBytes, Runnable onProgress, PauseMeter pauses,
+			BiConsumer<ResultCode, String> onEnd) {
 		this.onFirstBytes = onFirstBytes;
+		this.onProgress = onProgress;
 		this.pauses = pauses;
 		this.onEnd = onEnd;
 	}
@@ -42,6 +49,10 @@
 	@Override
 	public void onBytes() {
 		this.pauses.onBytes();
+		this.chunkCount++;
+		if (this.chunkCount == 2) {
+			this.onProgress.run();
+		}
 	}
 
 	@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/BackendServer.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/BackendServer.java
@@ -5,14 +5,25 @@
 /**
  * Registered backend server.
  *
- * @param id id of this incarnation of the server
+ * @param id id of the server
  * @param service service that it serves
  * @param address address of the server
  * @param failureDomain failure domain of the server
  * @param slotCount number of requests that it runs concurrently
+ * @param startMillis when the server started, in milliseconds since the Unix epoch; 0 if
+ * it didn't say
  * @param draining whether it accepts no new requests because it is shutting down
  * @author The marjoramgw authors
  */
 public record BackendServer(String id, String service, HostPort address, String failureDomain, int slotCount,
-		boolean draining) {
+		long startMillis, boolean draining) {
+
+	/**
+	 * Returns the identity of this run of the server, which ends with its process.
+	 * @return the id and the time of the start
+	 */
+	public String incarnation() {
+		return this.id + "@" + this.startMillis;
+	}
+
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -33,6 +33,7 @@
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.policy.limiter.StartLimiter;
@@ -43,6 +44,7 @@
 import org.marjoramgw.testkit.TestSeed;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.PekkoTimers;
+import org.marjoramgw.time.Timers;
 
 /**
  * Request path of a direct entry process between raw caller sockets and scripted servers.
@@ -78,6 +80,17 @@
 		}, servers);
 	}
 
+	/**
+	 * Creates a fixture whose servers are guarded.
+	 * @param guards creates the guard
+	 * @param servers backend servers
+	 * @throws Exception if the setup fails
+	 */
+	ForwardingFixture(GuardFactory guards, ScriptedServer... servers) throws Exception {
+		this((early) -> {
+		}, guards, servers);
+	}
+
 	/**
 	 * Creates a fixture with callers that connect before the process serves them.
 	 * @param earlyCallers called while the process is listening but not serving yet
@@ -85,6 +98,11 @@
 	 * @throws Exception if the setup fails
 	 */
 	ForwardingFixture(EarlyCallers earlyCallers, ScriptedServer... servers) throws Exception {
+		this(earlyCallers, (connector, health, timers) -> PromptGuard.NONE, servers);
+	}
+
+	private ForwardingFixture(EarlyCallers earlyCallers, GuardFactory guards, ScriptedServer... servers)
+			throws Exception {
 		MillisClock monotonicClock = new SystemMillisClock();
 		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), monotonicClock);
 		this.address = this.acceptor.address();
@@ -102,14 +120,17 @@
 		Random random = TestSeed.random(7);
 		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
 		PromptPartition partition = new PromptPartition(monotonicClock);
+		HttpConnector connector = new HttpConnector(this.system, BackendHttpSettings.of(config));
+		Timers timers = new PekkoTimers(this.system);
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS), directory, health,
 				new StartLimiter(4, this.system.executionContext()),
 				new PrefillLimiter(monotonicClock, this.system.executionContext()), partition,
 				new ServerSelector(directory, health, placement, placement, partition, "a"),
-				new ConnectionPool(new HttpConnector(this.system, BackendHttpSettings.of(config)), monotonicClock),
+				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyBudget(1 << 20, 4 << 20),
-				new RequestLog(new MetricRegistry(), monotonicClock, 20), clock, new PekkoTimers(this.system), random);
+				guards.create(connector, health, timers), new RequestLog(new MetricRegistry(), monotonicClock, 20),
+				clock, timers, random);
 		Forwarder forwarder = new Forwarder(context);
 		new CallerListener(this.system, ServerSettings.create(config), new PekkoTimers(this.system),
 				() -> CallerLimits.DEFAULT, (preview) -> routing.rank(preview.host(), preview.path()),
@@ -182,6 +203,23 @@
 		return new KeyedRecord(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)), 0);
 	}
 
+	/**
+	 * Creates the guard of the backend servers.
+	 */
+	@FunctionalInterface
+	interface GuardFactory {
+
+		/**
+		 * Creates the guard.
+		 * @param connector connector of the fixture
+		 * @param health failure state of its servers
+		 * @param timers its timers
+		 * @return the guard
+		 */
+		PromptGuard create(HttpConnector connector, ServerHealth health, Timers timers);
+
+	}
+
 	/**
 	 * Actions of callers before the process serves them.
 	 */
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
@@ -4,9 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletionException;
 
+import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.TopicPage;
 import org.marjoramgw.direct.follow.TopicSlice;
 import org.marjoramgw.errors.StoreUnavailableException;
@@ -46,6 +49,18 @@
 		Assert.assertEquals(page.records().get(0).value().orElseThrow(), bytes("one"));
 	}
 
+	@Test
+	public void encodedRecordsAreReadBack() {
+		List<KeyedRecord> records = List.of(new KeyedRecord("a", Optional.of(bytes("one")), 0),
+				new KeyedRecord("b", Optional.empty(), 1));
+		byte[] encoded = StoreFormat.encodeRecords(records);
+		TopicSlice slice = StoreFormat
+			.decodeSlice(ByteBuffer.allocate(16 + encoded.length).putLong(2).putLong(0).put(encoded).array(), 0);
+		Assert.assertEquals(slice.records().get(0).value().orElseThrow(), bytes("one"));
+		Assert.assertEquals(slice.records().get(1).key(), "b");
+		Assert.assertTrue(slice.records().get(1).value().isEmpty());
+	}
+
 	@Test
 	public void lengthBeyondTheBodyFailsBeforeItIsAllocated() {
 		byte[] body = ByteBuffer.allocate(20).putLong(0).putLong(0).putInt(Integer.MAX_VALUE).array();
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the quarantine of prompt parts.
+ */
+package org.marjoramgw.policy.quarantine;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -64,6 +64,9 @@
 	TIMEOUT_BEFORE_SEND(2020, 503, ExecutionOutcome.NOT_RUN, "time was over before the request was sent"),
 	/** Request body was incomplete. */
 	BODY_INCOMPLETE(2021, 400, ExecutionOutcome.NOT_RUN, "body was not complete"),
+	/** Part of the prompt is quarantined because it crashes backend servers. */
+	PROMPT_PART_QUARANTINED(2022, 400, ExecutionOutcome.NOT_RUN,
+			"a part of the prompt crashes backend servers and is refused"),
 
 	/** Queue of the request class is full. */
 	QUEUE_FULL(3001, 429, ExecutionOutcome.NOT_RUN, "queue of the class is full"),
