Take a stream that ends inside an event for broken off

What callers saw: where a server closed an answer without length, or ended its chunks, in the middle of an event, the stream looked complete, and on a route whose streams may be resumed the rest was never asked for.

Cause: the end of the bytes was taken for the end of the answer. HTTP can't tell a server that ended from one that crashed where there is no length; the events can.

The same cause elsewhere: plain answers without a length have no such sign; one that is reset is broken off already (ForwardingTests).

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventSizeLimit.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventMeter.java
@@ -6,12 +6,12 @@
 import org.marjoramgw.errors.ResponseTooLargeException;
 
 /**
- * Limit of the size of an event in a stream. A server that sends bytes without an end of
- * an event has failed. Not thread-safe.
+ * Measures the event that a stream is in. A server that sends bytes without an end of an
+ * event has failed, and so has one whose stream ends inside an event. Not thread-safe.
  *
  * @author The marjoramgw authors
  */
-final class EventSizeLimit {
+final class EventMeter {
 
 	private static final long MAX_EVENT_BYTES = 256 << 10;
 
@@ -20,11 +20,11 @@
 	private long eventBytes;
 
 	/**
-	 * Checks the next bytes of the stream.
+	 * Takes the next bytes of the stream.
 	 * @param bytes the bytes
 	 * @throws ResponseTooLargeException if an event is too large
 	 */
-	void check(ByteString bytes) throws ResponseTooLargeException {
+	void add(ByteString bytes) throws ResponseTooLargeException {
 		ByteBuffer buffer = bytes.asByteBuffer();
 		while (buffer.hasRemaining()) {
 			this.eventBytes = this.boundary.isEnd(buffer.get()) ? 0 : this.eventBytes + 1;
@@ -34,4 +34,12 @@
 		}
 	}
 
+	/**
+	 * Tells whether bytes came after the last complete event.
+	 * @return whether the stream is inside an event
+	 */
+	boolean isInsideEvent() {
+		return this.eventBytes > 0;
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -352,7 +352,9 @@
 		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis());
 		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), () -> onProgress(attempt), pauses,
 				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
-		Source<ByteString, ?> body = response.entity().getDataBytes().via(new ObservedBody(observer));
+		Source<ByteString, ?> body = response.entity()
+			.getDataBytes()
+			.via(new ObservedBody(observer, ResponseBodies.hasEvents(response)));
 		if (isResuming()) {
 			this.resumableBody.continueWith(body);
 			return;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct.forward;
 
+import java.io.IOException;
+
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
 import org.apache.pekko.stream.Inlet;
@@ -12,8 +14,9 @@
 import org.marjoramgw.errors.ResponseTooLargeException;
 
 /**
- * Stream stage that passes a body of events through and reports its start and end to an
- * observer. It fails if the server sends an event without end.
+ * Stream stage that passes a body through and reports its start and end to an observer.
+ * It fails if the server sends an event without end, or if a stream of events ends inside
+ * one.
  *
  * @author The marjoramgw authors
  */
@@ -27,8 +30,16 @@
 
 	private final BodyObserver observer;
 
-	ObservedBody(BodyObserver observer) {
+	private final boolean hasEvents;
+
+	/**
+	 * Creates a stage.
+	 * @param observer receives the start and the end of the body
+	 * @param hasEvents whether the body is a stream of events
+	 */
+	ObservedBody(BodyObserver observer, boolean hasEvents) {
 		this.observer = observer;
+		this.hasEvents = hasEvents;
 	}
 
 	@Override
@@ -43,7 +54,7 @@
 
 	private final class Logic extends GraphStageLogic {
 
-		private final EventSizeLimit eventSize = new EventSizeLimit();
+		private final EventMeter event = new EventMeter();
 
 		private boolean started;
 
@@ -64,23 +75,30 @@
 				ObservedBody.this.observer.onBytes();
 				ByteString bytes = grab(ObservedBody.this.in);
 				try {
-					Logic.this.eventSize.check(bytes);
+					Logic.this.event.add(bytes);
 					push(ObservedBody.this.out, bytes);
 				}
 				catch (ResponseTooLargeException ex) {
-					ObservedBody.this.observer.onFailure(ex);
-					failStage(ex);
+					fail(ex);
 				}
 			}
 
 			@Override
 			public void onUpstreamFinish() {
+				if (ObservedBody.this.hasEvents && Logic.this.event.isInsideEvent()) {
+					fail(new IOException("stream ended inside an event"));
+					return;
+				}
 				ObservedBody.this.observer.onComplete();
 				completeStage();
 			}
 
 			@Override
 			public void onUpstreamFailure(Throwable failure) {
+				fail(failure);
+			}
+
+			private void fail(Throwable failure) {
 				ObservedBody.this.observer.onFailure(failure);
 				failStage(failure);
 			}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -9,6 +9,7 @@
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaType;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
@@ -53,6 +54,16 @@
 			.thenApply((body) -> HttpEntities.create(response.entity().getContentType(), body));
 	}
 
+	/**
+	 * Tells whether the body of a response is a stream of events.
+	 * @param response the response
+	 * @return whether its media type says so
+	 */
+	static boolean hasEvents(HttpResponse response) {
+		MediaType mediaType = response.entity().getContentType().mediaType();
+		return mediaType.mainType().equals("text") && mediaType.subType().equals("event-stream");
+	}
+
 	/**
 	 * Returns the result code of a body that could not be read.
 	 * @param failure the failure
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
@@ -64,6 +64,66 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] streamsThatEndInsideAnEvent() {
+		String begun = event(1) + "id: 2\ndata: ev";
+		String eventStream = "Content-Type: text/event-stream\r\n";
+		return new Object[][] { { "/stream/1", eventStream, begun }, { "/resume/1", eventStream, begun },
+				{ "/stream/1", STREAM_HEADERS, chunk(begun) + "0\r\n\r\n" },
+				{ "/resume/1", STREAM_HEADERS, chunk(begun) + "0\r\n\r\n" },
+				{ "/stream/1", eventStream + "Content-Length: " + begun.length() + "\r\n", begun },
+				{ "/stream/1", eventStream, "id: 1\r\ndata: a\r\n\r" } };
+	}
+
+	@Test(dataProvider = "streamsThatEndInsideAnEvent")
+	public void streamThatEndsInsideAnEventDoesNotLookComplete(String route, String headers, String body)
+			throws Exception {
+		ScriptedServer.Script script = (request, connection) -> {
+			write(connection, ScriptedServer.head("200 OK", request, headers) + body);
+			connection.close();
+			return false;
+		};
+		try (ScriptedServer first = new ScriptedServer(script);
+				ScriptedServer second = new ScriptedServer(script);
+				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
+			String response = fixture.call("POST " + route, KEY, "prompt");
+			Assert.assertFalse(response.endsWith("0\r\n\r\n"), response);
+		}
+	}
+
+	@Test
+	public void streamWithoutLengthThatEndsAfterAnEventIsComplete() throws Exception {
+		ScriptedServer.Script script = (request, connection) -> {
+			write(connection,
+					ScriptedServer.head("200 OK", request, "Content-Type: text/event-stream\r\n") + events(1));
+			connection.close();
+			return false;
+		};
+		for (String route : new String[] { "/resume/1", "/stream/1" }) {
+			try (ScriptedServer server = new ScriptedServer(script);
+					ForwardingFixture fixture = new ForwardingFixture(server)) {
+				assertComplete(fixture.call("POST " + route, KEY, "prompt"), route);
+			}
+		}
+	}
+
+	@Test
+	public void streamWithoutLengthThatEndsInsideAnEventContinuesOnAnotherServer() throws Exception {
+		AtomicInteger requests = new AtomicInteger();
+		ScriptedServer.Script script = (request, connection) -> {
+			boolean first = requests.getAndIncrement() == 0;
+			write(connection, ScriptedServer.head("200 OK", request, "Content-Type: text/event-stream\r\n")
+					+ (first ? event(1) + "id: 2\ndata: ev" : events(lastEventId(request) + 1)));
+			connection.close();
+			return false;
+		};
+		try (ScriptedServer first = new ScriptedServer(script);
+				ScriptedServer second = new ScriptedServer(script);
+				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
+			assertComplete(fixture.call("POST /resume/1", KEY, "prompt"), "cut inside an event");
+		}
+	}
+
 	@Test
 	public void callersOwnPositionIsReplacedByThePresentOne() throws Exception {
 		ScriptedServer.Script script = breakingOffFirst((next) -> chunk(event(next)), (next) -> chunk(events(next)));
