Resume a stream with a stream of events only

What callers could see: a stream had begun and broke off, and the next server answered with an error as a success or a redirect, such as a JSON text with status 200 or 302, an empty 204 or a part with 206.

Cause: while a stream was resumed, any status that the HTTP library calls a success was taken for its continuation, and the library counts redirects too.

Eight rows of errorOfTheNextServerNeverEntersAStreamThatHasBegun failed before; answers with 404, 500 and 503 were refused already. A first answer that isn't a stream of events isn't resumed any more either, since the rest of it can't be asked for.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -274,7 +274,7 @@
 		}
 		attempt.markAnswering();
 		ResponseKind kind = this.context.backendDialect().classify(response, this.caller.id());
-		if (isResuming() && isExecuted(kind) && !response.status().isSuccess()) {
+		if (isResuming() && isExecuted(kind) && !ResponseBodies.isEventStream(response)) {
 			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
 			return;
 		}
@@ -354,12 +354,12 @@
 				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
 		Source<ByteString, ?> body = response.entity()
 			.getDataBytes()
-			.via(new ObservedBody(observer, ResponseBodies.hasEvents(response)));
+			.via(new ObservedBody(observer, ResponseBodies.isEventStream(response)));
 		if (isResuming()) {
 			this.resumableBody.continueWith(body);
 			return;
 		}
-		if (this.admittedRequest.route().resumable()) {
+		if (this.admittedRequest.route().resumable() && ResponseBodies.isEventStream(response)) {
 			body = this.resumableBody.start(body);
 		}
 		this.responded = true;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -11,6 +11,7 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaType;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.CompletionStages;
@@ -55,13 +56,15 @@
 	}
 
 	/**
-	 * Tells whether the body of a response is a stream of events.
+	 * Tells whether a response is a complete stream of events, and not an error or a
+	 * part.
 	 * @param response the response
-	 * @return whether its media type says so
+	 * @return whether its status and its media type say so
 	 */
-	static boolean hasEvents(HttpResponse response) {
+	static boolean isEventStream(HttpResponse response) {
 		MediaType mediaType = response.entity().getContentType().mediaType();
-		return mediaType.mainType().equals("text") && mediaType.subType().equals("event-stream");
+		return response.status().equals(StatusCodes.OK) && mediaType.mainType().equals("text")
+				&& mediaType.subType().equals("event-stream");
 	}
 
 	/**
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
@@ -64,6 +64,46 @@
 		}
 	}
 
+	/**
+	 * Each row: status line, further header lines and body of an answer that doesn't
+	 * continue a stream.
+	 * @return the rows
+	 */
+	@DataProvider
+	public Object[][] otherAnswers() {
+		String json = "Content-Type: application/json\r\n";
+		String body = "{\"error\":\"out of memory\"}";
+		String sized = "Content-Length: " + body.length() + "\r\n";
+		return new Object[][] { { "500 Internal Server Error", json + sized, body },
+				{ "404 Not Found", json + sized, body }, { "302 Found", json + sized, body },
+				{ "503 Service Unavailable", json + sized, body }, { "500 Internal Server Error", json, body },
+				{ "200 OK", json + sized, body }, { "200 OK", "Content-Type: text/plain\r\n" + sized, body },
+				{ "200 OK", json, body }, { "200 OK", json + "Content-Length: 2\r\n", "\n\n" },
+				{ "204 No Content", "", "" }, { "206 Partial Content", STREAM_HEADERS, chunk(events(2)) + "0\r\n\r\n" },
+				{ "202 Accepted", json + sized, body } };
+	}
+
+	@Test(dataProvider = "otherAnswers")
+	public void errorOfTheNextServerNeverEntersAStreamThatHasBegun(String status, String headers, String body)
+			throws Exception {
+		AtomicInteger requests = new AtomicInteger();
+		ScriptedServer.Script script = (request, connection) -> {
+			boolean first = requests.getAndIncrement() == 0;
+			write(connection, first ? ScriptedServer.head("200 OK", request, STREAM_HEADERS) + chunk(event(1))
+					: ScriptedServer.head(status, request, headers) + body);
+			connection.close();
+			return false;
+		};
+		try (ScriptedServer first = new ScriptedServer(script);
+				ScriptedServer second = new ScriptedServer(script);
+				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
+			String response = fixture.call("POST /resume/1", KEY, "prompt");
+			Assert.assertFalse(response.contains("0\r\n\r\n"), "looks complete: " + response);
+			Assert.assertFalse(response.contains("error"), response);
+			Assert.assertTrue(response.equals("reset") || eventIds(response).equals(List.of(1)), response);
+		}
+	}
+
 	@DataProvider
 	public Object[][] streamsThatEndInsideAnEvent() {
 		String begun = event(1) + "id: 2\ndata: ev";
