Use no server whose id or address can't be one

What was looked for can't happen here: entries nested 200,000 deep, numbers of 400 and 5,000 digits, 1e999 and ports out of range name no server and leave the others (tests added; Jackson bounds nesting and numbers, and each record is decoded by itself).

What could happen: port 0, an address such as dead.beef or 7, which Java would look up as a name or take for another address, and an id with a line break, which went into X-Expect-Instance of each request to that address. Besides, a decoder that fails in an unforeseen way no longer stops the follower of the list: its exception was swallowed and nothing was read again (ServerDirectoryTests fails without the change).

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
@@ -51,6 +51,19 @@
 		Assert.assertEquals(ids(servers), List.of());
 	}
 
+	@Test
+	public void registrationThatFailsTheDecoderHidesNoOther() {
+		ServerDirectory servers = new ServerDirectory((id, value) -> {
+			if (id.equals("odd")) {
+				throw new IllegalStateException("odd");
+			}
+			return Fixtures.server(id, value);
+		}, this.ages);
+		servers.onSnapshot(List.of(Fixtures.record("odd", "ready", 1), Fixtures.record("a", "ready", 2)));
+		servers.onRecords(List.of(Fixtures.record("odd", "ready", 3), Fixtures.record("b", "ready", 4)));
+		Assert.assertEquals(ids(servers), List.of("a", "b"));
+	}
+
 	@Test
 	public void registrationLapsedDuringOutageIsKeptForGracePeriod() {
 		this.directory.onSnapshot(List.of(Fixtures.record("a", "ready", 1), Fixtures.record("b", "ready", 2)));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -130,8 +130,7 @@
 	@Override
 	public synchronized void onRecords(List<KeyedRecord> records) {
 		for (KeyedRecord record : records) {
-			Optional<BackendServer> server = record.value()
-				.flatMap((value) -> this.decoder.decode(record.key(), value));
+			Optional<BackendServer> server = record.value().flatMap((value) -> decode(record.key(), value));
 			if (server.isPresent()) {
 				put(server.get());
 			}
@@ -155,6 +154,23 @@
 		this.reachable = false;
 	}
 
+	/**
+	 * Decodes a registration. Whatever another writer has left under a key must not keep
+	 * the other servers from being followed.
+	 * @param id id of the server
+	 * @param value value of the record
+	 * @return the server, or empty if the record is undecodable
+	 */
+	private Optional<BackendServer> decode(String id, byte[] value) {
+		try {
+			return this.decoder.decode(id, value);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "can't decode registration {}", id);
+			return Optional.empty();
+		}
+	}
+
 	private void put(BackendServer server) {
 		Registration previous = this.registrationById.put(server.id(), new Registration(server));
 		if (previous == null || previous.server.draining() != server.draining()) {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DocumentTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DocumentTests.java
@@ -2,12 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Random;
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.RequestKind;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.Routing;
+import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -66,7 +68,15 @@
 	public Object[][] malformedRegistrations() {
 		return new Object[][] { { "\u0000\u0001" }, { "7" }, { "{}" }, { REGISTRATION.replace("ready", "resting") },
 				{ REGISTRATION.replace("10.0.0.9:8080", "nowhere") }, { REGISTRATION.replace("128", "\"128\"") },
-				{ REGISTRATION.replace("\"s\"", "7") }, { REGISTRATION.replace("8080", "99999") } };
+				{ REGISTRATION.replace("\"s\"", "7") }, { REGISTRATION.replace("8080", "99999") },
+				{ REGISTRATION.replace("8080", "65536") }, { REGISTRATION.replace("8080", "0") },
+				{ REGISTRATION.replace("8080", "-1") }, { REGISTRATION.replace("8080", "9".repeat(50)) },
+				{ REGISTRATION.replace("8080", "") }, { REGISTRATION.replace("10.0.0.9", "10.0.0.999") },
+				{ REGISTRATION.replace("10.0.0.9", "dead.beef") }, { REGISTRATION.replace("10.0.0.9", "7") },
+				{ REGISTRATION.replace("10.0.0.9", ":::::") }, { REGISTRATION.replace("128", "1e999") },
+				{ REGISTRATION.replace("128", "9".repeat(400)) }, { REGISTRATION.replace("128", "9".repeat(5_000)) },
+				{ "[".repeat(200_000) }, { "{\"a\":".repeat(200_000) },
+				{ REGISTRATION.replace("4}", "[".repeat(200_000) + "]".repeat(200_000) + "}") } };
 	}
 
 	@Test(dataProvider = "malformedRegistrations")
@@ -74,6 +84,43 @@
 		Assert.assertEquals(ServerRegistration.decode("i-1", bytes(text)), Optional.empty());
 	}
 
+	@DataProvider
+	public Object[][] malformedIds() {
+		return new Object[][] { { "" }, { "i-1\r\nX-Tenant: other" }, { "i 1" }, { "i-\u00e9" }, { "i-\u0000" },
+				{ "i-" + "1".repeat(300) } };
+	}
+
+	@Test(dataProvider = "malformedIds")
+	public void rejectsIdThatCantBeSentInAHeader(String id) {
+		Assert.assertEquals(ServerRegistration.decode(id, bytes(REGISTRATION)), Optional.empty());
+	}
+
+	@Test
+	public void oddNumbersOfOtherFieldsDontHideAServer() {
+		for (String number : new String[] { "9".repeat(400), "1e999", "-1", "1.5", "\"x\"", "null", "[]" }) {
+			String text = REGISTRATION.replace("\"sequence\":4", "\"sequence\":" + number + ",\"born\":" + number);
+			Assert.assertTrue(ServerRegistration.decode("i-1", bytes(text)).isPresent(), number);
+		}
+	}
+
+	@Test
+	public void randomRegistrationsAreDecodedOrIgnored() {
+		Random random = TestSeed.random(41);
+		String[] values = { "[".repeat(3_000), "9".repeat(2_000), "1e99999", "null", "\"\\ud800\"", "{\"a\":[1]}", "-0",
+				"\"10.0.0.9:70000\"", "true", "\"\"" };
+		for (int step = 0; step < 5_000; step++) {
+			String text = REGISTRATION;
+			for (String field : new String[] { "\"s\"", "\"10.0.0.9:8080\"", "\"a\"", "128", "\"ready\"", "4" }) {
+				if (random.nextInt(3) == 0) {
+					text = text.replace(":" + field, ":" + values[random.nextInt(values.length)]);
+				}
+			}
+			byte[] value = bytes(text);
+			value[random.nextInt(value.length)] = (byte) random.nextInt();
+			ServerRegistration.decode("i-1", value);
+		}
+	}
+
 	private static byte[] bytes(String text) {
 		return text.getBytes(StandardCharsets.UTF_8);
 	}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/HostPort.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/HostPort.java
@@ -1,6 +1,9 @@
 package org.marjoramgw;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.regex.Pattern;
 
 /**
  * TCP address: an IP address and a port.
@@ -13,6 +16,10 @@
 
 	private static final int MAX_PORT = 65_535;
 
+	private static final String OCTET = "(25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+
+	private static final Pattern IPV4 = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
+
 	/**
 	 * Parses {@code host:port}.
 	 * @param text the text to parse, for example {@code 127.0.0.1:8080}
@@ -21,7 +28,7 @@
 	 */
 	public static HostPort parse(String text) {
 		int colon = text.lastIndexOf(':');
-		if (colon <= 0 || !text.substring(0, colon).matches("[0-9a-fA-F.:\\[\\]]+")) {
+		if (colon <= 0 || !isIpAddress(text.substring(0, colon))) {
 			throw new IllegalArgumentException("not an IP address and a port: " + text);
 		}
 		int port = Integer.parseInt(text.substring(colon + 1));
@@ -39,6 +46,22 @@
 		return new InetSocketAddress(this.host, this.port);
 	}
 
+	private static boolean isIpAddress(String host) {
+		if (IPV4.matcher(host).matches()) {
+			return true;
+		}
+		if (host.indexOf(':') < 0) {
+			return false;
+		}
+		try {
+			// A name with a colon is never looked up.
+			return InetAddress.getByName(host) != null;
+		}
+		catch (UnknownHostException ex) {
+			return false;
+		}
+	}
+
 	@Override
 	public String toString() {
 		return this.host + ":" + this.port;
