Take a refusal on a reused connection as one only if it names its request

Possible here: a refusal (503 or 429 with X-Not-Executed, 421) without a request id was believed on a connection that had carried other requests.

A refusal without an id is still believed on a fresh connection: servers that turn a connection away have not read a request.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/BackendDialect.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/BackendDialect.java
@@ -25,8 +25,10 @@
 	 * Determines from the head of a response whether the request was executed.
 	 * @param response the response
 	 * @param requestId id of the request that was sent
+	 * @param reused whether the connection carried other requests before, whose responses
+	 * the server may repeat
 	 * @return kind of the response
 	 */
-	ResponseKind classify(HttpResponse response, String requestId);
+	ResponseKind classify(HttpResponse response, String requestId, boolean reused);
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -273,7 +273,8 @@
 			return;
 		}
 		attempt.markAnswering();
-		ResponseKind kind = this.context.backendDialect().classify(response, this.caller.id());
+		ResponseKind kind = this.context.backendDialect()
+			.classify(response, this.caller.id(), attempt.connection().isReused());
 		if (isResuming() && isExecuted(kind) && !ResponseBodies.isEventStream(response)) {
 			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
 			return;
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -121,7 +121,9 @@
 		response = marks.contains("other") ? response.addHeader(RawHeader.create("X-Request-Id", "r2")) : response;
 		response = marks.contains("stamp") ? response.addHeader(RawHeader.create("X-Response-Stamp", "s")) : response;
 		response = marks.contains("not-run") ? response.addHeader(RawHeader.create("X-Not-Executed", "1")) : response;
-		Assert.assertEquals(this.dialect.classify(response, "r1"), kind);
+		Assert.assertEquals(this.dialect.classify(response, "r1", false), kind);
+		ResponseKind kindOnReuse = marks.contains("id") ? kind : ResponseKind.UNTRUSTED;
+		Assert.assertEquals(this.dialect.classify(response, "r1", true), kindOnReuse);
 	}
 
 	private static String value(HttpRequest request, String name) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
@@ -32,6 +32,8 @@
 
 	private boolean busy;
 
+	private int requestCount;
+
 	private boolean closed;
 
 	HttpConnection(HostPort address) {
@@ -61,12 +63,22 @@
 				return CompletableFuture.failedFuture(new IOException("connection is closed or in use"));
 			}
 			this.busy = true;
+			this.requestCount++;
 			this.pending = promise;
 		}
 		this.requests.offer(request);
 		return promise;
 	}
 
+	/**
+	 * Returns whether this connection carried requests before the latest one. The server
+	 * may repeat its response to one of them.
+	 * @return whether it was reused
+	 */
+	public synchronized boolean isReused() {
+		return this.requestCount > 1;
+	}
+
 	/**
 	 * Marks the response as fully consumed, so that the connection can be reused.
 	 * @return whether the connection may carry another request
