Split the course of a forwarded request

What is known of a request (RequestState), the way of an attempt up to its send (AttemptLauncher), its prompt as the guard sees it (GuardedPrompt) and the relay of its streams (StreamRelay) are classes of their own; the lock is the same one.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -156,6 +156,14 @@
 		}
 	}
 
+	/**
+	 * Tells whether this attempt has ended.
+	 * @return whether it has
+	 */
+	boolean isEnded() {
+		return this.ended;
+	}
+
 	/**
 	 * Tells whether the server may have run the request, that is, it was sent and the
 	 * server did not report that it did not run.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -31,8 +31,6 @@
 
 	private long pauseMillis;
 
-	private boolean answered;
-
 	boolean mayTry() {
 		return this.tries < MAX_TRIES;
 	}
@@ -73,17 +71,6 @@
 		this.firstBytesMillis = ageMillis;
 	}
 
-	/**
-	 * Records that an answer has begun and gone on.
-	 */
-	void markAnswered() {
-		this.answered = true;
-	}
-
-	boolean hasAnswered() {
-		return this.answered;
-	}
-
 	/**
 	 * Records the longest pause of a stream.
 	 * @param pauseMillis longest time between events, in milliseconds
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -0,0 +1,217 @@
+package org.marjoramgw.direct.forward;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.direct.model.Route;
+import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.prefill.PrefillLimiter;
+
+/**
+ * Course of the attempts of one request from the choice of a server to the moment of
+ * sending; thread-safe by the lock of its request.
+ *
+ * @author The marjoramgw authors
+ */
+final class AttemptLauncher {
+
+	/** Minimum remaining time for another attempt, in milliseconds. */
+	static final long MIN_REMAINING_MILLIS = 30;
+
+	private final ForwardingContext context;
+
+	private final RequestState state;
+
+	private final LimitedStart limitedStart;
+
+	private final Object lock;
+
+	private final Listener listener;
+
+	/**
+	 * Creates a launcher.
+	 * @param context shared components
+	 * @param state state of the request
+	 * @param limitedStart start of the request
+	 * @param lock lock of the request, held by every caller of this class
+	 * @param listener receiver of the result
+	 */
+	AttemptLauncher(ForwardingContext context, RequestState state, LimitedStart limitedStart, Object lock,
+			Listener listener) {
+		this.context = context;
+		this.state = state;
+		this.limitedStart = limitedStart;
+		this.lock = lock;
+		this.listener = listener;
+	}
+
+	/**
+	 * Chooses a server and creates the attempt on it.
+	 * @param reason result code if no server is left
+	 * @return the attempt
+	 * @throws RequestRejectedException if no further attempt is possible or allowed
+	 */
+	Attempt choose(ResultCode reason) throws RequestRejectedException {
+		AttemptHistory history = this.state.history();
+		if (this.state.remainingMillis() < MIN_REMAINING_MILLIS) {
+			throw new RequestRejectedException(ResultCode.TIMEOUT_BEFORE_SEND, "");
+		}
+		Optional<BackendServer> server = history.mayTry()
+				? this.context.serverSelector()
+					.choose(this.state.service(), this.state.route().name(), this.state.caller(), history.excluded())
+				: Optional.empty();
+		if (server.isEmpty()) {
+			throw new RequestRejectedException(reason, "service=" + this.state.service());
+		}
+		if (history.wasSent() && !this.context.retryBudget().tryRetry(this.state.service())) {
+			throw new RequestRejectedException(ResultCode.RETRY_BUDGET_SPENT, "");
+		}
+		history.countTry();
+		return new Attempt(server.get());
+	}
+
+	/**
+	 * Launches an attempt: waits for a prefill permit if it needs one, connects and
+	 * sends.
+	 * @param attempt the attempt
+	 */
+	void launch(Attempt attempt) {
+		Route route = this.state.route();
+		if (route.isStreaming() && route.targetLatencyMillis() > 0 && this.state.caller().hasPrompt()
+				&& !this.state.isResuming()) {
+			acquirePrefillPermit(attempt, route);
+		}
+		else {
+			connect(attempt);
+		}
+	}
+
+	private void acquirePrefillPermit(Attempt attempt, Route route) {
+		attempt.setPrefillPermit(this.context.prefillLimiter()
+			.acquire(attempt.serverId(), route.name(), route.targetLatencyMillis(), () -> connect(attempt)));
+		if (!attempt.isStarted()) {
+			this.limitedStart.finish();
+			this.context.timers()
+				.schedule(PrefillLimiter.maxWaitMillis(route.targetLatencyMillis()), () -> connectLate(attempt));
+		}
+	}
+
+	private void connectLate(Attempt attempt) {
+		synchronized (this.lock) {
+			if (!attempt.isEnded() && !attempt.isStarted()) {
+				attempt.markLate();
+				connect(attempt);
+			}
+		}
+	}
+
+	private void connect(Attempt attempt) {
+		synchronized (this.lock) {
+			if (attempt.isEnded() || attempt.isStarted()) {
+				return;
+			}
+			attempt.markStarted();
+			this.context.pool()
+				.acquire(attempt.server().address(), !this.state.route().isRepeatable())
+				.whenComplete((connection, failure) -> onConnection(attempt, connection, failure));
+		}
+	}
+
+	private void onConnection(Attempt attempt, HttpConnection connection, Throwable failure) {
+		synchronized (this.lock) {
+			if (attempt.isEnded()) {
+				if (connection != null) {
+					connection.close();
+				}
+			}
+			else if (failure != null) {
+				this.context.health().onUnreachable(attempt.serverId());
+				this.listener.onUnsendable(attempt, "connect failed: " + failure.getMessage());
+			}
+			else {
+				attempt.setConnection(connection);
+				sendIfAllowed(attempt);
+			}
+		}
+	}
+
+	private void sendIfAllowed(Attempt attempt) {
+		try {
+			this.state.admit();
+			if (!this.state.route().hasService(this.state.service())) {
+				this.state.selectService();
+				this.listener.onUnsendable(attempt, "route no longer uses this service");
+			}
+			else if (this.state.remainingMillis() < MIN_REMAINING_MILLIS
+					|| !this.context.directory().isUsable(attempt.serverId())) {
+				this.listener.onUnsendable(attempt, "server no longer usable or deadline too close before sending");
+			}
+			else if (this.listener.isCallerDisconnected()) {
+				this.listener.onCallerDisconnected();
+			}
+			else {
+				this.state.prompt().checkBeforeSend();
+				send(attempt);
+			}
+		}
+		catch (RequestRejectedException ex) {
+			this.listener.onRejected(ex);
+		}
+	}
+
+	private void send(Attempt attempt) {
+		Optional<String> lastEventId = this.state.isResuming() ? this.state.resumableBody().lastEventId()
+				: Optional.empty();
+		HttpRequest backendRequest = this.context.backendDialect()
+			.toBackendRequest(this.state.request(),
+					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
+		this.state.history().onSent(this.state.ageMillis());
+		attempt.markSent(this.context.clock().now().monotonicMillis());
+		this.listener.onSent(attempt, attempt.connection().send(backendRequest));
+		this.limitedStart.finish();
+	}
+
+	/**
+	 * Receiver of the result of a launch. Called with the lock of the request.
+	 */
+	interface Listener {
+
+		/**
+		 * Called when the request was sent.
+		 * @param attempt the attempt
+		 * @param response head of the response
+		 */
+		void onSent(Attempt attempt, CompletionStage<HttpResponse> response);
+
+		/**
+		 * Called when the request can't be sent to the server of the attempt.
+		 * @param attempt the attempt
+		 * @param detail the reason
+		 */
+		void onUnsendable(Attempt attempt, String detail);
+
+		/**
+		 * Called when the request must not be sent to any server.
+		 * @param rejection the reason
+		 */
+		void onRejected(RequestRejectedException rejection);
+
+		/**
+		 * Checks the socket for a disconnect of the caller.
+		 * @return whether the caller has disconnected
+		 */
+		boolean isCallerDisconnected();
+
+		/**
+		 * Called when the caller has disconnected before the request was sent.
+		 */
+		void onCallerDisconnected();
+
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
@@ -14,12 +13,8 @@
 import org.marjoramgw.direct.backend.KeepAlive;
 import org.marjoramgw.direct.backend.ResponseKind;
 import org.marjoramgw.direct.caller.CallerRequest;
-import org.marjoramgw.direct.model.BackendServer;
-import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
-import org.marjoramgw.policy.prefill.PrefillLimiter;
-import org.marjoramgw.policy.quarantine.Verdict;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.Timers;
 
@@ -32,47 +27,35 @@
  *
  * @author The marjoramgw authors
  */
-final class ForwardedRequest {
+final class ForwardedRequest implements AttemptLauncher.Listener {
 
 	/** Load that an attempt adds to its server; all requests count the same. */
 	private static final double ATTEMPT_LOAD = 1;
 
-	/** Minimum remaining time for another attempt, in milliseconds. */
-	private static final long MIN_REMAINING_MILLIS = 30;
-
 	private static final String SUSPECTED_PROMPT = "not sent again, its prompt may have crashed the server: ";
 
 	private final ForwardingContext context;
 
-	private final HttpRequest request;
-
-	private final CallerRequest caller;
-
-	private final ClockReading arrived;
+	private final RequestState state;
 
 	private final LimitedStart limitedStart;
 
+	private final AttemptLauncher launcher;
+
 	private final BooleanSupplier callerDisconnected;
 
 	private final Runnable onEnd;
 
 	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
 
-	private final AttemptHistory history = new AttemptHistory();
-
-	private AdmittedRequest admittedRequest;
-
 	private PromptRecord promptRecord;
 
-	private String service = "";
+	private StreamRelay streamRelay;
 
 	private Timers.Handle timer = Timers.Handle.NONE;
 
 	private Attempt currentAttempt;
 
-	/** Body of the response, if it is a stream that may be resumed. */
-	private final ResumableBody resumableBody = new ResumableBody();
-
 	private boolean responded;
 
 	/**
@@ -89,10 +72,9 @@
 	ForwardedRequest(ForwardingContext context, HttpRequest request, CallerRequest caller, ClockReading arrived,
 			Runnable onStarted, BooleanSupplier callerDisconnected, Runnable onEnd) {
 		this.context = context;
-		this.request = request;
-		this.caller = caller;
-		this.arrived = arrived;
+		this.state = new RequestState(context, request, caller, arrived);
 		this.limitedStart = new LimitedStart(context.startLimiter(), context.timers(), onStarted);
+		this.launcher = new AttemptLauncher(context, this.state, this.limitedStart, this, this);
 		this.callerDisconnected = callerDisconnected;
 		this.onEnd = onEnd;
 	}
@@ -103,13 +85,15 @@
 	 */
 	synchronized CompletionStage<HttpResponse> start() {
 		try {
-			this.admittedRequest = this.context.admission().admit(this.caller);
-			refuseIfQuarantined(this.context.promptGuard().check(this.caller));
-			this.service = this.admittedRequest.route().selectService(this.context.random().nextDouble());
-			this.context.retryBudget().onRequest(this.service);
-			this.promptRecord = startPromptRecord(this.admittedRequest.route());
-			this.timer = this.context.timers().schedule(Math.max(0, remainingMillis()), this::onTimeout);
-			this.limitedStart.run(this.admittedRequest.rank(), () -> tryNextServer(ResultCode.NO_BACKEND));
+			this.state.admit();
+			this.state.prompt().check();
+			this.state.selectService();
+			this.context.retryBudget().onRequest(this.state.service());
+			this.promptRecord = PromptRecord.start(this.context.promptPartition(), this.state.service(),
+					this.state.route(), this.state.caller());
+			this.streamRelay = new StreamRelay(this.context, this.state, this.promptRecord, this);
+			this.timer = this.context.timers().schedule(Math.max(0, this.state.remainingMillis()), this::onTimeout);
+			this.limitedStart.run(this.state.admitted().rank(), () -> tryNextServer(ResultCode.NO_BACKEND));
 		}
 		catch (RequestRejectedException ex) {
 			reject(ex.code(), ex.getMessage());
@@ -135,133 +119,44 @@
 	}
 
 	private synchronized void tryNextServer(ResultCode reason) {
-		if (this.responded && !isResuming()) {
+		if (this.responded && !this.state.isResuming()) {
 			return;
 		}
-		if (remainingMillis() < MIN_REMAINING_MILLIS) {
-			reject(ResultCode.TIMEOUT_BEFORE_SEND, "");
-			return;
-		}
-		Optional<BackendServer> server = this.history.mayTry()
-				? this.context.serverSelector()
-					.choose(this.service, this.admittedRequest.route().name(), this.caller, this.history.excluded())
-				: Optional.empty();
-		if (server.isEmpty()) {
-			reject(reason, "service=" + this.service);
-			return;
-		}
-		if (this.history.wasSent() && !this.context.retryBudget().tryRetry(this.service)) {
-			reject(ResultCode.RETRY_BUDGET_SPENT, "");
-			return;
-		}
-		this.history.countTry();
-		Attempt attempt = new Attempt(server.get());
-		this.currentAttempt = attempt;
-		this.context.health().addLoad(attempt.serverId(), ATTEMPT_LOAD);
-		Route route = this.admittedRequest.route();
-		if (route.isStreaming() && route.targetLatencyMillis() > 0 && this.caller.hasPrompt() && !isResuming()) {
-			acquirePrefillPermit(attempt);
-		}
-		else {
-			connect(attempt);
+		try {
+			Attempt attempt = this.launcher.choose(reason);
+			this.currentAttempt = attempt;
+			this.context.health().addLoad(attempt.serverId(), ATTEMPT_LOAD);
+			this.launcher.launch(attempt);
 		}
-	}
-
-	private void acquirePrefillPermit(Attempt attempt) {
-		Route route = this.admittedRequest.route();
-		attempt.setPrefillPermit(this.context.prefillLimiter()
-			.acquire(attempt.serverId(), route.name(), route.targetLatencyMillis(), () -> connect(attempt)));
-		if (!attempt.isStarted()) {
-			this.limitedStart.finish();
-			this.context.timers()
-				.schedule(PrefillLimiter.maxWaitMillis(route.targetLatencyMillis()), () -> sendLate(attempt));
+		catch (RequestRejectedException ex) {
+			reject(ex.code(), ex.getMessage());
 		}
 	}
 
-	private synchronized void sendLate(Attempt attempt) {
-		if (this.currentAttempt == attempt && !attempt.isStarted()) {
-			attempt.markLate();
-			connect(attempt);
-		}
+	@Override
+	public void onSent(Attempt attempt, CompletionStage<HttpResponse> head) {
+		head.whenComplete((response, failure) -> onResponseHead(attempt, response, failure));
 	}
 
-	private synchronized void connect(Attempt attempt) {
-		if (this.currentAttempt != attempt || attempt.isStarted()) {
-			return;
-		}
-		attempt.markStarted();
-		this.context.pool()
-			.acquire(attempt.server().address(), !this.admittedRequest.route().isRepeatable())
-			.whenComplete((connection, failure) -> onConnection(attempt, connection, failure));
+	@Override
+	public void onUnsendable(Attempt attempt, String detail) {
+		retry(attempt, ResultCode.NO_BACKEND, detail);
 	}
 
-	private synchronized void onConnection(Attempt attempt, HttpConnection connection, Throwable failure) {
-		if (this.currentAttempt != attempt) {
-			if (connection != null) {
-				connection.close();
-			}
-			return;
-		}
-		if (failure != null) {
-			this.context.health().onUnreachable(attempt.serverId());
-			retry(attempt, ResultCode.NO_BACKEND, "connect failed: " + failure.getMessage());
-			return;
-		}
-		attempt.setConnection(connection);
-		try {
-			this.admittedRequest = this.context.admission().admit(this.caller);
-			if (!mustChooseAgain(attempt)) {
-				refuseIfQuarantined(this.context.promptGuard().checkBeforeSend(this.caller));
-				send(attempt);
-			}
-		}
-		catch (RequestRejectedException ex) {
-			endAttempt(true);
-			reject(ex.code(), ex.getMessage());
-		}
-	}
-
-	private void refuseIfQuarantined(Optional<Verdict> verdict) throws RequestRejectedException {
-		if (verdict.isPresent()) {
-			throw new RequestRejectedException(ResultCode.PROMPT_PART_QUARANTINED,
-					"model=" + verdict.get().part().model() + " part=" + verdict.get().part().part() + " servers="
-							+ String.join(",", verdict.get().servers()));
-		}
+	@Override
+	public void onRejected(RequestRejectedException rejection) {
+		endAttempt(true);
+		reject(rejection.code(), rejection.getMessage());
 	}
 
-	/**
-	 * Retries or ends the request if it can't be sent to the server that was chosen.
-	 * @param attempt the attempt
-	 * @return whether it can't be sent
-	 */
-	private boolean mustChooseAgain(Attempt attempt) {
-		if (!this.admittedRequest.route().hasService(this.service)) {
-			this.service = this.admittedRequest.route().selectService(this.context.random().nextDouble());
-			retry(attempt, ResultCode.NO_BACKEND, "route no longer uses this service");
-			return true;
-		}
-		if (remainingMillis() < MIN_REMAINING_MILLIS || !this.context.directory().isUsable(attempt.serverId())) {
-			retry(attempt, ResultCode.NO_BACKEND, "server no longer usable or deadline too close before sending");
-			return true;
-		}
-		if (this.callerDisconnected.getAsBoolean()) {
-			cancel();
-			return true;
-		}
-		return false;
+	@Override
+	public boolean isCallerDisconnected() {
+		return this.callerDisconnected.getAsBoolean();
 	}
 
-	private void send(Attempt attempt) {
-		long remainingMillis = remainingMillis();
-		HttpRequest backendRequest = this.context.backendDialect()
-			.toBackendRequest(this.request, attempt.metadata(this.admittedRequest, remainingMillis,
-					isResuming() ? this.resumableBody.lastEventId() : Optional.empty()));
-		this.history.onSent(ageMillis());
-		attempt.markSent(this.context.clock().now().monotonicMillis());
-		attempt.connection()
-			.send(backendRequest)
-			.whenComplete((response, failure) -> onResponseHead(attempt, response, failure));
-		this.limitedStart.finish();
+	@Override
+	public void onCallerDisconnected() {
+		cancel();
 	}
 
 	private synchronized void onResponseHead(Attempt attempt, HttpResponse response, Throwable failure) {
@@ -274,8 +169,8 @@
 		}
 		attempt.markAnswering();
 		ResponseKind kind = this.context.backendDialect()
-			.classify(response, this.caller.id(), attempt.connection().isReused());
-		if (isResuming() && isExecuted(kind) && !ResponseBodies.isEventStream(response)) {
+			.classify(response, this.state.caller().id(), attempt.connection().isReused());
+		if (this.state.isResuming() && isExecuted(kind) && !ResponseBodies.isEventStream(response)) {
 			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
 			return;
 		}
@@ -291,7 +186,7 @@
 			case UNTRUSTED -> onBrokenResponse(attempt, "untrusted response, status=" + response.status().intValue());
 			case SERVER_ERROR -> onServerError(attempt, response);
 			default -> {
-				if (this.admittedRequest.route().isStreaming()) {
+				if (this.state.route().isStreaming()) {
 					stream(attempt, response);
 				}
 				else {
@@ -313,8 +208,8 @@
 
 	private void onServerError(Attempt attempt, HttpResponse response) {
 		this.context.health().onFailure(attempt.serverId());
-		if (this.history.mayRunAgain(this.admittedRequest.route()) && remainingMillis() > MIN_REMAINING_MILLIS) {
-			this.history.countPossibleRun();
+		if (this.state.mayRunAgain() && this.state.remainingMillis() > AttemptLauncher.MIN_REMAINING_MILLIS) {
+			this.state.history().countPossibleRun();
 			response.discardEntityBytes(this.context.system());
 			retry(attempt, ResultCode.BACKEND_ERROR, "status=" + response.status().intValue());
 			return;
@@ -323,7 +218,8 @@
 	}
 
 	private void readFully(Attempt attempt, HttpResponse response) {
-		ResponseBodies.readFully(response, remainingMillis(), this.context.bodyBudget(), this.context.system())
+		ResponseBodies
+			.readFully(response, this.state.remainingMillis(), this.context.bodyBudget(), this.context.system())
 			.whenComplete((body, failure) -> onFullBody(attempt, response, body, failure));
 	}
 
@@ -339,7 +235,7 @@
 		}
 		if (response.status().isSuccess()) {
 			this.context.health().onSuccess(attempt.serverId());
-			this.context.promptGuard().onAnswer(this.caller);
+			this.state.prompt().onAnswer();
 		}
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		endAttempt(false);
@@ -350,18 +246,14 @@
 
 	private void stream(Attempt attempt, HttpResponse response) {
 		this.context.health().onSuccess(attempt.serverId());
-		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis());
-		BodyObserver observer = new StreamObserver(() -> onFirstEvent(attempt), () -> onProgress(attempt), pauses,
-				(code, detail) -> onStreamEnd(attempt, response, pauses, code, detail));
-		Source<ByteString, ?> body = response.entity()
-			.getDataBytes()
-			.via(new ObservedBody(observer, ResponseBodies.isEventStream(response)));
-		if (isResuming()) {
-			this.resumableBody.continueWith(body);
+		Source<ByteString, ?> body = this.streamRelay.relay(attempt, response,
+				(code, detail) -> onStreamEnd(attempt, response, code, detail));
+		if (this.state.isResuming()) {
+			this.state.resumableBody().continueWith(body);
 			return;
 		}
-		if (this.admittedRequest.route().resumable() && ResponseBodies.isEventStream(response)) {
-			body = this.resumableBody.start(body);
+		if (this.state.route().resumable() && ResponseBodies.isEventStream(response)) {
+			body = this.state.resumableBody().start(body);
 		}
 		this.responded = true;
 		this.response.complete(this.context.callerDialect()
@@ -369,36 +261,16 @@
 			.withEntity(ResponseBodies.streamed(response, body)));
 	}
 
-	private synchronized void onFirstEvent(Attempt attempt) {
-		attempt.onFirstToken();
-		this.history.onFirstBytes(ageMillis());
-	}
-
-	private synchronized void onProgress(Attempt attempt) {
-		if (!this.history.hasAnswered()) {
-			this.history.markAnswered();
-			this.context.promptGuard().onAnswer(this.caller);
-		}
-	}
-
-	private synchronized void onStreamEnd(Attempt attempt, HttpResponse response, PauseMeter pauses, ResultCode code,
-			String cause) {
-		if (this.currentAttempt != attempt) {
-			return;
-		}
-		String detail = (code != ResultCode.OK) ? cause + describePrompt(attempt) : cause;
-		this.history.onPause(pauses.longestMillis());
-		this.promptRecord.endStream();
+	private void onStreamEnd(Attempt attempt, HttpResponse response, ResultCode code, String detail) {
 		if (code == ResultCode.OK) {
-			onProgress(attempt);
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
 		else if (code != ResultCode.CALLER_GONE) {
 			this.context.health().onFailure(attempt.serverId());
-			CompletionStage<Boolean> mayRetry = checkServer(attempt);
-			if (this.resumableBody.isStarted() && this.history.mayRunAgain(this.admittedRequest.route())) {
-				this.resumableBody.interrupt();
-				mayRetry.thenAccept((allowed) -> resume(attempt, allowed, detail));
+			CompletionStage<Boolean> mayGoElsewhere = this.state.prompt().mayGoElsewhere(attempt);
+			if (this.state.resumableBody().isStarted() && this.state.mayRunAgain()) {
+				this.state.resumableBody().interrupt();
+				mayGoElsewhere.thenAccept((allowed) -> resume(attempt, allowed, detail));
 				return;
 			}
 		}
@@ -406,30 +278,18 @@
 		recordOutcome(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
 	}
 
-	private PromptRecord startPromptRecord(Route route) {
-		PromptRecord started = new PromptRecord(this.context.promptPartition(), this.service, route);
-		if (route.isStreaming() && this.caller.hasPrompt()) {
-			started.start(this.caller.promptTokenCount());
-		}
-		return started;
-	}
-
 	private synchronized void resume(Attempt attempt, boolean allowed, String detail) {
 		if (this.currentAttempt != attempt) {
 			return;
 		}
-		this.history.countPossibleRun();
+		this.state.history().countPossibleRun();
 		if (!allowed) {
 			endAttempt(true);
 			reject(ResultCode.BACKEND_BROKE_OFF, SUSPECTED_PROMPT + detail);
 			return;
 		}
 		retry(attempt, ResultCode.BACKEND_BROKE_OFF,
-				"last_event=" + this.resumableBody.lastEventId().orElse("none") + detail);
-	}
-
-	private boolean isResuming() {
-		return this.resumableBody.isInterrupted();
+				"last_event=" + this.state.resumableBody().lastEventId().orElse("none") + detail);
 	}
 
 	private void onBrokenResponse(Attempt attempt, String detail) {
@@ -437,35 +297,22 @@
 	}
 
 	private void onBrokenResponse(Attempt attempt, ResultCode code, String cause) {
-		String detail = cause + describePrompt(attempt);
+		String detail = cause + this.state.prompt().describe(attempt);
 		this.context.health().onFailure(attempt.serverId());
-		CompletionStage<Boolean> mayRetry = checkServer(attempt);
-		if (this.history.mayRunAgain(this.admittedRequest.route())) {
-			mayRetry.thenAccept((allowed) -> runAgain(attempt, allowed, code, detail));
+		CompletionStage<Boolean> mayGoElsewhere = this.state.prompt().mayGoElsewhere(attempt);
+		if (this.state.mayRunAgain()) {
+			mayGoElsewhere.thenAccept((allowed) -> runAgain(attempt, allowed, code, detail));
 			return;
 		}
 		endAttempt(true);
 		reject(code, "server=" + attempt.serverId() + " " + detail);
 	}
 
-	/**
-	 * Asks the guard about a server whose connection broke.
-	 * @param attempt the attempt that failed
-	 * @return whether the request may be sent to another server
-	 */
-	private CompletionStage<Boolean> checkServer(Attempt attempt) {
-		if (this.history.hasAnswered() || !attempt.mayHaveRun()) {
-			return CompletableFuture.completedFuture(true);
-		}
-		return this.context.promptGuard()
-			.onUnanswered(attempt.server(), this.caller, attempt.isAnswering(), attempt.sentMillis());
-	}
-
 	private synchronized void runAgain(Attempt attempt, boolean allowed, ResultCode code, String detail) {
 		if (this.currentAttempt != attempt) {
 			return;
 		}
-		this.history.countPossibleRun();
+		this.state.history().countPossibleRun();
 		if (allowed) {
 			retry(attempt, code, detail);
 			return;
@@ -474,18 +321,13 @@
 		reject(code, "server=" + attempt.serverId() + " " + SUSPECTED_PROMPT + detail);
 	}
 
-	private String describePrompt(Attempt attempt) {
-		return this.caller.hasPrompt() ? " begun=" + attempt.hasBegun() + " model=" + this.caller.model() + " parts="
-				+ String.join(",", this.caller.sharedPartIds()) : "";
-	}
-
 	private void retry(Attempt attempt, ResultCode reason, String detail) {
 		ResultCode kind = attempt.mayHaveRun() ? ResultCode.RETRY_REPEATABLE : ResultCode.RETRY_NOT_RUN;
 		this.context.requestLog()
-			.recordRetry(isResuming() ? ResultCode.RETRY_CONTINUED : kind, this.caller.id(), attempt.serverId(),
-					detail);
+			.recordRetry(this.state.isResuming() ? ResultCode.RETRY_CONTINUED : kind, this.state.caller().id(),
+					attempt.serverId(), detail);
 		endAttempt(true);
-		this.history.exclude(attempt.serverId());
+		this.state.history().exclude(attempt.serverId());
 		tryNextServer(reason);
 	}
 
@@ -493,15 +335,16 @@
 		if (this.currentAttempt == null && this.responded) {
 			return;
 		}
-		boolean mayHaveRun = this.history.mayHaveRun()
+		boolean mayHaveRun = this.state.history().mayHaveRun()
 				|| this.currentAttempt != null && this.currentAttempt.mayHaveRun();
 		endAttempt(true);
 		if (this.responded) {
-			this.resumableBody.abandon("timeout of the request");
+			this.state.resumableBody().abandon("timeout of the request");
 			recordOutcome(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream cut off at the timeout of the request");
 			return;
 		}
-		reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND, "service=" + this.service);
+		reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
+				"service=" + this.state.service());
 	}
 
 	private void endAttempt(boolean closeConnection) {
@@ -519,14 +362,15 @@
 	}
 
 	private void reject(ResultCode code, String detail) {
-		ResultCode adjustedCode = this.history.adjustForPossibleRun(code);
-		if (isResuming()) {
-			this.resumableBody.abandon(detail);
+		ResultCode adjustedCode = this.state.history().adjustForPossibleRun(code);
+		if (this.state.isResuming()) {
+			this.state.resumableBody().abandon(detail);
 			recordOutcome(adjustedCode, 0, "stream not resumed: " + detail);
 			return;
 		}
 		complete(adjustedCode,
-				this.context.callerDialect().withRequestId(ErrorResponses.of(adjustedCode), this.caller.id()), detail);
+				this.context.callerDialect().withRequestId(ErrorResponses.of(adjustedCode), this.state.caller().id()),
+				detail);
 	}
 
 	private void complete(ResultCode code, HttpResponse response, String detail) {
@@ -542,26 +386,7 @@
 			this.promptRecord.end();
 		}
 		this.onEnd.run();
-		long tookMillis = ageMillis();
-		String decision = AdmittedRequest.NOT_ADMITTED;
-		String route = "";
-		if (this.admittedRequest != null) {
-			decision = this.admittedRequest.describe();
-			route = this.admittedRequest.route().name();
-			this.context.requestLog()
-				.recordAttainment(route, this.history.attainment(code, this.admittedRequest.route(), tookMillis));
-		}
-		this.context.requestLog()
-			.recordCompletion(code, this.caller.id(), route, status, tookMillis, detail + " " + decision
-					+ " confirmed_ms=" + this.context.routing().ageMillis() + " " + this.history.describe());
-	}
-
-	private long ageMillis() {
-		return this.context.clock().ageMillis(this.arrived);
-	}
-
-	private long remainingMillis() {
-		return this.caller.effectiveTimeoutMillis(this.admittedRequest.route().timeoutMillis()) - ageMillis();
+		this.state.recordOutcome(code, status, detail);
 	}
 
 }
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
@@ -0,0 +1,89 @@
+package org.marjoramgw.direct.forward;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.quarantine.PromptGuard;
+import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.policy.quarantine.Verdict;
+
+/**
+ * Prompt of one request, as the guard of the backend servers sees it. Not thread-safe;
+ * guarded by the lock of its request.
+ *
+ * @author The marjoramgw authors
+ */
+final class GuardedPrompt {
+
+	private final PromptGuard guard;
+
+	private final CallerRequest caller;
+
+	private boolean answered;
+
+	GuardedPrompt(PromptGuard guard, CallerRequest caller) {
+		this.guard = guard;
+		this.caller = caller;
+	}
+
+	/**
+	 * Checks the prompt on its arrival.
+	 * @throws RequestRejectedException if one of its parts is quarantined
+	 */
+	void check() throws RequestRejectedException {
+		rejectIfPresent(this.guard.check(this.caller));
+	}
+
+	/**
+	 * Checks the prompt immediately before it is sent.
+	 * @throws RequestRejectedException if one of its parts is quarantined
+	 */
+	void checkBeforeSend() throws RequestRejectedException {
+		rejectIfPresent(this.guard.checkBeforeSend(this.caller));
+	}
+
+	/**
+	 * Records that an answer has begun and gone on.
+	 */
+	void onAnswer() {
+		if (!this.answered) {
+			this.answered = true;
+			this.guard.onAnswer(this.caller);
+		}
+	}
+
+	/**
+	 * Asks whether the request may be sent to another server after its connection broke.
+	 * @param attempt the attempt that failed
+	 * @return whether it may, as far as its prompt is concerned
+	 */
+	CompletionStage<Boolean> mayGoElsewhere(Attempt attempt) {
+		if (this.answered || !attempt.mayHaveRun()) {
+			return CompletableFuture.completedFuture(true);
+		}
+		return this.guard.onUnanswered(attempt.server(), this.caller, attempt.isAnswering(), attempt.sentMillis());
+	}
+
+	/**
+	 * Returns the log fields of the prompt for an attempt that broke off.
+	 * @param attempt the attempt
+	 * @return whether its answer had begun, the model and the shared parts; empty if
+	 * there is no prompt
+	 */
+	String describe(Attempt attempt) {
+		return this.caller.hasPrompt() ? " begun=" + attempt.hasBegun() + " model=" + this.caller.model() + " parts="
+				+ String.join(",", this.caller.sharedPartIds()) : "";
+	}
+
+	private static void rejectIfPresent(Optional<Verdict> verdict) throws RequestRejectedException {
+		if (verdict.isPresent()) {
+			throw new RequestRejectedException(ResultCode.PROMPT_PART_QUARANTINED,
+					"model=" + verdict.get().part().model() + " part=" + verdict.get().part().part() + " servers="
+							+ String.join(",", verdict.get().servers()));
+		}
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 
+import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.policy.partition.PromptPartition;
 
@@ -21,25 +22,27 @@
 
 	private boolean open;
 
-	/**
-	 * Creates the record of a request that has not started.
-	 * @param partition the partition
-	 * @param service service that the request is sent to
-	 * @param route route of the request
-	 */
-	PromptRecord(PromptPartition partition, String service, Route route) {
+	private PromptRecord(PromptPartition partition, String service, Route route) {
 		this.partition = partition;
 		this.service = service;
 		this.route = route;
 	}
 
 	/**
-	 * Records the start of the request.
-	 * @param promptTokenCount length of its prompt
+	 * Creates the record of a request that starts now.
+	 * @param partition the partition
+	 * @param service service that the request is sent to
+	 * @param route route of the request
+	 * @param caller the request, which is recorded only if it has a prompt
+	 * @return the record
 	 */
-	void start(long promptTokenCount) {
-		this.open = true;
-		this.partition.onRequest(this.service, this.route.name(), promptTokenCount, this.route.maxPauseMillis());
+	static PromptRecord start(PromptPartition partition, String service, Route route, CallerRequest caller) {
+		PromptRecord started = new PromptRecord(partition, service, route);
+		if (route.isStreaming() && caller.hasPrompt()) {
+			started.open = true;
+			partition.onRequest(service, route.name(), caller.promptTokenCount(), route.maxPauseMillis());
+		}
+		return started;
 	}
 
 	/**
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -0,0 +1,147 @@
+package org.marjoramgw.direct.forward;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.marjoramgw.ResultCode;
+import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.model.Route;
+import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.time.ClockReading;
+
+/**
+ * What is known of one request while it is forwarded. Not thread-safe; guarded by the
+ * lock of its request.
+ *
+ * @author The marjoramgw authors
+ */
+final class RequestState {
+
+	private final ForwardingContext context;
+
+	private final HttpRequest request;
+
+	private final CallerRequest caller;
+
+	private final ClockReading arrived;
+
+	private final AttemptHistory history = new AttemptHistory();
+
+	private final ResumableBody resumableBody = new ResumableBody();
+
+	private final GuardedPrompt prompt;
+
+	private AdmittedRequest admitted;
+
+	private String service = "";
+
+	/**
+	 * Creates the state of a request that was just received.
+	 * @param context shared components
+	 * @param request the request with its complete body
+	 * @param caller decoded request head
+	 * @param arrived time of receipt
+	 */
+	RequestState(ForwardingContext context, HttpRequest request, CallerRequest caller, ClockReading arrived) {
+		this.context = context;
+		this.request = request;
+		this.caller = caller;
+		this.arrived = arrived;
+		this.prompt = new GuardedPrompt(context.promptGuard(), caller);
+	}
+
+	HttpRequest request() {
+		return this.request;
+	}
+
+	CallerRequest caller() {
+		return this.caller;
+	}
+
+	AttemptHistory history() {
+		return this.history;
+	}
+
+	/**
+	 * Returns the body of the response, if it is a stream that may be resumed.
+	 * @return the body, which may not be started
+	 */
+	ResumableBody resumableBody() {
+		return this.resumableBody;
+	}
+
+	GuardedPrompt prompt() {
+		return this.prompt;
+	}
+
+	/**
+	 * Checks the request against the active configuration.
+	 * @throws RequestRejectedException if it is not admitted
+	 */
+	void admit() throws RequestRejectedException {
+		this.admitted = this.context.admission().admit(this.caller);
+	}
+
+	/**
+	 * Returns the last admission of the request.
+	 * @return the admission, or {@code null} if it was never admitted
+	 */
+	AdmittedRequest admitted() {
+		return this.admitted;
+	}
+
+	Route route() {
+		return this.admitted.route();
+	}
+
+	/**
+	 * Returns the service that the request is sent to.
+	 * @return name of the service, or an empty string before one was selected
+	 */
+	String service() {
+		return this.service;
+	}
+
+	void selectService() {
+		this.service = route().selectService(this.context.random().nextDouble());
+	}
+
+	boolean isResuming() {
+		return this.resumableBody.isInterrupted();
+	}
+
+	/**
+	 * Tells whether the request may run on another server after the current attempt.
+	 * @return whether its route allows another run
+	 */
+	boolean mayRunAgain() {
+		return this.history.mayRunAgain(route());
+	}
+
+	long ageMillis() {
+		return this.context.clock().ageMillis(this.arrived);
+	}
+
+	long remainingMillis() {
+		return this.caller.effectiveTimeoutMillis(route().timeoutMillis()) - ageMillis();
+	}
+
+	/**
+	 * Counts and logs the outcome of the request.
+	 * @param code result code
+	 * @param status status sent to the caller, or 0 if there is none to report
+	 * @param detail further fields for the log line
+	 */
+	void recordOutcome(ResultCode code, int status, String detail) {
+		long tookMillis = ageMillis();
+		String decision = AdmittedRequest.NOT_ADMITTED;
+		String routeName = "";
+		if (this.admitted != null) {
+			decision = this.admitted.describe();
+			routeName = route().name();
+			this.context.requestLog().recordAttainment(routeName, this.history.attainment(code, route(), tookMillis));
+		}
+		this.context.requestLog()
+			.recordCompletion(code, this.caller.id(), routeName, status, tookMillis, detail + " " + decision
+					+ " confirmed_ms=" + this.context.routing().ageMillis() + " " + this.history.describe());
+	}
+
+}
