--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.marjoramgw.ExecutionOutcome;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.model.Route;
 
@@ -98,8 +99,7 @@
 	 * unknown
 	 */
 	ResultCode adjustForPossibleRun(ResultCode code) {
-		return (mayHaveRun() && code.httpStatus() == ErrorResponses.SERVICE_UNAVAILABLE) ? ResultCode.BACKEND_BROKE_OFF
-				: code;
+		return (mayHaveRun() && code.outcome() == ExecutionOutcome.NOT_RUN) ? ResultCode.BACKEND_BROKE_OFF : code;
 	}
 
 	/**
