Take prompts back from servers when a part of them is quarantined

Such requests are now watched until their answers begin; at a verdict they are ended at once, also those that still wait here for a permit.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -34,6 +34,8 @@
 
 	private static final String SUSPECTED_PROMPT = "not sent again, its prompt may have crashed the server: ";
 
+	private static final String QUARANTINED_MEANWHILE = "a part of the prompt was quarantined before its answer began";
+
 	private final ForwardingContext context;
 
 	private final RequestState state;
@@ -86,7 +88,7 @@
 	synchronized CompletionStage<HttpResponse> start() {
 		try {
 			this.state.admit();
-			this.state.prompt().check();
+			this.state.prompt().check(this::onQuarantined);
 			this.state.selectService();
 			this.context.retryBudget().onRequest(this.state.service());
 			this.promptRecord = PromptRecord.start(this.context.promptPartition(), this.state.service(),
@@ -339,14 +341,37 @@
 				|| this.currentAttempt != null && this.currentAttempt.mayHaveRun();
 		endAttempt(true);
 		if (this.responded) {
-			this.state.resumableBody().abandon("timeout of the request");
-			recordOutcome(ResultCode.DEADLINE_IN_FLIGHT, 0, "stream cut off at the timeout of the request");
+			cutOff(ResultCode.DEADLINE_IN_FLIGHT, "timeout of the request");
 			return;
 		}
 		reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
 				"service=" + this.state.service());
 	}
 
+	/**
+	 * Ends the request if a part of its prompt was quarantined before its answer began,
+	 * so that its server doesn't begin it.
+	 */
+	private synchronized void onQuarantined() {
+		if (this.currentAttempt == null || this.currentAttempt.hasBegun()) {
+			return;
+		}
+		if (this.currentAttempt.mayHaveRun()) {
+			this.state.history().countPossibleRun();
+		}
+		endAttempt(true);
+		if (this.responded) {
+			cutOff(ResultCode.BACKEND_BROKE_OFF, QUARANTINED_MEANWHILE);
+			return;
+		}
+		reject(ResultCode.PROMPT_PART_QUARANTINED, QUARANTINED_MEANWHILE);
+	}
+
+	private void cutOff(ResultCode code, String reason) {
+		this.state.resumableBody().abandon(reason);
+		recordOutcome(code, 0, "stream cut off: " + reason);
+	}
+
 	private void endAttempt(boolean closeConnection) {
 		Attempt ended = this.currentAttempt;
 		this.currentAttempt = null;
@@ -381,6 +406,7 @@
 
 	private void recordOutcome(ResultCode code, int status, String detail) {
 		this.timer.cancel();
+		this.state.prompt().end();
 		this.limitedStart.finish();
 		if (this.promptRecord != null) {
 			this.promptRecord.end();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
@@ -22,6 +22,9 @@
 
 	private final CallerRequest caller;
 
+	private PromptGuard.Watch watch = () -> {
+	};
+
 	private boolean answered;
 
 	GuardedPrompt(PromptGuard guard, CallerRequest caller) {
@@ -30,13 +33,24 @@
 	}
 
 	/**
-	 * Checks the prompt on its arrival.
+	 * Checks the prompt on its arrival, and from then on until its answer begins.
+	 * @param onQuarantined called if one of its parts is quarantined meanwhile
 	 * @throws RequestRejectedException if one of its parts is quarantined
 	 */
-	void check() throws RequestRejectedException {
+	void check(Runnable onQuarantined) throws RequestRejectedException {
+		if (!this.caller.sharedPartIds().isEmpty()) {
+			this.watch = this.guard.watch(this.caller, onQuarantined);
+		}
 		rejectIfPresent(this.guard.check(this.caller));
 	}
 
+	/**
+	 * Ends the check, since the request has ended.
+	 */
+	void end() {
+		this.watch.close();
+	}
+
 	/**
 	 * Checks the prompt immediately before it is sent.
 	 * @throws RequestRejectedException if one of its parts is quarantined
@@ -51,6 +65,7 @@
 	void onAnswer() {
 		if (!this.answered) {
 			this.answered = true;
+			this.watch.close();
 			this.guard.onAnswer(this.caller);
 		}
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
@@ -28,6 +28,12 @@
 			return Optional.empty();
 		}
 
+		@Override
+		public Watch watch(CallerRequest request, Runnable onQuarantined) {
+			return () -> {
+			};
+		}
+
 		@Override
 		public void onAnswer(CallerRequest request) {
 		}
@@ -54,6 +60,14 @@
 	 */
 	Optional<Verdict> checkBeforeSend(CallerRequest request);
 
+	/**
+	 * Watches for a verdict on a part of a request until its answer begins or it ends.
+	 * @param request the request
+	 * @param onQuarantined called if there is one; may be called more than once
+	 * @return the watch, which must be closed
+	 */
+	Watch watch(CallerRequest request, Runnable onQuarantined);
+
 	/**
 	 * Records that the answer to a request has begun and gone on.
 	 * @param request the request
@@ -73,4 +87,15 @@
 	CompletionStage<Boolean> onUnanswered(BackendServer server, CallerRequest request, boolean answering,
 			long sentMillis);
 
+	/**
+	 * Watch for a verdict on a request.
+	 */
+	@FunctionalInterface
+	interface Watch extends AutoCloseable {
+
+		@Override
+		void close();
+
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/QuarantineGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/QuarantineGuard.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 
 import org.marjoramgw.MillisClock;
@@ -49,6 +51,8 @@
 
 	private final RecordSender sender;
 
+	private final Set<WatchedRequest> watched = ConcurrentHashMap.newKeySet();
+
 	/**
 	 * Creates a guard.
 	 * @param processId id of this process
@@ -78,6 +82,7 @@
 			Logger.info("quarantine: {} {}", change.verdict().isPresent() ? "sharing the verdict on" : "clearing",
 					describe(change.part()));
 			this.sender.send(() -> QuarantineCodec.encode(change));
+			change.verdict().ifPresent(this::notifyWatched);
 		}
 		this.timers.schedule(ADVANCE_INTERVAL_MILLIS, this::start);
 	}
@@ -100,6 +105,13 @@
 		return this.quarantine.checkBeforeSend(request.model(), request.sharedPartIds());
 	}
 
+	@Override
+	public Watch watch(CallerRequest request, Runnable onQuarantined) {
+		WatchedRequest watch = new WatchedRequest(request, onQuarantined);
+		this.watched.add(watch);
+		return () -> this.watched.remove(watch);
+	}
+
 	@Override
 	public void onAnswer(CallerRequest request) {
 		this.quarantine.onAnswer(request.model(), request.sharedPartIds());
@@ -150,6 +162,7 @@
 		if (verdict.isPresent()) {
 			logVerdict(verdict.get());
 			this.quarantine.onVerdict(verdict.get());
+			notifyWatched(verdict.get());
 			return;
 		}
 		QuarantineCodec.decodePart(record).ifPresent((part) -> {
@@ -158,6 +171,16 @@
 		});
 	}
 
+	private void notifyWatched(Verdict verdict) {
+		PromptPartKey part = verdict.part();
+		for (WatchedRequest watch : this.watched) {
+			if (watch.request.model().equals(part.model()) && watch.request.sharedPartIds().contains(part.part())
+					&& check(watch.request).isPresent()) {
+				watch.onQuarantined.run();
+			}
+		}
+	}
+
 	private void report(CrashReport report) {
 		long reportedAtMillis = this.clock.nowMillis();
 		Logger.info("quarantine: backend server {} crashed, unanswered={} prompts={}", report.server(),
@@ -181,4 +204,18 @@
 		return "model=" + part.model() + " part=" + part.part();
 	}
 
+	/** Open request; two requests are never equal. */
+	private static final class WatchedRequest {
+
+		private final CallerRequest request;
+
+		private final Runnable onQuarantined;
+
+		private WatchedRequest(CallerRequest request, Runnable onQuarantined) {
+			this.request = request;
+			this.onQuarantined = onQuarantined;
+		}
+
+	}
+
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/PromptQuarantineTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/PromptQuarantineTests.java
@@ -5,12 +5,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import com.codahale.metrics.MetricRegistry;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.backend.ServerHealth;
+import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ReadSchedule;
 import org.marjoramgw.direct.follow.TopicFollower;
 import org.marjoramgw.direct.quarantine.PromptGuard;
@@ -92,6 +94,32 @@
 		}
 	}
 
+	@Test
+	public void promptThatWaitsAtAServerIsTakenBackAtTheVerdict() throws Exception {
+		ScriptedServer silent = new ScriptedServer((request, connection) -> {
+			if (request.contains(",bad:")) {
+				write(connection, ScriptedServer.head("200 OK", request,
+						"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+			}
+			return false;
+		});
+		try (ForwardingFixture fixture = new ForwardingFixture(guard("entry-1"), silent);
+				Socket caller = fixture.open("POST /stream/1", KEY + parts("shared", "bad", 1), "prompt")) {
+			while (silent.requests().isEmpty()) {
+				Thread.sleep(5);
+			}
+			this.topic.append(List.of(new KeyedRecord("verdict/m/bad",
+					Optional.of("{\"term\":1,\"author\":\"entry-2\"}".getBytes(StandardCharsets.UTF_8)), 0)));
+			Assert.assertTrue(silent.awaitDisconnect(1_000), "the server no longer has the request");
+			String response = fixture.call("POST /stream/1", KEY + parts("shared", "bad", 2), "prompt");
+			Assert.assertTrue(response.startsWith("HTTP/1.1 400 "), response);
+			Assert.assertEquals(silent.requests().size(), 1);
+		}
+		finally {
+			silent.close();
+		}
+	}
+
 	@Test
 	public void requestWithKnownPartsIsSentToAnotherServer() throws Exception {
 		ScriptedServer.Script crashOnce = (request, connection) -> {
