Move the end of a forwarded request to a class of its own

Behaviour is the same but for the log line of a stream that is given up: it says 'stream not resumed' only if another server was being sought.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 
@@ -16,7 +15,6 @@
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.time.ClockReading;
-import org.marjoramgw.time.Timers;
 
 /**
  * One request from the receipt of its complete body to its final response; thread-safe.
@@ -46,20 +44,12 @@
 
 	private final BooleanSupplier callerDisconnected;
 
-	private final Runnable onEnd;
-
-	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-
-	private PromptRecord promptRecord;
+	private final RequestCompletion completion;
 
 	private StreamRelay streamRelay;
 
-	private Timers.Handle timer = Timers.Handle.NONE;
-
 	private Attempt currentAttempt;
 
-	private boolean responded;
-
 	/**
 	 * Creates a request.
 	 * @param context shared components
@@ -78,7 +68,7 @@
 		this.limitedStart = new LimitedStart(context.startLimiter(), context.timers(), onStarted);
 		this.launcher = new AttemptLauncher(context, this.state, this.limitedStart, this, this);
 		this.callerDisconnected = callerDisconnected;
-		this.onEnd = onEnd;
+		this.completion = new RequestCompletion(context, this.state, this.limitedStart, onEnd);
 	}
 
 	/**
@@ -91,37 +81,40 @@
 			this.state.prompt().check(this::onQuarantined);
 			this.state.selectService();
 			this.context.retryBudget().onRequest(this.state.service());
-			this.promptRecord = PromptRecord.start(this.context.promptPartition(), this.state.service(),
+			PromptRecord promptRecord = PromptRecord.start(this.context.promptPartition(), this.state.service(),
 					this.state.route(), this.state.caller());
-			this.streamRelay = new StreamRelay(this.context, this.state, this.promptRecord, this);
-			this.timer = this.context.timers().schedule(Math.max(0, this.state.remainingMillis()), this::onTimeout);
+			this.streamRelay = new StreamRelay(this.context, this.state, promptRecord, this);
+			this.completion.hold(
+					this.context.timers().schedule(Math.max(0, this.state.remainingMillis()), this::onTimeout),
+					promptRecord);
 			this.limitedStart.run(this.state.admitted().rank(), () -> tryNextServer(ResultCode.NO_BACKEND));
 		}
 		catch (RequestRejectedException ex) {
-			reject(ex.code(), ex.getMessage());
+			this.completion.reject(ex.code(), ex.getMessage());
 		}
-		return this.response;
+		return this.completion.response();
 	}
 
 	/**
 	 * Cancels the request because its caller has disconnected.
 	 */
 	synchronized void cancel() {
-		if (this.responded && this.currentAttempt == null) {
+		if (this.completion.isResponded() && this.currentAttempt == null) {
 			return;
 		}
-		boolean streaming = this.responded;
+		boolean streaming = this.completion.isResponded();
 		endAttempt(true);
 		if (streaming) {
-			recordOutcome(ResultCode.CALLER_GONE, 0, "while streaming the response");
+			this.completion.record(ResultCode.CALLER_GONE, 0, "while streaming the response");
 		}
 		else {
-			complete(ResultCode.CALLER_GONE, ErrorResponses.of(ResultCode.CALLER_GONE), "before a response");
+			this.completion.complete(ResultCode.CALLER_GONE, ErrorResponses.of(ResultCode.CALLER_GONE),
+					"before a response");
 		}
 	}
 
 	private synchronized void tryNextServer(ResultCode reason) {
-		if (this.responded && !this.state.isResuming()) {
+		if (this.completion.isResponded() && !this.state.isResuming()) {
 			return;
 		}
 		try {
@@ -131,7 +124,7 @@
 			this.launcher.launch(attempt);
 		}
 		catch (RequestRejectedException ex) {
-			reject(ex.code(), ex.getMessage());
+			this.completion.reject(ex.code(), ex.getMessage());
 		}
 	}
 
@@ -148,7 +141,7 @@
 	@Override
 	public void onRejected(RequestRejectedException rejection) {
 		endAttempt(true);
-		reject(rejection.code(), rejection.getMessage());
+		this.completion.reject(rejection.code(), rejection.getMessage());
 	}
 
 	@Override
@@ -242,7 +235,7 @@
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		endAttempt(false);
 		ResultCode code = response.status().isSuccess() ? ResultCode.OK : ResultCode.BACKEND_ERROR;
-		complete(code, this.context.callerDialect().toCallerResponse(response).withEntity(body),
+		this.completion.complete(code, this.context.callerDialect().toCallerResponse(response).withEntity(body),
 				"server=" + attempt.serverId());
 	}
 
@@ -257,8 +250,7 @@
 		if (this.state.route().resumable() && ResponseBodies.isEventStream(response)) {
 			body = this.state.resumableBody().start(body);
 		}
-		this.responded = true;
-		this.response.complete(this.context.callerDialect()
+		this.completion.startStream(this.context.callerDialect()
 			.toCallerResponse(response)
 			.withEntity(ResponseBodies.streamed(response, body)));
 	}
@@ -277,7 +269,7 @@
 			}
 		}
 		endAttempt(code != ResultCode.OK);
-		recordOutcome(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
+		this.completion.record(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
 	}
 
 	private synchronized void resume(Attempt attempt, boolean allowed, String detail) {
@@ -287,7 +279,7 @@
 		this.state.history().countPossibleRun();
 		if (!allowed) {
 			endAttempt(true);
-			reject(ResultCode.BACKEND_BROKE_OFF, SUSPECTED_PROMPT + detail);
+			this.completion.reject(ResultCode.BACKEND_BROKE_OFF, SUSPECTED_PROMPT + detail);
 			return;
 		}
 		retry(attempt, ResultCode.BACKEND_BROKE_OFF,
@@ -307,7 +299,7 @@
 			return;
 		}
 		endAttempt(true);
-		reject(code, "server=" + attempt.serverId() + " " + detail);
+		this.completion.reject(code, "server=" + attempt.serverId() + " " + detail);
 	}
 
 	private synchronized void runAgain(Attempt attempt, boolean allowed, ResultCode code, String detail) {
@@ -320,7 +312,7 @@
 			return;
 		}
 		endAttempt(true);
-		reject(code, "server=" + attempt.serverId() + " " + SUSPECTED_PROMPT + detail);
+		this.completion.reject(code, "server=" + attempt.serverId() + " " + SUSPECTED_PROMPT + detail);
 	}
 
 	private void retry(Attempt attempt, ResultCode reason, String detail) {
@@ -334,17 +326,13 @@
 	}
 
 	private synchronized void onTimeout() {
-		if (this.currentAttempt == null && this.responded) {
+		if (this.currentAttempt == null && this.completion.isResponded()) {
 			return;
 		}
 		boolean mayHaveRun = this.state.history().mayHaveRun()
 				|| this.currentAttempt != null && this.currentAttempt.mayHaveRun();
 		endAttempt(true);
-		if (this.responded) {
-			cutOff(ResultCode.DEADLINE_IN_FLIGHT, "timeout of the request");
-			return;
-		}
-		reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
+		this.completion.reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
 				"service=" + this.state.service());
 	}
 
@@ -360,16 +348,7 @@
 			this.state.history().countPossibleRun();
 		}
 		endAttempt(true);
-		if (this.responded) {
-			cutOff(ResultCode.BACKEND_BROKE_OFF, QUARANTINED_MEANWHILE);
-			return;
-		}
-		reject(ResultCode.PROMPT_PART_QUARANTINED, QUARANTINED_MEANWHILE);
-	}
-
-	private void cutOff(ResultCode code, String reason) {
-		this.state.resumableBody().abandon(reason);
-		recordOutcome(code, 0, "stream cut off: " + reason);
+		this.completion.reject(ResultCode.PROMPT_PART_QUARANTINED, QUARANTINED_MEANWHILE);
 	}
 
 	private void endAttempt(boolean closeConnection) {
@@ -386,33 +365,4 @@
 		}
 	}
 
-	private void reject(ResultCode code, String detail) {
-		ResultCode adjustedCode = this.state.history().adjustForPossibleRun(code);
-		if (this.state.isResuming()) {
-			this.state.resumableBody().abandon(detail);
-			recordOutcome(adjustedCode, 0, "stream not resumed: " + detail);
-			return;
-		}
-		complete(adjustedCode,
-				this.context.callerDialect().withRequestId(ErrorResponses.of(adjustedCode), this.state.caller().id()),
-				detail);
-	}
-
-	private void complete(ResultCode code, HttpResponse response, String detail) {
-		this.responded = true;
-		recordOutcome(code, response.status().intValue(), detail);
-		this.response.complete(response);
-	}
-
-	private void recordOutcome(ResultCode code, int status, String detail) {
-		this.timer.cancel();
-		this.state.prompt().end();
-		this.limitedStart.finish();
-		if (this.promptRecord != null) {
-			this.promptRecord.end();
-		}
-		this.onEnd.run();
-		this.state.recordOutcome(code, status, detail);
-	}
-
 }
