Move the followers of the store out of DirectProcess

Which topics are followed, with which waits and delays, is one class (StoreFollowers). Behaviour is the same.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 
@@ -24,9 +23,7 @@
 import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
-import org.marjoramgw.direct.follow.ReadSchedule;
 import org.marjoramgw.direct.follow.ServerDirectory;
-import org.marjoramgw.direct.follow.TopicFollower;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.quarantine.PromptGuard;
@@ -37,7 +34,6 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
-import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -55,39 +51,6 @@
  */
 public final class DirectProcess {
 
-	/**
-	 * Long-poll timeout of a configuration read; bounds the age of the configuration's
-	 * last confirmation.
-	 */
-	private static final long CONFIGURATION_WAIT_MILLIS = 1_500;
-
-	/**
-	 * Long-poll timeout of a registration read; bounds how long an unresponsive store
-	 * goes undetected.
-	 */
-	private static final long SERVERS_WAIT_MILLIS = 3_000;
-
-	/** Long-poll timeout of a read of crash reports and verdicts. */
-	private static final long QUARANTINE_WAIT_MILLIS = 2_000;
-
-	/** Delay within which changes in the store are read together, in milliseconds. */
-	private static final long GATHER_MILLIS = 250;
-
-	/** The same for crash reports, which are urgent. */
-	private static final long QUARANTINE_GATHER_MILLIS = 100;
-
-	/** Maximum delay of the first retry of a read from the store, in milliseconds. */
-	private static final long BASE_STORE_BACKOFF_MILLIS = 250;
-
-	/**
-	 * Maximum delay of a retry for the configuration, in milliseconds; keys are accepted
-	 * again only after a successful read.
-	 */
-	private static final long MAX_CONFIGURATION_BACKOFF_MILLIS = 600;
-
-	/** Maximum delay of a retry for the registrations, in milliseconds. */
-	private static final long MAX_SERVERS_BACKOFF_MILLIS = 1_500;
-
 	/** Margin between the last use of a key and the end of its revocation time. */
 	private static final long REVOCATION_MARGIN_MILLIS = 300;
 
@@ -186,13 +149,9 @@
 
 	private final Forwarder forwarder;
 
-	private final TopicFollower configurationFollower;
-
-	private final TopicFollower serversFollower;
-
 	private final QuarantineGuard quarantineGuard;
 
-	private final TopicFollower quarantineFollower;
+	private final StoreFollowers storeFollowers;
 
 	private ClockReading lastMaintenance = this.clock.now();
 
@@ -228,15 +187,8 @@
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
 				this::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder);
-		ResultCounters counters = new ResultCounters(this.registry);
-		this.configurationFollower = new TopicFollower("configuration", this.platform.configuration(), this.routing,
-				this.clock, this.timers,
-				schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS), counters);
-		this.serversFollower = new TopicFollower("servers", this.platform.servers(), this.directory, this.clock,
-				this.timers, schedule(SERVERS_WAIT_MILLIS, GATHER_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
-		this.quarantineFollower = new TopicFollower("quarantine", this.platform.quarantine(), this.quarantineGuard,
-				this.clock, this.timers,
-				schedule(QUARANTINE_WAIT_MILLIS, QUARANTINE_GATHER_MILLIS, MAX_SERVERS_BACKOFF_MILLIS), counters);
+		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
+				this.clock, this.timers, new ResultCounters(this.registry));
 		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
@@ -248,9 +200,7 @@
 	 * listener, then the warm-up.
 	 */
 	public void run() {
-		this.configurationFollower.start();
-		this.serversFollower.start();
-		this.quarantineFollower.start();
+		this.storeFollowers.start();
 		this.quarantineGuard.start();
 		runMaintenance();
 		logAttainment();
@@ -320,11 +270,6 @@
 				target::handle);
 	}
 
-	private static ReadSchedule schedule(long waitMillis, long gatherMillis, long maxBackoffMillis) {
-		return new ReadSchedule(waitMillis, gatherMillis,
-				new Backoff(BASE_STORE_BACKOFF_MILLIS, maxBackoffMillis, new Random()));
-	}
-
 	private int rank(HeadPreview preview) {
 		return this.routing.rank(preview.host(), preview.path());
 	}
@@ -350,9 +295,7 @@
 	private void runMaintenance() {
 		if (Math.abs(this.clock.driftMillis(this.lastMaintenance)) > CLOCK_JUMP_MILLIS) {
 			Logger.info("time of day jumped or the VM was suspended; confirming the configuration");
-			this.configurationFollower.confirm();
-			this.serversFollower.confirm();
-			this.quarantineFollower.confirm();
+			this.storeFollowers.confirm();
 		}
 		this.lastMaintenance = this.clock.now();
 		if (this.settings.hasChanged()) {
@@ -401,9 +344,7 @@
 			this.callerListener.closeIdle();
 		}
 		Pause.millis(FINAL_WRITE_MILLIS);
-		this.configurationFollower.close();
-		this.serversFollower.close();
-		this.quarantineFollower.close();
+		this.storeFollowers.close();
 		Logger.info("stopped with {} open requests", this.forwarder.openCount());
 	}
 
