Clear an accused part of crashes whatever else was cleared before

Found on rereading: each crash kept at most 512 cleared parts, and answers to any prompt filled them, accused or not. After half a minute of crashes a sound part could no longer be cleared, and a verdict on it would have been possible until the crashes expired. Only accused parts are remembered now.

--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/CrashLedgerTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/CrashLedgerTests.java
@@ -71,6 +71,18 @@
 		Assert.assertEquals(culprit(this.ledger), Optional.of("part"));
 	}
 
+	@Test
+	public void answersToManyOtherPromptsDontKeepAPartFromBeingCleared() {
+		add(this.ledger, "s1", "0:p1!=part");
+		for (int other = 0; other < 10_000; other++) {
+			this.ledger.clear(key("other-" + other));
+		}
+		this.ledger.clear(key("part"));
+		Assert.assertFalse(this.ledger.isAccused(key("part")));
+		add(this.ledger, "s1", "0:p2!=part");
+		Assert.assertFalse(this.ledger.isAccused(key("part")), "another report of the same crash");
+	}
+
 	@Test
 	public void repeatedReportsOfACrashCountOnce() {
 		for (int report = 0; report < 5; report++) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/CrashLedger.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/CrashLedger.java
@@ -52,9 +52,6 @@
 	/** Witnesses of one crash. */
 	static final int MAX_WITNESSES = 64;
 
-	/** Parts that are remembered as cleared of one crash. */
-	static final int MAX_CLEARED = 512;
-
 	private final Map<String, Crash> crashByServer = new LinkedHashMap<>();
 
 	/**
@@ -160,7 +157,7 @@
 	private List<PromptPartKey> oftenAccusedParts() {
 		Map<PromptPartKey, Integer> crashCounts = new LinkedHashMap<>();
 		for (Crash crash : this.crashByServer.values()) {
-			crash.accusedParts().forEach((part) -> crashCounts.merge(part, 1, Integer::sum));
+			crash.accused.forEach((part) -> crashCounts.merge(part, 1, Integer::sum));
 		}
 		return crashCounts.entrySet()
 			.stream()
@@ -263,6 +260,11 @@
 
 		private final Map<String, Witness> witnessByPrompt = new LinkedHashMap<>();
 
+		private final Set<PromptPartKey> accused = new LinkedHashSet<>();
+
+		/**
+		 * Parts that were accused and then cleared; other reports may name them again.
+		 */
 		private final Set<PromptPartKey> cleared = new LinkedHashSet<>();
 
 		private Crash(String server, long atMillis) {
@@ -277,18 +279,19 @@
 			}
 			if (known == null || witness.answering()) {
 				this.witnessByPrompt.put(witness.prompt(), witness);
+				this.accused.addAll(witness.suspects());
+				this.accused.removeAll(this.cleared);
 			}
 		}
 
 		private void clear(PromptPartKey part) {
-			if (this.cleared.size() < MAX_CLEARED) {
+			if (this.accused.remove(part)) {
 				this.cleared.add(part);
 			}
 		}
 
 		private boolean accuses(PromptPartKey part) {
-			return !this.cleared.contains(part)
-					&& this.witnessByPrompt.values().stream().anyMatch((witness) -> witness.accuses(part));
+			return this.accused.contains(part);
 		}
 
 		private List<Witness> witnessesAgainst(PromptPartKey part) {
@@ -299,18 +302,11 @@
 			Set<PromptPartKey> parts = new LinkedHashSet<>();
 			if (accuses(part)) {
 				this.witnessByPrompt.values().forEach((witness) -> parts.addAll(witness.suspectsAfter(part)));
-				parts.removeAll(this.cleared);
+				parts.retainAll(this.accused);
 			}
 			return parts;
 		}
 
-		private Set<PromptPartKey> accusedParts() {
-			Set<PromptPartKey> parts = new LinkedHashSet<>();
-			this.witnessByPrompt.values().forEach((witness) -> parts.addAll(witness.suspects()));
-			parts.removeAll(this.cleared);
-			return parts;
-		}
-
 	}
 
 }
