Share that an accused part is sound after one crash already

An answer that clears an accused part is shared now; for one crash after up to a second, unless another process has shared it before.

A bar on the chance that a part meets so many crashes was tried and left: fewer false verdicts, later true ones.

--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
@@ -91,6 +91,22 @@
 		Assert.assertTrue(this.quarantine.advance().contains(VerdictChange.clear(BAD_PART)));
 	}
 
+	@Test
+	public void partThatIsClearedAfterOneCrashIsClearedForAll() {
+		Quarantine other = process("entry-2");
+		report(other, "s1", 0, "p1", BAD);
+		report("s1", 0, BAD);
+		this.clock.advanceMillis(1);
+		this.quarantine.onAnswer(MODEL, BAD);
+		this.clock.advanceMillis(Quarantine.MAX_SHARE_DELAY_MILLIS);
+		Assert.assertTrue(this.quarantine.advance().contains(VerdictChange.clear(BAD_PART)));
+		Assert.assertEquals(this.quarantine.advance(), List.of(), "once");
+		other.onCleared(BAD_PART);
+		other.onAnswer(MODEL, BAD);
+		this.clock.advanceMillis(Quarantine.MAX_SHARE_DELAY_MILLIS);
+		Assert.assertFalse(other.advance().contains(VerdictChange.clear(BAD_PART)), "by one process");
+	}
+
 	@Test
 	public void verdictThatArrivesAfterItsPartWasClearedIsClearedAgain() {
 		Verdict late = convict();
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
@@ -38,8 +38,8 @@
 	 */
 	static final int MAX_SHARE_DELAY_MILLIS = 1_000;
 
-	/** Crashes after which a part that is sound is cleared for all processes. */
-	private static final int MIN_SHARED_CLEAR_CRASHES = 2;
+	/** Crashes after which a part that is sound is cleared for all processes at once. */
+	private static final int MIN_URGENT_CRASHES = 2;
 
 	private static final int MAX_EXPLAINED_SERVERS = 1_000;
 
@@ -185,7 +185,7 @@
 	 */
 	public synchronized void onCleared(PromptPartKey part) {
 		this.ledger.clear(part);
-		this.verdicts.remove(part);
+		this.verdicts.onCleared(part);
 	}
 
 	/**
@@ -222,8 +222,10 @@
 			return;
 		}
 		boolean convicted = this.verdicts.remove(part);
-		if (convicted || this.ledger.crashCount(part) >= MIN_SHARED_CLEAR_CRASHES) {
-			this.verdicts.shareCleared(part);
+		int crashCount = this.ledger.crashCount(part);
+		if (convicted || crashCount > 0) {
+			boolean urgent = convicted || crashCount >= MIN_URGENT_CRASHES;
+			this.verdicts.shareCleared(part, urgent ? 0 : this.random.nextInt(MAX_SHARE_DELAY_MILLIS));
 		}
 		this.ledger.clear(part);
 	}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/VerdictBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/VerdictBook.java
@@ -40,6 +40,9 @@
 
 	private final Map<PromptPartKey, VerdictChange> changes = new LinkedHashMap<>();
 
+	/** When to share that a part is sound, by the monotonic clock, in milliseconds. */
+	private final Map<PromptPartKey, Long> shareClearedAtMillisByPart = new LinkedHashMap<>();
+
 	VerdictBook(String processId, MillisClock clock, MillisClock wallClock) {
 		this.processId = processId;
 		this.clock = clock;
@@ -47,7 +50,7 @@
 	}
 
 	boolean isEmpty() {
-		return this.verdictByPart.isEmpty() && this.changes.isEmpty();
+		return this.verdictByPart.isEmpty() && this.changes.isEmpty() && this.shareClearedAtMillisByPart.isEmpty();
 	}
 
 	boolean contains(PromptPartKey part) {
@@ -111,10 +114,26 @@
 	}
 
 	/**
-	 * Shares that a part is sound.
+	 * Takes note that a part was cleared by any process.
+	 * @param part the part
+	 */
+	void onCleared(PromptPartKey part) {
+		remove(part);
+		this.shareClearedAtMillisByPart.remove(part);
+	}
+
+	/**
+	 * Shares that a part is sound, unless another process does so before.
 	 * @param part the part
+	 * @param delayMillis time to wait for that, in milliseconds
 	 */
-	void shareCleared(PromptPartKey part) {
+	void shareCleared(PromptPartKey part, long delayMillis) {
+		if (this.shareClearedAtMillisByPart.size() < MAX_VERDICTS) {
+			this.shareClearedAtMillisByPart.merge(part, this.clock.nowMillis() + delayMillis, Math::min);
+		}
+	}
+
+	private void shareCleared(PromptPartKey part) {
 		this.clearedAtMillisByPart.put(part, this.clock.nowMillis());
 		if (this.clearedAtMillisByPart.size() > MAX_VERDICTS) {
 			this.clearedAtMillisByPart.remove(this.clearedAtMillisByPart.keySet().iterator().next());
@@ -160,6 +179,12 @@
 	 */
 	List<VerdictChange> takeChanges() {
 		long nowMillis = this.clock.nowMillis();
+		for (Map.Entry<PromptPartKey, Long> clearing : Map.copyOf(this.shareClearedAtMillisByPart).entrySet()) {
+			if (clearing.getValue() <= nowMillis) {
+				this.shareClearedAtMillisByPart.remove(clearing.getKey());
+				shareCleared(clearing.getKey());
+			}
+		}
 		for (HeldVerdict held : List.copyOf(this.verdictByPart.values())) {
 			if (held.takeShare(nowMillis)) {
 				share(VerdictChange.of(held.verdict()));
