Share only names that fit the key of a record

Found on rereading: a part id or model of up to 64 characters that aren't ASCII makes a key of over 255 bytes, which can't be encoded; the exception ended the sending of all further crash reports and verdicts of that entry. Such names are no suspects now, and a record that can't be encoded is dropped alone.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/RecordSender.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/RecordSender.java
@@ -4,12 +4,15 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.time.Timers;
+import org.tinylog.Logger;
 
 /**
  * Appends records to a topic in order, one call at a time, and repeats a call that
@@ -77,8 +80,17 @@
 				return;
 			}
 		}
-		this.topic.append(batch.stream().map(Supplier::get).toList())
-			.whenComplete((ignored, failure) -> onResult(batch, failure != null));
+		append(batch).whenComplete((ignored, failure) -> onResult(batch, failure != null));
+	}
+
+	private CompletionStage<Void> append(List<Supplier<KeyedRecord>> batch) {
+		try {
+			return this.topic.append(batch.stream().map(Supplier::get).toList());
+		}
+		catch (IllegalArgumentException ex) {
+			Logger.error(ex, "records dropped that can't be encoded");
+			return CompletableFuture.completedFuture(null);
+		}
 	}
 
 	private void onResult(List<Supplier<KeyedRecord>> batch, boolean failed) {
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
@@ -183,6 +183,7 @@
 		String longName = "x".repeat(100_000);
 		Assert.assertEquals(this.quarantine.suspects(MODEL, List.of(longName, ""), 0), List.of());
 		Assert.assertEquals(this.quarantine.suspects(longName, BAD, 0), List.of());
+		Assert.assertEquals(this.quarantine.suspects(MODEL, List.of("\u4e2d".repeat(60), "a b", "a\nb"), 0), List.of());
 		for (long part = 0; part < MANY_PARTS; part++) {
 			this.quarantine.onAnswer(MODEL, List.of("part-" + part));
 		}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
@@ -262,13 +262,22 @@
 		}
 	}
 
+	/**
+	 * Tells whether a text of a caller may be shared with all processes.
+	 * @param text the text
+	 * @return whether it is short and printable ASCII
+	 */
+	private static boolean isName(String text) {
+		return text.length() <= MAX_NAME_LENGTH && text.chars().allMatch((next) -> next > ' ' && next <= '~');
+	}
+
 	private static List<PromptPartKey> keys(String model, List<String> parts) {
-		if (model.length() > MAX_NAME_LENGTH) {
+		if (!isName(model)) {
 			return List.of();
 		}
 		List<PromptPartKey> keys = new ArrayList<>();
 		for (String part : parts) {
-			if (!part.isEmpty() && part.length() <= MAX_NAME_LENGTH) {
+			if (!part.isEmpty() && isName(part)) {
 				keys.add(new PromptPartKey(model, part));
 			}
 		}
