Write the server that repeats refusals once in its tests

Found on rereading the change: two tests of ForwardingTests had the same script. Their assertions are unchanged; ForwardingTests passes, with formatter and linter.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
@@ -120,9 +120,7 @@
 	@Test(dataProvider = "refusalsOfEarlierRequests")
 	public void refusalOfAnEarlierRequestIsNoPromiseForALaterOne(String refusal) throws Exception {
 		Set<Socket> used = ConcurrentHashMap.newKeySet();
-		ScriptedServer.Script repeating = (request, connection) -> write(connection, used.add(connection)
-				? head("200 OK", request, "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n") + "good" : refusal);
-		try (ScriptedServer server = new ScriptedServer(repeating);
+		try (ScriptedServer server = new ScriptedServer(refusingOnReuse(used, refusal));
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			Assert.assertTrue(fixture.call("GET /read/1", KEY, "").endsWith("good"));
 			String response = fixture.call("GET /read/1", KEY, "");
@@ -135,9 +133,7 @@
 	@Test(dataProvider = "refusalsOfEarlierRequests")
 	public void requestThatMustNotRunTwiceNeverMeetsAnEarlierRefusal(String refusal) throws Exception {
 		Set<Socket> used = ConcurrentHashMap.newKeySet();
-		ScriptedServer.Script repeating = (request, connection) -> write(connection, used.add(connection)
-				? head("200 OK", request, "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n") + "good" : refusal);
-		try (ScriptedServer server = new ScriptedServer(repeating);
+		try (ScriptedServer server = new ScriptedServer(refusingOnReuse(used, refusal));
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			Assert.assertTrue(fixture.call("GET /read/1", KEY, "").endsWith("good"));
 			for (int call = 0; call < 3; call++) {
@@ -303,6 +299,18 @@
 		}
 	}
 
+	/**
+	 * Returns a script that answers the first request of each connection and repeats a
+	 * refusal in place of all later answers.
+	 * @param used receives the connections
+	 * @param refusal the refusal
+	 * @return the script
+	 */
+	private static ScriptedServer.Script refusingOnReuse(Set<Socket> used, String refusal) {
+		return (request, connection) -> write(connection, used.add(connection)
+				? head("200 OK", request, "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n") + "good" : refusal);
+	}
+
 	private static ScriptedServer.Script script(UnaryOperator<String> response, boolean close) {
 		return (request, connection) -> {
 			write(connection, response.apply(request));
