--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -59,10 +59,22 @@
         return thread;
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    private static final Set<Integer> TAKEN = new HashSet<>();
+
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 1000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            if (!TAKEN.add(port)) {
+                continue;
+            }
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException ex) {
+                // In use; the next one is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 
     @Override
