Close idle connections behind the bytes that are still to be written

Cause: a request counts as done when its response was received, or before it is handed to the HTTP layer, and from 2.6 s after SIGTERM on connections without a request in progress were closed from outside, which drops what is not written. The end of the stop waited for the same early number.

Now the input of such a connection is ended; the HTTP layer ends its output behind the last response and the socket closes after the last byte. Whether a request is being read is decided under the lock under which bytes are taken. The stop waits for the connections as well. Same cause: the timeout of a head closed a connection whose response before was being written, and SocketFlow dropped a pending write when both of its sides were closed.

CallerConnectionTests#requestAfterCloseIsNotBegun closed by closeIfIdle. A connection is no longer closed there but ended, and a request that was read before is served, since its response is still written (requestReadBeforeTheEndIsBegun). That no request is begun after a close is asserted for both ways to close that are left.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
@@ -20,30 +21,51 @@
 
 	private boolean hasUnread;
 
+	private boolean writing;
+
 	@BeforeMethod
 	public void open() {
 		this.events = new ArrayList<>();
 		this.hasUnread = false;
+		this.writing = false;
 		this.connection = new CallerConnection(new FakeSocket());
 	}
 
 	@Test
-	public void closesOnlyIdleConnections() {
+	public void endsOnlyIdleConnections() {
+		this.connection.onBytes();
+		this.connection.finishIfIdle();
 		Assert.assertTrue(this.connection.beginRequest());
-		this.connection.closeIfIdle();
+		this.connection.finishIfIdle();
 		Assert.assertEquals(this.events, List.of());
 		this.connection.endRequest();
-		this.connection.closeIfIdle();
-		this.connection.closeIfIdle();
-		Assert.assertEquals(this.events, List.of("closed"));
+		this.connection.finishIfIdle();
+		Assert.assertEquals(this.events, List.of("finished"));
 	}
 
 	@Test
 	public void requestAfterCloseIsNotBegun() {
-		this.connection.closeIfIdle();
+		this.connection.closeIfHeadIncomplete(this.connection.onBytes());
+		Assert.assertFalse(this.connection.beginRequest());
+	}
+
+	@Test
+	public void requestOfDisconnectedCallerIsNotBegun() {
+		this.connection.onClosedByCaller();
 		Assert.assertFalse(this.connection.beginRequest());
 	}
 
+	/**
+	 * A request that was read before its connection was ended is served, since the
+	 * response is still written.
+	 */
+	@Test
+	public void requestReadBeforeTheEndIsBegun() {
+		this.connection.finishIfIdle();
+		Assert.assertEquals(this.events, List.of("finished"));
+		Assert.assertTrue(this.connection.beginRequest());
+	}
+
 	@Test
 	public void requestInProgressIsCancelledOnceOnDisconnect() {
 		this.connection.beginRequest();
@@ -87,9 +109,20 @@
 	}
 
 	@Test
-	public void connectionWithUnreadRequestIsNotClosed() {
+	public void headTimeoutWaitsForTheResponseBeforeIt() {
+		int number = this.connection.onBytes();
+		this.writing = true;
+		Assert.assertTrue(this.connection.closeIfHeadIncomplete(number), "has to be checked again");
+		Assert.assertEquals(this.events, List.of());
+		this.writing = false;
+		Assert.assertFalse(this.connection.closeIfHeadIncomplete(number));
+		Assert.assertEquals(this.events, List.of("closed"));
+	}
+
+	@Test
+	public void connectionWithUnreadRequestIsNotEnded() {
 		this.hasUnread = true;
-		this.connection.closeIfIdle();
+		this.connection.finishIfIdle();
 		Assert.assertEquals(this.events, List.of());
 		Assert.assertTrue(this.connection.beginRequest());
 	}
@@ -107,8 +140,20 @@
 		}
 
 		@Override
-		public boolean hasUnreadBytes() {
-			return CallerConnectionTests.this.hasUnread;
+		public void finishIf(BooleanSupplier condition) {
+			if (!CallerConnectionTests.this.hasUnread && condition.getAsBoolean()) {
+				CallerConnectionTests.this.events.add("finished");
+			}
+		}
+
+		@Override
+		public boolean isWriting() {
+			return CallerConnectionTests.this.writing;
+		}
+
+		@Override
+		public boolean isClosed() {
+			return false;
 		}
 
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -327,8 +327,8 @@
 
 	/**
 	 * Shuts down in order: reports that the process is not ready, keeps accepting until
-	 * the load balancer has noticed, then stops accepting, closes idle connections and
-	 * waits for open requests.
+	 * the load balancer has noticed, then stops accepting, ends idle connections and
+	 * waits until the responses to open requests were written.
 	 */
 	private void stop() {
 		long startMillis = this.monotonicClock.nowMillis();
@@ -337,15 +337,20 @@
 		Logger.info("stopping with {} open requests", this.forwarder.openCount());
 		Pause.millis(BALANCER_REMOVAL_MILLIS);
 		this.callerAcceptor.stopAccepting();
-		this.callerListener.closeIdle();
+		this.callerListener.finishIdle();
 		long endMillis = startMillis + this.settings.get().stopGraceMillis() - STOP_MARGIN_MILLIS;
-		while (this.forwarder.openCount() > 0 && this.monotonicClock.nowMillis() < endMillis) {
+		while (isServing() && this.monotonicClock.nowMillis() < endMillis) {
 			Pause.millis(OPEN_POLL_MILLIS);
-			this.callerListener.closeIdle();
+			this.callerListener.finishIdle();
 		}
 		Pause.millis(FINAL_WRITE_MILLIS);
 		this.storeFollowers.close();
-		Logger.info("stopped with {} open requests", this.forwarder.openCount());
+		Logger.info("stopped with {} open requests and {} open connections", this.forwarder.openCount(),
+				this.callerListener.openCount());
+	}
+
+	private boolean isServing() {
+		return this.forwarder.openCount() > 0 || this.callerListener.openCount() > 0;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -49,7 +49,7 @@
 	}
 
 	/**
-	 * Records the arrival of bytes.
+	 * Records that bytes are being taken from the socket.
 	 * @return sequence number of the request head that starts with these bytes, or 0 if
 	 * they continue a head or a request in progress
 	 */
@@ -62,22 +62,30 @@
 	}
 
 	/**
-	 * Closes the connection if a request head is still incomplete.
+	 * Closes the connection if a request head is still incomplete, unless the response
+	 * before it is still being written.
 	 * @param number sequence number of the head
+	 * @return whether the head is still incomplete and the connection open, so that it
+	 * has to be checked again
 	 */
-	public void closeIfHeadIncomplete(int number) {
+	public boolean closeIfHeadIncomplete(int number) {
+		boolean writing = this.socket.isWriting();
 		synchronized (this) {
 			if (!this.readingHead || this.headNumber != number || this.closed) {
-				return;
+				return false;
+			}
+			if (writing) {
+				return true;
 			}
 			this.closed = true;
 		}
 		this.socket.closeGracefully();
+		return false;
 	}
 
 	/**
 	 * Marks the start of a request whose head was read.
-	 * @return whether the request may be handled; false if the connection is being closed
+	 * @return whether the request may be handled; false if the connection was closed
 	 */
 	public synchronized boolean beginRequest() {
 		if (this.closed) {
@@ -113,7 +121,8 @@
 	}
 
 	/**
-	 * Marks the end of the request in progress.
+	 * Marks the end of the request in progress. Its response may still have to be
+	 * written.
 	 */
 	public synchronized void endRequest() {
 		this.busy = false;
@@ -137,17 +146,23 @@
 	}
 
 	/**
-	 * Closes the connection unless a request is in progress or has arrived unread.
+	 * Ends the connection unless a request is in progress or has arrived unread. It is
+	 * closed once the response to the last request was written.
 	 */
-	public void closeIfIdle() {
-		boolean hasUnread = this.socket.hasUnreadBytes();
-		synchronized (this) {
-			if (this.busy || this.readingHead || this.closed || hasUnread) {
-				return;
-			}
-			this.closed = true;
-		}
-		this.socket.closeGracefully();
+	public void finishIfIdle() {
+		this.socket.finishIf(this::isIdle);
+	}
+
+	/**
+	 * Tells whether nothing more is written on this connection.
+	 * @return whether it was closed from either side
+	 */
+	public boolean isClosed() {
+		return this.socket.isClosed();
+	}
+
+	private synchronized boolean isIdle() {
+		return !this.busy && !this.readingHead;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -101,10 +101,19 @@
 	}
 
 	/**
-	 * Closes the connections that have no request in progress.
+	 * Ends the connections that have no request in progress. Each is closed once its last
+	 * response was written.
 	 */
-	public void closeIdle() {
-		this.connections.forEach(CallerConnection::closeIfIdle);
+	public void finishIdle() {
+		this.connections.forEach(CallerConnection::finishIfIdle);
+	}
+
+	/**
+	 * Returns the number of connections on which bytes may still be written.
+	 * @return number of connections that are not closed yet
+	 */
+	public long openCount() {
+		return this.connections.stream().filter((connection) -> !connection.isClosed()).count();
 	}
 
 	private void accept(AcceptedSocket socket) {
@@ -116,10 +125,11 @@
 				enqueueOpening(socket, connection);
 			}
 		});
+		socket.whenTaking(() -> startHeadTimeout(connection));
 		socket.whenEnded(() -> onEnd(socket, connection));
 		this.timers.schedule(this.limits.get().idleTimeoutMillis(), () -> {
 			if (!waiting.get()) {
-				connection.closeIfIdle();
+				connection.finishIfIdle();
 			}
 		});
 	}
@@ -139,20 +149,23 @@
 		}
 		Flow<HttpRequest, HttpResponse, NotUsed> handlerFlow = Flow.<HttpRequest>create()
 			.mapAsync(1, (request) -> this.handler.apply(request, connection));
-		Flow<ByteString, ByteString, NotUsed> byteFlow = Flow.<ByteString>create()
-			.map((received) -> startHeadTimeout(received, connection))
-			.via(currentLayer().reversed().join(handlerFlow));
-		socket.flow().join(byteFlow).run(this.system);
+		socket.flow().join(currentLayer().reversed().join(handlerFlow)).run(this.system);
 		this.timers.schedule(MAX_OPENING_MILLIS, connection::markOpened);
 	}
 
-	private ByteString startHeadTimeout(ByteString received, CallerConnection connection) {
+	private void startHeadTimeout(CallerConnection connection) {
 		int headNumber = connection.onBytes();
 		if (headNumber > 0) {
-			this.timers.schedule(this.limits.get().headerTimeoutMillis(),
-					() -> connection.closeIfHeadIncomplete(headNumber));
+			scheduleHeadTimeout(connection, headNumber);
 		}
-		return received;
+	}
+
+	private void scheduleHeadTimeout(CallerConnection connection, int headNumber) {
+		this.timers.schedule(this.limits.get().headerTimeoutMillis(), () -> {
+			if (connection.closeIfHeadIncomplete(headNumber)) {
+				scheduleHeadTimeout(connection, headNumber);
+			}
+		});
 	}
 
 	private void onEnd(AcceptedSocket socket, CallerConnection connection) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerSocket.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct.caller;
 
+import java.util.function.BooleanSupplier;
+
 /**
  * Socket of a caller, as needed by {@link CallerConnection}.
  *
@@ -8,11 +10,19 @@
 public interface CallerSocket {
 
 	/**
-	 * Closes the connection from this side. Bytes that were already written are still
-	 * delivered.
+	 * Closes the connection from this side immediately. Bytes that were already written
+	 * to the operating system are still delivered; others are dropped.
 	 */
 	void closeGracefully();
 
+	/**
+	 * Ends the input of the connection unless it has unread bytes. The connection is
+	 * closed once everything that is still to be written for earlier input was written.
+	 * @param condition tells whether no request is being read; no bytes are taken from
+	 * the socket meanwhile
+	 */
+	void finishIf(BooleanSupplier condition);
+
 	/**
 	 * Checks for a disconnect of the peer, including one that was not read yet.
 	 * @return whether the peer has closed the connection
@@ -20,9 +30,16 @@
 	boolean hasEnded();
 
 	/**
-	 * Checks for bytes that were received and not taken yet.
+	 * Tells whether bytes wait until the peer has read earlier ones.
 	 * @return whether there are any
 	 */
-	boolean hasUnreadBytes();
+	boolean isWriting();
+
+	/**
+	 * Tells whether this side has closed the connection or the peer has, so that nothing
+	 * more is written.
+	 * @return whether it is closed
+	 */
+	boolean isClosed();
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -72,7 +72,8 @@
 	}
 
 	/**
-	 * Returns the number of requests whose response is not complete yet.
+	 * Returns the number of requests whose response is not complete yet. A complete
+	 * response may still have to be written to its caller.
 	 * @return the number of requests
 	 */
 	public int openCount() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.function.BooleanSupplier;
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.stream.javadsl.Flow;
@@ -38,12 +39,16 @@
 
 	private boolean ended;
 
+	private boolean inputFinished;
+
 	private boolean closing;
 
 	private long closingSinceMillis;
 
 	private Runnable onReceived = NO_ACTION;
 
+	private Runnable onTaking = NO_ACTION;
+
 	private Runnable onWritten = NO_ACTION;
 
 	private Runnable onEnded = NO_ACTION;
@@ -63,13 +68,21 @@
 		boolean due;
 		synchronized (this) {
 			this.onReceived = action;
-			due = this.ended || this.received.nonEmpty();
+			due = this.ended || this.inputFinished || this.received.nonEmpty();
 		}
 		if (due) {
 			action.run();
 		}
 	}
 
+	/**
+	 * Sets the action to run each time received bytes are about to be taken.
+	 * @param action the action, called with the lock of this socket
+	 */
+	public synchronized void whenTaking(Runnable action) {
+		this.onTaking = action;
+	}
+
 	/**
 	 * Sets the action to run once when the peer has closed the connection or it failed.
 	 * @param action the action; runs immediately if the connection has already ended
@@ -93,11 +106,27 @@
 	}
 
 	@Override
-	public boolean hasUnreadBytes() {
+	public void finishIf(BooleanSupplier condition) {
 		read();
+		Runnable action;
 		synchronized (this) {
-			return this.received.nonEmpty();
+			if (this.inputFinished || this.received.nonEmpty() || !condition.getAsBoolean()) {
+				return;
+			}
+			this.inputFinished = true;
+			action = this.flowTaken ? this.onReceived : this::closeGracefully;
 		}
+		action.run();
+	}
+
+	@Override
+	public synchronized boolean isWriting() {
+		return this.unwritten.hasRemaining();
+	}
+
+	@Override
+	public synchronized boolean isClosed() {
+		return this.closing || this.ended;
 	}
 
 	/**
@@ -205,6 +234,9 @@
 		synchronized (this) {
 			taken = this.received;
 			wasFull = isFull();
+			if (taken.nonEmpty()) {
+				this.onTaking.run();
+			}
 			this.received = ByteString.emptyByteString();
 		}
 		if (wasFull) {
@@ -214,11 +246,11 @@
 	}
 
 	/**
-	 * Tells whether the connection has ended and all received bytes were taken.
+	 * Tells whether the input has ended and all received bytes were taken.
 	 * @return whether there is nothing more to take
 	 */
 	synchronized boolean isExhausted() {
-		return this.ended && this.received.isEmpty();
+		return (this.ended || this.inputFinished) && this.received.isEmpty();
 	}
 
 	/**
@@ -334,7 +366,7 @@
 	}
 
 	private void appendReceived(ByteBuffer bytes) {
-		if (!this.closing) {
+		if (!this.closing && !this.inputFinished) {
 			this.received = this.received.concat(ByteString.fromByteBuffer(bytes));
 		}
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
@@ -65,6 +65,8 @@
 
 		@Override
 		public void preStart() {
+			// Bytes may still be written when both ends of this stage are closed.
+			setKeepGoing(true);
 			this.acceptedSocket.whenReceived(() -> this.received.invoke(true));
 			pull(this.toWrite);
 		}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.platform;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -62,7 +61,11 @@
 			{"name":"book","host":"carob.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1500,
 			"priority":1,"service":"s","attempts":1},
 			{"name":"read","host":"carob.example","pathPrefix":"/read/","kind":"idempotent","timeoutMs":1500,
-			"priority":1,"service":"s","attempts":2}],
+			"priority":1,"service":"s","attempts":2},
+			{"name":"long-stream","host":"carob.example","pathPrefix":"/long-stream/","kind":"streaming",
+			"timeoutMs":20000,"priority":2,"service":"s","attempts":1},
+			{"name":"long-book","host":"carob.example","pathPrefix":"/long-book/","kind":"non_idempotent",
+			"timeoutMs":20000,"priority":1,"service":"s","attempts":1}],
 			"services":[{"name":"s"}],"tenants":[{"name":"coop","apiKeys":["key-1"]}]}""";
 
 	private static final long MAX_AGE_MILLIS = 3_600_000;
@@ -77,9 +80,21 @@
 
 	private final ServerDirectory directory;
 
+	private final CallerListener listener;
+
 	ForwardingFixture(ScriptedServer... servers) throws Exception {
+		this(defaultBodyBudget(), servers);
+	}
+
+	/**
+	 * Creates a fixture with a budget for the bodies of responses.
+	 * @param bodyBudget the budget
+	 * @param servers backend servers
+	 * @throws Exception if the setup fails
+	 */
+	ForwardingFixture(BodyBudget bodyBudget, ScriptedServer... servers) throws Exception {
 		this((early) -> {
-		}, servers);
+		}, (connector, health, timers) -> PromptGuard.NONE, bodyBudget, servers);
 	}
 
 	/**
@@ -90,7 +105,7 @@
 	 */
 	ForwardingFixture(GuardFactory guards, ScriptedServer... servers) throws Exception {
 		this((early) -> {
-		}, guards, servers);
+		}, guards, defaultBodyBudget(), servers);
 	}
 
 	/**
@@ -100,11 +115,11 @@
 	 * @throws Exception if the setup fails
 	 */
 	ForwardingFixture(EarlyCallers earlyCallers, ScriptedServer... servers) throws Exception {
-		this(earlyCallers, (connector, health, timers) -> PromptGuard.NONE, servers);
+		this(earlyCallers, (connector, health, timers) -> PromptGuard.NONE, defaultBodyBudget(), servers);
 	}
 
-	private ForwardingFixture(EarlyCallers earlyCallers, GuardFactory guards, ScriptedServer... servers)
-			throws Exception {
+	private ForwardingFixture(EarlyCallers earlyCallers, GuardFactory guards, BodyBudget bodyBudget,
+			ScriptedServer... servers) throws Exception {
 		MillisClock monotonicClock = new SystemMillisClock();
 		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), monotonicClock);
 		this.address = this.acceptor.address();
@@ -130,14 +145,18 @@
 				new PrefillLimiter(monotonicClock, this.system.executionContext()), partition,
 				new ServerSelector(this.directory, health, placement, placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
-				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyBudget(1 << 20, 4 << 20),
+				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), bodyBudget,
 				guards.create(connector, health, timers), new RequestLog(new MetricRegistry(), monotonicClock, 20),
 				clock, timers, random);
 		Forwarder forwarder = new Forwarder(context);
-		new CallerListener(this.system, ServerSettings.create(config), new PekkoTimers(this.system),
+		this.listener = new CallerListener(this.system, ServerSettings.create(config), timers,
 				() -> CallerLimits.DEFAULT, (preview) -> routing.rank(preview.host(), preview.path()),
-				forwarder::handle)
-			.serve(this.acceptor);
+				forwarder::handle);
+		this.listener.serve(this.acceptor);
+	}
+
+	CallerListener listener() {
+		return this.listener;
 	}
 
 	/**
@@ -174,12 +193,28 @@
 	 * @throws IOException if the connection can't be used
 	 */
 	Socket open(String target, String more, String body) throws IOException {
-		Socket caller = new Socket(InetAddress.getLoopbackAddress(), this.address.port());
-		caller.setSoTimeout(READ_TIMEOUT_MILLIS);
+		Socket caller = connect(0);
 		send(caller, target, more, body);
 		return caller;
 	}
 
+	/**
+	 * Connects as a caller.
+	 * @param receiveBufferBytes size of the receive buffer, in bytes, or 0 for that of
+	 * the operating system
+	 * @return the open connection
+	 * @throws IOException if the connection fails
+	 */
+	Socket connect(int receiveBufferBytes) throws IOException {
+		Socket caller = new Socket();
+		if (receiveBufferBytes > 0) {
+			caller.setReceiveBufferSize(receiveBufferBytes);
+		}
+		caller.connect(this.address.toSocketAddress());
+		caller.setSoTimeout(READ_TIMEOUT_MILLIS);
+		return caller;
+	}
+
 	/**
 	 * Sends a request on an open connection.
 	 * @param caller the connection
@@ -200,6 +235,10 @@
 		this.system.terminate();
 	}
 
+	private static BodyBudget defaultBodyBudget() {
+		return new BodyBudget(1 << 20, 4 << 20);
+	}
+
 	private static List<KeyedRecord> registrations(ScriptedServer... servers) {
 		List<KeyedRecord> records = new ArrayList<>();
 		for (ScriptedServer server : servers) {
