Confirm a topic only when it was read to its end

Cause: a read of the store returns 1,024 KB at most, and each read that succeeded counted as a confirmation of the configuration, also the first one of a longer backlog. The end of the topic in the answer was not decoded.

Now a read confirms only if it reaches the end, or the end that an earlier read has stated, as of that read; the rest is read at once.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -48,10 +48,10 @@
 		Fixture fixture = new Fixture();
 		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
 		fixture.clock.advanceMillis(1_500);
-		fixture.topic.completeSlice(new TopicSlice(List.of(), 7));
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 7, 7));
 		Assert.assertEquals(fixture.lastEvent(), "confirmed 10000");
 		fixture.clock.advanceMillis(200);
-		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8));
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 8));
 		Assert.assertEquals(fixture.events.subList(fixture.events.size() - 2, fixture.events.size()),
 				List.of("records a", "confirmed 11500"));
 		fixture.runScheduled();
@@ -62,11 +62,11 @@
 	public void changesInQuickSuccessionAreReadTogether() {
 		Fixture fixture = new Fixture();
 		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
-		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8));
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 8));
 		Assert.assertEquals(fixture.topic.requests, List.of("newest ''", "read 7"));
 		Assert.assertEquals(fixture.delays, List.of(GATHER_MILLIS));
 		fixture.runScheduled();
-		fixture.topic.completeSlice(new TopicSlice(List.of(), 8));
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 8, 8));
 		Assert.assertEquals(fixture.topic.requests, List.of("newest ''", "read 7", "read 8", "read 8"),
 				"a read without records is followed by the next one at once");
 	}
@@ -81,7 +81,7 @@
 		}
 		assertBetween(fixture.delays.get(0), BASE_BACKOFF_MILLIS / 2, BASE_BACKOFF_MILLIS);
 		assertBetween(fixture.delays.get(5), MAX_BACKOFF_MILLIS / 2, MAX_BACKOFF_MILLIS);
-		fixture.topic.completeSlice(new TopicSlice(List.of(), 7));
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 7, 7));
 		fixture.topic.failSlice(new StoreUnavailableException("down", null));
 		assertBetween(fixture.delays.get(6), BASE_BACKOFF_MILLIS / 2, BASE_BACKOFF_MILLIS);
 	}
@@ -116,13 +116,77 @@
 		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
 		fixture.clock.advanceMillis(400);
 		fixture.follower.confirm();
-		fixture.topic.completeLastSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8));
+		fixture.topic.completeLastSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 8));
 		Assert.assertEquals(fixture.lastEvent(), "confirmed 10000");
 		fixture.follower.confirm();
-		fixture.topic.completeLastSlice(new TopicSlice(List.of(), 7));
+		fixture.topic.completeLastSlice(new TopicSlice(List.of(), 7, 7));
 		Assert.assertEquals(fixture.lastEvent(), "confirmed 10400");
 	}
 
+	/**
+	 * Guards against a configuration that counts as confirmed although newer ones, which
+	 * take keys away, are still unread.
+	 */
+	@Test
+	public void readThatDoesNotReachTheEndConfirmsNothing() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		fixture.clock.advanceMillis(9_000);
+		fixture.topic.failSlice(new StoreUnavailableException("down", null));
+		fixture.runScheduled();
+		fixture.clock.advanceMillis(10);
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 9));
+		Assert.assertEquals(fixture.lastEvent(), "records a");
+		Assert.assertEquals(fixture.topic.lastRequest(), "read 8", "the rest is read at once");
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "2", 8)), 9, 9));
+		Assert.assertEquals(fixture.lastEvent(), "confirmed 19010");
+	}
+
+	/**
+	 * Guards against a topic that is never confirmed because it grows as fast as it is
+	 * read.
+	 */
+	@Test
+	public void recordsAppendedMeanwhileDoNotPostponeTheConfirmation() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		fixture.clock.advanceMillis(100);
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 9));
+		fixture.clock.advanceMillis(100);
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "2", 8)), 9, 10));
+		Assert.assertEquals(fixture.lastEvent(), "confirmed 10000", "all that the first of the reads could contain");
+		fixture.clock.advanceMillis(100);
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "3", 9)), 10, 11));
+		Assert.assertEquals(fixture.lastEvent(), "confirmed 10100");
+	}
+
+	@Test
+	public void emptyReadBeforeTheEndConfirmsNothing() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		int eventCount = fixture.events.size();
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 7, 9));
+		Assert.assertEquals(fixture.events.size(), eventCount);
+		Assert.assertEquals(fixture.delays, List.of(GATHER_MILLIS), "the store is not asked without a pause");
+		fixture.follower.confirm();
+		fixture.topic.completeLastSlice(new TopicSlice(List.of(), 7, 9));
+		Assert.assertEquals(fixture.events.size(), eventCount);
+	}
+
+	/**
+	 * Guards against a snapshot that counts as complete although its last page is
+	 * missing: the servers on that page would be gone.
+	 */
+	@Test
+	public void emptyPageBeforeTheLastOneIsAFailure() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("a", "1", 3)), true, 7));
+		fixture.topic.completePage(new TopicPage(List.of(), true, 7));
+		Assert.assertEquals(fixture.events, List.of("unreachable"));
+		fixture.runScheduled();
+		Assert.assertEquals(fixture.topic.lastRequest(), "newest ''", "read from the first page again");
+	}
+
 	private static final class Fixture implements TopicListener {
 
 		private final ManualMillisClock clock = new ManualMillisClock(10_000);
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -33,6 +33,9 @@
 
 	private static final int LARGE_BYTES = 8 << 20;
 
+	/** More than one read of the socket returns. */
+	private static final int UNREAD_BYTES = 100 << 10;
+
 	private final BlockingQueue<AcceptedSocket> accepted = new LinkedBlockingQueue<>();
 
 	private AcceptorFixture fixture;
@@ -73,6 +76,24 @@
 		Assert.assertTrue(socket.isExhausted());
 	}
 
+	/**
+	 * Guards against a caller that counts as present because one read returned bytes: its
+	 * end stands behind them.
+	 */
+	@Test
+	public void endBehindManyUnreadBytesIsDetected() throws Exception {
+		this.fixture.acceptor().serve(this.accepted::add);
+		Socket caller = this.fixture.connect();
+		AcceptedSocket socket = nextAccepted();
+		CountDownLatch checked = new CountDownLatch(1);
+		this.fixture.acceptor().execute(() -> awaitQuietly(checked));
+		caller.getOutputStream().write(new byte[UNREAD_BYTES]);
+		caller.close();
+		Thread.sleep(200);
+		Assert.assertTrue(socket.hasEnded());
+		checked.countDown();
+	}
+
 	@Test
 	public void resetIsReportedAsEnd() throws Exception {
 		this.fixture.acceptor().serve(this.accepted::add);
@@ -265,6 +286,15 @@
 		return socket;
 	}
 
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static boolean awaitClosed(Socket caller) throws IOException {
 		try {
 			return caller.getInputStream().read() < 0;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -6,6 +6,7 @@
 
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.RecordsExpiredException;
+import org.marjoramgw.errors.StoreUnavailableException;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -37,6 +38,8 @@
 
 	private final ResultCounters counters;
 
+	private final CatchUp catchUp = new CatchUp();
+
 	private long nextOffset = -1;
 
 	private boolean reachable = true;
@@ -96,7 +99,7 @@
 
 	private synchronized void onConfirmation(TopicSlice slice, long from, ClockReading sent) {
 		// New records are left to the pending read, which keeps them in order.
-		if (slice != null && slice.records().isEmpty() && from == this.nextOffset) {
+		if (slice != null && slice.records().isEmpty() && slice.reachesEnd() && from == this.nextOffset) {
 			this.listener.onConfirmed(sent);
 		}
 	}
@@ -116,7 +119,11 @@
 
 	private void onPage(TopicPage page, List<KeyedRecord> records, ClockReading sent, long endOffset) {
 		records.addAll(page.records());
-		if (page.hasMore() && !page.records().isEmpty()) {
+		if (page.hasMore()) {
+			if (page.records().isEmpty()) {
+				onFailure(new StoreUnavailableException("page without records before the last one", null), this::start);
+				return;
+			}
 			readSnapshot(page.records().get(page.records().size() - 1).key(), records, sent, endOffset);
 			return;
 		}
@@ -124,6 +131,7 @@
 			markReachable();
 			this.listener.onSnapshot(List.copyOf(records));
 			this.listener.onConfirmed(sent);
+			this.catchUp.restart();
 			this.nextOffset = endOffset;
 		}
 		readNext();
@@ -155,10 +163,11 @@
 			if (!slice.records().isEmpty()) {
 				this.listener.onRecords(slice.records());
 			}
-			this.listener.onConfirmed(sent);
 			this.nextOffset = slice.nextOffset();
+			this.catchUp.onDelivered(slice, sent).ifPresent(this.listener::onConfirmed);
 		}
-		if (slice.records().isEmpty()) {
+		if (slice.records().isEmpty() == slice.reachesEnd()) {
+			// Nothing is new, or more records are waiting.
 			readNext();
 		}
 		else {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -99,7 +99,11 @@
 
 	@Override
 	public boolean hasEnded() {
-		read();
+		// The end may stand behind more bytes than one read returns.
+		boolean mayHaveMore = read();
+		while (mayHaveMore) {
+			mayHaveMore = read();
+		}
 		synchronized (this) {
 			return this.ended;
 		}
@@ -312,16 +316,22 @@
 		action.run();
 	}
 
-	private void read() {
+	/**
+	 * Reads once.
+	 * @return whether bytes were received, so that there may be more
+	 */
+	private boolean read() {
 		Runnable action = NO_ACTION;
+		boolean hasReceived;
 		boolean endReached;
 		synchronized (this) {
 			if (this.ended || isFull()) {
-				return;
+				return false;
 			}
 			int before = this.received.size();
 			endReached = readOnce();
-			if (this.received.size() > before) {
+			hasReceived = this.received.size() > before;
+			if (hasReceived) {
 				action = this.onReceived;
 			}
 		}
@@ -329,6 +339,7 @@
 		if (endReached) {
 			markEnded();
 		}
+		return hasReceived;
 	}
 
 	private void markEnded() {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/MemoryTopic.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/MemoryTopic.java
@@ -57,7 +57,7 @@
 
 	private synchronized TopicSlice slice(long fromOffset) {
 		return new TopicSlice(List.copyOf(this.records.subList((int) fromOffset, this.records.size())),
-				this.records.size());
+				this.records.size(), this.records.size());
 	}
 
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
@@ -15,6 +15,7 @@
 import org.marjoramgw.errors.StoreUnavailableException;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -28,6 +29,8 @@
 	public void decodesConsecutiveRecordsAndDeletions() {
 		TopicSlice slice = StoreFormat.decodeSlice(read(content("a", "one"), content("b", "")), 40);
 		Assert.assertEquals(slice.nextOffset(), 42);
+		Assert.assertEquals(slice.endOffset(), 99);
+		Assert.assertFalse(slice.reachesEnd());
 		Assert.assertEquals(slice.records().get(0).key(), "a");
 		Assert.assertEquals(slice.records().get(0).value().orElseThrow(), bytes("one"));
 		Assert.assertEquals(slice.records().get(0).offset(), 40);
@@ -49,6 +52,21 @@
 		Assert.assertEquals(page.records().get(0).value().orElseThrow(), bytes("one"));
 	}
 
+	@DataProvider
+	public Object[][] incompletePages() {
+		return new Object[][] { { "{\"hasMore\":false,\"end\":6}" }, { "{\"items\":[],\"end\":6}" },
+				{ "{\"items\":[],\"hasMore\":false}" }, { "{\"items\":{},\"hasMore\":false,\"end\":6}" },
+				{ "{\"items\":[],\"hasMore\":null,\"end\":6}" }, { "" }, { "[]" } };
+	}
+
+	/**
+	 * Guards against a page that counts as the whole topic because a field is missing.
+	 */
+	@Test(dataProvider = "incompletePages")
+	public void pageWithoutAFieldIsNotDecoded(String page) {
+		Assert.assertThrows(CompletionException.class, () -> StoreFormat.decodePage(bytes(page)));
+	}
+
 	@Test
 	public void encodedRecordsAreReadBack() {
 		List<KeyedRecord> records = List.of(new KeyedRecord("a", Optional.of(bytes("one")), 0),
--- a/org.marjoramgw/src/main/java/org/marjoramgw/log/StartStream.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/log/StartStream.java
@@ -76,9 +76,12 @@
 			LogSlice slice = this.log.read(STREAM, this.nextOffset, PAGE_RECORDS);
 			slice.records().forEach(this::apply);
 			this.nextOffset = Math.max(this.nextOffset, slice.firstOffset());
-			if (slice.records().isEmpty() || this.nextOffset >= slice.nextOffset()) {
+			if (this.nextOffset >= slice.nextOffset()) {
 				return;
 			}
+			if (slice.records().isEmpty()) {
+				throw new LogUnavailableException("read of " + STREAM + " ended before the end of the stream", null);
+			}
 		}
 	}
 
