Count the memory that bodies occupy, and keep no pieces of them

Cause: the pieces of a body were concatenated, and each stayed a fragment with objects and a part of a read buffer of its own; BodyBudget counted content.

BodyReader copies the pieces into blocks and reserves what it allocates and a charge for each piece.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.pekko.Done;
 import org.apache.pekko.NotUsed;
@@ -36,6 +37,8 @@
 	/** More than one read of the socket returns. */
 	private static final int UNREAD_BYTES = 100 << 10;
 
+	private static final int SINGLE_BYTES = 1_000;
+
 	private final BlockingQueue<AcceptedSocket> accepted = new LinkedBlockingQueue<>();
 
 	private AcceptorFixture fixture;
@@ -94,6 +97,28 @@
 		checked.countDown();
 	}
 
+	/**
+	 * Guards against a caller that occupies a multiple of the read-ahead buffer by
+	 * sending single bytes.
+	 */
+	@Test
+	public void bytesThatArriveSinglyAreKeptTogether() throws Exception {
+		this.fixture.acceptor().serve(this.accepted::add);
+		try (Socket caller = this.fixture.connect()) {
+			caller.setTcpNoDelay(true);
+			AcceptedSocket socket = nextAccepted();
+			for (int sent = 1; sent <= SINGLE_BYTES; sent++) {
+				caller.getOutputStream().write('x');
+				while (socket.peek().size() < sent) {
+					Thread.onSpinWait();
+				}
+			}
+			AtomicInteger partCount = new AtomicInteger();
+			socket.peek().getByteBuffers().forEach((part) -> partCount.incrementAndGet());
+			Assert.assertTrue(partCount.get() < 5, partCount + " parts");
+		}
+	}
+
 	@Test
 	public void resetIsReportedAsEnd() throws Exception {
 		this.fixture.acceptor().serve(this.accepted::add);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -20,6 +20,7 @@
 import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.quarantine.QuarantineGuard;
+import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
@@ -132,7 +133,8 @@
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
 				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
-				this.bodyBudget, promptGuard, requestLog, this.clock, this.timers, random));
+				new BodyReader(this.system), this.bodyBudget, promptGuard, requestLog, this.clock, this.timers,
+				random));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
@@ -1,10 +1,11 @@
 package org.marjoramgw.direct.forward;
 
 import org.marjoramgw.errors.ResponseTooLargeException;
+import org.marjoramgw.http.MemoryLimit;
 
 /**
  * Memory budget of the response bodies that are read completely before they are passed
- * on; thread-safe.
+ * on; thread-safe. Counts the memory that a body occupies, not its length.
  * <p>
  * A small body never waits for the budget, so that servers that send bytes without end
  * use it up only for other large bodies.
@@ -13,7 +14,7 @@
  */
 public final class BodyBudget {
 
-	/** Size up to which a body needs no budget. */
+	/** Memory up to which a body needs no budget. */
 	private static final long SMALL_BODY_BYTES = 64 << 10;
 
 	private final long maxBodyBytes;
@@ -24,23 +25,14 @@
 
 	/**
 	 * Creates a budget.
-	 * @param maxBodyBytes limit for one body, in bytes
-	 * @param maxTotalBytes limit for all large bodies together, in bytes
+	 * @param maxBodyBytes limit on the memory of one body, in bytes
+	 * @param maxTotalBytes limit on the memory of all large bodies together, in bytes
 	 */
 	public BodyBudget(long maxBodyBytes, long maxTotalBytes) {
 		this.maxBodyBytes = maxBodyBytes;
 		this.maxTotalBytes = maxTotalBytes;
 	}
 
-	/**
-	 * Tells whether a body needs no budget.
-	 * @param bytes size of the body, in bytes
-	 * @return whether it is small
-	 */
-	static boolean isSmall(long bytes) {
-		return bytes <= SMALL_BODY_BYTES;
-	}
-
 	/**
 	 * Starts a body.
 	 * @return the memory of the body, to be closed when it was read
@@ -49,7 +41,7 @@
 		return new Reservation();
 	}
 
-	private synchronized void reserve(long bytes) throws ResponseTooLargeException {
+	private synchronized void take(long bytes) throws ResponseTooLargeException {
 		if (this.usedBytes + bytes > this.maxTotalBytes) {
 			throw new ResponseTooLargeException("total of the bodies being read", this.maxTotalBytes);
 		}
@@ -63,25 +55,21 @@
 	/**
 	 * Memory of one body. Not thread-safe.
 	 */
-	final class Reservation implements AutoCloseable {
+	final class Reservation implements MemoryLimit, AutoCloseable {
 
 		private long bodyBytes;
 
 		private long reservedBytes;
 
-		/**
-		 * Reserves memory for more bytes of the body.
-		 * @param bytes number of bytes
-		 * @throws ResponseTooLargeException if a limit is exceeded
-		 */
-		void grow(long bytes) throws ResponseTooLargeException {
+		@Override
+		public void reserve(long bytes) throws ResponseTooLargeException {
 			this.bodyBytes += bytes;
 			if (this.bodyBytes > BodyBudget.this.maxBodyBytes) {
 				throw new ResponseTooLargeException("body", BodyBudget.this.maxBodyBytes);
 			}
 			long missingBytes = this.bodyBytes - SMALL_BODY_BYTES - this.reservedBytes;
 			if (missingBytes > 0) {
-				reserve(missingBytes);
+				take(missingBytes);
 				this.reservedBytes += missingBytes;
 			}
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -214,7 +214,7 @@
 
 	private void readFully(Attempt attempt, HttpResponse response) {
 		ResponseBodies
-			.readFully(response, this.state.remainingMillis(), this.context.bodyBudget(), this.context.system())
+			.readFully(response, this.state.remainingMillis(), this.context.bodyBudget(), this.context.bodyReader())
 			.whenComplete((body, failure) -> onFullBody(attempt, response, body, failure));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -10,10 +10,10 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
-import org.marjoramgw.CompletionStages;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerConnection;
 import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.http.MemoryLimit;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -55,9 +55,9 @@
 		CallerRequest caller = this.context.callerDialect().decode(request);
 		this.openRequests.incrementAndGet();
 		long maxBodyBytes = this.context.routing().limits().maxBodyBytes();
-		return CompletionStages
-			.withDirectExecutor(
-					request.entity().withSizeLimit(maxBodyBytes).toStrict(BODY_TIMEOUT_MILLIS, this.context.system()))
+		// The limit on the length of the body bounds the memory as well.
+		return this.context.bodyReader()
+			.read(request.entity().withSizeLimit(maxBodyBytes), BODY_TIMEOUT_MILLIS, MemoryLimit.NONE)
 			.handle((body, failure) -> (failure != null) ? rejectBody(caller, arrived, failure, connection)
 					: forward(request, caller, body, arrived, connection))
 			.thenCompose((response) -> response)
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -10,6 +10,7 @@
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.quarantine.PromptGuard;
+import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
@@ -33,6 +34,7 @@
  * @param serverSelector selects backend servers
  * @param pool pool of connections to backend servers
  * @param retryBudget budget of retries
+ * @param bodyReader reader of complete bodies
  * @param bodyBudget memory budget of response bodies
  * @param promptGuard keeps prompts that crash backend servers away from them
  * @param requestLog counts and logs outcomes
@@ -44,6 +46,7 @@
 public record ForwardingContext(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
-		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyBudget bodyBudget,
-		PromptGuard promptGuard, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
+		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyReader bodyReader,
+		BodyBudget bodyBudget, PromptGuard promptGuard, RequestLog requestLog, AgeClock clock, Timers timers,
+		Random random) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -1,11 +1,8 @@
 package org.marjoramgw.direct.forward;
 
-import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 
-import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -14,9 +11,9 @@
 import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
-import org.marjoramgw.CompletionStages;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.ResponseTooLargeException;
+import org.marjoramgw.http.BodyReader;
 
 /**
  * Reads and streams the response bodies of backend servers.
@@ -33,26 +30,15 @@
 	 * @param response the response
 	 * @param timeoutMillis timeout, in milliseconds
 	 * @param budget memory budget
-	 * @param system the actor system
+	 * @param reader reader of bodies
 	 * @return the body; fails if it is incomplete, not received in time, or with a
 	 * {@link ResponseTooLargeException}
 	 */
 	static CompletionStage<HttpEntity.Strict> readFully(HttpResponse response, long timeoutMillis, BodyBudget budget,
-			ActorSystem<?> system) {
-		if (response.entity() instanceof HttpEntity.Strict received
-				&& BodyBudget.isSmall(received.getData().length())) {
-			return CompletableFuture.completedFuture(received);
-		}
+			BodyReader reader) {
 		BodyBudget.Reservation reservation = budget.open();
-		return CompletionStages.withDirectExecutor(response.entity()
-			.getDataBytes()
-			.completionTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)))
-			.runFold(ByteString.emptyByteString(), (body, bytes) -> {
-				reservation.grow(bytes.length());
-				return body.concat(bytes);
-			}, system))
-			.whenComplete((body, failure) -> reservation.close())
-			.thenApply((body) -> HttpEntities.create(response.entity().getContentType(), body));
+		return reader.read(response.entity(), timeoutMillis, reservation)
+			.whenComplete((body, failure) -> reservation.close());
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -10,6 +10,7 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.caller.CallerSocket;
+import org.marjoramgw.http.ByteCollector;
 
 /**
  * Accepted socket that is read ahead, so that a disconnect is detected while a request is
@@ -31,7 +32,7 @@
 
 	private final SelectionKey key;
 
-	private ByteString received = ByteString.emptyByteString();
+	private final ByteCollector received = new ByteCollector();
 
 	private ByteBuffer unwritten = ByteBuffer.allocate(0);
 
@@ -68,7 +69,7 @@
 		boolean due;
 		synchronized (this) {
 			this.onReceived = action;
-			due = this.ended || this.inputFinished || this.received.nonEmpty();
+			due = this.ended || this.inputFinished || this.received.length() > 0;
 		}
 		if (due) {
 			action.run();
@@ -114,7 +115,7 @@
 		read();
 		Runnable action;
 		synchronized (this) {
-			if (this.inputFinished || this.received.nonEmpty() || !condition.getAsBoolean()) {
+			if (this.inputFinished || this.received.length() > 0 || !condition.getAsBoolean()) {
 				return;
 			}
 			this.inputFinished = true;
@@ -165,7 +166,7 @@
 			// Further input from the peer is discarded.
 			this.closing = true;
 			this.closingSinceMillis = this.acceptor.nowMillis();
-			this.received = ByteString.emptyByteString();
+			this.received.clear();
 		}
 		discardUnwritten();
 		if (hasEnded() || !shutdownOutput()) {
@@ -225,7 +226,7 @@
 	 * @return the bytes, may be empty
 	 */
 	public synchronized ByteString peek() {
-		return this.received;
+		return this.received.toByteString();
 	}
 
 	/**
@@ -236,12 +237,12 @@
 		ByteString taken;
 		boolean wasFull;
 		synchronized (this) {
-			taken = this.received;
+			taken = this.received.toByteString();
 			wasFull = isFull();
 			if (taken.nonEmpty()) {
 				this.onTaking.run();
 			}
-			this.received = ByteString.emptyByteString();
+			this.received.clear();
 		}
 		if (wasFull) {
 			this.acceptor.execute(this::updateInterest);
@@ -254,7 +255,7 @@
 	 * @return whether there is nothing more to take
 	 */
 	synchronized boolean isExhausted() {
-		return (this.ended || this.inputFinished) && this.received.isEmpty();
+		return (this.ended || this.inputFinished) && this.received.length() == 0;
 	}
 
 	/**
@@ -328,9 +329,9 @@
 			if (this.ended || isFull()) {
 				return false;
 			}
-			int before = this.received.size();
+			int before = this.received.length();
 			endReached = readOnce();
-			hasReceived = this.received.size() > before;
+			hasReceived = this.received.length() > before;
 			if (hasReceived) {
 				action = this.onReceived;
 			}
@@ -378,7 +379,7 @@
 
 	private void appendReceived(ByteBuffer bytes) {
 		if (!this.closing && !this.inputFinished) {
-			this.received = this.received.concat(ByteString.fromByteBuffer(bytes));
+			this.received.add(bytes);
 		}
 	}
 
@@ -405,7 +406,7 @@
 	}
 
 	private boolean isFull() {
-		return this.received.size() >= READ_AHEAD_BYTES;
+		return this.received.length() >= READ_AHEAD_BYTES;
 	}
 
 }
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequestHandler.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequestHandler.java
@@ -16,6 +16,8 @@
 import org.marjoramgw.entry.dispatch.ResponseSink;
 import org.marjoramgw.entry.dispatch.RoutedRequest;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.http.MemoryLimit;
 
 /**
  * Handler of callers' HTTP requests: authenticates, reads, classifies and starts them.
@@ -28,10 +30,13 @@
 
 	private final ActorSystem<?> system;
 
+	private final BodyReader bodyReader;
+
 	private final EntryContext entryContext;
 
 	CallerRequestHandler(ActorSystem<?> system, EntryContext entryContext) {
 		this.system = system;
+		this.bodyReader = new BodyReader(system);
 		this.entryContext = entryContext;
 	}
 
@@ -68,9 +73,7 @@
 			RoutingTable table = this.entryContext.routingTable();
 			ClientAccount account = table.authenticate(CallerRequests.bearerKey(http));
 			int maxBodyBytes = CallerRequests.maxBodyBytes(table.configuration().limits(), http);
-			http.entity()
-				.withSizeLimit(maxBodyBytes)
-				.toStrict(BODY_TIMEOUT_MILLIS, this.system)
+			this.bodyReader.read(http.entity().withSizeLimit(maxBodyBytes), BODY_TIMEOUT_MILLIS, MemoryLimit.NONE)
 				.whenComplete((entity, failure) -> {
 					if (failure != null) {
 						reject(response, new RequestRejectedException(ResultCode.BODY_TOO_LARGE, "or cut short"));
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EndlessResponseTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EndlessResponseTests.java
@@ -41,8 +41,9 @@
 		return new Object[][] { { "status line", "HTTP/1.1 200 ", "x" }, { "bytes that are no HTTP", "", "x" },
 				{ "header value", "HTTP/1.1 200 OK\r\nX-A: ", "x" },
 				{ "header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" }, { "body without a length", ok(""), "x" },
-				{ "body in chunks", ok(CHUNKED), "4\r\nxxxx\r\n" }, { "chunk", ok(CHUNKED) + "fffffff\r\n", "x" },
-				{ "chunk extension", ok(CHUNKED) + "4;", "x" },
+				{ "body in chunks", ok(CHUNKED), "4\r\nxxxx\r\n" },
+				{ "body in chunks of one byte", ok(CHUNKED), "1\r\nx\r\n" },
+				{ "chunk", ok(CHUNKED) + "fffffff\r\n", "x" }, { "chunk extension", ok(CHUNKED) + "4;", "x" },
 				{ "trailer", ok(CHUNKED) + "4\r\nxxxx\r\n0\r\nX-A: ", "x" } };
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -34,6 +34,7 @@
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
+import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
@@ -145,7 +146,7 @@
 				new PrefillLimiter(monotonicClock, this.system.executionContext()), partition,
 				new ServerSelector(this.directory, health, placement, placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
-				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), bodyBudget,
+				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RequestLog(new MetricRegistry(), monotonicClock, 20),
 				clock, timers, random);
 		Forwarder forwarder = new Forwarder(context);
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
@@ -16,6 +16,8 @@
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.http.MemoryLimit;
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.backend.BackendExecution;
 import org.marjoramgw.side.backend.BackendHttpClient;
@@ -33,7 +35,7 @@
 
 	private static final int HTTP_SERVER_ERROR = 500;
 
-	private final ActorSystem<?> system;
+	private final BodyReader bodyReader;
 
 	private final BackendHttpClient client;
 
@@ -49,7 +51,7 @@
 	 * @param maxBodyBytes maximum size of a response body, in bytes
 	 */
 	public PlainServiceBackend(ActorSystem<?> system, String url, long bodyTimeoutMillis, int maxBodyBytes) {
-		this.system = system;
+		this.bodyReader = new BodyReader(system);
 		this.client = new BackendHttpClient(system, url);
 		this.bodyTimeoutMillis = bodyTimeoutMillis;
 		this.maxBodyBytes = maxBodyBytes;
@@ -91,9 +93,8 @@
 	}
 
 	private void readBody(HttpResponse response, BackendListener listener, AtomicBoolean finished) {
-		response.entity()
-			.withSizeLimit(this.maxBodyBytes)
-			.toStrict(this.bodyTimeoutMillis, this.system)
+		this.bodyReader
+			.read(response.entity().withSizeLimit(this.maxBodyBytes), this.bodyTimeoutMillis, MemoryLimit.NONE)
 			.whenComplete((entity, failure) -> {
 				if (!finished.compareAndSet(false, true)) {
 					return;
