Bound what a server sends before the head of its response

Reported by operators of systems like ours: bytes without end in a head end the machine that had called. Here informational responses without end did: on a trial with the command of the deploy file ended after four requests, since the library's parser calls itself for each of them.

ResponseHeadLimiter passes such responses to the parser in small pieces and fails a head that is not complete after 64 KB.

DrainTests opens 100 connections at once; the server of the tests accepts that many now, since two of its rows failed under load when connects timed out before their requests began.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -159,7 +159,7 @@
 			return;
 		}
 		if (failure != null) {
-			onBrokenResponse(attempt, "no response: " + failure.getMessage());
+			onBrokenResponse(attempt, ResponseBodies.failureCode(failure), "no response: " + failure.getMessage());
 			return;
 		}
 		attempt.markAnswering();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.http.javadsl.model.HttpEntities;
@@ -54,14 +53,17 @@
 	}
 
 	/**
-	 * Returns the result code of a body that could not be read.
+	 * Returns the result code of a response that could not be read.
 	 * @param failure the failure
 	 * @return the code
 	 */
 	static ResultCode failureCode(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		return (cause instanceof ResponseTooLargeException) ? ResultCode.ANSWER_TOO_LARGE
-				: ResultCode.BACKEND_BROKE_OFF;
+		for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+			if (cause instanceof ResponseTooLargeException) {
+				return ResultCode.ANSWER_TOO_LARGE;
+			}
+		}
+		return ResultCode.BACKEND_BROKE_OFF;
 	}
 
 	/**
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DrainTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DrainTests.java
@@ -182,7 +182,7 @@
 			for (int caller = 0; caller < CALLER_COUNT; caller++) {
 				callers.add(fixture.open("POST " + path, KEY, "prompt"));
 			}
-			Assert.assertTrue(begun.await(WAIT_SECONDS, TimeUnit.SECONDS));
+			Assert.assertTrue(begun.await(WAIT_SECONDS, TimeUnit.SECONDS), begun.getCount() + " did not begin");
 			drain(fixture);
 			drainBegun.countDown();
 			int cutOffCount = 0;
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EndlessResponseTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EndlessResponseTests.java
@@ -40,11 +40,15 @@
 	public Object[][] responses() {
 		return new Object[][] { { "status line", "HTTP/1.1 200 ", "x" }, { "bytes that are no HTTP", "", "x" },
 				{ "header value", "HTTP/1.1 200 OK\r\nX-A: ", "x" },
-				{ "header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" }, { "body without a length", ok(""), "x" },
+				{ "header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },
+				{ "informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+				{ "informational responses with headers", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" },
+				{ "empty lines", "", "\r\n" }, { "body without a length", ok(""), "x" },
 				{ "body in chunks", ok(CHUNKED), "4\r\nxxxx\r\n" },
 				{ "body in chunks of one byte", ok(CHUNKED), "1\r\nx\r\n" },
 				{ "chunk", ok(CHUNKED) + "fffffff\r\n", "x" }, { "chunk extension", ok(CHUNKED) + "4;", "x" },
-				{ "trailer", ok(CHUNKED) + "4\r\nxxxx\r\n0\r\nX-A: ", "x" } };
+				{ "trailer", ok(CHUNKED) + "4\r\nxxxx\r\n0\r\nX-A: ", "x" },
+				{ "trailer lines", ok(CHUNKED) + "4\r\nxxxx\r\n0\r\n", "X-A: b\r\n" } };
 	}
 
 	@Test(dataProvider = "responses")
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
@@ -30,7 +30,10 @@
 
 	private static final DaemonThreadFactory THREADS = new DaemonThreadFactory("scripted-server");
 
-	private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+	/** More connections than a test opens at once. */
+	private static final int BACKLOG = 500;
+
+	private final ServerSocket socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
 
 	private final List<String> requests = new CopyOnWriteArrayList<>();
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
@@ -122,6 +122,22 @@
 		return bytes;
 	}
 
+	/**
+	 * Tells whether a request was sent whose response head has not been received.
+	 * @return whether a head is outstanding
+	 */
+	synchronized boolean isAwaitingHead() {
+		return this.pending != null;
+	}
+
+	/**
+	 * Returns the number of requests sent.
+	 * @return the number of requests
+	 */
+	synchronized int requestCount() {
+		return this.requestCount;
+	}
+
 	void onResponse(HttpResponse response) {
 		CompletableFuture<HttpResponse> promise = takePending();
 		if (promise == null || !promise.complete(response)) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
@@ -85,7 +85,8 @@
 		Flow<ByteString, ByteString, MaterializedTcp> transport = killSwitchLayer.join(tcpFlow, MaterializedTcp::new)
 			.via(Flow.<ByteString>create()
 				.map(connection::onBytes)
-				.buffer(READ_AHEAD_CHUNKS, OverflowStrategy.backpressure()));
+				.buffer(READ_AHEAD_CHUNKS, OverflowStrategy.backpressure())
+				.via(new ResponseHeadLimiter(connection)));
 		Pair<SourceQueueWithComplete<HttpRequest>, MaterializedTcp> materialized = Source
 			.<HttpRequest>queue(1, OverflowStrategy.dropNew())
 			.viaMat(this.clientLayer.join(transport, Keep.right()), Keep.both())
