Refuse late requests of a stopping entry, answer those open at its end

Reported by operators of systems like ours: in a planned stop requests that came late in the grace were passed on and cut at its end without an answer.

Once the load balancer has taken the process out, a request begins only if its timeout ends before the process does; otherwise 503 with Retry-After, not run. At the end, requests without a response get 502 (2023) if they may have run, else 503.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -34,7 +34,6 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
-import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.LagMeter;
@@ -74,17 +73,9 @@
 	/** Jump of the time of day that triggers a new confirmation of the configuration. */
 	private static final long CLOCK_JUMP_MILLIS = 300;
 
-	/** Time that the load balancer needs to remove this process, in milliseconds. */
-	private static final long BALANCER_REMOVAL_MILLIS = 2_600;
-
-	/** Margin between the orderly exit and the forced kill, in milliseconds. */
-	private static final long STOP_MARGIN_MILLIS = 700;
-
 	/** Rate limit for log lines about successful requests; failures are always logged. */
 	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
 
-	private static final long OPEN_POLL_MILLIS = 50;
-
 	/** Number of requests after which most of the code is compiled. */
 	private static final int WARM_UP_REQUESTS = 300;
 
@@ -111,8 +102,6 @@
 
 	private static final long LOAD_POLL_MILLIS = 10;
 
-	private static final long FINAL_WRITE_MILLIS = 300;
-
 	private final SettingsFile settings;
 
 	private final MillisClock monotonicClock = new SystemMillisClock();
@@ -326,31 +315,14 @@
 	}
 
 	/**
-	 * Shuts down in order: reports that the process is not ready, keeps accepting until
-	 * the load balancer has noticed, then stops accepting, ends idle connections and
-	 * waits until the responses to open requests were written.
+	 * Shuts down in order: reports that the process is not ready, stops the callers' side
+	 * and then the followers of the store.
 	 */
 	private void stop() {
-		long startMillis = this.monotonicClock.nowMillis();
 		this.draining = true;
-		this.forwarder.startDraining();
-		Logger.info("stopping with {} open requests", this.forwarder.openCount());
-		Pause.millis(BALANCER_REMOVAL_MILLIS);
-		this.callerAcceptor.stopAccepting();
-		this.callerListener.finishIdle();
-		long endMillis = startMillis + this.settings.get().stopGraceMillis() - STOP_MARGIN_MILLIS;
-		while (isServing() && this.monotonicClock.nowMillis() < endMillis) {
-			Pause.millis(OPEN_POLL_MILLIS);
-			this.callerListener.finishIdle();
-		}
-		Pause.millis(FINAL_WRITE_MILLIS);
+		new GracefulStop(this.monotonicClock, this.forwarder, this.callerListener, this.callerAcceptor)
+			.run(this.settings.get().stopGraceMillis());
 		this.storeFollowers.close();
-		Logger.info("stopped with {} open requests and {} open connections", this.forwarder.openCount(),
-				this.callerListener.openCount());
-	}
-
-	private boolean isServing() {
-		return this.forwarder.openCount() > 0 || this.callerListener.openCount() > 0;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.direct.forward;
 
 import java.util.concurrent.CompletionStage;
-import java.util.function.BooleanSupplier;
 
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -42,7 +41,7 @@
 
 	private final AttemptLauncher launcher;
 
-	private final BooleanSupplier callerDisconnected;
+	private final RequestOwner owner;
 
 	private final RequestCompletion completion;
 
@@ -56,19 +55,16 @@
 	 * @param request the request with its complete body
 	 * @param caller decoded request head
 	 * @param arrived time of receipt
-	 * @param onStarted called when the request was forwarded or answered; may be called
-	 * more than once
-	 * @param callerDisconnected checks the socket for a disconnect of the caller
-	 * @param onEnd called once when nothing is left to send to the caller
+	 * @param owner owner of the request
 	 */
 	ForwardedRequest(ForwardingContext context, HttpRequest request, CallerRequest caller, ClockReading arrived,
-			Runnable onStarted, BooleanSupplier callerDisconnected, Runnable onEnd) {
+			RequestOwner owner) {
 		this.context = context;
 		this.state = new RequestState(context, request, caller, arrived);
-		this.limitedStart = new LimitedStart(context.startLimiter(), context.timers(), onStarted);
+		this.limitedStart = new LimitedStart(context.startLimiter(), context.timers(), owner::onStarted);
 		this.launcher = new AttemptLauncher(context, this.state, this.limitedStart, this, this);
-		this.callerDisconnected = callerDisconnected;
-		this.completion = new RequestCompletion(context, this.state, this.limitedStart, onEnd);
+		this.owner = owner;
+		this.completion = new RequestCompletion(context, this.state, this.limitedStart, owner::onEnd);
 	}
 
 	/**
@@ -78,6 +74,9 @@
 	synchronized CompletionStage<HttpResponse> start() {
 		try {
 			this.state.admit();
+			if (!this.owner.mayBegin(this.state.remainingMillis())) {
+				throw new RequestRejectedException(ResultCode.ENTRY_LEAVING, "");
+			}
 			this.state.prompt().check(this::onQuarantined);
 			this.state.selectService();
 			this.context.retryBudget().onRequest(this.state.service());
@@ -113,6 +112,19 @@
 		}
 	}
 
+	/**
+	 * Answers the request because the process stops, unless its response has begun.
+	 */
+	synchronized void giveUp() {
+		if (this.completion.isResponded()) {
+			return;
+		}
+		boolean mayHaveRun = mayHaveRun();
+		endAttempt(true);
+		this.completion.reject(mayHaveRun ? ResultCode.ENTRY_STOPPED : ResultCode.ENTRY_LEAVING,
+				"service=" + this.state.service());
+	}
+
 	private synchronized void tryNextServer(ResultCode reason) {
 		if (this.completion.isResponded() && !this.state.isResuming()) {
 			return;
@@ -146,7 +158,7 @@
 
 	@Override
 	public boolean isCallerDisconnected() {
-		return this.callerDisconnected.getAsBoolean();
+		return this.owner.isCallerDisconnected();
 	}
 
 	@Override
@@ -329,13 +341,16 @@
 		if (this.currentAttempt == null && this.completion.isResponded()) {
 			return;
 		}
-		boolean mayHaveRun = this.state.history().mayHaveRun()
-				|| this.currentAttempt != null && this.currentAttempt.mayHaveRun();
+		boolean mayHaveRun = mayHaveRun();
 		endAttempt(true);
 		this.completion.reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
 				"service=" + this.state.service());
 	}
 
+	private boolean mayHaveRun() {
+		return this.state.history().mayHaveRun() || this.currentAttempt != null && this.currentAttempt.mayHaveRun();
+	}
+
 	/**
 	 * Ends the request if a part of its prompt was quarantined before its answer began,
 	 * so that its server doesn't begin it.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -1,8 +1,10 @@
 package org.marjoramgw.direct.forward;
 
 import java.io.IOException;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.pekko.http.javadsl.model.HttpEntity;
@@ -14,6 +16,7 @@
 import org.marjoramgw.direct.caller.CallerConnection;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.http.MemoryLimit;
+import org.marjoramgw.policy.drain.DrainSchedule;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -30,7 +33,9 @@
 
 	private final AtomicInteger openRequests = new AtomicInteger();
 
-	private volatile boolean draining;
+	private final Set<ForwardedRequest> forwardedRequests = ConcurrentHashMap.newKeySet();
+
+	private volatile DrainSchedule drainSchedule = DrainSchedule.NEVER;
 
 	/**
 	 * Creates a forwarder.
@@ -65,10 +70,19 @@
 	}
 
 	/**
-	 * Makes every further response ask its caller to close the connection.
+	 * Makes every further response ask its caller to close the connection, and refuses
+	 * requests that could outlast the process.
+	 * @param schedule times of the stop
+	 */
+	public void startDraining(DrainSchedule schedule) {
+		this.drainSchedule = schedule;
+	}
+
+	/**
+	 * Answers all requests whose response has not begun.
 	 */
-	public void startDraining() {
-		this.draining = true;
+	public void giveUpUnanswered() {
+		this.forwardedRequests.forEach(ForwardedRequest::giveUp);
 	}
 
 	/**
@@ -82,8 +96,10 @@
 
 	private CompletionStage<HttpResponse> forward(HttpRequest request, CallerRequest caller, HttpEntity.Strict body,
 			ClockReading arrived, CallerConnection connection) {
+		Owner owner = new Owner(connection);
 		ForwardedRequest forwarded = new ForwardedRequest(this.context, request.withEntity(body), caller, arrived,
-				connection::markOpened, connection::isClosedByCaller, () -> endRequest(connection));
+				owner);
+		owner.register(forwarded);
 		connection.whenClosed(forwarded::cancel);
 		return forwarded.start();
 	}
@@ -110,7 +126,47 @@
 	}
 
 	private HttpResponse withConnectionClose(HttpResponse response) {
-		return this.draining ? response.addHeader(Connection.create("close")) : response;
+		return (this.drainSchedule != DrainSchedule.NEVER) ? response.addHeader(Connection.create("close")) : response;
+	}
+
+	/** Owner of one forwarded request. */
+	private final class Owner implements RequestOwner {
+
+		private final CallerConnection connection;
+
+		private ForwardedRequest request;
+
+		private Owner(CallerConnection connection) {
+			this.connection = connection;
+		}
+
+		private void register(ForwardedRequest forwarded) {
+			this.request = forwarded;
+			Forwarder.this.forwardedRequests.add(forwarded);
+		}
+
+		@Override
+		public boolean mayBegin(long timeoutMillis) {
+			long nowMillis = Forwarder.this.context.clock().now().monotonicMillis();
+			return Forwarder.this.drainSchedule.mayBegin(nowMillis, timeoutMillis);
+		}
+
+		@Override
+		public boolean isCallerDisconnected() {
+			return this.connection.isClosedByCaller();
+		}
+
+		@Override
+		public void onStarted() {
+			this.connection.markOpened();
+		}
+
+		@Override
+		public void onEnd() {
+			Forwarder.this.forwardedRequests.remove(this.request);
+			endRequest(this.connection);
+		}
+
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestCompletion.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestCompletion.java
@@ -36,7 +36,7 @@
 	 * @param context shared components
 	 * @param state state of the request
 	 * @param limitedStart start of the request
-	 * @param onEnd called once when nothing is left to send to the caller
+	 * @param onEnd called once when the request is complete
 	 */
 	RequestCompletion(ForwardingContext context, RequestState state, LimitedStart limitedStart, Runnable onEnd) {
 		this.context = context;
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestOwner.java
@@ -0,0 +1,34 @@
+package org.marjoramgw.direct.forward;
+
+/**
+ * Owner of a forwarded request, which knows its caller and the process that handles it.
+ *
+ * @author The marjoramgw authors
+ */
+interface RequestOwner {
+
+	/**
+	 * Tells whether a request that was just received may begin.
+	 * @param timeoutMillis time after which it ends at the latest, in milliseconds
+	 * @return whether it may begin; false if the process stops before
+	 */
+	boolean mayBegin(long timeoutMillis);
+
+	/**
+	 * Checks the socket for a disconnect of the caller.
+	 * @return whether the caller has disconnected
+	 */
+	boolean isCallerDisconnected();
+
+	/**
+	 * Called when the request was forwarded or answered; may be called more than once.
+	 */
+	void onStarted();
+
+	/**
+	 * Called once when the request is complete. Its response may still have to be
+	 * written.
+	 */
+	void onEnd();
+
+}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -81,6 +81,8 @@
 
 	private final ServerDirectory directory;
 
+	private final Forwarder forwarder;
+
 	private final CallerListener listener;
 
 	ForwardingFixture(ScriptedServer... servers) throws Exception {
@@ -149,13 +151,17 @@
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RequestLog(new MetricRegistry(), monotonicClock, 20),
 				clock, timers, random);
-		Forwarder forwarder = new Forwarder(context);
+		this.forwarder = new Forwarder(context);
 		this.listener = new CallerListener(this.system, ServerSettings.create(config), timers,
 				() -> CallerLimits.DEFAULT, (preview) -> routing.rank(preview.host(), preview.path()),
-				forwarder::handle);
+				this.forwarder::handle);
 		this.listener.serve(this.acceptor);
 	}
 
+	Forwarder forwarder() {
+		return this.forwarder;
+	}
+
 	CallerListener listener() {
 		return this.listener;
 	}
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/drain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions of a process that stops gracefully.
+ */
+package org.marjoramgw.policy.drain;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -67,6 +67,8 @@
 	/** Part of the prompt is quarantined because it crashes backend servers. */
 	PROMPT_PART_QUARANTINED(2022, 400, ExecutionOutcome.NOT_RUN,
 			"a part of the prompt crashes backend servers and is refused"),
+	/** Entry process stopped before the request that it had sent was answered. */
+	ENTRY_STOPPED(2023, 502, ExecutionOutcome.UNKNOWN, "entry stopped while the request was in flight"),
 
 	/** Queue of the request class is full. */
 	QUEUE_FULL(3001, 429, ExecutionOutcome.NOT_RUN, "queue of the class is full"),
