--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventFraming.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventFraming.java
@@ -4,13 +4,10 @@
 import java.nio.charset.StandardCharsets;
 
 import org.apache.pekko.stream.Attributes;
-import org.apache.pekko.stream.FlowShape;
-import org.apache.pekko.stream.Inlet;
-import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInOutHandler;
-import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
+import org.marjoramgw.http.ByteStage;
 
 /**
  * Stream stage that passes on complete events only. An event that is incomplete when its
@@ -18,13 +15,7 @@
  *
  * @author The marjoramgw authors
  */
-final class EventFraming extends GraphStage<FlowShape<ByteString, ByteString>> {
-
-	private final Inlet<ByteString> in = Inlet.create("events.in");
-
-	private final Outlet<ByteString> out = Outlet.create("events.out");
-
-	private final FlowShape<ByteString, ByteString> shape = FlowShape.of(this.in, this.out);
+final class EventFraming extends ByteStage {
 
 	private final StreamPosition position;
 
@@ -33,14 +24,10 @@
 	 * @param position position in the stream, which moves with each event
 	 */
 	EventFraming(StreamPosition position) {
+		super("events");
 		this.position = position;
 	}
 
-	@Override
-	public FlowShape<ByteString, ByteString> shape() {
-		return this.shape;
-	}
-
 	@Override
 	public GraphStageLogic createLogic(Attributes attributes) {
 		return new Logic();
@@ -54,8 +41,8 @@
 		private final StringBuilder rest = new StringBuilder();
 
 		private Logic() {
-			super(EventFraming.this.shape);
-			setHandlers(EventFraming.this.in, EventFraming.this.out, new Handler());
+			super(EventFraming.this.shape());
+			setHandlers(inlet(), outlet(), new Handler());
 		}
 
 		private String takeEvents(ByteString bytes) {
@@ -79,25 +66,24 @@
 
 			@Override
 			public void onPush() {
-				String events = takeEvents(grab(EventFraming.this.in));
+				String events = takeEvents(grab(inlet()));
 				if (events.isEmpty()) {
-					pull(EventFraming.this.in);
+					pull(inlet());
 				}
 				else {
-					push(EventFraming.this.out, ByteString.fromString(events, StandardCharsets.ISO_8859_1));
+					push(outlet(), ByteString.fromString(events, StandardCharsets.ISO_8859_1));
 				}
 			}
 
 			@Override
 			public void onPull() {
-				pull(EventFraming.this.in);
+				pull(inlet());
 			}
 
 			@Override
 			public void onUpstreamFinish() {
 				if (!Logic.this.rest.isEmpty()) {
-					emit(EventFraming.this.out,
-							ByteString.fromString(Logic.this.rest.toString(), StandardCharsets.ISO_8859_1));
+					emit(outlet(), ByteString.fromString(Logic.this.rest.toString(), StandardCharsets.ISO_8859_1));
 				}
 				completeStage();
 			}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -3,15 +3,12 @@
 import java.io.IOException;
 
 import org.apache.pekko.stream.Attributes;
-import org.apache.pekko.stream.FlowShape;
-import org.apache.pekko.stream.Inlet;
-import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInHandler;
 import org.apache.pekko.stream.stage.AbstractOutHandler;
-import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.errors.ResponseTooLargeException;
+import org.marjoramgw.http.ByteStage;
 
 /**
  * Stream stage that passes a body through and reports its start and end to an observer.
@@ -20,13 +17,7 @@
  *
  * @author The marjoramgw authors
  */
-final class ObservedBody extends GraphStage<FlowShape<ByteString, ByteString>> {
-
-	private final Inlet<ByteString> in = Inlet.create("body.in");
-
-	private final Outlet<ByteString> out = Outlet.create("body.out");
-
-	private final FlowShape<ByteString, ByteString> shape = FlowShape.of(this.in, this.out);
+final class ObservedBody extends ByteStage {
 
 	private final BodyObserver observer;
 
@@ -38,15 +29,11 @@
 	 * @param hasEvents whether the body is a stream of events
 	 */
 	ObservedBody(BodyObserver observer, boolean hasEvents) {
+		super("body");
 		this.observer = observer;
 		this.hasEvents = hasEvents;
 	}
 
-	@Override
-	public FlowShape<ByteString, ByteString> shape() {
-		return this.shape;
-	}
-
 	@Override
 	public GraphStageLogic createLogic(Attributes attributes) {
 		return new Logic();
@@ -59,9 +46,9 @@
 		private boolean started;
 
 		private Logic() {
-			super(ObservedBody.this.shape);
-			setHandler(ObservedBody.this.in, new Upstream());
-			setHandler(ObservedBody.this.out, new Downstream());
+			super(ObservedBody.this.shape());
+			setHandler(inlet(), new Upstream());
+			setHandler(outlet(), new Downstream());
 		}
 
 		private final class Upstream extends AbstractInHandler {
@@ -73,10 +60,10 @@
 					ObservedBody.this.observer.onFirstBytes();
 				}
 				ObservedBody.this.observer.onBytes();
-				ByteString bytes = grab(ObservedBody.this.in);
+				ByteString bytes = grab(inlet());
 				try {
 					Logic.this.event.add(bytes);
-					push(ObservedBody.this.out, bytes);
+					push(outlet(), bytes);
 				}
 				catch (ResponseTooLargeException ex) {
 					fail(ex);
@@ -110,7 +97,7 @@
 			@Override
 			public void onPull() {
 				ObservedBody.this.observer.onDemand();
-				pull(ObservedBody.this.in);
+				pull(inlet());
 			}
 
 			@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.direct.socket;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.function.BooleanSupplier;
@@ -10,7 +9,6 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.caller.CallerSocket;
-import org.marjoramgw.http.ByteCollector;
 
 /**
  * Accepted socket that is read ahead, so that a disconnect is detected while a request is
@@ -20,9 +18,6 @@
  */
 public final class AcceptedSocket implements CallerSocket {
 
-	/** Size of the read-ahead buffer at which reading from the socket is suspended. */
-	private static final int READ_AHEAD_BYTES = 128 << 10;
-
 	private static final Runnable NO_ACTION = () -> {
 	};
 
@@ -32,16 +27,14 @@
 
 	private final SelectionKey key;
 
-	private final ByteCollector received = new ByteCollector();
+	private final ReadAheadBuffer received = new ReadAheadBuffer();
 
-	private ByteBuffer unwritten = ByteBuffer.allocate(0);
+	private final PendingWrite pendingWrite;
 
 	private boolean flowTaken;
 
 	private boolean ended;
 
-	private boolean inputFinished;
-
 	private boolean closing;
 
 	private long closingSinceMillis;
@@ -50,14 +43,13 @@
 
 	private Runnable onTaking = NO_ACTION;
 
-	private Runnable onWritten = NO_ACTION;
-
 	private Runnable onEnded = NO_ACTION;
 
 	AcceptedSocket(SocketAcceptor acceptor, SocketChannel channel, SelectionKey key) {
 		this.acceptor = acceptor;
 		this.channel = channel;
 		this.key = key;
+		this.pendingWrite = new PendingWrite(channel);
 	}
 
 	/**
@@ -69,7 +61,7 @@
 		boolean due;
 		synchronized (this) {
 			this.onReceived = action;
-			due = this.ended || this.inputFinished || this.received.length() > 0;
+			due = this.ended || this.received.isFinished() || !this.received.isEmpty();
 		}
 		if (due) {
 			action.run();
@@ -115,10 +107,10 @@
 		read();
 		Runnable action;
 		synchronized (this) {
-			if (this.inputFinished || this.received.length() > 0 || !condition.getAsBoolean()) {
+			if (this.received.isFinished() || !this.received.isEmpty() || !condition.getAsBoolean()) {
 				return;
 			}
-			this.inputFinished = true;
+			this.received.finish();
 			action = this.flowTaken ? this.onReceived : this::closeGracefully;
 		}
 		action.run();
@@ -126,7 +118,7 @@
 
 	@Override
 	public synchronized boolean isWriting() {
-		return this.unwritten.hasRemaining();
+		return this.pendingWrite.isPending();
 	}
 
 	@Override
@@ -166,7 +158,8 @@
 			// Further input from the peer is discarded.
 			this.closing = true;
 			this.closingSinceMillis = this.acceptor.nowMillis();
-			this.received.clear();
+			this.received.finish();
+			this.received.take();
 		}
 		discardUnwritten();
 		if (hasEnded() || !shutdownOutput()) {
@@ -193,9 +186,7 @@
 	private void discardUnwritten() {
 		Runnable action;
 		synchronized (this) {
-			this.unwritten = ByteBuffer.allocate(0);
-			action = this.onWritten;
-			this.onWritten = NO_ACTION;
+			action = this.pendingWrite.discard();
 		}
 		action.run();
 	}
@@ -226,7 +217,7 @@
 	 * @return the bytes, may be empty
 	 */
 	public synchronized ByteString peek() {
-		return this.received.toByteString();
+		return this.received.peek();
 	}
 
 	/**
@@ -237,12 +228,11 @@
 		ByteString taken;
 		boolean wasFull;
 		synchronized (this) {
-			taken = this.received.toByteString();
-			wasFull = isFull();
-			if (taken.nonEmpty()) {
+			wasFull = this.received.isFull();
+			if (!this.received.isEmpty()) {
 				this.onTaking.run();
 			}
-			this.received.clear();
+			taken = this.received.take();
 		}
 		if (wasFull) {
 			this.acceptor.execute(this::updateInterest);
@@ -255,7 +245,7 @@
 	 * @return whether there is nothing more to take
 	 */
 	synchronized boolean isExhausted() {
-		return (this.ended || this.inputFinished) && this.received.length() == 0;
+		return (this.ended || this.received.isFinished()) && this.received.isEmpty();
 	}
 
 	/**
@@ -268,12 +258,9 @@
 	 */
 	boolean write(ByteString bytes, Runnable whenWritten) throws IOException {
 		synchronized (this) {
-			this.unwritten = bytes.toByteBuffer();
-			this.channel.write(this.unwritten);
-			if (!this.unwritten.hasRemaining()) {
+			if (this.pendingWrite.start(bytes, whenWritten)) {
 				return true;
 			}
-			this.onWritten = whenWritten;
 		}
 		this.acceptor.execute(this::updateInterest);
 		return false;
@@ -299,16 +286,12 @@
 		boolean failed = false;
 		synchronized (this) {
 			try {
-				this.channel.write(this.unwritten);
+				action = this.pendingWrite.resume();
 			}
 			catch (IOException ex) {
 				// The writer is notified when the connection is closed.
 				failed = true;
 			}
-			if (!failed && !this.unwritten.hasRemaining()) {
-				action = this.onWritten;
-				this.onWritten = NO_ACTION;
-			}
 		}
 		// Runs outside the lock because actions acquire locks of their own.
 		if (failed) {
@@ -326,7 +309,7 @@
 		boolean hasReceived;
 		boolean endReached;
 		synchronized (this) {
-			if (this.ended || isFull()) {
+			if (this.ended || this.received.isFull()) {
 				return false;
 			}
 			int before = this.received.length();
@@ -368,7 +351,7 @@
 
 	private boolean readOnce() {
 		try {
-			return this.acceptor.read(this.channel, this::appendReceived) < 0;
+			return this.acceptor.read(this.channel, this.received::add) < 0;
 		}
 		catch (IOException ex) {
 			// A reset is treated like an orderly close, since nothing is owed to the
@@ -377,12 +360,6 @@
 		}
 	}
 
-	private void appendReceived(ByteBuffer bytes) {
-		if (!this.closing && !this.inputFinished) {
-			this.received.add(bytes);
-		}
-	}
-
 	private boolean shutdownOutput() {
 		try {
 			this.channel.shutdownOutput();
@@ -399,14 +376,10 @@
 			if (!this.key.isValid()) {
 				return;
 			}
-			int reading = (this.ended || isFull()) ? 0 : SelectionKey.OP_READ;
-			int writing = this.unwritten.hasRemaining() ? SelectionKey.OP_WRITE : 0;
+			int reading = (this.ended || this.received.isFull()) ? 0 : SelectionKey.OP_READ;
+			int writing = this.pendingWrite.isPending() ? SelectionKey.OP_WRITE : 0;
 			this.key.interestOps(reading | writing);
 		}
 	}
 
-	private boolean isFull() {
-		return this.received.length() >= READ_AHEAD_BYTES;
-	}
-
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
@@ -3,15 +3,14 @@
 import java.io.IOException;
 
 import org.apache.pekko.stream.Attributes;
-import org.apache.pekko.stream.FlowShape;
 import org.apache.pekko.stream.Inlet;
 import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInHandler;
 import org.apache.pekko.stream.stage.AbstractOutHandler;
 import org.apache.pekko.stream.stage.AsyncCallback;
-import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
+import org.marjoramgw.http.ByteStage;
 
 /**
  * Stream stage of one socket: writes its input to the socket and emits the bytes read
@@ -19,25 +18,15 @@
  *
  * @author The marjoramgw authors
  */
-final class SocketFlow extends GraphStage<FlowShape<ByteString, ByteString>> {
-
-	private final Inlet<ByteString> in = Inlet.create("socket.in");
-
-	private final Outlet<ByteString> out = Outlet.create("socket.out");
-
-	private final FlowShape<ByteString, ByteString> shape = FlowShape.of(this.in, this.out);
+final class SocketFlow extends ByteStage {
 
 	private final AcceptedSocket socket;
 
 	SocketFlow(AcceptedSocket socket) {
+		super("socket");
 		this.socket = socket;
 	}
 
-	@Override
-	public FlowShape<ByteString, ByteString> shape() {
-		return this.shape;
-	}
-
 	@Override
 	public GraphStageLogic createLogic(Attributes attributes) {
 		return new Logic();
@@ -45,9 +34,9 @@
 
 	private final class Logic extends GraphStageLogic {
 
-		private final Inlet<ByteString> toWrite = SocketFlow.this.in;
+		private final Inlet<ByteString> toWrite = inlet();
 
-		private final Outlet<ByteString> read = SocketFlow.this.out;
+		private final Outlet<ByteString> read = outlet();
 
 		private final AcceptedSocket acceptedSocket = SocketFlow.this.socket;
 
@@ -58,7 +47,7 @@
 		private boolean writing;
 
 		private Logic() {
-			super(SocketFlow.this.shape);
+			super(SocketFlow.this.shape());
 			setHandler(this.toWrite, new Writer());
 			setHandler(this.read, new Reader());
 		}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseHeadLimiter.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseHeadLimiter.java
@@ -1,11 +1,7 @@
 package org.marjoramgw.http;
 
 import org.apache.pekko.stream.Attributes;
-import org.apache.pekko.stream.FlowShape;
-import org.apache.pekko.stream.Inlet;
-import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInOutHandler;
-import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.errors.ResponseTooLargeException;
@@ -19,7 +15,7 @@
  *
  * @author The marjoramgw authors
  */
-final class ResponseHeadLimiter extends GraphStage<FlowShape<ByteString, ByteString>> {
+final class ResponseHeadLimiter extends ByteStage {
 
 	/** Bytes after which the head of a response must be complete. */
 	static final int MAX_HEAD_BYTES = 64 << 10;
@@ -30,23 +26,13 @@
 	/** Position of the first digit of the status, after the version and a space. */
 	private static final int STATUS_OFFSET = 9;
 
-	private final Inlet<ByteString> in = Inlet.create("head.in");
-
-	private final Outlet<ByteString> out = Outlet.create("head.out");
-
-	private final FlowShape<ByteString, ByteString> shape = FlowShape.of(this.in, this.out);
-
 	private final HttpConnection connection;
 
 	ResponseHeadLimiter(HttpConnection connection) {
+		super("head");
 		this.connection = connection;
 	}
 
-	@Override
-	public FlowShape<ByteString, ByteString> shape() {
-		return this.shape;
-	}
-
 	@Override
 	public GraphStageLogic createLogic(Attributes attributes) {
 		return new Logic();
@@ -61,8 +47,8 @@
 		private int headBytes;
 
 		private Logic() {
-			super(ResponseHeadLimiter.this.shape);
-			setHandlers(ResponseHeadLimiter.this.in, ResponseHeadLimiter.this.out, new Handler());
+			super(ResponseHeadLimiter.this.shape());
+			setHandlers(inlet(), outlet(), new Handler());
 		}
 
 		private ByteString takePiece() throws ResponseTooLargeException {
@@ -102,8 +88,8 @@
 
 		private void pushPiece() {
 			try {
-				push(ResponseHeadLimiter.this.out, takePiece());
-				if (this.rest.isEmpty() && isClosed(ResponseHeadLimiter.this.in)) {
+				push(outlet(), takePiece());
+				if (this.rest.isEmpty() && isClosed(inlet())) {
 					completeStage();
 				}
 			}
@@ -116,14 +102,14 @@
 
 			@Override
 			public void onPush() {
-				Logic.this.rest = grab(ResponseHeadLimiter.this.in);
+				Logic.this.rest = grab(inlet());
 				pushPiece();
 			}
 
 			@Override
 			public void onPull() {
 				if (Logic.this.rest.isEmpty()) {
-					pull(ResponseHeadLimiter.this.in);
+					pull(inlet());
 				}
 				else {
 					pushPiece();
