Write the write of the scripted server once

ScriptedServer has it now; the flush that one of them had does nothing on a socket. DrainTests names its script of a large response directly.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DrainTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DrainTests.java
@@ -86,8 +86,7 @@
 	 */
 	@Test
 	public void bufferedResponseReachesSlowReader() throws Exception {
-		ScriptedServer.Script script = (request, connection) -> respondLarge(request, connection);
-		try (ScriptedServer server = new ScriptedServer(script);
+		try (ScriptedServer server = new ScriptedServer(DrainTests::respondLarge);
 				ForwardingFixture fixture = largeBodies(server);
 				Socket caller = slowReader(fixture, "POST /long-book/1")) {
 			drain(fixture);
@@ -104,8 +103,7 @@
 	 */
 	@Test
 	public void lastResponseOfAConnectionReachesSlowReader() throws Exception {
-		ScriptedServer.Script script = (request, connection) -> respondLarge(request, connection);
-		try (ScriptedServer server = new ScriptedServer(script);
+		try (ScriptedServer server = new ScriptedServer(DrainTests::respondLarge);
 				ForwardingFixture fixture = largeBodies(server);
 				Socket caller = fixture.connect(RECEIVE_BUFFER_BYTES)) {
 			ForwardingFixture.send(caller, "POST /long-book/1", KEY + "Connection: close\r\n", "prompt");
@@ -121,7 +119,7 @@
 	public void streamReachesSlowReader() throws Exception {
 		String event = chunk("data: " + "x".repeat(EVENT_BYTES) + "\n\n");
 		String body = event.repeat(LARGE_BYTES / event.length()) + LAST_CHUNK;
-		ScriptedServer.Script script = (request, connection) -> write(connection,
+		ScriptedServer.Script script = (request, connection) -> ScriptedServer.write(connection,
 				ScriptedServer.head("200 OK", request, STREAM_HEADERS) + body);
 		try (ScriptedServer server = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(server);
@@ -139,8 +137,7 @@
 	 */
 	@Test
 	public void lateHeadDoesNotCutOffTheResponseBeforeIt() throws Exception {
-		ScriptedServer.Script script = (request, connection) -> respondLarge(request, connection);
-		try (ScriptedServer server = new ScriptedServer(script);
+		try (ScriptedServer server = new ScriptedServer(DrainTests::respondLarge);
 				ForwardingFixture fixture = largeBodies(server);
 				Socket caller = slowReader(fixture, "POST /long-book/1")) {
 			Thread.sleep(SLOW_READER_MILLIS);
@@ -152,7 +149,7 @@
 
 	@Test
 	public void idleConnectionsAreClosedAndCountNoLonger() throws Exception {
-		ScriptedServer.Script script = (request, connection) -> write(connection,
+		ScriptedServer.Script script = (request, connection) -> ScriptedServer.write(connection,
 				ScriptedServer.head("200 OK", request, STREAM_HEADERS) + LAST_CHUNK);
 		try (ScriptedServer server = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(server);
@@ -171,10 +168,10 @@
 		CountDownLatch begun = new CountDownLatch(CALLER_COUNT);
 		CountDownLatch drainBegun = new CountDownLatch(1);
 		ScriptedServer.Script script = (request, connection) -> {
-			write(connection, ScriptedServer.head("200 OK", request, headers) + start);
+			ScriptedServer.write(connection, ScriptedServer.head("200 OK", request, headers) + start);
 			begun.countDown();
 			awaitThenPause(drainBegun);
-			return write(connection, end);
+			return ScriptedServer.write(connection, end);
 		};
 		List<Socket> callers = new ArrayList<>();
 		try (ScriptedServer server = new ScriptedServer(script);
@@ -258,17 +255,13 @@
 	}
 
 	private static boolean respondLarge(String request, Socket connection) throws IOException {
-		return write(connection, ScriptedServer.head("200 OK", request, "Content-Length: " + LARGE_BYTES + "\r\n")
-				+ "x".repeat(LARGE_BYTES));
+		return ScriptedServer.write(connection,
+				ScriptedServer.head("200 OK", request, "Content-Length: " + LARGE_BYTES + "\r\n")
+						+ "x".repeat(LARGE_BYTES));
 	}
 
 	private static String chunk(String data) {
 		return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
 	}
 
-	private static boolean write(Socket connection, String bytes) throws IOException {
-		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-		return true;
-	}
-
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
@@ -21,7 +21,7 @@
 
 	private static final String KEY = "Authorization: Token key-1\r\n";
 
-	private static final ScriptedServer.Script GOOD_SCRIPT = (request, connection) -> write(connection,
+	private static final ScriptedServer.Script GOOD_SCRIPT = (request, connection) -> ScriptedServer.write(connection,
 			ScriptedServer.head("200 OK", request, "Content-Length: 4\r\n") + "good");
 
 	@DataProvider
@@ -307,13 +307,13 @@
 	 * @return the script
 	 */
 	private static ScriptedServer.Script refusingOnReuse(Set<Socket> used, String refusal) {
-		return (request, connection) -> write(connection, used.add(connection)
+		return (request, connection) -> ScriptedServer.write(connection, used.add(connection)
 				? head("200 OK", request, "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n") + "good" : refusal);
 	}
 
 	private static ScriptedServer.Script script(UnaryOperator<String> response, boolean close) {
 		return (request, connection) -> {
-			write(connection, response.apply(request));
+			ScriptedServer.write(connection, response.apply(request));
 			if (close) {
 				connection.close();
 			}
@@ -326,7 +326,7 @@
 	}
 
 	private static boolean resetWithoutLength(String request, Socket connection) throws IOException {
-		write(connection, head("200 OK", request, "") + "short");
+		ScriptedServer.write(connection, head("200 OK", request, "") + "short");
 		pause();
 		connection.setSoLinger(true, 0);
 		connection.close();
@@ -342,10 +342,4 @@
 		}
 	}
 
-	private static boolean write(Socket connection, String bytes) throws IOException {
-		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-		connection.getOutputStream().flush();
-		return true;
-	}
-
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LateRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LateRequestTests.java
@@ -90,10 +90,10 @@
 	public void streamThatHasBegunIsNotGivenUp() throws Exception {
 		CountDownLatch given = new CountDownLatch(1);
 		ScriptedServer.Script script = (request, connection) -> {
-			write(connection,
+			ScriptedServer.write(connection,
 					ScriptedServer.head("200 OK", request, "Content-Type: text/event-stream\r\n") + "id: 1\n\n");
 			await(given);
-			write(connection, "id: 2\n\n");
+			ScriptedServer.write(connection, "id: 2\n\n");
 			connection.close();
 			return false;
 		};
@@ -115,7 +115,7 @@
 	}
 
 	private static boolean respond(String request, Socket connection) throws IOException {
-		return write(connection, ScriptedServer.head("200 OK", request, "Content-Length: 0\r\n"));
+		return ScriptedServer.write(connection, ScriptedServer.head("200 OK", request, "Content-Length: 0\r\n"));
 	}
 
 	private static void await(CountDownLatch latch) throws IOException {
@@ -127,9 +127,4 @@
 		}
 	}
 
-	private static boolean write(Socket connection, String bytes) throws IOException {
-		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-		return true;
-	}
-
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
@@ -82,6 +82,18 @@
 				+ "\r\nX-Response-Stamp: stamp\r\n" + more + "\r\n";
 	}
 
+	/**
+	 * Writes bytes to a connection.
+	 * @param connection the connection
+	 * @param bytes the bytes, one character each
+	 * @return whether to read further requests, always true
+	 * @throws IOException if the connection fails
+	 */
+	static boolean write(Socket connection, String bytes) throws IOException {
+		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+		return true;
+	}
+
 	private void acceptAll() {
 		try {
 			while (true) {
