--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/GracefulStop.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/GracefulStop.java
@@ -67,8 +67,8 @@
 		drainUntil(schedule.endMillis());
 		this.forwarder.giveUpUnanswered();
 		Pause.millis(FINAL_WRITE_MILLIS);
-		Logger.info("stopped with {} open requests and {} open connections", this.forwarder.openCount(),
-				this.listener.openCount());
+		Logger.info("stopped with {} open requests and {} open connections, {} of them waiting unread",
+				this.forwarder.openCount(), this.listener.openCount(), this.listener.waitingCount());
 	}
 
 	private void drainUntil(long endMillis) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -116,6 +116,14 @@
 		return this.connections.stream().filter((connection) -> !connection.isClosed()).count();
 	}
 
+	/**
+	 * Returns the number of connections whose first request waits to be read.
+	 * @return number of connections
+	 */
+	public int waitingCount() {
+		return this.openingLimiter.waitingCount();
+	}
+
 	private void accept(AcceptedSocket socket) {
 		CallerConnection connection = new CallerConnection(socket);
 		this.connections.add(connection);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -16,6 +16,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import org.marjoramgw.DaemonThreadFactory;
@@ -68,6 +69,10 @@
 
 	private final List<AcceptedSocket> unservedSockets = new ArrayList<>();
 
+	private final AtomicLong acceptedCount = new AtomicLong();
+
+	private final AtomicLong receivedBytes = new AtomicLong();
+
 	private Consumer<AcceptedSocket> receiver;
 
 	private volatile boolean closed;
@@ -107,6 +112,22 @@
 		return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
 	}
 
+	/**
+	 * Returns the number of connections accepted since the start.
+	 * @return number of connections
+	 */
+	public long acceptedCount() {
+		return this.acceptedCount.get();
+	}
+
+	/**
+	 * Returns the number of bytes read from all connections since the start.
+	 * @return number of bytes
+	 */
+	public long receivedBytes() {
+		return this.receivedBytes.get();
+	}
+
 	/**
 	 * Passes all accepted sockets to a receiver, including those accepted before this
 	 * call.
@@ -170,6 +191,7 @@
 			this.buffer.clear();
 			int count = channel.read(this.buffer);
 			if (count > 0) {
+				this.receivedBytes.addAndGet(count);
 				sink.accept(this.buffer.flip());
 			}
 			return count;
@@ -254,6 +276,7 @@
 	}
 
 	private void register(SocketChannel channel) {
+		this.acceptedCount.incrementAndGet();
 		try {
 			channel.configureBlocking(false);
 			channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
