--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 
 import com.codahale.metrics.Gauge;
@@ -18,7 +17,6 @@
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.MillisClock;
-import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.caller.CallerListener;
 import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
@@ -34,13 +32,14 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.program.ExitCode;
+import org.marjoramgw.program.Lifecycle;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.LagMeter;
 import org.marjoramgw.time.PekkoTimers;
 import org.marjoramgw.time.Timers;
 import org.tinylog.Logger;
-import sun.misc.Signal;
 
 /**
  * Entry process that forwards requests to backend servers directly. Creates its
@@ -102,11 +101,13 @@
 
 	private static final long LOAD_POLL_MILLIS = 10;
 
+	private final Lifecycle lifecycle;
+
 	private final SettingsFile settings;
 
-	private final MillisClock monotonicClock = new SystemMillisClock();
+	private final MillisClock monotonicClock;
 
-	private final AgeClock clock = new AgeClock(this.monotonicClock, System::currentTimeMillis);
+	private final AgeClock clock;
 
 	private final ActorSystem<Void> system;
 
@@ -142,21 +143,25 @@
 
 	private final StoreFollowers storeFollowers;
 
-	private ClockReading lastMaintenance = this.clock.now();
+	private ClockReading lastMaintenance;
 
 	private volatile boolean warmedUp;
 
-	private volatile boolean draining;
-
 	/**
 	 * Creates a process.
+	 * @param lifecycle lifecycle of the process, whose signals are handled already
+	 * @param monotonicClock monotonic clock, the same as that of the lifecycle
 	 * @param settingsFile settings of the process
 	 * @param callerAcceptor acceptor that already listens for callers
 	 * @param platformFactory creates the platform adapter from the actor system and a
 	 * connector
 	 */
-	public DirectProcess(SettingsFile settingsFile, SocketAcceptor callerAcceptor,
-			BiFunction<ActorSystem<?>, HttpConnector, Platform> platformFactory) {
+	public DirectProcess(Lifecycle lifecycle, MillisClock monotonicClock, SettingsFile settingsFile,
+			SocketAcceptor callerAcceptor, BiFunction<ActorSystem<?>, HttpConnector, Platform> platformFactory) {
+		this.lifecycle = lifecycle;
+		this.monotonicClock = monotonicClock;
+		this.clock = new AgeClock(monotonicClock, System::currentTimeMillis);
+		this.lastMaintenance = this.clock.now();
 		this.settings = settingsFile;
 		this.callerAcceptor = callerAcceptor;
 		Config config = ConfigFactory.load("direct");
@@ -195,16 +200,11 @@
 		logAttainment();
 		this.lag.start();
 		PrometheusTextWriter metrics = new PrometheusTextWriter(this.registry);
-		haltOnBindFailure("health",
-				new ManagementEndpoint(this.system, this.listener,
-						Map.of(this.settings.get().healthPath(), this::readiness))
-					.bind(this.settings.get().healthAddress()));
-		haltOnBindFailure("metrics",
-				new ManagementEndpoint(this.system, this.listener,
-						Map.of(this.settings.get().metricsPath(), () -> metricsResponse(metrics)))
-					.bind(this.settings.get().metricsAddress()));
-		Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
-		Signal.handle(new Signal("HUP"), (signal) -> reload("SIGHUP"));
+		new ManagementEndpoint(this.system, this.listener, Map.of(this.settings.get().healthPath(), this::readiness))
+			.bindOrHalt("health", this.settings.get().healthAddress());
+		new ManagementEndpoint(this.system, this.listener,
+				Map.of(this.settings.get().metricsPath(), () -> metricsResponse(metrics)))
+			.bindOrHalt("metrics", this.settings.get().metricsAddress());
 		serveWhenLoaded(this.monotonicClock.nowMillis() + LOAD_LIMIT_MILLIS);
 		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
 				this.settings.get().failureDomain());
@@ -219,7 +219,8 @@
 	private void serveWhenLoaded(long limitMillis) {
 		boolean loaded = this.routing.current().isPresent() && this.directory.isLoaded();
 		if (loaded || this.monotonicClock.nowMillis() >= limitMillis) {
-			this.callerListener.serve(this.callerAcceptor);
+			this.callerListener.serve(this.callerAcceptor)
+				.thenRun(() -> this.lifecycle.started(this::stop, () -> reload("SIGHUP")));
 			this.timers.schedule(WARM_UP_DELAY_MILLIS, this::warmUp);
 		}
 		else {
@@ -228,21 +229,25 @@
 	}
 
 	private void warmUp() {
-		if (this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP) {
+		if (isWarmUpSuperseded()) {
 			this.warmedUp = true;
 			return;
 		}
 		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.monotonicClock,
-				WARM_UP_REQUESTS, WARM_UP_LIMIT_MILLIS, () -> this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP)
+				WARM_UP_REQUESTS, WARM_UP_LIMIT_MILLIS, this::isWarmUpSuperseded)
 			.run(this::startSampleListener)
 			.thenAccept((done) -> {
 				this.warmedUp = true;
 				if (this.settings.get().stopAfterWarmUp()) {
-					new Thread(() -> System.exit(0), "exit").start();
+					this.lifecycle.requestStop("end of the training", ExitCode.OK);
 				}
 			});
 	}
 
+	private boolean isWarmUpSuperseded() {
+		return this.lifecycle.isStopping() || this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP;
+	}
+
 	private void startSampleListener(List<KeyedRecord> registrations, SocketAcceptor acceptor) {
 		ActiveRouting sampleRouting = new ActiveRouting("", this.platform.routingDecoder(), this.clock);
 		sampleRouting.onSnapshot(List.of(new KeyedRecord("", Optional.of(this.platform.samples().configuration()), 0)));
@@ -268,7 +273,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.draining && this.warmedUp && this.directory.isLoaded()
+		return !this.lifecycle.isStopping() && this.warmedUp && this.directory.isLoaded()
 				&& this.lag.lagMillis() < MAX_READY_LAG_MILLIS
 				&& this.routing.ageMillis() < maxAgeMillis() - READY_MARGIN_MILLIS;
 	}
@@ -305,23 +310,15 @@
 		}
 	}
 
-	private void haltOnBindFailure(String name, CompletionStage<?> binding) {
-		binding.whenComplete((ignored, failure) -> {
-			if (failure != null) {
-				Logger.error(failure, "can't bind the {} endpoint", name);
-				Runtime.getRuntime().halt(1);
-			}
-		});
-	}
-
 	/**
 	 * Shuts down in order: reports that the process is not ready, stops the callers' side
 	 * and then the followers of the store.
+	 * @param requestedMillis time of the monotonic clock at which the stop was requested,
+	 * in milliseconds
 	 */
-	private void stop() {
-		this.draining = true;
+	private void stop(long requestedMillis) {
 		new GracefulStop(this.monotonicClock, this.forwarder, this.callerListener, this.callerAcceptor)
-			.run(this.settings.get().stopGraceMillis());
+			.run(requestedMillis, this.settings.get().stopGraceMillis());
 		this.storeFollowers.close();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/GracefulStop.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/GracefulStop.java
@@ -54,15 +54,18 @@
 
 	/**
 	 * Stops; blocks until nothing is left to write, but not beyond the grace period.
-	 * @param graceMillis time until the process is killed, in milliseconds
+	 * @param requestedMillis time of the monotonic clock at which the stop was requested,
+	 * in milliseconds
+	 * @param graceMillis time from the request until the process is killed, in
+	 * milliseconds
 	 */
-	void run(long graceMillis) {
-		long startMillis = this.clock.nowMillis();
-		DrainSchedule schedule = new DrainSchedule(startMillis + BALANCER_REMOVAL_MILLIS,
-				startMillis + graceMillis - STOP_MARGIN_MILLIS);
+	void run(long requestedMillis, long graceMillis) {
+		DrainSchedule schedule = new DrainSchedule(requestedMillis + BALANCER_REMOVAL_MILLIS,
+				requestedMillis + graceMillis - STOP_MARGIN_MILLIS);
 		this.forwarder.startDraining(schedule);
-		Logger.info("stopping with {} open requests", this.forwarder.openCount());
-		Pause.millis(BALANCER_REMOVAL_MILLIS);
+		Logger.info("stopping with {} open requests, {} ms after the request to stop", this.forwarder.openCount(),
+				this.clock.nowMillis() - requestedMillis);
+		pauseUntil(Math.min(schedule.refuseFromMillis(), schedule.endMillis()));
 		this.acceptor.stopAccepting();
 		drainUntil(schedule.endMillis());
 		this.forwarder.giveUpUnanswered();
@@ -79,8 +82,12 @@
 		}
 	}
 
+	private void pauseUntil(long endMillis) {
+		Pause.millis(Math.max(0, endMillis - this.clock.nowMillis()));
+	}
+
 	private boolean isServing() {
-		return this.forwarder.openCount() > 0 || this.listener.openCount() > 0;
+		return this.acceptor.isAccepting() || this.forwarder.openCount() > 0 || this.listener.openCount() > 0;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/ManagementEndpoint.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/ManagementEndpoint.java
@@ -1,16 +1,16 @@
 package org.marjoramgw.direct;
 
 import java.util.Map;
-import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
-import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.http.HttpListener;
+import org.marjoramgw.program.ExitCode;
+import org.tinylog.Logger;
 
 /**
  * HTTP endpoint for health and metrics. Responds by path and discards request bodies.
@@ -32,8 +32,18 @@
 		this.responseByPath = responseByPath;
 	}
 
-	CompletionStage<Tcp.ServerBinding> bind(HostPort address) {
-		return this.listener.bind(address, this::respond);
+	/**
+	 * Starts listening. The process ends at once if the address can't be bound.
+	 * @param name name of the endpoint, for the log
+	 * @param address address to listen on
+	 */
+	void bindOrHalt(String name, HostPort address) {
+		this.listener.bind(address, this::respond).whenComplete((binding, failure) -> {
+			if (failure != null) {
+				Logger.error(failure, "can't bind the {} endpoint", name);
+				Runtime.getRuntime().halt(ExitCode.FAILURE);
+			}
+		});
 	}
 
 	private HttpResponse respond(HttpRequest request) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -95,9 +95,10 @@
 	/**
 	 * Starts serving the connections of an acceptor.
 	 * @param acceptor the acceptor
+	 * @return completes when the connections accepted before are served
 	 */
-	public void serve(SocketAcceptor acceptor) {
-		acceptor.serve(this::accept);
+	public CompletionStage<Void> serve(SocketAcceptor acceptor) {
+		return acceptor.serve(this::accept);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -11,10 +11,10 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Queue;
-import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -42,16 +42,6 @@
 	/** Size of the read buffer. */
 	private static final int READ_BYTES = 32 << 10;
 
-	/**
-	 * Time that a peer has to close a connection that was closed on this side, in
-	 * milliseconds. Closing the socket immediately could discard bytes in transit to the
-	 * peer.
-	 */
-	private static final long LINGER_MILLIS = 1_000;
-
-	/** Interval at which lingering connections are checked, in milliseconds. */
-	private static final long LINGER_CHECK_MILLIS = 200;
-
 	/** Pause after a failed accept, usually caused by a lack of file descriptors. */
 	private static final long ACCEPT_PAUSE_MILLIS = 50;
 
@@ -65,7 +55,7 @@
 
 	private final ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BYTES);
 
-	private final Set<AcceptedSocket> lingering = new LinkedHashSet<>();
+	private final LingeringSockets lingering = new LingeringSockets();
 
 	private final List<AcceptedSocket> unservedSockets = new ArrayList<>();
 
@@ -133,20 +123,36 @@
 	 * call.
 	 * @param receiver receiver of the sockets, called in the reading thread; must not
 	 * block
+	 * @return completes when the sockets accepted before were passed on
 	 */
-	public void serve(Consumer<AcceptedSocket> receiver) {
+	public CompletionStage<Void> serve(Consumer<AcceptedSocket> receiver) {
+		CompletableFuture<Void> passedOn = new CompletableFuture<>();
 		execute(() -> {
 			this.receiver = receiver;
 			this.unservedSockets.forEach(receiver);
 			this.unservedSockets.clear();
+			passedOn.complete(null);
 		});
+		return passedOn;
 	}
 
 	/**
-	 * Stops listening. Accepted sockets stay open.
+	 * Accepts the connections that wait to be accepted, then stops listening. Accepted
+	 * sockets stay open.
 	 */
 	public void stopAccepting() {
-		execute(() -> closeQuietly(this.server));
+		execute(() -> {
+			accept();
+			closeQuietly(this.server);
+		});
+	}
+
+	/**
+	 * Tells whether further connections may be accepted.
+	 * @return whether this acceptor listens
+	 */
+	public boolean isAccepting() {
+		return this.server.isOpen();
 	}
 
 	/**
@@ -172,11 +178,7 @@
 	 * @param socket a socket whose output is shut down
 	 */
 	void linger(AcceptedSocket socket) {
-		execute(() -> {
-			if (socket.isOpen()) {
-				this.lingering.add(socket);
-			}
-		});
+		execute(() -> this.lingering.add(socket));
 	}
 
 	/**
@@ -205,10 +207,10 @@
 	private void run() {
 		try {
 			while (!this.closed) {
-				this.selector.select(this.lingering.isEmpty() ? 0 : LINGER_CHECK_MILLIS);
+				this.selector.select(this.lingering.checkMillis());
 				runTasks();
 				handleSelected();
-				closeLingering();
+				this.lingering.closeDue(nowMillis());
 			}
 		}
 		catch (IOException ex) {
@@ -296,11 +298,6 @@
 		}
 	}
 
-	private void closeLingering() {
-		long closingSinceBefore = nowMillis() - LINGER_MILLIS;
-		this.lingering.removeIf((socket) -> socket.closeIfClosingSinceBefore(closingSinceBefore));
-	}
-
 	private void closeAll() {
 		closeQuietly(this.server);
 		for (SelectionKey key : this.selector.keys()) {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -132,7 +132,7 @@
 		AgeClock clock = new AgeClock(monotonicClock, monotonicClock);
 		HeaderDialect dialect = new HeaderDialect();
 		ActiveRouting routing = new ActiveRouting("config", RoutingDocument::decode, clock);
-		routing.onSnapshot(List.of(record("config", CONFIGURATION)));
+		routing.onSnapshot(List.of(configuration()));
 		routing.onConfirmed(clock.now());
 		this.directory = new ServerDirectory(ServerRegistration::decode, clock);
 		this.directory.onSnapshot(registrations(servers));
@@ -246,7 +246,20 @@
 		return new BodyBudget(1 << 20, 4 << 20);
 	}
 
-	private static List<KeyedRecord> registrations(ScriptedServer... servers) {
+	/**
+	 * Returns the configuration of the fixture.
+	 * @return its record
+	 */
+	static KeyedRecord configuration() {
+		return record("config", CONFIGURATION);
+	}
+
+	/**
+	 * Returns the registrations of servers.
+	 * @param servers the servers
+	 * @return their records
+	 */
+	static List<KeyedRecord> registrations(ScriptedServer... servers) {
 		List<KeyedRecord> records = new ArrayList<>();
 		for (ScriptedServer server : servers) {
 			records.add(record("i-" + records.size(), "{\"service\":\"s\",\"address\":\"" + server.address()
