--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -37,6 +37,14 @@
 	 */
 	private static final int MAX_OPENED_BEFORE_COUNT = 8;
 
+	/**
+	 * Connections that would each hold back the others for up to 100 ms, four at a time.
+	 */
+	private static final int INCOMPLETE_COUNT = 60;
+
+	/** Time before the end of a stop at which all waiting requests are read. */
+	private static final long READ_MILLIS = 1_000;
+
 	private static final String URGENT = "/urgent";
 
 	private static final String ORDINARY = "/ordinary";
@@ -84,11 +92,36 @@
 		}
 	}
 
-	private void serve() {
-		new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
+	/** Guards against requests that wait unread until a stopping process closes them. */
+	@Test
+	public void requestsBehindOthersThatAreIncompleteAreRead() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		try {
+			for (int number = 0; number < INCOMPLETE_COUNT; number++) {
+				callers.add(sendText("GET " + URGENT + " HTTP/1.1\r\nHost: one.example\r\n"));
+			}
+			callers.add(send(ORDINARY));
+			Thread.sleep(200);
+			CallerListener listener = serve();
+			listener.readAllWaiting();
+			Assert.assertEquals(this.handled.poll(READ_MILLIS, TimeUnit.MILLISECONDS), ORDINARY);
+			Assert.assertEquals(listener.waitingCount(), 0);
+		}
+		finally {
+			for (Socket caller : callers) {
+				caller.close();
+			}
+		}
+	}
+
+	private CallerListener serve() throws Exception {
+		CallerListener listener = new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
 				new PekkoTimers(this.fixture.system()), () -> CallerLimits.DEFAULT,
-				(preview) -> preview.path().equals(URGENT) ? 0 : 1, this::respond)
-			.serve(this.fixture.acceptor());
+				(preview) -> preview.path().equals(URGENT) ? 0 : 1, this::respond);
+		listener.serve(this.fixture.acceptor())
+			.toCompletableFuture()
+			.get(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS);
+		return listener;
 	}
 
 	private CompletionStage<HttpResponse> respond(HttpRequest request, CallerConnection connection) {
@@ -98,8 +131,11 @@
 	}
 
 	private Socket send(String path) throws Exception {
+		return sendText("GET " + path + " HTTP/1.1\r\nHost: one.example\r\n\r\n");
+	}
+
+	private Socket sendText(String head) throws Exception {
 		Socket caller = this.fixture.connect();
-		String head = "GET " + path + " HTTP/1.1\r\nHost: one.example\r\n\r\n";
 		caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
 		return caller;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/GracefulStop.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/GracefulStop.java
@@ -23,6 +23,12 @@
 	/** Margin between the orderly exit and the forced kill, in milliseconds. */
 	private static final long STOP_MARGIN_MILLIS = 700;
 
+	/**
+	 * Time before the end at which all requests that still wait unread are read, to be
+	 * refused unless they end in time, in milliseconds.
+	 */
+	private static final long LAST_READ_MILLIS = 1_000;
+
 	private static final long OPEN_POLL_MILLIS = 50;
 
 	/**
@@ -67,6 +73,8 @@
 				this.clock.nowMillis() - requestedMillis);
 		pauseUntil(Math.min(schedule.refuseFromMillis(), schedule.endMillis()));
 		this.acceptor.stopAccepting();
+		drainUntil(schedule.endMillis() - LAST_READ_MILLIS);
+		this.listener.readAllWaiting();
 		drainUntil(schedule.endMillis());
 		this.forwarder.giveUpUnanswered();
 		Pause.millis(FINAL_WRITE_MILLIS);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -101,6 +101,14 @@
 		return acceptor.serve(this::accept);
 	}
 
+	/**
+	 * Reads the requests of all connections that wait to be opened, and of later ones,
+	 * without waiting further.
+	 */
+	public void readAllWaiting() {
+		this.openingLimiter.lift();
+	}
+
 	/**
 	 * Ends the connections that have no request in progress. Each is closed once its last
 	 * response was written.
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/limiter/StartLimiterTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/limiter/StartLimiterTests.java
@@ -36,6 +36,20 @@
 		Assert.assertEquals(limiter.waitingCount(), 0);
 	}
 
+	@Test
+	public void allStartOnceTheLimitIsLifted() {
+		List<String> order = new ArrayList<>();
+		StartLimiter limiter = new StartLimiter(1, Runnable::run);
+		StartLimiter.Permit first = limiter.acquire(0, () -> order.add("first"));
+		StartLimiter.Permit waiting = limiter.acquire(1, () -> order.add("waiting"));
+		limiter.lift();
+		first.release();
+		waiting.release();
+		limiter.acquire(0, () -> order.add("later"));
+		Assert.assertEquals(order, List.of("first", "waiting", "later"));
+		Assert.assertEquals(limiter.waitingCount(), 0);
+	}
+
 	@Test
 	public void abandonedWaitingRequestNeverStarts() {
 		StartLimiter limiter = new StartLimiter(1, Runnable::run);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.policy.limiter;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 
@@ -17,7 +19,7 @@
  */
 public final class StartLimiter {
 
-	private final int maxStarting;
+	private int maxStarting;
 
 	private final Executor executor;
 
@@ -68,6 +70,21 @@
 		return this.waiting.size();
 	}
 
+	/**
+	 * Lifts the limit: starts all that wait, and from now on each request at once.
+	 */
+	public void lift() {
+		List<Permit> due;
+		synchronized (this) {
+			this.maxStarting = Integer.MAX_VALUE;
+			due = new ArrayList<>(this.waiting);
+			this.waiting.clear();
+			due.forEach((permit) -> permit.acquired = true);
+			this.startingCount += due.size();
+		}
+		due.forEach((permit) -> this.executor.execute(permit.start));
+	}
+
 	private void release(Permit permit) {
 		Permit next;
 		synchronized (this) {
