--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RequestActor.java
@@ -1,7 +1,7 @@
 package org.marjoramgw.entry.dispatch;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
+import java.util.OptionalLong;
 
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -11,7 +11,6 @@
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.marjoramgw.ExecutionOutcome;
 import org.marjoramgw.ResultCode;
-import org.marjoramgw.config.RequestClass;
 import org.marjoramgw.policy.candidate.Selectors;
 import org.marjoramgw.wire.Message;
 
@@ -26,12 +25,7 @@
  */
 public final class RequestActor extends AbstractBehavior<RequestEvent> {
 
-	/** Finish deadline as a multiple of the completion target of the class. */
-	private static final int FINISH_DEADLINE_FACTOR = 2;
-
-	private static final int TOP_TIER = 1;
-
-	private final TimerScheduler<RequestEvent> timers;
+	private final RequestTimers timers;
 
 	private final RoutedRequest request;
 
@@ -43,8 +37,6 @@
 
 	private final RetryState retryState;
 
-	private final long startDeadlineMillis;
-
 	private final StringBuilder generatedText = new StringBuilder();
 
 	private RunningAttempt running;
@@ -54,19 +46,14 @@
 	private RequestActor(ActorContext<RequestEvent> actorContext, TimerScheduler<RequestEvent> timers,
 			RoutedRequest request, DispatchContext context, ResponseSink sink) {
 		super(actorContext);
-		this.timers = timers;
 		this.request = request;
 		this.context = context;
 		this.sink = sink;
-		this.retryState = new RetryState(request, context);
-		long nowMillis = context.clock().nowMillis();
-		long completionMillis = request.requestClass().completionMillis();
-		this.startDeadlineMillis = nowMillis + startWithinMillis(request.requestClass());
-		long finishMillis = completionMillis * FINISH_DEADLINE_FACTOR;
-		this.reservations = new Reservations(request, context, this.startDeadlineMillis, nowMillis + finishMillis);
-		timers.startSingleTimer(new RequestEvent.StartDeadline(),
-				Duration.ofMillis(this.startDeadlineMillis - nowMillis));
-		timers.startSingleTimer(new RequestEvent.FinishDeadline(), Duration.ofMillis(finishMillis));
+		RequestDeadlines deadlines = RequestDeadlines.of(request.requestClass(), context.clock().nowMillis());
+		this.timers = new RequestTimers(timers, request, context);
+		this.retryState = new RetryState(request, context, deadlines.startMillis());
+		this.reservations = new Reservations(request, context, deadlines.startMillis(), deadlines.finishMillis());
+		this.timers.startDeadlines(deadlines);
 	}
 
 	/**
@@ -99,33 +86,18 @@
 			.build();
 	}
 
-	/**
-	 * Returns how long a request may wait for its start. Below the top tier, a request
-	 * that has missed its first-token target is refused, since it would only take a slot
-	 * from requests that can still meet theirs.
-	 * @param requestClass class of the request
-	 * @return the longest wait, in milliseconds
-	 */
-	private static long startWithinMillis(RequestClass requestClass) {
-		long defaultMillis = Math.max(requestClass.firstTokenMillis(), requestClass.completionMillis() / 2);
-		boolean limitedToFirstToken = requestClass.tier() > TOP_TIER && requestClass.firstTokenMillis() > 0;
-		return limitedToFirstToken ? requestClass.firstTokenMillis() : defaultMillis;
-	}
-
 	private Behavior<RequestEvent> startRound() {
 		if (!this.reservations.startRound(this.retryState.mayHaveRun())) {
 			return retryOrFail(ResultCode.NO_BACKEND, 0);
 		}
-		this.timers.startSingleTimer(new RequestEvent.WidenDue(),
-				Duration.ofMillis(this.context.settings().widenMillis()));
+		this.timers.startWiden();
 		return this;
 	}
 
 	private Behavior<RequestEvent> onWidenDue() {
 		boolean widening = this.running == null && this.reservations.isWaiting() && isLateBinding();
 		if (widening && this.reservations.widen()) {
-			this.timers.startSingleTimer(new RequestEvent.WidenDue(),
-					Duration.ofMillis(this.context.settings().widenMillis()));
+			this.timers.startWiden();
 		}
 		return this;
 	}
@@ -161,12 +133,11 @@
 		this.reservations.remove(sideId);
 		this.reservations.releaseAll();
 		long incarnation = this.context.sides().incarnation(sideId).orElse(0);
-		this.running = new RunningAttempt(sideId, incarnation, grant.attempt());
-		this.timers.cancel(new RequestEvent.StartDeadline());
+		this.running = new RunningAttempt(sideId, incarnation, grant.attempt(), this.request.requestId(),
+				this.context.sides());
+		this.timers.cancelStartDeadline();
 		record("run", null, "attempt " + grant.attempt() + " at " + sideId);
-		this.context.sides()
-			.send(sideId, new Message.Run(this.request.requestId(), grant.attempt(),
-					this.request.continuationCall(this.generatedText.toString())));
+		this.running.start(this.request.continuationCall(this.generatedText.toString()));
 		return this;
 	}
 
@@ -194,9 +165,7 @@
 			this.generatedText.append(new String(chunk.payload(), StandardCharsets.UTF_8));
 		}
 		this.sink.onChunk(chunk.payload());
-		if (this.running.isAckDue()) {
-			ack(this.running.nextSequence());
-		}
+		this.running.acknowledgeIfDue();
 		return this;
 	}
 
@@ -208,7 +177,7 @@
 			record("resume", ResultCode.RETRY_RESUMED, "gap before the end at " + sideId);
 			return resume();
 		}
-		ack(end.chunkCount() + 1);
+		this.running.acknowledgeEnd(end);
 		ResultCode code = ResultCode.ofNumber(end.code()).orElse(ResultCode.OK);
 		record("end", code, "attempt " + end.attempt() + " at " + sideId + " with " + end.chunkCount() + " chunks");
 		this.context.counters().count(code);
@@ -219,8 +188,7 @@
 	private Behavior<RequestEvent> onSideDisconnected(RequestEvent.SideDisconnected event) {
 		if (this.running != null && this.running.sideId().equals(event.sideId())) {
 			record("connection lost", ResultCode.PEER_CLOSED, event.sideId());
-			this.timers.startSingleTimer(new RequestEvent.ResumeDeadline(this.running.attempt()),
-					Duration.ofMillis(resumeWaitMillis()));
+			this.timers.startResumeDeadline(this.running.attempt());
 			return this;
 		}
 		if (!this.reservations.isWaitingAt(event.sideId())) {
@@ -230,18 +198,6 @@
 		return this.reservations.isWaiting() ? this : retryOrFail(ResultCode.NO_BACKEND, 0);
 	}
 
-	/**
-	 * Returns how long an interrupted run waits for a new connection to its side process.
-	 * A generation can continue elsewhere at the cost of one prefill, so it waits no
-	 * longer than its first-token target.
-	 * @return the longest wait, in milliseconds
-	 */
-	private long resumeWaitMillis() {
-		long waitMillis = this.context.settings().resumeWaitMillis();
-		return this.request.isGeneration() ? Math.min(waitMillis, this.request.requestClass().firstTokenMillis())
-				: waitMillis;
-	}
-
 	private Behavior<RequestEvent> onSideUnreachable(RequestEvent.SideUnreachable event) {
 		boolean runAffected = this.running != null && this.running.sideId().equals(event.sideId());
 		if (!runAffected || !this.request.isGeneration()) {
@@ -253,8 +209,7 @@
 
 	private Behavior<RequestEvent> onSideConnected(RequestEvent.SideConnected event) {
 		if (this.abandoned != null && this.abandoned.sideId().equals(event.sideId())) {
-			this.context.sides()
-				.send(event.sideId(), new Message.Cancel(this.request.requestId(), this.abandoned.attempt()));
+			this.abandoned.cancel();
 			this.abandoned = null;
 		}
 		if (this.running == null || !this.running.sideId().equals(event.sideId())) {
@@ -268,11 +223,9 @@
 	}
 
 	private Behavior<RequestEvent> resume() {
-		this.timers.cancel(new RequestEvent.ResumeDeadline(this.running.attempt()));
+		this.timers.cancelResumeDeadline(this.running.attempt());
 		this.context.counters().count(ResultCode.RETRY_RESUMED);
-		this.context.sides()
-			.send(this.running.sideId(),
-					new Message.Resume(this.request.requestId(), this.running.attempt(), this.running.nextSequence()));
+		this.running.resume();
 		return this;
 	}
 
@@ -304,36 +257,22 @@
 	}
 
 	private Behavior<RequestEvent> continueGeneration(ResultCode cause) {
-		countContinuation(ResultCode.RETRY_CONTINUED, cause);
+		this.retryState.onContinuation(ResultCode.RETRY_CONTINUED, cause);
 		return startRound();
 	}
 
 	private Behavior<RequestEvent> repeatAfterBackoff(ResultCode cause) {
-		countContinuation(ResultCode.RETRY_REPEATABLE, cause);
-		long delayMillis = this.context.backoff().delayMillis(this.retryState.continuations());
-		this.timers.startSingleTimer(new RequestEvent.RetryDue(), Duration.ofMillis(delayMillis));
+		this.retryState.onContinuation(ResultCode.RETRY_REPEATABLE, cause);
+		this.timers.startRetry(this.context.backoff().delayMillis(this.retryState.continuations()));
 		return this;
 	}
 
-	private void countContinuation(ResultCode retry, ResultCode cause) {
-		this.retryState.onContinuation();
-		this.context.counters().count(cause);
-		this.context.counters().count(retry);
-		record("retry", retry, "after " + cause.number());
-	}
-
 	private Behavior<RequestEvent> retryOrFail(ResultCode code, long retryAfterMillis) {
-		this.context.counters().count(code);
-		long delayMillis = this.context.backoff().delayMillis(this.retryState.retries() + 1);
-		boolean pastDeadline = !this.retryState.mayHaveRun()
-				&& this.context.clock().nowMillis() + delayMillis >= this.startDeadlineMillis;
-		if (pastDeadline || !this.retryState.tryRetry(code)) {
-			this.context.counters().count(ResultCode.RETRY_DENIED);
+		OptionalLong delayMillis = this.retryState.tryRetry(code);
+		if (delayMillis.isEmpty()) {
 			return fail(code, retryAfterMillis);
 		}
-		this.context.counters().count(ResultCode.RETRY_NOT_RUN);
-		record("retry", ResultCode.RETRY_NOT_RUN, "after " + code.number() + " in " + delayMillis + " ms");
-		this.timers.startSingleTimer(new RequestEvent.RetryDue(), Duration.ofMillis(delayMillis));
+		this.timers.startRetry(delayMillis.getAsLong());
 		return this;
 	}
 
@@ -371,8 +310,7 @@
 
 	private void cancelRun() {
 		if (this.running != null) {
-			this.context.sides()
-				.send(this.running.sideId(), new Message.Cancel(this.request.requestId(), this.running.attempt()));
+			this.running.cancel();
 		}
 	}
 
@@ -382,12 +320,6 @@
 		return Behaviors.stopped();
 	}
 
-	private void ack(long nextSequence) {
-		this.context.sides()
-			.send(this.running.sideId(),
-					new Message.Ack(this.request.requestId(), this.running.attempt(), nextSequence));
-	}
-
 	private void record(String step, ResultCode code, String detail) {
 		this.context.decisions().add(this.request.requestId(), step, code, detail);
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RetryState.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RetryState.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.entry.dispatch;
 
 import java.util.EnumSet;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.marjoramgw.ExecutionOutcome;
@@ -40,13 +41,16 @@
 
 	private final DispatchContext context;
 
+	private final long startDeadlineMillis;
+
 	private int retries;
 
 	private int continuations;
 
-	RetryState(RoutedRequest request, DispatchContext context) {
+	RetryState(RoutedRequest request, DispatchContext context, long startDeadlineMillis) {
 		this.request = request;
 		this.context = context;
+		this.startDeadlineMillis = startDeadlineMillis;
 	}
 
 	/**
@@ -57,10 +61,6 @@
 		return this.continuations > 0;
 	}
 
-	int retries() {
-		return this.retries;
-	}
-
 	int continuations() {
 		return this.continuations;
 	}
@@ -89,19 +89,44 @@
 	}
 
 	/**
-	 * Counts a run that is continued or repeated.
+	 * Counts and records a run that is continued or repeated.
+	 * @param retry result code of the continuation or repetition
+	 * @param cause result code of the run that ended
 	 */
-	void onContinuation() {
+	void onContinuation(ResultCode retry, ResultCode cause) {
 		this.continuations++;
+		this.context.counters().count(cause);
+		this.context.counters().count(retry);
+		record(retry, "after " + cause.number());
 	}
 
 	/**
-	 * Counts a retry of a request that did not run, and spends the retry budget unless
-	 * the refusal came from a race.
+	 * Counts and records a retry of a request that did not run, unless its start deadline
+	 * would pass before the retry.
 	 * @param code result code that says why it did not run
+	 * @return the delay before the retry, in milliseconds, or empty if the request may
+	 * not be retried
+	 */
+	OptionalLong tryRetry(ResultCode code) {
+		this.context.counters().count(code);
+		long delayMillis = this.context.backoff().delayMillis(this.retries + 1);
+		boolean pastDeadline = !mayHaveRun()
+				&& this.context.clock().nowMillis() + delayMillis >= this.startDeadlineMillis;
+		if (pastDeadline || !tryTakeRetry(code)) {
+			this.context.counters().count(ResultCode.RETRY_DENIED);
+			return OptionalLong.empty();
+		}
+		this.context.counters().count(ResultCode.RETRY_NOT_RUN);
+		record(ResultCode.RETRY_NOT_RUN, "after " + code.number() + " in " + delayMillis + " ms");
+		return OptionalLong.of(delayMillis);
+	}
+
+	/**
+	 * Counts a retry, and spends the retry budget unless the refusal came from a race.
+	 * @param code result code that says why the request did not run
 	 * @return whether the request may be retried
 	 */
-	boolean tryRetry(ResultCode code) {
+	private boolean tryTakeRetry(ResultCode code) {
 		this.retries++;
 		if (RACE_REFUSALS.contains(code)) {
 			return this.retries <= MAX_RACE_RETRIES;
@@ -109,6 +134,10 @@
 		return this.context.retryBudget().tryRetry(this.request.requestClass().name());
 	}
 
+	private void record(ResultCode retry, String detail) {
+		this.context.decisions().add(this.request.requestId(), "retry", retry, detail);
+	}
+
 	/**
 	 * What follows a run that ended without a complete response.
 	 */
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RunningAttempt.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/RunningAttempt.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.entry.dispatch;
 
+import org.marjoramgw.wire.BackendCall;
 import org.marjoramgw.wire.Message;
 
 /**
- * Run of a request at one side process, and how much of its response has arrived.
+ * Run of a request at one side process: sends the messages about it and knows how much of
+ * its response has arrived.
  *
  * @author The marjoramgw authors
  */
@@ -17,12 +19,18 @@
 
 	private final int attempt;
 
+	private final String requestId;
+
+	private final SideProcesses sides;
+
 	private long nextSequence;
 
-	RunningAttempt(String sideId, long incarnation, int attempt) {
+	RunningAttempt(String sideId, long incarnation, int attempt, String requestId, SideProcesses sides) {
 		this.sideId = sideId;
 		this.incarnation = incarnation;
 		this.attempt = attempt;
+		this.requestId = requestId;
+		this.sides = sides;
 	}
 
 	String sideId() {
@@ -58,8 +66,41 @@
 		return true;
 	}
 
-	boolean isAckDue() {
-		return this.nextSequence % ACK_INTERVAL_CHUNKS == 0;
+	void start(BackendCall call) {
+		send(new Message.Run(this.requestId, this.attempt, call));
+	}
+
+	void resume() {
+		send(new Message.Resume(this.requestId, this.attempt, this.nextSequence));
+	}
+
+	void cancel() {
+		send(new Message.Cancel(this.requestId, this.attempt));
+	}
+
+	/**
+	 * Acknowledges the accepted chunks at regular intervals.
+	 */
+	void acknowledgeIfDue() {
+		if (this.nextSequence % ACK_INTERVAL_CHUNKS == 0) {
+			acknowledge(this.nextSequence);
+		}
+	}
+
+	/**
+	 * Acknowledges the complete response.
+	 * @param end the end of the response
+	 */
+	void acknowledgeEnd(Message.End end) {
+		acknowledge(end.chunkCount() + 1);
+	}
+
+	private void acknowledge(long sequence) {
+		send(new Message.Ack(this.requestId, this.attempt, sequence));
+	}
+
+	private void send(Message message) {
+		this.sides.send(this.sideId, message);
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/slot/SlotScheduler.java
@@ -2,15 +2,12 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.config.ClientAccount;
 import org.marjoramgw.config.Configuration;
-import org.marjoramgw.config.Limits;
 import org.marjoramgw.config.RequestClass;
 import org.marjoramgw.policy.preemption.RunningRequest;
 import org.marjoramgw.policy.preemption.VictimSelector;
@@ -18,7 +15,6 @@
 import org.marjoramgw.policy.queue.FcfsOrder;
 import org.marjoramgw.policy.queue.GrantOrder;
 import org.marjoramgw.policy.queue.RequestKey;
-import org.marjoramgw.policy.queue.TierOrder;
 import org.marjoramgw.policy.queue.WaitEstimator;
 import org.marjoramgw.policy.queue.WaitingRequest;
 import org.marjoramgw.policy.share.AccountUsage;
@@ -35,9 +31,7 @@
  */
 public final class SlotScheduler {
 
-	private static final String FCFS = "fcfs";
-
-	private final boolean modelEngine;
+	private final SchedulingRules rules;
 
 	private final StartDeadlines startDeadlines;
 
@@ -61,12 +55,6 @@
 
 	private SlotLimit limit = new FixedSlotLimit(1);
 
-	private Map<String, RequestClass> classes = Map.of();
-
-	private Limits limits;
-
-	private int topTier = 1;
-
 	/**
 	 * Creates a scheduler that accepts no requests until it is configured.
 	 * @param modelEngine whether the backend server is a model engine
@@ -74,7 +62,7 @@
 	 * @param nowMillis current time, in milliseconds
 	 */
 	public SlotScheduler(boolean modelEngine, int jitterSeed, long nowMillis) {
-		this.modelEngine = modelEngine;
+		this.rules = new SchedulingRules(modelEngine);
 		this.startDeadlines = new StartDeadlines(jitterSeed);
 		this.floors = new ClassFloors(nowMillis);
 		this.holders = new SlotHolders(this.floors, this.usage, this.slotTimes);
@@ -85,19 +73,17 @@
 	 * @param configuration the configuration
 	 */
 	public void configure(Configuration configuration) {
-		boolean sameLimits = this.limits != null && this.limits.equals(configuration.limits());
-		this.limits = configuration.limits();
-		this.classes = configuration.classes();
-		this.topTier = this.classes.values().stream().mapToInt(RequestClass::tier).min().orElse(1);
-		this.floors.setFloors(toMap(RequestClass::floorPercent));
+		boolean sameLimits = this.rules.hasLimits(configuration.limits());
+		this.rules.configure(configuration);
+		this.floors.setFloors(this.rules.floorPercents());
 		this.usage.setWeights(configuration.accounts()
 			.values()
 			.stream()
 			.collect(Collectors.toMap(ClientAccount::name, ClientAccount::weight)));
 		if (!sameLimits) {
-			this.limit = newLimit();
+			this.limit = this.rules.newSlotLimit();
 		}
-		this.order = newOrder();
+		this.order = this.rules.newOrder(this.floors, this.usage);
 	}
 
 	/**
@@ -116,8 +102,8 @@
 	 */
 	public WaitingRequest newRequest(RequestKey key, RequestClass requestClass, String account, long startWithinMillis,
 			long nowMillis) {
-		boolean isTopTier = requestClass.tier() == this.topTier;
-		long targetMillis = isFcfs() ? startWithinMillis
+		boolean isTopTier = requestClass.tier() == this.rules.topTier();
+		long targetMillis = this.rules.isFcfs() ? startWithinMillis
 				: this.startDeadlines.targetStartWithinMillis(requestClass, isTopTier, startWithinMillis);
 		long startMillis = isTopTier ? startWithinMillis : targetMillis;
 		return new WaitingRequest(key, requestClass.name(), requestClass.tier(), account, nowMillis,
@@ -131,15 +117,15 @@
 	 * @return whether it was accepted, and the estimate of its wait
 	 */
 	public Admission offer(WaitingRequest request, long nowMillis) {
-		RequestClass requestClass = this.classes.get(request.requestClass());
-		if (requestClass == null) {
+		Optional<RequestClass> requestClass = this.rules.requestClass(request.requestClass());
+		if (requestClass.isEmpty()) {
 			return new Admission(ResultCode.NOT_SERVED_HERE, 0);
 		}
-		long waitMillis = isFcfs() ? 0 : waitMillis(request.tier());
+		long waitMillis = this.rules.isFcfs() ? 0 : waitMillis(request.tier());
 		if (request.isExpired(nowMillis + waitMillis)) {
 			return new Admission(ResultCode.DEADLINE_UNREACHABLE, waitMillis);
 		}
-		if (!this.queues.add(request, requestClass.queueBound())) {
+		if (!this.queues.add(request, requestClass.get().queueBound())) {
 			return new Admission(ResultCode.QUEUE_FULL, waitMillis);
 		}
 		return new Admission(null, waitMillis);
@@ -172,13 +158,12 @@
 	 * @return the preemption, or empty if none is due or allowed
 	 */
 	public Optional<Preemption> preempt(long nowMillis) {
-		if (!this.modelEngine || this.limits == null || !this.limits.preemption() || isFcfs()
-				|| this.holders.size() < this.limit.slots()) {
+		if (!this.rules.isPreemptionAllowed() || this.holders.size() < this.limit.slots()) {
 			return Optional.empty();
 		}
 		Optional<WaitingRequest> topTierRequest = this.queues.all()
 			.stream()
-			.filter((request) -> request.tier() == this.topTier)
+			.filter((request) -> request.tier() == this.rules.topTier())
 			.filter((request) -> this.startDeadlines.isPreemptionDue(request, nowMillis)
 					&& !isDeferred(request, nowMillis))
 			.min(Comparator.comparingLong(WaitingRequest::startByMillis));
@@ -190,13 +175,8 @@
 	}
 
 	private boolean isDeferred(WaitingRequest request, long nowMillis) {
-		return !isFcfs() && this.startDeadlines.isDeferrable(request, nowMillis)
-				&& this.recentGap.exceeds(gapTargetMillis(request.requestClass()), nowMillis);
-	}
-
-	private long gapTargetMillis(String requestClass) {
-		RequestClass known = this.classes.get(requestClass);
-		return (known != null) ? known.tokenGapMillis() : 0;
+		return !this.rules.isFcfs() && this.startDeadlines.isDeferrable(request, nowMillis)
+				&& this.recentGap.exceeds(this.rules.tokenGapMillis(request.requestClass()), nowMillis);
 	}
 
 	private Optional<Preemption> preemptFor(WaitingRequest topTierRequest, long nowMillis) {
@@ -292,7 +272,7 @@
 	 * @param gapMillis mean gap, in milliseconds
 	 */
 	public void observeTokenGap(String requestClass, double gapMillis) {
-		long targetMillis = gapTargetMillis(requestClass);
+		long targetMillis = this.rules.tokenGapMillis(requestClass);
 		if (targetMillis > 0) {
 			this.limit.observeTokenGap(gapMillis, targetMillis);
 			this.recentGap.observe(gapMillis);
@@ -341,22 +321,4 @@
 		return this.waitEstimator.waitMillis(tier, this.queues.all(), this.holders.requests(), this.limit.slots());
 	}
 
-	private boolean isFcfs() {
-		return this.limits != null && FCFS.equals(this.limits.queueOrder());
-	}
-
-	private SlotLimit newLimit() {
-		return this.modelEngine ? new AdaptiveSlotLimit(this.limits.minSlotCount(), this.limits.slotCount())
-				: new FixedSlotLimit(this.limits.plainSlotCount());
-	}
-
-	private GrantOrder newOrder() {
-		int headroom = this.modelEngine ? this.limits.headroomSlotCount() : 0;
-		return isFcfs() ? new FcfsOrder() : new TierOrder(this.floors, this.usage, this.topTier, headroom);
-	}
-
-	private Map<String, Integer> toMap(ToIntFunction<RequestClass> value) {
-		return this.classes.values().stream().collect(Collectors.toMap(RequestClass::name, value::applyAsInt));
-	}
-
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/ExecutionManager.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/ExecutionManager.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.side.scheduler;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.marjoramgw.ExecutionOutcome;
@@ -9,6 +10,7 @@
 import org.marjoramgw.config.RequestClass;
 import org.marjoramgw.policy.queue.RequestKey;
 import org.marjoramgw.policy.queue.WaitingRequest;
+import org.marjoramgw.policy.slot.StallTimeout;
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.backend.BackendRequest;
 import org.marjoramgw.side.backend.BackendResult;
@@ -25,12 +27,6 @@
 
 	private static final int MAX_TEXT_CHARS = 1_048_576;
 
-	private static final long MIN_FIRST_TOKEN_TIMEOUT_MILLIS = 5_000;
-
-	private static final long MIN_TOKEN_TIMEOUT_MILLIS = 2_000;
-
-	private static final int TOKEN_TIMEOUT_GAPS = 10;
-
 	private final MillisClock clock;
 
 	private final Backend backend;
@@ -251,15 +247,11 @@
 	}
 
 	private long stallTimeoutMillis(ScheduledRequest request) {
-		RequestClass requestClass = this.slots.configuration()
-			.map((configuration) -> configuration.classes().get(request.waiting().requestClass()))
-			.orElse(null);
-		if (!request.hasExecutionOutput()) {
-			long targetMillis = (requestClass != null) ? requestClass.firstTokenMillis() : 0;
-			return Math.max(MIN_FIRST_TOKEN_TIMEOUT_MILLIS, targetMillis);
-		}
-		long gapMillis = (requestClass != null) ? requestClass.tokenGapMillis() : 0;
-		return Math.max(MIN_TOKEN_TIMEOUT_MILLIS, gapMillis * TOKEN_TIMEOUT_GAPS);
+		Optional<RequestClass> requestClass = this.slots.configuration()
+			.map((configuration) -> configuration.classes().get(request.waiting().requestClass()));
+		long firstTokenMillis = requestClass.map(RequestClass::firstTokenMillis).orElse(0L);
+		long tokenGapMillis = requestClass.map(RequestClass::tokenGapMillis).orElse(0L);
+		return new StallTimeout(firstTokenMillis, tokenGapMillis).timeoutMillis(request.hasExecutionOutput());
 	}
 
 	/**
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/scheduler/Scheduler.java
@@ -8,11 +8,9 @@
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.claim.ClaimStore;
 import org.marjoramgw.config.Configuration;
-import org.marjoramgw.policy.queue.RequestKey;
 import org.marjoramgw.policy.slot.SlotScheduler;
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.response.ResponseBufferBudget;
-import org.marjoramgw.wire.Message;
 import org.marjoramgw.wire.PeerStatus;
 
 /**
@@ -45,8 +43,6 @@
 	private final ResponseBufferBudget responseBudget = new ResponseBufferBudget(MAX_TOTAL_RESPONSE_BYTES,
 			MAX_RESPONSE_BYTES);
 
-	private final RefusalSender refusals;
-
 	private final SlotAllocator slots;
 
 	private final ExecutionManager executions;
@@ -55,6 +51,8 @@
 
 	private final ResponseDelivery responses;
 
+	private final EntryMessageHandler messages;
+
 	private final CompletableFuture<Void> drainStarted = new CompletableFuture<>();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -79,7 +77,7 @@
 		this.clock = clock;
 		this.parameters = parameters;
 		this.journal = new Journal(sinks.decisionLog(), sinks.metricRegistry());
-		this.refusals = new RefusalSender(this.journal);
+		RefusalSender refusals = new RefusalSender(this.journal);
 		BackendHealth health = new BackendHealth();
 		SlotScheduler policy = new SlotScheduler(parameters.model(), parameters.processId().hashCode(),
 				clock.nowMillis());
@@ -88,9 +86,11 @@
 				new IdempotencyClaims(claimStore, commands), this.journal, health, commands);
 		this.slots.setExecutions(this.executions);
 		this.reservations = new ReservationHandler(clock, parameters.pool(), this.slots, this.requests, this.journal,
-				this.refusals, health, this.responseBudget);
-		this.responses = new ResponseDelivery(clock, this.requests, this.slots, this.sessions, this.journal,
-				this.refusals, parameters.responseRetentionMillis());
+				refusals, health, this.responseBudget);
+		this.responses = new ResponseDelivery(clock, this.requests, this.slots, this.sessions, this.journal, refusals,
+				parameters.responseRetentionMillis());
+		this.messages = new EntryMessageHandler(clock, this.slots, this.requests, this.executions, this.reservations,
+				this.responses, this.journal, refusals);
 	}
 
 	/**
@@ -102,7 +102,7 @@
 			this.executions.onResponsePart(part);
 		}
 		else if (command instanceof SchedulerCommand.EntryMessage message) {
-			onMessage(message.link(), message.message());
+			this.messages.handle(message.link(), message.message());
 		}
 		else if (command instanceof SchedulerCommand.ResponseCompleted completed) {
 			this.executions.onResponseCompleted(completed);
@@ -160,95 +160,6 @@
 		}
 	}
 
-	private void onMessage(EntryLink link, Message message) {
-		if (message instanceof Message.Reserve reserve) {
-			this.reservations.reserve(link, keyOf(link, reserve.requestId(), reserve.attempt()), reserve);
-		}
-		else if (message instanceof Message.Run run) {
-			onRun(link, keyOf(link, run.requestId(), run.attempt()), run);
-		}
-		else if (message instanceof Message.Ack ack) {
-			this.responses.acknowledge(keyOf(link, ack.requestId(), ack.attempt()), ack.nextSequence());
-		}
-		else if (message instanceof Message.Release release) {
-			onRelease(keyOf(link, release.requestId(), release.attempt()));
-		}
-		else if (message instanceof Message.Cancel cancel) {
-			onCancel(link, keyOf(link, cancel.requestId(), cancel.attempt()));
-		}
-		else if (message instanceof Message.Resume resume) {
-			this.responses.resume(link, keyOf(link, resume.requestId(), resume.attempt()), resume.nextSequence());
-		}
-	}
-
-	private void onRun(EntryLink link, RequestKey key, Message.Run run) {
-		ScheduledRequest request = this.requests.get(key);
-		if (request != null && this.slots.isGrantExpired(request, this.clock.nowMillis())) {
-			this.slots.revokeGrant(request);
-			request = null;
-		}
-		if (request == null) {
-			ResultCode code = this.requests.tombstones().find(key).orElse(ResultCode.UNKNOWN_RESERVATION);
-			refuse(link, key, code, "request body without a reservation");
-		}
-		else if (request.state() == RequestState.GRANTED) {
-			acceptRun(link, request, run);
-		}
-		else if (request.state() == RequestState.QUEUED) {
-			this.slots.discard(request, ResultCode.UNKNOWN_RESERVATION);
-			refuse(link, key, ResultCode.UNKNOWN_RESERVATION, "request body before the grant");
-		}
-		else {
-			this.journal.count("repeated_runs");
-		}
-	}
-
-	private void acceptRun(EntryLink link, ScheduledRequest request, Message.Run run) {
-		int maxBodyBytes = this.slots.configuration().orElseThrow().limits().bodyBytes();
-		if (run.call().body().length > maxBodyBytes) {
-			this.slots.discard(request, ResultCode.BODY_TOO_LARGE);
-			refuse(link, request.key(), ResultCode.BODY_TOO_LARGE, "");
-			return;
-		}
-		request.setLink(link);
-		this.executions.accept(request, run.call());
-	}
-
-	private void onRelease(RequestKey key) {
-		ScheduledRequest request = this.requests.get(key);
-		if (request != null && request.state().awaitsBody()) {
-			this.journal.recordDecision(request, "release", ResultCode.RELEASED, "");
-			this.slots.discard(request, ResultCode.RELEASED);
-		}
-	}
-
-	private void onCancel(EntryLink link, RequestKey key) {
-		ScheduledRequest request = this.requests.get(key);
-		if (request == null) {
-			ResultCode code = this.requests.tombstones()
-				.find(key)
-				.filter((known) -> known == ResultCode.ANSWER_NOT_KEPT)
-				.map((known) -> ResultCode.CANCELLED_IN_FLIGHT)
-				.orElse(ResultCode.CANCELLED_BEFORE_START);
-			if (code == ResultCode.CANCELLED_BEFORE_START) {
-				this.requests.tombstones().put(key, code);
-			}
-			refuse(link, key, code, "cancel");
-		}
-		else if (request.state() == RequestState.DONE) {
-			this.requests.remove(request, ResultCode.ANSWER_NOT_KEPT);
-			refuse(link, key, ResultCode.CANCELLED_IN_FLIGHT, "cancel after completion");
-		}
-		else if (request.state().isInFlight()) {
-			request.setLink(link);
-			this.executions.stop(request, ResultCode.CANCELLED_IN_FLIGHT);
-		}
-		else {
-			this.slots.discard(request, ResultCode.CANCELLED_BEFORE_START);
-			refuse(link, key, ResultCode.CANCELLED_BEFORE_START, "cancel");
-		}
-	}
-
 	private void onEntryDisconnected(EntryLink link) {
 		this.sessions.onDisconnected(link, this.clock.nowMillis());
 		for (ScheduledRequest request : this.requests.matching((candidate) -> candidate.link() == link)) {
@@ -331,12 +242,4 @@
 		});
 	}
 
-	private void refuse(EntryLink link, RequestKey key, ResultCode code, String detail) {
-		this.refusals.send(link, key, code, 0, detail);
-	}
-
-	private static RequestKey keyOf(EntryLink link, String requestId, int attempt) {
-		return new RequestKey(link.peer().processId(), link.peer().incarnation(), requestId, attempt);
-	}
-
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/settings/TomlTable.java
@@ -1,23 +1,18 @@
 package org.marjoramgw.settings;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.InvalidTomlException;
@@ -34,30 +29,20 @@
  */
 public final class TomlTable {
 
-	private static final TomlMapper MAPPER = new TomlMapper();
-
 	private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
 
-	private static final String[] UNIT_SUFFIXES = { "_ms", "_bytes", "_percent", "_per_second", "_count" };
-
-	private final String file;
+	private final TomlDocument document;
 
 	private final String path;
 
 	private final JsonNode node;
 
-	private final KeyLineNumbers lines;
-
-	private final List<Problem> problems;
-
-	private final Set<String> readKeys = new HashSet<>();
+	private final ReadKeys readKeys = new ReadKeys();
 
-	private TomlTable(String file, String path, JsonNode node, KeyLineNumbers lines, List<Problem> problems) {
-		this.file = file;
+	private TomlTable(TomlDocument document, String path, JsonNode node) {
+		this.document = document;
 		this.path = path;
 		this.node = node;
-		this.lines = lines;
-		this.problems = problems;
 	}
 
 	/**
@@ -67,13 +52,7 @@
 	 * @throws InvalidTomlException if the file can't be read or is not valid TOML
 	 */
 	public static TomlTable ofFile(Path path) throws InvalidTomlException {
-		try {
-			return ofText(path.toString(), Files.readString(path));
-		}
-		catch (IOException ex) {
-			throw new InvalidTomlException(
-					List.of(new Problem(ResultCode.FILE_UNREADABLE, path.toString(), 0, "", "a readable UTF-8 file")));
-		}
+		return ofDocument(TomlDocument.ofFile(path));
 	}
 
 	/**
@@ -84,18 +63,11 @@
 	 * @throws InvalidTomlException if the text is not valid TOML
 	 */
 	public static TomlTable ofText(String file, String text) throws InvalidTomlException {
-		try {
-			return new TomlTable(file, "", MAPPER.readTree(text), new KeyLineNumbers(text), new ArrayList<>());
-		}
-		catch (JsonProcessingException ex) {
-			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
-			throw new InvalidTomlException(
-					List.of(new Problem(ResultCode.NOT_TOML, file, line, "", "TOML: " + ex.getOriginalMessage())));
-		}
-		catch (RuntimeException ex) {
-			throw new InvalidTomlException(
-					List.of(new Problem(ResultCode.NOT_TOML, file, 0, "", "TOML: " + ex.getMessage())));
-		}
+		return ofDocument(TomlDocument.ofText(file, text));
+	}
+
+	private static TomlTable ofDocument(TomlDocument document) {
+		return new TomlTable(document, "", document.root());
 	}
 
 	/**
@@ -103,7 +75,7 @@
 	 * @return the file name used in messages
 	 */
 	public String file() {
-		return this.file;
+		return this.document.file();
 	}
 
 	/**
@@ -185,7 +157,7 @@
 		double value = read(key, ValueKind.NUMBER, defaultValue);
 		double clamped = Math.min(Math.max(value, min), max);
 		if (clamped != value) {
-			Logger.warn("{}: {} = {} is out of range, using {}", this.file, qualified(key), value, clamped);
+			Logger.warn("{}: {} = {} is out of range, using {}", file(), qualified(key), value, clamped);
 		}
 		return clamped;
 	}
@@ -244,8 +216,8 @@
 	 * @return the table, empty if the key is absent
 	 */
 	public TomlTable table(String key) {
-		JsonNode object = read(key, ValueKind.TABLE, MAPPER.createObjectNode());
-		return new TomlTable(this.file, qualified(key), object, this.lines, this.problems);
+		JsonNode object = read(key, ValueKind.TABLE, JsonNodeFactory.instance.objectNode());
+		return new TomlTable(this.document, qualified(key), object);
 	}
 
 	/**
@@ -276,11 +248,11 @@
 	 * @return the converted tables in the order of the document
 	 */
 	public <T> List<T> tables(String key, Function<TomlTable, T> reader) {
-		JsonNode tables = read(key, ValueKind.ARRAY, MAPPER.createArrayNode());
+		JsonNode tables = read(key, ValueKind.ARRAY, JsonNodeFactory.instance.arrayNode());
 		List<T> result = new ArrayList<>();
 		for (int index = 0; index < tables.size(); index++) {
 			String name = qualified(key) + "[" + index + "]";
-			TomlTable child = new TomlTable(this.file, name, tables.get(index), this.lines, this.problems);
+			TomlTable child = new TomlTable(this.document, name, tables.get(index));
 			result.add(reader.apply(child));
 			child.reportUnknownKeys();
 		}
@@ -294,8 +266,7 @@
 	 * @param expected human-readable description of what was expected
 	 */
 	public void addProblem(ResultCode code, String key, String expected) {
-		String name = qualified(key);
-		this.problems.add(new Problem(code, this.file, this.lines.lineOf(name), name, expected));
+		this.document.addProblem(code, qualified(key), expected);
 	}
 
 	/**
@@ -315,19 +286,17 @@
 	 */
 	public void throwIfInvalid() throws InvalidTomlException {
 		reportUnknownKeys();
-		if (!this.problems.isEmpty()) {
-			throw new InvalidTomlException(this.problems);
-		}
+		this.document.throwIfInvalid();
 	}
 
 	private void addUnknownKey(String key) {
-		for (String suffix : UNIT_SUFFIXES) {
-			if (this.readKeys.contains(key + suffix)) {
-				addProblem(ResultCode.MISSING_UNIT, key, "the key " + key + suffix);
-				return;
-			}
+		Optional<String> keyWithUnit = this.readKeys.withUnit(key);
+		if (keyWithUnit.isPresent()) {
+			addProblem(ResultCode.MISSING_UNIT, key, "the key " + keyWithUnit.get());
+		}
+		else {
+			addProblem(ResultCode.UNKNOWN_KEY, key, "one of " + this.readKeys);
 		}
-		addProblem(ResultCode.UNKNOWN_KEY, key, "one of " + new TreeSet<>(this.readKeys));
 	}
 
 	private <T> T require(String key, ValueKind<T> kind, T replacement) {
