--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamResumeTests.java
@@ -1,17 +1,11 @@
 package org.marjoramgw.platform;
 
-import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.IntFunction;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import java.util.stream.IntStream;
 
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
@@ -24,17 +18,7 @@
  *
  * @author The marjoramgw authors
  */
-public class StreamResumeTests {
-
-	private static final String KEY = "Authorization: Token key-1\r\n";
-
-	private static final String STREAM_HEADERS = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-
-	private static final Pattern LAST_EVENT_ID = Pattern.compile("(?i)last-event-id: (\\d+)");
-
-	private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: event \\1 ok\n\n");
-
-	private static final int EVENT_COUNT = 6;
+public class StreamResumeTests extends EventStreamFixture {
 
 	/** Time for a first request in a process that has just started, on a busy machine. */
 	private static final long START_SECONDS = 4;
@@ -64,89 +48,6 @@
 		}
 	}
 
-	/**
-	 * Each row: status line, further header lines and body of an answer that doesn't
-	 * continue a stream.
-	 * @return the rows
-	 */
-	@DataProvider
-	public Object[][] otherAnswers() {
-		String json = "Content-Type: application/json\r\n";
-		String body = "{\"error\":\"out of memory\"}";
-		String sized = "Content-Length: " + body.length() + "\r\n";
-		return new Object[][] { { "500 Internal Server Error", json + sized, body },
-				{ "404 Not Found", json + sized, body }, { "302 Found", json + sized, body },
-				{ "503 Service Unavailable", json + sized, body }, { "500 Internal Server Error", json, body },
-				{ "200 OK", json + sized, body }, { "200 OK", "Content-Type: text/plain\r\n" + sized, body },
-				{ "200 OK", json, body }, { "200 OK", json + "Content-Length: 2\r\n", "\n\n" },
-				{ "204 No Content", "", "" }, { "206 Partial Content", STREAM_HEADERS, chunk(events(2)) + "0\r\n\r\n" },
-				{ "202 Accepted", json + sized, body } };
-	}
-
-	@Test(dataProvider = "otherAnswers")
-	public void errorOfTheNextServerNeverEntersAStreamThatHasBegun(String status, String headers, String body)
-			throws Exception {
-		AtomicInteger requests = new AtomicInteger();
-		ScriptedServer.Script script = (request, connection) -> {
-			boolean first = requests.getAndIncrement() == 0;
-			write(connection, first ? ScriptedServer.head("200 OK", request, STREAM_HEADERS) + chunk(event(1))
-					: ScriptedServer.head(status, request, headers) + body);
-			connection.close();
-			return false;
-		};
-		try (ScriptedServer first = new ScriptedServer(script);
-				ScriptedServer second = new ScriptedServer(script);
-				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
-			String response = fixture.call("POST /resume/1", KEY, "prompt");
-			Assert.assertFalse(response.contains("0\r\n\r\n"), "looks complete: " + response);
-			Assert.assertFalse(response.contains("error"), response);
-			Assert.assertTrue(response.equals("reset") || eventIds(response).equals(List.of(1)), response);
-		}
-	}
-
-	@DataProvider
-	public Object[][] streamsThatEndInsideAnEvent() {
-		String begun = event(1) + "id: 2\ndata: ev";
-		String eventStream = "Content-Type: text/event-stream\r\n";
-		return new Object[][] { { "/stream/1", eventStream, begun }, { "/resume/1", eventStream, begun },
-				{ "/stream/1", STREAM_HEADERS, chunk(begun) + "0\r\n\r\n" },
-				{ "/resume/1", STREAM_HEADERS, chunk(begun) + "0\r\n\r\n" },
-				{ "/stream/1", eventStream + "Content-Length: " + begun.length() + "\r\n", begun },
-				{ "/stream/1", eventStream, "id: 1\r\ndata: a\r\n\r" } };
-	}
-
-	@Test(dataProvider = "streamsThatEndInsideAnEvent")
-	public void streamThatEndsInsideAnEventDoesNotLookComplete(String route, String headers, String body)
-			throws Exception {
-		ScriptedServer.Script script = (request, connection) -> {
-			write(connection, ScriptedServer.head("200 OK", request, headers) + body);
-			connection.close();
-			return false;
-		};
-		try (ScriptedServer first = new ScriptedServer(script);
-				ScriptedServer second = new ScriptedServer(script);
-				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
-			String response = fixture.call("POST " + route, KEY, "prompt");
-			Assert.assertFalse(response.endsWith("0\r\n\r\n"), response);
-		}
-	}
-
-	@Test
-	public void streamWithoutLengthThatEndsAfterAnEventIsComplete() throws Exception {
-		ScriptedServer.Script script = (request, connection) -> {
-			write(connection,
-					ScriptedServer.head("200 OK", request, "Content-Type: text/event-stream\r\n") + events(1));
-			connection.close();
-			return false;
-		};
-		for (String route : new String[] { "/resume/1", "/stream/1" }) {
-			try (ScriptedServer server = new ScriptedServer(script);
-					ForwardingFixture fixture = new ForwardingFixture(server)) {
-				assertComplete(fixture.call("POST " + route, KEY, "prompt"), route);
-			}
-		}
-	}
-
 	@Test
 	public void streamWithoutLengthThatEndsInsideAnEventContinuesOnAnotherServer() throws Exception {
 		AtomicInteger requests = new AtomicInteger();
@@ -212,41 +113,6 @@
 		}
 	}
 
-	@Test
-	public void streamThatFailsTwiceDoesNotLookComplete() throws Exception {
-		ScriptedServer.Script failing = (request, connection) -> {
-			write(connection,
-					ScriptedServer.head("200 OK", request, STREAM_HEADERS) + chunk(event(lastEventId(request) + 1)));
-			connection.close();
-			return false;
-		};
-		try (ScriptedServer first = new ScriptedServer(failing);
-				ScriptedServer second = new ScriptedServer(failing);
-				ScriptedServer third = new ScriptedServer(failing);
-				ForwardingFixture fixture = new ForwardingFixture(first, second, third)) {
-			String response = fixture.call("POST /resume/1", KEY, "prompt");
-			Assert.assertFalse(response.contains("\r\n0\r\n"), response);
-			int runs = first.requests().size() + second.requests().size() + third.requests().size();
-			Assert.assertEquals(runs, 2, "the route allows two attempts");
-		}
-	}
-
-	@Test
-	public void streamOfAnotherRouteIsNotResumed() throws Exception {
-		ScriptedServer.Script failing = (request, connection) -> {
-			write(connection, ScriptedServer.head("200 OK", request, STREAM_HEADERS) + chunk(event(1)));
-			connection.close();
-			return false;
-		};
-		try (ScriptedServer first = new ScriptedServer(failing);
-				ScriptedServer second = new ScriptedServer(failing);
-				ForwardingFixture fixture = new ForwardingFixture(first, second)) {
-			String response = fixture.call("POST /stream/1", KEY, "prompt");
-			Assert.assertFalse(response.contains("\r\n0\r\n"), response);
-			Assert.assertEquals(first.requests().size() + second.requests().size(), 1);
-		}
-	}
-
 	@Test
 	public void callerThatLeavesDuringTheSearchEndsTheRequest() throws Exception {
 		AtomicInteger requests = new AtomicInteger();
@@ -305,29 +171,6 @@
 		}
 	}
 
-	/**
-	 * Returns a script for several servers that breaks off the first stream and completes
-	 * the others.
-	 * @param firstBody body of the first stream up to the fault, by the id of its first
-	 * event
-	 * @param otherBody body of the others, without the last chunk
-	 * @return the script
-	 */
-	private static ScriptedServer.Script breakingOffFirst(IntFunction<String> firstBody,
-			IntFunction<String> otherBody) {
-		AtomicInteger requests = new AtomicInteger();
-		return (request, connection) -> {
-			boolean fails = requests.getAndIncrement() == 0;
-			int next = lastEventId(request) + 1;
-			write(connection, ScriptedServer.head("200 OK", request, STREAM_HEADERS)
-					+ (fails ? firstBody.apply(next) : otherBody.apply(next) + "0\r\n\r\n"));
-			if (fails) {
-				connection.close();
-			}
-			return !fails;
-		};
-	}
-
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await(2, TimeUnit.SECONDS);
@@ -337,47 +180,4 @@
 		}
 	}
 
-	private static void assertComplete(String response, String description) {
-		Assert.assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("0\r\n\r\n"),
-				description + ": " + response);
-		Assert.assertEquals(eventIds(response), IntStream.rangeClosed(1, EVENT_COUNT).boxed().toList(),
-				description + ": " + response);
-	}
-
-	private static List<Integer> eventIds(String response) {
-		String body = response.replaceAll("(?s)^.*?\r\n\r\n", "")
-			.replaceAll("(?m)^[0-9a-f]+\r\n", "")
-			.replace("\r\n", "");
-		Assert.assertEquals(EVENT.matcher(body).replaceAll(""), "", "only complete events: " + response);
-		return EVENT.matcher(body).results().map((event) -> Integer.valueOf(event.group(1))).toList();
-	}
-
-	private static int lastEventId(String request) {
-		Matcher id = LAST_EVENT_ID.matcher(request);
-		return id.find() ? Integer.parseInt(id.group(1)) : 0;
-	}
-
-	private static String event(int id) {
-		return "id: " + id + "\ndata: event " + id + " ok\n\n";
-	}
-
-	private static String events(int firstId) {
-		return events(firstId, EVENT_COUNT);
-	}
-
-	private static String events(int firstId, int lastId) {
-		StringBuilder events = new StringBuilder();
-		IntStream.rangeClosed(firstId, Math.min(lastId, EVENT_COUNT)).forEach((id) -> events.append(event(id)));
-		return events.toString();
-	}
-
-	private static String chunk(String data) {
-		return data.isEmpty() ? "" : Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
-	}
-
-	private static void write(Socket connection, String bytes) throws IOException {
-		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-		connection.getOutputStream().flush();
-	}
-
 }
