--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/BackendDialect.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/BackendDialect.java
@@ -31,4 +31,14 @@
 	 */
 	ResponseKind classify(HttpResponse response, String requestId, boolean reused);
 
+	/**
+	 * Determines from the head of a response whether its server says that it leaves.
+	 * @param response the response, of any kind
+	 * @param serverId id of the server that the request was sent to
+	 * @param requestId id of the request that was sent
+	 * @param reused whether the connection carried other requests before
+	 * @return whether it says so and the response is one of that server to this request
+	 */
+	boolean announcesLeaving(HttpResponse response, String serverId, String requestId, boolean reused);
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -38,6 +38,8 @@
 
 	private final Map<String, Registration> registrationById = new HashMap<>();
 
+	private final LeavingServers leavingServers = new LeavingServers();
+
 	private boolean reachable = true;
 
 	/** When the first successful read after an outage was sent. */
@@ -80,6 +82,33 @@
 		return registration != null && isUsable(registration);
 	}
 
+	/**
+	 * Records that a server has said in an answer that it leaves.
+	 * @param server the server that the request was sent to
+	 * @return whether this was unknown
+	 */
+	public synchronized boolean onLeaving(BackendServer server) {
+		boolean unknown = this.leavingServers.add(server, this.registrationById::containsKey);
+		if (unknown) {
+			Logger.info("backend server {} of {} at {} said in an answer that it leaves", server.id(), server.service(),
+					server.address());
+		}
+		return unknown;
+	}
+
+	/**
+	 * Returns why a server that was chosen may not receive requests.
+	 * @param server the server
+	 * @return the reason, or empty if it may
+	 */
+	public synchronized Optional<String> obstacle(BackendServer server) {
+		Registration registration = this.registrationById.get(server.id());
+		if (registration == null || isLapsed(registration)) {
+			return Optional.of("its registration is gone");
+		}
+		return registration.server.draining() ? Optional.of("its registration is draining") : Optional.empty();
+	}
+
 	/**
 	 * Tells whether a snapshot of the registrations has been loaded.
 	 * @return whether it has been loaded
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -33,6 +33,8 @@
 
 	private final Listener listener;
 
+	private final LeavingNotices leavingNotices;
+
 	/**
 	 * Creates a launcher.
 	 * @param context shared components
@@ -48,6 +50,7 @@
 		this.limitedStart = limitedStart;
 		this.lock = lock;
 		this.listener = listener;
+		this.leavingNotices = new LeavingNotices(context);
 	}
 
 	/**
@@ -143,13 +146,16 @@
 	private void sendIfAllowed(Attempt attempt) {
 		try {
 			this.state.admit();
+			Optional<String> obstacle = this.context.directory().obstacle(attempt.server());
 			if (!this.state.route().hasService(this.state.service())) {
 				this.state.selectService();
 				this.listener.onUnsendable(attempt, "route no longer uses this service");
 			}
-			else if (this.state.remainingMillis() < MIN_REMAINING_MILLIS
-					|| !this.context.directory().isUsable(attempt.serverId())) {
-				this.listener.onUnsendable(attempt, "server no longer usable or deadline too close before sending");
+			else if (this.state.remainingMillis() < MIN_REMAINING_MILLIS) {
+				this.listener.onUnsendable(attempt, "deadline too close before sending");
+			}
+			else if (obstacle.isPresent()) {
+				moveAway(attempt, obstacle.get());
 			}
 			else if (this.listener.isCallerDisconnected()) {
 				this.listener.onCallerDisconnected();
@@ -164,6 +170,11 @@
 		}
 	}
 
+	private void moveAway(Attempt attempt, String obstacle) {
+		this.context.requestLog().countMovedRequest();
+		this.listener.onUnsendable(attempt, "server not usable any more before sending: " + obstacle);
+	}
+
 	private void send(Attempt attempt) {
 		Optional<String> lastEventId = this.state.isResuming() ? this.state.resumableBody().lastEventId()
 				: Optional.empty();
@@ -172,7 +183,9 @@
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		this.state.history().onSent(this.state.ageMillis());
 		attempt.markSent(this.context.clock().now().monotonicMillis());
-		this.listener.onSent(attempt, attempt.connection().send(backendRequest));
+		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest);
+		this.listener.onSent(attempt, this.leavingNotices.observe(attempt.server(), this.state.caller().id(),
+				attempt.connection().isReused(), head));
 		this.limitedStart.finish();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
@@ -76,6 +76,21 @@
 				tookMillis, detail);
 	}
 
+	/**
+	 * Counts a backend server that has said in an answer that it leaves.
+	 */
+	void countLeavingServer() {
+		this.registry.counter("servers.leaving").inc();
+	}
+
+	/**
+	 * Counts a request whose server may not receive requests any more, though it was
+	 * chosen.
+	 */
+	void countMovedRequest() {
+		this.registry.counter("requests.moved").inc();
+	}
+
 	/**
 	 * Records a retry.
 	 * @param code result code of the retry
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.platform;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -126,6 +127,38 @@
 		Assert.assertEquals(this.dialect.classify(response, "r1", true), kindOnReuse);
 	}
 
+	/**
+	 * Each row: status, headers besides the one about leaving, its value, and whether it
+	 * counts on a new connection and on one that carried requests before.
+	 * @return the rows
+	 */
+	@DataProvider
+	public Object[][] leavingResponses() {
+		RawHeader ownId = RawHeader.create("X-Request-Id", "r1");
+		RawHeader otherId = RawHeader.create("X-Request-Id", "r2");
+		RawHeader server = RawHeader.create("X-Instance-Id", "i-1");
+		RawHeader otherServer = RawHeader.create("X-Instance-Id", "i-2");
+		return new Object[][] { { 200, List.of(ownId), "1", true, true }, { 500, List.of(ownId), "1", true, true },
+				{ 503, List.of(ownId), "1", true, true }, { 503, List.of(), "1", true, false },
+				{ 200, List.of(otherId), "1", false, false }, { 200, List.of(otherId, server), "1", true, true },
+				{ 200, List.of(ownId, otherServer), "1", false, false }, { 421, List.of(ownId), "1", false, false },
+				{ 421, List.of(ownId, server), "1", true, true }, { 200, List.of(ownId), "0", false, false },
+				{ 200, List.of(ownId), "", false, false } };
+	}
+
+	@Test(dataProvider = "leavingResponses")
+	public void onlyTheServersOwnWordSaysThatItLeaves(int status, List<HttpHeader> headers, String value, boolean fresh,
+			boolean reused) {
+		HttpResponse response = HttpResponse.create()
+			.withStatus(status)
+			.addHeaders(headers)
+			.addHeader(RawHeader.create("Server-Leaving", value));
+		Assert.assertEquals(this.dialect.announcesLeaving(response, "i-1", "r1", false), fresh);
+		Assert.assertEquals(this.dialect.announcesLeaving(response, "i-1", "r1", true), reused);
+		Assert.assertFalse(this.dialect.announcesLeaving(HttpResponse.create().withStatus(status).addHeaders(headers),
+				"i-1", "r1", false));
+	}
+
 	private static String value(HttpRequest request, String name) {
 		return request.getHeader(name).map(HttpHeader::value).orElse("");
 	}
