--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
@@ -1,7 +1,10 @@
 package org.marjoramgw.direct.follow;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 
+import org.marjoramgw.HostPort;
 import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.direct.Fixtures;
 import org.marjoramgw.direct.model.BackendServer;
@@ -121,6 +124,59 @@
 		Assert.assertTrue(servers.isUsable("a"));
 	}
 
+	@Test
+	public void serverThatWasChosenBeforeItsWordHasAnObstacle() {
+		this.directory.onSnapshot(List.of(Fixtures.record("a", "ready", 1), Fixtures.record("b", "ready", 2)));
+		BackendServer chosen = Fixtures.server("a", bytes("ready")).orElseThrow();
+		Assert.assertEquals(this.directory.obstacle(chosen), Optional.empty());
+		Assert.assertTrue(this.directory.onLeaving(chosen));
+		Assert.assertFalse(this.directory.onLeaving(chosen), "said before");
+		Assert.assertEquals(this.directory.obstacle(chosen), Optional.of("it said that it leaves"));
+		Assert.assertEquals(ids(this.directory), List.of("b"));
+		Assert.assertFalse(this.directory.isUsable("a"));
+		Assert.assertEquals(this.directory.describe("trade"), "registered=2 draining=0 said_leaving=1");
+	}
+
+	@Test
+	public void obstacleTellsRegistrationsThatEndedOrDrain() {
+		this.directory.onSnapshot(List.of(Fixtures.record("a", "draining", 1)));
+		Assert.assertEquals(this.directory.obstacle(Fixtures.server("a", bytes("ready")).orElseThrow()),
+				Optional.of("its registration is draining"));
+		Assert.assertEquals(this.directory.obstacle(Fixtures.server("b", bytes("ready")).orElseThrow()),
+				Optional.of("its registration is gone"));
+	}
+
+	@Test
+	public void wordOfAnEarlierStartTakesNoLaterOneAway() {
+		BackendServer later = new BackendServer("a", "trade", new HostPort("127.0.0.1", 1), "a", 4, 5, false);
+		ServerDirectory servers = new ServerDirectory((id, value) -> Optional.of(later), this.ages);
+		servers.onSnapshot(List.of(Fixtures.record("a", "ready", 1)));
+		BackendServer earlier = new BackendServer("a", "trade", new HostPort("127.0.0.1", 1), "a", 4, 4, false);
+		Assert.assertTrue(servers.onLeaving(earlier));
+		Assert.assertTrue(servers.isUsable("a"));
+		Assert.assertEquals(servers.obstacle(earlier), Optional.of("it said that it leaves"));
+		Assert.assertTrue(servers.onLeaving(later));
+		Assert.assertFalse(servers.onLeaving(earlier), "a later start said so");
+		Assert.assertFalse(servers.isUsable("a"));
+	}
+
+	@Test
+	public void wordsOfManyServersThatAreGoneAreForgotten() {
+		this.directory.onSnapshot(List.of(Fixtures.record("a", "ready", 1)));
+		this.directory.onLeaving(Fixtures.server("a", bytes("ready")).orElseThrow());
+		BackendServer first = Fixtures.server("gone-0", bytes("ready")).orElseThrow();
+		for (int server = 0; server < 2_000; server++) {
+			this.directory.onLeaving(Fixtures.server("gone-" + server, bytes("ready")).orElseThrow());
+		}
+		Assert.assertFalse(this.directory.isUsable("a"), "it is still registered");
+		Assert.assertTrue(this.directory.onLeaving(first), "the oldest is forgotten");
+		Assert.assertFalse(this.directory.onLeaving(Fixtures.server("gone-1999", bytes("ready")).orElseThrow()));
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
 	private static List<String> ids(ServerDirectory servers) {
 		return servers.usable("trade").stream().map(BackendServer::id).sorted().toList();
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -72,10 +72,29 @@
 		return usable;
 	}
 
+	/**
+	 * Counts the servers of a service, for the log.
+	 * @param service name of the service
+	 * @return log fields with the number of those that are registered, whose registration
+	 * is draining, and that said that they leave
+	 */
+	public synchronized String describe(String service) {
+		List<Registration> registered = this.registrationById.values()
+			.stream()
+			.filter((registration) -> registration.server.service().equals(service))
+			.toList();
+		return "registered=" + registered.size() + " draining="
+				+ registered.stream().filter((registration) -> registration.server.draining()).count()
+				+ " said_leaving="
+				+ registered.stream()
+					.filter((registration) -> this.leavingServers.contains(registration.server))
+					.count();
+	}
+
 	/**
 	 * Tells whether a server may receive requests.
 	 * @param id id of the server
-	 * @return whether it is registered and not draining
+	 * @return whether it is registered and not leaving
 	 */
 	public synchronized boolean isUsable(String id) {
 		Registration registration = this.registrationById.get(id);
@@ -83,7 +102,8 @@
 	}
 
 	/**
-	 * Records that a server has said in an answer that it leaves.
+	 * Records that a server has said in an answer that it leaves. From now on this
+	 * incarnation isn't usable, whatever its registration says.
 	 * @param server the server that the request was sent to
 	 * @return whether this was unknown
 	 */
@@ -102,6 +122,9 @@
 	 * @return the reason, or empty if it may
 	 */
 	public synchronized Optional<String> obstacle(BackendServer server) {
+		if (this.leavingServers.contains(server)) {
+			return Optional.of("it said that it leaves");
+		}
 		Registration registration = this.registrationById.get(server.id());
 		if (registration == null || isLapsed(registration)) {
 			return Optional.of("its registration is gone");
@@ -234,7 +257,8 @@
 	}
 
 	private boolean isUsable(Registration registration) {
-		return !registration.server.draining() && !isLapsed(registration);
+		return !registration.server.draining() && !isLapsed(registration)
+				&& !this.leavingServers.contains(registration.server);
 	}
 
 	private boolean isLapsed(Registration registration) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -69,7 +69,8 @@
 					.choose(this.state.service(), this.state.route().name(), this.state.caller(), history.excluded())
 				: Optional.empty();
 		if (server.isEmpty()) {
-			throw new RequestRejectedException(reason, "service=" + this.state.service());
+			throw new RequestRejectedException(reason,
+					"service=" + this.state.service() + " " + this.context.directory().describe(this.state.service()));
 		}
 		if (history.wasSent() && !this.context.retryBudget().tryRetry(this.state.service())) {
 			throw new RequestRejectedException(ResultCode.RETRY_BUDGET_SPENT, "");
@@ -98,6 +99,10 @@
 		attempt.setPrefillPermit(this.context.prefillLimiter()
 			.acquire(attempt.serverId(), route.name(), route.targetLatencyMillis(), () -> connect(attempt)));
 		if (!attempt.isStarted()) {
+			if (this.context.directory().obstacle(attempt.server()).isPresent()) {
+				connect(attempt);
+				return;
+			}
 			this.limitedStart.finish();
 			this.context.timers()
 				.schedule(PrefillLimiter.maxWaitMillis(route.targetLatencyMillis()), () -> connectLate(attempt));
@@ -119,6 +124,11 @@
 				return;
 			}
 			attempt.markStarted();
+			Optional<String> obstacle = this.context.directory().obstacle(attempt.server());
+			if (obstacle.isPresent()) {
+				moveAway(attempt, obstacle.get());
+				return;
+			}
 			this.context.pool()
 				.acquire(attempt.server().address(), !this.state.route().isRepeatable())
 				.whenComplete((connection, failure) -> onConnection(attempt, connection, failure));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LeavingNotices.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LeavingNotices.java
@@ -51,6 +51,7 @@
 	private void onLeaving(BackendServer server) {
 		if (this.context.directory().onLeaving(server)) {
 			this.context.requestLog().countLeavingServer();
+			this.context.prefillLimiter().startWaiting(server.id());
 		}
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -66,7 +66,11 @@
 			{"name":"long-stream","host":"carob.example","pathPrefix":"/long-stream/","kind":"streaming",
 			"timeoutMs":20000,"priority":2,"service":"s","attempts":1},
 			{"name":"long-book","host":"carob.example","pathPrefix":"/long-book/","kind":"non_idempotent",
-			"timeoutMs":20000,"priority":1,"service":"s","attempts":1}],
+			"timeoutMs":20000,"priority":1,"service":"s","attempts":1},
+			{"name":"prompt","host":"carob.example","pathPrefix":"/prompt/","kind":"streaming",
+			"timeoutMs":20000,"targetLatencyMs":20000,"priority":2,"service":"s","attempts":1},
+			{"name":"quick-prompt","host":"carob.example","pathPrefix":"/quick-prompt/","kind":"streaming",
+			"timeoutMs":20000,"targetLatencyMs":1000,"priority":2,"service":"s","attempts":1}],
 			"services":[{"name":"s"}],"tenants":[{"name":"coop","apiKeys":["key-1"]}]}""";
 
 	private static final long MAX_AGE_MILLIS = 3_600_000;
@@ -166,6 +170,10 @@
 		return this.listener;
 	}
 
+	ServerDirectory directory() {
+		return this.directory;
+	}
+
 	/**
 	 * Removes the registration of a server.
 	 * @param index index of the server
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/prefill/PrefillLimiterTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/prefill/PrefillLimiterTests.java
@@ -52,6 +52,22 @@
 		Assert.assertEquals(this.limiter.waitingCount(), 1);
 	}
 
+	@Test
+	public void requestsThatWaitAtAServerThatLeavesAreStarted() {
+		List<PrefillLimiter.Permit> permits = acquireInitialLimit();
+		PrefillLimiter.Permit old = acquire("old");
+		acquire("new");
+		this.started.clear();
+		this.limiter.startWaiting("other");
+		Assert.assertEquals(this.started, List.of());
+		this.limiter.startWaiting("s1");
+		Assert.assertEquals(this.started, List.of("new", "old"));
+		old.release();
+		permits.forEach(PrefillLimiter.Permit::onFirstToken);
+		Assert.assertEquals(this.started.size(), 2, "each is started once");
+		Assert.assertEquals(this.limiter.waitingCount(), 0);
+	}
+
 	@Test
 	public void lateFirstTokensShrinkTheLimitToOne() {
 		for (int round = 0; round < 20; round++) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
@@ -1,8 +1,10 @@
 package org.marjoramgw.policy.prefill;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Predicate;
@@ -80,6 +82,25 @@
 		return permit;
 	}
 
+	/**
+	 * Starts all requests that wait for a permit at a server, the newest first and
+	 * without a permit, because they have to go to another one.
+	 * @param serverId id of the server
+	 */
+	public void startWaiting(String serverId) {
+		List<Permit> waiting = new ArrayList<>();
+		synchronized (this) {
+			this.queueByKey.forEach((key, queue) -> {
+				if (key.serverId().equals(serverId)) {
+					queue.waiting.descendingIterator().forEachRemaining(waiting::add);
+					queue.waiting.clear();
+				}
+			});
+			waiting.forEach((permit) -> permit.released = true);
+		}
+		waiting.forEach((permit) -> this.executor.execute(permit.start));
+	}
+
 	/**
 	 * Returns the number of requests that wait for a permit.
 	 * @return the number of requests for all servers
