--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -38,6 +38,8 @@
 
 	private final Map<String, Registration> registrationById = new HashMap<>();
 
+	private final LeavingServers leavingServers = new LeavingServers();
+
 	private boolean reachable = true;
 
 	/** When the first successful read after an outage was sent. */
@@ -70,16 +72,66 @@
 		return usable;
 	}
 
+	/**
+	 * Counts the servers of a service, for the log.
+	 * @param service name of the service
+	 * @return log fields with the number of those that are registered, whose registration
+	 * is draining, and that said that they leave
+	 */
+	public synchronized String describe(String service) {
+		List<Registration> registered = this.registrationById.values()
+			.stream()
+			.filter((registration) -> registration.server.service().equals(service))
+			.toList();
+		return "registered=" + registered.size() + " draining="
+				+ registered.stream().filter((registration) -> registration.server.draining()).count()
+				+ " said_leaving="
+				+ registered.stream()
+					.filter((registration) -> this.leavingServers.contains(registration.server))
+					.count();
+	}
+
 	/**
 	 * Tells whether a server may receive requests.
 	 * @param id id of the server
-	 * @return whether it is registered and not draining
+	 * @return whether it is registered and not leaving
 	 */
 	public synchronized boolean isUsable(String id) {
 		Registration registration = this.registrationById.get(id);
 		return registration != null && isUsable(registration);
 	}
 
+	/**
+	 * Records that a server has said in an answer that it leaves. From now on this
+	 * incarnation isn't usable, whatever its registration says.
+	 * @param server the server that the request was sent to
+	 * @return whether this was unknown
+	 */
+	public synchronized boolean onLeaving(BackendServer server) {
+		boolean unknown = this.leavingServers.add(server, this.registrationById::containsKey);
+		if (unknown) {
+			Logger.info("backend server {} of {} at {} said in an answer that it leaves", server.id(), server.service(),
+					server.address());
+		}
+		return unknown;
+	}
+
+	/**
+	 * Returns why a server that was chosen may not receive requests.
+	 * @param server the server
+	 * @return the reason, or empty if it may
+	 */
+	public synchronized Optional<String> obstacle(BackendServer server) {
+		if (this.leavingServers.contains(server)) {
+			return Optional.of("it said that it leaves");
+		}
+		Registration registration = this.registrationById.get(server.id());
+		if (registration == null || isLapsed(registration)) {
+			return Optional.of("its registration is gone");
+		}
+		return registration.server.draining() ? Optional.of("its registration is draining") : Optional.empty();
+	}
+
 	/**
 	 * Tells whether a snapshot of the registrations has been loaded.
 	 * @return whether it has been loaded
@@ -205,7 +257,8 @@
 	}
 
 	private boolean isUsable(Registration registration) {
-		return !registration.server.draining() && !isLapsed(registration);
+		return !registration.server.draining() && !isLapsed(registration)
+				&& !this.leavingServers.contains(registration.server);
 	}
 
 	private boolean isLapsed(Registration registration) {
