--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
+import org.marjoramgw.time.ClockReading;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -15,6 +16,8 @@
  */
 public class CallerConnectionTests {
 
+	private RequestArrivals arrivals;
+
 	private List<String> events;
 
 	private CallerConnection connection;
@@ -26,6 +29,7 @@
 	@BeforeMethod
 	public void open() {
 		this.events = new ArrayList<>();
+		this.arrivals = new RequestArrivals(new ClockReading(0, 0));
 		this.hasUnread = false;
 		this.writing = false;
 		this.connection = new CallerConnection(new FakeSocket());
@@ -129,6 +133,11 @@
 
 	private final class FakeSocket implements CallerSocket {
 
+		@Override
+		public RequestArrivals arrivals() {
+			return CallerConnectionTests.this.arrivals;
+		}
+
 		@Override
 		public void closeGracefully() {
 			CallerConnectionTests.this.events.add("closed");
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -13,9 +13,11 @@
 import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.direct.socket.AcceptorFixture;
+import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.PekkoTimers;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -86,11 +88,14 @@
 
 	private void serve() {
 		new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
-				new PekkoTimers(this.fixture.system()), () -> CallerLimits.DEFAULT,
-				(preview) -> preview.path().equals(URGENT) ? 0 : 1, this::respond)
+				new PekkoTimers(this.fixture.system()), () -> CallerLimits.DEFAULT, this::examine, this::respond)
 			.serve(this.fixture.acceptor());
 	}
 
+	private UnreadRequest examine(HeadPreview preview, ClockReading arrived) {
+		return new FakeUnreadRequest(preview.target().equals(URGENT) ? 0 : 1);
+	}
+
 	private CompletionStage<HttpResponse> respond(HttpRequest request, CallerConnection connection) {
 		this.handled.add(request.getUri().path());
 		connection.markOpened();
@@ -104,4 +109,18 @@
 		return caller;
 	}
 
+	private record FakeUnreadRequest(int rank) implements UnreadRequest {
+
+		@Override
+		public long maxWaitMillis() {
+			return TimeUnit.SECONDS.toMillis(AcceptorFixture.WAIT_SECONDS);
+		}
+
+		@Override
+		public HttpResponse refuse() {
+			return HttpResponse.create().withStatus(StatusCodes.SERVICE_UNAVAILABLE);
+		}
+
+	}
+
 }
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/HeadPreviewTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/HeadPreviewTests.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Random;
 
+import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
@@ -32,8 +33,27 @@
 
 	@Test(dataProvider = "heads")
 	public void readsHostAndPath(String head, String host, String path) {
-		Optional<HeadPreview> expected = Optional.ofNullable(host).map((known) -> new HeadPreview(known, path));
-		Assert.assertEquals(HeadPreview.of(ByteString.fromString(head)), expected);
+		Optional<HttpRequest> preview = HeadPreview.of(ByteString.fromString(head)).map(HeadPreview::toRequest);
+		Assert.assertEquals(preview.map((request) -> RequestTarget.hostOf(header(request, "host"))),
+				Optional.ofNullable(host));
+		Assert.assertEquals(preview.map((request) -> RequestTarget.pathOf(header(request, "raw-request-uri"))),
+				Optional.ofNullable(path));
+	}
+
+	@Test
+	public void valueOfHalfReceivedHeaderIsNotTaken() {
+		String half = "HEAD /a HTTP/1.1\r\nHost: one.example\r\nX-Time: 14";
+		HeadPreview preview = HeadPreview.of(ByteString.fromString(half)).get();
+		Assert.assertFalse(preview.complete());
+		Assert.assertEquals(preview.toRequest().getHeader("x-time"), Optional.empty());
+		HeadPreview complete = HeadPreview.of(ByteString.fromString(half + "00\r\n\r\nX-Body: 1\r\n")).get();
+		Assert.assertTrue(complete.complete() && complete.isHeadOnly());
+		Assert.assertEquals(header(complete.toRequest(), "x-time"), "1400");
+		Assert.assertEquals(complete.toRequest().getHeader("x-body"), Optional.empty());
+	}
+
+	private static String header(HttpRequest request, String name) {
+		return request.getHeader(name).get().value();
 	}
 
 	@Test
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/AcceptorFixture.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/AcceptorFixture.java
@@ -8,6 +8,7 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.time.AgeClock;
 
 /**
  * Acceptor on a free loopback port, with an actor system to run its flows.
@@ -28,7 +29,8 @@
 	 * @throws IOException if no port can be bound
 	 */
 	public AcceptorFixture() throws IOException {
-		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), new SystemMillisClock());
+		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0),
+				new AgeClock(new SystemMillisClock(), System::currentTimeMillis));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -18,9 +18,7 @@
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.MillisClock;
-import org.marjoramgw.SystemMillisClock;
 import org.marjoramgw.direct.caller.CallerListener;
-import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
@@ -104,9 +102,9 @@
 
 	private final SettingsFile settings;
 
-	private final MillisClock monotonicClock = new SystemMillisClock();
+	private final MillisClock monotonicClock;
 
-	private final AgeClock clock = new AgeClock(this.monotonicClock, System::currentTimeMillis);
+	private final AgeClock clock;
 
 	private final ActorSystem<Void> system;
 
@@ -142,7 +140,7 @@
 
 	private final StoreFollowers storeFollowers;
 
-	private ClockReading lastMaintenance = this.clock.now();
+	private ClockReading lastMaintenance;
 
 	private volatile boolean warmedUp;
 
@@ -151,13 +149,18 @@
 	/**
 	 * Creates a process.
 	 * @param settingsFile settings of the process
+	 * @param monotonicClock monotonic clock
+	 * @param clock clock that measures ages, also that of the acceptor
 	 * @param callerAcceptor acceptor that already listens for callers
 	 * @param platformFactory creates the platform adapter from the actor system and a
 	 * connector
 	 */
-	public DirectProcess(SettingsFile settingsFile, SocketAcceptor callerAcceptor,
-			BiFunction<ActorSystem<?>, HttpConnector, Platform> platformFactory) {
+	public DirectProcess(SettingsFile settingsFile, MillisClock monotonicClock, AgeClock clock,
+			SocketAcceptor callerAcceptor, BiFunction<ActorSystem<?>, HttpConnector, Platform> platformFactory) {
 		this.settings = settingsFile;
+		this.monotonicClock = monotonicClock;
+		this.clock = clock;
+		this.lastMaintenance = clock.now();
 		this.callerAcceptor = callerAcceptor;
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
@@ -181,6 +184,7 @@
 		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
+		this.registry.register("connections.waiting", (Gauge<Integer>) this.callerListener::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
 
@@ -232,8 +236,8 @@
 			this.warmedUp = true;
 			return;
 		}
-		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.monotonicClock,
-				WARM_UP_REQUESTS, WARM_UP_LIMIT_MILLIS, () -> this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP)
+		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.clock, WARM_UP_REQUESTS,
+				WARM_UP_LIMIT_MILLIS, () -> this.forwarder.openCount() > MAX_OPEN_DURING_WARM_UP)
 			.run(this::startSampleListener)
 			.thenAccept((done) -> {
 				this.warmedUp = true;
@@ -255,14 +259,10 @@
 	}
 
 	private CallerListener callerListener(Forwarder target) {
-		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, this::rank,
+		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, target::unread,
 				target::handle);
 	}
 
-	private int rank(HeadPreview preview) {
-		return this.routing.rank(preview.host(), preview.path());
-	}
-
 	private long maxAgeMillis() {
 		return this.settings.get().revocationMillis() - REVOCATION_MARGIN_MILLIS;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import org.marjoramgw.time.ClockReading;
+
 /**
  * Connection of one caller, which carries one request at a time; thread-safe.
  *
@@ -24,6 +26,8 @@
 
 	private Runnable onClose;
 
+	private ClockReading arrived;
+
 	/**
 	 * Creates a connection.
 	 * @param socket socket of the connection
@@ -93,9 +97,25 @@
 		}
 		this.busy = true;
 		this.readingHead = false;
+		this.arrived = this.socket.arrivals().beginRequest();
 		return true;
 	}
 
+	/**
+	 * Returns when the request in progress arrived.
+	 * @return time at which its first bytes were read from the socket
+	 */
+	public synchronized ClockReading requestArrived() {
+		return this.arrived;
+	}
+
+	/**
+	 * Marks the end of the body of the request in progress.
+	 */
+	public void endRequestBody() {
+		this.socket.arrivals().endBody();
+	}
+
 	/**
 	 * Checks the socket for a disconnect of the caller, which the operating system may
 	 * know of before this process was notified.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -4,12 +4,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
-import java.util.function.ToIntFunction;
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -20,11 +17,9 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.model.CallerLimits;
-import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.direct.socket.AcceptedSocket;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.PlaintextLayers;
-import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.time.Timers;
 import scala.concurrent.duration.Duration;
 
@@ -36,13 +31,6 @@
  */
 public final class CallerListener {
 
-	/**
-	 * Maximum number of connections that are opened concurrently. A process that has just
-	 * started opens connections slowly. If it opened all waiting ones at once, it would
-	 * detect late which callers have disconnected in the meantime.
-	 */
-	private static final int MAX_OPENING_COUNT = 4;
-
 	/**
 	 * Time after which a connection counts as opened even if its first request was not
 	 * forwarded yet, in milliseconds.
@@ -57,8 +45,6 @@
 
 	private final Supplier<CallerLimits> limits;
 
-	private final ToIntFunction<HeadPreview> rankFunction;
-
 	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
 
 	/**
@@ -69,7 +55,7 @@
 
 	private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
 
-	private final StartLimiter openingLimiter;
+	private final OpeningQueue openingQueue;
 
 	/**
 	 * Creates a listener.
@@ -77,19 +63,18 @@
 	 * @param settings settings of the HTTP server
 	 * @param timers timers
 	 * @param limits current limits on callers
-	 * @param rankFunction rank of a request by its preview; 0 is the most urgent
+	 * @param unreadRequests creates the requests of connections that wait to be opened
 	 * @param handler handler of the requests of a connection
 	 */
 	public CallerListener(ActorSystem<?> system, ServerSettings settings, Timers timers, Supplier<CallerLimits> limits,
-			ToIntFunction<HeadPreview> rankFunction,
+			UnreadRequest.Factory unreadRequests,
 			BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler) {
 		this.system = system;
 		this.settings = settings;
 		this.timers = timers;
 		this.limits = limits;
-		this.rankFunction = rankFunction;
 		this.handler = handler;
-		this.openingLimiter = new StartLimiter(MAX_OPENING_COUNT, Runnable::run);
+		this.openingQueue = new OpeningQueue(timers, unreadRequests, system.executionContext());
 	}
 
 	/**
@@ -116,32 +101,28 @@
 		return this.connections.stream().filter((connection) -> !connection.isClosed()).count();
 	}
 
+	/**
+	 * Returns the number of connections with unread requests that wait to be opened.
+	 * @return number of connections
+	 */
+	public int waitingCount() {
+		return this.openingQueue.waitingCount();
+	}
+
 	private void accept(AcceptedSocket socket) {
 		CallerConnection connection = new CallerConnection(socket);
 		this.connections.add(connection);
-		AtomicBoolean waiting = new AtomicBoolean();
-		socket.whenReceived(() -> {
-			if (!waiting.getAndSet(true)) {
-				enqueueOpening(socket, connection);
-			}
-		});
+		WaitingConnection waiting = this.openingQueue.place(socket, connection, () -> open(socket, connection));
+		socket.whenReceived(waiting::onReceived);
 		socket.whenTaking(() -> startHeadTimeout(connection));
 		socket.whenEnded(() -> onEnd(socket, connection));
 		this.timers.schedule(this.limits.get().idleTimeoutMillis(), () -> {
-			if (!waiting.get()) {
+			if (!waiting.isPlaced()) {
 				connection.finishIfIdle();
 			}
 		});
 	}
 
-	private void enqueueOpening(AcceptedSocket socket, CallerConnection connection) {
-		Executor executor = this.system.executionContext();
-		int rank = HeadPreview.of(socket.peek()).map(this.rankFunction::applyAsInt).orElse(Ranks.LEAST_URGENT);
-		StartLimiter.Permit permit = this.openingLimiter.acquire(rank,
-				() -> executor.execute(() -> open(socket, connection)));
-		connection.opened().whenComplete((opened, failure) -> permit.release());
-	}
-
 	private void open(AcceptedSocket socket, CallerConnection connection) {
 		if (socket.hasEnded()) {
 			socket.closeGracefully();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -52,16 +52,6 @@
 		return this.promptParts.isEmpty() ? this.id : this.promptParts.get(this.promptParts.size() - 1).id();
 	}
 
-	/**
-	 * Returns the total time allowed for the request.
-	 * @param timeoutMillis timeout of the route, in milliseconds
-	 * @return the lesser of the route's timeout and the caller's deadline, in
-	 * milliseconds
-	 */
-	public long effectiveTimeoutMillis(long timeoutMillis) {
-		return Math.min(timeoutMillis, this.deadlineMillis.orElse(timeoutMillis));
-	}
-
 	/**
 	 * Tells whether the request has a prompt that a model must prefill.
 	 * @return whether it declares prompt tokens
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerSocket.java
@@ -23,6 +23,12 @@
 	 */
 	void finishIf(BooleanSupplier condition);
 
+	/**
+	 * Returns the arrival times of the requests on this connection.
+	 * @return the arrival times, to which each read is added
+	 */
+	RequestArrivals arrivals();
+
 	/**
 	 * Checks for a disconnect of the peer, including one that was not read yet.
 	 * @return whether the peer has closed the connection
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
@@ -0,0 +1,117 @@
+package org.marjoramgw.direct.caller;
+
+import java.util.Optional;
+
+import org.marjoramgw.direct.model.Ranks;
+import org.marjoramgw.direct.socket.AcceptedSocket;
+import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.time.Timers;
+
+/**
+ * Place of one connection in the queue of those that wait to be opened; thread-safe.
+ * <p>
+ * A request whose time ends while it waits is refused without opening its connection,
+ * which would cost more than a process that is this late has left.
+ *
+ * @author The marjoramgw authors
+ */
+final class WaitingConnection {
+
+	private final AcceptedSocket socket;
+
+	private final CallerConnection connection;
+
+	private final StartLimiter limiter;
+
+	private final Timers timers;
+
+	private final UnreadRequest.Factory requests;
+
+	private final Runnable open;
+
+	private StartLimiter.Permit permit;
+
+	private boolean headKnown;
+
+	private Timers.Handle timer = Timers.Handle.NONE;
+
+	/**
+	 * Creates a place that does not wait yet.
+	 * @param socket socket of the connection
+	 * @param connection the connection
+	 * @param limiter limits how many connections are opened concurrently
+	 * @param timers timers
+	 * @param requests creates the request of the connection
+	 * @param open opens the connection
+	 */
+	WaitingConnection(AcceptedSocket socket, CallerConnection connection, StartLimiter limiter, Timers timers,
+			UnreadRequest.Factory requests, Runnable open) {
+		this.socket = socket;
+		this.connection = connection;
+		this.limiter = limiter;
+		this.timers = timers;
+		this.requests = requests;
+		this.open = open;
+		connection.opened().whenComplete((opened, failure) -> end());
+	}
+
+	/**
+	 * Takes the place in the queue with the first bytes, and takes it anew once the head
+	 * is complete, which tells how urgent the request is and how long it may wait.
+	 */
+	synchronized void onReceived() {
+		if (this.headKnown || this.permit != null && !this.permit.withdraw()) {
+			return;
+		}
+		if (this.permit == null && openAtOnce()) {
+			return;
+		}
+		Optional<HeadPreview> preview = HeadPreview.of(this.socket.peek());
+		Optional<UnreadRequest> request = preview
+			.map((known) -> this.requests.create(known, this.socket.arrivals().next()));
+		this.headKnown = preview.map(HeadPreview::complete).orElse(false);
+		this.permit = this.limiter.acquire(request.map(UnreadRequest::rank).orElse(Ranks.LEAST_URGENT), this.open);
+		if (this.headKnown) {
+			this.timer = this.timers.schedule(request.get().maxWaitMillis(),
+					() -> refuseIfWaiting(request.get(), preview.get().isHeadOnly()));
+		}
+	}
+
+	/**
+	 * Tells whether bytes of a request have arrived.
+	 * @return whether the connection took its place
+	 */
+	synchronized boolean isPlaced() {
+		return this.permit != null;
+	}
+
+	private boolean openAtOnce() {
+		Optional<StartLimiter.Permit> free = this.limiter.tryAcquire();
+		free.ifPresent((acquired) -> {
+			this.permit = acquired;
+			this.headKnown = true;
+			this.open.run();
+		});
+		return free.isPresent();
+	}
+
+	private void refuseIfWaiting(UnreadRequest request, boolean headOnly) {
+		synchronized (this) {
+			if (!this.permit.withdraw()) {
+				return;
+			}
+		}
+		if (!this.socket.hasEnded()) {
+			this.socket.answerUnread(FinalResponse.render(request.refuse(), headOnly));
+		}
+		this.connection.markOpened();
+	}
+
+	private synchronized void end() {
+		this.timer.cancel();
+		if (this.permit != null) {
+			this.permit.release();
+		}
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 import org.marjoramgw.direct.model.CallerLimits;
-import org.marjoramgw.direct.model.Ranks;
+import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -59,15 +59,13 @@
 	}
 
 	/**
-	 * Returns the rank of a request of which only the target is known.
+	 * Finds the route of a request.
 	 * @param host host name of the request, without port
 	 * @param path path of the request, not percent-decoded
-	 * @return rank of its route; 0 is the most urgent
+	 * @return the route, or empty if none is known
 	 */
-	public int rank(String host, String path) {
-		return current()
-			.flatMap((routing) -> routing.route(host, path).map((route) -> routing.rank(Optional.empty(), route)))
-			.orElse(Ranks.LEAST_URGENT);
+	public Optional<Route> route(String host, String path) {
+		return current().flatMap((routing) -> routing.route(host, path));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -20,9 +20,6 @@
  */
 final class AttemptLauncher {
 
-	/** Minimum remaining time for another attempt, in milliseconds. */
-	static final long MIN_REMAINING_MILLIS = 30;
-
 	private final ForwardingContext context;
 
 	private final RequestState state;
@@ -58,7 +55,7 @@
 	 */
 	Attempt choose(ResultCode reason) throws RequestRejectedException {
 		AttemptHistory history = this.state.history();
-		if (this.state.remainingMillis() < MIN_REMAINING_MILLIS) {
+		if (!this.state.maySend()) {
 			throw new RequestRejectedException(ResultCode.TIMEOUT_BEFORE_SEND, "");
 		}
 		Optional<BackendServer> server = history.mayTry()
@@ -147,8 +144,7 @@
 				this.state.selectService();
 				this.listener.onUnsendable(attempt, "route no longer uses this service");
 			}
-			else if (this.state.remainingMillis() < MIN_REMAINING_MILLIS
-					|| !this.context.directory().isUsable(attempt.serverId())) {
+			else if (!this.state.maySend() || !this.context.directory().isUsable(attempt.serverId())) {
 				this.listener.onUnsendable(attempt, "server no longer usable or deadline too close before sending");
 			}
 			else if (this.listener.isCallerDisconnected()) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -54,7 +54,7 @@
 	 * @param context shared components
 	 * @param request the request with its complete body
 	 * @param caller decoded request head
-	 * @param arrived time of receipt
+	 * @param arrived when its first bytes were read
 	 * @param owner owner of the request
 	 */
 	ForwardedRequest(ForwardingContext context, HttpRequest request, CallerRequest caller, ClockReading arrived,
@@ -215,7 +215,7 @@
 
 	private void onServerError(Attempt attempt, HttpResponse response) {
 		this.context.health().onFailure(attempt.serverId());
-		if (this.state.mayRunAgain() && this.state.remainingMillis() > AttemptLauncher.MIN_REMAINING_MILLIS) {
+		if (this.state.mayRunAgain() && this.state.maySend()) {
 			this.state.history().countPossibleRun();
 			response.discardEntityBytes(this.context.system());
 			retry(attempt, ResultCode.BACKEND_ERROR, "status=" + response.status().intValue());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -15,7 +15,10 @@
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerConnection;
 import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.caller.HeadPreview;
+import org.marjoramgw.direct.caller.UnreadRequest;
 import org.marjoramgw.http.MemoryLimit;
+import org.marjoramgw.policy.deadline.RequestTime;
 import org.marjoramgw.policy.drain.DrainSchedule;
 import org.marjoramgw.time.ClockReading;
 
@@ -56,19 +59,33 @@
 		if (!connection.beginRequest()) {
 			return CompletableFuture.failedFuture(new IOException("connection is being closed"));
 		}
-		ClockReading arrived = this.context.clock().now();
+		ClockReading arrived = connection.requestArrived();
 		CallerRequest caller = this.context.callerDialect().decode(request);
+		RequestTime time = this.context.requestTime(caller);
 		this.openRequests.incrementAndGet();
 		long maxBodyBytes = this.context.routing().limits().maxBodyBytes();
 		// The limit on the length of the body bounds the memory as well.
 		return this.context.bodyReader()
-			.read(request.entity().withSizeLimit(maxBodyBytes), BODY_TIMEOUT_MILLIS, MemoryLimit.NONE)
-			.handle((body, failure) -> (failure != null) ? rejectBody(caller, arrived, failure, connection)
-					: forward(request, caller, body, arrived, connection))
+			.read(request.entity().withSizeLimit(maxBodyBytes), bodyTimeoutMillis(time, arrived), MemoryLimit.NONE)
+			.handle((body, failure) -> {
+				connection.endRequestBody();
+				return (failure != null) ? rejectBody(caller, time, arrived, failure, connection)
+						: forward(request, caller, body, arrived, connection);
+			})
 			.thenCompose((response) -> response)
 			.thenApply(this::withConnectionClose);
 	}
 
+	/**
+	 * Creates the view on a request whose connection waits to be opened.
+	 * @param preview preview of the request
+	 * @param arrived when its first bytes were read
+	 * @return the request
+	 */
+	public UnreadRequest unread(HeadPreview preview, ClockReading arrived) {
+		return new PreviewedRequest(this.context, preview, arrived);
+	}
+
 	/**
 	 * Makes every further response ask its caller to close the connection, and refuses
 	 * requests that could outlast the process.
@@ -104,9 +121,13 @@
 		return forwarded.start();
 	}
 
-	private CompletionStage<HttpResponse> rejectBody(CallerRequest caller, ClockReading arrived, Throwable failure,
-			CallerConnection connection) {
-		ResultCode code = isTooLarge(failure) ? ResultCode.BODY_TOO_LARGE : ResultCode.BODY_INCOMPLETE;
+	private long bodyTimeoutMillis(RequestTime time, ClockReading arrived) {
+		return Math.min(BODY_TIMEOUT_MILLIS, time.maxWaitMillis(this.context.clock().ageMillis(arrived)));
+	}
+
+	private CompletionStage<HttpResponse> rejectBody(CallerRequest caller, RequestTime time, ClockReading arrived,
+			Throwable failure, CallerConnection connection) {
+		ResultCode code = bodyFailure(time, arrived, failure);
 		HttpResponse response = ErrorResponses.of(code);
 		endRequest(connection);
 		this.context.requestLog()
@@ -121,6 +142,14 @@
 		connection.endRequest();
 	}
 
+	private ResultCode bodyFailure(RequestTime time, ClockReading arrived, Throwable failure) {
+		if (isTooLarge(failure)) {
+			return ResultCode.BODY_TOO_LARGE;
+		}
+		return time.maySend(this.context.clock().ageMillis(arrived)) ? ResultCode.BODY_INCOMPLETE
+				: ResultCode.TIMEOUT_BEFORE_SEND;
+	}
+
 	private static boolean isTooLarge(Throwable failure) {
 		return failure instanceof EntityStreamSizeException || failure.getCause() instanceof EntityStreamSizeException;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.OptionalLong;
 import java.util.Random;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -7,10 +8,12 @@
 import org.marjoramgw.direct.backend.ConnectionPool;
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerDialect;
+import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.policy.deadline.RequestTime;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
@@ -49,4 +52,17 @@
 		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyReader bodyReader,
 		BodyBudget bodyBudget, PromptGuard promptGuard, RequestLog requestLog, AgeClock clock, Timers timers,
 		Random random) {
+
+	/**
+	 * Returns the time in which a request has to be answered.
+	 * @param caller decoded head of the request
+	 * @return the time as far as it is known
+	 */
+	RequestTime requestTime(CallerRequest caller) {
+		OptionalLong timeoutMillis = this.routing.route(caller.host(), caller.path())
+			.map((route) -> OptionalLong.of(route.timeoutMillis()))
+			.orElse(OptionalLong.empty());
+		return RequestTime.of(timeoutMillis, caller.deadlineMillis());
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -1,10 +1,13 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.OptionalLong;
+
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.policy.deadline.RequestTime;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -23,6 +26,8 @@
 
 	private final ClockReading arrived;
 
+	private final long waitedMillis;
+
 	private final AttemptHistory history = new AttemptHistory();
 
 	private final ResumableBody resumableBody = new ResumableBody();
@@ -38,13 +43,14 @@
 	 * @param context shared components
 	 * @param request the request with its complete body
 	 * @param caller decoded request head
-	 * @param arrived time of receipt
+	 * @param arrived when its first bytes were read
 	 */
 	RequestState(ForwardingContext context, HttpRequest request, CallerRequest caller, ClockReading arrived) {
 		this.context = context;
 		this.request = request;
 		this.caller = caller;
 		this.arrived = arrived;
+		this.waitedMillis = ageMillis();
 		this.prompt = new GuardedPrompt(context.promptGuard(), caller);
 	}
 
@@ -121,7 +127,19 @@
 	}
 
 	long remainingMillis() {
-		return this.caller.effectiveTimeoutMillis(route().timeoutMillis()) - ageMillis();
+		return time().remainingMillis(ageMillis());
+	}
+
+	/**
+	 * Tells whether enough time is left to send the request to a server.
+	 * @return whether it may be sent
+	 */
+	boolean maySend() {
+		return time().maySend(ageMillis());
+	}
+
+	private RequestTime time() {
+		return RequestTime.of(OptionalLong.of(route().timeoutMillis()), this.caller.deadlineMillis());
 	}
 
 	/**
@@ -140,8 +158,9 @@
 			this.context.requestLog().recordAttainment(routeName, this.history.attainment(code, route(), tookMillis));
 		}
 		this.context.requestLog()
-			.recordCompletion(code, this.caller.id(), routeName, status, tookMillis, detail + " " + decision
-					+ " confirmed_ms=" + this.context.routing().ageMillis() + " " + this.history.describe());
+			.recordCompletion(code, this.caller.id(), routeName, status, tookMillis,
+					detail + " " + decision + " confirmed_ms=" + this.context.routing().ageMillis() + " waited_ms="
+							+ this.waitedMillis + " " + this.history.describe());
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -9,6 +9,7 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.caller.CallerSocket;
+import org.marjoramgw.direct.caller.RequestArrivals;
 
 /**
  * Accepted socket that is read ahead, so that a disconnect is detected while a request is
@@ -18,17 +19,16 @@
  */
 public final class AcceptedSocket implements CallerSocket {
 
-	private static final Runnable NO_ACTION = () -> {
-	};
-
 	private final SocketAcceptor acceptor;
 
-	private final SocketChannel channel;
-
-	private final SelectionKey key;
+	private final CallerChannel channel;
 
 	private final ReadAheadBuffer received = new ReadAheadBuffer();
 
+	private final RequestArrivals arrivals;
+
+	private final SocketActions actions = new SocketActions();
+
 	private final PendingWrite pendingWrite;
 
 	private boolean flowTaken;
@@ -37,18 +37,10 @@
 
 	private boolean closing;
 
-	private long closingSinceMillis;
-
-	private Runnable onReceived = NO_ACTION;
-
-	private Runnable onTaking = NO_ACTION;
-
-	private Runnable onEnded = NO_ACTION;
-
 	AcceptedSocket(SocketAcceptor acceptor, SocketChannel channel, SelectionKey key) {
 		this.acceptor = acceptor;
-		this.channel = channel;
-		this.key = key;
+		this.channel = new CallerChannel(acceptor, channel, key);
+		this.arrivals = new RequestArrivals(acceptor.now());
 		this.pendingWrite = new PendingWrite(channel);
 	}
 
@@ -60,7 +52,7 @@
 	public void whenReceived(Runnable action) {
 		boolean due;
 		synchronized (this) {
-			this.onReceived = action;
+			this.actions.setOnReceived(action);
 			due = this.ended || this.received.isFinished() || !this.received.isEmpty();
 		}
 		if (due) {
@@ -73,7 +65,7 @@
 	 * @param action the action, called with the lock of this socket
 	 */
 	public synchronized void whenTaking(Runnable action) {
-		this.onTaking = action;
+		this.actions.setOnTaking(action);
 	}
 
 	/**
@@ -83,7 +75,7 @@
 	public void whenEnded(Runnable action) {
 		synchronized (this) {
 			if (!this.ended) {
-				this.onEnded = action;
+				this.actions.setOnEnded(action);
 				return;
 			}
 		}
@@ -102,6 +94,28 @@
 		}
 	}
 
+	@Override
+	public RequestArrivals arrivals() {
+		return this.arrivals;
+	}
+
+	/**
+	 * Answers the request that waits unread and closes the connection. Must not be called
+	 * once the flow was taken.
+	 * @param response the complete response
+	 */
+	public void answerUnread(ByteString response) {
+		try {
+			if (write(response, this::closeGracefully)) {
+				closeGracefully();
+			}
+		}
+		catch (IOException ex) {
+			// The caller has disconnected.
+			close();
+		}
+	}
+
 	@Override
 	public void finishIf(BooleanSupplier condition) {
 		read();
@@ -111,13 +125,13 @@
 				return;
 			}
 			this.received.finish();
-			action = this.flowTaken ? this.onReceived : this::closeGracefully;
+			action = this.flowTaken ? this.actions.onReceived() : this::closeGracefully;
 		}
 		action.run();
 	}
 
 	@Override
-	public synchronized boolean isWriting() {
+	public boolean isWriting() {
 		return this.pendingWrite.isPending();
 	}
 
@@ -157,15 +171,16 @@
 			}
 			// Further input from the peer is discarded.
 			this.closing = true;
-			this.closingSinceMillis = this.acceptor.nowMillis();
 			this.received.finish();
 			this.received.take();
 		}
-		discardUnwritten();
-		if (hasEnded() || !shutdownOutput()) {
+		this.pendingWrite.discard();
+		if (hasEnded() || !this.channel.shutdownOutput()) {
 			close();
 		}
 		else {
+			// Reading may have been suspended, and the peer's end is to be noticed.
+			this.acceptor.execute(this::updateInterest);
 			this.acceptor.linger(this);
 		}
 	}
@@ -174,44 +189,15 @@
 	 * Closes the connection immediately.
 	 */
 	void close() {
-		SocketAcceptor.closeQuietly(this.channel);
-		discardUnwritten();
+		this.channel.close();
+		this.pendingWrite.discard();
 		markEnded();
 	}
 
-	/**
-	 * Discards the bytes that are not written yet. The writer is notified, and fails if
-	 * it writes again.
-	 */
-	private void discardUnwritten() {
-		Runnable action;
-		synchronized (this) {
-			action = this.pendingWrite.discard();
-		}
-		action.run();
-	}
-
 	boolean isOpen() {
 		return this.channel.isOpen();
 	}
 
-	/**
-	 * Closes the connection if its peer keeps it open for too long after
-	 * {@link #closeGracefully()}.
-	 * @param closingSinceBeforeMillis the connection is closed if its graceful close
-	 * began before this time
-	 * @return whether the connection is closed now
-	 */
-	boolean closeIfClosingSinceBefore(long closingSinceBeforeMillis) {
-		synchronized (this) {
-			if (this.channel.isOpen() && this.closingSinceMillis > closingSinceBeforeMillis) {
-				return false;
-			}
-		}
-		close();
-		return true;
-	}
-
 	/**
 	 * Returns the received bytes without taking them.
 	 * @return the bytes, may be empty
@@ -230,7 +216,7 @@
 		synchronized (this) {
 			wasFull = this.received.isFull();
 			if (!this.received.isEmpty()) {
-				this.onTaking.run();
+				this.actions.onTaking().run();
 			}
 			taken = this.received.take();
 		}
@@ -257,10 +243,8 @@
 	 * @throws IOException if the connection failed
 	 */
 	boolean write(ByteString bytes, Runnable whenWritten) throws IOException {
-		synchronized (this) {
-			if (this.pendingWrite.start(bytes, whenWritten)) {
-				return true;
-			}
+		if (this.pendingWrite.start(bytes, whenWritten)) {
+			return true;
 		}
 		this.acceptor.execute(this::updateInterest);
 		return false;
@@ -282,22 +266,13 @@
 	}
 
 	private void writeRemaining() {
-		Runnable action = NO_ACTION;
-		boolean failed = false;
-		synchronized (this) {
-			try {
-				action = this.pendingWrite.resume();
-			}
-			catch (IOException ex) {
-				// The writer is notified when the connection is closed.
-				failed = true;
-			}
+		try {
+			this.pendingWrite.resume();
 		}
-		// Runs outside the lock because actions acquire locks of their own.
-		if (failed) {
+		catch (IOException ex) {
+			// The writer is notified when the connection is closed.
 			close();
 		}
-		action.run();
 	}
 
 	/**
@@ -305,7 +280,7 @@
 	 * @return whether bytes were received, so that there may be more
 	 */
 	private boolean read() {
-		Runnable action = NO_ACTION;
+		Runnable action = SocketActions.NONE;
 		boolean hasReceived;
 		boolean endReached;
 		synchronized (this) {
@@ -313,10 +288,11 @@
 				return false;
 			}
 			int before = this.received.length();
-			endReached = readOnce();
+			endReached = this.channel.read(this.received);
 			hasReceived = this.received.length() > before;
 			if (hasReceived) {
-				action = this.onReceived;
+				action = this.actions.onReceived();
+				this.arrivals.onBytes(this.channel.now());
 			}
 		}
 		action.run();
@@ -329,57 +305,26 @@
 	private void markEnded() {
 		Runnable afterEnd;
 		Runnable afterReceived;
+		boolean closeNow;
 		synchronized (this) {
 			if (this.ended) {
 				return;
 			}
 			this.ended = true;
-			afterEnd = this.onEnded;
-			afterReceived = this.onReceived;
-			this.onEnded = NO_ACTION;
+			closeNow = this.closing;
+			afterEnd = this.actions.takeOnEnded();
+			afterReceived = this.actions.onReceived();
 		}
-		if (isClosing()) {
+		if (closeNow) {
 			close();
 		}
 		afterEnd.run();
 		afterReceived.run();
 	}
 
-	private synchronized boolean isClosing() {
-		return this.closing;
-	}
-
-	private boolean readOnce() {
-		try {
-			return this.acceptor.read(this.channel, this.received::add) < 0;
-		}
-		catch (IOException ex) {
-			// A reset is treated like an orderly close, since nothing is owed to the
-			// peer.
-			return true;
-		}
-	}
-
-	private boolean shutdownOutput() {
-		try {
-			this.channel.shutdownOutput();
-			return true;
-		}
-		catch (IOException ex) {
-			// The connection is already closed.
-			return false;
-		}
-	}
-
-	private void updateInterest() {
-		synchronized (this) {
-			if (!this.key.isValid()) {
-				return;
-			}
-			int reading = (this.ended || this.received.isFull()) ? 0 : SelectionKey.OP_READ;
-			int writing = this.pendingWrite.isPending() ? SelectionKey.OP_WRITE : 0;
-			this.key.interestOps(reading | writing);
-		}
+	private synchronized void updateInterest() {
+		boolean reading = !this.ended && !this.received.isFull();
+		this.channel.setInterest(reading, this.pendingWrite.isPending());
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/PendingWrite.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/PendingWrite.java
@@ -7,8 +7,7 @@
 import org.apache.pekko.util.ByteString;
 
 /**
- * Write to a socket that may take several attempts. Not thread-safe; guarded by the lock
- * of its socket.
+ * Write to a socket that may take several attempts; thread-safe.
  *
  * @author The marjoramgw authors
  */
@@ -30,12 +29,12 @@
 	/**
 	 * Starts to write. The write before must have ended.
 	 * @param bytes the bytes
-	 * @param whenWritten returned by {@link #resume()} or {@link #discard()}, unless the
-	 * bytes are written immediately
+	 * @param whenWritten called when the bytes were written or discarded, unless they are
+	 * written immediately
 	 * @return whether the bytes were written immediately
 	 * @throws IOException if the connection failed
 	 */
-	boolean start(ByteString bytes, Runnable whenWritten) throws IOException {
+	synchronized boolean start(ByteString bytes, Runnable whenWritten) throws IOException {
 		this.unwritten = bytes.toByteBuffer();
 		this.channel.write(this.unwritten);
 		if (!isPending()) {
@@ -47,27 +46,35 @@
 
 	/**
 	 * Writes what the socket takes now.
-	 * @return action to run without the lock, which does nothing if bytes remain
 	 * @throws IOException if the connection failed
 	 */
-	Runnable resume() throws IOException {
-		this.channel.write(this.unwritten);
-		return isPending() ? NO_ACTION : takeAction();
+	void resume() throws IOException {
+		Runnable action;
+		synchronized (this) {
+			this.channel.write(this.unwritten);
+			action = isPending() ? NO_ACTION : takeAction();
+		}
+		action.run();
 	}
 
 	/**
-	 * Discards the bytes that are not written yet.
-	 * @return action to run without the lock
+	 * Discards the bytes that are not written yet. The writer is notified, and fails if
+	 * it writes again.
 	 */
-	Runnable discard() {
-		this.unwritten = ByteBuffer.allocate(0);
-		return takeAction();
+	void discard() {
+		Runnable action;
+		synchronized (this) {
+			this.unwritten = ByteBuffer.allocate(0);
+			action = takeAction();
+		}
+		action.run();
 	}
 
-	boolean isPending() {
+	synchronized boolean isPending() {
 		return this.unwritten.hasRemaining();
 	}
 
+	// Actions run outside the lock because they acquire locks of their own.
 	private Runnable takeAction() {
 		Runnable action = this.onWritten;
 		this.onWritten = NO_ACTION;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -11,17 +11,16 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 
 import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.HostPort;
-import org.marjoramgw.MillisClock;
 import org.marjoramgw.program.Pause;
+import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.ClockReading;
 import org.tinylog.Logger;
 
 /**
@@ -41,13 +40,6 @@
 	/** Size of the read buffer. */
 	private static final int READ_BYTES = 32 << 10;
 
-	/**
-	 * Time that a peer has to close a connection that was closed on this side, in
-	 * milliseconds. Closing the socket immediately could discard bytes in transit to the
-	 * peer.
-	 */
-	private static final long LINGER_MILLIS = 1_000;
-
 	/** Interval at which lingering connections are checked, in milliseconds. */
 	private static final long LINGER_CHECK_MILLIS = 200;
 
@@ -58,13 +50,13 @@
 
 	private final Selector selector;
 
-	private final MillisClock clock;
+	private final AgeClock clock;
 
 	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
 
 	private final ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BYTES);
 
-	private final Set<AcceptedSocket> lingering = new LinkedHashSet<>();
+	private final LingeringSockets lingering = new LingeringSockets();
 
 	private final List<AcceptedSocket> unservedSockets = new ArrayList<>();
 
@@ -72,7 +64,7 @@
 
 	private volatile boolean closed;
 
-	private SocketAcceptor(ServerSocketChannel server, Selector selector, MillisClock clock) {
+	private SocketAcceptor(ServerSocketChannel server, Selector selector, AgeClock clock) {
 		this.server = server;
 		this.selector = selector;
 		this.clock = clock;
@@ -81,11 +73,11 @@
 	/**
 	 * Starts listening.
 	 * @param address address to listen on
-	 * @param clock monotonic clock
+	 * @param clock clock of the arrival of requests
 	 * @return the acceptor, which already accepts and reads
 	 * @throws IOException if the address can't be bound
 	 */
-	public static SocketAcceptor bind(HostPort address, MillisClock clock) throws IOException {
+	public static SocketAcceptor bind(HostPort address, AgeClock clock) throws IOException {
 		ServerSocketChannel server = ServerSocketChannel.open();
 		server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
 		server.bind(address.toSocketAddress(), BACKLOG);
@@ -151,11 +143,8 @@
 	 * @param socket a socket whose output is shut down
 	 */
 	void linger(AcceptedSocket socket) {
-		execute(() -> {
-			if (socket.isOpen()) {
-				this.lingering.add(socket);
-			}
-		});
+		long sinceMillis = now().monotonicMillis();
+		execute(() -> this.lingering.add(socket, sinceMillis));
 	}
 
 	/**
@@ -176,8 +165,8 @@
 		}
 	}
 
-	long nowMillis() {
-		return this.clock.nowMillis();
+	ClockReading now() {
+		return this.clock.now();
 	}
 
 	private void run() {
@@ -186,7 +175,7 @@
 				this.selector.select(this.lingering.isEmpty() ? 0 : LINGER_CHECK_MILLIS);
 				runTasks();
 				handleSelected();
-				closeLingering();
+				this.lingering.closeOverdue(now().monotonicMillis());
 			}
 		}
 		catch (IOException ex) {
@@ -260,6 +249,8 @@
 			SelectionKey key = channel.register(this.selector, SelectionKey.OP_READ);
 			AcceptedSocket socket = new AcceptedSocket(this, channel, key);
 			key.attach(socket);
+			// Bytes that already lie there arrived no later than now.
+			socket.onSelected(SelectionKey.OP_READ);
 			if (this.receiver != null) {
 				this.receiver.accept(socket);
 			}
@@ -273,11 +264,6 @@
 		}
 	}
 
-	private void closeLingering() {
-		long closingSinceBefore = nowMillis() - LINGER_MILLIS;
-		this.lingering.removeIf((socket) -> socket.closeIfClosingSinceBefore(closingSinceBefore));
-	}
-
 	private void closeAll() {
 		closeQuietly(this.server);
 		for (SelectionKey key : this.selector.keys()) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
@@ -13,12 +13,12 @@
 import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.CompletionStages;
 import org.marjoramgw.HostPort;
-import org.marjoramgw.MillisClock;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.HttpListener;
+import org.marjoramgw.time.AgeClock;
 import org.tinylog.Logger;
 
 /**
@@ -45,7 +45,7 @@
 
 	private final Samples samples;
 
-	private final MillisClock clock;
+	private final AgeClock clock;
 
 	private final int maxRequests;
 
@@ -61,14 +61,14 @@
 	 * @param listener listener for the sample backend server
 	 * @param connector connector for the sample requests
 	 * @param samples sample messages
-	 * @param clock monotonic clock
+	 * @param clock clock that measures ages
 	 * @param maxRequests maximum number of requests to send
 	 * @param limitMillis maximum duration, in milliseconds
 	 * @param superseded whether caller requests already warm up the process, which ends
 	 * the warm-up
 	 */
 	public WarmUp(ActorSystem<?> system, HttpListener listener, HttpConnector connector, Samples samples,
-			MillisClock clock, int maxRequests, long limitMillis, BooleanSupplier superseded) {
+			AgeClock clock, int maxRequests, long limitMillis, BooleanSupplier superseded) {
 		this.system = system;
 		this.listener = listener;
 		this.connector = connector;
@@ -85,7 +85,7 @@
 	 * @return completes when the warm-up has ended; never fails
 	 */
 	public CompletionStage<Void> run(Target target) {
-		long endMillis = this.clock.nowMillis() + this.limitMillis;
+		long endMillis = this.clock.now().monotonicMillis() + this.limitMillis;
 		return this.listener.bind(ANY_LOOPBACK_PORT, this.samples::respond)
 			.thenCompose((server) -> sendToTarget(target, records(server), endMillis)
 				.whenComplete((done, failure) -> server.unbind()))
@@ -116,7 +116,7 @@
 
 	private CompletionStage<Void> sendAll(HostPort address, long endMillis) {
 		if (this.sent.get() >= this.maxRequests || this.superseded.getAsBoolean()
-				|| this.clock.nowMillis() >= endMillis) {
+				|| this.clock.now().monotonicMillis() >= endMillis) {
 			return CompletableFuture.completedFuture(null);
 		}
 		return this.connector.connect(address, CONNECT_TIMEOUT_MILLIS)
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -124,12 +124,12 @@
 	private ForwardingFixture(EarlyCallers earlyCallers, GuardFactory guards, BodyBudget bodyBudget,
 			ScriptedServer... servers) throws Exception {
 		MillisClock monotonicClock = new SystemMillisClock();
-		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), monotonicClock);
+		AgeClock clock = new AgeClock(monotonicClock, monotonicClock);
+		this.acceptor = SocketAcceptor.bind(new HostPort("127.0.0.1", 0), clock);
 		this.address = this.acceptor.address();
 		earlyCallers.call(this);
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "bed", config);
-		AgeClock clock = new AgeClock(monotonicClock, monotonicClock);
 		HeaderDialect dialect = new HeaderDialect();
 		ActiveRouting routing = new ActiveRouting("config", RoutingDocument::decode, clock);
 		routing.onSnapshot(List.of(record("config", CONFIGURATION)));
@@ -153,8 +153,7 @@
 				clock, timers, random);
 		this.forwarder = new Forwarder(context);
 		this.listener = new CallerListener(this.system, ServerSettings.create(config), timers,
-				() -> CallerLimits.DEFAULT, (preview) -> routing.rank(preview.host(), preview.path()),
-				this.forwarder::handle);
+				() -> CallerLimits.DEFAULT, this.forwarder::unread, this.forwarder::handle);
 		this.listener.serve(this.acceptor);
 	}
 
--- /dev/null
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
@@ -0,0 +1,272 @@
+package org.marjoramgw.platform;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.model.headers.RawRequestURI;
+import org.marjoramgw.MillisClock;
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.direct.caller.CallerConnection;
+import org.marjoramgw.time.ClockReading;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests requests that wait unread: before the process serves callers, in the queue of
+ * connections to be opened, or on a kept connection behind another request.
+ *
+ * @author The marjoramgw authors
+ */
+public class WaitingRequestTests {
+
+	private static final String KEY = "Authorization: Token key-1\r\n";
+
+	/** Longest time between the end of a request's time and its answer. */
+	private static final long ANSWER_MILLIS = 500;
+
+	/** Deadline of callers, less than the timeout of the routes of the fixture. */
+	private static final long DEADLINE_MILLIS = 1_400;
+
+	private static final long ROUTE_TIMEOUT_MILLIS = 1_500;
+
+	private static final long WAIT_MILLIS = 600;
+
+	/** Time after which the acceptor has read what was sent. */
+	private static final long READ_MILLIS = 50;
+
+	/** Connections that occupy the queue for 2.5 s: four at a time for 100 ms each. */
+	private static final int QUEUE_LENGTH = 100;
+
+	private static final Pattern DEADLINE_HEADER = Pattern.compile("(?i)x-deadline-ms: (\\d+)");
+
+	private static final int WAIT_SECONDS = 10;
+
+	private final MillisClock clock = new SystemMillisClock();
+
+	@DataProvider
+	public Object[][] targets() {
+		return new Object[][] { { "POST /book/1" }, { "GET /read/1" }, { "POST /stream/1" }, { "POST /resume/1" } };
+	}
+
+	@Test(dataProvider = "targets")
+	public void deadlineOfRequestThatWaitedForTheStartEndsWithTheCallers(String target) throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		long[] waitedMillis = { 0 };
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture((early) -> {
+					callers.add(early.open(target, KEY + deadline(DEADLINE_MILLIS), ""));
+					pause(READ_MILLIS);
+					waitedMillis[0] = pause(WAIT_MILLIS);
+				}, server)) {
+			Assert.assertEquals(readStatus(callers.get(0)), "HTTP/1.1 200");
+			Assert.assertTrue(deadlineMillis(server, 0) + waitedMillis[0] <= DEADLINE_MILLIS,
+					deadlineMillis(server, 0) + " ms after " + waitedMillis[0] + " ms");
+		}
+		finally {
+			closeAll(callers);
+		}
+	}
+
+	@Test(dataProvider = "targets")
+	public void deadlineOfRequestReadAheadOnKeptConnectionEndsWithTheCallers(String target) throws Exception {
+		CountDownLatch firstReceived = new CountDownLatch(1);
+		CountDownLatch mayAnswer = new CountDownLatch(1);
+		ScriptedServer.Script script = (request, connection) -> {
+			if (request.startsWith("POST /long-book/")) {
+				firstReceived.countDown();
+				await(mayAnswer);
+			}
+			return respond(request, connection);
+		};
+		try (ScriptedServer server = new ScriptedServer(script);
+				ForwardingFixture fixture = new ForwardingFixture(server);
+				Socket caller = fixture.open("POST /long-book/1", KEY, "first")) {
+			await(firstReceived);
+			ForwardingFixture.send(caller, target, KEY + deadline(DEADLINE_MILLIS), "");
+			pause(READ_MILLIS);
+			long waitedMillis = pause(WAIT_MILLIS);
+			mayAnswer.countDown();
+			Assert.assertEquals(readStatus(caller), "HTTP/1.1 200");
+			awaitRequests(server, 2);
+			Assert.assertTrue(deadlineMillis(server, 1) + waitedMillis <= DEADLINE_MILLIS,
+					deadlineMillis(server, 1) + " ms after " + waitedMillis + " ms");
+		}
+	}
+
+	@DataProvider
+	public Object[][] times() {
+		return new Object[][] { { deadline(500), 500 }, { "", ROUTE_TIMEOUT_MILLIS } };
+	}
+
+	@Test(dataProvider = "times")
+	public void requestWhoseTimeEndsInTheQueueIsAnsweredInTime(String deadline, long timeMillis) throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		long[] sentMillis = { 0 };
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture((early) -> {
+					openIncomplete(early, callers);
+					callers.add(early.open("POST /book/late", KEY + deadline, "order"));
+					sentMillis[0] = this.clock.nowMillis();
+				}, server)) {
+			Socket caller = callers.get(QUEUE_LENGTH);
+			Assert.assertEquals(readStatus(caller), "HTTP/1.1 503");
+			long tookMillis = this.clock.nowMillis() - sentMillis[0];
+			Assert.assertTrue(tookMillis <= timeMillis + ANSWER_MILLIS, "answered after " + tookMillis + " ms");
+			String rest = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			Assert.assertTrue(rest.contains("Retry-After: ") && rest.contains("X-Request-Id: r1\r\n"), rest);
+			Assert.assertTrue(rest.contains("\"code\":2020"), rest);
+			Assert.assertEquals(server.requests(), List.of());
+		}
+		finally {
+			closeAll(callers);
+		}
+	}
+
+	@Test
+	public void requestWhoseTimeEndedBeforeTheStartIsAnsweredAtOnce() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture((early) -> {
+					openIncomplete(early, callers);
+					callers.add(early.open("POST /book/late", KEY + deadline(WAIT_MILLIS / 2), "order"));
+					pause(WAIT_MILLIS);
+				}, server)) {
+			long servedMillis = this.clock.nowMillis();
+			Assert.assertEquals(readStatus(callers.get(QUEUE_LENGTH)), "HTTP/1.1 503");
+			long tookMillis = this.clock.nowMillis() - servedMillis;
+			Assert.assertTrue(tookMillis <= ANSWER_MILLIS, "answered after " + tookMillis + " ms");
+			Assert.assertEquals(server.requests(), List.of());
+		}
+		finally {
+			closeAll(callers);
+		}
+	}
+
+	@Test
+	public void requestOfCallerThatLeftTheQueueIsNotForwarded() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture((early) -> {
+					openIncomplete(early, callers);
+					callers.add(early.open("GET /read/gone", KEY, ""));
+				}, server)) {
+			pause(WAIT_MILLIS);
+			closeAll(callers);
+			Assert.assertTrue(fixture.call("GET /read/stays", KEY, "").startsWith("HTTP/1.1 200 "));
+			Assert.assertEquals(server.requests().size(), 1);
+		}
+		finally {
+			closeAll(callers);
+		}
+	}
+
+	@Test(dataProvider = "targets")
+	public void requestWithUnfinishedBodyIsAnsweredInTime(String target) throws Exception {
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture(server);
+				Socket caller = fixture.connect(0)) {
+			String head = target + " HTTP/1.1\r\nHost: carob.example\r\nX-Request-Id: r1\r\nContent-Length: 10\r\n";
+			caller.getOutputStream().write((head + KEY + "\r\nhalf").getBytes(StandardCharsets.ISO_8859_1));
+			long sentMillis = this.clock.nowMillis();
+			Assert.assertEquals(readStatus(caller), "HTTP/1.1 503");
+			long tookMillis = this.clock.nowMillis() - sentMillis;
+			Assert.assertTrue(tookMillis <= ROUTE_TIMEOUT_MILLIS + ANSWER_MILLIS, "answered after " + tookMillis);
+			Assert.assertEquals(server.requests(), List.of());
+		}
+	}
+
+	/**
+	 * The monotonic clock stands still while the VM is suspended.
+	 */
+	@Test
+	public void requestThatWaitedInSuspendedVmIsNotForwarded() throws Exception {
+		long nowMillis = this.clock.nowMillis();
+		ClockReading arrived = new ClockReading(nowMillis, nowMillis - ROUTE_TIMEOUT_MILLIS);
+		HttpRequest request = HttpRequest.GET("/read/1")
+			.addHeader(RawRequestURI.create("/read/1"))
+			.addHeader(RawHeader.create("Host", "carob.example"))
+			.addHeader(RawHeader.create("Authorization", "Token key-1"));
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture(server)) {
+			CallerConnection connection = new CallerConnection(new FakeCallerSocket(arrived, false));
+			HttpResponse response = fixture.forwarder()
+				.handle(request, connection)
+				.toCompletableFuture()
+				.get(WAIT_SECONDS, TimeUnit.SECONDS);
+			Assert.assertEquals(response.status().intValue(), 503);
+			Assert.assertEquals(server.requests(), List.of());
+		}
+	}
+
+	private static boolean respond(String request, Socket connection) throws IOException {
+		return ScriptedServer.write(connection,
+				ScriptedServer.head("200 OK", request, "Content-Length: 4\r\n") + "good");
+	}
+
+	/**
+	 * Opens connections whose heads never end, so that each is opened for as long as a
+	 * connection can be.
+	 */
+	private static void openIncomplete(ForwardingFixture fixture, List<Socket> callers) throws IOException {
+		String incomplete = "POST /book/waits HTTP/1.1\r\nHost: carob.example\r\n";
+		for (int number = 0; number < QUEUE_LENGTH; number++) {
+			Socket caller = fixture.connect(0);
+			caller.getOutputStream().write(incomplete.getBytes(StandardCharsets.ISO_8859_1));
+			callers.add(caller);
+		}
+	}
+
+	private static String deadline(long millis) {
+		return "X-Deadline-Ms: " + millis + "\r\n";
+	}
+
+	private static long deadlineMillis(ScriptedServer server, int index) {
+		Matcher deadline = DEADLINE_HEADER.matcher(server.requests().get(index));
+		Assert.assertTrue(deadline.find(), server.requests().get(index));
+		return Long.parseLong(deadline.group(1));
+	}
+
+	private static String readStatus(Socket caller) throws IOException {
+		return new String(caller.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+	}
+
+	private long pause(long millis) throws InterruptedException {
+		long startMillis = this.clock.nowMillis();
+		Thread.sleep(millis);
+		return this.clock.nowMillis() - startMillis;
+	}
+
+	private void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
+		long endMillis = this.clock.nowMillis() + TimeUnit.SECONDS.toMillis(WAIT_SECONDS);
+		while (server.requests().size() < count && this.clock.nowMillis() < endMillis) {
+			Thread.sleep(10);
+		}
+	}
+
+	private static void closeAll(List<Socket> callers) throws IOException {
+		for (Socket caller : callers) {
+			caller.close();
+		}
+	}
+
+	private static void await(CountDownLatch latch) throws IOException {
+		try {
+			Assert.assertTrue(latch.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		}
+		catch (InterruptedException ex) {
+			throw new IOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/deadline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of org.marjoramgw.policy.deadline.
+ */
+package org.marjoramgw.policy.deadline;
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/limiter/StartLimiterTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/limiter/StartLimiterTests.java
@@ -8,6 +8,7 @@
 
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -19,6 +20,11 @@
 
 	private final List<String> started = new ArrayList<>();
 
+	@BeforeMethod
+	public void clear() {
+		this.started.clear();
+	}
+
 	@Test
 	public void startsByPriorityThenArrival() {
 		List<String> order = new ArrayList<>();
@@ -47,6 +53,31 @@
 		Assert.assertEquals(this.started, List.of("first", "next"));
 	}
 
+	@Test
+	public void withdrawnRequestNeverStarts() {
+		StartLimiter limiter = new StartLimiter(1, Runnable::run);
+		StartLimiter.Permit first = limiter.acquire(0, () -> this.started.add("first"));
+		StartLimiter.Permit second = limiter.acquire(0, () -> this.started.add("withdrawn"));
+		Assert.assertFalse(first.withdraw(), "it has started");
+		Assert.assertTrue(second.withdraw());
+		Assert.assertFalse(second.withdraw(), "it no longer waits");
+		first.release();
+		second.release();
+		Assert.assertEquals(this.started, List.of("first"));
+		Assert.assertTrue(limiter.tryAcquire().isPresent(), "nothing is starting");
+	}
+
+	@Test
+	public void permitWithoutWaitingIsRefusedAtTheLimit() {
+		StartLimiter limiter = new StartLimiter(1, Runnable::run);
+		StartLimiter.Permit first = limiter.tryAcquire().get();
+		Assert.assertTrue(limiter.tryAcquire().isEmpty());
+		limiter.acquire(0, () -> this.started.add("next"));
+		Assert.assertEquals(this.started, List.of());
+		first.release();
+		Assert.assertEquals(this.started, List.of("next"));
+	}
+
 	@Test
 	public void neverExceedsTheLimit() {
 		Random random = TestSeed.random(6);
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/deadline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decides until when a request can still be served.
+ */
+package org.marjoramgw.policy.deadline;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.policy.limiter;
 
 import java.util.Comparator;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 
@@ -17,6 +18,9 @@
  */
 public final class StartLimiter {
 
+	private static final Runnable NO_ACTION = () -> {
+	};
+
 	private final int maxStarting;
 
 	private final Executor executor;
@@ -60,6 +64,21 @@
 		return permit;
 	}
 
+	/**
+	 * Requests a permit without waiting.
+	 * @return the permit, to be released once the request has started or is abandoned, or
+	 * empty if the number of starting requests has reached the limit
+	 */
+	public synchronized Optional<Permit> tryAcquire() {
+		if (this.startingCount >= this.maxStarting) {
+			return Optional.empty();
+		}
+		Permit permit = new Permit(0, this.nextSequence++, NO_ACTION);
+		this.startingCount++;
+		permit.acquired = true;
+		return Optional.of(permit);
+	}
+
 	/**
 	 * Returns the number of requests that wait for a permit.
 	 * @return the number of requests
@@ -68,6 +87,12 @@
 		return this.waiting.size();
 	}
 
+	private synchronized boolean withdraw(Permit permit) {
+		boolean withdrawn = this.waiting.remove(permit);
+		permit.released |= withdrawn;
+		return withdrawn;
+	}
+
 	private void release(Permit permit) {
 		Permit next;
 		synchronized (this) {
@@ -117,6 +142,14 @@
 			StartLimiter.this.release(this);
 		}
 
+		/**
+		 * Takes the request out of the queue if it still waits. It never starts then.
+		 * @return whether it was waiting; false if it was started or released before
+		 */
+		public boolean withdraw() {
+			return StartLimiter.this.withdraw(this);
+		}
+
 	}
 
 }
