--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -18,7 +18,6 @@
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.direct.caller.CallerListener;
-import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
@@ -150,19 +149,20 @@
 	/**
 	 * Creates a process.
 	 * @param lifecycle lifecycle of the process, whose signals are handled already
-	 * @param monotonicClock monotonic clock, the same as that of the lifecycle
 	 * @param settingsFile settings of the process
+	 * @param monotonicClock monotonic clock, the same as that of the lifecycle
+	 * @param clock clock that measures ages, also that of the acceptor
 	 * @param callerAcceptor acceptor that already listens for callers
 	 * @param platformFactory creates the platform adapter from the actor system and a
 	 * connector
 	 */
-	public DirectProcess(Lifecycle lifecycle, MillisClock monotonicClock, SettingsFile settingsFile,
+	public DirectProcess(Lifecycle lifecycle, SettingsFile settingsFile, MillisClock monotonicClock, AgeClock clock,
 			SocketAcceptor callerAcceptor, BiFunction<ActorSystem<?>, HttpConnector, Platform> platformFactory) {
 		this.lifecycle = lifecycle;
-		this.monotonicClock = monotonicClock;
-		this.clock = new AgeClock(monotonicClock, System::currentTimeMillis);
-		this.lastMaintenance = this.clock.now();
 		this.settings = settingsFile;
+		this.monotonicClock = monotonicClock;
+		this.clock = clock;
+		this.lastMaintenance = clock.now();
 		this.callerAcceptor = callerAcceptor;
 		Config config = ConfigFactory.load("direct");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry", config);
@@ -186,6 +186,7 @@
 		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
+		this.registry.register("connections.waiting", (Gauge<Integer>) this.callerListener::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
 	}
 
@@ -233,8 +234,8 @@
 			this.warmedUp = true;
 			return;
 		}
-		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.monotonicClock,
-				WARM_UP_REQUESTS, WARM_UP_LIMIT_MILLIS, this::isWarmUpSuperseded)
+		new WarmUp(this.system, this.listener, this.connector, this.platform.samples(), this.clock, WARM_UP_REQUESTS,
+				WARM_UP_LIMIT_MILLIS, this::isWarmUpSuperseded)
 			.run(this::startSampleListener)
 			.thenAccept((done) -> {
 				this.warmedUp = true;
@@ -260,14 +261,10 @@
 	}
 
 	private CallerListener callerListener(Forwarder target) {
-		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, this::rank,
+		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, target::unread,
 				target::handle);
 	}
 
-	private int rank(HeadPreview preview) {
-		return this.routing.rank(preview.host(), preview.path());
-	}
-
 	private long maxAgeMillis() {
 		return this.settings.get().revocationMillis() - REVOCATION_MARGIN_MILLIS;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -20,9 +20,6 @@
  */
 final class AttemptLauncher {
 
-	/** Minimum remaining time for another attempt, in milliseconds. */
-	static final long MIN_REMAINING_MILLIS = 30;
-
 	private final ForwardingContext context;
 
 	private final RequestState state;
@@ -61,7 +58,7 @@
 	 */
 	Attempt choose(ResultCode reason) throws RequestRejectedException {
 		AttemptHistory history = this.state.history();
-		if (this.state.remainingMillis() < MIN_REMAINING_MILLIS) {
+		if (!this.state.maySend()) {
 			throw new RequestRejectedException(ResultCode.TIMEOUT_BEFORE_SEND, "");
 		}
 		Optional<BackendServer> server = history.mayTry()
@@ -161,7 +158,7 @@
 				this.state.selectService();
 				this.listener.onUnsendable(attempt, "route no longer uses this service");
 			}
-			else if (this.state.remainingMillis() < MIN_REMAINING_MILLIS) {
+			else if (!this.state.maySend()) {
 				this.listener.onUnsendable(attempt, "deadline too close before sending");
 			}
 			else if (obstacle.isPresent()) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/LingeringSockets.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/LingeringSockets.java
@@ -1,32 +1,36 @@
 package org.marjoramgw.direct.socket;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
- * Sockets that were closed on this side and that their peers may still close. Closing a
- * socket immediately could discard bytes in transit to the peer. Used by the reading
- * thread alone.
+ * Sockets whose output has ended and whose peers have not closed them yet. Not
+ * thread-safe; used by the reading thread.
  *
  * @author The marjoramgw authors
  */
 final class LingeringSockets {
 
-	/** Time that a peer has to close a connection, in milliseconds. */
+	/**
+	 * Time that a peer has to close a connection that was closed on this side, in
+	 * milliseconds. Closing the socket immediately could discard bytes in transit to the
+	 * peer.
+	 */
 	private static final long LINGER_MILLIS = 1_000;
 
-	/** Interval at which the connections are checked, in milliseconds. */
+	/** Interval at which the sockets are checked, in milliseconds. */
 	private static final long CHECK_MILLIS = 200;
 
-	private final Set<AcceptedSocket> sockets = new LinkedHashSet<>();
+	private final Map<AcceptedSocket, Long> sinceMillisBySocket = new LinkedHashMap<>();
 
 	/**
-	 * Adds a socket unless it was closed meanwhile.
-	 * @param socket a socket whose output is shut down
+	 * Adds a socket, unless it is closed.
+	 * @param socket the socket
+	 * @param sinceMillis time of the monotonic clock at which its output ended
 	 */
-	void add(AcceptedSocket socket) {
+	void add(AcceptedSocket socket, long sinceMillis) {
 		if (socket.isOpen()) {
-			this.sockets.add(socket);
+			this.sinceMillisBySocket.put(socket, sinceMillis);
 		}
 	}
 
@@ -35,15 +39,21 @@
 	 * @return the time, in milliseconds, or 0 if there is nothing to check
 	 */
 	long checkMillis() {
-		return this.sockets.isEmpty() ? 0 : CHECK_MILLIS;
+		return this.sinceMillisBySocket.isEmpty() ? 0 : CHECK_MILLIS;
 	}
 
 	/**
-	 * Closes the sockets whose peers have taken too long.
-	 * @param nowMillis present time of the monotonic clock, in milliseconds
+	 * Closes the sockets whose peers keep them open for too long.
+	 * @param nowMillis present time of the monotonic clock
 	 */
-	void closeDue(long nowMillis) {
-		this.sockets.removeIf((socket) -> socket.closeIfClosingSinceBefore(nowMillis - LINGER_MILLIS));
+	void closeOverdue(long nowMillis) {
+		this.sinceMillisBySocket.entrySet().removeIf((entry) -> {
+			if (entry.getKey().isOpen() && nowMillis - entry.getValue() < LINGER_MILLIS) {
+				return false;
+			}
+			entry.getKey().close();
+			return true;
+		});
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -21,8 +21,9 @@
 
 import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.HostPort;
-import org.marjoramgw.MillisClock;
 import org.marjoramgw.program.Pause;
+import org.marjoramgw.time.AgeClock;
+import org.marjoramgw.time.ClockReading;
 import org.tinylog.Logger;
 
 /**
@@ -49,7 +50,7 @@
 
 	private final Selector selector;
 
-	private final MillisClock clock;
+	private final AgeClock clock;
 
 	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
 
@@ -67,7 +68,7 @@
 
 	private volatile boolean closed;
 
-	private SocketAcceptor(ServerSocketChannel server, Selector selector, MillisClock clock) {
+	private SocketAcceptor(ServerSocketChannel server, Selector selector, AgeClock clock) {
 		this.server = server;
 		this.selector = selector;
 		this.clock = clock;
@@ -76,11 +77,11 @@
 	/**
 	 * Starts listening.
 	 * @param address address to listen on
-	 * @param clock monotonic clock
+	 * @param clock clock of the arrival of requests
 	 * @return the acceptor, which already accepts and reads
 	 * @throws IOException if the address can't be bound
 	 */
-	public static SocketAcceptor bind(HostPort address, MillisClock clock) throws IOException {
+	public static SocketAcceptor bind(HostPort address, AgeClock clock) throws IOException {
 		ServerSocketChannel server = ServerSocketChannel.open();
 		server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
 		server.bind(address.toSocketAddress(), BACKLOG);
@@ -178,7 +179,8 @@
 	 * @param socket a socket whose output is shut down
 	 */
 	void linger(AcceptedSocket socket) {
-		execute(() -> this.lingering.add(socket));
+		long sinceMillis = now().monotonicMillis();
+		execute(() -> this.lingering.add(socket, sinceMillis));
 	}
 
 	/**
@@ -200,8 +202,8 @@
 		}
 	}
 
-	long nowMillis() {
-		return this.clock.nowMillis();
+	ClockReading now() {
+		return this.clock.now();
 	}
 
 	private void run() {
@@ -210,7 +212,7 @@
 				this.selector.select(this.lingering.checkMillis());
 				runTasks();
 				handleSelected();
-				this.lingering.closeDue(nowMillis());
+				this.lingering.closeOverdue(now().monotonicMillis());
 			}
 		}
 		catch (IOException ex) {
@@ -285,6 +287,8 @@
 			SelectionKey key = channel.register(this.selector, SelectionKey.OP_READ);
 			AcceptedSocket socket = new AcceptedSocket(this, channel, key);
 			key.attach(socket);
+			// Bytes that already lie there arrived no later than now.
+			socket.onSelected(SelectionKey.OP_READ);
 			if (this.receiver != null) {
 				this.receiver.accept(socket);
 			}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 
@@ -19,6 +20,9 @@
  */
 public final class StartLimiter {
 
+	private static final Runnable NO_ACTION = () -> {
+	};
+
 	private int maxStarting;
 
 	private final Executor executor;
@@ -62,6 +66,21 @@
 		return permit;
 	}
 
+	/**
+	 * Requests a permit without waiting.
+	 * @return the permit, to be released once the request has started or is abandoned, or
+	 * empty if the number of starting requests has reached the limit
+	 */
+	public synchronized Optional<Permit> tryAcquire() {
+		if (this.startingCount >= this.maxStarting) {
+			return Optional.empty();
+		}
+		Permit permit = new Permit(0, this.nextSequence++, NO_ACTION);
+		this.startingCount++;
+		permit.acquired = true;
+		return Optional.of(permit);
+	}
+
 	/**
 	 * Returns the number of requests that wait for a permit.
 	 * @return the number of requests
@@ -85,6 +104,12 @@
 		due.forEach((permit) -> this.executor.execute(permit.start));
 	}
 
+	private synchronized boolean withdraw(Permit permit) {
+		boolean withdrawn = this.waiting.remove(permit);
+		permit.released |= withdrawn;
+		return withdrawn;
+	}
+
 	private void release(Permit permit) {
 		Permit next;
 		synchronized (this) {
@@ -134,6 +159,14 @@
 			StartLimiter.this.release(this);
 		}
 
+		/**
+		 * Takes the request out of the queue if it still waits. It never starts then.
+		 * @return whether it was waiting; false if it was started or released before
+		 */
+		public boolean withdraw() {
+			return StartLimiter.this.withdraw(this);
+		}
+
 	}
 
 }
