--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogLine.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogLine.java
@@ -31,6 +31,8 @@
 
 	private static final Pattern SERVER = Pattern.compile("(?: servers?=|backend server )(\\S+)");
 
+	private static final Pattern SERVICE = Pattern.compile("(?: service=|backend server \\S+ of )(\\S+)");
+
 	private static final Pattern PROMPT_PART = Pattern.compile(" part=(\\S+)");
 
 	/**
@@ -89,6 +91,22 @@
 		return servers;
 	}
 
+	/**
+	 * Returns the service that the line names.
+	 * @return name of the service, or empty if the line names none
+	 */
+	Optional<String> service() {
+		return firstGroup(SERVICE);
+	}
+
+	/**
+	 * Tells whether a backend server said that it leaves, which holds until its end.
+	 * @return whether the line is about that
+	 */
+	boolean isLeavingWord() {
+		return this.message.endsWith(" said in an answer that it leaves");
+	}
+
 	/**
 	 * Returns the id of the prompt part that the line is about.
 	 * @return the id, or empty if the line names none
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
@@ -96,11 +96,14 @@
 	private static boolean isRelatedState(LogLine line, List<LogLine> requestLines, Set<String> servers) {
 		long firstMillis = requestLines.get(0).timeMillis();
 		long lastMillis = requestLines.get(requestLines.size() - 1).timeMillis();
-		boolean inWindow = line.timeMillis() >= firstMillis - STATE_WINDOW_MILLIS && line.timeMillis() <= lastMillis;
+		boolean recent = line.timeMillis() >= firstMillis - STATE_WINDOW_MILLIS || line.isLeavingWord();
+		boolean inWindow = recent && line.timeMillis() <= lastMillis;
 		if (!inWindow || line.requestId().isPresent() || line.isQuarantine()) {
 			return false;
 		}
 		return line.servers().stream().anyMatch(servers::contains)
+				|| line.service().isPresent()
+						&& requestLines.stream().map(LogLine::service).anyMatch(line.service()::equals)
 				|| STATE_MESSAGES.stream().anyMatch(line.message()::contains);
 	}
 
