Write the jitter of intervals and the least loaded choice once

LogConfigurationSource and ModelReconciler had the same formula for a random interval; LeastLoadedSelector and PowerOfTwoSelector the same choice among shuffled candidates, and the fixture of streams a write that ScriptedServer has (its flush does nothing on a socket). They are Jitter.aroundMillis, Candidates.leastLoaded and ScriptedServer.write now.

Open: the check of an HTTP status in HttpEngineOrderClient and HttpWeightStore, since its place is org.marjoramgw.http, where others work; the resource columns of EntryPeersMeasurement and SidePeersMeasurement, since no test runs them; FixedConfiguration and FixedConfigurationSource of two test modules.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EventStreamFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EventStreamFixture.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntFunction;
@@ -93,8 +92,7 @@
 	}
 
 	static void write(Socket connection, String bytes) throws IOException {
-		connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-		connection.getOutputStream().flush();
+		ScriptedServer.write(connection, bytes);
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/Candidates.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/Candidates.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 
@@ -22,4 +23,13 @@
 		return eligible;
 	}
 
+	/**
+	 * Selects the least loaded candidate, the first one among equally loaded ones.
+	 * @param eligible the candidates to choose from
+	 * @return a list of one candidate, or an empty list if there are none
+	 */
+	static List<Candidate> leastLoaded(List<Candidate> eligible) {
+		return eligible.stream().min(Comparator.comparingDouble(Candidate::load)).map(List::of).orElse(List.of());
+	}
+
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/LeastLoadedSelector.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/LeastLoadedSelector.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.policy.candidate;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 
@@ -23,11 +22,7 @@
 
 	@Override
 	public List<Candidate> select(CandidateQuery query, List<Candidate> live) {
-		return Candidates.shuffledEligible(query, live, this.random)
-			.stream()
-			.min(Comparator.comparingDouble(Candidate::load))
-			.map(List::of)
-			.orElse(List.of());
+		return Candidates.leastLoaded(Candidates.shuffledEligible(query, live, this.random));
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/PowerOfTwoSelector.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/PowerOfTwoSelector.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.policy.candidate;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 
@@ -25,12 +24,8 @@
 
 	@Override
 	public List<Candidate> select(CandidateQuery query, List<Candidate> live) {
-		return Candidates.shuffledEligible(query, live, this.random)
-			.stream()
-			.limit(CHOICES)
-			.min(Comparator.comparingDouble(Candidate::load))
-			.map(List::of)
-			.orElse(List.of());
+		List<Candidate> eligible = Candidates.shuffledEligible(query, live, this.random);
+		return Candidates.leastLoaded(eligible.subList(0, Math.min(CHOICES, eligible.size())));
 	}
 
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/ModelReconciler.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/ModelReconciler.java
@@ -20,6 +20,7 @@
 import org.marjoramgw.errors.OrderFencedException;
 import org.marjoramgw.errors.WeightStoreBusyException;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.time.Jitter;
 import org.tinylog.Logger;
 
 /**
@@ -45,7 +46,7 @@
 
 	private final String pool;
 
-	private final Random random;
+	private final Jitter jitter;
 
 	private final ResultCounters counters;
 
@@ -67,7 +68,7 @@
 		this.loader = loader;
 		this.configuration = configuration;
 		this.pool = pool;
-		this.random = random;
+		this.jitter = new Jitter(random);
 		this.counters = counters;
 		this.executor = Executors.newSingleThreadScheduledExecutor(new DaemonThreadFactory("engine-orders"));
 		fencingNumber.thenAccept((number) -> schedule(0, number));
@@ -91,7 +92,7 @@
 		try {
 			boolean complete = this.loader.loadNext(wantedModels(), fencing);
 			this.backoffMillis = MIN_BACKOFF_MILLIS;
-			schedule(complete ? jittered(RECONCILE_INTERVAL_MILLIS) : 0, fencing);
+			schedule(complete ? this.jitter.aroundMillis(RECONCILE_INTERVAL_MILLIS) : 0, fencing);
 		}
 		catch (OrderFencedException ex) {
 			this.counters.count(ResultCode.ORDER_FENCED);
@@ -108,14 +109,10 @@
 	private void backOff(ResultCode code, Exception cause, long fencing) {
 		this.counters.count(code);
 		Logger.warn("engine reconciliation failed, retrying after backoff: {}", cause.getMessage());
-		schedule(jittered(this.backoffMillis), fencing);
+		schedule(this.jitter.aroundMillis(this.backoffMillis), fencing);
 		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
 	}
 
-	private long jittered(long meanMillis) {
-		return meanMillis / 2 + (long) (this.random.nextDouble() * meanMillis);
-	}
-
 	private Set<String> wantedModels() {
 		Set<String> models = new TreeSet<>();
 		for (Service service : this.configuration.current().map(Configuration::services).orElse(Map.of()).values()) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/config/LogConfigurationSource.java
@@ -24,6 +24,7 @@
 import org.marjoramgw.errors.LogUnavailableException;
 import org.marjoramgw.log.LogService;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.time.Jitter;
 import org.marjoramgw.wire.Message;
 import org.tinylog.Logger;
 
@@ -50,7 +51,7 @@
 
 	private final IntSupplier fleetSize;
 
-	private final Random random;
+	private final Jitter jitter;
 
 	private final ResultCounters counters;
 
@@ -90,7 +91,7 @@
 		this.parser = parser;
 		this.pollMillis = pollMillis;
 		this.fleetSize = fleetSize;
-		this.random = random;
+		this.jitter = new Jitter(random);
 		this.counters = counters;
 		ConfigurationRecordCodec codec = new ConfigurationRecordCodec();
 		this.state = new ConfigurationState(codec);
@@ -194,7 +195,7 @@
 	private long nextPollMillis() {
 		long share = Math.max(1, this.fleetSize.getAsInt() / POLLS_PER_INTERVAL);
 		long meanMillis = this.pollMillis * share;
-		return meanMillis / 2 + (long) (this.random.nextDouble() * meanMillis);
+		return this.jitter.aroundMillis(meanMillis);
 	}
 
 	private synchronized void addPendingText() {
