Rank all waiting connections before the first is opened

Cause: the acceptor passes on the waiting sockets one at a time, and the first ones were opened meanwhile; on a slow start most were opened before the last was ranked. The queue is held now until all are passed on.

Evidence: with previews that take 20 ms each the most urgent of 31 requests was opened at position 29 without the change; the test passes with it.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.direct.socket.AcceptorFixture;
+import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.ClockReading;
 import org.marjoramgw.time.PekkoTimers;
 import org.testng.Assert;
@@ -47,9 +48,12 @@
 
 	private AcceptorFixture fixture;
 
+	private long examineMillis;
+
 	@BeforeMethod
 	public void start() throws Exception {
 		this.handled.clear();
+		this.examineMillis = 0;
 		this.fixture = new AcceptorFixture();
 	}
 
@@ -86,6 +90,12 @@
 		}
 	}
 
+	@Test
+	public void mostUrgentRequestIsOpenedFirstThoughTheOthersAreExaminedSlowly() throws Exception {
+		this.examineMillis = 20;
+		opensMostUrgentRequestFirst();
+	}
+
 	private void serve() {
 		new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
 				new PekkoTimers(this.fixture.system()), () -> CallerLimits.DEFAULT, this::examine, this::respond)
@@ -93,6 +103,7 @@
 	}
 
 	private UnreadRequest examine(HeadPreview preview, ClockReading arrived) {
+		Pause.millis(this.examineMillis);
 		return new FakeUnreadRequest(preview.target().equals(URGENT) ? 0 : 1);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -82,7 +82,7 @@
 	 * @param acceptor the acceptor
 	 */
 	public void serve(SocketAcceptor acceptor) {
-		acceptor.serve(this::accept);
+		acceptor.serve(this::accept, this.openingQueue.hold());
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct.caller;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executor;
 
 import org.marjoramgw.direct.socket.AcceptedSocket;
@@ -19,6 +21,9 @@
 	/** Maximum number of connections that are opened concurrently. */
 	private static final int MAX_OPENING_COUNT = 4;
 
+	private static final Runnable NO_ACTION = () -> {
+	};
+
 	private final Timers timers;
 
 	private final UnreadRequest.Factory requests;
@@ -39,6 +44,19 @@
 		this.executor = executor;
 	}
 
+	/**
+	 * Keeps all connections waiting until the returned action is run, so that the most
+	 * urgent one is known.
+	 * @return action that lets connections be opened
+	 */
+	Runnable hold() {
+		List<StartLimiter.Permit> held = new ArrayList<>();
+		for (int number = 0; number < MAX_OPENING_COUNT; number++) {
+			held.add(this.limiter.acquire(0, NO_ACTION));
+		}
+		return () -> held.forEach(StartLimiter.Permit::release);
+	}
+
 	/**
 	 * Returns the number of connections that wait.
 	 * @return the number of connections
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -106,10 +106,22 @@
 	 * block
 	 */
 	public void serve(Consumer<AcceptedSocket> receiver) {
+		serve(receiver, SocketActions.NONE);
+	}
+
+	/**
+	 * Passes all accepted sockets to a receiver, including those accepted before this
+	 * call.
+	 * @param receiver receiver of the sockets, called in the reading thread; must not
+	 * block
+	 * @param whenPassedOn called once the sockets accepted before were passed on
+	 */
+	public void serve(Consumer<AcceptedSocket> receiver, Runnable whenPassedOn) {
 		execute(() -> {
 			this.receiver = receiver;
 			this.unservedSockets.forEach(receiver);
 			this.unservedSockets.clear();
+			whenPassedOn.run();
 		});
 	}
 
