Begin nothing for a caller that left while its body was read

Such a request was cancelled, logged, and then started all the same: nothing was sent, but its prompt stayed under watch and in the count of open prompts for ever, and it counted for the retry budget.

EarlyDisconnectTests: 1 watch left before, 0 now.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -72,6 +72,10 @@
 	 * @return the final response
 	 */
 	synchronized CompletionStage<HttpResponse> start() {
+		if (this.completion.isResponded()) {
+			// The caller left while the body was read.
+			return this.completion.response();
+		}
 		try {
 			this.state.admit();
 			if (!this.owner.mayBegin(this.state.remainingMillis())) {
