--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
@@ -1,7 +1,9 @@
 package org.marjoramgw.platform;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -182,6 +184,8 @@
 			Assert.assertEquals(readStatus(caller), "HTTP/1.1 503");
 			long tookMillis = this.clock.nowMillis() - sentMillis;
 			Assert.assertTrue(tookMillis <= ROUTE_TIMEOUT_MILLIS + ANSWER_MILLIS, "answered after " + tookMillis);
+			String rest = readUntilClosed(caller);
+			Assert.assertTrue(rest.contains("Retry-After: ") && !rest.contains("HTTP/1.1"), rest);
 			Assert.assertEquals(server.requests(), List.of());
 		}
 	}
@@ -241,6 +245,22 @@
 		return new String(caller.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
 	}
 
+	/**
+	 * Sends the rest of a body, and another request, after the answer has come.
+	 */
+	private static String readUntilClosed(Socket caller) throws IOException {
+		ByteArrayOutputStream received = new ByteArrayOutputStream();
+		try {
+			caller.getOutputStream().write("finish".getBytes(StandardCharsets.ISO_8859_1));
+			ForwardingFixture.send(caller, "GET /read/2", KEY, "");
+			caller.getInputStream().transferTo(received);
+		}
+		catch (SocketException ex) {
+			// The connection was closed before the bytes came.
+		}
+		return received.toString(StandardCharsets.ISO_8859_1);
+	}
+
 	private long pause(long millis) throws InterruptedException {
 		long startMillis = this.clock.nowMillis();
 		Thread.sleep(millis);
