--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -83,7 +83,8 @@
 	 * @return completes when the connections accepted before are served
 	 */
 	public CompletionStage<Void> serve(SocketAcceptor acceptor) {
-		return acceptor.serve(this::accept);
+		Runnable open = this.openingQueue.hold();
+		return acceptor.serve(this::accept).thenRun(open);
 	}
 
 	/**
