--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
@@ -17,6 +17,12 @@
  */
 final class WaitingConnection {
 
+	/**
+	 * Longest wait of a request that neither its route nor its caller limits, in
+	 * milliseconds.
+	 */
+	private static final long MAX_WAIT_MILLIS = 60_000;
+
 	private final AcceptedSocket socket;
 
 	private final CallerConnection connection;
@@ -72,7 +78,7 @@
 		this.headKnown = preview.map(HeadPreview::complete).orElse(false);
 		this.permit = this.limiter.acquire(request.map(UnreadRequest::rank).orElse(Ranks.LEAST_URGENT), this.open);
 		if (this.headKnown) {
-			this.timer = this.timers.schedule(request.get().maxWaitMillis(),
+			this.timer = this.timers.schedule(Math.min(request.get().maxWaitMillis(), MAX_WAIT_MILLIS),
 					() -> refuseIfWaiting(request.get(), preview.get().isHeadOnly()));
 		}
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -130,7 +130,7 @@
 		CompletableFuture<Void> passedOn = new CompletableFuture<>();
 		execute(() -> {
 			this.receiver = receiver;
-			this.unservedSockets.forEach(receiver);
+			this.unservedSockets.forEach((socket) -> runGuarded(() -> receiver.accept(socket)));
 			this.unservedSockets.clear();
 			passedOn.complete(null);
 		});
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
@@ -50,6 +50,9 @@
 	/** Connections that occupy the queue for 2.5 s: four at a time for 100 ms each. */
 	private static final int QUEUE_LENGTH = 100;
 
+	/** Requests beyond those that are opened at once. */
+	private static final int UNLIMITED_COUNT = 12;
+
 	private static final Pattern DEADLINE_HEADER = Pattern.compile("(?i)x-deadline-ms: (\\d+)");
 
 	private static final int WAIT_SECONDS = 10;
@@ -135,6 +138,25 @@
 		}
 	}
 
+	@Test
+	public void requestsWithoutALimitOnTheirTimeAreAnswered() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+				ForwardingFixture fixture = new ForwardingFixture((early) -> {
+					for (int number = 0; number < UNLIMITED_COUNT; number++) {
+						callers.add(early.open("GET /unknown/1", deadline(Long.MAX_VALUE), ""));
+					}
+					pause(READ_MILLIS);
+				}, server)) {
+			for (Socket caller : callers) {
+				Assert.assertEquals(readStatus(caller), "HTTP/1.1 404");
+			}
+		}
+		finally {
+			closeAll(callers);
+		}
+	}
+
 	@Test
 	public void requestWhoseTimeEndedBeforeTheStartIsAnsweredAtOnce() throws Exception {
 		List<Socket> callers = new ArrayList<>();
