Bind an answer to its request by the place of its bytes, not by its id alone

Callers saw: 200 for a request that its server had answered with 404, the stamp of another answer, 503 (not run) for a request that had run, the late answer to an earlier request with the same id, and a body that ended in the head of a second answer.

Cause: bytes behind a complete answer, in the same read or before the connection was released, stayed in the library's parser until the next request; a second answer that is cut then merged with the head of the true one and took its id. Where the id comes twice, a whole late answer passed too. A first answer that is cut was completed by the second one.

Why it works: ResponseFrame follows each answer from the socket on and cuts what lies behind its end, before the parser; a connection with such bytes, or with an answer whose end is not certain, isn't used again. Bytes that cross a request can't be seen before the send: a second status line in a head, or in a body before the request's own id, breaks the answer (may have run, never "not run"). A connection carries each id once.

`stray bytes` in the log and stray_PLACE in the metrics tell the places apart, since the record can't.

Existing tests: two of ForwardingTests sent the same id in each call, which would no longer reuse a connection; their later calls have ids of their own now, so that they still meet the kept connection. strayBytesAfterResponseDontReachOtherRequests likewise.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -19,6 +19,7 @@
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.direct.backend.StrayBytesLog;
 import org.marjoramgw.direct.caller.CallerListener;
 import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.follow.ActiveRouting;
@@ -165,12 +166,13 @@
 		this.lag = new LagMeter(this.monotonicClock, this.timers);
 		this.serverSettings = ServerSettings.create(config);
 		this.listener = new HttpListener(this.system, this.serverSettings);
-		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config));
+		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config),
+				new StrayBytesLog(this.registry));
 		this.platform = platformFactory.apply(this.system, this.connector);
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers);
+				this.clock, this.timers, new StrayBytesLog(this.registry));
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -22,6 +22,7 @@
 import org.marjoramgw.direct.quarantine.QuarantineGuard;
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
+import org.marjoramgw.http.StrayBytes;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
@@ -100,9 +101,10 @@
 	 * @param monotonicClock monotonic clock
 	 * @param clock clock that measures ages
 	 * @param timers timers
+	 * @param strayBytes receiver of reports on bytes that belong to no response
 	 */
 	RequestPath(ActorSystem<?> system, Config config, Platform platform, SettingsFile settings,
-			MillisClock monotonicClock, AgeClock clock, Timers timers) {
+			MillisClock monotonicClock, AgeClock clock, Timers timers, StrayBytes strayBytes) {
 		this.system = system;
 		this.platform = platform;
 		this.settings = settings;
@@ -111,7 +113,7 @@
 		this.timers = timers;
 		this.health = new ServerHealth(monotonicClock);
 		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext());
-		this.connector = new HttpConnector(system, BackendHttpSettings.of(config));
+		this.connector = new HttpConnector(system, BackendHttpSettings.of(config), strayBytes);
 		this.pool = new ConnectionPool(this.connector, monotonicClock);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/ConnectionPool.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/ConnectionPool.java
@@ -53,10 +53,12 @@
 	 * Acquires a connection.
 	 * @param address address of the server
 	 * @param fresh whether to open a new connection instead of reusing an idle one
+	 * @param requestId id of the request that it is for; an idle connection that has
+	 * carried the id is not used
 	 * @return the connection; fails if it can't be established
 	 */
-	public CompletionStage<HttpConnection> acquire(HostPort address, boolean fresh) {
-		HttpConnection idleConnection = fresh ? null : takeIdle(address);
+	public CompletionStage<HttpConnection> acquire(HostPort address, boolean fresh, String requestId) {
+		HttpConnection idleConnection = fresh ? null : takeIdle(address, requestId);
 		if (idleConnection != null) {
 			return CompletableFuture.completedFuture(idleConnection);
 		}
@@ -103,12 +105,16 @@
 		this.idleByAddress.clear();
 	}
 
-	private synchronized HttpConnection takeIdle(HostPort address) {
-		Deque<IdleConnection> idle = this.idleByAddress.get(address);
+	private synchronized HttpConnection takeIdle(HostPort address, String requestId) {
+		Deque<IdleConnection> idle = this.idleByAddress.getOrDefault(address, new ArrayDeque<>());
 		long nowMillis = this.clock.nowMillis();
-		while (idle != null && !idle.isEmpty()) {
-			IdleConnection kept = idle.removeLast();
-			if (!kept.closeIfExpired(nowMillis)) {
+		for (Iterator<IdleConnection> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
+			IdleConnection kept = newestFirst.next();
+			if (kept.closeIfExpired(nowMillis)) {
+				newestFirst.remove();
+			}
+			else if (kept.connection.isUsableFor(requestId)) {
+				newestFirst.remove();
 				return kept.connection;
 			}
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -117,7 +117,7 @@
 			}
 			attempt.markStarted();
 			this.context.pool()
-				.acquire(attempt.server().address(), !this.state.route().isRepeatable())
+				.acquire(attempt.server().address(), !this.state.route().isRepeatable(), this.state.caller().id())
 				.whenComplete((connection, failure) -> onConnection(attempt, connection, failure));
 		}
 	}
@@ -172,7 +172,7 @@
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		this.state.history().onSent(this.state.ageMillis());
 		attempt.markSent(this.context.clock().now().monotonicMillis());
-		this.listener.onSent(attempt, attempt.connection().send(backendRequest));
+		this.listener.onSent(attempt, attempt.connection().send(backendRequest, this.state.caller().id()));
 		this.limitedStart.finish();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/warmup/WarmUp.java
@@ -129,7 +129,7 @@
 		if (count == 0 || !connection.isUsable() || this.superseded.getAsBoolean()) {
 			return CompletableFuture.completedFuture(null);
 		}
-		return connection.send(this.samples.request(this.sent.getAndIncrement()))
+		return connection.send(this.samples.request(this.sent.getAndIncrement()), "")
 			.thenCompose(this::read)
 			.thenCompose((read) -> {
 				connection.release();
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -36,6 +36,7 @@
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
+import org.marjoramgw.http.StrayBytes;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -140,7 +141,7 @@
 		Random random = TestSeed.random(7);
 		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
 		PromptPartition partition = new PromptPartition(monotonicClock);
-		HttpConnector connector = new HttpConnector(this.system, BackendHttpSettings.of(config));
+		HttpConnector connector = new HttpConnector(this.system, BackendHttpSettings.of(config), StrayBytes.IGNORED);
 		Timers timers = new PekkoTimers(this.system);
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS), this.directory, health,
@@ -223,7 +224,8 @@
 	}
 
 	/**
-	 * Sends a request on an open connection.
+	 * Sends a request on an open connection. Its id is {@code r1} unless the further
+	 * header lines have another.
 	 * @param caller the connection
 	 * @param target method and target
 	 * @param more further header lines, each with its line end
@@ -231,8 +233,9 @@
 	 * @throws IOException if the connection can't be used
 	 */
 	static void send(Socket caller, String target, String more, String body) throws IOException {
-		String head = target + " HTTP/1.1\r\nHost: carob.example\r\nX-Request-Id: r1\r\nContent-Length: "
-				+ body.length() + "\r\n" + more + "\r\n";
+		String id = more.contains("X-Request-Id: ") ? "" : "X-Request-Id: r1\r\n";
+		String head = target + " HTTP/1.1\r\nHost: carob.example\r\n" + id + "Content-Length: " + body.length() + "\r\n"
+				+ more + "\r\n";
 		caller.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
@@ -123,7 +123,7 @@
 		try (ScriptedServer server = new ScriptedServer(refusingOnReuse(used, refusal));
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			Assert.assertTrue(fixture.call("GET /read/1", KEY, "").endsWith("good"));
-			String response = fixture.call("GET /read/1", KEY, "");
+			String response = fixture.call("GET /read/1", KEY + "X-Request-Id: r2\r\n", "");
 			Assert.assertEquals(server.requests().size(), 2);
 			Assert.assertEquals(used.size(), 1, "the connection is kept");
 			Assert.assertTrue(response.startsWith("HTTP/1.1 502 "), response);
@@ -137,7 +137,8 @@
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			Assert.assertTrue(fixture.call("GET /read/1", KEY, "").endsWith("good"));
 			for (int call = 0; call < 3; call++) {
-				Assert.assertTrue(fixture.call("POST /book/1", KEY, "order").endsWith("good"));
+				String id = "X-Request-Id: b" + call + "\r\n";
+				Assert.assertTrue(fixture.call("POST /book/1", KEY + id, "order").endsWith("good"));
 			}
 		}
 	}
@@ -265,11 +266,12 @@
 		try (ScriptedServer server = new ScriptedServer(strayBytes);
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			for (int call = 0; call < 4; call++) {
-				String response = fixture.call("GET /read/1", KEY, "");
+				String response = fixture.call("GET /read/1", KEY + "X-Request-Id: r1" + call + "\r\n", "");
 				Assert.assertFalse(response.contains("evil"), response);
 			}
-			for (int call = 0; call < 4; call++) {
-				Assert.assertTrue(fixture.call("POST /book/1", KEY, "order").endsWith("good"));
+			for (int call = 4; call < 8; call++) {
+				String id = "X-Request-Id: r1" + call + "\r\n";
+				Assert.assertTrue(fixture.call("POST /book/1", KEY + id, "order").endsWith("good"));
 			}
 		}
 	}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.UniqueKillSwitch;
@@ -15,8 +16,11 @@
  * HTTP client connection that carries one request at a time, without pipelining. This
  * class is thread-safe.
  * <p>
- * The connection is closed if the server sends bytes while no request is outstanding,
- * since they could be mistaken for the response to the next request.
+ * A response is bound to its request by the time of its bytes: they come after the
+ * request was begun to be written and not behind the end of the response. After any other
+ * byte the connection carries no further request, since that byte could be mistaken for
+ * the response to it. A connection carries each request id once, since a server may
+ * repeat its response.
  *
  * @author The marjoramgw authors
  */
@@ -24,6 +28,10 @@
 
 	private final HostPort address;
 
+	private final StrayBytes strayBytes;
+
+	private final CarriedIds carriedIds = new CarriedIds();
+
 	private SourceQueueWithComplete<HttpRequest> requests;
 
 	private UniqueKillSwitch killSwitch;
@@ -34,10 +42,17 @@
 
 	private int requestCount;
 
+	private String requestId = "";
+
+	private ResponseFrame responseFrame;
+
+	private boolean written;
+
 	private boolean closed;
 
-	HttpConnection(HostPort address) {
+	HttpConnection(HostPort address, StrayBytes strayBytes) {
 		this.address = address;
+		this.strayBytes = strayBytes;
 	}
 
 	/**
@@ -52,17 +67,22 @@
 	 * Sends a request. From this call on, the server may have received it, even if the
 	 * returned stage fails with an error of the connection.
 	 * @param request the request
+	 * @param id id of the request, by which its response is recognized; may be empty
 	 * @return the response, whose body has yet to be consumed; fails if the connection
 	 * ends before a response head was received, or without sending anything if it is
-	 * closed or in use
+	 * closed, in use, or has carried the id
 	 */
-	public CompletionStage<HttpResponse> send(HttpRequest request) {
+	public CompletionStage<HttpResponse> send(HttpRequest request, String id) {
 		CompletableFuture<HttpResponse> promise = new CompletableFuture<>();
 		synchronized (this) {
-			if (this.closed || this.busy) {
+			if (!isUsableFor(id)) {
 				return CompletableFuture.failedFuture(new IOException("connection is closed or in use"));
 			}
 			this.busy = true;
+			this.written = false;
+			this.requestId = id;
+			this.carriedIds.add(id);
+			this.responseFrame = new ResponseFrame(request.method().equals(HttpMethods.HEAD), id);
 			this.requestCount++;
 			this.pending = promise;
 		}
@@ -85,6 +105,7 @@
 	 */
 	public synchronized boolean release() {
 		this.busy = false;
+		this.closed |= !this.responseFrame.isComplete();
 		return !this.closed;
 	}
 
@@ -96,6 +117,15 @@
 		return !this.closed && !this.busy;
 	}
 
+	/**
+	 * Returns whether the connection can carry a request with an id.
+	 * @param id the id; may be empty
+	 * @return whether it is open and idle and has carried no request with the id
+	 */
+	public synchronized boolean isUsableFor(String id) {
+		return isUsable() && this.carriedIds.mayAdd(id);
+	}
+
 	/**
 	 * Aborts the connection at once, including a response that is still being received.
 	 */
@@ -112,14 +142,43 @@
 		this.killSwitch = connectionSwitch;
 	}
 
+	synchronized ByteString onRequestBytes(ByteString bytes) {
+		this.written = true;
+		return bytes;
+	}
+
+	/**
+	 * Takes received bytes.
+	 * @param bytes the bytes
+	 * @return those that belong to the response; may be empty
+	 * @throws IOException if there can't be a response, or not a valid one
+	 */
 	ByteString onBytes(ByteString bytes) throws IOException {
+		StrayBytes.Place place;
+		String id;
+		int responseBytes = 0;
 		synchronized (this) {
-			if (!this.busy) {
-				this.closed = true;
-				throw new IOException("unsolicited bytes received from the server");
+			id = this.requestId;
+			place = this.busy ? StrayBytes.Place.BEFORE_REQUEST : StrayBytes.Place.IDLE;
+			if (this.busy && this.written) {
+				try {
+					responseBytes = this.responseFrame.accept(bytes);
+					if (responseBytes == bytes.size()) {
+						return bytes;
+					}
+					place = StrayBytes.Place.BEHIND_RESPONSE;
+				}
+				catch (IOException ex) {
+					place = StrayBytes.Place.INSIDE_RESPONSE;
+				}
 			}
+			this.closed = true;
 		}
-		return bytes;
+		this.strayBytes.onStrayBytes(this.address, place, id);
+		if (place != StrayBytes.Place.BEHIND_RESPONSE) {
+			throw new IOException("stray bytes received from the server: " + place);
+		}
+		return bytes.take(responseBytes);
 	}
 
 	/**
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
@@ -50,6 +50,8 @@
 
 	private final ActorSystem<?> system;
 
+	private final StrayBytes strayBytes;
+
 	/**
 	 * Shared by all connections, since building it fills a table of all known headers.
 	 */
@@ -59,9 +61,11 @@
 	 * Creates a connector.
 	 * @param system actor system that runs the connections
 	 * @param settings parser limits for responses
+	 * @param strayBytes receiver of reports on bytes that belong to no response
 	 */
-	public HttpConnector(ActorSystem<?> system, ClientConnectionSettings settings) {
+	public HttpConnector(ActorSystem<?> system, ClientConnectionSettings settings, StrayBytes strayBytes) {
 		this.system = system;
+		this.strayBytes = strayBytes;
 		BidiFlow<HttpRequest, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpResponse, NotUsed> httpLayer = Http
 			.get(system)
 			.clientLayer(Host.create(""), settings);
@@ -76,15 +80,18 @@
 	 * case nothing was sent
 	 */
 	public CompletionStage<HttpConnection> connect(HostPort address, long timeoutMillis) {
-		HttpConnection connection = new HttpConnection(address);
+		HttpConnection connection = new HttpConnection(address, this.strayBytes);
 		Flow<ByteString, ByteString, CompletionStage<Tcp.OutgoingConnection>> tcpFlow = Tcp.get(this.system)
 			.outgoingConnection(address.toSocketAddress(), Optional.<InetSocketAddress>empty(), NO_DELAY, true,
 					Optional.of(Duration.ofMillis(timeoutMillis)), Optional.empty());
 		BidiFlow<ByteString, ByteString, ByteString, ByteString, UniqueKillSwitch> killSwitchLayer = BidiFlow
 			.fromGraph(KillSwitches.<ByteString, ByteString>singleBidi());
-		Flow<ByteString, ByteString, MaterializedTcp> transport = killSwitchLayer.join(tcpFlow, MaterializedTcp::new)
+		Flow<ByteString, ByteString, MaterializedTcp> transport = Flow.<ByteString>create()
+			.map(connection::onRequestBytes)
+			.viaMat(killSwitchLayer.join(tcpFlow, MaterializedTcp::new), Keep.right())
 			.via(Flow.<ByteString>create()
 				.map(connection::onBytes)
+				.filter(ByteString::nonEmpty)
 				.buffer(READ_AHEAD_CHUNKS, OverflowStrategy.backpressure())
 				.via(new ResponseHeadLimiter(connection)));
 		Pair<SourceQueueWithComplete<HttpRequest>, MaterializedTcp> materialized = Source
--- /dev/null
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
@@ -0,0 +1,149 @@
+package org.marjoramgw.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Course of the bytes of one response, which tells where it ends; not thread-safe.
+ * <p>
+ * A response whose end isn't certain never counts as complete, so that its connection is
+ * not used again.
+ *
+ * @author The marjoramgw authors
+ */
+final class ResponseFrame {
+
+	/** Longest line of a head or chunk size for which the end of a response is found. */
+	private static final int MAX_LINE_BYTES = 16 << 10;
+
+	private final StringBuilder line = new StringBuilder();
+
+	private final ResponseHead head;
+
+	private final SecondResponseScan scan;
+
+	private Part part = Part.HEAD;
+
+	private long remainingBytes;
+
+	/**
+	 * Creates the course of a response.
+	 * @param noBody whether the response has no body whatever its head says
+	 * @param requestId id of the request; may be empty
+	 */
+	ResponseFrame(boolean noBody, String requestId) {
+		this.head = new ResponseHead(noBody);
+		this.scan = new SecondResponseScan(
+				(requestId.isEmpty() ? "" : ": " + requestId + "\r\n").getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Tells whether the whole response was received and its end is certain.
+	 * @return whether it is complete
+	 */
+	boolean isComplete() {
+		return this.part == Part.COMPLETE;
+	}
+
+	/**
+	 * Follows received bytes.
+	 * @param bytes the bytes
+	 * @return number of them that belong to the response
+	 * @throws IOException if a second response begins inside this one
+	 */
+	int accept(ByteString bytes) throws IOException {
+		if (isComplete()) {
+			return 0;
+		}
+		ByteBuffer buffer = bytes.asByteBuffer();
+		while (buffer.hasRemaining() && this.part != Part.COMPLETE) {
+			byte next = buffer.get();
+			if ((this.part == Part.HEAD) ? this.scan.isStatusLine(next) && this.head.hasStatusLine(this.line)
+					: this.scan.isSecondResponse(next)) {
+				throw new IOException("second response inside a response");
+			}
+			accept(next);
+		}
+		if (buffer.hasRemaining() && this.scan.mayBeInSecondResponse()) {
+			throw new IOException("end of a second response behind a response");
+		}
+		return bytes.size() - buffer.remaining();
+	}
+
+	private void accept(byte next) {
+		switch (this.part) {
+			case HEAD, CHUNK_SIZE, CHUNK_END, TRAILER -> acceptLineByte(next);
+			case BODY, CHUNK -> {
+				this.remainingBytes--;
+				if (this.remainingBytes == 0) {
+					this.part = (this.part == Part.BODY) ? Part.COMPLETE : Part.CHUNK_END;
+				}
+			}
+			default -> {
+				// The end of the response is not known.
+			}
+		}
+	}
+
+	private void acceptLineByte(byte next) {
+		if (next != '\n') {
+			this.line.append((char) (next & 0xff));
+			this.part = (this.line.length() > MAX_LINE_BYTES) ? Part.UNKNOWN : this.part;
+			return;
+		}
+		int length = this.line.length();
+		if (length > 0 && this.line.charAt(length - 1) == '\r') {
+			this.line.setLength(length - 1);
+		}
+		String text = this.line.toString();
+		this.line.setLength(0);
+		this.part = partAfter(text);
+	}
+
+	private Part partAfter(String text) {
+		return switch (this.part) {
+			case HEAD -> text.isEmpty() ? partAfterHead() : partAfterHeadLine(text);
+			case CHUNK_SIZE -> partAfterChunkSize(text);
+			case CHUNK_END -> text.isEmpty() ? Part.CHUNK_SIZE : Part.UNKNOWN;
+			default -> text.isEmpty() ? Part.COMPLETE : Part.TRAILER;
+		};
+	}
+
+	private Part partAfterHeadLine(String text) {
+		this.head.add(text);
+		return Part.HEAD;
+	}
+
+	private Part partAfterHead() {
+		this.scan.reset();
+		ResponseHead.Framing framing = this.head.end();
+		this.remainingBytes = this.head.lengthBytes();
+		return switch (framing) {
+			case INFORMATIONAL -> Part.HEAD;
+			case NO_BODY -> Part.COMPLETE;
+			case LENGTH -> (this.remainingBytes == 0) ? Part.COMPLETE : Part.BODY;
+			case CHUNKED -> Part.CHUNK_SIZE;
+			case UNKNOWN -> Part.UNKNOWN;
+		};
+	}
+
+	private Part partAfterChunkSize(String text) {
+		int extension = text.indexOf(';');
+		String size = ((extension < 0) ? text : text.substring(0, extension)).trim();
+		if (!size.matches("[0-9a-fA-F]{1,15}")) {
+			return Part.UNKNOWN;
+		}
+		this.remainingBytes = Long.parseLong(size, 16);
+		return (this.remainingBytes == 0) ? Part.TRAILER : Part.CHUNK;
+	}
+
+	private enum Part {
+
+		HEAD, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, UNKNOWN, COMPLETE
+
+	}
+
+}
