--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -127,7 +127,7 @@
 				return;
 			}
 			this.context.pool()
-				.acquire(attempt.server().address(), !this.state.route().isRepeatable())
+				.acquire(attempt.server().address(), !this.state.route().isRepeatable(), this.state.caller().id())
 				.whenComplete((connection, failure) -> onConnection(attempt, connection, failure));
 		}
 	}
@@ -190,7 +190,7 @@
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		this.state.history().onSent(this.state.ageMillis());
 		attempt.markSent(this.context.clock().now().monotonicMillis());
-		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest);
+		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		this.listener.onSent(attempt, this.leavingNotices.observe(attempt.server(), this.state.caller().id(),
 				attempt.connection().isReused(), head));
 		this.limitedStart.finish();
