--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryMain.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryMain.java
@@ -1,5 +1,8 @@
 package org.marjoramgw.entry;
 
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.program.Lifecycle;
+import org.marjoramgw.program.LifecycleSignals;
 import org.marjoramgw.program.ProgramLauncher;
 
 /**
@@ -17,8 +20,9 @@
 	 * @param arguments command-line arguments
 	 */
 	public static void main(String[] arguments) {
+		Lifecycle lifecycle = LifecycleSignals.install(new SystemMillisClock());
 		ProgramLauncher program = new ProgramLauncher("marjoramgw-entry",
-				(table) -> new EntryProcess(EntrySettings.read(table)).run());
+				(table) -> new EntryProcess(EntrySettings.read(table), lifecycle).run());
 		int exitCode = program.run(arguments);
 		if (exitCode != 0) {
 			System.exit(exitCode);
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -31,6 +30,8 @@
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.ManageableProcess;
 import org.marjoramgw.operator.OperatorRoutes;
+import org.marjoramgw.program.ExitCode;
+import org.marjoramgw.program.Lifecycle;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.program.ReadyLine;
 import org.marjoramgw.trace.DecisionLog;
@@ -66,6 +67,8 @@
 
 	private final EntrySettings settings;
 
+	private final Lifecycle lifecycle;
+
 	private final MillisClock clock = new SystemMillisClock();
 
 	private final PeerIdentity identity;
@@ -82,8 +85,6 @@
 
 	private final ConnectedSides sides = new ConnectedSides();
 
-	private final AtomicBoolean leaving = new AtomicBoolean();
-
 	private final VmListWatcher vms;
 
 	private final ConfigurationSource configuration;
@@ -92,8 +93,9 @@
 
 	private final ActorRef<SideLinkManager.Command> linkManager;
 
-	EntryProcess(EntrySettings settings) {
+	EntryProcess(EntrySettings settings, Lifecycle lifecycle) {
 		this.settings = settings;
+		this.lifecycle = lifecycle;
 		this.identity = new PeerIdentity(settings.processId(), Vm.ENTRY, settings.failureDomain(),
 				this.clock.nowMillis(), "");
 		this.system = ActorSystem.create(Behaviors.empty(), "entry");
@@ -116,14 +118,12 @@
 	@Override
 	public PeerStatus status() {
 		long revision = this.configuration.current().map((current) -> current.revision()).orElse(0L);
-		return new PeerStatus(revision, this.leaving.get(), this.openRequests.count(), 0, 0);
+		return new PeerStatus(revision, this.lifecycle.isStopping(), this.openRequests.count(), 0, 0);
 	}
 
 	@Override
 	public void drain() {
-		if (this.leaving.compareAndSet(false, true)) {
-			new Thread(() -> System.exit(0), "drain").start();
-		}
+		this.lifecycle.requestStop("order to drain", ExitCode.OK);
 	}
 
 	void run() {
@@ -131,6 +131,7 @@
 				this.settings.operatorToken());
 		Route route = Directives.concat(operators.route(), new CallerRoutes(this.system, this.entryContext).route());
 		HostPort address = this.settings.httpAddress();
+		this.lifecycle.exitIfStopping();
 		Http.get(this.system)
 			.newServerAt(address.host(), address.port())
 			.bind(route)
@@ -143,9 +144,9 @@
 			new Thread(() -> Runtime.getRuntime().halt(1), "exit").start();
 			return;
 		}
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(binding), "stop"));
 		ReadyLine
 			.print(Map.of("http", new HostPort(this.settings.httpAddress().host(), binding.localAddress().getPort())));
+		this.lifecycle.started((requestedMillis) -> stop(binding));
 	}
 
 	private ActorRef<SideLinkManager.Command> startLinkManager() {
@@ -165,7 +166,6 @@
 	 * @param binding binding of the HTTP endpoint
 	 */
 	private void stop(ServerBinding binding) {
-		this.leaving.set(true);
 		this.linkManager.tell(new SideLinkManager.StatusChanged());
 		Logger.info("leaving with {} open requests", this.openRequests.count());
 		Pause.millis(UNBIND_DELAY_MILLIS);
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/GracefulShutdownTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/GracefulShutdownTests.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.process;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -8,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.marjoramgw.HostPort;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.rig.CallResult;
 import org.marjoramgw.rig.DeploymentPlan;
@@ -113,6 +116,39 @@
 		}
 	}
 
+	/**
+	 * Lists processes with the address that they bind first.
+	 * @return name of the process and of the address
+	 */
+	@DataProvider
+	public Object[][] firstAddresses() {
+		return new Object[][] { { "entry-1", "http" }, { "runner-1", "peer" } };
+	}
+
+	/** Guards against a process that accepts work before it can stop in order. */
+	@Test(dataProvider = "firstAddresses")
+	public void stopAsSoonAsAProcessListensIsOrderly(String name, String address) throws Exception {
+		ManagedProcess process = processOf(name);
+		process.terminate();
+		Assert.assertTrue(process.awaitExit(Await.DEFAULT_TIMEOUT_MILLIS), name + " did not exit in time");
+		process.launch();
+		Await.until(name + " listens", () -> listens(process.address(address)));
+		// Unlike terminate(), this keeps the output readable.
+		ProcessHandle.of(process.pid()).orElseThrow().destroy();
+		Assert.assertTrue(process.awaitExit(Await.DEFAULT_TIMEOUT_MILLIS), name + " did not exit in time");
+		Assert.assertTrue(process.outputLines().stream().anyMatch((line) -> line.contains("stopped with 0 ")),
+				process.outputLines().toString());
+	}
+
+	private static boolean listens(HostPort address) {
+		try (Socket socket = new Socket(address.host(), address.port())) {
+			return socket.isConnected();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	private boolean isHealthy(String entry) {
 		try {
 			fixture().standins().getText("http://" + deployment().entry(entry).address("http") + "/healthz");
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideMain.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideMain.java
@@ -1,5 +1,8 @@
 package org.marjoramgw.side;
 
+import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.program.Lifecycle;
+import org.marjoramgw.program.LifecycleSignals;
 import org.marjoramgw.program.ProgramLauncher;
 
 /**
@@ -17,8 +20,9 @@
 	 * @param arguments command-line arguments
 	 */
 	public static void main(String[] arguments) {
+		Lifecycle lifecycle = LifecycleSignals.install(new SystemMillisClock());
 		ProgramLauncher program = new ProgramLauncher("marjoramgw-side",
-				(table) -> new SideProcess(SideSettings.read(table)).run());
+				(table) -> new SideProcess(SideSettings.read(table), lifecycle).run());
 		int exitCode = program.run(arguments);
 		if (exitCode != 0) {
 			System.exit(exitCode);
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import org.apache.pekko.actor.typed.ActorRef;
@@ -19,6 +18,8 @@
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.ManageableProcess;
 import org.marjoramgw.operator.OperatorRoutes;
+import org.marjoramgw.program.ExitCode;
+import org.marjoramgw.program.Lifecycle;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.program.ReadyLine;
 import org.marjoramgw.side.backend.Backend;
@@ -62,6 +63,8 @@
 
 	private final SideSettings settings;
 
+	private final Lifecycle lifecycle;
+
 	private final MillisClock clock = new SystemMillisClock();
 
 	private final PeerIdentity identity;
@@ -80,10 +83,9 @@
 
 	private final EntryConnections entryConnections;
 
-	private final AtomicBoolean leaving = new AtomicBoolean();
-
-	SideProcess(SideSettings settings) {
+	SideProcess(SideSettings settings, Lifecycle lifecycle) {
 		this.settings = settings;
+		this.lifecycle = lifecycle;
 		this.identity = new PeerIdentity(settings.processId(), Vm.SIDE, settings.failureDomain(),
 				this.clock.nowMillis(), settings.pool());
 		this.system = ActorSystem.create(Behaviors.empty(), "side");
@@ -117,15 +119,14 @@
 
 	@Override
 	public void drain() {
-		if (this.leaving.compareAndSet(false, true)) {
-			new Thread(() -> System.exit(0), "drain").start();
-		}
+		this.lifecycle.requestStop("order to drain", ExitCode.OK);
 	}
 
 	/**
 	 * Binds the peer and HTTP listeners and prints the ready line.
 	 */
 	void run() {
+		this.lifecycle.exitIfStopping();
 		try {
 			HostPort peerAddress = new PekkoTransport(this.system, new MessageCodec(), MessageCodec.MAX_FRAME_BYTES,
 					SEND_BUFFER_FRAMES)
@@ -133,13 +134,13 @@
 				.toCompletableFuture()
 				.get(LISTEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 			HostPort httpAddress = listenHttp();
-			Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
 			this.platformClients.configuration()
 				.addListener((configuration) -> this.schedulerActor
 					.tell(new SchedulerCommand.ConfigurationChanged(configuration)));
 			this.platformClients.onLeaving(this.settings.processId(), this::drain);
 			this.entryConnections.start(this.system);
 			ReadyLine.print(Map.of("http", httpAddress, "peer", peerAddress));
+			this.lifecycle.started((requestedMillis) -> stop());
 		}
 		catch (InterruptedException | ExecutionException | TimeoutException ex) {
 			Logger.error(ex, "failed to bind the peer or HTTP listener");
@@ -177,7 +178,6 @@
 	 * requests in flight to finish.
 	 */
 	private void stop() {
-		this.leaving.set(true);
 		Logger.info("leaving with {} requests in flight", status().inFlight());
 		this.schedulerActor.tell(new SchedulerCommand.Drain());
 		awaitDrained();
