End a pooled connection whose server answers twice

What callers saw: a call of BlockingHttpClient (log service, VM list, weight store, operators' commands) got the answer of the call before, or its status.

Cause: the library's pool keeps bytes behind an answer in its parser until the next request, as HttpConnection did. These answers bear no id.

Why it works: FramedTransport follows the answers on each connection of the pool (ResponseFrame), cuts what lies behind one and ends the connection.

--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/BlockingHttpClient.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/BlockingHttpClient.java
@@ -114,7 +114,9 @@
 		// of the next calls could time out on another stalled connection.
 		ClientConnectionSettings connection = ClientConnectionSettings.create(system.classicSystem())
 			.withIdleTimeout(Duration.create(timeoutMillis, TimeUnit.MILLISECONDS));
-		return ConnectionPoolSettings.create(system.classicSystem()).withConnectionSettings(connection);
+		return ConnectionPoolSettings.create(system.classicSystem())
+			.withConnectionSettings(connection)
+			.withTransport(new FramedTransport());
 	}
 
 	private HttpReply execute(HttpRequest request) throws HttpCallException {
