--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -126,6 +126,26 @@
 		}
 	}
 
+	/** Guards against a listener that opens no connection any more. */
+	@Test
+	public void connectionsThatEndWithoutRequestHoldBackNoOthers() throws Exception {
+		CallerListener listener = serve();
+		List<Socket> silent = new ArrayList<>();
+		for (int number = 0; number < WAITING_COUNT; number++) {
+			silent.add(this.fixture.connect());
+		}
+		Thread.sleep(200);
+		for (Socket caller : silent) {
+			caller.close();
+		}
+		Thread.sleep(200);
+		try (Socket caller = send(ORDINARY)) {
+			Assert.assertTrue(caller.isConnected());
+			Assert.assertEquals(this.handled.poll(READ_MILLIS, TimeUnit.MILLISECONDS), ORDINARY);
+			Assert.assertEquals(listener.waitingCount(), 0);
+		}
+	}
+
 	private CallerListener serve() throws Exception {
 		CallerListener listener = new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
 				new PekkoTimers(this.fixture.system()), () -> CallerLimits.DEFAULT, this::examine, this::respond);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
@@ -39,6 +39,8 @@
 
 	private boolean headKnown;
 
+	private boolean ended;
+
 	private Timers.Handle timer = Timers.Handle.NONE;
 
 	/**
@@ -63,10 +65,11 @@
 
 	/**
 	 * Takes the place in the queue with the first bytes, and takes it anew once the head
-	 * is complete, which tells how urgent the request is and how long it may wait.
+	 * is complete, which tells how urgent the request is and how long it may wait. A
+	 * connection that has ended takes none.
 	 */
 	synchronized void onReceived() {
-		if (this.headKnown || this.permit != null && !this.permit.withdraw()) {
+		if (this.ended || this.headKnown || this.permit != null && !this.permit.withdraw()) {
 			return;
 		}
 		if (this.permit == null && openAtOnce()) {
@@ -114,6 +117,7 @@
 	}
 
 	private synchronized void end() {
+		this.ended = true;
 		this.timer.cancel();
 		if (this.permit != null) {
 			this.permit.release();
