--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/SocketAcceptorTests.java
@@ -131,6 +131,27 @@
 		Assert.assertTrue(notified.await(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS));
 	}
 
+	/** Guards against one failure that ends the reading thread of all connections. */
+	@Test
+	public void failureAtTheEndOfLingeringConnectionLeavesTheOthersServed() throws Exception {
+		this.fixture.acceptor().serve(this.accepted::add);
+		try (Socket lingering = this.fixture.connect()) {
+			AcceptedSocket socket = nextAccepted();
+			CountDownLatch ended = new CountDownLatch(1);
+			socket.whenEnded(() -> {
+				ended.countDown();
+				throw new IllegalStateException("failure of the test");
+			});
+			socket.closeGracefully();
+			Assert.assertTrue(ended.await(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS));
+			Assert.assertEquals(lingering.getInputStream().read(), -1);
+		}
+		try (Socket caller = this.fixture.connect()) {
+			Assert.assertTrue(caller.isConnected());
+			Assert.assertNotNull(this.accepted.poll(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS));
+		}
+	}
+
 	@Test
 	public void largeResponseReachesSlowReader() throws Exception {
 		ByteString response = ByteString.fromArray(new byte[LARGE_BYTES]);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -212,7 +212,7 @@
 				this.selector.select(this.lingering.checkMillis());
 				runTasks();
 				handleSelected();
-				this.lingering.closeOverdue(now().monotonicMillis());
+				runGuarded(() -> this.lingering.closeOverdue(now().monotonicMillis()));
 			}
 		}
 		catch (IOException ex) {
