--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -49,6 +49,7 @@
 		CallerRequest request = this.dialect.decode(HttpRequest.GET("/a")
 			.addHeader(RawHeader.create("X-Deadline-Ms", "soon"))
 			.addHeader(RawHeader.create("Authorization", "Basic abc"))
+			.addHeader(RawHeader.create("X-Token-Usage", ","))
 			.addHeader(RawHeader.create("X-Prompt-Prefix", "5c,:7,a:b")));
 		Assert.assertTrue(request.deadlineMillis().isEmpty());
 		Assert.assertTrue(request.key().isEmpty());
