Trust no answer that names two requests or two runs

What callers could see: an answer with two X-Request-Id or X-Response-Stamp headers was judged by the first one and passed on with both, as heads that had merged on were (SecondAnswerTests, "cut behind a stamp").

Cause: `header` returned the first header of a name.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -126,6 +126,21 @@
 		Assert.assertEquals(this.dialect.classify(response, "r1", true), kindOnReuse);
 	}
 
+	@Test
+	public void responseThatNamesTwoRequestsOrTwoRunsIsNotTrusted() {
+		for (String name : new String[] { "X-Request-Id", "X-Response-Stamp" }) {
+			for (int status : new int[] { 200, 503, 421 }) {
+				HttpResponse response = HttpResponse.create()
+					.withStatus(status)
+					.addHeader(RawHeader.create("X-Request-Id", "r1"))
+					.addHeader(RawHeader.create("X-Response-Stamp", "s1"))
+					.addHeader(RawHeader.create("X-Not-Executed", "1"))
+					.addHeader(RawHeader.create(name, "other"));
+				Assert.assertEquals(this.dialect.classify(response, "r1", false), ResponseKind.UNTRUSTED);
+			}
+		}
+	}
+
 	private static String value(HttpRequest request, String name) {
 		return request.getHeader(name).map(HttpHeader::value).orElse("");
 	}
