--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -50,6 +50,8 @@
 
 	private static final String URGENT = "/urgent";
 
+	private static final String UNEXAMINABLE = "/unexaminable";
+
 	private static final String ORDINARY = "/ordinary";
 
 	private final BlockingQueue<String> handled = new LinkedBlockingQueue<>();
@@ -146,6 +148,27 @@
 		}
 	}
 
+	/** Guards against a request that loses its place because it can't be examined. */
+	@Test
+	public void requestsThatCannotBeExaminedAreServed() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		try {
+			for (int number = 0; number < WAITING_COUNT; number++) {
+				callers.add(send(UNEXAMINABLE));
+			}
+			Thread.sleep(200);
+			serve();
+			for (int number = 0; number < WAITING_COUNT; number++) {
+				Assert.assertEquals(this.handled.poll(READ_MILLIS, TimeUnit.MILLISECONDS), UNEXAMINABLE);
+			}
+		}
+		finally {
+			for (Socket caller : callers) {
+				caller.close();
+			}
+		}
+	}
+
 	private CallerListener serve() throws Exception {
 		CallerListener listener = new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
 				new PekkoTimers(this.fixture.system()), () -> CallerLimits.DEFAULT, this::examine, this::respond);
@@ -157,6 +180,9 @@
 
 	private UnreadRequest examine(HeadPreview preview, ClockReading arrived) {
 		Pause.millis(this.examineMillis);
+		if (preview.target().equals(UNEXAMINABLE)) {
+			throw new IllegalStateException("failure of the test");
+		}
 		return new FakeUnreadRequest(preview.target().equals(URGENT) ? 0 : 1);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
@@ -6,6 +6,7 @@
 import org.marjoramgw.direct.socket.AcceptedSocket;
 import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.time.Timers;
+import org.tinylog.Logger;
 
 /**
  * Place of one connection in the queue of those that wait to be opened; thread-safe.
@@ -76,13 +77,11 @@
 			return;
 		}
 		Optional<HeadPreview> preview = HeadPreview.of(this.socket.peek());
-		Optional<UnreadRequest> request = preview
-			.map((known) -> this.requests.create(known, this.socket.arrivals().next()));
+		Optional<UnreadRequest> request = preview.flatMap(this::examine);
 		this.headKnown = preview.map(HeadPreview::complete).orElse(false);
 		this.permit = this.limiter.acquire(request.map(UnreadRequest::rank).orElse(Ranks.LEAST_URGENT), this.open);
 		if (this.headKnown) {
-			this.timer = this.timers.schedule(Math.min(request.get().maxWaitMillis(), MAX_WAIT_MILLIS),
-					() -> refuseIfWaiting(request.get(), preview.get().isHeadOnly()));
+			request.ifPresent((known) -> refuseAfterWait(known, preview.get().isHeadOnly()));
 		}
 	}
 
@@ -94,6 +93,22 @@
 		return this.permit != null;
 	}
 
+	private Optional<UnreadRequest> examine(HeadPreview preview) {
+		try {
+			return Optional.of(this.requests.create(preview, this.socket.arrivals().next()));
+		}
+		catch (RuntimeException ex) {
+			// The connection keeps its place, among the least urgent.
+			Logger.error(ex, "can't examine a request that waits to be read");
+			return Optional.empty();
+		}
+	}
+
+	private void refuseAfterWait(UnreadRequest request, boolean headOnly) {
+		this.timer = this.timers.schedule(Math.min(request.maxWaitMillis(), MAX_WAIT_MILLIS),
+				() -> refuseIfWaiting(request, headOnly));
+	}
+
 	private boolean openAtOnce() {
 		Optional<StartLimiter.Permit> free = this.limiter.tryAcquire();
 		free.ifPresent((acquired) -> {
