--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/program/LifecycleTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/program/LifecycleTests.java
@@ -72,6 +72,17 @@
 		assertEvents("exit 143");
 	}
 
+	@Test
+	public void failedReloadDoesNotHoldBackTheStop() throws Exception {
+		this.lifecycle.requestReload("test");
+		this.lifecycle.requestStop("test", 143);
+		Assert.assertThrows(IllegalStateException.class, () -> this.lifecycle.started((requestedMillis) -> {
+		}, () -> {
+			throw new IllegalStateException("test");
+		}));
+		assertEvents("exit 143");
+	}
+
 	@Test
 	public void processExitsAtOnceIfAskedBeforeItAccepts() throws Exception {
 		this.lifecycle.exitIfStopping();
--- a/org.marjoramgw/src/main/java/org/marjoramgw/program/Lifecycle.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/program/Lifecycle.java
@@ -97,12 +97,12 @@
 			stopDue = this.stopRequestedMillis != NOT_REQUESTED;
 			reloadDue = this.reloadRequested;
 		}
-		if (reloadDue) {
-			reload.run();
-		}
 		if (stopDue) {
 			startStop();
 		}
+		if (reloadDue) {
+			reload.run();
+		}
 	}
 
 	/**
