--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -65,7 +65,7 @@
 	public synchronized List<BackendServer> usable(String service) {
 		List<BackendServer> usable = new ArrayList<>();
 		for (Registration registration : this.registrationById.values()) {
-			if (registration.server.service().equals(service) && isUsable(registration)) {
+			if (registration.server.service().equals(service) && obstacle(registration.server).isEmpty()) {
 				usable.add(registration.server);
 			}
 		}
@@ -98,7 +98,7 @@
 	 */
 	public synchronized boolean isUsable(String id) {
 		Registration registration = this.registrationById.get(id);
-		return registration != null && isUsable(registration);
+		return registration != null && obstacle(registration.server).isEmpty();
 	}
 
 	/**
@@ -256,11 +256,6 @@
 				|| this.clock.ageMillis(this.reachableAgainSince) > REREGISTRATION_GRACE_MILLIS);
 	}
 
-	private boolean isUsable(Registration registration) {
-		return !registration.server.draining() && !isLapsed(registration)
-				&& !this.leavingServers.contains(registration.server);
-	}
-
 	private boolean isLapsed(Registration registration) {
 		return registration.lapsed && isGracePeriodOver();
 	}
