--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 
 import org.apache.pekko.util.ByteString;
 
@@ -19,6 +20,8 @@
 	/** Longest line of a head or chunk size for which the end of a response is found. */
 	private static final int MAX_LINE_BYTES = 16 << 10;
 
+	private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,15}");
+
 	private final StringBuilder line = new StringBuilder();
 
 	private final ResponseHead head;
@@ -133,7 +136,7 @@
 	private Part partAfterChunkSize(String text) {
 		int extension = text.indexOf(';');
 		String size = ((extension < 0) ? text : text.substring(0, extension)).trim();
-		if (!size.matches("[0-9a-fA-F]{1,15}")) {
+		if (!CHUNK_SIZE.matcher(size).matches()) {
 			return Part.UNKNOWN;
 		}
 		this.remainingBytes = Long.parseLong(size, 16);
