Use the parts that are there: one log of stray bytes, permits taken without waiting

DirectProcess created StrayBytesLog twice; OpeningQueue.hold passed an empty action of its own to acquire, where tryAcquire does the same.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -171,13 +171,13 @@
 		this.lag = new LagMeter(this.monotonicClock, this.timers);
 		this.serverSettings = ServerSettings.create(config);
 		this.listener = new HttpListener(this.system, this.serverSettings);
-		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config),
-				new StrayBytesLog(this.registry));
+		StrayBytesLog strayBytes = new StrayBytesLog(this.registry);
+		this.connector = new HttpConnector(this.system, ClientConnectionSettings.create(config), strayBytes);
 		this.platform = platformFactory.apply(this.system, this.connector);
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, new StrayBytesLog(this.registry));
+				this.clock, this.timers, strayBytes);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
@@ -21,9 +21,6 @@
 	/** Maximum number of connections that are opened concurrently. */
 	private static final int MAX_OPENING_COUNT = 4;
 
-	private static final Runnable NO_ACTION = () -> {
-	};
-
 	private final Timers timers;
 
 	private final UnreadRequest.Factory requests;
@@ -52,7 +49,7 @@
 	Runnable hold() {
 		List<StartLimiter.Permit> held = new ArrayList<>();
 		for (int number = 0; number < MAX_OPENING_COUNT; number++) {
-			held.add(this.limiter.acquire(0, NO_ACTION));
+			this.limiter.tryAcquire().ifPresent(held::add);
 		}
 		return () -> held.forEach(StartLimiter.Permit::release);
 	}
