--- a/org.marjoramgw/src/main/java/org/marjoramgw/time/PekkoTimers.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/time/PekkoTimers.java
@@ -12,6 +12,11 @@
  */
 public final class PekkoTimers implements Timers {
 
+	/**
+	 * Longest delay, in milliseconds. The scheduler rejects delays that are much longer.
+	 */
+	private static final long MAX_DELAY_MILLIS = 86_400_000;
+
 	private final ActorSystem<?> system;
 
 	/**
@@ -25,7 +30,8 @@
 	@Override
 	public Handle schedule(long delayMillis, Runnable task) {
 		Cancellable scheduled = this.system.scheduler()
-			.scheduleOnce(Duration.ofMillis(delayMillis), task, this.system.executionContext());
+			.scheduleOnce(Duration.ofMillis(Math.min(delayMillis, MAX_DELAY_MILLIS)), task,
+					this.system.executionContext());
 		return scheduled::cancel;
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/time/Timers.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/time/Timers.java
@@ -10,7 +10,7 @@
 
 	/**
 	 * Schedules a task to run once.
-	 * @param delayMillis delay in milliseconds
+	 * @param delayMillis delay in milliseconds; may be shortened to a day
 	 * @param task the task; it must not block
 	 * @return handle that cancels the task
 	 */
