Write the waits and clean-up of the tests once

ScriptedServer.await stood in three test classes, the loop that closes callers four times in CallerListenerTests.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -94,9 +94,7 @@
 			Assert.assertTrue(order.indexOf(URGENT) <= MAX_OPENED_BEFORE_COUNT, order.toString());
 		}
 		finally {
-			for (Socket caller : callers) {
-				caller.close();
-			}
+			closeAll(callers);
 		}
 	}
 
@@ -122,9 +120,7 @@
 			Assert.assertEquals(listener.waitingCount(), 0);
 		}
 		finally {
-			for (Socket caller : callers) {
-				caller.close();
-			}
+			closeAll(callers);
 		}
 	}
 
@@ -137,9 +133,7 @@
 			silent.add(this.fixture.connect());
 		}
 		Thread.sleep(200);
-		for (Socket caller : silent) {
-			caller.close();
-		}
+		closeAll(silent);
 		Thread.sleep(200);
 		try (Socket caller = send(ORDINARY)) {
 			Assert.assertTrue(caller.isConnected());
@@ -163,9 +157,13 @@
 			}
 		}
 		finally {
-			for (Socket caller : callers) {
-				caller.close();
-			}
+			closeAll(callers);
+		}
+	}
+
+	private static void closeAll(List<Socket> callers) throws Exception {
+		for (Socket caller : callers) {
+			caller.close();
 		}
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LateRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LateRequestTests.java
@@ -92,7 +92,7 @@
 		ScriptedServer.Script script = (request, connection) -> {
 			ScriptedServer.write(connection,
 					ScriptedServer.head("200 OK", request, "Content-Type: text/event-stream\r\n") + "id: 1\n\n");
-			await(given);
+			ScriptedServer.await(given, WAIT_SECONDS * 1_000);
 			ScriptedServer.write(connection, "id: 2\n\n");
 			connection.close();
 			return false;
@@ -118,13 +118,4 @@
 		return ScriptedServer.write(connection, ScriptedServer.head("200 OK", request, "Content-Length: 0\r\n"));
 	}
 
-	private static void await(CountDownLatch latch) throws IOException {
-		try {
-			latch.await(WAIT_SECONDS, TimeUnit.SECONDS);
-		}
-		catch (InterruptedException ex) {
-			throw new IOException(ex);
-		}
-	}
-
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingServerTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingServerTests.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.platform;
 
-import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -172,7 +171,7 @@
 		CountDownLatch word = new CountDownLatch(1);
 		ScriptedServer.Script slow = (request, connection) -> {
 			if (request.startsWith("POST /prompt/0")) {
-				await(word);
+				ScriptedServer.await(word, WAIT_MILLIS);
 				ScriptedServer.write(connection, ScriptedServer.head("200 OK", request, EVENTS + LEAVING));
 			}
 			return false;
@@ -230,13 +229,4 @@
 		return servers.stream().mapToInt((server) -> server.requests().size()).sum();
 	}
 
-	private static void await(CountDownLatch latch) throws IOException {
-		try {
-			latch.await(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-		}
-		catch (InterruptedException ex) {
-			throw new IOException(ex);
-		}
-	}
-
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
@@ -94,6 +94,22 @@
 		return true;
 	}
 
+	/**
+	 * Waits for a latch, in a script.
+	 * @param latch the latch
+	 * @param millis longest wait, in milliseconds
+	 * @return whether the latch was released
+	 * @throws IOException if the wait is interrupted
+	 */
+	static boolean await(CountDownLatch latch, long millis) throws IOException {
+		try {
+			return latch.await(millis, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException(ex);
+		}
+	}
+
 	private void acceptAll() {
 		try {
 			while (true) {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
@@ -303,12 +303,7 @@
 	}
 
 	private static void await(CountDownLatch latch) throws IOException {
-		try {
-			Assert.assertTrue(latch.await(WAIT_SECONDS, TimeUnit.SECONDS));
-		}
-		catch (InterruptedException ex) {
-			throw new IOException(ex);
-		}
+		Assert.assertTrue(ScriptedServer.await(latch, WAIT_SECONDS * 1_000));
 	}
 
 }
