--- a/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/LogSearchTests.java
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/LogSearchTests.java
@@ -16,18 +16,18 @@
  */
 public class LogSearchTests {
 
-	private static final String WORD = " at 10.0.0.1:1 said in an answer that it leaves";
+	private static final String NOTICE = " at 10.0.0.1:1 said in an answer that it leaves";
 
 	@Test
 	public void refusalLeadsToTheServersThatHadSaidThatTheyLeave() throws Exception {
 		Path log = Files.createTempFile("edge", ".log");
 		try {
 			Files.write(log,
-					List.of(line("09:00:00", "backend server i-7 of s" + WORD),
-							line("09:00:00", "backend server i-8 of other" + WORD),
+					List.of(line("09:00:00", "backend server i-7 of s" + NOTICE),
+							line("09:00:00", "backend server i-8 of other" + NOTICE),
 							line("09:00:00", "backend server i-6 of s at 10.0.0.1:1 is usable"),
 							line("10:00:00", "request=r1 code=2008 status=503 service=s registered=1 said_leaving=1"),
-							line("10:00:01", "backend server i-9 of s" + WORD)));
+							line("10:00:01", "backend server i-9 of s" + NOTICE)));
 			List<String> messages = new LogSearch(List.of(log)).explain("r1")
 				.steps()
 				.stream()
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogLine.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogLine.java
@@ -103,7 +103,7 @@
 	 * Tells whether a backend server said that it leaves, which holds until its end.
 	 * @return whether the line is about that
 	 */
-	boolean isLeavingWord() {
+	boolean isLeavingNotice() {
 		return this.message.endsWith(" said in an answer that it leaves");
 	}
 
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/LogSearch.java
@@ -96,7 +96,7 @@
 	private static boolean isRelatedState(LogLine line, List<LogLine> requestLines, Set<String> servers) {
 		long firstMillis = requestLines.get(0).timeMillis();
 		long lastMillis = requestLines.get(requestLines.size() - 1).timeMillis();
-		boolean recent = line.timeMillis() >= firstMillis - STATE_WINDOW_MILLIS || line.isLeavingWord();
+		boolean recent = line.timeMillis() >= firstMillis - STATE_WINDOW_MILLIS || line.isLeavingNotice();
 		boolean inWindow = recent && line.timeMillis() <= lastMillis;
 		if (!inWindow || line.requestId().isPresent() || line.isQuarantine()) {
 			return false;
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -148,8 +148,8 @@
 	}
 
 	@Test(dataProvider = "leavingResponses")
-	public void onlyTheServersOwnWordSaysThatItLeaves(int status, List<HttpHeader> headers, String value, boolean fresh,
-			boolean reused) {
+	public void onlyTheServersOwnNoticeSaysThatItLeaves(int status, List<HttpHeader> headers, String value,
+			boolean fresh, boolean reused) {
 		HttpResponse response = HttpResponse.create()
 			.withStatus(status)
 			.addHeaders(headers)
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingIncarnationTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingIncarnationTests.java
@@ -17,7 +17,7 @@
 public class LeavingIncarnationTests {
 
 	/**
-	 * Each row: what happens to the store and to the registration after the word.
+	 * Each row: what happens to the store and to the registration after the notice.
 	 * @return the rows
 	 */
 	@DataProvider
@@ -33,7 +33,7 @@
 	}
 
 	@Test(dataProvider = "sameIncarnation")
-	public void wordOutlastsWhatTheStoreSaysOfTheSameIncarnation(long born, List<Change> changes) throws Exception {
+	public void noticeOutlastsWhatTheStoreSaysOfTheSameIncarnation(long born, List<Change> changes) throws Exception {
 		ScriptedServer.Script leaving = LeavingPair
 			.answer((request) -> LeavingPair.plain(request, LeavingPair.LEAVING));
 		try (LeavingPair pair = new LeavingPair(leaving)) {
@@ -46,7 +46,7 @@
 	}
 
 	@Test
-	public void wordOutlastsASnapshotWhileTheStoreIsAway() throws Exception {
+	public void noticeOutlastsASnapshotWhileTheStoreIsAway() throws Exception {
 		ScriptedServer.Script leaving = LeavingPair
 			.answer((request) -> LeavingPair.plain(request, LeavingPair.LEAVING));
 		try (LeavingPair pair = new LeavingPair(leaving)) {
@@ -72,12 +72,12 @@
 
 	@Test(dataProvider = "newIncarnations")
 	public void newIncarnationStartsAfresh(String id, long born) throws Exception {
-		AtomicReference<String> word = new AtomicReference<>(LeavingPair.LEAVING);
-		ScriptedServer.Script script = LeavingPair.answer((request) -> LeavingPair.plain(request, word.get()));
+		AtomicReference<String> notice = new AtomicReference<>(LeavingPair.LEAVING);
+		ScriptedServer.Script script = LeavingPair.answer((request) -> LeavingPair.plain(request, notice.get()));
 		try (LeavingPair pair = new LeavingPair(script)) {
 			pair.fixture().directory().onRecords(List.of(pair.leavingRegistration("i-0", 7)));
 			pair.callUntilReached("POST /book/1");
-			word.set("");
+			notice.set("");
 			pair.fixture().directory().onRecords(List.of(pair.leavingRegistration(id, born)));
 			Assert.assertTrue(pair.countLater("POST /book/1") > 0, "a new incarnation gets requests");
 		}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingPair.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingPair.java
@@ -25,7 +25,7 @@
 
 	static final String LAST_CHUNK = "0\r\n\r\n";
 
-	/** Number of requests that are sent after the word. */
+	/** Number of requests that are sent after the notice. */
 	static final int LATER_COUNT = 40;
 
 	/** Script of a server that answers every request well. */
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingServerTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingServerTests.java
@@ -46,7 +46,7 @@
 	 * @return the rows
 	 */
 	@DataProvider
-	public Object[][] words() {
+	public Object[][] notices() {
 		String empty = LEAVING + "Content-Length: 0\r\n";
 		return new Object[][] {
 				{ "POST /book/plain", LeavingPair.answer((request) -> LeavingPair.plain(request, LEAVING)) },
@@ -74,8 +74,8 @@
 					.breakingOff((request) -> ScriptedServer.head("200 OK", request, EVENTS + LEAVING) + EVENT) } };
 	}
 
-	@Test(dataProvider = "words")
-	public void requestsSentAfterTheWordReachNoLeavingServer(String target, ScriptedServer.Script leaving)
+	@Test(dataProvider = "notices")
+	public void requestsSentAfterTheNoticeReachNoLeavingServer(String target, ScriptedServer.Script leaving)
 			throws Exception {
 		try (LeavingPair pair = new LeavingPair(leaving)) {
 			pair.callUntilReached(target);
@@ -84,25 +84,25 @@
 	}
 
 	@Test
-	public void requestsReachEachLeavingServerOfAFleetNoMoreAfterItsWord() throws Exception {
+	public void requestsReachEachLeavingServerOfAFleetNoMoreAfterItsNotice() throws Exception {
 		List<ScriptedServer> leaving = new ArrayList<>();
 		List<ScriptedServer> all = new ArrayList<>();
-		for (Object[] word : words()) {
-			leaving.add(new ScriptedServer((ScriptedServer.Script) word[1]));
+		for (Object[] notice : notices()) {
+			leaving.add(new ScriptedServer((ScriptedServer.Script) notice[1]));
 		}
 		all.addAll(leaving);
 		all.add(new ScriptedServer(LeavingPair.SOUND));
 		all.add(new ScriptedServer(LeavingPair.SOUND));
 		try (ForwardingFixture fixture = new ForwardingFixture(all.toArray(ScriptedServer[]::new))) {
-			int afterTheWord = 0;
+			int afterTheNotice = 0;
 			for (int request = 0; request < FLEET_REQUEST_COUNT; request++) {
 				int before = requestCount(leaving);
 				long unheard = leaving.stream().filter((server) -> server.requests().isEmpty()).count();
 				fixture.call((request % 2 == 0) ? "POST /book/1" : "POST /stream/1", KEY, "prompt");
 				long heard = unheard - leaving.stream().filter((server) -> server.requests().isEmpty()).count();
-				afterTheWord += requestCount(leaving) - before - (int) heard;
+				afterTheNotice += requestCount(leaving) - before - (int) heard;
 			}
-			Assert.assertEquals(afterTheWord, 0, "of " + FLEET_REQUEST_COUNT);
+			Assert.assertEquals(afterTheNotice, 0, "of " + FLEET_REQUEST_COUNT);
 		}
 		finally {
 			for (ScriptedServer server : all) {
@@ -112,7 +112,7 @@
 	}
 
 	@Test
-	public void wordHoldsAfterItsCallerLeft() throws Exception {
+	public void noticeHoldsAfterItsCallerLeft() throws Exception {
 		ScriptedServer.Script endless = (request, connection) -> {
 			ScriptedServer.write(connection, ScriptedServer.head("200 OK", request, EVENTS + LEAVING) + EVENT);
 			return false;
@@ -168,15 +168,15 @@
 
 	@Test
 	public void promptThatWaitsAtAServerThatLeavesMovesAtOnce() throws Exception {
-		CountDownLatch word = new CountDownLatch(1);
+		CountDownLatch notice = new CountDownLatch(1);
 		ScriptedServer.Script slow = (request, connection) -> {
 			if (request.startsWith("POST /prompt/0")) {
-				ScriptedServer.await(word, WAIT_MILLIS);
+				ScriptedServer.await(notice, WAIT_MILLIS);
 				ScriptedServer.write(connection, ScriptedServer.head("200 OK", request, EVENTS + LEAVING));
 			}
 			return false;
 		};
-		assertWaitingPromptMoves("/prompt/", slow, (fixture) -> word.countDown());
+		assertWaitingPromptMoves("/prompt/", slow, (fixture) -> notice.countDown());
 	}
 
 	@Test
