--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -16,6 +16,7 @@
 import org.marjoramgw.direct.forward.BodyBudget;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.ForwardingContext;
+import org.marjoramgw.direct.forward.RecentSends;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.quarantine.PromptGuard;
@@ -135,8 +136,8 @@
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
 				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
-				new BodyReader(this.system), this.bodyBudget, promptGuard, requestLog, this.clock, this.timers,
-				random));
+				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), requestLog, this.clock,
+				this.timers, random));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -28,6 +28,14 @@
 
 	private long sentMillis = NEVER;
 
+	private long turnMillis = NEVER;
+
+	private long permitMillis = NEVER;
+
+	private long connectedMillis = NEVER;
+
+	private int overtakenBy;
+
 	private long firstBytesMillis = NEVER;
 
 	private long pauseMillis;
@@ -52,12 +60,39 @@
 		this.excluded.add(serverId);
 	}
 
+	/**
+	 * Records that the request may start, since it waited for its turn in this process
+	 * long enough.
+	 * @param ageMillis age of the request, in milliseconds
+	 */
+	void onTurn(long ageMillis) {
+		this.turnMillis = ageMillis;
+	}
+
+	/**
+	 * Records that the request doesn't wait for its server any more and connects to it.
+	 * @param ageMillis age of the request, in milliseconds
+	 */
+	void onPermit(long ageMillis) {
+		this.permitMillis = ageMillis;
+	}
+
+	/**
+	 * Records that the connection to the server was established.
+	 * @param ageMillis age of the request, in milliseconds
+	 */
+	void onConnected(long ageMillis) {
+		this.connectedMillis = ageMillis;
+	}
+
 	/**
 	 * Records that the request was sent.
 	 * @param ageMillis age of the request, in milliseconds
+	 * @param lessUrgentCount number of less urgent requests sent while it waited
 	 */
-	void onSent(long ageMillis) {
+	void onSent(long ageMillis, int lessUrgentCount) {
 		this.sentMillis = ageMillis;
+		this.overtakenBy = lessUrgentCount;
 	}
 
 	boolean wasSent() {
@@ -125,12 +160,14 @@
 
 	/**
 	 * Returns the log fields of the history.
-	 * @return number of attempts, and age of the request at the last send and at the
+	 * @return number of attempts, and age of the request when it last waited no longer
+	 * for its turn, for its server and for its connection, at the last send and at the
 	 * first bytes of a stream, -1 if there was none, and longest pause of a stream
 	 */
 	String describe() {
-		return "tries=" + this.tries + " sent_ms=" + this.sentMillis + " first_ms=" + this.firstBytesMillis
-				+ " pause_ms=" + this.pauseMillis;
+		return "tries=" + this.tries + " turn_ms=" + this.turnMillis + " permit_ms=" + this.permitMillis
+				+ " connected_ms=" + this.connectedMillis + " sent_ms=" + this.sentMillis + " overtaken_by="
+				+ this.overtakenBy + " first_ms=" + this.firstBytesMillis + " pause_ms=" + this.pauseMillis;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -121,6 +121,7 @@
 				return;
 			}
 			attempt.markStarted();
+			this.state.history().onPermit(this.state.ageMillis());
 			Optional<String> obstacle = this.context.directory().obstacle(attempt.server());
 			if (obstacle.isPresent()) {
 				moveAway(attempt, obstacle.get());
@@ -145,6 +146,7 @@
 			}
 			else {
 				attempt.setConnection(connection);
+				this.state.history().onConnected(this.state.ageMillis());
 				sendIfAllowed(attempt);
 			}
 		}
@@ -188,8 +190,8 @@
 		HttpRequest backendRequest = this.context.backendDialect()
 			.toBackendRequest(this.state.request(),
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
-		this.state.history().onSent(this.state.ageMillis());
 		attempt.markSent(this.context.clock().now().monotonicMillis());
+		this.state.onSent(attempt.sentMillis());
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		this.listener.onSent(attempt, this.leavingNotices.observe(attempt.server(), this.state.caller().id(),
 				attempt.connection().isReused(), head));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -133,6 +133,7 @@
 		if (this.completion.isResponded() && !this.state.isResuming()) {
 			return;
 		}
+		this.state.history().onTurn(this.state.ageMillis());
 		try {
 			Attempt attempt = this.launcher.choose(reason);
 			this.currentAttempt = attempt;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -40,6 +40,7 @@
  * @param bodyReader reader of complete bodies
  * @param bodyBudget memory budget of response bodies
  * @param promptGuard keeps prompts that crash backend servers away from them
+ * @param recentSends the latest requests that were sent
  * @param requestLog counts and logs outcomes
  * @param clock clock that measures ages
  * @param timers timers
@@ -50,8 +51,8 @@
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
 		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyReader bodyReader,
-		BodyBudget bodyBudget, PromptGuard promptGuard, RequestLog requestLog, AgeClock clock, Timers timers,
-		Random random) {
+		BodyBudget bodyBudget, PromptGuard promptGuard, RecentSends recentSends, RequestLog requestLog, AgeClock clock,
+		Timers timers, Random random) {
 
 	/**
 	 * Returns the time in which a request has to be answered.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
@@ -91,6 +91,14 @@
 		this.registry.counter("requests.moved").inc();
 	}
 
+	/**
+	 * Counts a request that was sent after less urgent ones, which came later or waited
+	 * beside it.
+	 */
+	void countOvertakenRequest() {
+		this.registry.counter("requests.overtaken").inc();
+	}
+
 	/**
 	 * Records a retry.
 	 * @param code result code of the retry
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -142,6 +142,19 @@
 		return RequestTime.of(OptionalLong.of(route().timeoutMillis()), this.caller.deadlineMillis());
 	}
 
+	/**
+	 * Records that the request is sent.
+	 * @param nowMillis present time by the monotonic clock, in milliseconds
+	 */
+	void onSent(long nowMillis) {
+		int lessUrgentCount = this.context.recentSends()
+			.onSend(this.admitted.rank(), this.arrived.monotonicMillis(), nowMillis);
+		this.history.onSent(ageMillis(), lessUrgentCount);
+		if (lessUrgentCount > 0) {
+			this.context.requestLog().countOvertakenRequest();
+		}
+	}
+
 	/**
 	 * Counts and logs the outcome of the request.
 	 * @param code result code
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -29,6 +29,7 @@
 import org.marjoramgw.direct.forward.BodyBudget;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.ForwardingContext;
+import org.marjoramgw.direct.forward.RecentSends;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.model.CallerLimits;
@@ -154,8 +155,8 @@
 				new ServerSelector(this.directory, health, placement, placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
-				guards.create(connector, health, timers), new RequestLog(new MetricRegistry(), monotonicClock, 20),
-				clock, timers, random);
+				guards.create(connector, health, timers), new RecentSends(),
+				new RequestLog(new MetricRegistry(), monotonicClock, 20), clock, timers, random);
 		this.forwarder = new Forwarder(context);
 		this.listener = new CallerListener(this.system, ServerSettings.create(config), timers,
 				() -> CallerLimits.DEFAULT, this.forwarder::unread, this.forwarder::handle);
