--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -72,7 +72,11 @@
 			{"name":"prompt","host":"carob.example","pathPrefix":"/prompt/","kind":"streaming",
 			"timeoutMs":20000,"targetLatencyMs":20000,"priority":2,"service":"s","attempts":1},
 			{"name":"quick-prompt","host":"carob.example","pathPrefix":"/quick-prompt/","kind":"streaming",
-			"timeoutMs":20000,"targetLatencyMs":1000,"priority":2,"service":"s","attempts":1}],
+			"timeoutMs":20000,"targetLatencyMs":1000,"priority":2,"service":"s","attempts":1},
+			{"name":"urgent-prompt","host":"carob.example","pathPrefix":"/urgent-prompt/","kind":"streaming",
+			"timeoutMs":20000,"targetLatencyMs":10000,"priority":1,"service":"s","attempts":1},
+			{"name":"reply","host":"carob.example","pathPrefix":"/reply/","kind":"streaming",
+			"timeoutMs":10000,"targetLatencyMs":250,"targetGapMs":150,"priority":1,"service":"s","attempts":1}],
 			"services":[{"name":"s"}],"tenants":[{"name":"coop","apiKeys":["key-1"]}]}""";
 
 	private static final long MAX_AGE_MILLIS = 3_600_000;
