Decide readiness in a class of its own

DirectProcess creates, starts and stops the components; whether the load balancer should send callers is a decision with figures of its own and had no unit test. Readiness holds it, with the age up to which keys are accepted; the HTTP response stays with the process. No change of behaviour.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -49,21 +49,6 @@
  */
 public final class DirectProcess {
 
-	/** Margin between the last use of a key and the end of its revocation time. */
-	private static final long REVOCATION_MARGIN_MILLIS = 300;
-
-	/**
-	 * How long before keys stop being accepted this process reports that it is not ready,
-	 * so that the load balancer can move callers to other processes first.
-	 */
-	private static final long READY_MARGIN_MILLIS = 1_000;
-
-	/**
-	 * Timer lag at which this process reports that it is not ready, in milliseconds,
-	 * since other processes serve callers faster.
-	 */
-	private static final long MAX_READY_LAG_MILLIS = 500;
-
 	private static final long MAINTENANCE_INTERVAL_MILLIS = 500;
 
 	/** Interval of the log lines about the attainment of each route. */
@@ -133,6 +118,8 @@
 
 	private final ServerDirectory directory;
 
+	private final Readiness readiness;
+
 	private final RequestPath requestPath;
 
 	private final RequestLog requestLog;
@@ -176,6 +163,8 @@
 		this.platform = platformFactory.apply(this.system, this.connector);
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
+		this.readiness = new Readiness(this.lifecycle, () -> this.warmedUp, this.directory, this.lag, this.routing,
+				() -> this.settings.get().revocationMillis());
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
 				this.clock, this.timers, strayBytes);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
@@ -268,17 +257,12 @@
 	}
 
 	private long maxAgeMillis() {
-		return this.settings.get().revocationMillis() - REVOCATION_MARGIN_MILLIS;
-	}
-
-	private boolean isReady() {
-		return !this.lifecycle.isStopping() && this.warmedUp && this.directory.isLoaded()
-				&& this.lag.lagMillis() < MAX_READY_LAG_MILLIS
-				&& this.routing.ageMillis() < maxAgeMillis() - READY_MARGIN_MILLIS;
+		return this.readiness.maxAgeMillis();
 	}
 
 	private HttpResponse readiness() {
-		return HttpResponse.create().withStatus(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+		return HttpResponse.create()
+			.withStatus(this.readiness.isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
 	}
 
 	private static HttpResponse metricsResponse(PrometheusTextWriter metrics) {
