Serve the selector in a class of its own

SocketAcceptor held two jobs: what is accepted, and the loop of the thread that runs tasks, ready channels and lingering sockets. SelectorLoop is that loop now. Order at the end as before: first the listening socket, then the others, then the selector.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -4,18 +4,14 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
@@ -52,8 +48,6 @@
 
 	private final AgeClock clock;
 
-	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-
 	private final ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BYTES);
 
 	private final LingeringSockets lingering = new LingeringSockets();
@@ -64,14 +58,15 @@
 
 	private final AtomicLong receivedBytes = new AtomicLong();
 
-	private Consumer<AcceptedSocket> receiver;
+	private final SelectorLoop loop;
 
-	private volatile boolean closed;
+	private Consumer<AcceptedSocket> receiver;
 
 	private SocketAcceptor(ServerSocketChannel server, Selector selector, AgeClock clock) {
 		this.server = server;
 		this.selector = selector;
 		this.clock = clock;
+		this.loop = new SelectorLoop(selector, this::onReady, this.lingering, () -> now().monotonicMillis());
 	}
 
 	/**
@@ -130,7 +125,7 @@
 		CompletableFuture<Void> passedOn = new CompletableFuture<>();
 		execute(() -> {
 			this.receiver = receiver;
-			this.unservedSockets.forEach((socket) -> runGuarded(() -> receiver.accept(socket)));
+			this.unservedSockets.forEach((socket) -> SelectorLoop.runGuarded(() -> receiver.accept(socket)));
 			this.unservedSockets.clear();
 			passedOn.complete(null);
 		});
@@ -161,8 +156,7 @@
 	 */
 	@Override
 	public void close() {
-		this.closed = true;
-		this.selector.wakeup();
+		this.loop.stop();
 	}
 
 	/**
@@ -170,8 +164,7 @@
 	 * @param task the task
 	 */
 	void execute(Runnable task) {
-		this.tasks.add(task);
-		this.selector.wakeup();
+		this.loop.execute(task);
 	}
 
 	/**
@@ -208,42 +201,15 @@
 
 	private void run() {
 		try {
-			while (!this.closed) {
-				this.selector.select(this.lingering.checkMillis());
-				runTasks();
-				handleSelected();
-				runGuarded(() -> this.lingering.closeOverdue(now().monotonicMillis()));
-			}
-		}
-		catch (IOException ex) {
-			Logger.error(ex, "selector of the callers' sockets failed");
+			this.loop.run();
 		}
 		finally {
-			closeAll();
-		}
-	}
-
-	private void runTasks() {
-		Runnable task = this.tasks.poll();
-		while (task != null) {
-			runGuarded(task);
-			task = this.tasks.poll();
-		}
-	}
-
-	private void handleSelected() {
-		Iterator<SelectionKey> selected = this.selector.selectedKeys().iterator();
-		while (selected.hasNext()) {
-			SelectionKey key = selected.next();
-			selected.remove();
-			runGuarded(() -> onSelected(key));
+			closeQuietly(this.server);
+			this.loop.closeAll();
 		}
 	}
 
-	private void onSelected(SelectionKey key) {
-		if (!key.isValid()) {
-			return;
-		}
+	private void onReady(SelectionKey key) {
 		if (key.isAcceptable()) {
 			accept();
 		}
@@ -252,19 +218,6 @@
 		}
 	}
 
-	// Isolates the failure of one socket from the others, which the same thread serves.
-	private static void runGuarded(Runnable action) {
-		try {
-			action.run();
-		}
-		catch (CancelledKeyException ex) {
-			Logger.debug("socket was closed during an action on it");
-		}
-		catch (RuntimeException ex) {
-			Logger.error(ex, "action on a caller's socket failed");
-		}
-	}
-
 	private void accept() {
 		try {
 			SocketChannel channel = this.server.accept();
@@ -302,14 +255,6 @@
 		}
 	}
 
-	private void closeAll() {
-		closeQuietly(this.server);
-		for (SelectionKey key : this.selector.keys()) {
-			closeQuietly(key.channel());
-		}
-		closeQuietly(this.selector);
-	}
-
 	static void closeQuietly(AutoCloseable closeable) {
 		try {
 			closeable.close();
