Check the status of a reply once

HttpEngineOrderClient and HttpWeightStore turned a status other than 2xx into the same exception. HttpReply#requireOk does it; same text and code.

--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/HttpEngineOrderClient.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/order/HttpEngineOrderClient.java
@@ -40,7 +40,7 @@
 	public EngineState state() throws HttpCallException {
 		String uri = this.baseUrl + "/state";
 		HttpReply reply = this.httpClient.get(uri);
-		requireOk(uri, reply);
+		reply.requireOk(uri);
 		try {
 			return MAPPER.readValue(reply.body(), EngineState.class);
 		}
@@ -57,13 +57,7 @@
 			throw new OrderFencedException(
 					order.action() + " of model " + order.model() + " with fencing number " + order.fencing());
 		}
-		requireOk(uri, reply);
-	}
-
-	private static void requireOk(String uri, HttpReply reply) throws HttpCallException {
-		if (!reply.isOk()) {
-			throw new HttpCallException(uri + " returned HTTP status " + reply.status(), false, null);
-		}
+		reply.requireOk(uri);
 	}
 
 	private static String json(EngineOrder order) {
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/weightstore/HttpWeightStore.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/weightstore/HttpWeightStore.java
@@ -38,9 +38,7 @@
 		if (reply.status() == HTTP_TOO_MANY_REQUESTS) {
 			throw new WeightStoreBusyException(model);
 		}
-		if (!reply.isOk()) {
-			throw new HttpCallException(uri + " returned HTTP status " + reply.status(), false, null);
-		}
+		reply.requireOk(uri);
 	}
 
 }
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpReply.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpReply.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.http;
 
+import org.marjoramgw.errors.HttpCallException;
+
 /**
  * Response to an HTTP call whose body has been read completely.
  *
@@ -23,4 +25,15 @@
 		return this.status >= OK && this.status < MULTIPLE_CHOICES;
 	}
 
+	/**
+	 * Requires that the call succeeded.
+	 * @param uri the URI that was called
+	 * @throws HttpCallException if the status is not 2xx
+	 */
+	public void requireOk(String uri) throws HttpCallException {
+		if (!isOk()) {
+			throw new HttpCallException(uri + " returned HTTP status " + this.status, false, null);
+		}
+	}
+
 }
