--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -32,6 +32,7 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.program.Lifecycle;
 import org.marjoramgw.time.AgeClock;
@@ -177,12 +178,13 @@
 		this.routing = new ActiveRouting(this.platform.configurationKey(), this.platform.routingDecoder(), this.clock);
 		this.directory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, strayBytes);
+				this.clock, this.timers, this.lag::lagMillis, strayBytes);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
+		StartLimiter startLimiter = this.requestPath.startLimiter();
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				this::maxAgeMillis);
-		this.callerListener = callerListener(this.forwarder);
+				startLimiter, this::maxAgeMillis);
+		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry));
 		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
@@ -257,14 +259,16 @@
 		sampleRouting.onConfirmed(this.clock.now());
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
+		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
-				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), () -> WARM_UP_LIMIT_MILLIS * 2);
-		callerListener(sampleForwarder).serve(acceptor);
+				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
+				() -> WARM_UP_LIMIT_MILLIS * 2);
+		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
-	private CallerListener callerListener(Forwarder target) {
-		return new CallerListener(this.system, this.serverSettings, this.timers, this.routing::limits, target::unread,
-				target::handle);
+	private CallerListener callerListener(Forwarder target, StartLimiter startLimiter) {
+		return new CallerListener(this.system, this.serverSettings, this.timers, startLimiter,
+				this.requestPath.startTimeouts(), this.routing::limits, target::unread, target::handle);
 	}
 
 	private long maxAgeMillis() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -24,7 +24,6 @@
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
-import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -33,6 +32,8 @@
 import org.marjoramgw.policy.quarantine.Quarantine;
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.policy.waiting.StartLimiter;
+import org.marjoramgw.policy.waiting.StartTimeouts;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Timers;
 
@@ -87,6 +88,8 @@
 
 	private final PrefillLimiter prefillLimiter;
 
+	private final StartTimeouts startTimeouts;
+
 	private final HttpConnector connector;
 
 	private final ConnectionPool pool;
@@ -102,10 +105,11 @@
 	 * @param monotonicClock monotonic clock
 	 * @param clock clock that measures ages
 	 * @param timers timers
+	 * @param lagMillis scheduling lag of the process, in milliseconds
 	 * @param strayBytes receiver of reports on bytes that belong to no response
 	 */
 	RequestPath(ActorSystem<?> system, Config config, Platform platform, SettingsFile settings,
-			MillisClock monotonicClock, AgeClock clock, Timers timers, StrayBytes strayBytes) {
+			MillisClock monotonicClock, AgeClock clock, Timers timers, LongSupplier lagMillis, StrayBytes strayBytes) {
 		this.system = system;
 		this.platform = platform;
 		this.settings = settings;
@@ -113,7 +117,8 @@
 		this.clock = clock;
 		this.timers = timers;
 		this.health = new ServerHealth(monotonicClock);
-		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext());
+		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext(), lagMillis);
+		this.startTimeouts = new StartTimeouts(monotonicClock, timers);
 		this.connector = new HttpConnector(system, BackendHttpSettings.of(config), strayBytes);
 		this.pool = new ConnectionPool(this.connector, monotonicClock);
 	}
@@ -124,22 +129,40 @@
 	 * @param servers the backend servers that it uses
 	 * @param promptGuard guard of the backend servers
 	 * @param requestLog log of its requests
+	 * @param startLimiter limits its requests that start concurrently, also that of its
+	 * callers' connections
 	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
 	 * milliseconds
 	 * @return the forwarder
 	 */
 	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
-			LongSupplier maxAgeMillis) {
+			StartLimiter startLimiter, LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
-				new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext()), this.prefillLimiter,
-				promptPartition, serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
+				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
+				serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
 				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), requestLog, this.clock,
 				this.timers, random));
 	}
 
+	/**
+	 * Creates a limiter for a forwarder and the connections of its callers.
+	 * @return the limiter
+	 */
+	StartLimiter startLimiter() {
+		return new StartLimiter(MAX_STARTING_REQUESTS, this.system.executionContext());
+	}
+
+	/**
+	 * Returns the timeouts of starting requests.
+	 * @return the timeouts
+	 */
+	StartTimeouts startTimeouts() {
+		return this.startTimeouts;
+	}
+
 	/**
 	 * Creates a guard that shares its verdicts with all processes.
 	 * @return the guard
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/ResponseKind.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/ResponseKind.java
@@ -23,6 +23,14 @@
 	 * The response belongs to another request, or lacks the proof that the server itself
 	 * produced it.
 	 */
-	UNTRUSTED
+	UNTRUSTED;
+
+	/**
+	 * Tells whether the server says that it ran the request.
+	 * @return whether it ran, well or not
+	 */
+	public boolean isExecuted() {
+		return this == VALID || this == SERVER_ERROR;
+	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -45,6 +45,15 @@
 		return this.opened;
 	}
 
+	/**
+	 * Tells whether the opening phase goes on, so that the request in progress keeps the
+	 * place among starting requests that its connection was given.
+	 * @return whether it does
+	 */
+	public boolean isOpening() {
+		return !this.opened.isDone();
+	}
+
 	/**
 	 * Marks the end of the opening phase.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -20,6 +20,8 @@
 import org.marjoramgw.direct.socket.AcceptedSocket;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.PlaintextLayers;
+import org.marjoramgw.policy.waiting.StartLimiter;
+import org.marjoramgw.policy.waiting.StartTimeouts;
 import org.marjoramgw.time.Timers;
 import scala.concurrent.duration.Duration;
 
@@ -31,18 +33,14 @@
  */
 public final class CallerListener {
 
-	/**
-	 * Time after which a connection counts as opened even if its first request was not
-	 * forwarded yet, in milliseconds.
-	 */
-	private static final long MAX_OPENING_MILLIS = 100;
-
 	private final ActorSystem<?> system;
 
 	private final ServerSettings settings;
 
 	private final Timers timers;
 
+	private final StartTimeouts startTimeouts;
+
 	private final Supplier<CallerLimits> limits;
 
 	private final BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler;
@@ -62,19 +60,22 @@
 	 * @param system the actor system
 	 * @param settings settings of the HTTP server
 	 * @param timers timers
+	 * @param startLimiter limits the requests that start concurrently
+	 * @param startTimeouts timeouts of starting requests
 	 * @param limits current limits on callers
 	 * @param unreadRequests creates the requests of connections that wait to be opened
 	 * @param handler handler of the requests of a connection
 	 */
-	public CallerListener(ActorSystem<?> system, ServerSettings settings, Timers timers, Supplier<CallerLimits> limits,
-			UnreadRequest.Factory unreadRequests,
+	public CallerListener(ActorSystem<?> system, ServerSettings settings, Timers timers, StartLimiter startLimiter,
+			StartTimeouts startTimeouts, Supplier<CallerLimits> limits, UnreadRequest.Factory unreadRequests,
 			BiFunction<HttpRequest, CallerConnection, CompletionStage<HttpResponse>> handler) {
 		this.system = system;
 		this.settings = settings;
 		this.timers = timers;
+		this.startTimeouts = startTimeouts;
 		this.limits = limits;
 		this.handler = handler;
-		this.openingQueue = new OpeningQueue(timers, unreadRequests, system.executionContext());
+		this.openingQueue = new OpeningQueue(startLimiter, timers, unreadRequests, system.executionContext());
 	}
 
 	/**
@@ -112,8 +113,8 @@
 	}
 
 	/**
-	 * Returns the number of connections with unread requests that wait to be opened.
-	 * @return number of connections
+	 * Returns the number of requests that wait to start, unread or on kept connections.
+	 * @return number of requests
 	 */
 	public int waitingCount() {
 		return this.openingQueue.waitingCount();
@@ -140,8 +141,9 @@
 		}
 		Flow<HttpRequest, HttpResponse, NotUsed> handlerFlow = Flow.<HttpRequest>create()
 			.mapAsync(1, (request) -> this.handler.apply(request, connection));
+		Timers.Handle timeout = this.startTimeouts.begin(connection::markOpened);
+		connection.opened().thenRun(timeout::cancel);
 		socket.flow().join(currentLayer().reversed().join(handlerFlow)).run(this.system);
-		this.timers.schedule(MAX_OPENING_MILLIS, connection::markOpened);
 	}
 
 	private void startHeadTimeout(CallerConnection connection) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
@@ -1,15 +1,14 @@
 package org.marjoramgw.direct.caller;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.Executor;
 
 import org.marjoramgw.direct.socket.AcceptedSocket;
-import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.time.Timers;
 
 /**
- * Queue of the connections that wait to be opened, the most urgent first; thread-safe.
+ * Queue of the connections that wait to be opened, among all requests that wait to start;
+ * thread-safe.
  * <p>
  * A process that has just started opens connections slowly. If it opened all waiting ones
  * at once, it would detect late which callers have disconnected in the meantime.
@@ -18,8 +17,7 @@
  */
 final class OpeningQueue {
 
-	/** Maximum number of connections that are opened concurrently. */
-	private static final int MAX_OPENING_COUNT = 4;
+	private final StartLimiter limiter;
 
 	private final Timers timers;
 
@@ -27,15 +25,15 @@
 
 	private final Executor executor;
 
-	private final StartLimiter limiter = new StartLimiter(MAX_OPENING_COUNT, Runnable::run);
-
 	/**
 	 * Creates a queue.
+	 * @param limiter limits the requests that start concurrently
 	 * @param timers timers
 	 * @param requests creates the requests of the waiting connections
-	 * @param executor opens connections
+	 * @param executor opens connections that don't wait
 	 */
-	OpeningQueue(Timers timers, UnreadRequest.Factory requests, Executor executor) {
+	OpeningQueue(StartLimiter limiter, Timers timers, UnreadRequest.Factory requests, Executor executor) {
+		this.limiter = limiter;
 		this.timers = timers;
 		this.requests = requests;
 		this.executor = executor;
@@ -47,16 +45,12 @@
 	 * @return action that lets connections be opened
 	 */
 	Runnable hold() {
-		List<StartLimiter.Permit> held = new ArrayList<>();
-		for (int number = 0; number < MAX_OPENING_COUNT; number++) {
-			this.limiter.tryAcquire().ifPresent(held::add);
-		}
-		return () -> held.forEach(StartLimiter.Permit::release);
+		return this.limiter.hold();
 	}
 
 	/**
-	 * Returns the number of connections that wait.
-	 * @return the number of connections
+	 * Returns the number of requests that wait, unread or on kept connections.
+	 * @return the number of requests
 	 */
 	int waitingCount() {
 		return this.limiter.waitingCount();
@@ -77,8 +71,7 @@
 	 * @return the place
 	 */
 	WaitingConnection place(AcceptedSocket socket, CallerConnection connection, Runnable open) {
-		Runnable openAsync = () -> this.executor.execute(open);
-		return new WaitingConnection(socket, connection, this.limiter, this.timers, this.requests, openAsync);
+		return new WaitingConnection(socket, connection, this.limiter, this.timers, this.requests, open, this.executor);
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/UnreadRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/UnreadRequest.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.direct.caller;
 
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramgw.policy.waiting.Urgency;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -11,10 +12,10 @@
 public interface UnreadRequest {
 
 	/**
-	 * Returns the rank of the request.
-	 * @return the rank; 0 is the most urgent
+	 * Returns the urgency of the request.
+	 * @return its place among all requests that wait
 	 */
-	int rank();
+	Urgency urgency();
 
 	/**
 	 * Returns how long the request may go on waiting.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
@@ -1,10 +1,12 @@
 package org.marjoramgw.direct.caller;
 
 import java.util.Optional;
+import java.util.concurrent.Executor;
 
 import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.direct.socket.AcceptedSocket;
-import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.waiting.StartLimiter;
+import org.marjoramgw.policy.waiting.Urgency;
 import org.marjoramgw.time.Timers;
 import org.tinylog.Logger;
 
@@ -36,6 +38,8 @@
 
 	private final Runnable open;
 
+	private final Executor executor;
+
 	private StartLimiter.Permit permit;
 
 	private boolean headKnown;
@@ -48,19 +52,21 @@
 	 * Creates a place that does not wait yet.
 	 * @param socket socket of the connection
 	 * @param connection the connection
-	 * @param limiter limits how many connections are opened concurrently
+	 * @param limiter limits the requests that start concurrently
 	 * @param timers timers
 	 * @param requests creates the request of the connection
 	 * @param open opens the connection
+	 * @param executor opens it if it doesn't wait
 	 */
 	WaitingConnection(AcceptedSocket socket, CallerConnection connection, StartLimiter limiter, Timers timers,
-			UnreadRequest.Factory requests, Runnable open) {
+			UnreadRequest.Factory requests, Runnable open, Executor executor) {
 		this.socket = socket;
 		this.connection = connection;
 		this.limiter = limiter;
 		this.timers = timers;
 		this.requests = requests;
 		this.open = open;
+		this.executor = executor;
 		connection.opened().whenComplete((opened, failure) -> end());
 	}
 
@@ -79,7 +85,7 @@
 		Optional<HeadPreview> preview = HeadPreview.of(this.socket.peek());
 		Optional<UnreadRequest> request = preview.flatMap(this::examine);
 		this.headKnown = preview.map(HeadPreview::complete).orElse(false);
-		this.permit = this.limiter.acquire(request.map(UnreadRequest::rank).orElse(Ranks.LEAST_URGENT), this.open);
+		this.permit = this.limiter.enqueue(request.map(UnreadRequest::urgency).orElseGet(this::leastUrgent), this.open);
 		if (this.headKnown) {
 			request.ifPresent((known) -> refuseAfterWait(known, preview.get().isHeadOnly()));
 		}
@@ -104,6 +110,10 @@
 		}
 	}
 
+	private Urgency leastUrgent() {
+		return Urgency.unread(Ranks.LEAST_URGENT, this.socket.arrivals().next().monotonicMillis());
+	}
+
 	private void refuseAfterWait(UnreadRequest request, boolean headOnly) {
 		this.timer = this.timers.schedule(Math.min(request.maxWaitMillis(), MAX_WAIT_MILLIS),
 				() -> refuseIfWaiting(request, headOnly));
@@ -114,7 +124,7 @@
 		free.ifPresent((acquired) -> {
 			this.permit = acquired;
 			this.headKnown = true;
-			this.open.run();
+			this.executor.execute(this.open);
 		});
 		return free.isPresent();
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -22,6 +22,8 @@
 
 	private PrefillLimiter.Permit prefillPermit;
 
+	private Wait wait = Wait.NONE;
+
 	private boolean started;
 
 	private boolean late;
@@ -82,6 +84,33 @@
 		}
 	}
 
+	/**
+	 * Marks that this attempt waits for its permit.
+	 */
+	void beginWait() {
+		this.wait = Wait.WAITING;
+	}
+
+	/**
+	 * Ends the wait for the permit.
+	 * @return whether it waited until now
+	 */
+	boolean endWait() {
+		boolean waited = this.wait == Wait.WAITING;
+		if (waited) {
+			this.wait = Wait.OVER;
+		}
+		return waited;
+	}
+
+	/**
+	 * Tells whether this attempt got its permit without waiting.
+	 * @return whether it never waited
+	 */
+	boolean neverWaited() {
+		return this.wait == Wait.NONE;
+	}
+
 	void markStarted() {
 		this.started = true;
 	}
@@ -91,12 +120,12 @@
 	}
 
 	/**
-	 * Releases the permit and marks this attempt as too late for its latency target, so
-	 * that the server runs it after requests of its rank that can still meet theirs.
+	 * Marks this attempt as too late for its latency target, so that the server runs it
+	 * after requests of its rank that can still meet theirs. It is sent without a permit.
 	 */
 	void markLate() {
 		this.late = true;
-		this.prefillPermit.release();
+		this.prefillPermit.overrun();
 	}
 
 	/**
@@ -180,10 +209,20 @@
 	void markSent(long nowMillis) {
 		this.sent = true;
 		this.sentMillis = nowMillis;
+		if (this.prefillPermit != null) {
+			this.prefillPermit.onSent();
+		}
 	}
 
 	void markNotRun() {
 		this.sent = false;
 	}
 
+	/** Wait of an attempt for its permit. */
+	private enum Wait {
+
+		NONE, WAITING, OVER
+
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -94,27 +94,44 @@
 
 	private void acquirePrefillPermit(Attempt attempt, Route route) {
 		attempt.setPrefillPermit(this.context.prefillLimiter()
-			.acquire(attempt.serverId(), route.name(), route.targetLatencyMillis(), () -> connect(attempt)));
+			.acquire(attempt.serverId(), route.name(), this.state.urgency(), route.targetLatencyMillis(),
+					() -> onPermit(attempt)));
 		if (!attempt.isStarted()) {
 			if (this.context.directory().obstacle(attempt.server()).isPresent()) {
 				connect(attempt);
 				return;
 			}
-			this.limitedStart.finish();
+			attempt.beginWait();
+			this.limitedStart.release();
 			this.context.timers()
 				.schedule(PrefillLimiter.maxWaitMillis(route.targetLatencyMillis()), () -> connectLate(attempt));
 		}
 	}
 
+	private void onPermit(Attempt attempt) {
+		synchronized (this.lock) {
+			if (attempt.neverWaited()) {
+				connect(attempt);
+			}
+			else if (!attempt.isEnded() && attempt.endWait()) {
+				connectInTurn(attempt);
+			}
+		}
+	}
+
 	private void connectLate(Attempt attempt) {
 		synchronized (this.lock) {
-			if (!attempt.isEnded() && !attempt.isStarted()) {
+			if (!attempt.isEnded() && attempt.endWait()) {
 				attempt.markLate();
-				connect(attempt);
+				connectInTurn(attempt);
 			}
 		}
 	}
 
+	private void connectInTurn(Attempt attempt) {
+		this.limitedStart.run(this.state.urgency(), () -> connect(attempt));
+	}
+
 	private void connect(Attempt attempt) {
 		synchronized (this.lock) {
 			if (attempt.isEnded() || attempt.isStarted()) {
@@ -195,7 +212,7 @@
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		this.listener.onSent(attempt, this.leavingNotices.observe(attempt.server(), this.state.caller().id(),
 				attempt.connection().isReused(), head));
-		this.limitedStart.finish();
+		this.limitedStart.release();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -12,7 +12,6 @@
 import org.marjoramgw.direct.backend.ResponseKind;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.errors.RequestRejectedException;
-import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -26,9 +25,6 @@
  */
 final class ForwardedRequest implements AttemptLauncher.Listener {
 
-	/** Load that an attempt adds to its server; all requests count the same. */
-	private static final double ATTEMPT_LOAD = 1;
-
 	private static final String SUSPECTED_PROMPT = "not sent again, its prompt may have crashed the server: ";
 
 	private static final String QUARANTINED_MEANWHILE = "a part of the prompt was quarantined before its answer began";
@@ -47,7 +43,7 @@
 
 	private StreamRelay streamRelay;
 
-	private Attempt currentAttempt;
+	private final CurrentAttempt currentAttempt;
 
 	/**
 	 * Creates a request.
@@ -61,9 +57,10 @@
 			RequestOwner owner) {
 		this.context = context;
 		this.state = new RequestState(context, request, caller, arrived);
-		this.limitedStart = new LimitedStart(context.startLimiter(), context.timers(), owner::onStarted);
+		this.limitedStart = new LimitedStart(context.startLimiter(), context.startTimeouts(), owner);
 		this.launcher = new AttemptLauncher(context, this.state, this.limitedStart, this, this);
 		this.owner = owner;
+		this.currentAttempt = new CurrentAttempt(context.health());
 		this.completion = new RequestCompletion(context, this.state, this.limitedStart, owner::onEnd);
 	}
 
@@ -87,10 +84,8 @@
 			PromptRecord promptRecord = PromptRecord.start(this.context.promptPartition(), this.state.service(),
 					this.state.route(), this.state.caller());
 			this.streamRelay = new StreamRelay(this.context, this.state, promptRecord, this);
-			this.completion.hold(
-					this.context.timers().schedule(Math.max(0, this.state.remainingMillis()), this::onTimeout),
-					promptRecord);
-			this.limitedStart.run(this.state.admitted().rank(), () -> tryNextServer(ResultCode.NO_BACKEND));
+			this.completion.hold(promptRecord);
+			waitForTurn(ResultCode.NO_BACKEND);
 		}
 		catch (RequestRejectedException ex) {
 			this.completion.reject(ex.code(), ex.getMessage());
@@ -102,11 +97,11 @@
 	 * Cancels the request because its caller has disconnected.
 	 */
 	synchronized void cancel() {
-		if (this.completion.isResponded() && this.currentAttempt == null) {
+		if (this.completion.isResponded() && this.currentAttempt.isNone()) {
 			return;
 		}
 		boolean streaming = this.completion.isResponded();
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		if (streaming) {
 			this.completion.record(ResultCode.CALLER_GONE, 0, "while streaming the response");
 		}
@@ -124,11 +119,44 @@
 			return;
 		}
 		boolean mayHaveRun = mayHaveRun();
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.completion.reject(mayHaveRun ? ResultCode.ENTRY_STOPPED : ResultCode.ENTRY_LEAVING,
 				"service=" + this.state.service());
 	}
 
+	/**
+	 * Lets the request wait for its turn in this process, but not longer than a server
+	 * can still answer it.
+	 * @param reason result code if no server is left
+	 */
+	private void waitForTurn(ResultCode reason) {
+		if (!this.state.maySend()) {
+			this.completion.reject(ResultCode.TIMEOUT_BEFORE_SEND, "");
+			return;
+		}
+		this.completion.setTimer(this.context.timers().schedule(this.state.maxWaitMillis(), this::onLastSend));
+		this.limitedStart.run(this.state.urgency(), () -> tryNextServer(reason));
+	}
+
+	/**
+	 * Refuses the request if it still waits, or leaves it its time for the answer.
+	 */
+	private synchronized void onLastSend() {
+		if (this.completion.isResponded()) {
+			return;
+		}
+		if (!this.currentAttempt.mayHaveRun()) {
+			onTimeout();
+			return;
+		}
+		startTimeout();
+	}
+
+	private void startTimeout() {
+		this.completion
+			.setTimer(this.context.timers().schedule(Math.max(0, this.state.remainingMillis()), this::onTimeout));
+	}
+
 	private synchronized void tryNextServer(ResultCode reason) {
 		if (this.completion.isResponded() && !this.state.isResuming()) {
 			return;
@@ -136,8 +164,7 @@
 		this.state.history().onTurn(this.state.ageMillis());
 		try {
 			Attempt attempt = this.launcher.choose(reason);
-			this.currentAttempt = attempt;
-			this.context.health().addLoad(attempt.serverId(), ATTEMPT_LOAD);
+			this.currentAttempt.begin(attempt);
 			this.launcher.launch(attempt);
 		}
 		catch (RequestRejectedException ex) {
@@ -157,7 +184,7 @@
 
 	@Override
 	public void onRejected(RequestRejectedException rejection) {
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.completion.reject(rejection.code(), rejection.getMessage());
 	}
 
@@ -172,7 +199,7 @@
 	}
 
 	private synchronized void onResponseHead(Attempt attempt, HttpResponse response, Throwable failure) {
-		if (this.currentAttempt != attempt) {
+		if (!this.currentAttempt.is(attempt)) {
 			return;
 		}
 		if (failure != null) {
@@ -182,8 +209,9 @@
 		attempt.markAnswering();
 		ResponseKind kind = this.context.backendDialect()
 			.classify(response, this.state.caller().id(), attempt.connection().isReused());
-		if (this.state.isResuming() && isExecuted(kind) && !ResponseBodies.isEventStream(response)) {
-			onBrokenResponse(attempt, "stream not resumed, status=" + response.status().intValue());
+		if (this.state.isResuming() && kind.isExecuted() && !ResponseBodies.isEventStream(response)) {
+			onBrokenResponse(attempt, ResultCode.BACKEND_BROKE_OFF,
+					"stream not resumed, status=" + response.status().intValue());
 			return;
 		}
 		switch (kind) {
@@ -195,7 +223,8 @@
 				this.context.directory().drop(attempt.serverId());
 				onNotRun(attempt, response, "address belongs to another server");
 			}
-			case UNTRUSTED -> onBrokenResponse(attempt, "untrusted response, status=" + response.status().intValue());
+			case UNTRUSTED -> onBrokenResponse(attempt, ResultCode.BACKEND_BROKE_OFF,
+					"untrusted response, status=" + response.status().intValue());
 			case SERVER_ERROR -> onServerError(attempt, response);
 			default -> {
 				if (this.state.route().isStreaming()) {
@@ -208,10 +237,6 @@
 		}
 	}
 
-	private static boolean isExecuted(ResponseKind kind) {
-		return kind == ResponseKind.VALID || kind == ResponseKind.SERVER_ERROR;
-	}
-
 	private void onNotRun(Attempt attempt, HttpResponse response, String detail) {
 		attempt.markNotRun();
 		response.discardEntityBytes(this.context.system());
@@ -237,7 +262,7 @@
 
 	private synchronized void onFullBody(Attempt attempt, HttpResponse response, HttpEntity.Strict body,
 			Throwable failure) {
-		if (this.currentAttempt != attempt) {
+		if (!this.currentAttempt.is(attempt)) {
 			return;
 		}
 		if (failure != null) {
@@ -250,7 +275,7 @@
 			this.state.prompt().onAnswer();
 		}
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
-		endAttempt(false);
+		this.currentAttempt.end(false);
 		ResultCode code = response.status().isSuccess() ? ResultCode.OK : ResultCode.BACKEND_ERROR;
 		this.completion.complete(code, this.context.callerDialect().toCallerResponse(response).withEntity(body),
 				"server=" + attempt.serverId());
@@ -267,6 +292,7 @@
 		if (this.state.route().resumable() && ResponseBodies.isEventStream(response)) {
 			body = this.state.resumableBody().start(body);
 		}
+		startTimeout();
 		this.completion.startStream(this.context.callerDialect()
 			.toCallerResponse(response)
 			.withEntity(ResponseBodies.streamed(response, body)));
@@ -285,17 +311,17 @@
 				return;
 			}
 		}
-		endAttempt(code != ResultCode.OK);
+		this.currentAttempt.end(code != ResultCode.OK);
 		this.completion.record(code, response.status().intValue(), "server=" + attempt.serverId() + detail);
 	}
 
 	private synchronized void resume(Attempt attempt, boolean allowed, String detail) {
-		if (this.currentAttempt != attempt) {
+		if (!this.currentAttempt.is(attempt)) {
 			return;
 		}
 		this.state.history().countPossibleRun();
 		if (!allowed) {
-			endAttempt(true);
+			this.currentAttempt.end(true);
 			this.completion.reject(ResultCode.BACKEND_BROKE_OFF, SUSPECTED_PROMPT + detail);
 			return;
 		}
@@ -303,10 +329,6 @@
 				"last_event=" + this.state.resumableBody().lastEventId().orElse("none") + detail);
 	}
 
-	private void onBrokenResponse(Attempt attempt, String detail) {
-		onBrokenResponse(attempt, ResultCode.BACKEND_BROKE_OFF, detail);
-	}
-
 	private void onBrokenResponse(Attempt attempt, ResultCode code, String cause) {
 		String detail = cause + this.state.prompt().describe(attempt);
 		this.context.health().onFailure(attempt.serverId());
@@ -315,12 +337,12 @@
 			mayGoElsewhere.thenAccept((allowed) -> runAgain(attempt, allowed, code, detail));
 			return;
 		}
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.completion.reject(code, "server=" + attempt.serverId() + " " + detail);
 	}
 
 	private synchronized void runAgain(Attempt attempt, boolean allowed, ResultCode code, String detail) {
-		if (this.currentAttempt != attempt) {
+		if (!this.currentAttempt.is(attempt)) {
 			return;
 		}
 		this.state.history().countPossibleRun();
@@ -328,7 +350,7 @@
 			retry(attempt, code, detail);
 			return;
 		}
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.completion.reject(code, "server=" + attempt.serverId() + " " + SUSPECTED_PROMPT + detail);
 	}
 
@@ -337,23 +359,29 @@
 		this.context.requestLog()
 			.recordRetry(this.state.isResuming() ? ResultCode.RETRY_CONTINUED : kind, this.state.caller().id(),
 					attempt.serverId(), detail);
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.state.history().exclude(attempt.serverId());
-		tryNextServer(reason);
+		if (this.state.isResuming()) {
+			// Its caller has a part of the answer and must not wait for the next.
+			tryNextServer(reason);
+		}
+		else {
+			waitForTurn(reason);
+		}
 	}
 
 	private synchronized void onTimeout() {
-		if (this.currentAttempt == null && this.completion.isResponded()) {
+		if (this.currentAttempt.isNone() && this.completion.isResponded()) {
 			return;
 		}
 		boolean mayHaveRun = mayHaveRun();
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.completion.reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
 				"service=" + this.state.service());
 	}
 
 	private boolean mayHaveRun() {
-		return this.state.history().mayHaveRun() || this.currentAttempt != null && this.currentAttempt.mayHaveRun();
+		return this.state.history().mayHaveRun() || this.currentAttempt.mayHaveRun();
 	}
 
 	/**
@@ -361,28 +389,14 @@
 	 * so that its server doesn't begin it.
 	 */
 	private synchronized void onQuarantined() {
-		if (this.currentAttempt == null || this.currentAttempt.hasBegun()) {
+		if (!this.currentAttempt.awaitsAnswer()) {
 			return;
 		}
 		if (this.currentAttempt.mayHaveRun()) {
 			this.state.history().countPossibleRun();
 		}
-		endAttempt(true);
+		this.currentAttempt.end(true);
 		this.completion.reject(ResultCode.PROMPT_PART_QUARANTINED, QUARANTINED_MEANWHILE);
 	}
 
-	private void endAttempt(boolean closeConnection) {
-		Attempt ended = this.currentAttempt;
-		this.currentAttempt = null;
-		if (ended == null) {
-			return;
-		}
-		ended.end();
-		this.context.health().addLoad(ended.serverId(), -ATTEMPT_LOAD);
-		HttpConnection connection = ended.takeConnection();
-		if (closeConnection && connection != null) {
-			connection.close();
-		}
-	}
-
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -18,8 +18,8 @@
 import org.marjoramgw.direct.caller.HeadPreview;
 import org.marjoramgw.direct.caller.UnreadRequest;
 import org.marjoramgw.http.MemoryLimit;
-import org.marjoramgw.policy.deadline.RequestTime;
 import org.marjoramgw.policy.drain.DrainSchedule;
+import org.marjoramgw.policy.waiting.RequestTime;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -185,6 +185,11 @@
 			return this.connection.isClosedByCaller();
 		}
 
+		@Override
+		public boolean isStarting() {
+			return this.connection.isOpening();
+		}
+
 		@Override
 		public void onStarted() {
 			this.connection.markOpened();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -13,11 +13,12 @@
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.http.BodyReader;
-import org.marjoramgw.policy.deadline.RequestTime;
-import org.marjoramgw.policy.limiter.StartLimiter;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.policy.waiting.RequestTime;
+import org.marjoramgw.policy.waiting.StartLimiter;
+import org.marjoramgw.policy.waiting.StartTimeouts;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.Timers;
 
@@ -32,6 +33,7 @@
  * @param directory registered backend servers
  * @param health load and failure state of backend servers
  * @param startLimiter limits concurrently starting requests
+ * @param startTimeouts timeouts of starting requests
  * @param prefillLimiter limits the prompts in prefill at each backend server
  * @param promptPartition partition of backend servers by the length of prompts
  * @param serverSelector selects backend servers
@@ -49,10 +51,10 @@
  */
 public record ForwardingContext(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
-		StartLimiter startLimiter, PrefillLimiter prefillLimiter, PromptPartition promptPartition,
-		ServerSelector serverSelector, ConnectionPool pool, WindowRetryBudget retryBudget, BodyReader bodyReader,
-		BodyBudget bodyBudget, PromptGuard promptGuard, RecentSends recentSends, RequestLog requestLog, AgeClock clock,
-		Timers timers, Random random) {
+		StartLimiter startLimiter, StartTimeouts startTimeouts, PrefillLimiter prefillLimiter,
+		PromptPartition promptPartition, ServerSelector serverSelector, ConnectionPool pool,
+		WindowRetryBudget retryBudget, BodyReader bodyReader, BodyBudget bodyBudget, PromptGuard promptGuard,
+		RecentSends recentSends, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
 
 	/**
 	 * Returns the time in which a request has to be answered.
@@ -60,10 +62,9 @@
 	 * @return the time as far as it is known
 	 */
 	RequestTime requestTime(CallerRequest caller) {
-		OptionalLong timeoutMillis = this.routing.route(caller.host(), caller.path())
-			.map((route) -> OptionalLong.of(route.timeoutMillis()))
-			.orElse(OptionalLong.empty());
-		return RequestTime.of(timeoutMillis, caller.deadlineMillis());
+		return this.routing.route(caller.host(), caller.path())
+			.map((route) -> route.requestTime(caller.deadlineMillis()))
+			.orElseGet(() -> RequestTime.of(OptionalLong.empty(), caller.deadlineMillis()));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LimitedStart.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LimitedStart.java
@@ -1,86 +1,128 @@
 package org.marjoramgw.direct.forward;
 
-import org.marjoramgw.policy.limiter.StartLimiter;
+import org.marjoramgw.policy.waiting.StartLimiter;
+import org.marjoramgw.policy.waiting.StartTimeouts;
+import org.marjoramgw.policy.waiting.Urgency;
 import org.marjoramgw.time.Timers;
 
 /**
- * Start of one request under a {@link StartLimiter}; thread-safe.
+ * Start of one request under a {@link StartLimiter}; thread-safe. It starts again each
+ * time that it has waited for a server.
  *
  * @author The marjoramgw authors
  */
 final class LimitedStart {
 
-	/**
-	 * Time after which a request no longer counts as starting, in milliseconds, so that
-	 * an unresponsive server doesn't block other requests from starting.
-	 */
-	private static final long MAX_STARTING_MILLIS = 100;
-
 	private final StartLimiter limiter;
 
-	private final Timers timers;
+	private final StartTimeouts timeouts;
 
-	private final Runnable onFinished;
+	private final RequestOwner owner;
 
-	private StartLimiter.Permit permit;
+	private Turn turn = new Turn();
 
 	private boolean finished;
 
 	/**
 	 * Creates a start.
 	 * @param limiter limits concurrently starting requests
-	 * @param timers timers
-	 * @param onFinished called when the request has started or ended; may be called more
-	 * than once
+	 * @param timeouts timeouts of starting requests
+	 * @param owner owner of the request
 	 */
-	LimitedStart(StartLimiter limiter, Timers timers, Runnable onFinished) {
+	LimitedStart(StartLimiter limiter, StartTimeouts timeouts, RequestOwner owner) {
 		this.limiter = limiter;
-		this.timers = timers;
-		this.onFinished = onFinished;
+		this.timeouts = timeouts;
+		this.owner = owner;
 	}
 
 	/**
-	 * Begins the request as soon as the limiter grants a permit, unless it is finished
-	 * before.
-	 * @param priority rank of the request; 0 is the most urgent
+	 * Begins or continues the request as soon as the limiter grants a permit, unless it
+	 * is finished before. The place that its connection was opened with counts as one.
+	 * @param urgency urgency of the request
 	 * @param begin begins the request
 	 */
-	void run(int priority, Runnable begin) {
+	void run(Urgency urgency, Runnable begin) {
 		if (isFinished()) {
 			return;
 		}
-		StartLimiter.Permit acquired = this.limiter.acquire(priority, () -> beginIfUnfinished(begin));
-		synchronized (this) {
-			this.permit = acquired;
-			if (this.finished) {
-				acquired.release();
-			}
+		if (this.owner.isStarting()) {
+			begin.run();
+			return;
 		}
+		Turn next = replaceTurn();
+		next.hold(this.limiter.acquire(urgency, () -> begin(next, begin)));
+	}
+
+	/**
+	 * Releases the permit, because the request was sent or waits for a server.
+	 */
+	void release() {
+		replaceTurn();
+		this.owner.onStarted();
 	}
 
 	/**
-	 * Marks the request as started or ended and releases its permit.
+	 * Marks the request as ended and releases its permit.
 	 */
 	void finish() {
 		synchronized (this) {
 			this.finished = true;
-			if (this.permit != null) {
-				this.permit.release();
-			}
 		}
-		this.onFinished.run();
+		release();
 	}
 
-	private void beginIfUnfinished(Runnable begin) {
-		if (isFinished()) {
-			return;
+	private void begin(Turn begun, Runnable begin) {
+		if (!isFinished() && begun.startTimeout(this.timeouts)) {
+			begin.run();
+		}
+	}
+
+	private Turn replaceTurn() {
+		Turn next = new Turn();
+		Turn previous;
+		synchronized (this) {
+			previous = this.turn;
+			this.turn = next;
 		}
-		this.timers.schedule(MAX_STARTING_MILLIS, this::finish);
-		begin.run();
+		previous.end();
+		return next;
 	}
 
 	private synchronized boolean isFinished() {
 		return this.finished;
 	}
 
+	/** One permit, which may end before it was acquired. */
+	private static final class Turn {
+
+		private StartLimiter.Permit permit;
+
+		private Timers.Handle timeout = Timers.Handle.NONE;
+
+		private boolean ended;
+
+		private synchronized void hold(StartLimiter.Permit acquired) {
+			this.permit = acquired;
+			if (this.ended) {
+				acquired.release();
+			}
+		}
+
+		private synchronized boolean startTimeout(StartTimeouts timeouts) {
+			if (!this.ended) {
+				this.timeout = timeouts.begin(this::end);
+			}
+			return !this.ended;
+		}
+
+		private synchronized void end() {
+			this.ended = true;
+			this.timeout.cancel();
+			if (this.permit != null) {
+				this.permit.release();
+			}
+		}
+
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PreviewedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PreviewedRequest.java
@@ -10,6 +10,7 @@
 import org.marjoramgw.direct.model.Ranks;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.Routing;
+import org.marjoramgw.policy.waiting.Urgency;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -38,8 +39,9 @@
 	}
 
 	@Override
-	public int rank() {
-		return this.context.routing().current().flatMap(this::rank).orElse(Ranks.LEAST_URGENT);
+	public Urgency urgency() {
+		int rank = this.context.routing().current().flatMap(this::rank).orElse(Ranks.LEAST_URGENT);
+		return Urgency.unread(rank, this.arrived.monotonicMillis());
 	}
 
 	@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestCompletion.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestCompletion.java
@@ -46,12 +46,19 @@
 	}
 
 	/**
-	 * Sets what the end releases.
-	 * @param newTimer timer of the request's timeout
-	 * @param newPromptRecord record of its prompt
+	 * Sets the timer that the end cancels, in place of the one before it.
+	 * @param newTimer timer of the request
 	 */
-	void hold(Timers.Handle newTimer, PromptRecord newPromptRecord) {
+	void setTimer(Timers.Handle newTimer) {
+		this.timer.cancel();
 		this.timer = newTimer;
+	}
+
+	/**
+	 * Sets the record that the end closes.
+	 * @param newPromptRecord record of the prompt
+	 */
+	void hold(PromptRecord newPromptRecord) {
 		this.promptRecord = newPromptRecord;
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestOwner.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestOwner.java
@@ -20,6 +20,13 @@
 	 */
 	boolean isCallerDisconnected();
 
+	/**
+	 * Tells whether the request has the place among starting requests that its connection
+	 * was opened with.
+	 * @return whether it has, until it was forwarded or answered
+	 */
+	boolean isStarting();
+
 	/**
 	 * Called when the request was forwarded or answered; may be called more than once.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -1,13 +1,12 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.OptionalLong;
-
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
-import org.marjoramgw.policy.deadline.RequestTime;
+import org.marjoramgw.policy.waiting.RequestTime;
+import org.marjoramgw.policy.waiting.Urgency;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -138,8 +137,25 @@
 		return time().maySend(ageMillis());
 	}
 
+	/**
+	 * Returns how long the request may wait before it is sent.
+	 * @return time after which it is refused, in milliseconds
+	 */
+	long maxWaitMillis() {
+		return time().maxWaitMillis(ageMillis());
+	}
+
+	/**
+	 * Returns the urgency of the request.
+	 * @return its place among all requests that wait
+	 */
+	Urgency urgency() {
+		return Urgency.read(this.admitted.rank(), this.arrived.monotonicMillis());
+	}
+
 	private RequestTime time() {
-		return RequestTime.of(OptionalLong.of(route().timeoutMillis()), this.caller.deadlineMillis());
+		return isResuming() ? route().answerTime(this.caller.deadlineMillis())
+				: route().requestTime(this.caller.deadlineMillis());
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Route.java
@@ -1,6 +1,9 @@
 package org.marjoramgw.direct.model;
 
 import java.util.List;
+import java.util.OptionalLong;
+
+import org.marjoramgw.policy.waiting.RequestTime;
 
 /**
  * Routing rule for the requests of one host and path prefix.
@@ -13,6 +16,8 @@
  * @param anonymous whether requests are admitted without a key
  * @param timeoutMillis timeout of a request, in milliseconds
  * @param targetLatencyMillis latency target of a response, in milliseconds
+ * @param patienceMillis time after which callers leave unless the response has begun, in
+ * milliseconds; {@link Long#MAX_VALUE} if they wait until their deadline
  * @param targetPauseMillis longest pause between events for which a stream is in time, in
  * milliseconds; 0 if none is set
  * @param priority priority of the requests; 0 is the most urgent
@@ -21,8 +26,8 @@
  * @author The marjoramgw authors
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, boolean resumable, boolean anonymous,
-		long timeoutMillis, long targetLatencyMillis, long targetPauseMillis, int priority, int maxAttempts,
-		List<WeightedService> services) {
+		long timeoutMillis, long targetLatencyMillis, long patienceMillis, long targetPauseMillis, int priority,
+		int maxAttempts, List<WeightedService> services) {
 
 	/**
 	 * Tells whether a request may run more than once.
@@ -40,6 +45,24 @@
 		return this.kind == RequestKind.STREAMING;
 	}
 
+	/**
+	 * Returns the time of a request whose response has not begun.
+	 * @param deadlineMillis time that the caller waits in milliseconds, or empty
+	 * @return the time until its answer and its last send
+	 */
+	public RequestTime requestTime(OptionalLong deadlineMillis) {
+		return answerTime(deadlineMillis).withPatience(this.patienceMillis, this.targetLatencyMillis);
+	}
+
+	/**
+	 * Returns the time of a request whose response has begun.
+	 * @param deadlineMillis time that the caller waits in milliseconds, or empty
+	 * @return the time until its answer
+	 */
+	public RequestTime answerTime(OptionalLong deadlineMillis) {
+		return RequestTime.of(OptionalLong.of(this.timeoutMillis), deadlineMillis);
+	}
+
 	/**
 	 * Tells whether the route forwards requests to a service.
 	 * @param service name of the service
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/deadline/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Tests of org.marjoramgw.policy.deadline.
- */
-package org.marjoramgw.policy.deadline;
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/limiter/package-info.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Tests of the limit on starting requests.
  */
-package org.marjoramgw.policy.limiter;
+package org.marjoramgw.policy.waiting;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/deadline/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Decides until when a request can still be served.
- */
-package org.marjoramgw.policy.deadline;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/AimdLimit.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/AimdLimit.java
@@ -34,20 +34,20 @@
 	}
 
 	/**
-	 * Adapts the limit to the time that a first token took.
-	 * @param waitMillis time from the send to the first token or, without one, to the end
-	 * of the request, in milliseconds
-	 * @param maxMillis time that it may take, in milliseconds
-	 * @param nowMillis current time of a monotonic clock, in milliseconds
+	 * Raises the limit because a first token arrived in time.
 	 */
-	void onFirstToken(long waitMillis, long maxMillis, long nowMillis) {
-		if (waitMillis <= maxMillis) {
-			this.limit = Math.min(MAX, this.limit + 1 / this.limit);
-			return;
-		}
-		// A prompt sent before the last decrease doesn't reflect it and must not lower
-		// the limit again.
-		if (nowMillis - waitMillis >= this.lastDecreaseMillis) {
+	void onTimely() {
+		this.limit = Math.min(MAX, this.limit + 1 / this.limit);
+	}
+
+	/**
+	 * Lowers the limit because a first token was late. A prompt that was sent before the
+	 * last decrease doesn't reflect it and doesn't lower the limit again.
+	 * @param sentMillis when the prompt was sent by a monotonic clock, in milliseconds
+	 * @param nowMillis present time by the same clock, in milliseconds
+	 */
+	void onLate(long sentMillis, long nowMillis) {
+		if (sentMillis >= this.lastDecreaseMillis) {
 			this.limit = Math.max(MIN, this.limit * DECREASE_FACTOR);
 			this.lastDecreaseMillis = nowMillis;
 		}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
@@ -1,26 +1,26 @@
 package org.marjoramgw.policy.prefill;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import org.marjoramgw.MillisClock;
+import org.marjoramgw.policy.waiting.Urgency;
 
 /**
- * Limits the prompts in prefill at each backend server, separately for each kind of
- * request; thread-safe.
+ * Limits the prompts in prefill at each backend server; thread-safe.
  * <p>
  * Handles bursts of long prompts. If all prompts of a burst were sent, the server would
  * process them in order, and soon each would wait for the whole queue and miss its
- * target. Requests above the limit therefore wait here and are admitted last in, first
- * out, since the newest can still meet its target. A request that has waited for
- * {@link #maxWaitMillis} no longer can: its owner releases the permit and sends the
- * request behind those of its rank that can still meet their target.
+ * target. Requests above the limit of their kind therefore wait here and are admitted by
+ * urgency. Each less urgent prompt in prefill makes room for one more, and when a first
+ * token is late, the limit of the least urgent kind falls. A request that has waited for
+ * {@link #maxWaitMillis} can no longer meet its target: its owner sends it without a
+ * permit, behind those of its rank that still can.
  *
  * @author The marjoramgw authors
  */
@@ -36,16 +36,23 @@
 
 	private final Executor executor;
 
-	private final Map<Key, PromptQueue> queueByKey = new HashMap<>();
+	private final LongSupplier lagMillis;
+
+	private final Map<String, ServerPrompts> promptsByServer = new HashMap<>();
+
+	private long nextSequence;
 
 	/**
 	 * Creates a limiter.
 	 * @param clock monotonic clock
 	 * @param executor runs the start tasks of requests that had to wait
+	 * @param lagMillis scheduling lag of this process in milliseconds, which is not held
+	 * against a server
 	 */
-	public PrefillLimiter(MillisClock clock, Executor executor) {
+	public PrefillLimiter(MillisClock clock, Executor executor, LongSupplier lagMillis) {
 		this.clock = clock;
 		this.executor = executor;
+		this.lagMillis = lagMillis;
 	}
 
 	/**
@@ -63,42 +70,42 @@
 	 * is below its limit.
 	 * @param serverId id of the server
 	 * @param kind kind of request; each kind has a limit of its own
+	 * @param urgency urgency of the request
 	 * @param targetMillis target of the kind for the time to the first token, in
 	 * milliseconds
 	 * @param start starts the request; may be called before this method returns
 	 * @return the permit, admitted or still waiting
 	 */
-	public Permit acquire(String serverId, String kind, long targetMillis, Runnable start) {
-		Permit permit = new Permit(new Key(serverId, kind), targetMillis, start);
+	public Permit acquire(String serverId, String kind, Urgency urgency, long targetMillis, Runnable start) {
+		Permit permit;
 		synchronized (this) {
-			PromptQueue queue = this.queueByKey.computeIfAbsent(permit.key, (key) -> new PromptQueue());
-			if (!queue.limit.hasRoom(queue.inFlightCount)) {
-				queue.waiting.addLast(permit);
+			permit = new Permit(serverId, kind, urgency, this.nextSequence++, targetMillis, start);
+			ServerPrompts prompts = this.promptsByServer.computeIfAbsent(serverId, (key) -> new ServerPrompts());
+			if (!prompts.mayAdmit(permit)) {
+				prompts.await(permit);
 				return permit;
 			}
-			permit.admit(queue, this.clock.nowMillis());
+			prompts.admit(permit);
 		}
 		start.run();
 		return permit;
 	}
 
 	/**
-	 * Starts all requests that wait for a permit at a server, the newest first and
+	 * Starts all requests that wait for a permit at a server, the most urgent first and
 	 * without a permit, because they have to go to another one.
 	 * @param serverId id of the server
 	 */
 	public void startWaiting(String serverId) {
 		List<Permit> waiting = new ArrayList<>();
 		synchronized (this) {
-			this.queueByKey.forEach((key, queue) -> {
-				if (key.serverId().equals(serverId)) {
-					queue.waiting.descendingIterator().forEachRemaining(waiting::add);
-					queue.waiting.clear();
-				}
-			});
+			ServerPrompts prompts = this.promptsByServer.get(serverId);
+			if (prompts != null) {
+				waiting.addAll(prompts.takeWaiting());
+			}
 			waiting.forEach((permit) -> permit.released = true);
 		}
-		waiting.forEach((permit) -> this.executor.execute(permit.start));
+		start(waiting);
 	}
 
 	/**
@@ -106,7 +113,7 @@
 	 * @return the number of requests for all servers
 	 */
 	public synchronized int waitingCount() {
-		return this.queueByKey.values().stream().mapToInt((queue) -> queue.waiting.size()).sum();
+		return this.promptsByServer.values().stream().mapToInt(ServerPrompts::waitingCount).sum();
 	}
 
 	/**
@@ -115,63 +122,57 @@
 	 * @param isKnown returns whether a server still exists
 	 */
 	public synchronized void retainServers(Predicate<String> isKnown) {
-		this.queueByKey.entrySet()
-			.removeIf((entry) -> entry.getValue().isEmpty() && !isKnown.test(entry.getKey().serverId()));
+		this.promptsByServer.entrySet()
+			.removeIf((entry) -> entry.getValue().isEmpty() && !isKnown.test(entry.getKey()));
 	}
 
 	private void release(Permit permit, boolean firstToken) {
-		Permit next = remove(permit, firstToken);
-		while (next != null) {
-			this.executor.execute(next.start);
-			next = admitNext(permit.key);
-		}
+		start(remove(permit, firstToken));
+	}
+
+	private void start(List<Permit> permits) {
+		permits.forEach((permit) -> this.executor.execute(permit.start));
 	}
 
-	private synchronized Permit remove(Permit permit, boolean firstToken) {
-		PromptQueue queue = this.queueByKey.get(permit.key);
-		if (permit.released || queue == null) {
-			return null;
+	private synchronized List<Permit> remove(Permit permit, boolean firstToken) {
+		ServerPrompts prompts = this.promptsByServer.get(permit.serverId);
+		if (permit.released || prompts == null) {
+			return List.of();
 		}
 		permit.released = true;
-		if (!permit.admitted) {
-			queue.waiting.remove(permit);
-			return null;
-		}
-		queue.inFlightCount--;
 		long nowMillis = this.clock.nowMillis();
-		long waitMillis = nowMillis - permit.admittedMillis;
-		long maxMillis = (long) (FIRST_TOKEN_FRACTION * permit.targetMillis);
-		if (firstToken || waitMillis > maxMillis) {
-			queue.limit.onFirstToken(waitMillis, maxMillis, nowMillis);
+		if (prompts.remove(permit) && permit.sent) {
+			adapt(prompts, permit, firstToken, nowMillis);
 		}
-		return admitNext(permit.key);
+		return prompts.admitWaiting();
 	}
 
-	private synchronized Permit admitNext(Key key) {
-		PromptQueue queue = this.queueByKey.get(key);
-		if (queue == null || queue.waiting.isEmpty() || !queue.limit.hasRoom(queue.inFlightCount)) {
-			return null;
-		}
-		Permit newest = queue.waiting.removeLast();
-		newest.admit(queue, this.clock.nowMillis());
-		return newest;
+	private synchronized void onSent(Permit permit) {
+		permit.sent = true;
+		permit.sentMillis = this.clock.nowMillis();
+		permit.lagAtSendMillis = this.lagMillis.getAsLong();
 	}
 
-	private record Key(String serverId, String kind) {
+	private List<Permit> overrun(Permit permit) {
+		ServerPrompts prompts = this.promptsByServer.get(permit.serverId);
+		if (permit.released || prompts == null) {
+			return List.of();
+		}
+		prompts.overrun(permit);
+		return prompts.admitWaiting();
 	}
 
-	private static final class PromptQueue {
-
-		private final AimdLimit limit = new AimdLimit();
-
-		private final Deque<Permit> waiting = new ArrayDeque<>();
-
-		private int inFlightCount;
-
-		private boolean isEmpty() {
-			return this.inFlightCount == 0 && this.waiting.isEmpty();
+	private void adapt(ServerPrompts prompts, Permit permit, boolean firstToken, long nowMillis) {
+		long waitMillis = nowMillis - permit.sentMillis;
+		long maxMillis = (long) (FIRST_TOKEN_FRACTION * permit.targetMillis);
+		if (waitMillis <= maxMillis) {
+			if (firstToken) {
+				prompts.onTimely(permit.kind);
+			}
+		}
+		else if (waitMillis - permit.lagAtSendMillis - this.lagMillis.getAsLong() > maxMillis) {
+			prompts.onLate(permit, nowMillis);
 		}
-
 	}
 
 	/**
@@ -179,24 +180,55 @@
 	 */
 	public final class Permit {
 
-		private final Key key;
+		private final String serverId;
+
+		private final String kind;
+
+		private final Urgency urgency;
+
+		private final long sequence;
 
 		private final long targetMillis;
 
 		private final Runnable start;
 
-		private boolean admitted;
+		private boolean sent;
+
+		private long sentMillis;
 
-		private long admittedMillis;
+		private long lagAtSendMillis;
 
 		private boolean released;
 
-		private Permit(Key key, long targetMillis, Runnable start) {
-			this.key = key;
+		private Permit(String serverId, String kind, Urgency urgency, long sequence, long targetMillis,
+				Runnable start) {
+			this.serverId = serverId;
+			this.kind = kind;
+			this.urgency = urgency;
+			this.sequence = sequence;
 			this.targetMillis = targetMillis;
 			this.start = start;
 		}
 
+		/**
+		 * Records that the prompt is sent. Its first token is due from now on.
+		 */
+		public void onSent() {
+			PrefillLimiter.this.onSent(this);
+		}
+
+		/**
+		 * Ends the wait because the prompt is sent without being admitted. Until its
+		 * release more urgent prompts don't wait at the same server.
+		 */
+		public void overrun() {
+			List<Permit> admitted;
+			synchronized (PrefillLimiter.this) {
+				admitted = PrefillLimiter.this.overrun(this);
+			}
+			PrefillLimiter.this.start(admitted);
+		}
+
 		/**
 		 * Releases the permit because the first token arrived; further calls do nothing.
 		 */
@@ -205,17 +237,26 @@
 		}
 
 		/**
-		 * Releases the permit because the request ended or is sent without it; further
-		 * calls do nothing.
+		 * Releases the permit because the request ended; further calls do nothing.
 		 */
 		public void release() {
 			PrefillLimiter.this.release(this, false);
 		}
 
-		private void admit(PromptQueue queue, long nowMillis) {
-			this.admitted = true;
-			this.admittedMillis = nowMillis;
-			queue.inFlightCount++;
+		String kind() {
+			return this.kind;
+		}
+
+		Urgency urgency() {
+			return this.urgency;
+		}
+
+		long sequence() {
+			return this.sequence;
+		}
+
+		long sentMillis() {
+			return this.sentMillis;
 		}
 
 	}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/limiter/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
@@ -1,4 +1,4 @@
-package org.marjoramgw.policy.limiter;
+package org.marjoramgw.policy.waiting;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,13 +8,13 @@
 import java.util.concurrent.Executor;
 
 /**
- * Limits how many requests start at the same time and queues the others by priority;
- * thread-safe.
+ * Limits how many requests start at the same time and queues the others by urgency;
+ * thread-safe. A request starts from the moment at which its connection is opened or, on
+ * a kept connection, it was read, until it is sent to a server.
  * <p>
- * Handles load on a process that has just started and whose code still runs slowly.
- * Without the limit every request would start at once and all would wait in the queues of
- * the runtime, which consider neither their priority nor whether their callers have
- * disconnected.
+ * Handles load on a process that is short of processor time. Without the limit every
+ * request would start at once and all would wait in the queues of the runtime, which
+ * consider neither their urgency nor whether their callers have disconnected.
  *
  * @author The marjoramgw authors
  */
@@ -27,8 +27,8 @@
 
 	private final Executor executor;
 
-	private final TreeSet<Permit> waiting = new TreeSet<>(
-			Comparator.comparingInt((Permit permit) -> permit.priority).thenComparingLong((permit) -> permit.sequence));
+	private final TreeSet<Permit> waiting = new TreeSet<>(Comparator.comparing((Permit permit) -> permit.urgency)
+		.thenComparing(Comparator.comparingLong((Permit permit) -> permit.sequence).reversed()));
 
 	private int startingCount;
 
@@ -47,14 +47,14 @@
 	/**
 	 * Requests a permit and starts the request once it is acquired, at once if the number
 	 * of starting requests is below the limit.
-	 * @param priority priority of the request, 0 is the highest
+	 * @param urgency urgency of the request
 	 * @param start starts the request; may be called before this method returns
 	 * @return the permit, to be released once the request has started or is abandoned
 	 */
-	public Permit acquire(int priority, Runnable start) {
+	public Permit acquire(Urgency urgency, Runnable start) {
 		Permit permit;
 		synchronized (this) {
-			permit = new Permit(priority, this.nextSequence++, start);
+			permit = new Permit(urgency, this.nextSequence++, start);
 			if (this.startingCount >= this.maxStarting) {
 				this.waiting.add(permit);
 				return permit;
@@ -62,7 +62,29 @@
 			this.startingCount++;
 			permit.acquired = true;
 		}
-		start.run();
+		try {
+			start.run();
+		}
+		catch (RuntimeException ex) {
+			permit.release();
+			throw ex;
+		}
+		return permit;
+	}
+
+	/**
+	 * Requests a permit, and has the request started by the executor in any case.
+	 * @param urgency urgency of the request
+	 * @param start starts the request
+	 * @return the permit, to be released once the request has started or is abandoned
+	 */
+	public Permit enqueue(Urgency urgency, Runnable start) {
+		Permit permit;
+		synchronized (this) {
+			permit = new Permit(urgency, this.nextSequence++, start);
+			this.waiting.add(permit);
+		}
+		giveBack(0);
 		return permit;
 	}
 
@@ -75,12 +97,26 @@
 		if (this.startingCount >= this.maxStarting) {
 			return Optional.empty();
 		}
-		Permit permit = new Permit(0, this.nextSequence++, NO_ACTION);
+		Permit permit = new Permit(Urgency.read(0, 0), this.nextSequence++, NO_ACTION);
 		this.startingCount++;
 		permit.acquired = true;
 		return Optional.of(permit);
 	}
 
+	/**
+	 * Lets no request start until the returned action is run, so that the most urgent one
+	 * is known.
+	 * @return action that lets requests start
+	 */
+	public Runnable hold() {
+		int held;
+		synchronized (this) {
+			held = this.maxStarting;
+			this.startingCount += held;
+		}
+		return () -> giveBack(held);
+	}
+
 	/**
 	 * Returns the number of requests that wait for a permit.
 	 * @return the number of requests
@@ -93,13 +129,22 @@
 	 * Lifts the limit: starts all that wait, and from now on each request at once.
 	 */
 	public void lift() {
-		List<Permit> due;
 		synchronized (this) {
 			this.maxStarting = Integer.MAX_VALUE;
-			due = new ArrayList<>(this.waiting);
-			this.waiting.clear();
-			due.forEach((permit) -> permit.acquired = true);
-			this.startingCount += due.size();
+		}
+		giveBack(0);
+	}
+
+	private void giveBack(int count) {
+		List<Permit> due = new ArrayList<>();
+		synchronized (this) {
+			this.startingCount -= count;
+			while (this.startingCount < this.maxStarting && !this.waiting.isEmpty()) {
+				Permit next = this.waiting.pollFirst();
+				next.acquired = true;
+				this.startingCount++;
+				due.add(next);
+			}
 		}
 		due.forEach((permit) -> this.executor.execute(permit.start));
 	}
@@ -111,7 +156,6 @@
 	}
 
 	private void release(Permit permit) {
-		Permit next;
 		synchronized (this) {
 			if (permit.released) {
 				return;
@@ -121,14 +165,8 @@
 			if (!permit.acquired) {
 				return;
 			}
-			next = this.waiting.pollFirst();
-			if (next == null) {
-				this.startingCount--;
-				return;
-			}
-			next.acquired = true;
 		}
-		this.executor.execute(next.start);
+		giveBack(1);
 	}
 
 	/**
@@ -136,7 +174,7 @@
 	 */
 	public final class Permit {
 
-		private final int priority;
+		private final Urgency urgency;
 
 		private final long sequence;
 
@@ -146,8 +184,8 @@
 
 		private boolean released;
 
-		private Permit(int priority, long sequence, Runnable start) {
-			this.priority = priority;
+		private Permit(Urgency urgency, long sequence, Runnable start) {
+			this.urgency = urgency;
 			this.sequence = sequence;
 			this.start = start;
 		}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
@@ -0,0 +1,57 @@
+package org.marjoramgw.policy.waiting;
+
+import java.util.Comparator;
+
+/**
+ * Urgency of a request that waits, wherever it waits.
+ * <p>
+ * The lower rank goes first. Within a rank a request that was read goes before one that
+ * wasn't, since work was done for it, and then the newest goes first: under a backlog it
+ * can still be answered in time, while the oldest first would make all of them late.
+ *
+ * @param rank priority rank; 0 is the most urgent
+ * @param read whether the request was read
+ * @param arrivedMillis when the request arrived by the monotonic clock, in milliseconds
+ * @author The marjoramgw authors
+ */
+public record Urgency(int rank, boolean read, long arrivedMillis) implements Comparable<Urgency> {
+
+	private static final Comparator<Urgency> ORDER = Comparator.comparingInt(Urgency::rank)
+		.thenComparing(Urgency::read, Comparator.reverseOrder())
+		.thenComparing(Urgency::arrivedMillis, Comparator.reverseOrder());
+
+	/**
+	 * Returns the urgency of a request that was read.
+	 * @param rank its rank
+	 * @param arrivedMillis when it arrived by the monotonic clock, in milliseconds
+	 * @return its urgency
+	 */
+	public static Urgency read(int rank, long arrivedMillis) {
+		return new Urgency(rank, true, arrivedMillis);
+	}
+
+	/**
+	 * Returns the urgency of a request of which only a preview is known.
+	 * @param rank its rank
+	 * @param arrivedMillis when it arrived by the monotonic clock, in milliseconds
+	 * @return its urgency
+	 */
+	public static Urgency unread(int rank, long arrivedMillis) {
+		return new Urgency(rank, false, arrivedMillis);
+	}
+
+	@Override
+	public int compareTo(Urgency other) {
+		return ORDER.compare(this, other);
+	}
+
+	/**
+	 * Tells whether this request must never wait for the other one.
+	 * @param other urgency of another request
+	 * @return whether this one has the lower rank
+	 */
+	public boolean outranks(Urgency other) {
+		return this.rank < other.rank;
+	}
+
+}
