--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/OpeningQueue.java
@@ -60,7 +60,7 @@
 	 * Opens all connections that wait, and from now on each one at once.
 	 */
 	void openAll() {
-		this.limiter.lift();
+		this.limiter.liftForUnread();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -79,6 +79,9 @@
 	 */
 	void setPrefillPermit(PrefillLimiter.Permit permit) {
 		this.prefillPermit = permit;
+		if (this.sent) {
+			permit.onSent();
+		}
 		if (this.ended) {
 			permit.release();
 		}
@@ -121,7 +124,8 @@
 
 	/**
 	 * Marks this attempt as too late for its latency target, so that the server runs it
-	 * after requests of its rank that can still meet theirs. It is sent without a permit.
+	 * after requests of its rank that can still meet theirs. It doesn't wait for its
+	 * permit any more.
 	 */
 	void markLate() {
 		this.late = true;
@@ -221,7 +225,14 @@
 	/** Wait of an attempt for its permit. */
 	private enum Wait {
 
-		NONE, WAITING, OVER
+		/** It was admitted at once, or needs no permit. */
+		NONE,
+
+		/** It waits. */
+		WAITING,
+
+		/** It was admitted later, or is sent without being admitted. */
+		OVER
 
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -11,6 +11,7 @@
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.waiting.Urgency;
 
 /**
  * Course of the attempts of one request from the choice of a server to the moment of
@@ -114,7 +115,7 @@
 				connect(attempt);
 			}
 			else if (!attempt.isEnded() && attempt.endWait()) {
-				connectInTurn(attempt);
+				connectInTurn(attempt, this.state.urgency().admitted());
 			}
 		}
 	}
@@ -123,13 +124,13 @@
 		synchronized (this.lock) {
 			if (!attempt.isEnded() && attempt.endWait()) {
 				attempt.markLate();
-				connectInTurn(attempt);
+				connectInTurn(attempt, this.state.urgency());
 			}
 		}
 	}
 
-	private void connectInTurn(Attempt attempt) {
-		this.limitedStart.run(this.state.urgency(), () -> connect(attempt));
+	private void connectInTurn(Attempt attempt, Urgency urgency) {
+		this.limitedStart.run(urgency, () -> connect(attempt));
 	}
 
 	private void connect(Attempt attempt) {
@@ -210,9 +211,10 @@
 		attempt.markSent(this.context.clock().now().monotonicMillis());
 		this.state.onSent(attempt.sentMillis());
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
+		// Before the listener, which may let the request wait for its turn again.
+		this.limitedStart.release();
 		this.listener.onSent(attempt, this.leavingNotices.observe(attempt.server(), this.state.caller().id(),
 				attempt.connection().isReused(), head));
-		this.limitedStart.release();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -134,14 +134,14 @@
 			this.completion.reject(ResultCode.TIMEOUT_BEFORE_SEND, "");
 			return;
 		}
-		this.completion.setTimer(this.context.timers().schedule(this.state.maxWaitMillis(), this::onLastSend));
+		this.completion.setTimer(this.context.timers().schedule(this.state.maxWaitMillis(), this::onWaitLimit));
 		this.limitedStart.run(this.state.urgency(), () -> tryNextServer(reason));
 	}
 
 	/**
 	 * Refuses the request if it still waits, or leaves it its time for the answer.
 	 */
-	private synchronized void onLastSend() {
+	private synchronized void onWaitLimit() {
 		if (this.completion.isResponded()) {
 			return;
 		}
@@ -361,8 +361,9 @@
 					attempt.serverId(), detail);
 		this.currentAttempt.end(true);
 		this.state.history().exclude(attempt.serverId());
-		if (this.state.isResuming()) {
-			// Its caller has a part of the answer and must not wait for the next.
+		if (this.state.isResuming() || !this.state.history().mayTry()) {
+			// A caller that has a part of the answer must not wait for the next, and one
+			// whose request isn't sent again must not wait for the refusal.
 			tryNextServer(reason);
 		}
 		else {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LimitedStart.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LimitedStart.java
@@ -50,7 +50,7 @@
 			return;
 		}
 		Turn next = replaceTurn();
-		next.hold(this.limiter.acquire(urgency, () -> begin(next, begin)));
+		next.hold(this.limiter.acquire(urgency, () -> beginTurn(next, begin)));
 	}
 
 	/**
@@ -71,8 +71,8 @@
 		release();
 	}
 
-	private void begin(Turn begun, Runnable begin) {
-		if (!isFinished() && begun.startTimeout(this.timeouts)) {
+	private void beginTurn(Turn next, Runnable begin) {
+		if (!isFinished() && next.startTimeout(this.timeouts)) {
 			begin.run();
 		}
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestOwner.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestOwner.java
@@ -28,7 +28,8 @@
 	boolean isStarting();
 
 	/**
-	 * Called when the request was forwarded or answered; may be called more than once.
+	 * Called when the request was forwarded or answered, or waits for a server; may be
+	 * called more than once.
 	 */
 	void onStarted();
 
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/StartLimiterTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/StartLimiterTests.java
@@ -45,16 +45,21 @@
 	}
 
 	@Test
-	public void allStartOnceTheLimitIsLifted() {
+	public void allUnreadRequestsStartOnceTheLimitIsLiftedForThem() {
 		List<String> order = new ArrayList<>();
 		StartLimiter limiter = new StartLimiter(1, Runnable::run);
 		StartLimiter.Permit first = limiter.acquire(urgency(0), () -> order.add("first"));
-		StartLimiter.Permit waiting = limiter.acquire(urgency(1), () -> order.add("waiting"));
-		limiter.lift();
+		StartLimiter.Permit read = limiter.acquire(urgency(0), () -> order.add("read"));
+		StartLimiter.Permit waiting = limiter.enqueue(Urgency.unread(1, 0), () -> order.add("waiting"));
+		limiter.liftForUnread();
+		Assert.assertEquals(order, List.of("first", "waiting"));
+		StartLimiter.Permit later = limiter.enqueue(Urgency.unread(0, 0), () -> order.add("later"));
 		first.release();
 		waiting.release();
-		limiter.acquire(urgency(0), () -> order.add("later"));
 		Assert.assertEquals(order, List.of("first", "waiting", "later"));
+		later.release();
+		Assert.assertEquals(order, List.of("first", "waiting", "later", "read"));
+		read.release();
 		Assert.assertEquals(limiter.waitingCount(), 0);
 	}
 
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/StartTimeoutsTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/StartTimeoutsTests.java
@@ -77,10 +77,12 @@
 	public void cancelledTimeoutEndsNothing() {
 		Timers.Handle timeout = begin();
 		runCheck(0);
+		Runnable running = this.scheduled.peek();
 		timeout.cancel();
-		runCheck(0);
-		Assert.assertEquals(this.timedOutCount, 0);
 		Assert.assertTrue(this.scheduled.isEmpty(), "no more checks");
+		this.clock.advanceMillis(TIMEOUT_MILLIS);
+		running.run();
+		Assert.assertEquals(this.timedOutCount, 0, "also if a check runs already");
 	}
 
 	private Timers.Handle begin() {
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/UrgencyTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/waiting/UrgencyTests.java
@@ -32,6 +32,13 @@
 		Assert.assertTrue(Urgency.unread(1, 10).compareTo(Urgency.unread(1, 5)) < 0);
 	}
 
+	@Test
+	public void requestWithAReservedServerGoesFirstInItsRank() {
+		Urgency admitted = Urgency.read(1, 5).admitted();
+		Assert.assertTrue(admitted.compareTo(Urgency.read(1, 10)) < 0);
+		Assert.assertTrue(admitted.compareTo(Urgency.read(0, 10)) > 0);
+	}
+
 	@Test
 	public void requestsOfOneRankDoNotOutrankEachOther() {
 		Assert.assertTrue(Urgency.read(0, 10).outranks(Urgency.read(1, 20)));
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/ServerPrompts.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/ServerPrompts.java
@@ -15,8 +15,8 @@
  * Prompts in prefill at one server, and those that wait for it. Not thread-safe; guarded
  * by the lock of its limiter.
  * <p>
- * The server prefills the most urgent prompt first. So it isn't a more urgent prompt that
- * has to wait here for less urgent ones, but the reverse.
+ * The server prefills the most urgent prompt first, so that less urgent prompts there
+ * don't delay it. Each of them therefore makes room for one more urgent prompt.
  *
  * @author The marjoramgw authors
  */
@@ -32,7 +32,9 @@
 
 	private final TreeSet<PrefillLimiter.Permit> inFlight = new TreeSet<>(ORDER);
 
-	/** Prompts in prefill that were not admitted. */
+	/**
+	 * Prompts in prefill that were not admitted; the limit of their kind ignores them.
+	 */
 	private final Set<PrefillLimiter.Permit> uncounted = new HashSet<>();
 
 	private final TreeSet<PrefillLimiter.Permit> waiting = new TreeSet<>(ORDER);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
@@ -23,7 +23,7 @@
 	private static final Runnable NO_ACTION = () -> {
 	};
 
-	private int maxStarting;
+	private final int maxStarting;
 
 	private final Executor executor;
 
@@ -34,6 +34,8 @@
 
 	private long nextSequence;
 
+	private boolean unreadLifted;
+
 	/**
 	 * Creates a limiter.
 	 * @param maxStarting maximum number of requests that start at the same time
@@ -84,7 +86,7 @@
 			permit = new Permit(urgency, this.nextSequence++, start);
 			this.waiting.add(permit);
 		}
-		giveBack(0);
+		startDue(0);
 		return permit;
 	}
 
@@ -109,12 +111,10 @@
 	 * @return action that lets requests start
 	 */
 	public Runnable hold() {
-		int held;
 		synchronized (this) {
-			held = this.maxStarting;
-			this.startingCount += held;
+			this.startingCount += this.maxStarting;
 		}
-		return () -> giveBack(held);
+		return () -> startDue(this.maxStarting);
 	}
 
 	/**
@@ -126,24 +126,30 @@
 	}
 
 	/**
-	 * Lifts the limit: starts all that wait, and from now on each request at once.
+	 * Starts all unread requests that wait, and from now on each unread one at once. The
+	 * others go on waiting for their turn.
 	 */
-	public void lift() {
+	public void liftForUnread() {
 		synchronized (this) {
-			this.maxStarting = Integer.MAX_VALUE;
+			this.unreadLifted = true;
 		}
-		giveBack(0);
+		startDue(0);
 	}
 
-	private void giveBack(int count) {
+	private void startDue(int givenBackCount) {
 		List<Permit> due = new ArrayList<>();
 		synchronized (this) {
-			this.startingCount -= count;
-			while (this.startingCount < this.maxStarting && !this.waiting.isEmpty()) {
-				Permit next = this.waiting.pollFirst();
-				next.acquired = true;
-				this.startingCount++;
-				due.add(next);
+			this.startingCount -= givenBackCount;
+			for (Permit next : new ArrayList<>(this.waiting)) {
+				if (this.startingCount < this.maxStarting || this.unreadLifted && next.isUnread()) {
+					this.waiting.remove(next);
+					next.acquired = true;
+					this.startingCount++;
+					due.add(next);
+				}
+				else if (!this.unreadLifted) {
+					break;
+				}
 			}
 		}
 		due.forEach((permit) -> this.executor.execute(permit.start));
@@ -166,7 +172,7 @@
 				return;
 			}
 		}
-		giveBack(1);
+		startDue(1);
 	}
 
 	/**
@@ -190,6 +196,10 @@
 			this.start = start;
 		}
 
+		private boolean isUnread() {
+			return this.urgency.stage() == Urgency.Stage.UNREAD;
+		}
+
 		/**
 		 * Releases the permit; further calls do nothing.
 		 */
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartTimeouts.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartTimeouts.java
@@ -60,6 +60,8 @@
 
 		private long dueMillis;
 
+		private Timers.Handle nextCheck = Timers.Handle.NONE;
+
 		private boolean cancelled;
 
 		private StartTimeout(long beganMillis, Runnable onTimeout) {
@@ -69,11 +71,12 @@
 
 		private synchronized void cancel() {
 			this.cancelled = true;
+			this.nextCheck.cancel();
 		}
 
 		private synchronized void scheduleCheck() {
 			this.dueMillis = StartTimeouts.this.clock.nowMillis() + CHECK_INTERVAL_MILLIS;
-			StartTimeouts.this.timers.schedule(CHECK_INTERVAL_MILLIS, this::check);
+			this.nextCheck = StartTimeouts.this.timers.schedule(CHECK_INTERVAL_MILLIS, this::check);
 		}
 
 		private void check() {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
@@ -5,19 +5,19 @@
 /**
  * Urgency of a request that waits, wherever it waits.
  * <p>
- * The lower rank goes first. Within a rank a request that was read goes before one that
- * wasn't, since work was done for it, and then the newest goes first: under a backlog it
- * can still be answered in time, while the oldest first would make all of them late.
+ * The lower rank goes first, within a rank the later stage, since more was done for it,
+ * and then the newest: under a backlog it can still be answered in time, while the oldest
+ * first would make all of them late.
  *
  * @param rank priority rank; 0 is the most urgent
- * @param read whether the request was read
+ * @param stage how far the request has come
  * @param arrivedMillis when the request arrived by the monotonic clock, in milliseconds
  * @author The marjoramgw authors
  */
-public record Urgency(int rank, boolean read, long arrivedMillis) implements Comparable<Urgency> {
+public record Urgency(int rank, Stage stage, long arrivedMillis) implements Comparable<Urgency> {
 
 	private static final Comparator<Urgency> ORDER = Comparator.comparingInt(Urgency::rank)
-		.thenComparing(Urgency::read, Comparator.reverseOrder())
+		.thenComparing(Urgency::stage)
 		.thenComparing(Urgency::arrivedMillis, Comparator.reverseOrder());
 
 	/**
@@ -27,7 +27,7 @@
 	 * @return its urgency
 	 */
 	public static Urgency read(int rank, long arrivedMillis) {
-		return new Urgency(rank, true, arrivedMillis);
+		return new Urgency(rank, Stage.READ, arrivedMillis);
 	}
 
 	/**
@@ -37,7 +37,15 @@
 	 * @return its urgency
 	 */
 	public static Urgency unread(int rank, long arrivedMillis) {
-		return new Urgency(rank, false, arrivedMillis);
+		return new Urgency(rank, Stage.UNREAD, arrivedMillis);
+	}
+
+	/**
+	 * Returns the urgency of the same request once a server was reserved for it.
+	 * @return its urgency from now on
+	 */
+	public Urgency admitted() {
+		return new Urgency(this.rank, Stage.ADMITTED, this.arrivedMillis);
 	}
 
 	@Override
@@ -54,4 +62,18 @@
 		return this.rank < other.rank;
 	}
 
+	/** How far a request has come, the furthest first. */
+	public enum Stage {
+
+		/** A server's permit is reserved for it. */
+		ADMITTED,
+
+		/** It was read. */
+		READ,
+
+		/** Only a preview of it is known. */
+		UNREAD
+
+	}
+
 }
