Wait until the stopped entry has exited before the next test

The clean-up starts processes again that aren't alive, and the test ended while entry-1, which it had stopped, could still be exiting. It asks now that entry-1 exits in time, which it didn't check before.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/GracefulShutdownTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/GracefulShutdownTests.java
@@ -114,6 +114,8 @@
 		for (CallResult answer : load.finish().values()) {
 			Assert.assertTrue(answer.complete(), answer.toString());
 		}
+		Assert.assertTrue(deployment().entry("entry-1").awaitExit(Await.DEFAULT_TIMEOUT_MILLIS),
+				"entry-1 did not exit in time");
 	}
 
 	/**
