Write the order of waiting requests once, and copy no queue to start one request

StartLimiter and ServerPrompts each put rank, stage, arrival and sequence together; Urgency.order does it for both. Since the limit is lifted for unread requests alone, each release of a permit copied all that wait, under the lock and while a process is short of processor time; it takes the first ones from the queue now, the same requests in the same order. A held permit is called so (LimitedStart), and a prompt that is sent without being admitted bypasses the limit. No assertion changed; the tests of both packages and of LimitedStart pass.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -129,7 +129,7 @@
 	 */
 	void markLate() {
 		this.late = true;
-		this.prefillPermit.overrun();
+		this.prefillPermit.bypass();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LimitedStart.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LimitedStart.java
@@ -19,7 +19,7 @@
 
 	private final RequestOwner owner;
 
-	private Turn turn = new Turn();
+	private HeldPermit held = new HeldPermit();
 
 	private boolean finished;
 
@@ -49,15 +49,15 @@
 			begin.run();
 			return;
 		}
-		Turn next = replaceTurn();
-		next.hold(this.limiter.acquire(urgency, () -> beginTurn(next, begin)));
+		HeldPermit next = replacePermit();
+		next.hold(this.limiter.acquire(urgency, () -> beginWith(next, begin)));
 	}
 
 	/**
 	 * Releases the permit, because the request was sent or waits for a server.
 	 */
 	void release() {
-		replaceTurn();
+		replacePermit();
 		this.owner.onStarted();
 	}
 
@@ -71,18 +71,18 @@
 		release();
 	}
 
-	private void beginTurn(Turn next, Runnable begin) {
+	private void beginWith(HeldPermit next, Runnable begin) {
 		if (!isFinished() && next.startTimeout(this.timeouts)) {
 			begin.run();
 		}
 	}
 
-	private Turn replaceTurn() {
-		Turn next = new Turn();
-		Turn previous;
+	private HeldPermit replacePermit() {
+		HeldPermit next = new HeldPermit();
+		HeldPermit previous;
 		synchronized (this) {
-			previous = this.turn;
-			this.turn = next;
+			previous = this.held;
+			this.held = next;
 		}
 		previous.end();
 		return next;
@@ -93,7 +93,7 @@
 	}
 
 	/** One permit, which may end before it was acquired. */
-	private static final class Turn {
+	private static final class HeldPermit {
 
 		private StartLimiter.Permit permit;
 
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/prefill/PrefillLimiterBurstTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/prefill/PrefillLimiterBurstTests.java
@@ -153,7 +153,7 @@
 		private void advance(Job job, long now) {
 			long age = now - job.arrivedMillis;
 			if (!job.sent && age >= PrefillLimiter.maxWaitMillis(TARGET_MILLIS)) {
-				job.permit.overrun();
+				job.permit.bypass();
 				send(job, 9);
 			}
 			if (job.prefillEndMillis >= 0 && now == job.prefillEndMillis + DECODE_MILLIS) {
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/prefill/PrefillLimiterTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/prefill/PrefillLimiterTests.java
@@ -195,7 +195,7 @@
 	public void promptThatWasSentWithoutAPermitMakesRoomToo() {
 		acquireInitialLimit();
 		PrefillLimiter.Permit late = acquire("late");
-		late.overrun();
+		late.bypass();
 		late.onSent();
 		for (int request = 0; request < 2 * INITIAL_LIMIT + 1; request++) {
 			acquireUrgent("urgent " + request);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
@@ -153,12 +153,12 @@
 		permit.lagAtSendMillis = this.lagMillis.getAsLong();
 	}
 
-	private List<Permit> overrun(Permit permit) {
+	private List<Permit> bypass(Permit permit) {
 		ServerPrompts prompts = this.promptsByServer.get(permit.serverId);
 		if (permit.released || prompts == null) {
 			return List.of();
 		}
-		prompts.overrun(permit);
+		prompts.bypass(permit);
 		return prompts.admitWaiting();
 	}
 
@@ -219,12 +219,12 @@
 
 		/**
 		 * Ends the wait because the prompt is sent without being admitted. Until its
-		 * release more urgent prompts don't wait at the same server.
+		 * release it makes room for a more urgent prompt at the same server.
 		 */
-		public void overrun() {
+		public void bypass() {
 			List<Permit> admitted;
 			synchronized (PrefillLimiter.this) {
-				admitted = PrefillLimiter.this.overrun(this);
+				admitted = PrefillLimiter.this.bypass(this);
 			}
 			PrefillLimiter.this.start(admitted);
 		}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/ServerPrompts.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/ServerPrompts.java
@@ -22,9 +22,8 @@
  */
 final class ServerPrompts {
 
-	/** Order by urgency; among equals the latest first. */
-	private static final Comparator<PrefillLimiter.Permit> ORDER = Comparator.comparing(PrefillLimiter.Permit::urgency)
-		.thenComparing(Comparator.comparingLong(PrefillLimiter.Permit::sequence).reversed());
+	private static final Comparator<PrefillLimiter.Permit> ORDER = Urgency.order(PrefillLimiter.Permit::urgency,
+			PrefillLimiter.Permit::sequence);
 
 	private final Map<String, AimdLimit> limitByKind = new HashMap<>();
 
@@ -63,7 +62,7 @@
 	 * prefill. It doesn't count against the limit of its kind.
 	 * @param permit its permit
 	 */
-	void overrun(PrefillLimiter.Permit permit) {
+	void bypass(PrefillLimiter.Permit permit) {
 		if (this.waiting.remove(permit)) {
 			this.inFlight.add(permit);
 			this.uncounted.add(permit);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.policy.waiting;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -27,8 +26,8 @@
 
 	private final Executor executor;
 
-	private final TreeSet<Permit> waiting = new TreeSet<>(Comparator.comparing((Permit permit) -> permit.urgency)
-		.thenComparing(Comparator.comparingLong((Permit permit) -> permit.sequence).reversed()));
+	private final TreeSet<Permit> waiting = new TreeSet<>(
+			Urgency.order((permit) -> permit.urgency, (permit) -> permit.sequence));
 
 	private int startingCount;
 
@@ -140,21 +139,24 @@
 		List<Permit> due = new ArrayList<>();
 		synchronized (this) {
 			this.startingCount -= givenBackCount;
-			for (Permit next : new ArrayList<>(this.waiting)) {
-				if (this.startingCount < this.maxStarting || this.unreadLifted && next.isUnread()) {
-					this.waiting.remove(next);
-					next.acquired = true;
-					this.startingCount++;
-					due.add(next);
-				}
-				else if (!this.unreadLifted) {
-					break;
-				}
+			while (this.startingCount < this.maxStarting && !this.waiting.isEmpty()) {
+				due.add(take(this.waiting.first()));
+			}
+			if (this.unreadLifted) {
+				List<Permit> unread = this.waiting.stream().filter(Permit::isUnread).toList();
+				unread.forEach((permit) -> due.add(take(permit)));
 			}
 		}
 		due.forEach((permit) -> this.executor.execute(permit.start));
 	}
 
+	private Permit take(Permit permit) {
+		this.waiting.remove(permit);
+		permit.acquired = true;
+		this.startingCount++;
+		return permit;
+	}
+
 	private synchronized boolean withdraw(Permit permit) {
 		boolean withdrawn = this.waiting.remove(permit);
 		permit.released |= withdrawn;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.policy.waiting;
 
 import java.util.Comparator;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
 
 /**
  * Urgency of a request that waits, wherever it waits.
@@ -48,6 +50,18 @@
 		return new Urgency(this.rank, Stage.ADMITTED, this.arrivedMillis);
 	}
 
+	/**
+	 * Returns the order of things that wait, the most urgent first. Among equals the
+	 * latest goes first, so that no two are the same.
+	 * @param <T> type of what waits
+	 * @param urgency returns its urgency
+	 * @param sequence returns its sequence number
+	 * @return the order
+	 */
+	public static <T> Comparator<T> order(Function<T, Urgency> urgency, ToLongFunction<T> sequence) {
+		return Comparator.comparing(urgency).thenComparing(Comparator.comparingLong(sequence).reversed());
+	}
+
 	@Override
 	public int compareTo(Urgency other) {
 		return ORDER.compare(this, other);
