--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -172,7 +172,7 @@
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				startLimiter, this::maxAgeMillis);
+				startLimiter, this.readiness::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry));
@@ -260,10 +260,6 @@
 				this.requestPath.startTimeouts(), this.routing::limits, target::unread, target::handle);
 	}
 
-	private long maxAgeMillis() {
-		return this.readiness.maxAgeMillis();
-	}
-
 	private HttpResponse readiness() {
 		return HttpResponse.create()
 			.withStatus(this.readiness.isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
