Write the waits, the clean-up and the plain answer of the platform's tests once

UrgentRequestsTests had written again what WaitingRequestTests and LeavingServerTests have: the wait for requests, the closing of callers, the reading of a status and a server that answers well. They stand in ScriptedServer and ForwardingFixture now, also for StopDuringStartTests and LateRequestTests.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -253,6 +253,27 @@
 		caller.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
 	}
 
+	/**
+	 * Reads the beginning of a response.
+	 * @param caller the connection
+	 * @return version and status
+	 * @throws IOException if the connection can't be used
+	 */
+	static String readStatus(Socket caller) throws IOException {
+		return new String(caller.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+	}
+
+	/**
+	 * Closes connections of callers.
+	 * @param callers the connections
+	 * @throws IOException if one can't be closed
+	 */
+	static void closeAll(List<Socket> callers) throws IOException {
+		for (Socket caller : callers) {
+			caller.close();
+		}
+	}
+
 	@Override
 	public void close() {
 		this.acceptor.close();
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LateRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LateRequestTests.java
@@ -100,8 +100,7 @@
 		try (ScriptedServer server = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(server);
 				Socket caller = fixture.open("POST /stream/1", KEY + "Connection: close\r\n", "body")) {
-			Assert.assertEquals(new String(caller.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1),
-					"HTTP/1.1 200");
+			Assert.assertEquals(ForwardingFixture.readStatus(caller), "HTTP/1.1 200");
 			fixture.forwarder().giveUpUnanswered();
 			given.countDown();
 			String rest = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingServerTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/LeavingServerTests.java
@@ -1,12 +1,10 @@
 package org.marjoramgw.platform;
 
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.marjoramgw.direct.follow.KeyedRecord;
@@ -197,7 +195,7 @@
 				ForwardingFixture fixture = new ForwardingFixture(first)) {
 			for (int prompt = 0; prompt < PREFILL_LIMIT; prompt++) {
 				callers.add(fixture.open("POST " + path + prompt, PROMPT, "prompt"));
-				awaitRequests(first, prompt + 1);
+				Assert.assertEquals(first.awaitRequests(prompt + 1, WAIT_MILLIS), prompt + 1);
 			}
 			Socket waiting = fixture.open("POST " + path + "waits", PROMPT, "prompt");
 			callers.add(waiting);
@@ -205,24 +203,13 @@
 			Assert.assertEquals(first.requests().size(), PREFILL_LIMIT, "it waits");
 			fixture.directory().onRecords(List.of(LeavingPair.registration("i-1", second, 0)));
 			leave.accept(fixture);
-			awaitRequests(second, 1);
+			Assert.assertEquals(second.awaitRequests(1, WAIT_MILLIS), 1);
 			Assert.assertEquals(first.requests().size(), PREFILL_LIMIT);
-			Assert.assertEquals(new String(waiting.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1),
-					"HTTP/1.1 200");
+			Assert.assertEquals(ForwardingFixture.readStatus(waiting), "HTTP/1.1 200");
 		}
 		finally {
-			for (Socket caller : callers) {
-				caller.close();
-			}
-		}
-	}
-
-	private static void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
-		long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
-		while (server.requests().size() < count && System.nanoTime() < limitNanos) {
-			Thread.sleep(1);
+			ForwardingFixture.closeAll(callers);
 		}
-		Assert.assertEquals(server.requests().size(), count);
 	}
 
 	private static int requestCount(List<ScriptedServer> servers) {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
@@ -54,6 +54,21 @@
 		return this.requests;
 	}
 
+	/**
+	 * Waits until requests were received.
+	 * @param count number of requests
+	 * @param millis longest wait, in milliseconds
+	 * @return number of requests that were received by then
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	int awaitRequests(int count, long millis) throws InterruptedException {
+		long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+		while (this.requests.size() < count && System.nanoTime() < limitNanos) {
+			TimeUnit.MILLISECONDS.sleep(1);
+		}
+		return this.requests.size();
+	}
+
 	/**
 	 * Waits until a peer disconnects after the script stopped reading.
 	 * @param millis timeout, in milliseconds
@@ -94,6 +109,17 @@
 		return true;
 	}
 
+	/**
+	 * Answers a request with a short plain response.
+	 * @param request the request
+	 * @param connection its connection
+	 * @return whether to read further requests, always true
+	 * @throws IOException if the connection fails
+	 */
+	static boolean respondGood(String request, Socket connection) throws IOException {
+		return write(connection, head("200 OK", request, "Content-Length: 4\r\n") + "good");
+	}
+
 	/**
 	 * Waits for a latch, in a script.
 	 * @param latch the latch
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StopDuringStartTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StopDuringStartTests.java
@@ -84,7 +84,7 @@
 	@Test
 	public void requestWaitingUnreadAtTheEndOfAStopIsAnswered() throws Exception {
 		List<Socket> incomplete = new ArrayList<>();
-		try (ScriptedServer server = new ScriptedServer(StopDuringStartTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				StoreStandin store = store(server);
 				StartedEntry entry = new StartedEntry(store.address(), GRACE_SECONDS)) {
 			entry.connectAtOnce().close();
@@ -126,7 +126,7 @@
 	}
 
 	private List<String> lostAnswers(boolean storeIsThere, String signals) throws Exception {
-		try (ScriptedServer server = new ScriptedServer(StopDuringStartTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				StoreStandin store = store(server);
 				StartedEntry entry = new StartedEntry(storeIsThere ? store.address() : StartedEntry.freeAddress(),
 						GRACE_SECONDS)) {
@@ -229,9 +229,4 @@
 		return whole && (!text.startsWith("HTTP/1.1 503 ") || text.contains("\r\nRetry-After: "));
 	}
 
-	private static boolean respond(String request, Socket connection) throws IOException {
-		return ScriptedServer.write(connection,
-				ScriptedServer.head("200 OK", request, "Content-Length: 4\r\n") + "good");
-	}
-
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UrgentRequestsTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UrgentRequestsTests.java
@@ -1,11 +1,8 @@
 package org.marjoramgw.platform;
 
-import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
@@ -51,21 +48,21 @@
 		try (ScriptedServer server = new ScriptedServer((request, connection) -> false);
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			callers.add(fixture.open("POST /prompt/less-urgent", PROMPT, "prompt"));
-			awaitRequests(server, 1);
+			Assert.assertEquals(server.awaitRequests(1, SEND_MILLIS), 1);
 			for (int number = 0; number <= PREFILL_LIMIT; number++) {
 				callers.add(fixture.open("POST /urgent-prompt/" + number, PROMPT, "prompt"));
 			}
-			awaitRequests(server, PREFILL_LIMIT + 2);
+			Assert.assertEquals(server.awaitRequests(PREFILL_LIMIT + 2, SEND_MILLIS), PREFILL_LIMIT + 2);
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
 	@Test
 	public void newestRequestOfABacklogIsSentFirst() throws Exception {
 		List<Socket> callers = new ArrayList<>();
-		try (ScriptedServer server = new ScriptedServer(UrgentRequestsTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					for (int number = 0; number < WAITING_COUNT; number++) {
 						callers.add(early.open("POST /long-book/" + number, KEY, "order"));
@@ -74,52 +71,32 @@
 					Thread.sleep(READ_MILLIS);
 				}, server)) {
 			Assert.assertNotNull(fixture.listener());
-			awaitRequests(server, WAITING_COUNT);
+			Assert.assertEquals(server.awaitRequests(WAITING_COUNT, SEND_MILLIS), WAITING_COUNT);
 			List<String> paths = server.requests().stream().map((request) -> request.split(" ")[1]).toList();
 			int position = paths.indexOf("/long-book/" + (WAITING_COUNT - 1));
 			Assert.assertTrue(position <= MAX_SENT_BEFORE_COUNT, paths.toString());
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
 	@Test
 	public void requestWhoseCallerIsAboutToLeaveIsRefusedAtOnce() throws Exception {
 		List<Socket> callers = new ArrayList<>();
-		try (ScriptedServer server = new ScriptedServer(UrgentRequestsTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					callers.add(early.open("POST /reply/late", PROMPT, "prompt"));
 					Thread.sleep(LAST_SEND_MILLIS + READ_MILLIS);
 				}, server)) {
 			Assert.assertNotNull(fixture.listener());
 			long servedMillis = this.clock.nowMillis();
-			String head = new String(callers.get(0).getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
-			Assert.assertEquals(head, "HTTP/1.1 503");
+			Assert.assertEquals(ForwardingFixture.readStatus(callers.get(0)), "HTTP/1.1 503");
 			Assert.assertTrue(this.clock.nowMillis() - servedMillis <= ANSWER_MILLIS);
 			Assert.assertEquals(server.requests(), List.of());
 		}
 		finally {
-			closeAll(callers);
-		}
-	}
-
-	private void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
-		long endMillis = this.clock.nowMillis() + SEND_MILLIS;
-		while (server.requests().size() < count && this.clock.nowMillis() < endMillis) {
-			TimeUnit.MILLISECONDS.sleep(1);
-		}
-		Assert.assertEquals(server.requests().size(), count);
-	}
-
-	private static boolean respond(String request, Socket connection) throws IOException {
-		return ScriptedServer.write(connection,
-				ScriptedServer.head("200 OK", request, "Content-Length: 4\r\n") + "good");
-	}
-
-	private static void closeAll(List<Socket> callers) throws IOException {
-		for (Socket caller : callers) {
-			caller.close();
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/WaitingRequestTests.java
@@ -68,18 +68,18 @@
 	public void deadlineOfRequestThatWaitedForTheStartEndsWithTheCallers(String target) throws Exception {
 		List<Socket> callers = new ArrayList<>();
 		long[] waitedMillis = { 0 };
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					callers.add(early.open(target, KEY + deadline(DEADLINE_MILLIS), ""));
 					pause(READ_MILLIS);
 					waitedMillis[0] = pause(WAIT_MILLIS);
 				}, server)) {
-			Assert.assertEquals(readStatus(callers.get(0)), "HTTP/1.1 200");
+			Assert.assertEquals(ForwardingFixture.readStatus(callers.get(0)), "HTTP/1.1 200");
 			Assert.assertTrue(deadlineMillis(server, 0) + waitedMillis[0] <= DEADLINE_MILLIS,
 					deadlineMillis(server, 0) + " ms after " + waitedMillis[0] + " ms");
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
@@ -92,7 +92,7 @@
 				firstReceived.countDown();
 				await(mayAnswer);
 			}
-			return respond(request, connection);
+			return ScriptedServer.respondGood(request, connection);
 		};
 		try (ScriptedServer server = new ScriptedServer(script);
 				ForwardingFixture fixture = new ForwardingFixture(server);
@@ -102,8 +102,8 @@
 			pause(READ_MILLIS);
 			long waitedMillis = pause(WAIT_MILLIS);
 			mayAnswer.countDown();
-			Assert.assertEquals(readStatus(caller), "HTTP/1.1 200");
-			awaitRequests(server, 2);
+			Assert.assertEquals(ForwardingFixture.readStatus(caller), "HTTP/1.1 200");
+			server.awaitRequests(2, TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
 			Assert.assertTrue(deadlineMillis(server, 1) + waitedMillis <= DEADLINE_MILLIS,
 					deadlineMillis(server, 1) + " ms after " + waitedMillis + " ms");
 		}
@@ -118,7 +118,7 @@
 	public void requestWhoseTimeEndsInTheQueueIsAnsweredInTime(String deadline, long timeMillis) throws Exception {
 		List<Socket> callers = new ArrayList<>();
 		long[] sentMillis = { 0 };
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					sentMillis[0] = this.clock.nowMillis();
 					callers.add(early.open("POST /book/late", KEY + deadline, "order"));
@@ -126,7 +126,7 @@
 					openIncomplete(early, callers);
 				}, server)) {
 			Socket caller = callers.get(0);
-			Assert.assertEquals(readStatus(caller), "HTTP/1.1 503");
+			Assert.assertEquals(ForwardingFixture.readStatus(caller), "HTTP/1.1 503");
 			long tookMillis = this.clock.nowMillis() - sentMillis[0];
 			Assert.assertTrue(tookMillis <= timeMillis + ANSWER_MILLIS, "answered after " + tookMillis + " ms");
 			String rest = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
@@ -135,14 +135,14 @@
 			Assert.assertEquals(server.requests(), List.of());
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
 	@Test
 	public void requestsWithoutALimitOnTheirTimeAreAnswered() throws Exception {
 		List<Socket> callers = new ArrayList<>();
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					for (int number = 0; number < UNLIMITED_COUNT; number++) {
 						callers.add(early.open("GET /unknown/1", deadline(Long.MAX_VALUE), ""));
@@ -150,18 +150,18 @@
 					pause(READ_MILLIS);
 				}, server)) {
 			for (Socket caller : callers) {
-				Assert.assertEquals(readStatus(caller), "HTTP/1.1 404");
+				Assert.assertEquals(ForwardingFixture.readStatus(caller), "HTTP/1.1 404");
 			}
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
 	@Test
 	public void requestWhoseTimeEndedBeforeTheStartIsAnsweredAtOnce() throws Exception {
 		List<Socket> callers = new ArrayList<>();
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					callers.add(early.open("POST /book/late", KEY + deadline(WAIT_MILLIS / 2), "order"));
 					pause(READ_MILLIS);
@@ -169,44 +169,44 @@
 					pause(WAIT_MILLIS);
 				}, server)) {
 			long servedMillis = this.clock.nowMillis();
-			Assert.assertEquals(readStatus(callers.get(0)), "HTTP/1.1 503");
+			Assert.assertEquals(ForwardingFixture.readStatus(callers.get(0)), "HTTP/1.1 503");
 			long tookMillis = this.clock.nowMillis() - servedMillis;
 			Assert.assertTrue(tookMillis <= ANSWER_MILLIS, "answered after " + tookMillis + " ms");
 			Assert.assertEquals(server.requests(), List.of());
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
 	@Test
 	public void requestOfCallerThatLeftTheQueueIsNotForwarded() throws Exception {
 		List<Socket> callers = new ArrayList<>();
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture((early) -> {
 					callers.add(early.open("GET /read/gone", KEY, ""));
 					pause(READ_MILLIS);
 					openIncomplete(early, callers);
 				}, server)) {
 			pause(WAIT_MILLIS);
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 			Assert.assertTrue(fixture.call("GET /read/stays", KEY, "").startsWith("HTTP/1.1 200 "));
 			Assert.assertEquals(server.requests().size(), 1);
 		}
 		finally {
-			closeAll(callers);
+			ForwardingFixture.closeAll(callers);
 		}
 	}
 
 	@Test(dataProvider = "targets")
 	public void requestWithUnfinishedBodyIsAnsweredInTime(String target) throws Exception {
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture(server);
 				Socket caller = fixture.connect(0)) {
 			String head = target + " HTTP/1.1\r\nHost: carob.example\r\nX-Request-Id: r1\r\nContent-Length: 10\r\n";
 			caller.getOutputStream().write((head + KEY + "\r\nhalf").getBytes(StandardCharsets.ISO_8859_1));
 			long sentMillis = this.clock.nowMillis();
-			Assert.assertEquals(readStatus(caller), "HTTP/1.1 503");
+			Assert.assertEquals(ForwardingFixture.readStatus(caller), "HTTP/1.1 503");
 			long tookMillis = this.clock.nowMillis() - sentMillis;
 			Assert.assertTrue(tookMillis <= ROUTE_TIMEOUT_MILLIS + ANSWER_MILLIS, "answered after " + tookMillis);
 			String rest = readUntilClosed(caller);
@@ -226,7 +226,7 @@
 			.addHeader(RawRequestURI.create("/read/1"))
 			.addHeader(RawHeader.create("Host", "carob.example"))
 			.addHeader(RawHeader.create("Authorization", "Token key-1"));
-		try (ScriptedServer server = new ScriptedServer(WaitingRequestTests::respond);
+		try (ScriptedServer server = new ScriptedServer(ScriptedServer::respondGood);
 				ForwardingFixture fixture = new ForwardingFixture(server)) {
 			CallerConnection connection = new CallerConnection(new FakeCallerSocket(arrived, false));
 			HttpResponse response = fixture.forwarder()
@@ -238,11 +238,6 @@
 		}
 	}
 
-	private static boolean respond(String request, Socket connection) throws IOException {
-		return ScriptedServer.write(connection,
-				ScriptedServer.head("200 OK", request, "Content-Length: 4\r\n") + "good");
-	}
-
 	/**
 	 * Opens connections whose heads never end, so that each is opened for as long as a
 	 * connection can be. They go before what arrived earlier.
@@ -266,10 +261,6 @@
 		return Long.parseLong(deadline.group(1));
 	}
 
-	private static String readStatus(Socket caller) throws IOException {
-		return new String(caller.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
-	}
-
 	/**
 	 * Sends the rest of a body, and another request, after the answer has come.
 	 */
@@ -292,19 +283,6 @@
 		return this.clock.nowMillis() - startMillis;
 	}
 
-	private void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
-		long endMillis = this.clock.nowMillis() + TimeUnit.SECONDS.toMillis(WAIT_SECONDS);
-		while (server.requests().size() < count && this.clock.nowMillis() < endMillis) {
-			Thread.sleep(10);
-		}
-	}
-
-	private static void closeAll(List<Socket> callers) throws IOException {
-		for (Socket caller : callers) {
-			caller.close();
-		}
-	}
-
 	private static void await(CountDownLatch latch) throws IOException {
 		Assert.assertTrue(ScriptedServer.await(latch, WAIT_SECONDS * 1_000));
 	}
