--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/LoadObserver.java
@@ -0,0 +1,59 @@
+package org.marjoramgw.policy.fleet;
+
+import java.util.List;
+
+/**
+ * Receiver of the course of the requests of this process.
+ *
+ * @author The marjoramgw authors
+ */
+public interface LoadObserver {
+
+	/** Observer that ignores everything. */
+	LoadObserver NONE = (serverKey, sharedParts, promptTokens, outputTokens, targetMillis) -> RequestObserver.NONE;
+
+	/**
+	 * Called when a request is sent.
+	 * @param serverKey key of the server, see {@link FleetKeys#serverKey}
+	 * @param sharedParts shared parts of its prompt in order, empty if it has none
+	 * @param promptTokens all tokens of its prompt, 0 for a request without one
+	 * @param outputTokens greatest number of tokens of its answer
+	 * @param targetMillis time after the send within which its first token is timely, in
+	 * milliseconds
+	 * @return receiver of its further course
+	 */
+	RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens, int outputTokens,
+			long targetMillis);
+
+	/**
+	 * Receiver of the further course of one request.
+	 */
+	interface RequestObserver {
+
+		/** Observer that ignores everything. */
+		RequestObserver NONE = new RequestObserver() {
+
+			@Override
+			public void onFirstToken() {
+			}
+
+			@Override
+			public void onEnd(boolean failed) {
+			}
+
+		};
+
+		/**
+		 * Called when the first token of the answer arrived; further calls do nothing.
+		 */
+		void onFirstToken();
+
+		/**
+		 * Called when the request ended; further calls do nothing.
+		 * @param failed whether the server failed
+		 */
+		void onEnd(boolean failed);
+
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/ServerReport.java
@@ -0,0 +1,21 @@
+package org.marjoramgw.policy.fleet;
+
+/**
+ * What one entry process reports about one backend server.
+ *
+ * @param serverKey key of the server, see {@link FleetKeys#serverKey}
+ * @param unreadTokens prompt tokens that the process sent there and whose first token is
+ * outstanding
+ * @param runningCount streams of the process that have begun there
+ * @param memoryTokens tokens that the requests of the process occupy in the server's
+ * memory
+ * @param timelyCount first tokens that arrived in time, since the process started
+ * @param lateCount first tokens that were late and requests that failed, since the
+ * process started
+ * @param tokensPerMilli prefill pace that the process measured, in tokens per
+ * millisecond; 0 if it doesn't know
+ * @author The marjoramgw authors
+ */
+public record ServerReport(int serverKey, int unreadTokens, int runningCount, int memoryTokens, int timelyCount,
+		int lateCount, double tokensPerMilli) {
+}
--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load of the backend servers as all entry processes together see it.
+ */
+package org.marjoramgw.policy.fleet;
