Send no requests to a server until the Retry-After of its 503 is over

Cause: Retry-After on a server's refusal was ignored, and the server got the next request as before.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/BackendDialect.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/backend/BackendDialect.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct.backend;
 
+import java.util.OptionalLong;
+
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 
@@ -41,4 +43,14 @@
 	 */
 	boolean announcesLeaving(HttpResponse response, String serverId, String requestId, boolean reused);
 
+	/**
+	 * Reads for how long a server wants no requests of this process.
+	 * @param response head of its response
+	 * @param serverId id of the server that the request was sent to
+	 * @param requestId id of the request
+	 * @param reused whether the connection carried other requests before
+	 * @return time in milliseconds, or empty if it didn't ask for that
+	 */
+	OptionalLong pauseMillis(HttpResponse response, String serverId, String requestId, boolean reused);
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -40,6 +40,8 @@
 
 	private final LeavingServers leavingServers = new LeavingServers();
 
+	private final PausedServers pausedServers;
+
 	private boolean reachable = true;
 
 	/** When the first successful read after an outage was sent. */
@@ -55,6 +57,7 @@
 	public ServerDirectory(ServerDecoder decoder, AgeClock clock) {
 		this.decoder = decoder;
 		this.clock = clock;
+		this.pausedServers = new PausedServers(() -> clock.now().monotonicMillis());
 	}
 
 	/**
@@ -76,7 +79,7 @@
 	 * Counts the servers of a service, for the log.
 	 * @param service name of the service
 	 * @return log fields with the number of those that are registered, whose registration
-	 * is draining, and that said that they leave
+	 * is draining, that said that they leave, and that asked for no requests
 	 */
 	public synchronized String describe(String service) {
 		List<Registration> registered = this.registrationById.values()
@@ -88,6 +91,10 @@
 				+ " said_leaving="
 				+ registered.stream()
 					.filter((registration) -> this.leavingServers.contains(registration.server))
+					.count()
+				+ " paused="
+				+ registered.stream()
+					.filter((registration) -> this.pausedServers.contains(registration.server))
 					.count();
 	}
 
@@ -116,6 +123,21 @@
 		return unknown;
 	}
 
+	/**
+	 * Records that a server has asked this process to send no requests for a time.
+	 * @param server the server that the request was sent to
+	 * @param millis for how long, in milliseconds
+	 * @return whether it was not paused before
+	 */
+	public synchronized boolean onPause(BackendServer server, long millis) {
+		boolean unknown = this.pausedServers.add(server, millis);
+		if (unknown) {
+			Logger.info("backend server {} of {} asked for no requests for {} ms", server.id(), server.service(),
+					millis);
+		}
+		return unknown;
+	}
+
 	/**
 	 * Returns why a server that was chosen may not receive requests.
 	 * @param server the server
@@ -125,6 +147,9 @@
 		if (this.leavingServers.contains(server)) {
 			return Optional.of("it said that it leaves");
 		}
+		if (this.pausedServers.contains(server)) {
+			return Optional.of("it asked for no requests");
+		}
 		Registration registration = this.registrationById.get(server.id());
 		if (registration == null || isLapsed(registration)) {
 			return Optional.of("its registration is gone");
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -31,7 +31,7 @@
 
 	private final Listener listener;
 
-	private final LeavingNotices leavingNotices;
+	private final ServerNotices serverNotices;
 
 	/**
 	 * Creates a launcher.
@@ -48,7 +48,7 @@
 		this.limitedStart = limitedStart;
 		this.lock = lock;
 		this.listener = listener;
-		this.leavingNotices = new LeavingNotices(context);
+		this.serverNotices = new ServerNotices(context);
 	}
 
 	/**
@@ -213,7 +213,7 @@
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		// Before the listener, which may let the request wait for its turn again.
 		this.limitedStart.release();
-		this.listener.onSent(attempt, this.leavingNotices.observe(attempt.server(), this.state.caller().id(),
+		this.listener.onSent(attempt, this.serverNotices.observe(attempt.server(), this.state.caller().id(),
 				attempt.connection().isReused(), head));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestLog.java
@@ -83,6 +83,13 @@
 		this.registry.counter("servers.leaving").inc();
 	}
 
+	/**
+	 * Counts a backend server that has asked for no requests for a time.
+	 */
+	void countPausedServer() {
+		this.registry.counter("servers.paused").inc();
+	}
+
 	/**
 	 * Counts a request whose server may not receive requests any more, though it was
 	 * chosen.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LeavingNotices.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerNotices.java
@@ -7,11 +7,12 @@
 import org.marjoramgw.direct.model.BackendServer;
 
 /**
- * Reads in the heads of responses that backend servers leave; thread-safe.
+ * Reads in the heads of responses that backend servers leave or want no requests for a
+ * time; thread-safe.
  *
  * @author The marjoramgw authors
  */
-final class LeavingNotices {
+final class ServerNotices {
 
 	private final ForwardingContext context;
 
@@ -19,7 +20,7 @@
 	 * Creates a reader.
 	 * @param context shared components
 	 */
-	LeavingNotices(ForwardingContext context) {
+	ServerNotices(ForwardingContext context) {
 		this.context = context;
 	}
 
@@ -43,11 +44,21 @@
 			if (this.context.backendDialect().announcesLeaving(response, server.id(), requestId, reused)) {
 				onLeaving(server);
 			}
+			this.context.backendDialect()
+				.pauseMillis(response, server.id(), requestId, reused)
+				.ifPresent((millis) -> onPause(server, millis));
 			observed.complete(response);
 		});
 		return observed;
 	}
 
+	private void onPause(BackendServer server, long millis) {
+		if (this.context.directory().onPause(server, millis)) {
+			this.context.requestLog().countPausedServer();
+			this.context.prefillLimiter().startWaiting(server.id());
+		}
+	}
+
 	private void onLeaving(BackendServer server) {
 		if (this.context.directory().onLeaving(server)) {
 			this.context.requestLog().countLeavingServer();
