Wait until the stream whose server is disrupted has begun

The wait counted the tokens of all streams together, so on a busy machine the first one may not have begun. AnswerIntegrityTests, TwoFaultsTests and SilentConnectionTests had the same wait. Change: StreamProgress waits for the same total and for a token of the first stream.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AnswerIntegrityTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AnswerIntegrityTests.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.marjoramgw.rig.CallResult;
 import org.marjoramgw.rig.DeploymentPlan;
@@ -77,16 +76,15 @@
 
 	@Test(dataProvider = "faults")
 	public void answersAreCompleteAfterFault(String name, Fault fault) throws Exception {
-		AtomicInteger tokens = new AtomicInteger();
+		StreamProgress progress = new StreamProgress();
 		Map<String, CompletableFuture<CallResult>> calls = new LinkedHashMap<>();
 		for (int count = 0; count < STREAM_COUNT; count++) {
 			this.promptCount++;
 			String prompt = "len=" + ANSWER_TOKENS + " question " + TestSeed.value() + " " + this.promptCount;
 			String entry = "entry-" + (1 + count % 2);
-			calls.put(prompt,
-					fixture().chat(entry, TestConfiguration.TOP_CLASS, prompt, (text) -> tokens.incrementAndGet()));
+			calls.put(prompt, fixture().chat(entry, TestConfiguration.TOP_CLASS, prompt, progress.add()));
 		}
-		Await.until("streams have tokens", () -> tokens.get() > STREAM_COUNT * 10);
+		progress.awaitTokens(STREAM_COUNT * 10);
 		String victim = fixture().runnerOf(calls.keySet().iterator().next());
 		Assert.assertFalse(victim.isEmpty(), "the first stream ended before the fault");
 		fault.inject(victim);
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/LeavingBackendTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/LeavingBackendTests.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.marjoramgw.rig.CallResult;
@@ -104,14 +103,14 @@
 	}
 
 	private Map<String, CompletableFuture<CallResult>> startLongCalls() throws Exception {
-		AtomicInteger tokens = new AtomicInteger();
+		StreamProgress progress = new StreamProgress();
 		Map<String, CompletableFuture<CallResult>> calls = new LinkedHashMap<>();
 		for (int count = 0; count < LONG_CALL_COUNT; count++) {
 			String prompt = "len=" + LONG_ANSWER_TOKENS + " long " + TestSeed.value() + " " + System.nanoTime();
-			calls.put(prompt, fixture().chat("entry-" + (1 + count % 2), TestConfiguration.TOP_CLASS, prompt,
-					(text) -> tokens.incrementAndGet()));
+			calls.put(prompt,
+					fixture().chat("entry-" + (1 + count % 2), TestConfiguration.TOP_CLASS, prompt, progress.add()));
 		}
-		Await.until("long calls stream tokens", () -> tokens.get() > LONG_CALL_COUNT * 5);
+		progress.awaitTokens(LONG_CALL_COUNT * 5);
 		return calls;
 	}
 
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.marjoramgw.config.ServiceKind;
 import org.marjoramgw.rig.BackendPlan;
@@ -49,15 +48,15 @@
 
 	@Test(dataProvider = "silentPeerLinks")
 	public void answersCompleteWithinTarget(String linkName, LinkKind kind, int repetitions) throws Exception {
-		AtomicInteger tokens = new AtomicInteger();
+		StreamProgress progress = new StreamProgress();
 		Map<String, CompletableFuture<CallResult>> calls = new LinkedHashMap<>();
 		long startNanos = System.nanoTime();
 		for (int count = 0; count < STREAM_COUNT; count++) {
 			String prompt = "len=250 silent " + TestSeed.value() + " " + System.nanoTime();
-			calls.put(prompt, fixture().chat("entry-" + (1 + count % 2), TestConfiguration.TOP_CLASS, prompt,
-					(text) -> tokens.incrementAndGet()));
+			calls.put(prompt,
+					fixture().chat("entry-" + (1 + count % 2), TestConfiguration.TOP_CLASS, prompt, progress.add()));
 		}
-		Await.until("streams have tokens", () -> tokens.get() > STREAM_COUNT * 10);
+		progress.awaitTokens(STREAM_COUNT * 10);
 		for (int repetition = 0; repetition < repetitions; repetition++) {
 			swallowExistingConnections(kind);
 			String prompt = "len=5 after silence " + System.nanoTime();
--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TwoFaultsTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/TwoFaultsTests.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.marjoramgw.rig.CallResult;
 import org.marjoramgw.rig.DeploymentPlan;
@@ -122,14 +121,14 @@
 	}
 
 	private Map<String, CompletableFuture<CallResult>> startStreams() throws Exception {
-		AtomicInteger tokens = new AtomicInteger();
+		StreamProgress progress = new StreamProgress();
 		Map<String, CompletableFuture<CallResult>> calls = new LinkedHashMap<>();
 		for (int count = 0; count < STREAM_COUNT; count++) {
 			String prompt = "len=200 two faults " + TestSeed.value() + " " + System.nanoTime();
-			calls.put(prompt, fixture().chat("entry-" + (1 + count % 3), TestConfiguration.TOP_CLASS, prompt,
-					(text) -> tokens.incrementAndGet()));
+			calls.put(prompt,
+					fixture().chat("entry-" + (1 + count % 3), TestConfiguration.TOP_CLASS, prompt, progress.add()));
 		}
-		Await.until("streams have tokens", () -> tokens.get() > STREAM_COUNT * 10);
+		progress.awaitTokens(STREAM_COUNT * 10);
 		return calls;
 	}
 
