Exchange digests between entry processes over UDP

Cause: an entry knows only its own requests at a server. A listener that failed on a change of the members was never told again; the change is now acknowledged only afterwards.

--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the exchange of digests.
+ */
+package org.marjoramgw.direct.peer;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
@@ -20,10 +20,11 @@
  * @param servers topic that holds the registrations of backend servers
  * @param serverDecoder decoder of a registration
  * @param quarantine topic of this system for crash reports and verdicts
+ * @param entries topic of this system for the addresses of its entry processes
  * @param samples sample messages for the warm-up
  * @author The marjoramgw authors
  */
 public record Platform(CallerDialect callerDialect, BackendDialect backendDialect, CompactedTopic configuration,
 		String configurationKey, RoutingDecoder routingDecoder, CompactedTopic servers, ServerDecoder serverDecoder,
-		AppendableTopic quarantine, Samples samples) {
+		AppendableTopic quarantine, AppendableTopic entries, Samples samples) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LogRateLimiter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/LogRateLimiter.java
@@ -7,7 +7,7 @@
  *
  * @author The marjoramgw authors
  */
-final class LogRateLimiter {
+public final class LogRateLimiter {
 
 	private static final long SECOND_MILLIS = 1_000;
 
@@ -19,12 +19,21 @@
 
 	private int acquired;
 
-	LogRateLimiter(MillisClock clock, int maxPerSecond) {
+	/**
+	 * Creates a limiter.
+	 * @param clock clock that counts the seconds
+	 * @param maxPerSecond maximum number of lines per second
+	 */
+	public LogRateLimiter(MillisClock clock, int maxPerSecond) {
 		this.clock = clock;
 		this.maxPerSecond = maxPerSecond;
 	}
 
-	synchronized boolean tryAcquire() {
+	/**
+	 * Asks for a line.
+	 * @return whether it may be logged
+	 */
+	public synchronized boolean tryAcquire() {
 		long now = this.clock.nowMillis() / SECOND_MILLIS;
 		if (now != this.second) {
 			this.second = now;
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
@@ -0,0 +1,140 @@
+package org.marjoramgw.direct.peer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.marjoramgw.policy.fleet.Digest;
+import org.marjoramgw.policy.fleet.PromptReport;
+import org.marjoramgw.policy.fleet.ServerReport;
+
+/**
+ * Reports that wait to be sent, since a digest has room for some of them only. A newer
+ * report on the same server takes the place of one that waits. Not thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+final class DigestQueue {
+
+	/** Reports on prompts that wait; the oldest ones are dropped. */
+	private static final int MAX_PROMPTS = 256;
+
+	/** Share of a digest that reports on prompts get before those on servers. */
+	private static final int PROMPT_SHARE = 3;
+
+	private static final long KEY_MASK = 0xffff_ffffL;
+
+	private static final Comparator<ServerReport> LOADED_FIRST = Comparator
+		.comparing((ServerReport report) -> report.memoryTokens() == 0 && report.unreadTokens() == 0
+				&& report.runningCount() == 0);
+
+	private final Map<Integer, ServerReport> changed = new LinkedHashMap<>();
+
+	private final Map<Integer, ServerReport> unchanged = new LinkedHashMap<>();
+
+	private final Map<Long, PromptReport> prompts = new LinkedHashMap<>();
+
+	private final Map<Integer, ServerReport> sent = new HashMap<>();
+
+	/**
+	 * Adds the reports of a digest.
+	 * @param digest the digest
+	 * @param complete whether it has reports on all servers
+	 */
+	void add(Digest digest, boolean complete) {
+		if (complete) {
+			retain(digest.servers()
+				.stream()
+				.collect(Collectors.toMap(ServerReport::serverKey, (report) -> report, (first, second) -> second)));
+		}
+		digest.servers().stream().sorted(LOADED_FIRST).forEach(this::add);
+		for (PromptReport report : digest.prompts()) {
+			this.prompts.put((long) report.partKey() << Integer.SIZE | report.serverKey() & KEY_MASK, report);
+		}
+		Iterator<PromptReport> oldest = this.prompts.values().iterator();
+		while (this.prompts.size() > MAX_PROMPTS) {
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
+	/**
+	 * Tells whether all reports that didn't change were sent.
+	 * @return whether none of them waits
+	 */
+	boolean isRefreshed() {
+		return this.unchanged.isEmpty();
+	}
+
+	/**
+	 * Removes as many reports as fit into a digest, the longest waiting ones first.
+	 * @param processId id of this process
+	 * @param incarnation incarnation of this process
+	 * @param sequence sequence of the digest
+	 * @param maxBytes maximum size of the digest
+	 * @return the digest
+	 */
+	Digest take(String processId, long incarnation, long sequence, int maxBytes) {
+		List<ServerReport> servers = new ArrayList<>();
+		List<PromptReport> digestPrompts = new ArrayList<>();
+		int room = maxBytes - DigestCodec.sizeOf(processId, sequence);
+		room -= takePrompts(digestPrompts, room / PROMPT_SHARE);
+		room -= takeServers(this.changed, servers, room);
+		room -= takePrompts(digestPrompts, room);
+		takeServers(this.unchanged, servers, room);
+		servers.forEach((report) -> this.sent.put(report.serverKey(), report));
+		return new Digest(processId, incarnation, sequence, servers, digestPrompts);
+	}
+
+	private void add(ServerReport report) {
+		if (report.equals(this.sent.get(report.serverKey())) && !this.changed.containsKey(report.serverKey())) {
+			this.unchanged.put(report.serverKey(), report);
+		}
+		else {
+			this.unchanged.remove(report.serverKey());
+			this.changed.put(report.serverKey(), report);
+		}
+	}
+
+	private void retain(Map<Integer, ServerReport> reports) {
+		this.changed.keySet().retainAll(reports.keySet());
+		this.unchanged.keySet().retainAll(reports.keySet());
+		this.sent.keySet().retainAll(reports.keySet());
+	}
+
+	private static int takeServers(Map<Integer, ServerReport> waiting, List<ServerReport> taken, int room) {
+		int used = 0;
+		Iterator<ServerReport> iterator = waiting.values().iterator();
+		while (iterator.hasNext()) {
+			ServerReport report = iterator.next();
+			if (used + DigestCodec.sizeOf(report) > room) {
+				return used;
+			}
+			used += DigestCodec.sizeOf(report);
+			taken.add(report);
+			iterator.remove();
+		}
+		return used;
+	}
+
+	private int takePrompts(List<PromptReport> taken, int room) {
+		int used = 0;
+		Iterator<PromptReport> iterator = this.prompts.values().iterator();
+		while (iterator.hasNext()) {
+			PromptReport report = iterator.next();
+			if (used + DigestCodec.sizeOf(report) > room) {
+				return used;
+			}
+			used += DigestCodec.sizeOf(report);
+			taken.add(report);
+			iterator.remove();
+		}
+		return used;
+	}
+
+}
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Exchange of digests with other entry processes over UDP.
+ */
+package org.marjoramgw.direct.peer;
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/fleet/PeerMembershipTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/fleet/PeerMembershipTests.java
@@ -182,15 +182,16 @@
 
 	/** Guards against changes that the listener isn't told of. */
 	@Test
-	public void changesOfTheSetsAreToldOnce() {
+	public void changesOfTheSetsAreNoticed() {
 		PeerMembership membership = membership();
-		Assert.assertFalse(membership.takeChanged());
+		Assert.assertFalse(membership.isChanged());
 		membership.onDigest("b", 7, 1, ADDRESS, 0);
-		Assert.assertTrue(membership.takeChanged());
+		Assert.assertTrue(membership.isChanged());
+		membership.acknowledgeChanges();
 		membership.onDigest("b", 7, 2, ADDRESS, 250);
-		Assert.assertFalse(membership.takeChanged());
+		Assert.assertFalse(membership.isChanged());
 		membership.advance(250 + PeerMembership.EXPIRY_MILLIS);
-		Assert.assertTrue(membership.takeChanged());
+		Assert.assertTrue(membership.isChanged());
 	}
 
 	private static PeerMembership membership() {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/PeerMembership.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/PeerMembership.java
@@ -162,13 +162,18 @@
 	}
 
 	/**
-	 * Tells whether the sets of peers changed since the last call.
+	 * Tells whether the sets of peers changed since the last acknowledgement.
 	 * @return whether they changed
 	 */
-	public boolean takeChanged() {
-		boolean taken = this.changed;
+	public boolean isChanged() {
+		return this.changed;
+	}
+
+	/**
+	 * Acknowledges the changes so far.
+	 */
+	public void acknowledgeChanges() {
 		this.changed = false;
-		return taken;
 	}
 
 	/**
