Report the course of each attempt to the observer of the load

Cause: the shared load needs to know what this process sends to a server. Change: AttemptLauncher reports each send (server, shared parts, tokens, time in which the first token is timely), Attempt its first token and its end, CurrentAttempt whether the server failed or was overdue. The greatest number of output tokens is decoded from the request's head. Sample requests are not reported.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
@@ -65,7 +65,7 @@
 	 * @return the request
 	 */
 	public static CallerRequest request(String path, String key) {
-		return new CallerRequest("id-1", HOST, path, OptionalLong.of(2_000), Optional.ofNullable(key), "", List.of(),
+		return new CallerRequest("id-1", HOST, path, OptionalLong.of(2_000), Optional.ofNullable(key), "", List.of(), 0,
 				0);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -32,6 +32,7 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.program.Lifecycle;
@@ -131,6 +132,8 @@
 
 	private final StoreFollowers storeFollowers;
 
+	private final FleetExchange fleet;
+
 	private ClockReading lastMaintenance;
 
 	private volatile boolean warmedUp;
@@ -169,10 +172,12 @@
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
 				this.clock, this.timers, this.lag::lagMillis, strayBytes);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
+		this.fleet = FleetExchange.of(this.settings.get(), this.platform.entries(), this.monotonicClock, this.timers,
+				this.registry);
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
-		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				startLimiter, this.readiness::maxAgeMillis);
+		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard,
+				this.fleet.loadObserver(), this.requestLog, startLimiter, this.readiness::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry), this.settings.get().drainMillis());
@@ -190,6 +195,7 @@
 	public void run() {
 		this.storeFollowers.start();
 		this.quarantineGuard.start();
+		this.fleet.start();
 		runMaintenance();
 		logAttainment();
 		this.lag.start();
@@ -250,7 +256,7 @@
 		sampleDirectory.onSnapshot(registrations);
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
-				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
+				LoadObserver.NONE, new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
 				() -> WARM_UP_LIMIT_MILLIS * 2);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
@@ -300,6 +306,7 @@
 	 * in milliseconds
 	 */
 	private void stop(long requestedMillis) {
+		this.fleet.leave();
 		new GracefulStop(this.monotonicClock, this.forwarder, this.callerListener, this.callerAcceptor)
 			.run(requestedMillis, this.settings.get().stopGraceMillis());
 		this.storeFollowers.close();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -24,6 +24,7 @@
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -128,6 +129,7 @@
 	 * @param routing the configuration that it applies
 	 * @param servers the backend servers that it uses
 	 * @param promptGuard guard of the backend servers
+	 * @param loadObserver receiver of the course of its requests at backend servers
 	 * @param requestLog log of its requests
 	 * @param startLimiter limits its requests that start concurrently, also that of its
 	 * callers' connections
@@ -135,16 +137,16 @@
 	 * milliseconds
 	 * @return the forwarder
 	 */
-	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
-			StartLimiter startLimiter, LongSupplier maxAgeMillis) {
+	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard,
+			LoadObserver loadObserver, RequestLog requestLog, StartLimiter startLimiter, LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
 				serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
-				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), requestLog, this.clock,
-				this.timers, random));
+				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), loadObserver, requestLog,
+				this.clock, this.timers, random));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -19,10 +19,11 @@
  * @param promptParts parts of the prompt in order; the last one belongs to this request
  * alone
  * @param promptTokenCount number of prompt tokens, 0 if there is no prompt
+ * @param maxOutputTokenCount greatest number of tokens of the answer, 0 if it isn't known
  * @author The marjoramgw authors
  */
 public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
-		String model, List<PromptPart> promptParts, long promptTokenCount) {
+		String model, List<PromptPart> promptParts, long promptTokenCount, long maxOutputTokenCount) {
 
 	/**
 	 * Returns the key of the longest prompt prefix that other requests may have in
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -6,6 +6,7 @@
 import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 
 /**
@@ -38,6 +39,10 @@
 
 	private long sentMillis;
 
+	private LoadObserver.RequestObserver observer = LoadObserver.RequestObserver.NONE;
+
+	private boolean failed;
+
 	Attempt(BackendServer server) {
 		this.server = server;
 	}
@@ -174,16 +179,25 @@
 
 	void onFirstToken() {
 		this.begun = true;
+		this.observer.onFirstToken();
 		if (this.prefillPermit != null) {
 			this.prefillPermit.onFirstToken();
 		}
 	}
 
+	/**
+	 * Marks that the server failed, or did not begin its answer in time.
+	 */
+	void markFailed() {
+		this.failed = true;
+	}
+
 	/**
 	 * Marks this attempt as ended and releases its prefill permit.
 	 */
 	void end() {
 		this.ended = true;
+		this.observer.onEnd(this.failed);
 		if (this.prefillPermit != null) {
 			this.prefillPermit.release();
 		}
@@ -206,6 +220,14 @@
 		return this.sent;
 	}
 
+	/**
+	 * Sets the observer of the further course of this attempt.
+	 * @param newObserver the observer
+	 */
+	void setObserver(LoadObserver.RequestObserver newObserver) {
+		this.observer = newObserver;
+	}
+
 	/**
 	 * Marks this attempt as sent.
 	 * @param nowMillis present time by the monotonic clock, in milliseconds
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -210,6 +210,7 @@
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		attempt.markSent(this.context.clock().now().monotonicMillis());
 		this.state.onSent(attempt.sentMillis());
+		attempt.setObserver(SendReport.of(this.state, attempt.server()).report(this.context.loadObserver()));
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		// Before the listener, which may let the request wait for its turn again.
 		this.limitedStart.release();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/CurrentAttempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/CurrentAttempt.java
@@ -51,6 +51,23 @@
 		return this.attempt != null && !this.attempt.hasBegun();
 	}
 
+	/**
+	 * Records that the server of the attempt failed.
+	 */
+	void fail() {
+		this.attempt.markFailed();
+		this.health.onFailure(this.attempt.serverId());
+	}
+
+	/**
+	 * Marks the server of the attempt as failed if its answer should have begun by now.
+	 */
+	void markOverdue() {
+		if (mayHaveRun() && awaitsAnswer()) {
+			this.attempt.markFailed();
+		}
+	}
+
 	void begin(Attempt next) {
 		this.attempt = next;
 		this.health.addLoad(next.serverId(), LOAD);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -216,7 +216,7 @@
 		}
 		switch (kind) {
 			case NOT_RUN -> {
-				this.context.health().onFailure(attempt.serverId());
+				this.currentAttempt.fail();
 				onNotRun(attempt, response, "status=" + response.status().intValue());
 			}
 			case MISDIRECTED -> {
@@ -244,7 +244,7 @@
 	}
 
 	private void onServerError(Attempt attempt, HttpResponse response) {
-		this.context.health().onFailure(attempt.serverId());
+		this.currentAttempt.fail();
 		if (this.state.mayRunAgain() && this.state.maySend()) {
 			this.state.history().countPossibleRun();
 			response.discardEntityBytes(this.context.system());
@@ -272,6 +272,7 @@
 		}
 		if (response.status().isSuccess()) {
 			this.context.health().onSuccess(attempt.serverId());
+			attempt.onFirstToken();
 			this.state.prompt().onAnswer();
 		}
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
@@ -303,7 +304,7 @@
 			this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		}
 		else if (code != ResultCode.CALLER_GONE) {
-			this.context.health().onFailure(attempt.serverId());
+			this.currentAttempt.fail();
 			CompletionStage<Boolean> mayGoElsewhere = this.state.prompt().mayGoElsewhere(attempt);
 			if (this.state.resumableBody().isStarted() && this.state.mayRunAgain()) {
 				this.state.resumableBody().interrupt();
@@ -331,7 +332,7 @@
 
 	private void onBrokenResponse(Attempt attempt, ResultCode code, String cause) {
 		String detail = cause + this.state.prompt().describe(attempt);
-		this.context.health().onFailure(attempt.serverId());
+		this.currentAttempt.fail();
 		CompletionStage<Boolean> mayGoElsewhere = this.state.prompt().mayGoElsewhere(attempt);
 		if (this.state.mayRunAgain()) {
 			mayGoElsewhere.thenAccept((allowed) -> runAgain(attempt, allowed, code, detail));
@@ -376,6 +377,7 @@
 			return;
 		}
 		boolean mayHaveRun = mayHaveRun();
+		this.currentAttempt.markOverdue();
 		this.currentAttempt.end(true);
 		this.completion.reject(mayHaveRun ? ResultCode.DEADLINE_IN_FLIGHT : ResultCode.TIMEOUT_BEFORE_SEND,
 				"service=" + this.state.service());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -13,6 +13,7 @@
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
@@ -43,6 +44,7 @@
  * @param bodyBudget memory budget of response bodies
  * @param promptGuard keeps prompts that crash backend servers away from them
  * @param recentSends the latest requests that were sent
+ * @param loadObserver receiver of the course of requests at backend servers
  * @param requestLog counts and logs outcomes
  * @param clock clock that measures ages
  * @param timers timers
@@ -54,7 +56,8 @@
 		StartLimiter startLimiter, StartTimeouts startTimeouts, PrefillLimiter prefillLimiter,
 		PromptPartition promptPartition, ServerSelector serverSelector, ConnectionPool pool,
 		WindowRetryBudget retryBudget, BodyReader bodyReader, BodyBudget bodyBudget, PromptGuard promptGuard,
-		RecentSends recentSends, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
+		RecentSends recentSends, LoadObserver loadObserver, RequestLog requestLog, AgeClock clock, Timers timers,
+		Random random) {
 
 	/**
 	 * Returns the time in which a request has to be answered.
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/HeaderDialectTests.java
@@ -42,6 +42,8 @@
 		Assert.assertEquals(request.key(), Optional.of("abc"));
 		Assert.assertEquals(request.sharedPrefixKey(), "91");
 		Assert.assertTrue(request.hasPrompt());
+		Assert.assertEquals(request.promptTokenCount(), 1_460);
+		Assert.assertEquals(request.maxOutputTokenCount(), 80);
 	}
 
 	@Test
@@ -54,6 +56,7 @@
 		Assert.assertTrue(request.deadlineMillis().isEmpty());
 		Assert.assertTrue(request.key().isEmpty());
 		Assert.assertFalse(request.hasPrompt());
+		Assert.assertEquals(request.maxOutputTokenCount(), 0);
 	}
 
 	@DataProvider
