--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -38,7 +38,6 @@
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
-import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
@@ -97,6 +96,8 @@
 
 	private final CallerListener listener;
 
+	private final RecordingLoad load = new RecordingLoad();
+
 	ForwardingFixture(ScriptedServer... servers) throws Exception {
 		this(defaultBodyBudget(), servers);
 	}
@@ -162,7 +163,7 @@
 				new ServerSelector(this.directory, health, placement, placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
-				guards.create(connector, health, timers), new RecentSends(), LoadObserver.NONE,
+				guards.create(connector, health, timers), new RecentSends(), this.load,
 				new RequestLog(new MetricRegistry(), monotonicClock, 20), clock, timers, random);
 		this.forwarder = new Forwarder(context);
 		this.listener = new CallerListener(this.system, ServerSettings.create(config), timers, startLimiter,
@@ -178,6 +179,10 @@
 		return this.listener;
 	}
 
+	RecordingLoad load() {
+		return this.load;
+	}
+
 	ServerDirectory directory() {
 		return this.directory;
 	}
