--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerMetrics.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerMetrics.java
@@ -42,13 +42,12 @@
 		this.sent = registry.counter("digests.sent");
 		this.sentBytes = registry.counter("digests.sent.bytes");
 		this.received = registry.counter("digests.received");
-		this.malformed = registry.counter("digests.dropped.malformed");
-		this.late = registry.counter("digests.dropped.late");
-		this.unsent = registry.counter("digests.dropped.unsent");
+		this.malformed = dropped(registry, "malformed");
+		this.late = dropped(registry, "late");
+		this.unsent = dropped(registry, "unsent");
 		for (DigestVerdict verdict : DigestVerdict.values()) {
 			if (verdict != DigestVerdict.ACCEPTED) {
-				this.dropped.put(verdict,
-						registry.counter("digests.dropped." + verdict.name().toLowerCase(Locale.ROOT)));
+				this.dropped.put(verdict, dropped(registry, verdict.name().toLowerCase(Locale.ROOT)));
 			}
 		}
 		registry.register("peers.heard", (Gauge<Integer>) () -> this.heardCount);
@@ -90,4 +89,8 @@
 		this.memberCount = newMemberCount;
 	}
 
+	private static Counter dropped(MetricRegistry registry, String reason) {
+		return registry.counter("digests.dropped." + reason);
+	}
+
 }
