--- /dev/null
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
@@ -0,0 +1,58 @@
+package org.marjoramgw.policy.fleet;
+
+/**
+ * Load that this process puts on one backend server. Not thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+final class OwnLoad {
+
+	/** Prompt tokens without the cached ones whose first token is outstanding. */
+	int unreadTokens;
+
+	/** Prompts whose first token is outstanding. */
+	int unreadCount;
+
+	/** Streams that have begun, and requests without a prompt. */
+	int runningCount;
+
+	int memoryTokens;
+
+	int timelyCount;
+
+	int lateCount;
+
+	/** Latest pace that was measured, in tokens per millisecond; 0 if none was. */
+	double tokensPerMilli;
+
+	/** Time of the last change, in milliseconds. */
+	long changedMillis;
+
+	private ServerReport lastReport;
+
+	int requestCount() {
+		return this.unreadCount + this.runningCount;
+	}
+
+	/**
+	 * Returns the report of the next digest.
+	 * @param serverKey key of the server
+	 * @return the report, or {@code null} if it is the same as the last one
+	 */
+	ServerReport nextReport(int serverKey) {
+		ServerReport report = new ServerReport(serverKey, this.unreadTokens, this.runningCount, this.memoryTokens,
+				this.timelyCount, this.lateCount, this.tokensPerMilli);
+		boolean changed = !report.equals(this.lastReport);
+		this.lastReport = report;
+		return changed ? report : null;
+	}
+
+	/**
+	 * Returns the report of the last digest again.
+	 * @return the report, {@code null} if there was none
+	 */
+	ServerReport lastReport() {
+		return this.lastReport;
+	}
+
+}
