--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -32,7 +32,6 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
-import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.program.Lifecycle;
@@ -170,14 +169,14 @@
 		this.readiness = new Readiness(this.lifecycle, () -> this.warmedUp, this.directory, this.lag, this.routing,
 				() -> this.settings.get().revocationMillis());
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, this.lag::lagMillis, strayBytes);
+				this.clock, this.timers, this.lag::lagMillis, strayBytes, this.registry);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
-		this.fleet = FleetExchange.of(this.settings.get(), this.platform.entries(), this.monotonicClock, this.timers,
-				this.registry);
+		this.fleet = FleetExchange.of(this.requestPath.sharedLoad(), this.settings.get(), this.platform.entries(),
+				this.monotonicClock, this.timers, this.registry);
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
-		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard,
-				this.fleet.loadObserver(), this.requestLog, startLimiter, this.readiness::maxAgeMillis);
+		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
+				startLimiter, this.requestPath.sharedLoad(), this.readiness::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry), this.settings.get().drainMillis());
@@ -256,8 +255,8 @@
 		sampleDirectory.onSnapshot(registrations);
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
-				LoadObserver.NONE, new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
-				() -> WARM_UP_LIMIT_MILLIS * 2);
+				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
+				this.requestPath.sampleLoad(), () -> WARM_UP_LIMIT_MILLIS * 2);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/SendReport.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/SendReport.java
@@ -1,11 +1,9 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.ArrayList;
 import java.util.List;
 
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.BackendServer;
-import org.marjoramgw.direct.model.PromptPart;
 import org.marjoramgw.policy.fleet.FleetKeys;
 import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.fleet.SharedPart;
@@ -53,9 +51,8 @@
 			long remainingMillis) {
 		long targetMillis = (routeTargetMillis > 0)
 				? Math.max(routeTargetMillis / MIN_TARGET_SHARE, routeTargetMillis - ageMillis) : remainingMillis;
-		return new SendReport(FleetKeys.serverKey(server.incarnation()), sharedParts(caller),
-				tokens(Math.max(caller.promptTokenCount(), partTokens(caller))), tokens(caller.maxOutputTokenCount()),
-				Math.max(1, targetMillis));
+		return new SendReport(FleetKeys.serverKey(server.incarnation()), caller.sharedParts(), caller.allPromptTokens(),
+				tokens(caller.maxOutputTokenCount()), Math.max(1, targetMillis));
 	}
 
 	/**
@@ -68,25 +65,6 @@
 				this.targetMillis);
 	}
 
-	private static List<SharedPart> sharedParts(CallerRequest caller) {
-		int sharedCount = caller.sharedPartIds().size();
-		List<SharedPart> parts = new ArrayList<>(sharedCount);
-		int key = 0;
-		for (PromptPart part : caller.promptParts().subList(0, sharedCount)) {
-			key = FleetKeys.partKey(key, part.id());
-			parts.add(new SharedPart(key, tokens(part.tokenCount())));
-		}
-		return parts;
-	}
-
-	private static long partTokens(CallerRequest caller) {
-		long tokens = 0;
-		for (PromptPart part : caller.promptParts()) {
-			tokens += tokens(part.tokenCount());
-		}
-		return tokens;
-	}
-
 	private static int tokens(long count) {
 		return (int) Math.max(0, Math.min(Integer.MAX_VALUE, count));
 	}
