--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/quarantine/RecordSenderTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/quarantine/RecordSenderTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 
 import org.marjoramgw.direct.Fixtures;
+import org.marjoramgw.direct.follow.AppendResult;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.TopicPage;
@@ -72,6 +73,11 @@
 			return result;
 		}
 
+		@Override
+		public CompletionStage<AppendResult> appendAt(List<KeyedRecord> records, long endOffset) {
+			throw new UnsupportedOperationException();
+		}
+
 		@Override
 		public CompletionStage<TopicPage> readLatest(String afterKey) {
 			return new CompletableFuture<>();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -19,6 +19,9 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.direct.backend.StrayBytesLog;
 import org.marjoramgw.direct.caller.CallerListener;
+import org.marjoramgw.direct.duty.DutyMember;
+import org.marjoramgw.direct.duty.UsageDuty;
+import org.marjoramgw.direct.duty.UsagePlatform;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
@@ -32,6 +35,9 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.lease.LeaseTimes;
+import org.marjoramgw.policy.usage.UsageObserver;
+import org.marjoramgw.policy.usage.UsageWindows;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.program.Lifecycle;
@@ -87,6 +93,9 @@
 
 	private static final long LOAD_POLL_MILLIS = 10;
 
+	/** Time for the last counts of usage at the end of a stop, in milliseconds. */
+	private static final long LAST_COUNTS_MILLIS = 1_500;
+
 	private final Lifecycle lifecycle;
 
 	private final SettingsFile settings;
@@ -131,6 +140,8 @@
 
 	private final StoreFollowers storeFollowers;
 
+	private final Optional<UsageDuty> usageDuty;
+
 	private ClockReading lastMaintenance;
 
 	private volatile boolean warmedUp;
@@ -169,10 +180,12 @@
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
 				this.clock, this.timers, this.lag::lagMillis, strayBytes);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
+		this.usageDuty = this.platform.usage().map(this::usageDuty);
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				startLimiter, this.readiness::maxAgeMillis);
+				startLimiter, this.readiness::maxAgeMillis,
+				this.usageDuty.map(UsageDuty::observer).orElse(UsageObserver.NONE));
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry), this.settings.get().drainMillis());
@@ -190,6 +203,7 @@
 	public void run() {
 		this.storeFollowers.start();
 		this.quarantineGuard.start();
+		this.usageDuty.ifPresent(UsageDuty::start);
 		runMaintenance();
 		logAttainment();
 		this.lag.start();
@@ -251,10 +265,22 @@
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
 				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
-				() -> WARM_UP_LIMIT_MILLIS * 2);
+				() -> WARM_UP_LIMIT_MILLIS * 2, UsageObserver.NONE);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
+	private UsageDuty usageDuty(UsagePlatform usagePlatform) {
+		DirectSettings current = this.settings.get();
+		UsageSettings usage = current.usage();
+		UsageDuty duty = new UsageDuty(
+				new DutyMember(current.processId(), System.currentTimeMillis(), current.failureDomain()),
+				new UsageWindows(usage.windowMillis(), usage.dueMillis()),
+				LeaseTimes.of(usage.leaseMillis(), usage.fenced()), usagePlatform, this.monotonicClock,
+				System::currentTimeMillis, this.timers, this.lag::lagMillis);
+		duty.register(this.registry);
+		return duty;
+	}
+
 	private CallerListener callerListener(Forwarder target, StartLimiter startLimiter) {
 		return new CallerListener(this.system, this.serverSettings, this.timers, startLimiter,
 				this.requestPath.startTimeouts(), this.routing::limits, target::unread, target::handle);
@@ -300,8 +326,12 @@
 	 * in milliseconds
 	 */
 	private void stop(long requestedMillis) {
+		long graceMillis = this.settings.get().stopGraceMillis();
+		this.usageDuty.ifPresent(UsageDuty::release);
 		new GracefulStop(this.monotonicClock, this.forwarder, this.callerListener, this.callerAcceptor)
-			.run(requestedMillis, this.settings.get().stopGraceMillis());
+			.run(requestedMillis, graceMillis);
+		this.usageDuty.ifPresent((duty) -> duty
+			.close(Math.min(LAST_COUNTS_MILLIS, requestedMillis + graceMillis - this.monotonicClock.nowMillis())));
 		this.storeFollowers.close();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
@@ -1,7 +1,10 @@
 package org.marjoramgw.direct;
 
+import java.util.Optional;
+
 import org.marjoramgw.direct.backend.BackendDialect;
 import org.marjoramgw.direct.caller.CallerDialect;
+import org.marjoramgw.direct.duty.UsagePlatform;
 import org.marjoramgw.direct.follow.ActiveRouting.RoutingDecoder;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.CompactedTopic;
@@ -20,10 +23,11 @@
  * @param servers topic that holds the registrations of backend servers
  * @param serverDecoder decoder of a registration
  * @param quarantine topic of this system for crash reports and verdicts
+ * @param usage what the usage reports need, or empty if there are none
  * @param samples sample messages for the warm-up
  * @author The marjoramgw authors
  */
 public record Platform(CallerDialect callerDialect, BackendDialect backendDialect, CompactedTopic configuration,
 		String configurationKey, RoutingDecoder routingDecoder, CompactedTopic servers, ServerDecoder serverDecoder,
-		AppendableTopic quarantine, Samples samples) {
+		AppendableTopic quarantine, Optional<UsagePlatform> usage, Samples samples) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -32,6 +32,7 @@
 import org.marjoramgw.policy.quarantine.Quarantine;
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.policy.waiting.StartTimeouts;
 import org.marjoramgw.time.AgeClock;
@@ -133,18 +134,19 @@
 	 * callers' connections
 	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
 	 * milliseconds
+	 * @param usage observer of the requests that begin to run
 	 * @return the forwarder
 	 */
 	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
-			StartLimiter startLimiter, LongSupplier maxAgeMillis) {
+			StartLimiter startLimiter, LongSupplier maxAgeMillis, UsageObserver usage) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
 				serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
-				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), requestLog, this.clock,
-				this.timers, random));
+				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), requestLog, usage,
+				this.clock, this.timers, random));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/AppendableTopic.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/AppendableTopic.java
@@ -18,4 +18,14 @@
 	 */
 	CompletionStage<Void> append(List<KeyedRecord> records);
 
+	/**
+	 * Appends records, all of them or none, if the topic ends at an offset.
+	 * @param records the records; their offsets are ignored
+	 * @param endOffset offset at which the topic must end
+	 * @return completes with the answer of the store; after a failure the records may
+	 * have been appended all the same, or may be appended later if the topic still ends
+	 * there
+	 */
+	CompletionStage<AppendResult> appendAt(List<KeyedRecord> records, long endOffset);
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -7,6 +7,7 @@
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.usage.UsageObserver;
 
 /**
  * Attempt to serve a request on one backend server. Not thread-safe; guarded by the lock
@@ -38,6 +39,8 @@
 
 	private long sentMillis;
 
+	private UsageObserver.Run countedRun = UsageObserver.Run.NONE;
+
 	Attempt(BackendServer server) {
 		this.server = server;
 	}
@@ -218,8 +221,21 @@
 		}
 	}
 
+	/**
+	 * Sets the run that was counted when this attempt was sent.
+	 * @param run the run
+	 */
+	void setCountedRun(UsageObserver.Run run) {
+		this.countedRun = run;
+	}
+
+	/**
+	 * Marks that the server didn't run the request.
+	 */
 	void markNotRun() {
 		this.sent = false;
+		this.countedRun.takeBack();
+		this.countedRun = UsageObserver.Run.NONE;
 	}
 
 	/** Wait of an attempt for its permit. */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -210,6 +210,9 @@
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		attempt.markSent(this.context.clock().now().monotonicMillis());
 		this.state.onSent(attempt.sentMillis());
+		if (!this.state.route().isStreaming()) {
+			attempt.setCountedRun(this.state.countRun());
+		}
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		// Before the listener, which may let the request wait for its turn again.
 		this.limitedStart.release();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -16,6 +16,7 @@
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.RequestTime;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.policy.waiting.StartTimeouts;
@@ -44,6 +45,7 @@
  * @param promptGuard keeps prompts that crash backend servers away from them
  * @param recentSends the latest requests that were sent
  * @param requestLog counts and logs outcomes
+ * @param usage observer of the requests that begin to run
  * @param clock clock that measures ages
  * @param timers timers
  * @param random source of randomness
@@ -54,7 +56,8 @@
 		StartLimiter startLimiter, StartTimeouts startTimeouts, PrefillLimiter prefillLimiter,
 		PromptPartition promptPartition, ServerSelector serverSelector, ConnectionPool pool,
 		WindowRetryBudget retryBudget, BodyReader bodyReader, BodyBudget bodyBudget, PromptGuard promptGuard,
-		RecentSends recentSends, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
+		RecentSends recentSends, RequestLog requestLog, UsageObserver usage, AgeClock clock, Timers timers,
+		Random random) {
 
 	/**
 	 * Returns the time in which a request has to be answered.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -5,6 +5,7 @@
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.RequestTime;
 import org.marjoramgw.policy.waiting.Urgency;
 import org.marjoramgw.time.ClockReading;
@@ -37,6 +38,8 @@
 
 	private String service = "";
 
+	private boolean streamCounted;
+
 	/**
 	 * Creates the state of a request that was just received.
 	 * @param context shared components
@@ -171,6 +174,27 @@
 		}
 	}
 
+	/**
+	 * Counts that the request has begun to run on a server.
+	 * @return the run, which is not counted if the request has no account
+	 */
+	UsageObserver.Run countRun() {
+		return this.admitted.account()
+			.map((account) -> this.context.usage().onRun(account.name()))
+			.orElse(UsageObserver.Run.NONE);
+	}
+
+	/**
+	 * Counts that the request has begun to run when the first event of its stream
+	 * arrives. A stream that is resumed on another server is counted once.
+	 */
+	void countFirstEvent() {
+		if (!this.streamCounted) {
+			this.streamCounted = true;
+			countRun();
+		}
+	}
+
 	/**
 	 * Counts and logs the outcome of the request.
 	 * @param code result code
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
@@ -44,14 +44,18 @@
 	 */
 	Source<ByteString, ?> relay(Attempt attempt, HttpResponse response, EndListener onEnd) {
 		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis());
-		StreamObserver observer = new StreamObserver(() -> onFirstEvent(attempt), this::onProgress, pauses,
+		boolean hasEvents = ResponseBodies.isEventStream(response);
+		StreamObserver observer = new StreamObserver(() -> onFirstEvent(attempt, hasEvents), this::onProgress, pauses,
 				(code, detail) -> onEnd(attempt, pauses, code, detail, onEnd));
-		return response.entity().getDataBytes().via(new ObservedBody(observer, ResponseBodies.isEventStream(response)));
+		return response.entity().getDataBytes().via(new ObservedBody(observer, hasEvents));
 	}
 
-	private void onFirstEvent(Attempt attempt) {
+	private void onFirstEvent(Attempt attempt, boolean hasEvents) {
 		synchronized (this.lock) {
 			attempt.onFirstToken();
+			if (hasEvents) {
+				this.state.countFirstEvent();
+			}
 			this.state.history().onFirstBytes(this.state.ageMillis());
 		}
 	}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -6,8 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.codahale.metrics.MetricRegistry;
 import com.typesafe.config.Config;
@@ -42,6 +44,7 @@
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.policy.waiting.StartTimeouts;
 import org.marjoramgw.testkit.TestSeed;
@@ -96,6 +99,8 @@
 
 	private final CallerListener listener;
 
+	private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+
 	ForwardingFixture(ScriptedServer... servers) throws Exception {
 		this(defaultBodyBudget(), servers);
 	}
@@ -162,7 +167,7 @@
 				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RecentSends(),
-				new RequestLog(new MetricRegistry(), monotonicClock, 20), clock, timers, random);
+				new RequestLog(new MetricRegistry(), monotonicClock, 20), this::countRun, clock, timers, random);
 		this.forwarder = new Forwarder(context);
 		this.listener = new CallerListener(this.system, ServerSettings.create(config), timers, startLimiter,
 				startTimeouts, () -> CallerLimits.DEFAULT, this.forwarder::unread, this.forwarder::handle);
@@ -181,6 +186,20 @@
 		return this.directory;
 	}
 
+	/**
+	 * Returns how many requests of an account have begun to run.
+	 * @param account name of the account
+	 * @return number of runs that were counted and not taken back
+	 */
+	int runCount(String account) {
+		return this.runs.getOrDefault(account, 0);
+	}
+
+	private UsageObserver.Run countRun(String account) {
+		this.runs.merge(account, 1, Integer::sum);
+		return () -> this.runs.merge(account, -1, Integer::sum);
+	}
+
 	/**
 	 * Removes the registration of a server.
 	 * @param index index of the server
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/MemoryTopic.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/MemoryTopic.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
+import org.marjoramgw.direct.follow.AppendResult;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.TopicPage;
@@ -45,14 +46,30 @@
 
 	@Override
 	public CompletionStage<Void> append(List<KeyedRecord> added) {
+		return appendIf(added, -1).thenApply((result) -> null);
+	}
+
+	@Override
+	public CompletionStage<AppendResult> appendAt(List<KeyedRecord> added, long endOffset) {
+		return appendIf(added, endOffset);
+	}
+
+	private CompletionStage<AppendResult> appendIf(List<KeyedRecord> added, long endOffset) {
 		CompletableFuture<Void> waiting;
+		AppendResult result;
 		synchronized (this) {
-			this.records.addAll(added);
+			int first = this.records.size();
+			if (endOffset >= 0 && endOffset != first) {
+				return CompletableFuture.completedFuture(new AppendResult(false, 0, first));
+			}
+			added.forEach(
+					(record) -> this.records.add(new KeyedRecord(record.key(), record.value(), this.records.size())));
+			result = new AppendResult(true, first, this.records.size());
 			waiting = this.appended;
 			this.appended = new CompletableFuture<>();
 		}
 		waiting.complete(null);
-		return CompletableFuture.completedFuture(null);
+		return CompletableFuture.completedFuture(result);
 	}
 
 	private synchronized TopicSlice slice(long fromOffset) {
