--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -19,6 +19,9 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.direct.backend.StrayBytesLog;
 import org.marjoramgw.direct.caller.CallerListener;
+import org.marjoramgw.direct.duty.DutyMember;
+import org.marjoramgw.direct.duty.UsageDuty;
+import org.marjoramgw.direct.duty.UsagePlatform;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
@@ -32,6 +35,9 @@
 import org.marjoramgw.http.HttpListener;
 import org.marjoramgw.metrics.PrometheusTextWriter;
 import org.marjoramgw.metrics.ResultCounters;
+import org.marjoramgw.policy.lease.LeaseTimes;
+import org.marjoramgw.policy.usage.UsageObserver;
+import org.marjoramgw.policy.usage.UsageWindows;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.program.ExitCode;
 import org.marjoramgw.program.Lifecycle;
@@ -87,6 +93,9 @@
 
 	private static final long LOAD_POLL_MILLIS = 10;
 
+	/** Time for the last counts of usage at the end of a stop, in milliseconds. */
+	private static final long LAST_COUNTS_MILLIS = 1_500;
+
 	private final Lifecycle lifecycle;
 
 	private final SettingsFile settings;
@@ -133,6 +142,8 @@
 
 	private final FleetExchange fleet;
 
+	private final Optional<UsageDuty> usageDuty;
+
 	private ClockReading lastMaintenance;
 
 	private volatile boolean warmedUp;
@@ -173,10 +184,12 @@
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.fleet = FleetExchange.of(this.requestPath.sharedLoad(), this.settings.get(), this.platform.entries(),
 				this.monotonicClock, this.timers, this.registry);
+		this.usageDuty = this.platform.usage().map(this::usageDuty);
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				startLimiter, this.requestPath.sharedLoad(), this.readiness::maxAgeMillis);
+				startLimiter, this.requestPath.sharedLoad(), this.readiness::maxAgeMillis,
+				this.usageDuty.map(UsageDuty::observer).orElse(UsageObserver.NONE));
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry), this.settings.get().drainMillis());
@@ -195,6 +208,7 @@
 		this.storeFollowers.start();
 		this.quarantineGuard.start();
 		this.fleet.start();
+		this.usageDuty.ifPresent(UsageDuty::start);
 		runMaintenance();
 		logAttainment();
 		this.lag.start();
@@ -256,10 +270,22 @@
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
 				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
-				this.requestPath.sampleLoad(), () -> WARM_UP_LIMIT_MILLIS * 2);
+				this.requestPath.sampleLoad(), () -> WARM_UP_LIMIT_MILLIS * 2, UsageObserver.NONE);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
+	private UsageDuty usageDuty(UsagePlatform usagePlatform) {
+		DirectSettings current = this.settings.get();
+		UsageSettings usage = current.usage();
+		UsageDuty duty = new UsageDuty(
+				new DutyMember(current.processId(), System.currentTimeMillis(), current.failureDomain()),
+				new UsageWindows(usage.windowMillis(), usage.dueMillis()),
+				LeaseTimes.of(usage.leaseMillis(), usage.fenced()), usagePlatform, this.monotonicClock,
+				System::currentTimeMillis, this.timers, this.lag::lagMillis);
+		duty.register(this.registry);
+		return duty;
+	}
+
 	private CallerListener callerListener(Forwarder target, StartLimiter startLimiter) {
 		return new CallerListener(this.system, this.serverSettings, this.timers, startLimiter,
 				this.requestPath.startTimeouts(), this.routing::limits, target::unread, target::handle);
@@ -306,8 +332,12 @@
 	 */
 	private void stop(long requestedMillis) {
 		this.fleet.leave();
+		long graceMillis = this.settings.get().stopGraceMillis();
+		this.usageDuty.ifPresent(UsageDuty::release);
 		new GracefulStop(this.monotonicClock, this.forwarder, this.callerListener, this.callerAcceptor)
-			.run(requestedMillis, this.settings.get().stopGraceMillis());
+			.run(requestedMillis, graceMillis);
+		this.usageDuty.ifPresent((duty) -> duty
+			.close(Math.min(LAST_COUNTS_MILLIS, requestedMillis + graceMillis - this.monotonicClock.nowMillis())));
 		this.storeFollowers.close();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -35,6 +35,7 @@
 import org.marjoramgw.policy.quarantine.Quarantine;
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
+import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.policy.waiting.StartTimeouts;
 import org.marjoramgw.time.AgeClock;
@@ -145,10 +146,11 @@
 	 * @param load load that the processes share, or empty if they don't
 	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
 	 * milliseconds
+	 * @param usage observer of the requests that begin to run
 	 * @return the forwarder
 	 */
 	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
-			StartLimiter startLimiter, Optional<SharedLoad> load, LongSupplier maxAgeMillis) {
+			StartLimiter startLimiter, Optional<SharedLoad> load, LongSupplier maxAgeMillis, UsageObserver usage) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
@@ -156,8 +158,8 @@
 				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
 				serverSelector(routing, servers, load, promptPartition, random), this.pool, retryBudget(servers),
 				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(),
-				load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), requestLog, this.clock, this.timers,
-				random));
+				load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), requestLog, usage, this.clock,
+				this.timers, random));
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -8,6 +8,7 @@
 import org.marjoramgw.http.HttpConnection;
 import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.usage.UsageObserver;
 
 /**
  * Attempt to serve a request on one backend server. Not thread-safe; guarded by the lock
@@ -43,6 +44,8 @@
 
 	private boolean failed;
 
+	private UsageObserver.Run countedRun = UsageObserver.Run.NONE;
+
 	Attempt(BackendServer server) {
 		this.server = server;
 	}
@@ -240,8 +243,21 @@
 		}
 	}
 
+	/**
+	 * Sets the run that was counted when this attempt was sent.
+	 * @param run the run
+	 */
+	void setCountedRun(UsageObserver.Run run) {
+		this.countedRun = run;
+	}
+
+	/**
+	 * Marks that the server didn't run the request.
+	 */
 	void markNotRun() {
 		this.sent = false;
+		this.countedRun.takeBack();
+		this.countedRun = UsageObserver.Run.NONE;
 	}
 
 	/** Wait of an attempt for its permit. */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -211,6 +211,9 @@
 		attempt.markSent(this.context.clock().now().monotonicMillis());
 		this.state.onSent(attempt.sentMillis());
 		attempt.setObserver(SendReport.of(this.state, attempt.server()).report(this.context.loadObserver()));
+		if (!this.state.route().isStreaming()) {
+			attempt.setCountedRun(this.state.countRun());
+		}
 		CompletionStage<HttpResponse> head = attempt.connection().send(backendRequest, this.state.caller().id());
 		// Before the listener, which may let the request wait for its turn again.
 		this.limitedStart.release();
