Place prompts by expected time to first token where peers share their load

Placement.choose takes a PlacementQuery, and ServerView the key and limits of a server; AffinityPlacement and LeastLoadedPlacement choose as before. ForwardingContext.loadObserver is to be told of each request by the forwarding path, RequestPath.sharedLoad() is for the transport.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
@@ -55,7 +55,7 @@
 	 */
 	public static Routing routing(long version, Route... routes) {
 		return new Routing(version, List.of(routes), Map.of(KEY, new Account("coop", OptionalInt.empty())), true,
-				CallerLimits.DEFAULT);
+				CallerLimits.DEFAULT, Map.of());
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -167,12 +167,12 @@
 		this.readiness = new Readiness(this.lifecycle, () -> this.warmedUp, this.directory, this.lag, this.routing,
 				() -> this.settings.get().revocationMillis());
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, this.lag::lagMillis, strayBytes);
+				this.clock, this.timers, this.lag::lagMillis, strayBytes, this.registry);
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				startLimiter, this.readiness::maxAgeMillis);
+				startLimiter, this.requestPath.sharedLoad(), this.readiness::maxAgeMillis);
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry), this.settings.get().drainMillis());
@@ -251,7 +251,7 @@
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
 				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
-				() -> WARM_UP_LIMIT_MILLIS * 2);
+				this.requestPath.sampleLoad(), () -> WARM_UP_LIMIT_MILLIS * 2);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.direct;
 
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
+import com.codahale.metrics.MetricRegistry;
 import com.typesafe.config.Config;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.marjoramgw.MillisClock;
@@ -24,6 +26,7 @@
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -94,6 +97,10 @@
 
 	private final ConnectionPool pool;
 
+	private final LongSupplier lagMillis;
+
+	private final Optional<SharedLoad> sharedLoad;
+
 	private final BodyBudget bodyBudget = new BodyBudget(MAX_BODY_BYTES, MAX_BODIES_BYTES);
 
 	/**
@@ -107,15 +114,19 @@
 	 * @param timers timers
 	 * @param lagMillis scheduling lag of the process, in milliseconds
 	 * @param strayBytes receiver of reports on bytes that belong to no response
+	 * @param registry registry of the metrics
 	 */
 	RequestPath(ActorSystem<?> system, Config config, Platform platform, SettingsFile settings,
-			MillisClock monotonicClock, AgeClock clock, Timers timers, LongSupplier lagMillis, StrayBytes strayBytes) {
+			MillisClock monotonicClock, AgeClock clock, Timers timers, LongSupplier lagMillis, StrayBytes strayBytes,
+			MetricRegistry registry) {
 		this.system = system;
 		this.platform = platform;
 		this.settings = settings;
 		this.monotonicClock = monotonicClock;
 		this.clock = clock;
 		this.timers = timers;
+		this.lagMillis = lagMillis;
+		this.sharedLoad = settings.get().peers().isEnabled() ? Optional.of(newSharedLoad(registry)) : Optional.empty();
 		this.health = new ServerHealth(monotonicClock);
 		this.prefillLimiter = new PrefillLimiter(monotonicClock, system.executionContext(), lagMillis);
 		this.startTimeouts = new StartTimeouts(monotonicClock, timers);
@@ -131,22 +142,40 @@
 	 * @param requestLog log of its requests
 	 * @param startLimiter limits its requests that start concurrently, also that of its
 	 * callers' connections
+	 * @param load load that the processes share, or empty if they don't
 	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
 	 * milliseconds
 	 * @return the forwarder
 	 */
 	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
-			StartLimiter startLimiter, LongSupplier maxAgeMillis) {
+			StartLimiter startLimiter, Optional<SharedLoad> load, LongSupplier maxAgeMillis) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
-				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
-				serverSelector(servers, promptPartition, random), this.pool, retryBudget(servers),
+				startLimiter, this.startTimeouts, this.prefillLimiter,
+				load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), promptPartition,
+				serverSelector(routing, servers, load, promptPartition, random), this.pool, retryBudget(servers),
 				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(), requestLog, this.clock,
 				this.timers, random));
 	}
 
+	/**
+	 * Returns the load that this process shares with its peers.
+	 * @return the load, or empty if it has no peers
+	 */
+	Optional<SharedLoad> sharedLoad() {
+		return this.sharedLoad;
+	}
+
+	/**
+	 * Creates a load for sample requests, which peers don't hear of.
+	 * @return the load, or empty if this process has no peers
+	 */
+	Optional<SharedLoad> sampleLoad() {
+		return this.sharedLoad.map((load) -> newSharedLoad(new MetricRegistry()));
+	}
+
 	/**
 	 * Creates a limiter for a forwarder and the connections of its callers.
 	 * @return the limiter
@@ -193,10 +222,18 @@
 		this.prefillLimiter.retainServers(serverIds::contains);
 	}
 
-	private ServerSelector serverSelector(ServerDirectory servers, PromptPartition promptPartition, Random random) {
+	private SharedLoad newSharedLoad(MetricRegistry registry) {
+		return new SharedLoad(this.settings.get().processId(), this.monotonicClock, this.lagMillis, registry);
+	}
+
+	private ServerSelector serverSelector(ActiveRouting routing, ServerDirectory servers, Optional<SharedLoad> load,
+			PromptPartition promptPartition, Random random) {
 		Placement leastLoaded = new LeastLoadedPlacement(random);
-		return new ServerSelector(servers, this.health, new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded,
-				promptPartition, this.settings.get().failureDomain());
+		Placement prompted = load.map(SharedLoad::placement)
+			.orElseGet(() -> new AffinityPlacement(AFFINITY_SLACK, leastLoaded));
+		return new ServerSelector(servers, this.health, routing::engine, prompted,
+				load.map(SharedLoad::placement).orElse(leastLoaded), promptPartition,
+				this.settings.get().failureDomain());
 	}
 
 	private WindowRetryBudget retryBudget(ServerDirectory servers) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -1,10 +1,13 @@
 package org.marjoramgw.direct.caller;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.marjoramgw.direct.model.PromptPart;
+import org.marjoramgw.policy.fleet.FleetKeys;
+import org.marjoramgw.policy.fleet.SharedPart;
 
 /**
  * Decoded head of a caller's request.
@@ -24,6 +27,11 @@
 public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
 		String model, List<PromptPart> promptParts, long promptTokenCount) {
 
+	/**
+	 * Bound on the tokens that a caller may claim, so that sums of them stay in range.
+	 */
+	private static final long MAX_PROMPT_TOKENS = 10_000_000;
+
 	/**
 	 * Returns the key of the longest prompt prefix that other requests may have in
 	 * common.
@@ -43,6 +51,30 @@
 		return this.promptParts.subList(0, shared).stream().map(PromptPart::id).toList();
 	}
 
+	/**
+	 * Returns the parts of the prompt that other requests may have in common, with the
+	 * keys under which processes report them to each other.
+	 * @return all parts but the last one
+	 */
+	public List<SharedPart> sharedParts() {
+		List<SharedPart> shared = new ArrayList<>();
+		int partKey = 0;
+		for (PromptPart part : this.promptParts.subList(0, Math.max(0, this.promptParts.size() - 1))) {
+			partKey = FleetKeys.partKey(partKey, part.id());
+			shared.add(new SharedPart(partKey, (int) Math.min(MAX_PROMPT_TOKENS, part.tokenCount())));
+		}
+		return shared;
+	}
+
+	/**
+	 * Returns the size of the whole prompt.
+	 * @return number of tokens, 0 if there is no prompt
+	 */
+	public int allPromptTokens() {
+		long partTokens = this.promptParts.stream().mapToLong(PromptPart::tokenCount).sum();
+		return (int) Math.min(MAX_PROMPT_TOKENS, Math.max(this.promptTokenCount, partTokens));
+	}
+
 	/**
 	 * Returns the identity of the prompt, which is the same if the caller repeats the
 	 * request.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.model.EngineLimits;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.time.AgeClock;
@@ -58,6 +59,15 @@
 		return current().map(Routing::limits).orElse(CallerLimits.DEFAULT);
 	}
 
+	/**
+	 * Returns the limits of the engines of a service.
+	 * @param service name of the service
+	 * @return the limits
+	 */
+	public EngineLimits engine(String service) {
+		return current().map((routing) -> routing.engine(service)).orElse(EngineLimits.UNBOUNDED);
+	}
+
 	/**
 	 * Finds the route of a request.
 	 * @param host host name of the request, without port
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -64,7 +64,7 @@
 		}
 		Optional<BackendServer> server = history.mayTry()
 				? this.context.serverSelector()
-					.choose(this.state.service(), this.state.route().name(), this.state.caller(), history.excluded())
+					.choose(this.state.service(), this.state.admitted(), this.state.caller(), history.excluded())
 				: Optional.empty();
 		if (server.isEmpty()) {
 			throw new RequestRejectedException(reason,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -13,6 +13,7 @@
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
@@ -35,6 +36,7 @@
  * @param startLimiter limits concurrently starting requests
  * @param startTimeouts timeouts of starting requests
  * @param prefillLimiter limits the prompts in prefill at each backend server
+ * @param loadObserver told of the course of each request at its server
  * @param promptPartition partition of backend servers by the length of prompts
  * @param serverSelector selects backend servers
  * @param pool pool of connections to backend servers
@@ -52,7 +54,7 @@
 public record ForwardingContext(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, StartTimeouts startTimeouts, PrefillLimiter prefillLimiter,
-		PromptPartition promptPartition, ServerSelector serverSelector, ConnectionPool pool,
+		LoadObserver loadObserver, PromptPartition promptPartition, ServerSelector serverSelector, ConnectionPool pool,
 		WindowRetryBudget retryBudget, BodyReader bodyReader, BodyBudget bodyBudget, PromptGuard promptGuard,
 		RecentSends recentSends, RequestLog requestLog, AgeClock clock, Timers timers, Random random) {
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
@@ -24,6 +24,8 @@
 
 	private final CallerLimits limits;
 
+	private final Map<String, EngineLimits> engineByService;
+
 	private final Ranks ranks;
 
 	/**
@@ -33,15 +35,17 @@
 	 * @param accountByKey client accounts by their keys
 	 * @param keysRequired whether requests need a key
 	 * @param limits limits on callers
+	 * @param engineByService limits of the engines of the services that have one
 	 */
 	public Routing(long version, List<Route> routes, Map<String, Account> accountByKey, boolean keysRequired,
-			CallerLimits limits) {
+			CallerLimits limits, Map<String, EngineLimits> engineByService) {
 		this.version = version;
 		this.routesByHost = routes.stream().collect(Collectors.groupingBy(Route::host));
 		this.routesByHost.values().forEach((list) -> list.sort(longestPrefixFirst()));
 		this.accountByKey = Map.copyOf(accountByKey);
 		this.keysRequired = keysRequired;
 		this.limits = limits;
+		this.engineByService = Map.copyOf(engineByService);
 		this.ranks = new Ranks(routes, accountByKey.values());
 	}
 
@@ -111,6 +115,15 @@
 		return this.ranks.serverRank(rank, late);
 	}
 
+	/**
+	 * Returns the limits of the engines of a service.
+	 * @param service name of the service
+	 * @return the limits
+	 */
+	public EngineLimits engine(String service) {
+		return this.engineByService.getOrDefault(service, EngineLimits.UNBOUNDED);
+	}
+
 	/**
 	 * Returns the limits on callers.
 	 * @return the limits
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -33,11 +33,13 @@
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.direct.model.EngineLimits;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
@@ -157,8 +159,10 @@
 		StartTimeouts startTimeouts = new StartTimeouts(monotonicClock, timers);
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS), this.directory, health, startLimiter, startTimeouts,
-				new PrefillLimiter(monotonicClock, this.system.executionContext(), () -> 0), partition,
-				new ServerSelector(this.directory, health, placement, placement, partition, "a"),
+				new PrefillLimiter(monotonicClock, this.system.executionContext(), () -> 0), LoadObserver.NONE,
+				partition,
+				new ServerSelector(this.directory, health, (service) -> EngineLimits.UNBOUNDED, placement, placement,
+						partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RecentSends(),
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PromptPartitionTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/partition/PromptPartitionTests.java
@@ -10,6 +10,7 @@
 
 import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
+import org.marjoramgw.policy.placement.PlacementQuery;
 import org.marjoramgw.policy.placement.ServerView;
 import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
@@ -141,7 +142,7 @@
 					partition.onRequest(SERVICE, kind.name(), kind.promptTokens(), kind.maxPauseMillis());
 					List<ServerView> views = views(servers);
 					List<ServerView> part = divide ? partition.select(SERVICE, kind.name(), views) : views;
-					String id = placement.choose("", "a", part).orElseThrow().id();
+					String id = placement.choose(PlacementQuery.of("", "a"), part).orElseThrow().id();
 					servers.get(Integer.parseInt(id)).add(new PrefillServer.Stream(kind, now));
 				}
 			}
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/PlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/PlacementTests.java
@@ -76,7 +76,7 @@
 			String before = choose(key, Map.of());
 			List<ServerView> rest = servers(Map.of());
 			rest.remove(0);
-			String after = this.affinity.choose(key, "a", rest).orElseThrow().id();
+			String after = this.affinity.choose(PlacementQuery.of(key, "a"), rest).orElseThrow().id();
 			Assert.assertTrue(after.equals(before) || before.equals("s0"), key);
 		}
 	}
@@ -87,9 +87,11 @@
 		ServerView suspect = new ServerView("suspect", "a", 0, true);
 		for (Placement placement : List.of(this.affinity, this.leastLoaded)) {
 			for (String key : List.of("", "contract")) {
-				Assert.assertEquals(placement.choose(key, "a", List.of(suspect, healthy)), Optional.of(healthy));
-				Assert.assertEquals(placement.choose(key, "a", List.of(suspect)), Optional.of(suspect));
-				Assert.assertEquals(placement.choose(key, "a", List.of()), Optional.empty());
+				Assert.assertEquals(placement.choose(PlacementQuery.of(key, "a"), List.of(suspect, healthy)),
+						Optional.of(healthy));
+				Assert.assertEquals(placement.choose(PlacementQuery.of(key, "a"), List.of(suspect)),
+						Optional.of(suspect));
+				Assert.assertEquals(placement.choose(PlacementQuery.of(key, "a"), List.of()), Optional.empty());
 			}
 		}
 	}
@@ -102,7 +104,7 @@
 			for (int server = 0; server < 1 + random.nextInt(SERVERS); server++) {
 				servers.add(new ServerView("s" + server, random.nextBoolean() ? "a" : "b", random.nextInt(3), false));
 			}
-			ServerView chosen = this.leastLoaded.choose("", "a", servers).orElseThrow();
+			ServerView chosen = this.leastLoaded.choose(PlacementQuery.of("", "a"), servers).orElseThrow();
 			for (ServerView other : servers) {
 				boolean better = other.load() < chosen.load() || other.load() == chosen.load()
 						&& other.failureDomain().equals("a") && chosen.failureDomain().equals("b");
@@ -112,7 +114,7 @@
 	}
 
 	private String choose(String key, Map<String, Double> loads) {
-		return this.affinity.choose(key, "a", servers(loads)).orElseThrow().id();
+		return this.affinity.choose(PlacementQuery.of(key, "a"), servers(loads)).orElseThrow().id();
 	}
 
 	private static List<ServerView> servers(Map<String, Double> loads) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
@@ -37,16 +37,16 @@
 	}
 
 	@Override
-	public Optional<ServerView> choose(String affinityKey, String failureDomain, List<ServerView> servers) {
+	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
 		List<ServerView> candidates = SuspectFilter.excludeSuspects(servers);
-		if (affinityKey.isEmpty()) {
-			return this.fallback.choose(affinityKey, failureDomain, candidates);
+		if (query.affinityKey().isEmpty()) {
+			return this.fallback.choose(query, candidates);
 		}
 		double mean = candidates.stream().mapToDouble(ServerView::load).average().orElse(0);
 		double bound = LOAD_BOUND_FACTOR * mean + this.slack;
 		return candidates.stream()
 			.filter((server) -> server.load() <= bound)
-			.max(Comparator.comparingLong((server) -> RendezvousHash.score(affinityKey, server.id())));
+			.max(Comparator.comparingLong((server) -> RendezvousHash.score(query.affinityKey(), server.id())));
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
@@ -24,14 +24,14 @@
 	}
 
 	@Override
-	public Optional<ServerView> choose(String affinityKey, String failureDomain, List<ServerView> servers) {
+	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
 		List<ServerView> candidates = SuspectFilter.excludeSuspects(servers);
 		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
 		int start = this.random.nextInt(candidates.size());
 		Comparator<ServerView> order = Comparator.comparingDouble(ServerView::load)
-			.thenComparing((server) -> !server.failureDomain().equals(failureDomain));
+			.thenComparing((server) -> !server.failureDomain().equals(query.failureDomain()));
 		ServerView best = candidates.get(start);
 		for (int offset = 1; offset < candidates.size(); offset++) {
 			ServerView next = candidates.get((start + offset) % candidates.size());
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
@@ -12,11 +12,10 @@
 
 	/**
 	 * Chooses a server.
-	 * @param affinityKey text that requests with a common prompt share, or an empty text
-	 * @param failureDomain failure domain of the sender
+	 * @param query the request
 	 * @param servers the servers to choose from
 	 * @return the server, or empty if there is none
 	 */
-	Optional<ServerView> choose(String affinityKey, String failureDomain, List<ServerView> servers);
+	Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers);
 
 }
