--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DocumentTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/DocumentTests.java
@@ -6,6 +6,7 @@
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.direct.model.EngineLimits;
 import org.marjoramgw.direct.model.RequestKind;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.Routing;
@@ -36,6 +37,22 @@
 		Assert.assertEquals(routing.limits().idleTimeoutMillis(), 15_000);
 	}
 
+	@DataProvider
+	public Object[][] engines() {
+		return new Object[][] { { "{\"slots\":64,\"kvCapacity\":634960}", new EngineLimits(64, 634_960) },
+				{ "{\"slots\":64}", new EngineLimits(64, Long.MAX_VALUE) }, { "{}", EngineLimits.UNBOUNDED },
+				{ "{\"slots\":0,\"kvCapacity\":\"7\"}", EngineLimits.UNBOUNDED }, { "7", EngineLimits.UNBOUNDED },
+				{ "{\"slots\":-1,\"kvCapacity\":null}", EngineLimits.UNBOUNDED } };
+	}
+
+	@Test(dataProvider = "engines")
+	public void limitsOfAnEngineAreUnboundedUnlessTheyAreNumbers(String engine, EngineLimits limits) {
+		String text = "{\"version\":1,\"services\":[{\"name\":\"lm\",\"engine\":" + engine + "},{\"name\":\"app\"}]}";
+		Routing routing = RoutingDocument.decode(bytes(text)).orElseThrow();
+		Assert.assertEquals(routing.engine("lm"), limits);
+		Assert.assertEquals(routing.engine("app"), EngineLimits.UNBOUNDED);
+	}
+
 	@DataProvider
 	public Object[][] unusableConfigurations() {
 		return new Object[][] { { "" }, { "{" }, { "[]" }, { "{\"routes\":[]}" }, { "{\"version\":\"7\"}" } };
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/pace/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the pace and the slow start of backend servers.
+ */
+package org.marjoramgw.policy.pace;
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/ExpectedTimePlacementTests.java
@@ -0,0 +1,187 @@
+package org.marjoramgw.policy.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.marjoramgw.ManualMillisClock;
+import org.marjoramgw.policy.fleet.FleetLoad;
+import org.marjoramgw.policy.fleet.ServerLoad;
+import org.marjoramgw.policy.fleet.SharedPart;
+import org.marjoramgw.policy.pace.PaceBook;
+import org.marjoramgw.policy.pace.RampListener;
+import org.marjoramgw.policy.pace.ServerRamp;
+import org.marjoramgw.testkit.TestSeed;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link ExpectedTimePlacement}.
+ *
+ * @author The marjoramgw authors
+ */
+public class ExpectedTimePlacementTests {
+
+	private static final int SERVERS = 12;
+
+	private static final long MEMORY_TOKENS = 635_000;
+
+	private final ManualMillisClock clock = new ManualMillisClock(0);
+
+	private Map<Integer, ServerLoad> loadByKey;
+
+	private Set<Integer> cachingKeys;
+
+	private PaceBook paces;
+
+	private ServerRamp ramp;
+
+	private Placement placement;
+
+	@BeforeMethod
+	public void createPlacement() {
+		this.loadByKey = new HashMap<>();
+		this.cachingKeys = new HashSet<>();
+		this.paces = new PaceBook(this.clock);
+		this.ramp = new ServerRamp("e9", this.clock, RampListener.NONE);
+		this.placement = placement(this.ramp);
+	}
+
+	@Test
+	public void processesWithDifferentReportsChooseTheSameServerForAColdPrompt() {
+		String chosen = chooseLong("contract");
+		for (int server = 0; server < SERVERS; server++) {
+			this.loadByKey.put(server, new ServerLoad(server * 700, 3, 30_000));
+		}
+		Assert.assertEquals(chooseLong("contract"), chosen);
+	}
+
+	@Test
+	public void promptStaysWhereItIsCachedUntilTheBacklogCostsMoreThanReadingItAgain() {
+		int other = (Integer.parseInt(chooseLong("contract")) + 1) % SERVERS;
+		this.cachingKeys.add(other);
+		this.loadByKey.put(other, new ServerLoad(15_000, 3, 50_000));
+		Assert.assertEquals(chooseLong("contract"), Integer.toString(other));
+		this.loadByKey.put(other, new ServerLoad(90_000, 8, 130_000));
+		Assert.assertNotEquals(chooseLong("contract"), Integer.toString(other));
+	}
+
+	@Test
+	public void urgentPromptAvoidsAServerWithALongBacklog() {
+		this.loadByKey.put(0, new ServerLoad(20_000, 2, 40_000));
+		this.cachingKeys.add(0);
+		for (int prompt = 0; prompt < 200; prompt++) {
+			Assert.assertNotEquals(choose(shortQuery("chat-" + prompt)), "0");
+		}
+	}
+
+	@Test
+	public void fullServersAreAvoidedWhileOthersHaveRoom() {
+		this.loadByKey.put(0, new ServerLoad(0, 20, MEMORY_TOKENS - 10_000));
+		this.loadByKey.put(1, new ServerLoad(0, 64, 100_000));
+		for (int prompt = 0; prompt < 200; prompt++) {
+			Assert.assertFalse(Set.of("0", "1").contains(chooseLong("prompt-" + prompt)));
+		}
+	}
+
+	@Test
+	public void slowServersGetFewerPrompts() {
+		for (int server = 0; server < SERVERS; server++) {
+			this.paces.onPeerPace(server, (server < SERVERS / 2) ? 25 : 50);
+		}
+		int slowCount = 0;
+		for (int prompt = 0; prompt < 1_200; prompt++) {
+			slowCount += (Integer.parseInt(choose(shortQuery("chat-" + prompt))) < SERVERS / 2) ? 1 : 0;
+		}
+		Assert.assertTrue(slowCount > 280 && slowCount < 520, "slow " + slowCount);
+	}
+
+	@Test
+	public void requestsWithoutAPromptAvoidTheMostLoadedServer() {
+		for (int server = 0; server < SERVERS; server++) {
+			this.loadByKey.put(server, new ServerLoad(0, (server == 0) ? 5 : 2, 0));
+		}
+		Set<String> chosen = new HashSet<>();
+		for (int request = 0; request < 500; request++) {
+			chosen.add(choose(new PlacementQuery("s", "", "a", List.of(), 0, 200, 2)));
+		}
+		Assert.assertEquals(chosen.size(), SERVERS - 1);
+		Assert.assertFalse(chosen.contains("0"));
+	}
+
+	@Test
+	public void rampsOfAllServersAtOnceExcludeNone() {
+		this.ramp.onMembers(29, Set.of("e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"));
+		this.ramp.onUsable("s", SERVERS + 1, "gone");
+		this.clock.advanceMillis(5_000);
+		Set<String> chosen = new HashSet<>();
+		for (int prompt = 0; prompt < 400; prompt++) {
+			chosen.add(choose(shortQuery("chat-" + prompt)));
+		}
+		Assert.assertEquals(this.ramp.rampingCount(), SERVERS);
+		Assert.assertEquals(chosen.size(), SERVERS);
+	}
+
+	@Test
+	public void findsAServerWheneverThereIsOne() {
+		Random random = TestSeed.random(3);
+		for (int step = 0; step < 5_000; step++) {
+			List<ServerView> servers = new ArrayList<>();
+			for (int server = 0; server < random.nextInt(SERVERS); server++) {
+				servers.add(new ServerView("i-" + server, random.nextBoolean() ? "a" : "b", random.nextInt(3),
+						random.nextInt(3) == 0, server, random.nextInt(3), random.nextInt(40_000)));
+				this.loadByKey.put(server,
+						new ServerLoad(random.nextInt(900_000), random.nextInt(90), random.nextInt(900_000)));
+				this.paces.onPeerPace(server, 100 * random.nextDouble());
+			}
+			if (random.nextInt(10) == 0) {
+				this.ramp.onFailed(random.nextInt(SERVERS));
+				this.clock.advanceMillis(random.nextInt(4_000));
+			}
+			PlacementQuery query = new PlacementQuery("s", random.nextBoolean() ? "" : "p" + step, "a",
+					random.nextBoolean() ? List.of() : List.of(new SharedPart(1, random.nextInt(20_000))),
+					random.nextInt(3) * 9_000, random.nextInt(2) * 400, random.nextInt(10));
+			boolean found = new LeastLoadedPlacement(random).choose(query, servers).isPresent();
+			Assert.assertEquals(this.placement.choose(query, servers).isPresent(), found, "seed " + TestSeed.value());
+		}
+	}
+
+	private Placement placement(ServerRamp serverRamp) {
+		FleetLoad fleet = new FleetLoad() {
+
+			@Override
+			public ServerLoad load(int serverKey) {
+				return ExpectedTimePlacementTests.this.loadByKey.getOrDefault(serverKey, ServerLoad.NONE);
+			}
+
+			@Override
+			public boolean isCached(int partKey, int serverKey) {
+				return ExpectedTimePlacementTests.this.cachingKeys.contains(serverKey);
+			}
+
+		};
+		return new ExpectedTimePlacement(fleet, (serverKey) -> 0, this.paces, serverRamp, TestSeed.random(4));
+	}
+
+	private String chooseLong(String prompt) {
+		return choose(new PlacementQuery("s", prompt, "a", List.of(new SharedPart(1, 13_300)), 17_020, 2_000, 2));
+	}
+
+	private static PlacementQuery shortQuery(String prompt) {
+		return new PlacementQuery("s", prompt, "a", List.of(new SharedPart(1, 350)), 1_460, 400, 0);
+	}
+
+	private String choose(PlacementQuery query) {
+		List<ServerView> servers = new ArrayList<>();
+		for (int server = 0; server < SERVERS; server++) {
+			servers.add(new ServerView(Integer.toString(server), "a", 0, false, server, 64, MEMORY_TOKENS));
+		}
+		return this.placement.choose(query, servers).orElseThrow().id();
+	}
+
+}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
@@ -38,6 +38,11 @@
 	 */
 	private static final long STALL_MILLIS = 1_000;
 
+	/**
+	 * Time for which late first tokens of peers count when this process sees a failure.
+	 */
+	private static final long RECENT_MILLIS = 2_000;
+
 	/** Time after which a server that no service has any more is forgotten. */
 	private static final long FORGET_MILLIS = 60_000;
 
@@ -136,7 +141,11 @@
 	 */
 	public synchronized void onTimely(int serverKey, int count) {
 		Server server = this.serverByKey.get(serverKey);
-		if (server == null || !server.ramping) {
+		if (server == null) {
+			return;
+		}
+		if (!server.ramping) {
+			server.recentLateCount = Math.max(0, server.recentLateCount - count);
 			return;
 		}
 		long nowMillis = this.clock.nowMillis();
@@ -149,19 +158,29 @@
 	}
 
 	/**
-	 * Records late first tokens or failures at a server that is in its ramp, of this
-	 * process or of peers.
+	 * Records late first tokens or failures at a server, of this process or of peers.
 	 * @param serverKey key of the server
 	 * @param count number of them
 	 */
 	public synchronized void onLate(int serverKey, int count) {
 		Server server = this.serverByKey.get(serverKey);
-		if (server == null || !server.ramping || count <= 0) {
+		if (server == null || count <= 0) {
 			return;
 		}
-		server.step = Math.max(1, server.step >> Math.min(count, Integer.SIZE - 1));
-		server.timelyCount = 0;
-		server.changedMillis = this.clock.nowMillis();
+		long nowMillis = this.clock.nowMillis();
+		if (!server.ramping) {
+			boolean recent = nowMillis - server.changedMillis <= RECENT_MILLIS;
+			server.recentLateCount = count + (recent ? server.recentLateCount : 0);
+		}
+		else {
+			server.step = halved(server.step, count);
+			server.timelyCount = 0;
+		}
+		server.changedMillis = nowMillis;
+	}
+
+	private static int halved(int step, int count) {
+		return Math.max(1, step >> Math.min(count, Integer.SIZE - 1));
 	}
 
 	/**
@@ -173,7 +192,9 @@
 	public synchronized void onFailed(int serverKey) {
 		Server server = this.serverByKey.get(serverKey);
 		if (server != null && !server.ramping) {
-			start(server, Math.max(1, lastStep() / 2), "failed", this.clock.nowMillis());
+			long nowMillis = this.clock.nowMillis();
+			boolean recent = nowMillis - server.changedMillis <= RECENT_MILLIS;
+			start(server, halved(lastStep(), 1 + (recent ? server.recentLateCount : 0)), "failed", nowMillis);
 		}
 		else {
 			onLate(serverKey, 1);
@@ -202,6 +223,7 @@
 		server.ramping = true;
 		server.step = step;
 		server.timelyCount = 0;
+		server.recentLateCount = 0;
 		server.startedMillis = nowMillis;
 		server.changedMillis = nowMillis;
 		this.listener.onRampStarted(server.key, server.name, reason, () -> step(server.key));
@@ -288,6 +310,9 @@
 		/** Timely first tokens since the step changed. */
 		private int timelyCount;
 
+		/** Late first tokens of the last seconds before the ramp, without timely ones. */
+		private int recentLateCount;
+
 		private long startedMillis;
 
 		private long changedMillis;
