--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -28,6 +28,11 @@
 public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
 		String model, List<PromptPart> promptParts, long promptTokenCount, long maxOutputTokenCount) {
 
+	/**
+	 * Bound on the tokens that a caller may claim, so that sums of them stay in range.
+	 */
+	private static final long MAX_PROMPT_TOKENS = 10_000_000;
+
 	/**
 	 * Returns the key of the longest prompt prefix that other requests may have in
 	 * common.
@@ -58,7 +63,7 @@
 		for (PromptPart part : this.promptParts.subList(0, Math.max(0, this.promptParts.size() - 1))) {
 			int partKey = FleetKeys.partKey(previousKey, part.id());
 			previousKey = partKey;
-			shared.add(new SharedPart(partKey, (int) Math.min(Integer.MAX_VALUE, part.tokenCount())));
+			shared.add(new SharedPart(partKey, bounded(part.tokenCount())));
 		}
 		return shared;
 	}
@@ -68,8 +73,8 @@
 	 * @return number of tokens, 0 if there is no prompt
 	 */
 	public int allPromptTokens() {
-		long partTokens = this.promptParts.stream().mapToLong(PromptPart::tokenCount).sum();
-		return (int) Math.min(Integer.MAX_VALUE, Math.max(this.promptTokenCount, partTokens));
+		long partTokens = this.promptParts.stream().mapToLong((part) -> bounded(part.tokenCount())).sum();
+		return bounded(Math.max(this.promptTokenCount, partTokens));
 	}
 
 	/**
@@ -89,4 +94,8 @@
 		return this.promptTokenCount > 0 || this.promptParts.stream().anyMatch((part) -> part.tokenCount() > 0);
 	}
 
+	private static int bounded(long tokenCount) {
+		return (int) Math.max(0, Math.min(MAX_PROMPT_TOKENS, tokenCount));
+	}
+
 }
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/fleet/package-info.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/fleet/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Tests of the shared load and of the membership of entry processes.
+ * Tests of the load that entry processes share.
  */
 package org.marjoramgw.policy.fleet;
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/EngineModel.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/EngineModel.java
@@ -35,9 +35,11 @@
 
 	private final Set<String> cachedPrefixes = new HashSet<>();
 
-	/** Prompt tokens that were read, by kind of request. */
+	/** Shared tokens that were read, by shared prompt. */
 	private final Map<String, Double> sharedTokensRead = new HashMap<>();
 
+	private double tokensRead;
+
 	private double busyMillis;
 
 	private double nowMillis;
@@ -65,8 +67,12 @@
 		return this.waiting.size() + this.running.size();
 	}
 
+	double tokensRead() {
+		return this.tokensRead;
+	}
+
 	/**
-	 * Returns the share of time in which the engine read prompts.
+	 * Returns the time in which the engine read prompts.
 	 * @return time in milliseconds
 	 */
 	double busyMillis() {
@@ -100,6 +106,7 @@
 			}
 			chunk = Math.min(CHUNK_TOKENS, first.unreadTokens);
 			first.unreadTokens -= chunk;
+			this.tokensRead += chunk;
 			if (first.unreadTokens == 0) {
 				this.cachedPrefixes.add(first.prefix);
 				this.running.add(this.waiting.remove(0));
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/FleetPlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/FleetPlacementTests.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.policy.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.marjoramgw.policy.fleet.Digest;
 import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.fleet.FleetKeys;
+import org.marjoramgw.policy.fleet.LoadObserver.RequestObserver;
 import org.marjoramgw.policy.fleet.SharedPart;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.RampListener;
@@ -49,9 +51,14 @@
 	public void burstOnColdCachesIsServedBetterThanByOwnLoadAlone() {
 		Result affinity = new Fleet(false).run();
 		Result expected = new Fleet(true).run();
-		System.out.println("affinity " + affinity);
-		System.out.println("expected " + expected);
-		Assert.assertTrue(expected.sharedTokensReadAgain < affinity.sharedTokensReadAgain, expected.toString());
+		String results = "own load: " + affinity + ", shared load: " + expected;
+		Assert.assertTrue(expected.inTime.get("long") > affinity.inTime.get("long") + 0.08, results);
+		Assert.assertTrue(expected.firstSecondsInTime > affinity.firstSecondsInTime + 0.03, results);
+		Assert.assertTrue(expected.inTime.get("middle") > affinity.inTime.get("middle") - 0.02, results);
+		Assert.assertTrue(expected.inTime.get("short") > 0.95, results);
+		Assert.assertTrue(expected.pausesInTime.get("short") > affinity.pausesInTime.get("short") + 0.05, results);
+		Assert.assertTrue(expected.greatestOverMeanBusy < Math.min(1.6, affinity.greatestOverMeanBusy), results);
+		Assert.assertTrue(expected.sharedTokensReadAgain < 0.1 * expected.tokensRead, results);
 	}
 
 	private record Kind(String name, int rank, double perSecond, double burstFactor, int prefixCount, int sharedTokens,
@@ -60,7 +67,7 @@
 
 	/** What callers got. */
 	private record Result(Map<String, Double> inTime, Map<String, Double> pausesInTime, double firstSecondsInTime,
-			double sharedTokensReadAgain, double greatestOverMeanBusy, double greatestOverMeanRequests) {
+			double sharedTokensReadAgain, double tokensRead, double greatestOverMeanBusy) {
 	}
 
 	/** Entries with their books before the same servers. */
@@ -78,8 +85,6 @@
 
 		private final List<EngineModel.Request> requests = new ArrayList<>();
 
-		private final int[] requestCounts = new int[SERVERS];
-
 		private Fleet(boolean shared) {
 			this.shared = shared;
 			for (int server = 0; server < SERVERS; server++) {
@@ -127,9 +132,7 @@
 			EngineModel.Request request = new EngineModel.Request(kind.name(), kind.rank(), prefix, kind.sharedTokens(),
 					ownTokens, kind.tokenCount(), now);
 			this.requests.add(request);
-			int server = entry.send(kind, request);
-			this.requestCounts[server]++;
-			this.engines.get(server).add(request);
+			this.engines.get(entry.send(kind, request)).add(request);
 		}
 
 		private void exchangeDigests(int now) {
@@ -158,9 +161,8 @@
 			}
 			double again = sum(all) - sum(first);
 			double[] busy = this.engines.stream().mapToDouble(EngineModel::busyMillis).toArray();
-			double[] counts = java.util.stream.IntStream.of(this.requestCounts).asDoubleStream().toArray();
 			return new Result(inTime, pausesInTime, share(KINDS.get(0), BURST_MILLIS, true), again,
-					greatestOverMean(busy), greatestOverMean(counts));
+					this.engines.stream().mapToDouble(EngineModel::tokensRead).sum(), greatestOverMean(busy));
 		}
 
 		private double share(Kind kind, int untilMillis, boolean firstToken) {
@@ -179,8 +181,7 @@
 		}
 
 		private static double greatestOverMean(double[] values) {
-			return java.util.Arrays.stream(values).max().orElseThrow()
-					/ java.util.Arrays.stream(values).average().orElseThrow();
+			return Arrays.stream(values).max().orElseThrow() / Arrays.stream(values).average().orElseThrow();
 		}
 
 		/** One entry. */
@@ -190,17 +191,19 @@
 
 			private final FleetBook book;
 
+			private final PaceBook paces;
+
 			private final Placement placement;
 
 			private final int[] ownLoads = new int[SERVERS];
 
 			private Entry(String id) {
 				this.id = id;
-				PaceBook paces = new PaceBook(Fleet.this.clock);
+				this.paces = new PaceBook(Fleet.this.clock);
 				ServerRamp ramp = new ServerRamp(id, Fleet.this.clock, RampListener.NONE);
-				this.book = new FleetBook(id, 1, Fleet.this.clock, () -> 0, paces, ramp);
+				this.book = new FleetBook(id, 1, Fleet.this.clock, () -> 0, this.paces, ramp);
 				this.placement = Fleet.this.shared
-						? new ExpectedTimePlacement(this.book, this.book::ownUnreadCount, paces, ramp,
+						? new ExpectedTimePlacement(this.book, this.book::ownUnreadCount, this.paces, ramp,
 								Fleet.this.random)
 						: new AffinityPlacement(4, new LeastLoadedPlacement(Fleet.this.random));
 			}
@@ -219,9 +222,9 @@
 				ServerView chosen = this.placement.choose(query, views).orElseThrow();
 				int server = views.indexOf(chosen);
 				this.ownLoads[server]++;
-				org.marjoramgw.policy.fleet.LoadObserver.RequestObserver observer = this.book.onSent(chosen.serverKey(),
-						parts, promptTokens, kind.tokenCount(), kind.targetMillis());
-				request.observer = new org.marjoramgw.policy.fleet.LoadObserver.RequestObserver() {
+				RequestObserver observer = this.book.onSent(chosen.serverKey(), parts, promptTokens, kind.tokenCount(),
+						kind.targetMillis());
+				request.observer = new RequestObserver() {
 
 					@Override
 					public void onFirstToken() {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -35,11 +35,11 @@
 	private static final long FORGET_MILLIS = 600_000;
 
 	/**
-	 * Greatest ratio of the tokens ahead of a prompt to its own for which it measures the
-	 * pace. Less urgent prompts may be ahead by count that the server reads afterwards,
-	 * so that the time of other prompts tells about the queue and not about the server.
+	 * Greatest ratio of the tokens of other prompts at a server to those of a prompt for
+	 * which it measures the pace. The server may read them before or after it, so that
+	 * the time of prompts among many others tells about the queue and not the server.
 	 */
-	private static final double MAX_AHEAD_RATIO = 1;
+	private static final double MAX_OTHERS_RATIO = 0.25;
 
 	private final String processId;
 
@@ -120,13 +120,18 @@
 	public synchronized RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens,
 			int outputTokens, long targetMillis) {
 		long nowMillis = this.clock.nowMillis();
-		int unread = promptTokens - cachedTokens(serverKey, sharedParts, promptTokens, nowMillis);
-		double ahead = load(serverKey).unreadTokens();
+		long sharedTokens = sharedParts.stream().mapToLong(SharedPart::tokenCount).sum();
+		long cachedTokens = cachedTokens(serverKey, sharedParts, nowMillis);
+		int unread = (int) Math.max(0, promptTokens - cachedTokens);
+		// A peer may have sent a part just now that counts as unread, so that such
+		// prompts
+		// don't measure the pace.
+		boolean measured = cachedTokens == sharedTokens && load(serverKey).unreadTokens() <= MAX_OTHERS_RATIO * unread;
 		for (SharedPart part : sharedParts) {
 			this.cachedParts.onSent(part, serverKey, nowMillis);
 		}
 		int memory = (promptTokens > 0) ? promptTokens + (int) (OUTPUT_WEIGHT * outputTokens) : 0;
-		return new SentRequest(serverKey, promptTokens > 0, unread, ahead, memory, targetMillis);
+		return new SentRequest(serverKey, promptTokens > 0, unread, measured, memory, targetMillis);
 	}
 
 	@Override
@@ -163,15 +168,15 @@
 		this.ramp.onMembers(heardIds.size(), memberIds);
 	}
 
-	private int cachedTokens(int serverKey, List<SharedPart> sharedParts, int promptTokens, long nowMillis) {
-		int cached = 0;
+	private long cachedTokens(int serverKey, List<SharedPart> sharedParts, long nowMillis) {
+		long cached = 0;
 		for (SharedPart part : sharedParts) {
 			if (!this.cachedParts.contains(part.partKey(), serverKey, nowMillis)) {
 				break;
 			}
 			cached += part.tokenCount();
 		}
-		return Math.min(cached, promptTokens);
+		return cached;
 	}
 
 	private OwnLoad own(int serverKey) {
@@ -205,7 +210,7 @@
 
 		private final int unreadTokens;
 
-		private final double aheadTokens;
+		private final boolean measured;
 
 		private final int memoryTokens;
 
@@ -219,12 +224,12 @@
 
 		private boolean ended;
 
-		private SentRequest(int serverKey, boolean prompted, int unreadTokens, double aheadTokens, int memoryTokens,
+		private SentRequest(int serverKey, boolean prompted, int unreadTokens, boolean measured, int memoryTokens,
 				long targetMillis) {
 			this.serverKey = serverKey;
 			this.prompted = prompted;
 			this.unreadTokens = unreadTokens;
-			this.aheadTokens = aheadTokens;
+			this.measured = measured;
 			this.memoryTokens = memoryTokens;
 			this.targetMillis = targetMillis;
 			OwnLoad own = own(serverKey);
@@ -292,10 +297,10 @@
 				own.lateCount++;
 				FleetBook.this.ramp.onLate(this.serverKey, 1);
 			}
-			if (this.aheadTokens <= MAX_AHEAD_RATIO * this.unreadTokens) {
-				double measured = FleetBook.this.paceBook.onFirstToken(this.serverKey,
-						this.unreadTokens + this.aheadTokens / 2, tookMillis);
-				own.tokensPerMilli = (measured > 0) ? measured : own.tokensPerMilli;
+			double others = load(this.serverKey).unreadTokens();
+			if (this.measured && others <= MAX_OTHERS_RATIO * this.unreadTokens) {
+				double pace = FleetBook.this.paceBook.onFirstToken(this.serverKey, this.unreadTokens, tookMillis);
+				own.tokensPerMilli = (pace > 0) ? pace : own.tokensPerMilli;
 			}
 		}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
@@ -8,7 +8,7 @@
 final class OwnLoad {
 
 	/** Prompt tokens without the cached ones whose first token is outstanding. */
-	int unreadTokens;
+	long unreadTokens;
 
 	/** Prompts whose first token is outstanding. */
 	int unreadCount;
@@ -16,7 +16,7 @@
 	/** Streams that have begun, and requests without a prompt. */
 	int runningCount;
 
-	int memoryTokens;
+	long memoryTokens;
 
 	int timelyCount;
 
@@ -40,13 +40,17 @@
 	 * @return the report, or {@code null} if it is the same as the last one
 	 */
 	ServerReport nextReport(int serverKey) {
-		ServerReport report = new ServerReport(serverKey, this.unreadTokens, this.runningCount, this.memoryTokens,
-				this.timelyCount, this.lateCount, this.tokensPerMilli);
+		ServerReport report = new ServerReport(serverKey, clamp(this.unreadTokens), this.runningCount,
+				clamp(this.memoryTokens), this.timelyCount, this.lateCount, this.tokensPerMilli);
 		boolean changed = !report.equals(this.lastReport);
 		this.lastReport = report;
 		return changed ? report : null;
 	}
 
+	private static int clamp(long tokenCount) {
+		return (int) Math.min(Integer.MAX_VALUE, tokenCount);
+	}
+
 	/**
 	 * Returns the report of the last digest again.
 	 * @return the report, {@code null} if there was none
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/PaceBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/PaceBook.java
@@ -29,7 +29,7 @@
 	private static final int SAMPLE_COUNT = 9;
 
 	/** Shortest prompt that is measured; the time of shorter ones is mostly latency. */
-	private static final double MIN_MEASURED_TOKENS = 1_000;
+	private static final double MIN_MEASURED_TOKENS = 2_000;
 
 	/** Time after which the effect of a measurement on the slowdown has faded. */
 	private static final double SLOWDOWN_MILLIS = 400;
@@ -37,6 +37,9 @@
 	/** Weight of the assumption that there is no slowdown, in measurements. */
 	private static final double NO_SLOWDOWN_WEIGHT = 0.5;
 
+	/** Greatest ratio of the pace of a server to the median that is assumed. */
+	private static final double MAX_RATIO = 3;
+
 	/** Greatest slowdown that is assumed, as a factor of the pace. */
 	private static final double MIN_SLOWDOWN_FACTOR = 0.3;
 
@@ -119,9 +122,12 @@
 		List<ServerPace> paces = new ArrayList<>(serverKeys.length);
 		for (int serverKey : serverKeys) {
 			Samples samples = this.samplesByServer.get(serverKey);
-			paces.add((samples != null)
-					? new ServerPace(samples.steadyPace, samples.steadyPace * samples.slowdownFactor(nowMillis))
-					: new ServerPace(median, median));
+			if (samples == null) {
+				paces.add(new ServerPace(median, median));
+				continue;
+			}
+			double steady = Math.max(median / MAX_RATIO, Math.min(median * MAX_RATIO, samples.steadyPace));
+			paces.add(new ServerPace(steady, steady * samples.slowdownFactor(nowMillis)));
 		}
 		return paces;
 	}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
@@ -34,10 +34,21 @@
 	private static final double DEFAULT_TARGET_MILLIS = 1_000;
 
 	/**
-	 * Weight of the prompt tokens that the server has to read. They delay the other
-	 * requests of the server as much as the request itself.
+	 * Least weight of shared prompt tokens that the server has to read although another
+	 * one may have them in its cache. They delay the other requests of the server as much
+	 * as the request itself.
 	 */
-	private static final double UNCACHED_WEIGHT = 2;
+	private static final double LEAST_UNCACHED_WEIGHT = 2;
+
+	/**
+	 * Greatest such weight. While all servers have a backlog, what one of them reads
+	 * again delays many requests, and the backlog grows if each moves to a server where
+	 * it is read sooner.
+	 */
+	private static final double GREATEST_UNCACHED_WEIGHT = 24;
+
+	/** Backlog from which on a server counts as busy for this weight, in targets. */
+	private static final double BUSY_TARGETS = 0.02;
 
 	/**
 	 * Fraction by which each running stream makes a server read prompts more slowly. A
@@ -50,7 +61,7 @@
 	 * Cost of having all of the requests of a server in excess of its share, in
 	 * tolerances. A server without any has less cost by the same.
 	 */
-	private static final double BALANCE_TOLERANCES = 3;
+	private static final double BALANCE_TOLERANCES = 0.5;
 
 	/** Requests by which a server may differ from its share at little cost. */
 	private static final double BALANCE_SLACK = 4;
@@ -157,10 +168,11 @@
 		double tolerance = TOLERANCE_TARGETS * target;
 		double totalCount = candidates.stream().mapToDouble((candidate) -> candidate.load.requestCount()).sum();
 		double totalPace = candidates.stream().mapToDouble((candidate) -> candidate.pace.steadyTokensPerMilli()).sum();
+		double uncachedWeight = uncachedWeight(candidates, target);
 		double leastCost = Double.MAX_VALUE;
 		for (Candidate candidate : candidates) {
 			double share = totalCount * candidate.pace.steadyTokensPerMilli() / totalPace;
-			candidate.cost = expectedMillis(query, candidate) + excessMillis(query, candidate, target)
+			candidate.cost = expectedMillis(query, candidate, uncachedWeight) + excessMillis(query, candidate, target)
 					+ BALANCE_TOLERANCES * tolerance * (candidate.load.requestCount() - share)
 							/ (share + BALANCE_SLACK);
 			leastCost = Math.min(leastCost, candidate.cost);
@@ -180,17 +192,27 @@
 		return best.server;
 	}
 
-	private double expectedMillis(PlacementQuery query, Candidate candidate) {
+	private static double uncachedWeight(List<Candidate> candidates, double target) {
+		long busyCount = candidates.stream()
+			.filter((candidate) -> candidate.load.unreadTokens() > BUSY_TARGETS * target
+					* candidate.pace.presentTokensPerMilli())
+			.count();
+		double busyShare = (double) busyCount / candidates.size();
+		return LEAST_UNCACHED_WEIGHT + (GREATEST_UNCACHED_WEIGHT - LEAST_UNCACHED_WEIGHT) * busyShare;
+	}
+
+	private double expectedMillis(PlacementQuery query, Candidate candidate, double uncachedWeight) {
 		int serverKey = candidate.server.serverKey();
-		int cached = 0;
+		long cached = 0;
+		long shared = 0;
 		for (SharedPart part : query.sharedParts()) {
-			if (!this.fleet.isCached(part.partKey(), serverKey)) {
-				break;
+			if (cached == shared && this.fleet.isCached(part.partKey(), serverKey)) {
+				cached += part.tokenCount();
 			}
-			cached += part.tokenCount();
+			shared += part.tokenCount();
 		}
-		double uncached = Math.max(0, query.promptTokens() - cached);
-		return (candidate.load.unreadTokens() + UNCACHED_WEIGHT * uncached)
+		double own = Math.max(0, query.promptTokens() - shared);
+		return (candidate.load.unreadTokens() + own + uncachedWeight * (shared - cached))
 				* (1 + RUNNING_WEIGHT * candidate.load.requestCount()) / candidate.pace.presentTokensPerMilli();
 	}
 
