--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/peer/MemoryTopic.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/peer/MemoryTopic.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
+import org.marjoramgw.direct.follow.AppendResult;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.TopicPage;
@@ -55,6 +56,11 @@
 		});
 	}
 
+	@Override
+	public CompletionStage<AppendResult> appendAt(List<KeyedRecord> appended, long endOffset) {
+		throw new UnsupportedOperationException("the list of entries is appended to without a condition");
+	}
+
 	@Override
 	public CompletionStage<TopicPage> readLatest(String afterKey) {
 		return call(() -> {
