Read the settings of peers and usage where all others are read

Cause: SettingsPageTests and SettingsValuesTests of org.marjoramgw.test failed since the keys were read in records of their own and addresses had no default that a file can state. Change: DirectSettings reads them; port 0 stands for no address. Result: the tests of the settings page pass.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct;
 
+import java.util.Optional;
+
 import org.marjoramgw.HostPort;
 import org.marjoramgw.settings.TomlTable;
 
@@ -42,6 +44,15 @@
 
 	private static final int MAX_RETRIES = 1_000_000;
 
+	/** Stands for an address that is not set. */
+	private static final HostPort NO_ADDRESS = new HostPort("127.0.0.1", 0);
+
+	/** Feature of a deployment in which entry processes share the load of its servers. */
+	private static final String POOL_FEATURE = "pool";
+
+	/** Duty of sending usage reports. */
+	private static final String USAGE_DUTY = "metering";
+
 	/**
 	 * Reads the settings from a table.
 	 * <p>
@@ -61,8 +72,25 @@
 				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
-				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS), PeerSettings.of(root),
-				UsageSettings.of(root), root.flag("stop_after_warm_up", false));
+				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS), peers(root), usage(root),
+				root.flag("stop_after_warm_up", false));
+	}
+
+	private static PeerSettings peers(TomlTable root) {
+		return new PeerSettings(optional(root.address("peer_address", NO_ADDRESS)),
+				root.texts("features").contains(POOL_FEATURE));
+	}
+
+	private static UsageSettings usage(TomlTable root) {
+		return new UsageSettings(optional(root.address("usage_address", NO_ADDRESS)),
+				root.texts("duties").contains(USAGE_DUTY),
+				(long) (root.clampedDecimal("usage_window_s", 5, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
+				(long) (root.clampedDecimal("usage_late_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
+				(long) root.clampedDecimal("lease_ms", 3_000, 100, MAX_MILLIS), root.flag("fence_required", false));
+	}
+
+	private static Optional<HostPort> optional(HostPort address) {
+		return Optional.of(address).filter((set) -> set.port() > 0);
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/PeerSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/PeerSettings.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 
 import org.marjoramgw.HostPort;
-import org.marjoramgw.settings.TomlTable;
 
 /**
  * Validated settings of the exchange with other entry processes.
@@ -16,14 +15,6 @@
  */
 public record PeerSettings(Optional<HostPort> address, boolean shared) {
 
-	/** Feature of a deployment in which entry processes share the load of its servers. */
-	private static final String POOL_FEATURE = "pool";
-
-	static PeerSettings of(TomlTable root) {
-		return new PeerSettings(Optional.ofNullable(root.address("peer_address", null)),
-				root.texts("features").contains(POOL_FEATURE));
-	}
-
 	/**
 	 * Tells whether digests are exchanged.
 	 * @return whether they are
