--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/duty/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the usage reports' process part.
+ */
+package org.marjoramgw.direct.duty;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/ReportSender.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/ReportSender.java
@@ -27,6 +27,9 @@
 
 	private static final int MAX_TIMEOUT_DOUBLINGS = 2;
 
+	/** Number of noted reports from which finished ones are forgotten. */
+	private static final int MAX_NOTED = 64;
+
 	/** Calls after which a report that the receiver rejects is given up. */
 	private static final int MAX_REJECTIONS = 10;
 
@@ -79,6 +82,10 @@
 	 * Sends the reports that are open, if this process may.
 	 */
 	void sendDue() {
+		if (this.sendings.size() > MAX_NOTED) {
+			// Another holder has sent these.
+			this.sendings.keySet().removeIf((window) -> this.book.content(window).isEmpty());
+		}
 		long openCount = this.sendings.values().stream().filter((sending) -> sending.open).count();
 		for (WindowCounts report : this.book.toSend()) {
 			if (openCount >= MAX_OPEN || !this.lease.isHeld(this.clock.now())) {
