Take the time of usage windows from the wall and steady clock alone

ElapsedClock took the larger of the monotonic time and of /proc/uptime, which is the host's there and ran ahead, so that all counts were put into windows of another time.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageDuty.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageDuty.java
@@ -80,10 +80,9 @@
 	 */
 	public UsageDuty(DutyMember member, UsageWindows windows, LeaseTimes times, UsagePlatform platform,
 			MillisClock monotonicClock, MillisClock wallClock, Timers timers, LongSupplier lagMillis) {
-		MillisClock elapsedClock = new ElapsedClock(monotonicClock);
-		this.clock = new AgeClock(elapsedClock, wallClock);
+		this.clock = new AgeClock(monotonicClock, wallClock);
 		this.timers = timers;
-		TrueClock trueClock = new TrueClock(elapsedClock, wallClock);
+		TrueClock trueClock = new TrueClock(monotonicClock, wallClock);
 		this.counter = new UsageCounter(windows, trueClock::nowMillis);
 		this.sharing = new UsageSharing(member, this.counter, windows, trueClock, platform.usage(), timers,
 				backoff(MAX_SHARE_BACKOFF_MILLIS), this.random.nextDouble());
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/lease/LeaseState.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/lease/LeaseState.java
@@ -20,8 +20,7 @@
  * <p>
  * The holder measures the age of its lease from the sending of the last record that it
  * found in the topic, by the clock that shows more, the steady one or the time of day;
- * others measure from when they first saw it, by the steady clock alone. The steady clock
- * should also advance while the VM is suspended.
+ * others measure from when they first saw it, by the steady clock alone.
  *
  * @author The marjoramgw authors
  */
