--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -79,8 +79,9 @@
 					slotCount(server, limits), limits.memoryTokens()));
 		}
 		Placement placement = request.promptParts().isEmpty() ? this.plainPlacement : this.promptPlacement;
-		return placement
-			.choose(query(service, admitted, request), candidates(service, admitted.route().name(), views, excluded))
+		PlacementQuery query = query(service, admitted, request);
+		placement.onUsable(query, views);
+		return placement.choose(query, candidates(service, admitted.route().name(), views, excluded))
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
 	}
 
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/ExpectedTimePlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/ExpectedTimePlacementTests.java
@@ -127,6 +127,19 @@
 		Assert.assertEquals(chosen.size(), SERVERS);
 	}
 
+	@Test
+	public void serverThatWasLeftOutOfAChoiceIsNotNewLater() {
+		PlacementQuery query = shortQuery("chat");
+		ServerView one = new ServerView("1", "a", 0, false, 1, 64, MEMORY_TOKENS);
+		ServerView other = new ServerView("2", "a", 0, false, 2, 64, MEMORY_TOKENS);
+		this.placement.onUsable(query, List.of(one, other));
+		this.placement.choose(query, List.of(one));
+		this.clock.advanceMillis(5_000);
+		this.placement.onUsable(query, List.of(one, other));
+		this.placement.choose(query, List.of(other));
+		Assert.assertEquals(this.ramp.rampingCount(), 0);
+	}
+
 	@Test
 	public void findsAServerWheneverThereIsOne() {
 		Random random = TestSeed.random(3);
@@ -146,6 +159,7 @@
 			PlacementQuery query = new PlacementQuery("s", random.nextBoolean() ? "" : "p" + step, "a",
 					random.nextBoolean() ? List.of() : List.of(new SharedPart(1, random.nextInt(20_000))),
 					random.nextInt(3) * 9_000, random.nextInt(2) * 400, random.nextInt(10));
+			this.placement.onUsable(query, servers);
 			boolean found = new LeastLoadedPlacement(random).choose(query, servers).isPresent();
 			Assert.assertEquals(this.placement.choose(query, servers).isPresent(), found, "seed " + TestSeed.value());
 		}
@@ -181,6 +195,7 @@
 		for (int server = 0; server < SERVERS; server++) {
 			servers.add(new ServerView(Integer.toString(server), "a", 0, false, server, 64, MEMORY_TOKENS));
 		}
+		this.placement.onUsable(query, servers);
 		return this.placement.choose(query, servers).orElseThrow().id();
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -41,6 +41,9 @@
 	 */
 	private static final double MAX_OTHERS_RATIO = 0.25;
 
+	/** Ratio of the time to a first token to the lag from which on it is measured. */
+	private static final double MIN_TIME_PER_LAG = 10;
+
 	private final String processId;
 
 	private final long incarnation;
@@ -182,6 +185,7 @@
 	private OwnLoad own(int serverKey) {
 		OwnLoad own = this.ownByServer.computeIfAbsent(serverKey, (key) -> new OwnLoad());
 		own.changedMillis = this.clock.nowMillis();
+		own.changed = true;
 		return own;
 	}
 
@@ -298,7 +302,8 @@
 				FleetBook.this.ramp.onLate(this.serverKey, 1);
 			}
 			double others = load(this.serverKey).unreadTokens();
-			if (this.measured && others <= MAX_OTHERS_RATIO * this.unreadTokens) {
+			if (this.measured && others <= MAX_OTHERS_RATIO * this.unreadTokens
+					&& tookMillis >= MIN_TIME_PER_LAG * lag) {
 				double pace = FleetBook.this.paceBook.onFirstToken(this.serverKey, this.unreadTokens, tookMillis);
 				own.tokensPerMilli = (pace > 0) ? pace : own.tokensPerMilli;
 			}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
@@ -28,6 +28,9 @@
 	/** Time of the last change, in milliseconds. */
 	long changedMillis;
 
+	/** Whether something may have changed since the last report. */
+	boolean changed;
+
 	private ServerReport lastReport;
 
 	int requestCount() {
@@ -40,11 +43,15 @@
 	 * @return the report, or {@code null} if it is the same as the last one
 	 */
 	ServerReport nextReport(int serverKey) {
+		if (!this.changed) {
+			return null;
+		}
+		this.changed = false;
 		ServerReport report = new ServerReport(serverKey, clamp(this.unreadTokens), this.runningCount,
 				clamp(this.memoryTokens), this.timelyCount, this.lateCount, this.tokensPerMilli);
-		boolean changed = !report.equals(this.lastReport);
+		boolean different = !report.equals(this.lastReport);
 		this.lastReport = report;
-		return changed ? report : null;
+		return different ? report : null;
 	}
 
 	private static int clamp(long tokenCount) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
@@ -109,6 +109,13 @@
 		this.random = random;
 	}
 
+	@Override
+	public void onUsable(PlacementQuery query, List<ServerView> servers) {
+		if (query.promptTokens() > 0) {
+			servers.forEach((server) -> this.ramp.onUsable(query.service(), server.serverKey(), server.id()));
+		}
+	}
+
 	@Override
 	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
 		List<ServerView> healthy = SuspectFilter.excludeSuspects(servers);
@@ -118,7 +125,6 @@
 		if (query.promptTokens() == 0) {
 			return Optional.of(choosePlain(query, candidates(healthy)));
 		}
-		servers.forEach((server) -> this.ramp.onUsable(query.service(), server.serverKey(), server.id()));
 		return Optional.of(choosePrompted(query, candidates(ramped(healthy))));
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
@@ -10,6 +10,14 @@
  */
 public interface Placement {
 
+	/**
+	 * Called before a choice, which may be among some of the servers only.
+	 * @param query the request
+	 * @param servers all usable servers of its service
+	 */
+	default void onUsable(PlacementQuery query, List<ServerView> servers) {
+	}
+
 	/**
 	 * Chooses a server.
 	 * @param query the request
