Test entry processes beside callers that exceed the limits

Cause: nothing bounds the total that a process holds for its callers, and no test starts a process beside callers that send too much, stop short of the end, stay idle or don't read.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -292,6 +292,15 @@
 		return record("config", CONFIGURATION);
 	}
 
+	/**
+	 * Returns the configuration of the fixture with limits on callers.
+	 * @param limits the limits, a JSON object
+	 * @return its record
+	 */
+	static KeyedRecord configuration(String limits) {
+		return record("config", CONFIGURATION.replaceFirst("\\}$", ",\"limits\":" + limits + "}"));
+	}
+
 	/**
 	 * Returns the registrations of servers.
 	 * @param servers the servers
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
@@ -24,8 +24,14 @@
  */
 final class StartedEntry implements AutoCloseable {
 
+	/** Size of the heap, in megabytes. */
+	private static final int HEAP_MB = 64;
+
+	/** Size of the class metadata and of the compiled code at most, in megabytes. */
+	static final int METADATA_AND_CODE_MB = 104;
+
 	private static final List<String> OPTIONS = List.of("-XX:CICompilerCount=1", "-XX:-UsePerfData", "-Xms16m",
-			"-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:MaxMetaspaceSize=80m",
+			"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:MaxMetaspaceSize=80m",
 			"-XX:ReservedCodeCacheSize=24m");
 
 	private static final int START_SECONDS = 30;
@@ -47,14 +53,27 @@
 	 * @throws IOException if it can't be started
 	 */
 	StartedEntry(HostPort store, int graceSeconds) throws IOException {
+		this(store, graceSeconds, HEAP_MB, List.of());
+	}
+
+	/**
+	 * Starts a process with limits of its own.
+	 * @param store address of the store
+	 * @param graceSeconds time between a request to stop and a kill, in seconds
+	 * @param heapMegabytes size of the heap, in megabytes
+	 * @param launcher command that the command line of the process is appended to
+	 * @throws IOException if it can't be started
+	 */
+	StartedEntry(HostPort store, int graceSeconds, int heapMegabytes, List<String> launcher) throws IOException {
 		Path settings = Files.writeString(this.directory.resolve("settings.toml"),
 				"process_id = \"entry\"\nfailure_domain = \"a\"\nhealth_path = \"/-/ready\"\ncallers_address = \""
 						+ this.callers + "\"\nhealth_address = \"" + this.health + "\"\nmetrics_address = \""
 						+ freeAddress() + "\"\nstore_address = \"" + store + "\"\nstop_grace_s = " + graceSeconds
 						+ "\n");
-		List<String> command = new ArrayList<>();
+		List<String> command = new ArrayList<>(launcher);
 		command.add(ProcessHandle.current().info().command().orElseThrow());
 		command.addAll(OPTIONS);
+		command.add("-Xmx" + heapMegabytes + "m");
 		// Another build of the program may be given, to compare it by hand.
 		command.addAll(List.of("-cp", System.getProperty("entry.classpath", System.getProperty("java.class.path")),
 				PlatformMain.class.getName(), "--config", settings.toString()));
