--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/memory/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the memory budget.
+ */
+package org.marjoramgw.policy.memory;
