--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerConnectionTests.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
+import org.marjoramgw.policy.memory.MemoryBudget;
+import org.marjoramgw.policy.memory.MemoryHolder;
 import org.marjoramgw.time.ClockReading;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
@@ -16,6 +18,8 @@
  */
 public class CallerConnectionTests {
 
+	private final MemoryHolder memory = MemoryBudget.unlimited().open();
+
 	private RequestArrivals arrivals;
 
 	private List<String> events;
@@ -131,6 +135,24 @@
 		Assert.assertTrue(this.connection.beginRequest());
 	}
 
+	/**
+	 * Guards against a refusal that says that nothing ran after the body was complete.
+	 */
+	@Test
+	public void onlyIncompleteBodyIsRefused() {
+		Assert.assertFalse(this.connection.refuseBody());
+		this.connection.beginRequest();
+		Assert.assertTrue(this.connection.refuseBody());
+		Assert.assertFalse(this.connection.refuseBody(), "refused already");
+		Assert.assertTrue(this.connection.isBodyRefused());
+		Assert.assertEquals(this.events, List.of("input ended"));
+		open();
+		this.connection.beginRequest();
+		this.connection.endRequestBody();
+		Assert.assertFalse(this.connection.refuseBody());
+		Assert.assertEquals(this.events, List.of());
+	}
+
 	private final class FakeSocket implements CallerSocket {
 
 		@Override
@@ -148,6 +170,21 @@
 			return false;
 		}
 
+		@Override
+		public void endInput() {
+			CallerConnectionTests.this.events.add("input ended");
+		}
+
+		@Override
+		public MemoryHolder memory() {
+			return CallerConnectionTests.this.memory;
+		}
+
+		@Override
+		public String peerAddress() {
+			return "";
+		}
+
 		@Override
 		public void finishIf(BooleanSupplier condition) {
 			if (!CallerConnectionTests.this.hasUnread && condition.getAsBoolean()) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -167,7 +167,7 @@
 		this.readiness = new Readiness(this.lifecycle, () -> this.warmedUp, this.directory, this.lag, this.routing,
 				() -> this.settings.get().revocationMillis());
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, this.lag::lagMillis, strayBytes);
+				this.clock, this.timers, this.lag::lagMillis, strayBytes, callerAcceptor.memory());
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
@@ -181,6 +181,7 @@
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
 		this.registry.register("connections.waiting", (Gauge<Integer>) this.callerListener::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
+		CallerGauges.register(this.registry, callerAcceptor.memory(), this.callerListener);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -24,6 +24,7 @@
  * requests, shared by all processes
  * @param drainMillis time after which a leaving server must get no new requests, in
  * milliseconds
+ * @param callers bounds of what is held for callers
  * @param peers settings of the exchange with other entry processes
  * @param usage settings of the usage reports
  * @param stopAfterWarmUp whether the process exits after the warm-up, for a training run
@@ -32,7 +33,7 @@
 public record DirectSettings(String processId, String failureDomain, HostPort callerAddress, HostPort healthAddress,
 		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
 		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, long drainMillis,
-		PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
+		CallerSettings callers, PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
 
 	private static final int MAX_SECONDS = 3_600;
 
@@ -61,8 +62,8 @@
 				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
-				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS), PeerSettings.of(root),
-				UsageSettings.of(root), root.flag("stop_after_warm_up", false));
+				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS), CallerSettings.of(root),
+				PeerSettings.of(root), UsageSettings.of(root), root.flag("stop_after_warm_up", false));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -24,6 +24,7 @@
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
+import org.marjoramgw.policy.memory.MemoryBudget;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
@@ -64,8 +65,8 @@
 	/** Maximum size of a response body that is read completely. */
 	private static final long MAX_BODY_BYTES = 8L << 20;
 
-	/** Maximum size of all such bodies together, a quarter of the heap. */
-	private static final long MAX_BODIES_BYTES = 16L << 20;
+	/** Share of the memory for callers that all such bodies may use, in sevenths. */
+	private static final long BODIES_SEVENTHS = 4;
 
 	/** Maximum delay of the first repetition of an append, in milliseconds. */
 	private static final long BASE_APPEND_BACKOFF_MILLIS = 250;
@@ -94,7 +95,7 @@
 
 	private final ConnectionPool pool;
 
-	private final BodyBudget bodyBudget = new BodyBudget(MAX_BODY_BYTES, MAX_BODIES_BYTES);
+	private final BodyBudget bodyBudget;
 
 	/**
 	 * Creates a request path.
@@ -107,9 +108,12 @@
 	 * @param timers timers
 	 * @param lagMillis scheduling lag of the process, in milliseconds
 	 * @param strayBytes receiver of reports on bytes that belong to no response
+	 * @param memory memory of what is held for callers
 	 */
 	RequestPath(ActorSystem<?> system, Config config, Platform platform, SettingsFile settings,
-			MillisClock monotonicClock, AgeClock clock, Timers timers, LongSupplier lagMillis, StrayBytes strayBytes) {
+			MillisClock monotonicClock, AgeClock clock, Timers timers, LongSupplier lagMillis, StrayBytes strayBytes,
+			MemoryBudget memory) {
+		this.bodyBudget = new BodyBudget(MAX_BODY_BYTES, memory.totalBytes() / 7 * BODIES_SEVENTHS, memory);
 		this.system = system;
 		this.platform = platform;
 		this.settings = settings;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -1,8 +1,14 @@
 package org.marjoramgw.direct.caller;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.http.MemoryLimit;
+import org.marjoramgw.policy.memory.MemoryUse;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -12,6 +18,12 @@
  */
 public final class CallerConnection {
 
+	/**
+	 * Length of what was taken from the socket at once above which a part of it may
+	 * belong to the next request and goes on being counted.
+	 */
+	private static final int MAX_UNCOUNTED_BYTES = 4 << 10;
+
 	private final CallerSocket socket;
 
 	private final CompletableFuture<CallerConnection> opened = new CompletableFuture<>();
@@ -22,6 +34,16 @@
 
 	private boolean readingHead;
 
+	private boolean readingBody;
+
+	private boolean bodyRefused;
+
+	private int headBytes;
+
+	private int takenBytes;
+
+	private final FramingScan framing = new FramingScan();
+
 	private int headNumber;
 
 	private Runnable onClose;
@@ -61,6 +83,47 @@
 		this.opened.complete(this);
 	}
 
+	/**
+	 * Examines bytes that are being taken from the socket, before they are recorded.
+	 * @param bytes the bytes
+	 * @param maxHeaderBytes limit on a head, and on the trailers of a body
+	 * @return why they can't be passed on, or empty if they can
+	 */
+	public synchronized Optional<CallerEvents.Reason> examine(ByteString bytes, int maxHeaderBytes) {
+		this.takenBytes = bytes.size();
+		if (!this.busy) {
+			if (!this.readingHead) {
+				this.headBytes = 0;
+				this.framing.startHead();
+			}
+			else if (this.headBytes >= maxHeaderBytes) {
+				return Optional.of(CallerEvents.Reason.HEAD_TOO_LARGE);
+			}
+			this.headBytes += bytes.size();
+		}
+		this.framing.add(bytes);
+		return this.framing.isOver(maxHeaderBytes) ? Optional.of(CallerEvents.Reason.TRAILERS_TOO_LARGE)
+				: Optional.empty();
+	}
+
+	/**
+	 * Marks the start of the body of the request in progress.
+	 * @param chunked whether it comes in chunks
+	 * @param owner returns the name of the owner of its memory
+	 * @return the limit on its memory, which counts it and is never exceeded by itself,
+	 * since reading is suspended when the budget is used up
+	 */
+	public MemoryLimit beginRequestBody(boolean chunked, Supplier<String> owner) {
+		synchronized (this) {
+			this.framing.startBody(chunked);
+		}
+		this.socket.memory().setOwner(owner);
+		return (bytes) -> {
+			this.socket.memory().add(MemoryUse.REQUEST_BODIES, bytes - BodyReader.PIECE_OVERHEAD_BYTES);
+			this.socket.memory().set(MemoryUse.PARSING, onChunk());
+		};
+	}
+
 	/**
 	 * Records that bytes are being taken from the socket.
 	 * @return sequence number of the request head that starts with these bytes, or 0 if
@@ -74,6 +137,15 @@
 		return ++this.headNumber;
 	}
 
+	/**
+	 * Tells whether a request head is incomplete on the open connection.
+	 * @param number sequence number of the head
+	 * @return whether it is
+	 */
+	public synchronized boolean isReadingHead(int number) {
+		return this.readingHead && this.headNumber == number && !this.closed;
+	}
+
 	/**
 	 * Closes the connection if a request head is still incomplete, unless the response
 	 * before it is still being written.
@@ -106,6 +178,7 @@
 		}
 		this.busy = true;
 		this.readingHead = false;
+		this.readingBody = true;
 		this.arrived = this.socket.arrivals().beginRequest();
 		return true;
 	}
@@ -122,9 +195,51 @@
 	 * Marks the end of the body of the request in progress.
 	 */
 	public void endRequestBody() {
+		synchronized (this) {
+			this.readingBody = false;
+		}
 		this.socket.arrivals().endBody();
 	}
 
+	/**
+	 * Returns the address of the caller.
+	 * @return the address without a port, empty if the connection has ended
+	 */
+	public String callerAddress() {
+		return this.socket.peerAddress();
+	}
+
+	/**
+	 * Tells whether the body of the request in progress is incomplete.
+	 * @return whether it is being read
+	 */
+	public synchronized boolean isReadingBody() {
+		return this.readingBody;
+	}
+
+	/**
+	 * Refuses the request in progress if its body is incomplete, so that it has not run.
+	 * @return whether it is refused
+	 */
+	public boolean refuseBody() {
+		synchronized (this) {
+			if (!this.readingBody || this.bodyRefused) {
+				return false;
+			}
+			this.bodyRefused = true;
+		}
+		this.socket.endInput();
+		return true;
+	}
+
+	/**
+	 * Tells whether the body of the request in progress was refused.
+	 * @return whether it was
+	 */
+	public synchronized boolean isBodyRefused() {
+		return this.bodyRefused;
+	}
+
 	/**
 	 * Checks the socket for a disconnect of the caller, which the operating system may
 	 * know of before this process was notified.
@@ -155,7 +270,10 @@
 	 */
 	public synchronized void endRequest() {
 		this.busy = false;
+		this.readingBody = false;
 		this.onClose = null;
+		this.socket.memory().set(MemoryUse.REQUEST_BODIES, 0);
+		this.socket.memory().set(MemoryUse.PARSING, (this.takenBytes > MAX_UNCOUNTED_BYTES) ? this.takenBytes : 0);
 	}
 
 	/**
@@ -190,8 +308,17 @@
 		return this.socket.isClosed();
 	}
 
-	private synchronized boolean isIdle() {
+	/**
+	 * Tells whether no request is being read or handled.
+	 * @return whether there is none
+	 */
+	public synchronized boolean isIdle() {
 		return !this.busy && !this.readingHead;
 	}
 
+	private synchronized int onChunk() {
+		this.framing.onChunk();
+		return this.takenBytes;
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.direct.caller;
 
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -51,10 +50,12 @@
 	 */
 	private final Map<CallerLimits, BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed>> layerByLimits = new ConcurrentHashMap<>();
 
-	private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+	private final Map<CallerConnection, WatchedConnection> connections = new ConcurrentHashMap<>();
 
 	private final OpeningQueue openingQueue;
 
+	private final CallerEvents events = new CallerEvents();
+
 	/**
 	 * Creates a listener.
 	 * @param system the actor system
@@ -85,7 +86,10 @@
 	 */
 	public CompletionStage<Void> serve(SocketAcceptor acceptor) {
 		Runnable open = this.openingQueue.hold();
-		return acceptor.serve(this::accept).thenRun(open);
+		CallerWatch watch = new CallerWatch(this.timers, acceptor::nowMillis, this.limits, acceptor.memory(),
+				this.connections, acceptor::isAccepting, this.events);
+		watch.start();
+		return acceptor.serve((socket) -> accept(socket, acceptor, watch)).thenRun(open);
 	}
 
 	/**
@@ -101,7 +105,7 @@
 	 * response was written.
 	 */
 	public void finishIdle() {
-		this.connections.forEach(CallerConnection::finishIfIdle);
+		this.connections.keySet().forEach(CallerConnection::finishIfIdle);
 	}
 
 	/**
@@ -109,7 +113,7 @@
 	 * @return number of connections that are not closed yet
 	 */
 	public long openCount() {
-		return this.connections.stream().filter((connection) -> !connection.isClosed()).count();
+		return this.connections.keySet().stream().filter((connection) -> !connection.isClosed()).count();
 	}
 
 	/**
@@ -120,18 +124,27 @@
 		return this.openingQueue.waitingCount();
 	}
 
-	private void accept(AcceptedSocket socket) {
+	/**
+	 * Returns the counts of callers that were refused or whose connections were closed.
+	 * @return the counts
+	 */
+	public CallerEvents events() {
+		return this.events;
+	}
+
+	private void accept(AcceptedSocket socket, SocketAcceptor acceptor, CallerWatch watch) {
+		if (acceptor.isOverBounds() && !watch.evict()) {
+			watch.record(CallerEvents.Reason.NO_ROOM, 0);
+			socket.close();
+			return;
+		}
 		CallerConnection connection = new CallerConnection(socket);
-		this.connections.add(connection);
 		WaitingConnection waiting = this.openingQueue.place(socket, connection, () -> open(socket, connection));
+		WatchedConnection watched = new WatchedConnection(socket, connection, waiting, acceptor.nowMillis());
+		this.connections.put(connection, watched);
 		socket.whenReceived(waiting::onReceived);
-		socket.whenTaking(() -> startHeadTimeout(connection));
+		socket.whenTaking((bytes) -> watch.onTaking(watched, bytes));
 		socket.whenEnded(() -> onEnd(socket, connection));
-		this.timers.schedule(this.limits.get().idleTimeoutMillis(), () -> {
-			if (!waiting.isPlaced()) {
-				connection.finishIfIdle();
-			}
-		});
 	}
 
 	private void open(AcceptedSocket socket, CallerConnection connection) {
@@ -146,21 +159,6 @@
 		socket.flow().join(currentLayer().reversed().join(handlerFlow)).run(this.system);
 	}
 
-	private void startHeadTimeout(CallerConnection connection) {
-		int headNumber = connection.onBytes();
-		if (headNumber > 0) {
-			scheduleHeadTimeout(connection, headNumber);
-		}
-	}
-
-	private void scheduleHeadTimeout(CallerConnection connection, int headNumber) {
-		this.timers.schedule(this.limits.get().headerTimeoutMillis(), () -> {
-			if (connection.closeIfHeadIncomplete(headNumber)) {
-				scheduleHeadTimeout(connection, headNumber);
-			}
-		});
-	}
-
 	private void onEnd(AcceptedSocket socket, CallerConnection connection) {
 		this.connections.remove(connection);
 		connection.onClosedByCaller();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerSocket.java
@@ -2,6 +2,8 @@
 
 import java.util.function.BooleanSupplier;
 
+import org.marjoramgw.policy.memory.MemoryHolder;
+
 /**
  * Socket of a caller, as needed by {@link CallerConnection}.
  *
@@ -23,6 +25,24 @@
 	 */
 	void finishIf(BooleanSupplier condition);
 
+	/**
+	 * Ends the input of the connection and discards what was not taken from it. The
+	 * connection is closed once the response in progress was written.
+	 */
+	void endInput();
+
+	/**
+	 * Returns the memory that is held for the connection.
+	 * @return the memory
+	 */
+	MemoryHolder memory();
+
+	/**
+	 * Returns the address of the peer.
+	 * @return the address without a port, empty if the connection has ended
+	 */
+	String peerAddress();
+
 	/**
 	 * Returns the arrival times of the requests on this connection.
 	 * @return the arrival times, to which each read is added
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
@@ -0,0 +1,216 @@
+package org.marjoramgw.direct.caller;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.apache.pekko.util.ByteString;
+import org.marjoramgw.direct.caller.CallerEvents.Reason;
+import org.marjoramgw.direct.model.CallerLimits;
+import org.marjoramgw.policy.memory.MemoryBudget;
+import org.marjoramgw.policy.memory.Progress;
+import org.marjoramgw.time.Timers;
+import org.tinylog.Logger;
+
+/**
+ * Ends connections that exceed their times, and those that hold what others need;
+ * thread-safe.
+ *
+ * @author The marjoramgw authors
+ */
+final class CallerWatch {
+
+	/** Interval of the checks whether somebody waits for memory, in milliseconds. */
+	private static final long CHECK_MILLIS = 100;
+
+	/** Checks after which all connections are checked for their times. */
+	private static final int CHECKS_PER_SWEEP = 5;
+
+	/**
+	 * Share of the connections that are closed at once when there are too many, so that
+	 * they aren't all examined for each new one.
+	 */
+	private static final int EVICTED_SHARE = 32;
+
+	/** Interval of the checks of a head that was incomplete at its timeout. */
+	private static final long HEAD_RECHECK_MILLIS = 200;
+
+	private final Timers timers;
+
+	private final LongSupplier clock;
+
+	private final Supplier<CallerLimits> limits;
+
+	private final MemoryBudget memory;
+
+	private final Map<?, WatchedConnection> connections;
+
+	private final BooleanSupplier accepting;
+
+	private final CallerEvents events;
+
+	private int checkCount;
+
+	/**
+	 * Creates a watch.
+	 * @param timers timers
+	 * @param clock monotonic clock, in milliseconds
+	 * @param limits current limits on callers
+	 * @param memory memory of what is held for callers
+	 * @param connections all connections
+	 * @param accepting tells whether further connections may come
+	 * @param events receives what was ended
+	 */
+	CallerWatch(Timers timers, LongSupplier clock, Supplier<CallerLimits> limits, MemoryBudget memory,
+			Map<?, WatchedConnection> connections, BooleanSupplier accepting, CallerEvents events) {
+		this.timers = timers;
+		this.clock = clock;
+		this.limits = limits;
+		this.memory = memory;
+		this.connections = connections;
+		this.accepting = accepting;
+		this.events = events;
+	}
+
+	/**
+	 * Starts to check.
+	 */
+	void start() {
+		this.timers.schedule(CHECK_MILLIS, this::check);
+	}
+
+	/**
+	 * Closes some connections that have been idle for the longest time, or else some that
+	 * have not sent a complete head.
+	 * @return whether there were any
+	 */
+	boolean evict() {
+		int maxCount = 1 + this.connections.size() / EVICTED_SHARE;
+		List<WatchedConnection> chosen = this.connections.values()
+			.stream()
+			.filter(WatchedConnection::isIdle)
+			.sorted(Comparator.comparingLong(WatchedConnection::quietSinceMillis))
+			.limit(maxCount)
+			.toList();
+		if (chosen.isEmpty()) {
+			chosen = this.connections.values()
+				.stream()
+				.filter(WatchedConnection::isHeadIncomplete)
+				.sorted(Comparator.comparingLong(WatchedConnection::arrivedMillis))
+				.limit(maxCount)
+				.toList();
+		}
+		chosen.forEach((each) -> close(each, Reason.EVICTED));
+		return !chosen.isEmpty();
+	}
+
+	/**
+	 * Checks the head that bytes belong to, which are about to be taken. Called with the
+	 * lock of the socket.
+	 * @param watched the connection
+	 * @param bytes the bytes
+	 */
+	void onTaking(WatchedConnection watched, ByteString bytes) {
+		CallerConnection connection = watched.connection();
+		Optional<Reason> refusal = connection.examine(bytes, this.limits.get().maxHeaderBytes());
+		if (refusal.isPresent()) {
+			record(refusal.get(), watched.socket().memory().heldBytes());
+			watched.socket().endInput();
+			return;
+		}
+		int headNumber = connection.onBytes();
+		if (headNumber > 0) {
+			long waitedMillis = watched.isHeadKnown() ? 0 : this.clock.getAsLong() - watched.arrivedMillis();
+			long leftMillis = this.limits.get().headerTimeoutMillis() - waitedMillis;
+			scheduleHeadTimeout(watched, headNumber, Math.max(leftMillis, HEAD_RECHECK_MILLIS));
+		}
+	}
+
+	void record(Reason reason, long heldBytes) {
+		this.events.record(reason, this.clock.getAsLong(), heldBytes, this.memory.usedBytes());
+	}
+
+	private void scheduleHeadTimeout(WatchedConnection watched, int headNumber, long delayMillis) {
+		this.timers.schedule(delayMillis, () -> {
+			// Bytes that were not taken yet may complete the head.
+			if (watched.connection().isReadingHead(headNumber)
+					&& (watched.socket().hasUnread() || watched.connection().closeIfHeadIncomplete(headNumber))) {
+				scheduleHeadTimeout(watched, headNumber, HEAD_RECHECK_MILLIS);
+			}
+		});
+	}
+
+	private void check() {
+		try {
+			long nowMillis = this.clock.getAsLong();
+			if (++this.checkCount % CHECKS_PER_SWEEP == 0) {
+				this.connections.values().forEach((each) -> checkTimes(each, nowMillis));
+			}
+			if (this.memory.hasWaiting()) {
+				reclaim(nowMillis);
+			}
+			if (!this.memory.hasRoom()) {
+				evict();
+			}
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "check of the callers' connections failed");
+		}
+		if (this.accepting.getAsBoolean() || !this.connections.isEmpty()) {
+			start();
+		}
+	}
+
+	private void checkTimes(WatchedConnection each, long nowMillis) {
+		each.observe(nowMillis);
+		CallerLimits current = this.limits.get();
+		if (nowMillis - each.quietSinceMillis() >= current.idleTimeoutMillis()) {
+			endQuiet(each);
+		}
+		else if (each.isHeadIncomplete() && nowMillis - each.arrivedMillis() >= current.headerTimeoutMillis()) {
+			close(each, Reason.HEAD_TOO_LATE);
+		}
+	}
+
+	private void endQuiet(WatchedConnection each) {
+		if (!each.socket().isWriting()) {
+			each.connection().finishIfIdle();
+			return;
+		}
+		// The peer may have read while this process was suspended.
+		each.socket().writeRemaining();
+		if (each.socket().isWriting() && !each.socket().takeActivity()) {
+			close(each, Reason.RESPONSE_UNREAD);
+		}
+	}
+
+	private void reclaim(long nowMillis) {
+		this.memory.resumeWaiting();
+		List<Progress<WatchedConnection>> all = this.connections.values()
+			.stream()
+			.filter(WatchedConnection::isReclaimable)
+			.peek((each) -> each.observe(nowMillis))
+			.map((each) -> each.progress(nowMillis))
+			.toList();
+		Progress.chooseVictim(all).ifPresent((victim) -> {
+			long heldBytes = victim.socket().memory().heldBytes();
+			if (victim.connection().refuseBody()) {
+				record(Reason.BODY_RECLAIMED, heldBytes);
+			}
+			else if (victim.socket().isWriting()) {
+				close(victim, Reason.RESPONSE_RECLAIMED);
+			}
+		});
+	}
+
+	private void close(WatchedConnection each, Reason reason) {
+		record(reason, each.socket().memory().heldBytes());
+		each.socket().close();
+		each.connection().markOpened();
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/HeadPreview.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/HeadPreview.java
@@ -58,6 +58,16 @@
 				: Optional.empty();
 	}
 
+	/**
+	 * Tells whether a request head was received completely, whatever it contains.
+	 * @param received the bytes received so far
+	 * @return whether the head and any empty lines before it have ended
+	 */
+	public static boolean isComplete(ByteString received) {
+		String text = received.take(MAX_BYTES).decodeString(StandardCharsets.ISO_8859_1);
+		return text.stripLeading().contains(HEAD_END);
+	}
+
 	/**
 	 * Converts the preview to a request without a body.
 	 * @return the request
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/WaitingConnection.java
@@ -42,7 +42,7 @@
 
 	private StartLimiter.Permit permit;
 
-	private boolean headKnown;
+	private volatile boolean headKnown;
 
 	private boolean ended;
 
@@ -99,6 +99,15 @@
 		return this.permit != null;
 	}
 
+	/**
+	 * Tells whether the head was complete while the connection waited, or the connection
+	 * did not wait. Called with the lock of the socket.
+	 * @return whether it was
+	 */
+	boolean isHeadKnown() {
+		return this.headKnown;
+	}
+
 	private Optional<UnreadRequest> examine(HeadPreview preview) {
 		try {
 			return Optional.of(this.requests.create(preview, this.socket.arrivals().next()));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyBudget.java
@@ -2,6 +2,8 @@
 
 import org.marjoramgw.errors.ResponseTooLargeException;
 import org.marjoramgw.http.MemoryLimit;
+import org.marjoramgw.policy.memory.MemoryBudget;
+import org.marjoramgw.policy.memory.MemoryUse;
 
 /**
  * Memory budget of the response bodies that are read completely before they are passed
@@ -21,6 +23,8 @@
 
 	private final long maxTotalBytes;
 
+	private final MemoryBudget memory;
+
 	private long usedBytes;
 
 	/**
@@ -29,6 +33,17 @@
 	 * @param maxTotalBytes limit on the memory of all large bodies together, in bytes
 	 */
 	public BodyBudget(long maxBodyBytes, long maxTotalBytes) {
+		this(maxBodyBytes, maxTotalBytes, MemoryBudget.unlimited());
+	}
+
+	/**
+	 * Creates a budget as a part of that of the process.
+	 * @param maxBodyBytes limit on the memory of one body, in bytes
+	 * @param maxTotalBytes limit on the memory of all large bodies together, in bytes
+	 * @param memory budget of the process
+	 */
+	public BodyBudget(long maxBodyBytes, long maxTotalBytes, MemoryBudget memory) {
+		this.memory = memory;
 		this.maxBodyBytes = maxBodyBytes;
 		this.maxTotalBytes = maxTotalBytes;
 	}
@@ -42,7 +57,7 @@
 	}
 
 	private synchronized void take(long bytes) throws ResponseTooLargeException {
-		if (this.usedBytes + bytes > this.maxTotalBytes) {
+		if (this.usedBytes + bytes > this.maxTotalBytes || !this.memory.tryReserve(MemoryUse.RESPONSE_BODIES, bytes)) {
 			throw new ResponseTooLargeException("total of the bodies being read", this.maxTotalBytes);
 		}
 		this.usedBytes += bytes;
@@ -50,6 +65,7 @@
 
 	private synchronized void release(long bytes) {
 		this.usedBytes -= bytes;
+		this.memory.release(MemoryUse.RESPONSE_BODIES, bytes);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -64,9 +64,10 @@
 		RequestTime time = this.context.requestTime(caller);
 		this.openRequests.incrementAndGet();
 		long maxBodyBytes = this.context.routing().limits().maxBodyBytes();
-		// The limit on the length of the body bounds the memory as well.
+		MemoryLimit bodyMemory = connection.beginRequestBody(request.entity().isChunked(),
+				() -> memoryOwner(caller, connection));
 		return this.context.bodyReader()
-			.read(request.entity().withSizeLimit(maxBodyBytes), bodyTimeoutMillis(time, arrived), MemoryLimit.NONE)
+			.read(request.entity().withSizeLimit(maxBodyBytes), bodyTimeoutMillis(time, arrived), bodyMemory)
 			.handle((body, failure) -> {
 				connection.endRequestBody();
 				return (failure != null) ? rejectBody(caller, time, arrived, failure, connection)
@@ -127,7 +128,7 @@
 
 	private CompletionStage<HttpResponse> rejectBody(CallerRequest caller, RequestTime time, ClockReading arrived,
 			Throwable failure, CallerConnection connection) {
-		ResultCode code = bodyFailure(time, arrived, failure);
+		ResultCode code = connection.isBodyRefused() ? ResultCode.ENTRY_MEMORY : bodyFailure(time, arrived, failure);
 		HttpResponse response = ErrorResponses.of(code);
 		endRequest(connection);
 		this.context.requestLog()
@@ -142,6 +143,15 @@
 		connection.endRequest();
 	}
 
+	// Callers without a known account share by address.
+	private String memoryOwner(CallerRequest caller, CallerConnection connection) {
+		return this.context.routing()
+			.current()
+			.flatMap((routing) -> caller.key().flatMap(routing::account))
+			.map((account) -> "account " + account.name())
+			.orElseGet(() -> "address " + connection.callerAddress());
+	}
+
 	private ResultCode bodyFailure(RequestTime time, ClockReading arrived, Throwable failure) {
 		if (isTooLarge(failure)) {
 			return ResultCode.BODY_TOO_LARGE;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/AcceptedSocket.java
@@ -4,12 +4,14 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.caller.CallerSocket;
 import org.marjoramgw.direct.caller.RequestArrivals;
+import org.marjoramgw.policy.memory.MemoryHolder;
 
 /**
  * Accepted socket that is read ahead, so that a disconnect is detected while a request is
@@ -21,9 +23,11 @@
 
 	private final SocketAcceptor acceptor;
 
+	private final SocketMemory memory;
+
 	private final CallerChannel channel;
 
-	private final ReadAheadBuffer received = new ReadAheadBuffer();
+	private final ReadAheadBuffer received;
 
 	private final RequestArrivals arrivals;
 
@@ -41,7 +45,9 @@
 		this.acceptor = acceptor;
 		this.channel = new CallerChannel(acceptor, channel, key);
 		this.arrivals = new RequestArrivals(acceptor.now());
-		this.pendingWrite = new PendingWrite(channel);
+		this.memory = new SocketMemory(acceptor.memory(), () -> acceptor.execute(this::retryAfterWait));
+		this.received = new ReadAheadBuffer(this.memory);
+		this.pendingWrite = new PendingWrite(channel, this.memory);
 	}
 
 	/**
@@ -62,9 +68,9 @@
 
 	/**
 	 * Sets the action to run each time received bytes are about to be taken.
-	 * @param action the action, called with the lock of this socket
+	 * @param action the action, called with the bytes and the lock of this socket
 	 */
-	public synchronized void whenTaking(Runnable action) {
+	public synchronized void whenTaking(Consumer<ByteString> action) {
 		this.actions.setOnTaking(action);
 	}
 
@@ -84,10 +90,9 @@
 
 	@Override
 	public boolean hasEnded() {
-		// The end may stand behind more bytes than one read returns.
-		boolean mayHaveMore = read();
-		while (mayHaveMore) {
-			mayHaveMore = read();
+		while (read()) {
+			// The end may stand behind more bytes than one read returns.
+			continue;
 		}
 		synchronized (this) {
 			return this.ended;
@@ -99,6 +104,33 @@
 		return this.arrivals;
 	}
 
+	@Override
+	public MemoryHolder memory() {
+		return this.memory.holder();
+	}
+
+	@Override
+	public String peerAddress() {
+		return this.channel.peerAddress();
+	}
+
+	/**
+	 * Tells whether bytes were read or written since the last call.
+	 * @return whether there were any
+	 */
+	public boolean takeActivity() {
+		return this.memory.takeActivity();
+	}
+
+	/**
+	 * Reads, and tells whether bytes wait to be taken.
+	 * @return whether there are any
+	 */
+	public boolean hasUnread() {
+		read();
+		return !peek().isEmpty();
+	}
+
 	/**
 	 * Answers the request that waits unread and closes the connection. Must not be called
 	 * once the flow was taken.
@@ -130,6 +162,20 @@
 		action.run();
 	}
 
+	@Override
+	public void endInput() {
+		Runnable action;
+		synchronized (this) {
+			if (this.closing || this.received.isFinished()) {
+				return;
+			}
+			this.received.discard();
+			action = this.actions.onReceived();
+		}
+		this.acceptor.execute(this::updateInterest);
+		action.run();
+	}
+
 	@Override
 	public boolean isWriting() {
 		return this.pendingWrite.isPending();
@@ -148,6 +194,7 @@
 		synchronized (this) {
 			this.flowTaken = true;
 		}
+		this.memory.onOpened();
 		return Flow.fromGraph(new SocketFlow(this));
 	}
 
@@ -171,8 +218,7 @@
 			}
 			// Further input from the peer is discarded.
 			this.closing = true;
-			this.received.finish();
-			this.received.take();
+			this.received.discard();
 		}
 		this.pendingWrite.discard();
 		if (hasEnded() || !this.channel.shutdownOutput()) {
@@ -188,9 +234,10 @@
 	/**
 	 * Closes the connection immediately.
 	 */
-	void close() {
+	public void close() {
 		this.channel.close();
 		this.pendingWrite.discard();
+		this.memory.holder().close();
 		markEnded();
 	}
 
@@ -215,10 +262,12 @@
 		boolean wasFull;
 		synchronized (this) {
 			wasFull = this.received.isFull();
-			if (!this.received.isEmpty()) {
-				this.actions.onTaking().run();
-			}
 			taken = this.received.take();
+			if (!taken.isEmpty()) {
+				this.actions.onTaking().accept(taken);
+				// The action may have ended the input.
+				taken = this.received.isFinished() ? ByteString.emptyByteString() : taken;
+			}
 		}
 		if (wasFull) {
 			this.acceptor.execute(this::updateInterest);
@@ -226,6 +275,14 @@
 		return taken;
 	}
 
+	/**
+	 * Tells whether the received bytes may be taken, as far as there is memory for them.
+	 * @return whether they may; if not, the action on received bytes is run again
+	 */
+	synchronized boolean mayTake() {
+		return this.received.mayTake();
+	}
+
 	/**
 	 * Tells whether the input has ended and all received bytes were taken.
 	 * @return whether there is nothing more to take
@@ -265,7 +322,10 @@
 		updateInterest();
 	}
 
-	private void writeRemaining() {
+	/**
+	 * Writes what the peer takes now.
+	 */
+	public void writeRemaining() {
 		try {
 			this.pendingWrite.resume();
 		}
@@ -284,7 +344,7 @@
 		boolean hasReceived;
 		boolean endReached;
 		synchronized (this) {
-			if (this.ended || this.received.isFull()) {
+			if (this.ended || !this.received.mayAdd()) {
 				return false;
 			}
 			int before = this.received.length();
@@ -323,8 +383,19 @@
 	}
 
 	private synchronized void updateInterest() {
-		boolean reading = !this.ended && !this.received.isFull();
-		this.channel.setInterest(reading, this.pendingWrite.isPending());
+		this.channel.setInterest(!this.ended && this.received.mayAdd(), this.pendingWrite.isPending());
+	}
+
+	private void retryAfterWait() {
+		Runnable action;
+		synchronized (this) {
+			if (!this.memory.endWait()) {
+				return;
+			}
+			updateInterest();
+			action = this.received.isEmpty() ? SocketActions.NONE : this.actions.onReceived();
+		}
+		action.run();
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/CallerChannel.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/CallerChannel.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.direct.socket;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 
@@ -30,6 +31,20 @@
 		return this.channel.isOpen();
 	}
 
+	/**
+	 * Returns the address of the peer.
+	 * @return the address without a port, empty if the connection has ended
+	 */
+	String peerAddress() {
+		try {
+			return (this.channel.getRemoteAddress() instanceof InetSocketAddress peer)
+					? peer.getAddress().getHostAddress() : "";
+		}
+		catch (IOException ex) {
+			return "";
+		}
+	}
+
 	/**
 	 * Reads once.
 	 * @param buffer receives the bytes
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/PendingWrite.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/PendingWrite.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Collections;
+import java.util.Iterator;
 
 import org.apache.pekko.util.ByteString;
 
@@ -16,14 +18,31 @@
 	private static final Runnable NO_ACTION = () -> {
 	};
 
+	/**
+	 * Length of the pieces that are written. The class library keeps a direct buffer of
+	 * the length of the largest one for each thread that writes.
+	 */
+	private static final int MAX_PIECE_BYTES = 64 << 10;
+
+	private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+
 	private final SocketChannel channel;
 
-	private ByteBuffer unwritten = ByteBuffer.allocate(0);
+	private final SocketMemory memory;
+
+	private Iterator<ByteBuffer> laterBuffers = Collections.emptyIterator();
+
+	private ByteBuffer buffer = EMPTY;
+
+	private ByteBuffer piece = EMPTY;
+
+	private int unwrittenBytes;
 
 	private Runnable onWritten = NO_ACTION;
 
-	PendingWrite(SocketChannel channel) {
+	PendingWrite(SocketChannel channel, SocketMemory memory) {
 		this.channel = channel;
+		this.memory = memory;
 	}
 
 	/**
@@ -35,8 +54,14 @@
 	 * @throws IOException if the connection failed
 	 */
 	synchronized boolean start(ByteString bytes, Runnable whenWritten) throws IOException {
-		this.unwritten = bytes.toByteBuffer();
-		this.channel.write(this.unwritten);
+		this.unwrittenBytes = bytes.size();
+		if (this.unwrittenBytes <= MAX_PIECE_BYTES) {
+			this.piece = bytes.toByteBuffer();
+		}
+		else {
+			this.laterBuffers = bytes.getByteBuffers().iterator();
+		}
+		write();
 		if (!isPending()) {
 			return true;
 		}
@@ -51,7 +76,7 @@
 	void resume() throws IOException {
 		Runnable action;
 		synchronized (this) {
-			this.channel.write(this.unwritten);
+			write();
 			action = isPending() ? NO_ACTION : takeAction();
 		}
 		action.run();
@@ -64,14 +89,44 @@
 	void discard() {
 		Runnable action;
 		synchronized (this) {
-			this.unwritten = ByteBuffer.allocate(0);
+			this.unwrittenBytes = 0;
+			this.laterBuffers = Collections.emptyIterator();
+			this.buffer = EMPTY;
+			this.piece = EMPTY;
+			this.memory.onUnwritten(0);
 			action = takeAction();
 		}
 		action.run();
 	}
 
 	synchronized boolean isPending() {
-		return this.unwritten.hasRemaining();
+		return this.unwrittenBytes > 0;
+	}
+
+	private void write() throws IOException {
+		int before = this.unwrittenBytes;
+		boolean writable = true;
+		while (writable && nextPiece()) {
+			this.unwrittenBytes -= this.channel.write(this.piece);
+			writable = !this.piece.hasRemaining();
+		}
+		this.memory.onUnwritten(this.unwrittenBytes);
+		if (this.unwrittenBytes < before) {
+			this.memory.onWritten();
+		}
+	}
+
+	private boolean nextPiece() {
+		if (this.piece.hasRemaining()) {
+			return true;
+		}
+		while (!this.buffer.hasRemaining() && this.laterBuffers.hasNext()) {
+			this.buffer = this.laterBuffers.next();
+		}
+		int length = Math.min(this.buffer.remaining(), MAX_PIECE_BYTES);
+		this.piece = this.buffer.slice(this.buffer.position(), length);
+		this.buffer.position(this.buffer.position() + length);
+		return length > 0;
 	}
 
 	// Actions run outside the lock because they acquire locks of their own.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/ReadAheadBuffer.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/ReadAheadBuffer.java
@@ -16,17 +16,34 @@
 	/** Length at which reading from the socket is suspended. */
 	private static final int MAX_BYTES = 128 << 10;
 
+	private final SocketMemory memory;
+
 	private final ByteCollector bytes = new ByteCollector();
 
+	private long occupiedBytes;
+
 	private boolean finished;
 
+	ReadAheadBuffer(SocketMemory memory) {
+		this.memory = memory;
+	}
+
+	/**
+	 * Tells whether more bytes may be added, as far as there is memory for them.
+	 * @return whether they may; if not, there is a retry when there may be memory
+	 */
+	boolean mayAdd() {
+		return this.finished || !isFull() && this.memory.mayGrow();
+	}
+
 	/**
 	 * Adds bytes, unless the buffer is finished.
 	 * @param received the bytes
 	 */
 	void add(ByteBuffer received) {
 		if (!this.finished) {
-			this.bytes.add(received);
+			this.occupiedBytes += this.bytes.add(received);
+			this.memory.onReceived(this.occupiedBytes);
 		}
 	}
 
@@ -37,6 +54,15 @@
 		this.finished = true;
 	}
 
+	/**
+	 * Discards all bytes, also what is added from now on.
+	 */
+	void discard() {
+		finish();
+		clear();
+		this.memory.onDiscarded();
+	}
+
 	boolean isFinished() {
 		return this.finished;
 	}
@@ -61,14 +87,30 @@
 		return this.bytes.toByteString();
 	}
 
+	/**
+	 * Tells whether the bytes may be taken, as far as there is memory for them.
+	 * @return whether they may; if not, there is a retry when there may be memory
+	 */
+	boolean mayTake() {
+		return isEmpty() || this.memory.mayGrow();
+	}
+
 	/**
 	 * Takes all bytes.
 	 * @return the bytes, may be empty
 	 */
 	ByteString take() {
 		ByteString taken = this.bytes.toByteString();
-		this.bytes.clear();
+		if (!taken.isEmpty()) {
+			this.memory.onTaken(this.occupiedBytes);
+			clear();
+		}
 		return taken;
 	}
 
+	private void clear() {
+		this.bytes.clear();
+		this.occupiedBytes = 0;
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketAcceptor.java
@@ -17,6 +17,7 @@
 
 import org.marjoramgw.DaemonThreadFactory;
 import org.marjoramgw.HostPort;
+import org.marjoramgw.policy.memory.MemoryBudget;
 import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -36,6 +37,12 @@
 	/** Maximum length of the queue of connections that are not accepted yet. */
 	private static final int BACKLOG = 512;
 
+	/**
+	 * Connections that are accepted before others are read. The descriptors of closed
+	 * ones are released in between.
+	 */
+	private static final int MAX_ACCEPTED_AT_ONCE = 32;
+
 	/** Size of the read buffer. */
 	private static final int READ_BYTES = 32 << 10;
 
@@ -48,6 +55,8 @@
 
 	private final AgeClock clock;
 
+	private final CallerBounds bounds;
+
 	private final ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BYTES);
 
 	private final LingeringSockets lingering = new LingeringSockets();
@@ -62,10 +71,11 @@
 
 	private Consumer<AcceptedSocket> receiver;
 
-	private SocketAcceptor(ServerSocketChannel server, Selector selector, AgeClock clock) {
+	private SocketAcceptor(ServerSocketChannel server, Selector selector, AgeClock clock, CallerBounds bounds) {
 		this.server = server;
 		this.selector = selector;
 		this.clock = clock;
+		this.bounds = bounds;
 		this.loop = new SelectorLoop(selector, this::onReady, this.lingering, () -> now().monotonicMillis());
 	}
 
@@ -77,13 +87,25 @@
 	 * @throws IOException if the address can't be bound
 	 */
 	public static SocketAcceptor bind(HostPort address, AgeClock clock) throws IOException {
+		return bind(address, clock, CallerBounds.unlimited());
+	}
+
+	/**
+	 * Starts listening.
+	 * @param address address to listen on
+	 * @param clock clock of the arrival of requests
+	 * @param bounds bounds of what is held for callers
+	 * @return the acceptor, which already accepts and reads
+	 * @throws IOException if the address can't be bound
+	 */
+	public static SocketAcceptor bind(HostPort address, AgeClock clock, CallerBounds bounds) throws IOException {
 		ServerSocketChannel server = ServerSocketChannel.open();
 		server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
 		server.bind(address.toSocketAddress(), BACKLOG);
 		server.configureBlocking(false);
 		Selector selector = Selector.open();
 		server.register(selector, SelectionKey.OP_ACCEPT);
-		SocketAcceptor acceptor = new SocketAcceptor(server, selector, clock);
+		SocketAcceptor acceptor = new SocketAcceptor(server, selector, clock, bounds);
 		new DaemonThreadFactory("callers").newThread(acceptor::run).start();
 		return acceptor;
 	}
@@ -138,7 +160,7 @@
 	 */
 	public void stopAccepting() {
 		execute(() -> {
-			accept();
+			accept(Integer.MAX_VALUE);
 			closeQuietly(this.server);
 		});
 	}
@@ -151,6 +173,23 @@
 		return this.server.isOpen();
 	}
 
+	/**
+	 * Returns the memory of what is held for callers.
+	 * @return the budget
+	 */
+	public MemoryBudget memory() {
+		return this.bounds.memory();
+	}
+
+	/**
+	 * Tells whether more sockets are held than are allowed, or no memory is left for
+	 * them. Called in the reading thread.
+	 * @return whether sockets have to be closed
+	 */
+	public boolean isOverBounds() {
+		return this.selector.keys().size() > this.bounds.maxSockets() || !memory().hasRoom();
+	}
+
 	/**
 	 * Stops listening and closes all sockets.
 	 */
@@ -195,6 +234,14 @@
 		}
 	}
 
+	/**
+	 * Returns the present time.
+	 * @return time of the monotonic clock, in milliseconds
+	 */
+	public long nowMillis() {
+		return now().monotonicMillis();
+	}
+
 	ClockReading now() {
 		return this.clock.now();
 	}
@@ -211,19 +258,19 @@
 
 	private void onReady(SelectionKey key) {
 		if (key.isAcceptable()) {
-			accept();
+			accept(MAX_ACCEPTED_AT_ONCE);
 		}
 		else {
 			((AcceptedSocket) key.attachment()).onSelected(key.readyOps());
 		}
 	}
 
-	private void accept() {
+	private void accept(int maxCount) {
 		try {
 			SocketChannel channel = this.server.accept();
-			while (channel != null) {
+			for (int count = 1; channel != null; count++) {
 				register(channel);
-				channel = this.server.accept();
+				channel = (count < maxCount) ? this.server.accept() : null;
 			}
 		}
 		catch (IOException ex) {
@@ -245,6 +292,9 @@
 			if (this.receiver != null) {
 				this.receiver.accept(socket);
 			}
+			else if (isOverBounds()) {
+				socket.close();
+			}
 			else {
 				this.unservedSockets.add(socket);
 			}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketActions.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketActions.java
@@ -1,5 +1,9 @@
 package org.marjoramgw.direct.socket;
 
+import java.util.function.Consumer;
+
+import org.apache.pekko.util.ByteString;
+
 /**
  * Actions to run on events of one socket. Not thread-safe; guarded by the lock of its
  * socket.
@@ -13,7 +17,8 @@
 
 	private Runnable onReceived = NONE;
 
-	private Runnable onTaking = NONE;
+	private Consumer<ByteString> onTaking = (bytes) -> {
+	};
 
 	private Runnable onEnded = NONE;
 
@@ -21,7 +26,7 @@
 		this.onReceived = action;
 	}
 
-	void setOnTaking(Runnable action) {
+	void setOnTaking(Consumer<ByteString> action) {
 		this.onTaking = action;
 	}
 
@@ -33,7 +38,7 @@
 		return this.onReceived;
 	}
 
-	Runnable onTaking() {
+	Consumer<ByteString> onTaking() {
 		return this.onTaking;
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/SocketFlow.java
@@ -66,7 +66,7 @@
 		}
 
 		private void pushReceived() {
-			if (!isAvailable(this.read)) {
+			if (!isAvailable(this.read) || !this.acceptedSocket.mayTake()) {
 				return;
 			}
 			ByteString bytes = this.acceptedSocket.take();
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/FakeCallerSocket.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/FakeCallerSocket.java
@@ -4,6 +4,8 @@
 
 import org.marjoramgw.direct.caller.CallerSocket;
 import org.marjoramgw.direct.caller.RequestArrivals;
+import org.marjoramgw.policy.memory.MemoryBudget;
+import org.marjoramgw.policy.memory.MemoryHolder;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -13,6 +15,8 @@
  */
 final class FakeCallerSocket implements CallerSocket {
 
+	private final MemoryHolder memory = MemoryBudget.unlimited().open();
+
 	private final RequestArrivals arrivals;
 
 	private final boolean ended;
@@ -36,6 +40,20 @@
 	public void closeGracefully() {
 	}
 
+	@Override
+	public void endInput() {
+	}
+
+	@Override
+	public MemoryHolder memory() {
+		return this.memory;
+	}
+
+	@Override
+	public String peerAddress() {
+		return "";
+	}
+
 	@Override
 	public void finishIf(BooleanSupplier condition) {
 	}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UntrustedCallersTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UntrustedCallersTests.java
@@ -71,6 +71,8 @@
 
 	private static final int SERVER_DELAY_MILLIS = 3_000;
 
+	private static final String CHUNKED = "Transfer-Encoding: chunked";
+
 	private static final Pattern PEAK_KB = Pattern.compile("VmHWM:\\s+(\\d+) kB");
 
 	private final List<Socket> connections = new ArrayList<>();
@@ -128,33 +130,49 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] idleCallers() {
+		return new Object[][] { { false }, { true } };
+	}
+
 	/** Guards against idle connections that use up the descriptors. */
-	@Test
-	public void entryServesOthersBesideSilentConnections() throws Exception {
+	@Test(dataProvider = "idleCallers")
+	public void entryServesOthersBesideIdleConnections(boolean afterRequest) throws Exception {
 		for (int index = 0; index < IDLE_CALLERS; index++) {
-			connect();
+			connectIdle(afterRequest);
 		}
 		assertServes();
 	}
 
 	/** Guards against idle connections that are never closed. */
-	@Test
-	public void connectionsIdleForTooLongAreClosed() throws Exception {
-		long before = openDescriptors();
+	@Test(dataProvider = "idleCallers")
+	public void connectionsIdleForTooLongAreClosed(boolean afterRequest) throws Exception {
 		for (int index = 0; index < CALLERS; index++) {
-			ForwardingFixture.send(connect(), "POST /book/1", "Authorization: Token key-1\r\n", "body");
-			connect();
+			connectIdle(afterRequest).setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+		}
+		for (Socket connection : this.connections) {
+			// Returns at the end of the connection.
+			connection.getInputStream().readAllBytes();
 		}
-		Assert.assertTrue(await(() -> openDescriptors() <= before + CALLERS), "open: " + openDescriptors());
 		assertServes();
 	}
 
+	@DataProvider
+	public Object[][] legalBodies() {
+		String content = "a".repeat(UntrustedCaller.MAX_BODY_BYTES);
+		String smallChunks = "1\r\na\r\n".repeat(UntrustedCaller.MAX_BODY_BYTES / 16);
+		return new Object[][] { { "Content-Length: " + content.length(), content },
+				{ CHUNKED, Integer.toHexString(content.length()) + "\r\n" + content + "\r\n0\r\n\r\n" },
+				{ CHUNKED, smallChunks + "0\r\nA: b\r\n\r\n" } };
+	}
+
 	/** Guards against limits that refuse what is legal. */
-	@Test
-	public void requestOfTheLargestLegalSizeIsServed() throws Exception {
-		String more = "Authorization: Token key-1\r\nConnection: close\r\nX-A: " + "a".repeat(15 << 10) + "\r\n";
-		Assert.assertTrue(await(() -> call("POST /long-book/2", more, "a".repeat(UntrustedCaller.MAX_BODY_BYTES))
-			.startsWith("HTTP/1.1 200 ")));
+	@Test(dataProvider = "legalBodies")
+	public void requestOfTheLargestLegalSizeIsServed(String framing, String body) {
+		String head = "POST /long-book/2 HTTP/1.1\r\nHost: carob.example\r\nX-Request-Id: r3\r\nConnection: close\r\n"
+				+ "Authorization: Token key-1\r\nX-A: " + "a".repeat(15 << 10) + "\r\n" + framing + "\r\n\r\n";
+		String answer = call(head + body);
+		Assert.assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
 	}
 
 	private void assertServes() throws IOException {
@@ -167,14 +185,15 @@
 	}
 
 	private boolean isServed() {
-		return call("POST /book/1", "Authorization: Token key-1\r\nConnection: close\r\n", "body")
+		return call("POST /book/1 HTTP/1.1\r\nHost: carob.example\r\nX-Request-Id: r1\r\nContent-Length: 4\r\n"
+				+ "Authorization: Token key-1\r\nConnection: close\r\n\r\nbody")
 			.startsWith("HTTP/1.1 200 ");
 	}
 
-	private String call(String target, String more, String body) {
+	private String call(String request) {
 		try (Socket caller = this.entry.connect()) {
 			caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(SEND_SECONDS));
-			ForwardingFixture.send(caller, target, more, body);
+			caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
 			return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
 		}
 		catch (IOException ex) {
@@ -188,6 +207,14 @@
 		return connection;
 	}
 
+	private Socket connectIdle(boolean afterRequest) throws IOException {
+		Socket connection = connect();
+		if (afterRequest) {
+			ForwardingFixture.send(connection, "POST /book/1", "Authorization: Token key-1\r\n", "body");
+		}
+		return connection;
+	}
+
 	private long openDescriptors() {
 		try (Stream<Path> descriptors = Files.list(Path.of("/proc/" + this.entry.process().pid() + "/fd"))) {
 			return descriptors.count();
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -69,6 +69,8 @@
 			"a part of the prompt crashes backend servers and is refused"),
 	/** Entry process stopped before the request that it had sent was answered. */
 	ENTRY_STOPPED(2023, 502, ExecutionOutcome.UNKNOWN, "entry stopped while the request was in flight"),
+	/** Entry process has no memory left for the body of the request. */
+	ENTRY_MEMORY(2024, 503, ExecutionOutcome.NOT_RUN, "entry has no memory left for the request"),
 
 	/** Queue of the request class is full. */
 	QUEUE_FULL(3001, 429, ExecutionOutcome.NOT_RUN, "queue of the class is full"),
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/BodyReader.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/BodyReader.java
@@ -21,8 +21,11 @@
  */
 public final class BodyReader {
 
-	/** Cost of one piece of a body, in memory and CPU time, expressed in bytes. */
-	private static final int PIECE_OVERHEAD_BYTES = 64;
+	/**
+	 * Cost of one piece of a body, in memory and CPU time, expressed in bytes. It is a
+	 * part of what is reserved for a piece.
+	 */
+	public static final int PIECE_OVERHEAD_BYTES = 64;
 
 	private final ActorSystem<?> system;
 
