--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -41,6 +41,10 @@
 
 	private static final long MAX_MILLIS = 3_600_000;
 
+	private static final long MAX_MEMORY_BYTES = 1L << 40;
+
+	private static final int MAX_CONNECTIONS = 1_000_000;
+
 	private static final int MAX_RETRIES = 1_000_000;
 
 	/**
@@ -62,7 +66,9 @@
 				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
-				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS), CallerSettings.of(root),
+				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS),
+				new CallerSettings((long) root.clampedDecimal("caller_memory_bytes", 0, 0, MAX_MEMORY_BYTES),
+						(int) root.clampedDecimal("caller_connection_count", 0, 0, MAX_CONNECTIONS)),
 				PeerSettings.of(root), UsageSettings.of(root), root.flag("stop_after_warm_up", false));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
@@ -1,17 +1,19 @@
 package org.marjoramgw.direct.caller;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.caller.CallerEvents.Reason;
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.policy.memory.MemoryBudget;
+import org.marjoramgw.policy.memory.MemoryUse;
 import org.marjoramgw.policy.memory.Progress;
 import org.marjoramgw.time.Timers;
 import org.tinylog.Logger;
@@ -36,6 +38,12 @@
 	 */
 	private static final int EVICTED_SHARE = 32;
 
+	/**
+	 * Share of the memory that connections may use, one in this many parts, before idle
+	 * ones give way to bodies that wait.
+	 */
+	private static final long CONNECTION_SHARE = 4;
+
 	/** Interval of the checks of a head that was incomplete at its timeout. */
 	private static final long HEAD_RECHECK_MILLIS = 200;
 
@@ -89,21 +97,19 @@
 	 * @return whether there were any
 	 */
 	boolean evict() {
-		int maxCount = 1 + this.connections.size() / EVICTED_SHARE;
+		return evict(WatchedConnection::isIdle, WatchedConnection::quietSinceMillis)
+				|| evict(WatchedConnection::isHeadIncomplete, WatchedConnection::arrivedMillis);
+	}
+
+	private boolean evict(Predicate<WatchedConnection> condition, ToLongFunction<WatchedConnection> sinceMillis) {
 		List<WatchedConnection> chosen = this.connections.values()
 			.stream()
-			.filter(WatchedConnection::isIdle)
-			.sorted(Comparator.comparingLong(WatchedConnection::quietSinceMillis))
-			.limit(maxCount)
+			.filter(condition)
+			.map((each) -> Map.entry(sinceMillis.applyAsLong(each), each))
+			.sorted(Map.Entry.comparingByKey())
+			.limit(1 + this.connections.size() / EVICTED_SHARE)
+			.map(Map.Entry::getValue)
 			.toList();
-		if (chosen.isEmpty()) {
-			chosen = this.connections.values()
-				.stream()
-				.filter(WatchedConnection::isHeadIncomplete)
-				.sorted(Comparator.comparingLong(WatchedConnection::arrivedMillis))
-				.limit(maxCount)
-				.toList();
-		}
 		chosen.forEach((each) -> close(each, Reason.EVICTED));
 		return !chosen.isEmpty();
 	}
@@ -196,15 +202,23 @@
 			.peek((each) -> each.observe(nowMillis))
 			.map((each) -> each.progress(nowMillis))
 			.toList();
-		Progress.chooseVictim(all).ifPresent((victim) -> {
-			long heldBytes = victim.socket().memory().heldBytes();
-			if (victim.connection().refuseBody()) {
-				record(Reason.BODY_RECLAIMED, heldBytes);
-			}
-			else if (victim.socket().isWriting()) {
-				close(victim, Reason.RESPONSE_RECLAIMED);
-			}
-		});
+		Optional<WatchedConnection> victim = Progress.chooseVictim(all);
+		if (victim.isPresent()) {
+			reclaim(victim.get());
+		}
+		else if (this.memory.usedBytes(MemoryUse.CONNECTIONS) > this.memory.totalBytes() / CONNECTION_SHARE) {
+			evict(WatchedConnection::isIdle, WatchedConnection::quietSinceMillis);
+		}
+	}
+
+	private void reclaim(WatchedConnection victim) {
+		long heldBytes = victim.socket().memory().heldBytes();
+		if (victim.connection().refuseBody()) {
+			record(Reason.BODY_RECLAIMED, heldBytes);
+		}
+		else if (victim.socket().isWriting()) {
+			close(victim, Reason.RESPONSE_RECLAIMED);
+		}
 	}
 
 	private void close(WatchedConnection each, Reason reason) {
