Reclaim from all stalled callers at once, and leave room beside idle connections

Cause: one body gave way each 100 ms, however many had stalled; unread responses were only reclaimed when something waited to be read; 1,900 idle connections left no room for the garbage collector in a heap of 64 MB.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -211,10 +211,10 @@
 
 	/**
 	 * Tells whether the body of the request in progress is incomplete.
-	 * @return whether it is being read
+	 * @return whether it is being read and was not refused
 	 */
 	public synchronized boolean isReadingBody() {
-		return this.readingBody;
+		return this.readingBody && !this.bodyRefused;
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
@@ -142,11 +142,16 @@
 
 	private void scheduleHeadTimeout(WatchedConnection watched, int headNumber, long delayMillis) {
 		this.timers.schedule(delayMillis, () -> {
+			if (!watched.connection().isReadingHead(headNumber)) {
+				return;
+			}
 			// Bytes that were not taken yet may complete the head.
-			if (watched.connection().isReadingHead(headNumber)
-					&& (watched.socket().hasUnread() || watched.connection().closeIfHeadIncomplete(headNumber))) {
+			if (watched.socket().hasUnread() || watched.connection().closeIfHeadIncomplete(headNumber)) {
 				scheduleHeadTimeout(watched, headNumber, HEAD_RECHECK_MILLIS);
 			}
+			else {
+				record(Reason.HEAD_TOO_LATE, watched.socket().memory().heldBytes());
+			}
 		});
 	}
 
@@ -156,12 +161,16 @@
 			if (++this.checkCount % CHECKS_PER_SWEEP == 0) {
 				this.connections.values().forEach((each) -> checkTimes(each, nowMillis));
 			}
-			if (this.memory.hasWaiting()) {
+			if (this.memory.hasWaiting() || !this.memory.hasRoom()) {
 				reclaim(nowMillis);
 			}
 			if (!this.memory.hasRoom()) {
 				evict();
 			}
+			else if (this.memory.usedBytes(MemoryUse.CONNECTIONS) > this.memory.totalBytes() / 4 * 3) {
+				// Leaves room for requests, and for the garbage collector.
+				evict(WatchedConnection::isIdle, WatchedConnection::quietSinceMillis);
+			}
 		}
 		catch (RuntimeException ex) {
 			Logger.error(ex, "check of the callers' connections failed");
@@ -177,7 +186,7 @@
 		if (nowMillis - each.quietSinceMillis() >= current.idleTimeoutMillis()) {
 			endQuiet(each);
 		}
-		else if (each.isHeadIncomplete() && nowMillis - each.arrivedMillis() >= current.headerTimeoutMillis()) {
+		else if (nowMillis - each.arrivedMillis() >= current.headerTimeoutMillis() && each.isHeadIncomplete()) {
 			close(each, Reason.HEAD_TOO_LATE);
 		}
 	}
@@ -202,11 +211,10 @@
 			.peek((each) -> each.observe(nowMillis))
 			.map((each) -> each.progress(nowMillis))
 			.toList();
-		Optional<WatchedConnection> victim = Progress.chooseVictim(all);
-		if (victim.isPresent()) {
-			reclaim(victim.get());
-		}
-		else if (this.memory.usedBytes(MemoryUse.CONNECTIONS) > this.memory.totalBytes() / CONNECTION_SHARE) {
+		List<WatchedConnection> victims = Progress.chooseVictims(all);
+		victims.forEach(this::reclaim);
+		if (victims.isEmpty()
+				&& this.memory.usedBytes(MemoryUse.CONNECTIONS) > this.memory.totalBytes() / CONNECTION_SHARE) {
 			evict(WatchedConnection::isIdle, WatchedConnection::quietSinceMillis);
 		}
 	}
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/memory/MemoryBudgetTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/memory/MemoryBudgetTests.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.policy.memory;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.testng.Assert;
@@ -48,10 +47,10 @@
 		Progress<String> stalled = new Progress<>("stalled", 1_000, 0, 4);
 		Progress<String> active = new Progress<>("active", 999, 0, 1);
 		Progress<String> small = new Progress<>("small", 5_000, 1, 2);
-		Assert.assertEquals(Progress.chooseVictim(List.of(small, active, stalled)), Optional.of("stalled"));
-		Assert.assertEquals(Progress.chooseVictim(List.of(small, active)), Optional.empty());
+		Assert.assertEquals(Progress.chooseVictims(List.of(small, active, stalled)), List.of("stalled"));
+		Assert.assertEquals(Progress.chooseVictims(List.of(small, active)), List.of());
 		Progress<String> large = new Progress<>("large", 5_000, 2_000, 3);
-		Assert.assertEquals(Progress.chooseVictim(List.of(large, small, active)), Optional.of("small"));
+		Assert.assertEquals(Progress.chooseVictims(List.of(large, small, active)), List.of("small"));
 	}
 
 	private MemoryHolder hold(String owner, long bytes) {
