--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/CallerSettings.java
@@ -0,0 +1,12 @@
+package org.marjoramgw.direct;
+
+/**
+ * Bounds of what a process holds for its callers. By default they are derived from the
+ * heap and the descriptors of the process.
+ *
+ * @param memoryBytes memory for all callers, in bytes, or 0 to derive it
+ * @param maxConnections connections above which idle ones are closed, or 0 to derive it
+ * @author The marjoramgw authors
+ */
+public record CallerSettings(long memoryBytes, int maxConnections) {
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -180,7 +180,7 @@
 		this.readiness = new Readiness(this.lifecycle, () -> this.warmedUp, this.directory, this.lag, this.routing,
 				() -> this.settings.get().revocationMillis());
 		this.requestPath = new RequestPath(this.system, config, this.platform, this.settings, this.monotonicClock,
-				this.clock, this.timers, this.lag::lagMillis, strayBytes, this.registry);
+				this.clock, this.timers, this.lag::lagMillis, strayBytes, this.registry, callerAcceptor.memory());
 		this.quarantineGuard = this.requestPath.quarantineGuard();
 		this.fleet = FleetExchange.of(this.requestPath.sharedLoad(), this.settings.get(), this.platform.entries(),
 				this.monotonicClock, this.timers, this.registry);
@@ -198,6 +198,7 @@
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
 		this.registry.register("connections.waiting", (Gauge<Integer>) this.callerListener::waitingCount);
 		this.registry.register("requests.open", (Gauge<Integer>) this.forwarder::openCount);
+		CallerGauges.register(this.registry, callerAcceptor.memory(), this.callerListener);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -26,6 +26,7 @@
  * requests, shared by all processes
  * @param drainMillis time after which a leaving server must get no new requests, in
  * milliseconds
+ * @param callers bounds of what is held for callers
  * @param peers settings of the exchange with other entry processes
  * @param usage settings of the usage reports
  * @param stopAfterWarmUp whether the process exits after the warm-up, for a training run
@@ -34,7 +35,7 @@
 public record DirectSettings(String processId, String failureDomain, HostPort callerAddress, HostPort healthAddress,
 		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
 		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, long drainMillis,
-		PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
+		CallerSettings callers, PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
 
 	private static final int MAX_SECONDS = 3_600;
 
@@ -42,6 +43,10 @@
 
 	private static final long MAX_MILLIS = 3_600_000;
 
+	private static final long MAX_MEMORY_BYTES = 1L << 40;
+
+	private static final int MAX_CONNECTIONS = 1_000_000;
+
 	private static final int MAX_RETRIES = 1_000_000;
 
 	/** Stands for an address that is not set. */
@@ -72,8 +77,10 @@
 				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
-				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS), peers(root), usage(root),
-				root.flag("stop_after_warm_up", false));
+				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS),
+				new CallerSettings((long) root.clampedDecimal("caller_memory_bytes", 0, 0, MAX_MEMORY_BYTES),
+						(int) root.clampedDecimal("caller_connection_count", 0, 0, MAX_CONNECTIONS)),
+				peers(root), usage(root), root.flag("stop_after_warm_up", false));
 	}
 
 	private static PeerSettings peers(TomlTable root) {
