Place prompts with a common part among two servers

Change: prompts with a common part have two servers by rendezvous hash; the second is taken only if the first token is expected earlier there by a tenth of the target, with the common part read again.

--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.policy.placement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -15,13 +16,12 @@
 import org.marjoramgw.policy.pace.ServerRamp;
 
 /**
- * Places a request where its first token is expected early, by the load that all entry
- * processes report.
+ * Places a request by the load that all entry processes report.
  * <p>
- * Among the servers whose cost is near the least one, the first by rendezvous hash of the
- * shared prompt is chosen, so that processes with reports of different age choose the
- * same server for one prompt and different servers for different prompts. The hash is
- * weighted by the pace of the servers.
+ * Prompts with a common part have two servers by rendezvous hash, and the second one is
+ * chosen if the first token is expected earlier there, with the time to read the common
+ * part again. A burst of one prompt, or one slow server, thus loads two servers, and the
+ * rest of the caches stays as it is.
  *
  * @author The marjoramgw authors
  */
@@ -34,21 +34,19 @@
 	private static final double DEFAULT_TARGET_MILLIS = 1_000;
 
 	/**
-	 * Least weight of shared prompt tokens that the server has to read although another
-	 * one may have them in its cache. They delay the other requests of the server as much
-	 * as the request itself.
+	 * Number of servers among which prompts with a common part are placed. Each of them
+	 * reads that part once, and all entry processes choose the same ones, so that a
+	 * server with little load doesn't get the prompts of all processes until their next
+	 * reports.
 	 */
-	private static final double LEAST_UNCACHED_WEIGHT = 2;
+	private static final int HOME_COUNT = 2;
 
 	/**
-	 * Greatest such weight. While all servers have a backlog, what one of them reads
-	 * again delays many requests, and the backlog grows if each moves to a server where
-	 * it is read sooner.
+	 * Weight of shared prompt tokens that the server has to read although another one may
+	 * have them in its cache. They delay the other requests of the server as much as the
+	 * request itself.
 	 */
-	private static final double GREATEST_UNCACHED_WEIGHT = 24;
-
-	/** Backlog from which on a server counts as busy for this weight, in targets. */
-	private static final double BUSY_TARGETS = 0.02;
+	private static final double UNCACHED_WEIGHT = 2;
 
 	/**
 	 * Fraction by which each running stream makes a server read prompts more slowly. A
@@ -57,15 +55,6 @@
 	 */
 	private static final double RUNNING_WEIGHT = 0.003;
 
-	/**
-	 * Cost of having all of the requests of a server in excess of its share, in
-	 * tolerances. A server without any has less cost by the same.
-	 */
-	private static final double BALANCE_TOLERANCES = 0.5;
-
-	/** Requests by which a server may differ from its share at little cost. */
-	private static final double BALANCE_SLACK = 4;
-
 	/**
 	 * Fraction of a server's memory that is used. Reports are some hundred milliseconds
 	 * old, and beyond its memory a server preempts requests and reads them again.
@@ -75,12 +64,6 @@
 	/** Cost of each request above the slots of a server, in targets. */
 	private static final double FULL_SLOT_TARGETS = 0.25;
 
-	/** Logarithm of the ratio of paces that the hash distinguishes. */
-	private static final double PACE_STEP = Math.log(1.25);
-
-	/** Bits of a hash that a double represents. */
-	private static final int MANTISSA_BITS = 53;
-
 	private final FleetLoad fleet;
 
 	private final IntUnaryOperator ownUnreadCount;
@@ -169,45 +152,32 @@
 		return (order < 0 || order == 0 && firstPreferred) ? first.server : second.server;
 	}
 
-	private ServerView choosePrompted(PlacementQuery query, List<Candidate> candidates) {
-		double target = (query.targetMillis() > 0) ? query.targetMillis() : DEFAULT_TARGET_MILLIS;
-		double tolerance = TOLERANCE_TARGETS * target;
-		double totalCount = candidates.stream().mapToDouble((candidate) -> candidate.load.requestCount()).sum();
-		double totalPace = candidates.stream().mapToDouble((candidate) -> candidate.pace.steadyTokensPerMilli()).sum();
-		double uncachedWeight = uncachedWeight(candidates, target);
-		double leastCost = Double.MAX_VALUE;
-		for (Candidate candidate : candidates) {
-			double share = totalCount * candidate.pace.steadyTokensPerMilli() / totalPace;
-			candidate.cost = expectedMillis(query, candidate, uncachedWeight) + excessMillis(query, candidate, target)
-					+ BALANCE_TOLERANCES * tolerance * (candidate.load.requestCount() - share)
-							/ (share + BALANCE_SLACK);
-			leastCost = Math.min(leastCost, candidate.cost);
+	private ServerView choosePrompted(PlacementQuery query, List<Candidate> all) {
+		List<Candidate> free = all.stream().filter(Candidate::hasFreeSlot).toList();
+		List<Candidate> candidates = free.isEmpty() ? all : free;
+		if (!query.affinityKey().isEmpty()) {
+			candidates = homes(query.affinityKey(), candidates);
 		}
-		String key = query.affinityKey().isEmpty() ? Long.toString(this.random.nextLong()) : query.affinityKey();
-		Candidate best = null;
-		double bestScore = -1;
+		double target = (query.targetMillis() > 0) ? query.targetMillis() : DEFAULT_TARGET_MILLIS;
+		Candidate best = candidates.get(0);
 		for (Candidate candidate : candidates) {
-			if (candidate.cost <= leastCost + tolerance) {
-				double score = candidate.score(key);
-				if (score > bestScore) {
-					best = candidate;
-					bestScore = score;
-				}
+			candidate.cost = expectedMillis(query, candidate) + excessMillis(query, candidate, target);
+			if (candidate.cost < best.cost - TOLERANCE_TARGETS * target) {
+				best = candidate;
 			}
 		}
 		return best.server;
 	}
 
-	private static double uncachedWeight(List<Candidate> candidates, double target) {
-		long busyCount = candidates.stream()
-			.filter((candidate) -> candidate.load.unreadTokens() > BUSY_TARGETS * target
-					* candidate.pace.presentTokensPerMilli())
-			.count();
-		double busyShare = (double) busyCount / candidates.size();
-		return LEAST_UNCACHED_WEIGHT + (GREATEST_UNCACHED_WEIGHT - LEAST_UNCACHED_WEIGHT) * busyShare;
+	private static List<Candidate> homes(String key, List<Candidate> candidates) {
+		return candidates.stream()
+			.sorted(Comparator.comparingLong((Candidate candidate) -> RendezvousHash.score(key, candidate.server.id()))
+				.reversed())
+			.limit(HOME_COUNT)
+			.toList();
 	}
 
-	private double expectedMillis(PlacementQuery query, Candidate candidate, double uncachedWeight) {
+	private double expectedMillis(PlacementQuery query, Candidate candidate) {
 		int serverKey = candidate.server.serverKey();
 		long cached = 0;
 		long shared = 0;
@@ -218,7 +188,7 @@
 			shared += part.tokenCount();
 		}
 		double own = Math.max(0, query.promptTokens() - shared);
-		return (candidate.load.unreadTokens() + own + uncachedWeight * (shared - cached))
+		return (candidate.load.unreadTokens() + own + UNCACHED_WEIGHT * (shared - cached))
 				* (1 + RUNNING_WEIGHT * candidate.load.requestCount()) / candidate.pace.presentTokensPerMilli();
 	}
 
@@ -255,15 +225,6 @@
 			return (this.load.requestCount() + 1) / this.pace.presentTokensPerMilli();
 		}
 
-		// Weighted rendezvous hashing. The pace is rounded, because the estimates of the
-		// processes differ a little.
-		private double score(String key) {
-			long hash = RendezvousHash.score(key, this.server.id());
-			double uniform = ((hash >>> (Long.SIZE - MANTISSA_BITS)) + 0.5) / (1L << MANTISSA_BITS);
-			double weight = Math.exp(PACE_STEP * Math.round(Math.log(this.pace.steadyTokensPerMilli()) / PACE_STEP));
-			return weight / -Math.log(uniform);
-		}
-
 	}
 
 }
