--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/ExpectedTimePlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/ExpectedTimePlacementTests.java
@@ -63,7 +63,11 @@
 
 	@Test
 	public void promptStaysWhereItIsCachedUntilTheBacklogCostsMoreThanReadingItAgain() {
-		int other = (Integer.parseInt(chooseLong("contract")) + 1) % SERVERS;
+		int first = Integer.parseInt(chooseLong("contract"));
+		this.loadByKey.put(first, new ServerLoad(90_000, 8, 130_000));
+		int other = Integer.parseInt(chooseLong("contract"));
+		Assert.assertNotEquals(other, first);
+		this.loadByKey.remove(first);
 		this.cachingKeys.add(other);
 		this.loadByKey.put(other, new ServerLoad(15_000, 3, 50_000));
 		Assert.assertEquals(chooseLong("contract"), Integer.toString(other));
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ExpectedTimePlacement.java
@@ -18,10 +18,10 @@
 /**
  * Places a request by the load that all entry processes report.
  * <p>
- * Prompts with a common part have two servers by rendezvous hash, and the second one is
- * chosen if the first token is expected earlier there, with the time to read the common
- * part again. A burst of one prompt, or one slow server, thus loads two servers, and the
- * rest of the caches stays as it is.
+ * Prompts with a common part have two servers by rendezvous hash, weighted by their pace,
+ * and the second one is chosen if the first token is expected earlier there, with the
+ * time to read the common part again. A burst of one prompt, or one slow server, thus
+ * loads two servers, and the rest of the caches stays as it is.
  *
  * @author The marjoramgw authors
  */
@@ -43,10 +43,10 @@
 
 	/**
 	 * Weight of shared prompt tokens that the server has to read although another one may
-	 * have them in its cache. They delay the other requests of the server as much as the
-	 * request itself.
+	 * have them in its cache. They delay the other requests that wait at the server as
+	 * much as the request itself.
 	 */
-	private static final double UNCACHED_WEIGHT = 2;
+	private static final double UNCACHED_WEIGHT = 4;
 
 	/**
 	 * Fraction by which each running stream makes a server read prompts more slowly. A
@@ -64,6 +64,12 @@
 	/** Cost of each request above the slots of a server, in targets. */
 	private static final double FULL_SLOT_TARGETS = 0.25;
 
+	/** Logarithm of the ratio of paces that the hash distinguishes. */
+	private static final double PACE_STEP = Math.log(1.25);
+
+	/** Bits of a hash that a double represents. */
+	private static final int MANTISSA_BITS = 53;
+
 	private final FleetLoad fleet;
 
 	private final IntUnaryOperator ownUnreadCount;
@@ -171,8 +177,7 @@
 
 	private static List<Candidate> homes(String key, List<Candidate> candidates) {
 		return candidates.stream()
-			.sorted(Comparator.comparingLong((Candidate candidate) -> RendezvousHash.score(key, candidate.server.id()))
-				.reversed())
+			.sorted(Comparator.comparingDouble((Candidate candidate) -> candidate.score(key)).reversed())
 			.limit(HOME_COUNT)
 			.toList();
 	}
@@ -225,6 +230,15 @@
 			return (this.load.requestCount() + 1) / this.pace.presentTokensPerMilli();
 		}
 
+		// Weighted rendezvous hashing. The pace is rounded, because the estimates of the
+		// processes differ a little.
+		private double score(String key) {
+			long hash = RendezvousHash.score(key, this.server.id());
+			double uniform = ((hash >>> (Long.SIZE - MANTISSA_BITS)) + 0.5) / (1L << MANTISSA_BITS);
+			double weight = Math.exp(PACE_STEP * Math.round(Math.log(this.pace.steadyTokensPerMilli()) / PACE_STEP));
+			return weight / -Math.log(uniform);
+		}
+
 	}
 
 }
