--- a/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
+++ b/org.marjoramgw.rig/src/main/java/org/marjoramgw/rig/ManagedProcess.java
@@ -42,6 +42,9 @@
 
 	private volatile boolean frozen;
 
+	/** Limit on the open descriptors of the process, or 0 for that of this process. */
+	private int maxDescriptors;
+
 	private Map<String, HostPort> addresses = Map.of();
 
 	/**
@@ -65,7 +68,8 @@
 	public synchronized void launch() throws RigException {
 		try {
 			Files.writeString(this.settingsFile, new TomlMapper().writeValueAsString(this.settings));
-			ProcessBuilder builder = new ProcessBuilder(new ArrayList<>(this.command));
+			ProcessBuilder builder = new ProcessBuilder(commandPrefix());
+			builder.command().addAll(this.command);
 			builder.command().add("--config");
 			builder.command().add(this.settingsFile.toString());
 			builder.redirectErrorStream(true);
@@ -151,6 +155,14 @@
 		this.settings.put(key, value);
 	}
 
+	/**
+	 * Limits the open descriptors of the process, with effect from the next start.
+	 * @param count maximum number of descriptors
+	 */
+	public synchronized void limitDescriptors(int count) {
+		this.maxDescriptors = count;
+	}
+
 	/**
 	 * Waits until the process has exited.
 	 * @param timeoutMillis maximum wait, in milliseconds
@@ -234,6 +246,14 @@
 		}
 	}
 
+	private List<String> commandPrefix() {
+		if (this.maxDescriptors == 0) {
+			return new ArrayList<>();
+		}
+		return new ArrayList<>(
+				List.of("bash", "-c", "ulimit -n " + this.maxDescriptors + " && exec \"$@\"", this.name));
+	}
+
 	private void keepAddress(String addressName, String key) {
 		HostPort address = this.addresses.get(addressName);
 		if (address != null && this.settings.containsKey(key)) {
