Let scripted callers connect completely before the checks

Cause: connections without anything to send were checked before the process had accepted them, so that a test of more connections than descriptors could pass without them.

Change: callers count as moving until they are connected, and sending ends only after a quiet time.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ScriptedCallers.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/ScriptedCallers.java
@@ -64,21 +64,18 @@
 	}
 
 	/**
-	 * Sends the scripts until all are sent, or the peer reads no more.
+	 * Connects and sends the scripts until nothing moves any more: all are sent, or the
+	 * peer doesn't accept or read. The quiet time at the end gives the peer time to take
+	 * up what waits in its sockets.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	void send() throws InterruptedException {
 		long startNanos = System.nanoTime();
 		long progressNanos = startNanos;
 		while (System.nanoTime() - progressNanos < QUIET_NANOS && System.nanoTime() - startNanos < MAX_SEND_NANOS) {
-			boolean unsent = false;
 			boolean progress = false;
 			for (Caller caller : this.callers) {
 				progress |= caller.step();
-				unsent |= caller.isUnsent();
-			}
-			if (!unsent) {
-				return;
 			}
 			if (progress) {
 				progressNanos = System.nanoTime();
@@ -123,23 +120,22 @@
 			this.channel = channel;
 		}
 
-		private boolean isUnsent() {
-			return this.channel.isOpen() && this.sentBytes < ScriptedCallers.this.script.length();
-		}
-
 		private boolean step() {
-			if (!isUnsent()) {
+			if (!this.channel.isOpen()) {
 				return false;
 			}
 			try {
-				if (!this.channel.finishConnect()) {
-					return false;
+				if (!this.channel.isConnected()) {
+					return this.channel.finishConnect();
 				}
-				int written = this.channel.write(ScriptedCallers.this.script.piece(this.sentBytes));
-				this.sentBytes += written;
 				if (ScriptedCallers.this.script.reads()) {
 					discardInput();
 				}
+				if (!this.channel.isOpen() || this.sentBytes >= ScriptedCallers.this.script.length()) {
+					return false;
+				}
+				int written = this.channel.write(ScriptedCallers.this.script.piece(this.sentBytes));
+				this.sentBytes += written;
 				return written > 0;
 			}
 			catch (IOException ex) {
