Bound what an entry and a side process hold for callers

Cause: nothing bounded the total. Bodies were collected without a limit on all of them together, answers and events were kept however slowly they were read, heads had no timeout, idle connections stayed for 300 s, and there were 8,192 connections whatever the descriptors.

Change: BoundedHttpServer replaces the library's bind. All connections and requests share one MemoryBudget, charged by the memory occupied. When it is exhausted, reading stops, memory is reclaimed from callers that stall, then requests are refused with 503 and 2031 while nothing ran, then connections are closed. Bodies end after 30 s with 408 and 2030. Heads, idle connections and the number of connections have limits (CallerSettings). Gauges, a bounded log line and docs for all of them.

--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/caller/CallerRoutesTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/caller/CallerRoutesTests.java
@@ -29,6 +29,7 @@
 import org.marjoramgw.entry.EntrySettings;
 import org.marjoramgw.entry.dispatch.OpenRequests;
 import org.marjoramgw.entry.dispatch.SideProcesses;
+import org.marjoramgw.http.CallerSettings;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.policy.candidate.Candidate;
 import org.marjoramgw.testkit.TestSeed;
@@ -195,9 +196,10 @@
 	private EntryContext newEntryContext(Configuration current) {
 		HostPort address = new HostPort("127.0.0.1", 0);
 		EntrySettings settings = new EntrySettings("e1", "dal-a", address, "t", "o", "", "", 250, 1_000, 1_000, 500,
-				1_000, 100, 1_000, 100, 16);
+				1_000, 100, 1_000, 100, 16, CallerSettings.defaults());
 		return new EntryContext(settings, this.clock, new FakeSideProcesses(), new OpenRequests(), this.counters,
-				new DecisionLog(this.clock, 100), new FixedConfiguration(current), TestSeed.random(3));
+				new DecisionLog(this.clock, 100), new FixedConfiguration(current), settings.callerLimits().newBudget(),
+				TestSeed.random(3));
 	}
 
 	private ServerBinding bind(EntryContext context) throws Exception {
--- a/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
+++ b/org.marjoramgw.entry.test/src/test/java/org/marjoramgw/entry/dispatch/RequestActorTests.java
@@ -17,6 +17,7 @@
 import org.marjoramgw.config.Service;
 import org.marjoramgw.config.ServiceKind;
 import org.marjoramgw.entry.EntrySettings;
+import org.marjoramgw.http.CallerSettings;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.policy.candidate.LateBindingSelector;
 import org.marjoramgw.policy.retry.Backoff;
@@ -289,7 +290,7 @@
 	private static EntrySettings settings() {
 		HostPort address = new HostPort("127.0.0.1", 0);
 		return new EntrySettings("e1", "a", address, "t", "o", "", "", 250, 1_000, 1_000, 500, 200, 5_000, 1_000, 100,
-				16);
+				16, CallerSettings.defaults());
 	}
 
 	private static RoutedRequest generationInTier(int tier, long firstTokenMillis) {
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntryProcess.java
@@ -6,14 +6,14 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Props;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.server.Directives;
 import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
@@ -26,6 +26,9 @@
 import org.marjoramgw.entry.side.ConnectedSides;
 import org.marjoramgw.entry.side.SideLinkManager;
 import org.marjoramgw.http.BlockingHttpClient;
+import org.marjoramgw.http.BoundedHttpServer;
+import org.marjoramgw.http.MemoryBudget;
+import org.marjoramgw.http.ServerGauges;
 import org.marjoramgw.log.HttpLogService;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.ManageableProcess;
@@ -89,6 +92,8 @@
 
 	private final ConfigurationSource configuration;
 
+	private final MemoryBudget callerMemory;
+
 	private final EntryContext entryContext;
 
 	private final ActorRef<SideLinkManager.Command> linkManager;
@@ -98,14 +103,15 @@
 		this.lifecycle = lifecycle;
 		this.identity = new PeerIdentity(settings.processId(), Vm.ENTRY, settings.failureDomain(),
 				this.clock.nowMillis(), "");
-		this.system = ActorSystem.create(Behaviors.empty(), "entry");
+		this.system = ActorSystem.create(Behaviors.empty(), "entry", ConfigFactory.load("callers"));
 		BlockingHttpClient platform = new BlockingHttpClient(this.system, PLATFORM_TIMEOUT_MILLIS, "");
 		this.vms = new VmListWatcher(new HttpVmList(platform, settings.vmListUrl()), settings.pollMillis());
 		this.configuration = new LogConfigurationSource(new HttpLogService(platform, settings.logUrl()),
 				new ConfigurationParser(), this.clock, settings.pollMillis(), () -> this.vms.current().size(),
 				new Random(), this.counters);
+		this.callerMemory = settings.callerLimits().newBudget();
 		this.entryContext = new EntryContext(settings, this.clock, this.sides, this.openRequests, this.counters,
-				this.decisions, this.configuration, new Random());
+				this.decisions, this.configuration, this.callerMemory, new Random());
 		this.linkManager = startLinkManager();
 		this.registry.register("requests.open", (Gauge<Integer>) this.openRequests::count);
 	}
@@ -131,14 +137,13 @@
 				this.settings.operatorToken());
 		Route route = Directives.concat(operators.route(), new CallerRoutes(this.system, this.entryContext).route());
 		HostPort address = this.settings.httpAddress();
+		BoundedHttpServer server = new BoundedHttpServer(this.system, this.settings.callerLimits(), this.callerMemory);
+		ServerGauges.register(this.registry, server, this.callerMemory);
 		this.lifecycle.exitIfStopping();
-		Http.get(this.system)
-			.newServerAt(address.host(), address.port())
-			.bind(route)
-			.whenComplete((binding, failure) -> onBound(binding, failure));
+		server.bind(address, route.handler(this.system)).whenComplete((binding, failure) -> onBound(binding, failure));
 	}
 
-	private void onBound(ServerBinding binding, Throwable failure) {
+	private void onBound(Tcp.ServerBinding binding, Throwable failure) {
 		if (failure != null) {
 			Logger.error(failure, "can't listen on {}", this.settings.httpAddress());
 			new Thread(() -> Runtime.getRuntime().halt(1), "exit").start();
@@ -165,7 +170,7 @@
 	 * noticed, accepts no new connections, and waits for the open requests to finish.
 	 * @param binding binding of the HTTP endpoint
 	 */
-	private void stop(ServerBinding binding) {
+	private void stop(Tcp.ServerBinding binding) {
 		this.linkManager.tell(new SideLinkManager.StatusChanged());
 		Logger.info("leaving with {} open requests", this.openRequests.count());
 		Pause.millis(UNBIND_DELAY_MILLIS);
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/EntrySettings.java
@@ -2,6 +2,7 @@
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.errors.InvalidTomlException;
+import org.marjoramgw.http.CallerSettings;
 import org.marjoramgw.settings.TomlTable;
 
 /**
@@ -29,12 +30,13 @@
  * @param openRequestsPerClass maximum number of open requests of one class
  * @param claimPartitionCount number of partitions of the claims; must be the same in
  * every process
+ * @param callerLimits limits on the callers
  * @author The marjoramgw authors
  */
 public record EntrySettings(String processId, String failureDomain, HostPort httpAddress, String peerToken,
 		String operatorToken, String logUrl, String vmListUrl, long heartbeatMillis, long idleHeartbeatMillis,
 		long peerTimeoutMillis, long pollMillis, long resumeWaitMillis, long widenMillis, long drainMillis,
-		int openRequestsPerClass, int claimPartitionCount) {
+		int openRequestsPerClass, int claimPartitionCount, CallerSettings callerLimits) {
 
 	private static final long MAX_INTERVAL_MILLIS = 60_000;
 
@@ -54,7 +56,7 @@
 				interval(table, "poll_ms", 500), interval(table, "resume_wait_ms", 3_000),
 				interval(table, "widen_ms", 100), table.number("drain_ms", 120_000, 1, MAX_DRAIN_MILLIS),
 				(int) table.number("open_requests_per_class_count", 2_000, 1, 100_000),
-				(int) table.number("claim_partition_count", 16, 1, 1_024));
+				(int) table.number("claim_partition_count", 16, 1, 1_024), CallerSettings.read(table));
 		table.throwIfInvalid();
 		return settings;
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/BufferedChatResponse.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/BufferedChatResponse.java
@@ -1,8 +1,7 @@
 package org.marjoramgw.entry.caller;
 
-import java.nio.charset.StandardCharsets;
-
 import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.util.ByteString;
 import org.marjoramgw.wire.Message;
 
 /**
@@ -16,15 +15,15 @@
 
 	private final ChatCompletionJson json;
 
-	BufferedChatResponse(PendingResponse response, ChatCompletionJson json) {
-		super(response);
+	BufferedChatResponse(PendingResponse response, ResponseMemory memory, ChatCompletionJson json) {
+		super(response, memory);
 		this.json = json;
 	}
 
 	@Override
-	public void onEnd(Message.End end) {
-		String completion = this.json.completion(new String(body(), StandardCharsets.UTF_8), end.finishReason());
-		response().send(OK, ContentTypes.APPLICATION_JSON, completion.getBytes(StandardCharsets.UTF_8));
+	void send(PendingResponse to, Message.End end, ByteString content) {
+		String completion = this.json.completion(content.utf8String(), end.finishReason());
+		to.send(OK, ContentTypes.APPLICATION_JSON, ByteString.fromString(completion));
 	}
 
 }
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequestHandler.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequestHandler.java
@@ -5,6 +5,7 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.marjoramgw.ResultCode;
@@ -17,7 +18,8 @@
 import org.marjoramgw.entry.dispatch.RoutedRequest;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.BodyReader;
-import org.marjoramgw.http.MemoryLimit;
+import org.marjoramgw.http.HeldMemory;
+import org.marjoramgw.http.MemoryKind;
 
 /**
  * Handler of callers' HTTP requests: authenticates, reads, classifies and starts them.
@@ -26,7 +28,11 @@
  */
 final class CallerRequestHandler {
 
-	private static final long BODY_TIMEOUT_MILLIS = 30_000;
+	/** The body, and the frame that carries it to a side process. */
+	private static final int KEPT_COPIES = 2;
+
+	/** The body, and its text in the JSON parser, whose characters take two bytes. */
+	private static final int CHAT_COPIES = 6;
 
 	private final ActorSystem<?> system;
 
@@ -41,22 +47,30 @@
 	}
 
 	CompletionStage<HttpResponse> handleChat(HttpRequest http) {
-		return handle(http, (table, account, requestId, body, response) -> {
+		return handle(http, CHAT_COPIES, (table, account, requestId, body, response, held) -> {
 			ChatRequest chat = ChatRequest.parse(body);
+			held.reduceTo(KEPT_COPIES * body.length);
 			RoutedRequest request = CallerRequests.toChatRequest(table, account, requestId, http, body, chat);
 			ChatCompletionJson json = new ChatCompletionJson(requestId, chat.model());
-			ResponseSink sink = chat.streamed() ? new StreamedChatResponse(response, json, requestId, this.system,
-					() -> onCallerDisconnected(requestId)) : new BufferedChatResponse(response, json);
-			startRequest(table, request, sink);
+			if (chat.streamed()) {
+				StreamedChatResponse sink = new StreamedChatResponse(response, json, requestId, this.system,
+						(onReclaimed) -> newMemory(account, onReclaimed), () -> onCallerDisconnected(requestId));
+				startRequest(table, request, sink, held, sink::closeIfUnstarted);
+			}
+			else {
+				ResponseMemory memory = newMemory(account, () -> onCallerDisconnected(requestId));
+				startRequest(table, request, new BufferedChatResponse(response, memory, json), held, memory::close);
+			}
 		});
 	}
 
 	CompletionStage<HttpResponse> handlePlainService(HttpRequest http, String service, String remainingPath) {
-		return handle(http,
-				(table, account, requestId, body, response) -> startRequest(
-						table, CallerRequests.toPlainRequest(table, account, requestId, http, body, service,
-								remainingPath, this.entryContext.claimPartitionCount()),
-						new PlainServiceResponse(response)));
+		return handle(http, KEPT_COPIES, (table, account, requestId, body, response, held) -> {
+			RoutedRequest request = CallerRequests.toPlainRequest(table, account, requestId, http, body, service,
+					remainingPath, this.entryContext.claimPartitionCount());
+			ResponseMemory memory = newMemory(account, () -> onCallerDisconnected(requestId));
+			startRequest(table, request, new PlainServiceResponse(response, memory), held, memory::close);
+		});
 	}
 
 	CompletionStage<HttpResponse> rejectUnknownPath(HttpRequest http) {
@@ -66,21 +80,27 @@
 		return response.response();
 	}
 
-	private CompletionStage<HttpResponse> handle(HttpRequest http, BodyHandler bodyHandler) {
+	private CompletionStage<HttpResponse> handle(HttpRequest http, int copies, BodyHandler bodyHandler) {
 		String requestId = newRequestId();
 		PendingResponse response = new PendingResponse(requestId);
 		try {
 			RoutingTable table = this.entryContext.routingTable();
 			ClientAccount account = table.authenticate(CallerRequests.bearerKey(http));
 			int maxBodyBytes = CallerRequests.maxBodyBytes(table.configuration().limits(), http);
-			this.bodyReader.read(http.entity().withSizeLimit(maxBodyBytes), BODY_TIMEOUT_MILLIS, MemoryLimit.NONE)
-				.whenComplete((entity, failure) -> {
+			HeldMemory held = this.entryContext.callerMemory().open(MemoryKind.REQUEST, account.name(), () -> {
+			});
+			readBody(http.entity().withSizeLimit(maxBodyBytes), copies, held).whenComplete((body, failure) -> {
+				try {
 					if (failure != null) {
-						reject(response, new RequestRejectedException(ResultCode.BODY_TOO_LARGE, "or cut short"));
-						return;
+						throw BodyFailures.toRejection(failure);
 					}
-					handleBody(bodyHandler, table, account, requestId, entity.getData().toArray(), response);
-				});
+					bodyHandler.handle(table, account, requestId, body, response, held);
+				}
+				catch (RequestRejectedException ex) {
+					held.close();
+					reject(response, ex);
+				}
+			});
 		}
 		catch (RequestRejectedException ex) {
 			http.discardEntityBytes(this.system);
@@ -89,18 +109,26 @@
 		return response.response();
 	}
 
-	private void handleBody(BodyHandler bodyHandler, RoutingTable table, ClientAccount account, String requestId,
-			byte[] body, PendingResponse response) {
-		try {
-			bodyHandler.handle(table, account, requestId, body, response);
-		}
-		catch (RequestRejectedException ex) {
-			reject(response, ex);
-		}
+	/**
+	 * Reads a body, and waits until there is memory for the copies of it that handling it
+	 * needs.
+	 * @param entity entity of the request
+	 * @param copies number of copies
+	 * @param held memory held for the request
+	 * @return the body
+	 */
+	private CompletionStage<byte[]> readBody(HttpEntity entity, int copies, HeldMemory held) {
+		return this.bodyReader.read(entity, this.entryContext.bodyTimeoutMillis(), held)
+			.thenCompose((content) -> held.reserve((long) copies * content.size())
+				.thenApply((granted) -> content.toArray()));
 	}
 
-	private void startRequest(RoutingTable table, RoutedRequest request, ResponseSink sink)
-			throws RequestRejectedException {
+	private ResponseMemory newMemory(ClientAccount account, Runnable onReclaimed) {
+		return new ResponseMemory(this.entryContext.callerMemory(), account.name(), onReclaimed);
+	}
+
+	private void startRequest(RoutingTable table, RoutedRequest request, ResponseSink sink, HeldMemory held,
+			Runnable onClosed) throws RequestRejectedException {
 		checkBackends(table, request.service());
 		DispatchContext dispatchContext = this.entryContext.dispatchContext(table);
 		if (!dispatchContext.openRequests()
@@ -110,6 +138,10 @@
 		dispatchContext.decisions()
 			.add(request.requestId(), "accept", null, request.requestClass().name() + " of " + request.account().name()
 					+ " for " + request.service().name());
+		dispatchContext.openRequests().whenClosed(request.requestId(), () -> {
+			held.close();
+			onClosed.run();
+		});
 		this.system.systemActorOf(RequestActor.create(request, dispatchContext, sink), "request-" + request.requestId(),
 				Props.empty());
 	}
@@ -146,8 +178,8 @@
 	@FunctionalInterface
 	private interface BodyHandler {
 
-		void handle(RoutingTable table, ClientAccount account, String requestId, byte[] body, PendingResponse response)
-				throws RequestRejectedException;
+		void handle(RoutingTable table, ClientAccount account, String requestId, byte[] body, PendingResponse response,
+				HeldMemory held) throws RequestRejectedException;
 
 	}
 
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/EntryContext.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/EntryContext.java
@@ -11,6 +11,7 @@
 import org.marjoramgw.entry.dispatch.OpenRequests;
 import org.marjoramgw.entry.dispatch.SideProcesses;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.http.MemoryBudget;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.RetryBudget;
@@ -41,6 +42,8 @@
 
 	private final DecisionLog decisions;
 
+	private final MemoryBudget callerMemory;
+
 	private final RetryBudget retryBudget = new RetryBudget(MAX_SAVED_RETRIES);
 
 	private final Backoff backoff;
@@ -58,16 +61,19 @@
 	 * @param counters counters of result codes
 	 * @param decisions log of decisions about requests
 	 * @param configuration source of the configuration
+	 * @param callerMemory budget of the memory held for callers
 	 * @param random source of randomness for candidate selection and backoff
 	 */
 	public EntryContext(EntrySettings settings, MillisClock clock, SideProcesses sides, OpenRequests openRequests,
-			ResultCounters counters, DecisionLog decisions, ConfigurationSource configuration, Random random) {
+			ResultCounters counters, DecisionLog decisions, ConfigurationSource configuration,
+			MemoryBudget callerMemory, Random random) {
 		this.settings = settings;
 		this.clock = clock;
 		this.sides = sides;
 		this.openRequests = openRequests;
 		this.counters = counters;
 		this.decisions = decisions;
+		this.callerMemory = callerMemory;
 		this.backoff = new Backoff(BASE_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
 		configuration.addListener((current) -> this.routingTable.set(new RoutingTable(current, random)));
 	}
@@ -96,6 +102,14 @@
 				this.openRequests, table.selector(), this.retryBudget, this.backoff, this.counters, this.decisions);
 	}
 
+	MemoryBudget callerMemory() {
+		return this.callerMemory;
+	}
+
+	long bodyTimeoutMillis() {
+		return this.settings.callerLimits().bodyTimeoutMillis();
+	}
+
 	int claimPartitionCount() {
 		return this.settings.claimPartitionCount();
 	}
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PendingResponse.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PendingResponse.java
@@ -9,6 +9,7 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.util.ByteString;
 import org.marjoramgw.ResultCode;
 
 /**
@@ -44,7 +45,7 @@
 		this.response.complete(newResponse(status).withEntity(entity));
 	}
 
-	void send(int status, ContentType contentType, byte[] body) {
+	void send(int status, ContentType contentType, ByteString body) {
 		send(status, HttpEntities.create(contentType, body));
 	}
 
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PlainServiceResponse.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PlainServiceResponse.java
@@ -2,6 +2,7 @@
 
 import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.util.ByteString;
 import org.marjoramgw.wire.Message;
 
 /**
@@ -11,13 +12,13 @@
  */
 final class PlainServiceResponse extends BufferedResponse {
 
-	PlainServiceResponse(PendingResponse response) {
-		super(response);
+	PlainServiceResponse(PendingResponse response, ResponseMemory memory) {
+		super(response, memory);
 	}
 
 	@Override
-	public void onEnd(Message.End end) {
-		response().send(end.httpStatus(), contentType(end.contentType()), body());
+	void send(PendingResponse to, Message.End end, ByteString content) {
+		to.send(end.httpStatus(), contentType(end.contentType()), content);
 	}
 
 	private static ContentType contentType(String value) {
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/StreamedChatResponse.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/StreamedChatResponse.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.entry.caller;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
 
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -29,6 +31,9 @@
 
 	private static final int MAX_BUFFERED_EVENTS = 4_096;
 
+	/** Objects around the bytes of an event in the queue. */
+	private static final int EVENT_OVERHEAD_BYTES = 96;
+
 	private final PendingResponse response;
 
 	private final ChatCompletionJson json;
@@ -39,13 +44,16 @@
 
 	private final Runnable onCallerDisconnected;
 
-	private BoundedSourceQueue<ByteString> events;
+	private final ResponseMemory memory;
+
+	private volatile BoundedSourceQueue<ByteString> events;
 
 	private boolean aborted;
 
 	StreamedChatResponse(PendingResponse response, ChatCompletionJson json, String requestId, ActorSystem<?> system,
-			Runnable onCallerDisconnected) {
+			Function<Runnable, ResponseMemory> memory, Runnable onCallerDisconnected) {
 		this.response = response;
+		this.memory = memory.apply(this::abort);
 		this.json = json;
 		this.requestId = requestId;
 		this.system = system;
@@ -73,6 +81,7 @@
 	@Override
 	public void onError(ResultCode code, long retryAfterMillis) {
 		if (this.events == null) {
+			this.memory.close();
 			this.response.sendError(code, "", retryAfterMillis);
 			return;
 		}
@@ -84,24 +93,68 @@
 		if (this.events != null) {
 			return;
 		}
+		// Observed before it is materialized, since a caller that has gone never asks for
+		// the events.
 		Pair<BoundedSourceQueue<ByteString>, Source<ByteString, NotUsed>> queueAndSource = Source
 			.<ByteString>queue(MAX_BUFFERED_EVENTS)
+			.map(this::onRead)
+			.watchTermination((queue, done) -> {
+				done.whenComplete((value, failure) -> onTerminated());
+				return queue;
+			})
 			.preMaterialize(this.system);
 		this.events = queueAndSource.first();
-		Source<ByteString, NotUsed> monitored = queueAndSource.second().watchTermination((unused, done) -> {
-			done.whenComplete((value, failure) -> this.onCallerDisconnected.run());
-			return unused;
-		});
-		this.response.send(OK, HttpEntities.createChunked(MediaTypes.TEXT_EVENT_STREAM.toContentType(), monitored));
+		this.response.send(OK,
+				HttpEntities.createChunked(MediaTypes.TEXT_EVENT_STREAM.toContentType(), queueAndSource.second()));
 	}
 
 	private void sendEvent(String event) {
-		if (!this.aborted && this.events.offer(ByteString.fromString(event)) != QueueOfferResult.enqueued()) {
+		if (this.aborted) {
+			return;
+		}
+		ByteString bytes = ByteString.fromString(event);
+		this.memory.addUnread(occupiedBytes(bytes));
+		if (this.events.offer(bytes) != QueueOfferResult.enqueued()) {
 			this.aborted = true;
 			this.onCallerDisconnected.run();
 		}
 	}
 
+	/**
+	 * Ends the response because the memory of its unread events was reclaimed.
+	 */
+	void abort() {
+		BoundedSourceQueue<ByteString> unread = this.events;
+		if (unread != null && !unread.isCompleted()) {
+			unread.fail(new IOException("memory of unread events was reclaimed"));
+		}
+		this.onCallerDisconnected.run();
+	}
+
+	/**
+	 * Releases the memory if the response was never started; otherwise it is released at
+	 * the end of the stream.
+	 */
+	void closeIfUnstarted() {
+		if (this.events == null) {
+			this.memory.close();
+		}
+	}
+
+	private ByteString onRead(ByteString event) {
+		this.memory.onRead(occupiedBytes(event));
+		return event;
+	}
+
+	private void onTerminated() {
+		this.memory.close();
+		this.onCallerDisconnected.run();
+	}
+
+	private static long occupiedBytes(ByteString event) {
+		return event.size() + EVENT_OVERHEAD_BYTES;
+	}
+
 	private void finish() {
 		if (!this.events.isCompleted()) {
 			this.events.complete();
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/OpenRequests.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/dispatch/OpenRequests.java
@@ -14,6 +14,8 @@
 
 	private final Map<String, ActorRef<RequestEvent>> actorById = new ConcurrentHashMap<>();
 
+	private final Map<String, Runnable> actionById = new ConcurrentHashMap<>();
+
 	private final Map<String, Integer> countByClass = new ConcurrentHashMap<>();
 
 	/**
@@ -41,6 +43,15 @@
 		this.actorById.put(requestId, actor);
 	}
 
+	/**
+	 * Sets the action to run when a request has finished.
+	 * @param requestId id of the request
+	 * @param action the action
+	 */
+	public void whenClosed(String requestId, Runnable action) {
+		this.actionById.put(requestId, action);
+	}
+
 	/**
 	 * Removes a finished request and decrements the count of its class.
 	 * @param requestId id of the request
@@ -49,6 +60,10 @@
 	public void close(String requestId, String requestClass) {
 		this.actorById.remove(requestId);
 		this.countByClass.merge(requestClass, -1, Integer::sum);
+		Runnable action = this.actionById.remove(requestId);
+		if (action != null) {
+			action.run();
+		}
 	}
 
 	/**
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideProcess.java
@@ -6,15 +6,18 @@
 import java.util.concurrent.TimeoutException;
 
 import com.codahale.metrics.MetricRegistry;
+import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Props;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.http.BoundedHttpServer;
+import org.marjoramgw.http.MemoryBudget;
+import org.marjoramgw.http.ServerGauges;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.operator.ManageableProcess;
 import org.marjoramgw.operator.OperatorRoutes;
@@ -88,7 +91,7 @@
 		this.lifecycle = lifecycle;
 		this.identity = new PeerIdentity(settings.processId(), Vm.SIDE, settings.failureDomain(),
 				this.clock.nowMillis(), settings.pool());
-		this.system = ActorSystem.create(Behaviors.empty(), "side");
+		this.system = ActorSystem.create(Behaviors.empty(), "side", ConfigFactory.load("callers"));
 		ResultCounters counters = new ResultCounters(this.metricRegistry);
 		this.platformClients = new PlatformClients(this.system, settings, this.identity, this.clock, counters,
 				this::hasAcceptedEntries);
@@ -152,9 +155,10 @@
 		OperatorRoutes routes = new OperatorRoutes(this, this.decisionLog, this.metricRegistry,
 				this.settings.operatorToken());
 		HostPort address = this.settings.httpAddress();
-		ServerBinding binding = Http.get(this.system)
-			.newServerAt(address.host(), address.port())
-			.bind(routes.route())
+		MemoryBudget callerMemory = this.settings.callerLimits().newBudget();
+		BoundedHttpServer server = new BoundedHttpServer(this.system, this.settings.callerLimits(), callerMemory);
+		ServerGauges.register(this.metricRegistry, server, callerMemory);
+		Tcp.ServerBinding binding = server.bind(address, routes.route().handler(this.system))
 			.toCompletableFuture()
 			.get(LISTEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		return new HostPort(address.host(), binding.localAddress().getPort());
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideSettings.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/SideSettings.java
@@ -4,6 +4,7 @@
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.errors.InvalidTomlException;
+import org.marjoramgw.http.CallerSettings;
 import org.marjoramgw.settings.TomlTable;
 
 /**
@@ -31,12 +32,13 @@
  * @param answerKeepMillis time that responses are retained for a disconnected entry, in
  * milliseconds
  * @param claimPartitionCount number of log partitions for idempotency claims
+ * @param callerLimits limits on the callers of the operators' endpoint
  * @author The marjoramgw authors
  */
 public record SideSettings(String processId, String failureDomain, HostPort httpAddress, HostPort peerAddress,
 		String peerToken, String operatorToken, String logUrl, String vmListUrl, String pool, String backendUrl,
 		boolean model, String weightStoreUrl, long heartbeatMillis, long peerTimeoutMillis, long idleTimeoutMillis,
-		long pollMillis, long answerKeepMillis, int claimPartitionCount) {
+		long pollMillis, long answerKeepMillis, int claimPartitionCount, CallerSettings callerLimits) {
 
 	private static final String MODEL = "model";
 
@@ -74,7 +76,8 @@
 				millis(table, "idle_timeout_ms", DEFAULT_IDLE_TIMEOUT_MILLIS),
 				millis(table, "poll_ms", DEFAULT_POLL_MILLIS),
 				millis(table, "answer_keep_ms", DEFAULT_ANSWER_KEEP_MILLIS),
-				(int) table.number("claim_partition_count", DEFAULT_CLAIM_PARTITION_COUNT, 1, MAX_PARTITION_COUNT));
+				(int) table.number("claim_partition_count", DEFAULT_CLAIM_PARTITION_COUNT, 1, MAX_PARTITION_COUNT),
+				CallerSettings.read(table));
 		table.throwIfInvalid();
 		return settings;
 	}
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsDocument.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/docs/SettingsDocument.java
@@ -9,6 +9,7 @@
 import org.marjoramgw.direct.DirectSettings;
 import org.marjoramgw.entry.EntrySettings;
 import org.marjoramgw.errors.InvalidTomlException;
+import org.marjoramgw.http.CallerSettings;
 import org.marjoramgw.settings.Problem;
 import org.marjoramgw.settings.TomlTable;
 import org.marjoramgw.side.SideSettings;
@@ -27,11 +28,13 @@
  */
 final class SettingsDocument {
 
-	private static final Map<String, Reader> READERS = Map.of("EntrySettings", EntrySettings::read, "SideSettings",
-			SideSettings::read, "ClientSettings", ClientSettings::read, "LogSettings", LogSettings::read,
-			"VmListSettings", VmListSettings::read, "EngineSettings", EngineSettings::read, "PlainSettings",
-			PlainSettings::read, "WeightStoreSettings", WeightStoreSettings::read, "ProxySettings", ProxySettings::read,
-			"DirectSettings", DirectSettings::of);
+	private static final Map<String, Reader> READERS = Map.ofEntries(Map.entry("EntrySettings", EntrySettings::read),
+			Map.entry("SideSettings", SideSettings::read), Map.entry("CallerSettings", SettingsDocument::readCallers),
+			Map.entry("ClientSettings", ClientSettings::read), Map.entry("LogSettings", LogSettings::read),
+			Map.entry("VmListSettings", VmListSettings::read), Map.entry("EngineSettings", EngineSettings::read),
+			Map.entry("PlainSettings", PlainSettings::read),
+			Map.entry("WeightStoreSettings", WeightStoreSettings::read),
+			Map.entry("ProxySettings", ProxySettings::read), Map.entry("DirectSettings", DirectSettings::of));
 
 	private static final String CONFIGURATION = "ConfigurationParser";
 
@@ -71,6 +74,12 @@
 		}
 	}
 
+	private static CallerSettings readCallers(TomlTable root) throws InvalidTomlException {
+		CallerSettings settings = CallerSettings.read(root);
+		root.throwIfInvalid();
+		return settings;
+	}
+
 	private void putDirect() {
 		for (String key : List.of("process_id", "failure_domain", "health_path")) {
 			put("", key, "\"x\"");
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -69,6 +69,10 @@
 			"a part of the prompt crashes backend servers and is refused"),
 	/** Entry process stopped before the request that it had sent was answered. */
 	ENTRY_STOPPED(2023, 502, ExecutionOutcome.UNKNOWN, "entry stopped while the request was in flight"),
+	/** Request body was not received in time. */
+	BODY_TIMEOUT(2030, 408, ExecutionOutcome.NOT_RUN, "body was not received in time"),
+	/** No memory was left for the request body. */
+	MEMORY_EXHAUSTED(2031, 503, ExecutionOutcome.NOT_RUN, "memory for callers is exhausted"),
 
 	/** Queue of the request class is full. */
 	QUEUE_FULL(3001, 429, ExecutionOutcome.NOT_RUN, "queue of the class is full"),
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/BodyReader.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/BodyReader.java
@@ -8,6 +8,9 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.SharedKillSwitch;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.CompletionStages;
 import org.marjoramgw.errors.ResponseTooLargeException;
@@ -54,6 +57,44 @@
 			.thenApply((done) -> HttpEntities.create(entity.getContentType(), collector.toByteString()));
 	}
 
+	/**
+	 * Reads the complete body of a caller's request. Reading stops while no memory is
+	 * left.
+	 * @param entity entity of the request
+	 * @param timeoutMillis timeout, in milliseconds
+	 * @param held memory held for the request, which is increased by that of the body
+	 * @return the body; fails if it is incomplete, not received in time, or with a
+	 * {@link MemoryExhaustedException}
+	 */
+	public CompletionStage<ByteString> read(HttpEntity entity, long timeoutMillis, HeldMemory held) {
+		if (entity instanceof HttpEntity.Strict received) {
+			return held.reserve(received.getData().size()).thenApply((granted) -> received.getData().compact());
+		}
+		ByteCollector collector = new ByteCollector();
+		SharedKillSwitch reading = KillSwitches.shared("body");
+		held.whenReclaimed(() -> reading.abort(new MemoryExhaustedException("memory was reclaimed")));
+		held.setCallerDue(true);
+		return CompletionStages
+			.withDirectExecutor(entity.getDataBytes()
+				.via(reading.flow())
+				.completionTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)))
+				.mapAsync(1, (piece) -> collect(piece, collector, held))
+				.runWith(Sink.ignore(), this.system))
+			.thenApply((done) -> {
+				held.setCallerDue(false);
+				return collector.toByteString();
+			});
+	}
+
+	private static CompletionStage<Integer> collect(ByteString piece, ByteCollector collector, HeldMemory held) {
+		held.markProgress();
+		long length = (long) collector.length() + piece.size();
+		return held.reserve(ByteCollector.maxOccupiedBytes(length)).thenApply((granted) -> {
+			piece.getByteBuffers().forEach(collector::add);
+			return piece.size();
+		});
+	}
+
 	private static void add(ByteString piece, ByteCollector collector, MemoryLimit limit)
 			throws ResponseTooLargeException {
 		long occupiedBytes = PIECE_OVERHEAD_BYTES;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ByteCollector.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ByteCollector.java
@@ -67,6 +67,15 @@
 		this.usedBytes = 0;
 	}
 
+	/**
+	 * Returns the memory that collected bytes occupy at most.
+	 * @param length number of bytes
+	 * @return the memory, in bytes
+	 */
+	public static long maxOccupiedBytes(long length) {
+		return length + Math.min(length, MAX_BLOCK_BYTES) + MIN_BLOCK_BYTES;
+	}
+
 	private void startBlock(int neededBytes) {
 		int wantedBytes = Math.max(Math.max(neededBytes, 2 * this.block.length), MIN_BLOCK_BYTES);
 		this.fullBlocks = toByteString();
