--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -128,7 +128,8 @@
 
 	private CompletionStage<HttpResponse> rejectBody(CallerRequest caller, RequestTime time, ClockReading arrived,
 			Throwable failure, CallerConnection connection) {
-		ResultCode code = connection.isBodyRefused() ? ResultCode.ENTRY_MEMORY : bodyFailure(time, arrived, failure);
+		ResultCode code = connection.isBodyRefused() ? ResultCode.MEMORY_EXHAUSTED
+				: bodyFailure(time, arrived, failure);
 		HttpResponse response = ErrorResponses.of(code);
 		endRequest(connection);
 		this.context.requestLog()
