--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -192,7 +192,7 @@
 				this.usageDuty.map(UsageDuty::observer).orElse(UsageObserver.NONE));
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
-				this.clock, this.timers, new ResultCounters(this.registry), this.settings.get().drainMillis());
+				this.clock, this.timers, new ResultCounters(this.registry));
 		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -24,8 +24,6 @@
  * @param retryWindowMillis window over which retries are counted, in milliseconds
  * @param freeRetryCount retries allowed in a window independently of the number of
  * requests, shared by all processes
- * @param drainMillis time after which a leaving server must get no new requests, in
- * milliseconds
  * @param callers bounds of what is held for callers
  * @param peers settings of the exchange with other entry processes
  * @param usage settings of the usage reports
@@ -34,8 +32,8 @@
  */
 public record DirectSettings(String processId, String failureDomain, HostPort callerAddress, HostPort healthAddress,
 		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
-		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, long drainMillis,
-		CallerSettings callers, PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
+		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, CallerSettings callers,
+		PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
 
 	private static final int MAX_SECONDS = 3_600;
 
@@ -77,7 +75,6 @@
 				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
-				(long) root.clampedDecimal("drain_ms", 2_000, 0, MAX_MILLIS),
 				new CallerSettings((long) root.clampedDecimal("caller_memory_bytes", 0, 0, MAX_MEMORY_BYTES),
 						(int) root.clampedDecimal("caller_connection_count", 0, 0, MAX_CONNECTIONS)),
 				peers(root), usage(root), root.flag("stop_after_warm_up", false));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -9,8 +9,8 @@
 import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerRamp;
-import org.marjoramgw.policy.placement.SharedLoadPlacement;
 import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.placement.SharedLoadPlacement;
 
 /**
  * Load of the backend servers that the entry processes share, and the placement by it.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
@@ -37,16 +37,6 @@
 	/** Delay within which changes in the store are read together, in milliseconds. */
 	private static final long GATHER_MILLIS = 250;
 
-	/**
-	 * Time that stays between a read of registrations and the moment from which a leaving
-	 * server must get no more requests, in milliseconds. Registrations change several
-	 * times per second, so that the delay between the reads decides their number.
-	 */
-	private static final long DRAIN_MARGIN_MILLIS = 2_250;
-
-	/** Maximum of that delay, since it also delays the use of new servers. */
-	private static final long MAX_GATHER_MILLIS = 750;
-
 	/** The same for crash reports, which are urgent. */
 	private static final long QUARANTINE_GATHER_MILLIS = 100;
 
@@ -79,11 +69,9 @@
 	 * @param clock clock that measures ages
 	 * @param timers timers
 	 * @param counters counters of result codes
-	 * @param drainMillis time after which a leaving server must get no new requests, in
-	 * milliseconds
 	 */
 	StoreFollowers(Platform platform, TopicListener routing, TopicListener servers, TopicListener quarantine,
-			AgeClock clock, Timers timers, ResultCounters counters, long drainMillis) {
+			AgeClock clock, Timers timers, ResultCounters counters) {
 		this.clock = clock;
 		this.timers = timers;
 		this.counters = counters;
@@ -91,7 +79,7 @@
 				follower("configuration", platform.configuration(), routing,
 						schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS)),
 				follower("servers", platform.servers(), servers,
-						schedule(SERVERS_WAIT_MILLIS, serversGatherMillis(drainMillis), MAX_BACKOFF_MILLIS)),
+						schedule(SERVERS_WAIT_MILLIS, GATHER_MILLIS, MAX_BACKOFF_MILLIS)),
 				follower("quarantine", platform.quarantine(), quarantine,
 						schedule(QUARANTINE_WAIT_MILLIS, QUARANTINE_GATHER_MILLIS, MAX_BACKOFF_MILLIS)));
 	}
@@ -115,10 +103,6 @@
 		this.followers.forEach(TopicFollower::close);
 	}
 
-	private static long serversGatherMillis(long drainMillis) {
-		return Math.max(GATHER_MILLIS, Math.min(MAX_GATHER_MILLIS, drainMillis - DRAIN_MARGIN_MILLIS));
-	}
-
 	private TopicFollower follower(String name, CompactedTopic topic, TopicListener listener, ReadSchedule schedule) {
 		return new TopicFollower(name, topic, listener, this.clock, this.timers, schedule, this.counters);
 	}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EntryTemplateTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EntryTemplateTests.java
@@ -29,8 +29,8 @@
 	private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-zA-Z0-9.]+)\\}\\}");
 
 	private static final List<String> BOUNDS = List.of("bounds.graceS", "bounds.revokeMs", "bounds.retryBudgetRatio",
-			"bounds.budgetWindowS", "bounds.budgetMinRetries", "bounds.drainMs", "bounds.usageWindowS",
-			"bounds.usageLateS", "bounds.leaseMs");
+			"bounds.budgetWindowS", "bounds.budgetMinRetries", "bounds.usageWindowS", "bounds.usageLateS",
+			"bounds.leaseMs");
 
 	private static final Map<String, String> FIELDS = Map.of("node", "edge-a-1", "zone", "a", "listen.front",
 			"127.0.0.1:8001", "listen.ready", "127.0.0.1:8002", "ip", "127.0.0.1", "platform.address",
