--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
 import org.marjoramgw.policy.fleet.Digest;
@@ -81,11 +82,11 @@
 		List<ServerReport> servers = new ArrayList<>();
 		List<PromptReport> digestPrompts = new ArrayList<>();
 		int room = maxBytes - DigestCodec.sizeOf(processId, sequence);
-		room -= takePrompts(digestPrompts, room / PROMPT_SHARE);
-		room -= takeServers(this.unchanged, servers, room / UNCHANGED_SHARE);
-		room -= takeServers(this.changed, servers, room);
-		room -= takePrompts(digestPrompts, room);
-		takeServers(this.unchanged, servers, room);
+		room -= take(this.prompts, digestPrompts, room / PROMPT_SHARE, DigestCodec::sizeOf);
+		room -= take(this.unchanged, servers, room / UNCHANGED_SHARE, DigestCodec::sizeOf);
+		room -= take(this.changed, servers, room, DigestCodec::sizeOf);
+		room -= take(this.prompts, digestPrompts, room, DigestCodec::sizeOf);
+		take(this.unchanged, servers, room, DigestCodec::sizeOf);
 		servers.forEach((report) -> this.sent.put(report.serverKey(), report));
 		return new Digest(processId, incarnation, sequence, servers, digestPrompts);
 	}
@@ -105,30 +106,15 @@
 		this.sent.keySet().retainAll(reports.keySet());
 	}
 
-	private static int takeServers(Map<Integer, ServerReport> waiting, List<ServerReport> taken, int room) {
+	private static <T> int take(Map<?, T> waiting, List<T> taken, int room, ToIntFunction<T> size) {
 		int used = 0;
-		Iterator<ServerReport> iterator = waiting.values().iterator();
+		Iterator<T> iterator = waiting.values().iterator();
 		while (iterator.hasNext()) {
-			ServerReport report = iterator.next();
-			if (used + DigestCodec.sizeOf(report) > room) {
+			T report = iterator.next();
+			if (used + size.applyAsInt(report) > room) {
 				return used;
 			}
-			used += DigestCodec.sizeOf(report);
-			taken.add(report);
-			iterator.remove();
-		}
-		return used;
-	}
-
-	private int takePrompts(List<PromptReport> taken, int room) {
-		int used = 0;
-		Iterator<PromptReport> iterator = this.prompts.values().iterator();
-		while (iterator.hasNext()) {
-			PromptReport report = iterator.next();
-			if (used + DigestCodec.sizeOf(report) > room) {
-				return used;
-			}
-			used += DigestCodec.sizeOf(report);
+			used += size.applyAsInt(report);
 			taken.add(report);
 			iterator.remove();
 		}
