--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
@@ -139,8 +139,8 @@
 
 	@Test
 	public void pausedServerHasAnObstacleUntilItsTimeIsOver() {
-		this.directory.onSnapshot(List.of(Fixtures.record("a", "ready", 1), Fixtures.record("b", "ready", 2)));
-		BackendServer chosen = Fixtures.server("a", bytes("ready")).orElseThrow();
+		this.directory.onSnapshot(List.of(Fixtures.record("paused", "ready", 1), Fixtures.record("b", "ready", 2)));
+		BackendServer chosen = Fixtures.server("paused", bytes("ready")).orElseThrow();
 		Assert.assertTrue(this.directory.onPause(chosen, 3_600_000));
 		Assert.assertFalse(this.directory.onPause(chosen, 1), "paused before");
 		Assert.assertEquals(this.directory.obstacle(chosen), Optional.of("it asked for no requests"));
