Compute what a shared placement needs only where it is used

Found by reading the change: each choice of a server hashed the incarnation of every server and the shared parts of the prompt, and each send hashed them once more for an observer that ignores them, on all deployments, although placement by shared load is on on none. PlacementQuery carried parts, target and rank, and ServerView the memory of a server, which no placement reads any more. Change: ServerViews gives a placement what it needs, by own or by shared load; the selector takes the kind of the request again instead of its admission; the unread components are removed; a send is reported only if somebody observes. Behaviour is the same. SharedLoadPlacementTests lose arguments, no assertion.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -21,6 +21,7 @@
 import org.marjoramgw.direct.forward.RecentSends;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
+import org.marjoramgw.direct.forward.ServerViews;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.quarantine.QuarantineGuard;
 import org.marjoramgw.http.BodyReader;
@@ -233,11 +234,14 @@
 
 	private ServerSelector serverSelector(ActiveRouting routing, ServerDirectory servers, Optional<SharedLoad> load,
 			PromptPartition promptPartition, Random random) {
+		if (load.isPresent()) {
+			Placement shared = load.get().placement();
+			return new ServerSelector(servers, ServerViews.ofSharedLoad(this.health, routing), shared, shared,
+					promptPartition, this.settings.get().failureDomain());
+		}
 		Placement leastLoaded = new LeastLoadedPlacement(random);
-		Placement prompted = load.map(SharedLoad::placement)
-			.orElseGet(() -> new AffinityPlacement(AFFINITY_SLACK, leastLoaded));
-		return new ServerSelector(servers, this.health, routing::engine, prompted,
-				load.map(SharedLoad::placement).orElse(leastLoaded), promptPartition,
+		return new ServerSelector(servers, ServerViews.ofOwnLoad(this.health),
+				new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded, promptPartition,
 				this.settings.get().failureDomain());
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -10,6 +10,7 @@
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.HttpConnection;
+import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
 import org.marjoramgw.policy.waiting.Urgency;
 
@@ -64,7 +65,7 @@
 		}
 		Optional<BackendServer> server = history.mayTry()
 				? this.context.serverSelector()
-					.choose(this.state.service(), this.state.admitted(), this.state.caller(), history.excluded())
+					.choose(this.state.service(), this.state.route().name(), this.state.caller(), history.excluded())
 				: Optional.empty();
 		if (server.isEmpty()) {
 			throw new RequestRejectedException(reason,
@@ -210,7 +211,10 @@
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		attempt.markSent(this.context.clock().now().monotonicMillis());
 		this.state.onSent(attempt.sentMillis());
-		attempt.setObserver(SendReport.of(this.state, attempt.server()).report(this.context.loadObserver()));
+		// The keys of a prompt are not computed if nobody observes the load.
+		if (this.context.loadObserver() != LoadObserver.NONE) {
+			attempt.setObserver(SendReport.of(this.state, attempt.server()).report(this.context.loadObserver()));
+		}
 		if (!this.state.route().isStreaming()) {
 			attempt.setCountedRun(this.state.countRun());
 		}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -34,8 +34,8 @@
 import org.marjoramgw.direct.forward.RecentSends;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
+import org.marjoramgw.direct.forward.ServerViews;
 import org.marjoramgw.direct.model.CallerLimits;
-import org.marjoramgw.direct.model.EngineLimits;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
 import org.marjoramgw.http.BodyReader;
@@ -166,8 +166,7 @@
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS), this.directory, health, startLimiter, startTimeouts,
 				new PrefillLimiter(monotonicClock, this.system.executionContext(), () -> 0), partition,
-				new ServerSelector(this.directory, health, (service) -> EngineLimits.UNBOUNDED, placement, placement,
-						partition, "a"),
+				new ServerSelector(this.directory, ServerViews.ofOwnLoad(health), placement, placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RecentSends(), this.load,
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
@@ -11,7 +11,6 @@
 import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.policy.fleet.FleetLoad;
 import org.marjoramgw.policy.fleet.ServerLoad;
-import org.marjoramgw.policy.fleet.SharedPart;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.RampListener;
 import org.marjoramgw.policy.pace.ServerRamp;
@@ -94,7 +93,7 @@
 		}
 		int slowCount = 0;
 		for (int prompt = 0; prompt < 1_200; prompt++) {
-			PlacementQuery query = new PlacementQuery("s", "", "a", List.of(), 1_460, 400, 0);
+			PlacementQuery query = new PlacementQuery("s", "", "a", 1_460);
 			slowCount += (Integer.parseInt(choose(query)) < SERVERS / 2) ? 1 : 0;
 		}
 		Assert.assertTrue(slowCount > 150 && slowCount < 400, "slow " + slowCount);
@@ -107,7 +106,7 @@
 		}
 		Set<String> chosen = new HashSet<>();
 		for (int request = 0; request < 500; request++) {
-			chosen.add(choose(new PlacementQuery("s", "", "a", List.of(), 0, 200, 2)));
+			chosen.add(choose(new PlacementQuery("s", "", "a", 0)));
 		}
 		Assert.assertEquals(chosen.size(), SERVERS - 1);
 		Assert.assertFalse(chosen.contains("0"));
@@ -129,8 +128,8 @@
 	@Test
 	public void serverThatWasLeftOutOfAChoiceIsNotNewLater() {
 		PlacementQuery query = shortQuery("chat");
-		ServerView one = new ServerView("1", "a", 0, false, 1, 64, MEMORY_TOKENS);
-		ServerView other = new ServerView("2", "a", 0, false, 2, 64, MEMORY_TOKENS);
+		ServerView one = new ServerView("1", "a", 0, false, 1, SLOTS);
+		ServerView other = new ServerView("2", "a", 0, false, 2, SLOTS);
 		this.placement.onUsable(query, List.of(one, other));
 		this.placement.choose(query, List.of(one));
 		this.clock.advanceMillis(5_000);
@@ -146,7 +145,7 @@
 			List<ServerView> servers = new ArrayList<>();
 			for (int server = 0; server < random.nextInt(SERVERS); server++) {
 				servers.add(new ServerView("i-" + server, random.nextBoolean() ? "a" : "b", random.nextInt(3),
-						random.nextInt(3) == 0, server, random.nextInt(3), random.nextInt(40_000)));
+						random.nextInt(3) == 0, server, random.nextInt(3)));
 				this.loadByKey.put(server,
 						new ServerLoad(random.nextInt(900_000), random.nextInt(90), random.nextInt(900_000)));
 				this.paces.onPeerPace(server, 100 * random.nextDouble());
@@ -156,8 +155,7 @@
 				this.clock.advanceMillis(random.nextInt(4_000));
 			}
 			PlacementQuery query = new PlacementQuery("s", random.nextBoolean() ? "" : "p" + step, "a",
-					random.nextBoolean() ? List.of() : List.of(new SharedPart(1, random.nextInt(20_000))),
-					random.nextInt(3) * 9_000, random.nextInt(2) * 400, random.nextInt(10));
+					random.nextInt(3) * 9_000);
 			this.placement.onUsable(query, servers);
 			boolean found = new LeastLoadedPlacement(random).choose(query, servers).isPresent();
 			Assert.assertEquals(this.placement.choose(query, servers).isPresent(), found, "seed " + TestSeed.value());
@@ -170,17 +168,17 @@
 	}
 
 	private String chooseLong(String prompt) {
-		return choose(new PlacementQuery("s", prompt, "a", List.of(new SharedPart(1, 13_300)), 17_020, 2_000, 2));
+		return choose(new PlacementQuery("s", prompt, "a", 17_020));
 	}
 
 	private static PlacementQuery shortQuery(String prompt) {
-		return new PlacementQuery("s", prompt, "a", List.of(new SharedPart(1, 350)), 1_460, 400, 0);
+		return new PlacementQuery("s", prompt, "a", 1_460);
 	}
 
 	private String choose(PlacementQuery query) {
 		List<ServerView> servers = new ArrayList<>();
 		for (int server = 0; server < SERVERS; server++) {
-			servers.add(new ServerView(Integer.toString(server), "a", 0, false, server, 64, MEMORY_TOKENS));
+			servers.add(new ServerView(Integer.toString(server), "a", 0, false, server, SLOTS));
 		}
 		this.placement.onUsable(query, servers);
 		return this.placement.choose(query, servers).orElseThrow().id();
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/ServerView.java
@@ -12,12 +12,9 @@
  * {@link org.marjoramgw.policy.fleet.FleetKeys#serverKey}
  * @param slotCount number of requests that it runs concurrently,
  * {@link Integer#MAX_VALUE} if it is unknown
- * @param memoryTokens tokens for which it has memory, {@link Long#MAX_VALUE} if it is
- * unknown
  * @author The marjoramgw authors
  */
-public record ServerView(String id, String failureDomain, double load, boolean suspect, int serverKey, int slotCount,
-		long memoryTokens) {
+public record ServerView(String id, String failureDomain, double load, boolean suspect, int serverKey, int slotCount) {
 
 	/**
 	 * Creates a view of a server whose limits are unknown.
@@ -27,7 +24,7 @@
 	 * @param suspect whether it failed recently
 	 */
 	public ServerView(String id, String failureDomain, double load, boolean suspect) {
-		this(id, failureDomain, load, suspect, id.hashCode(), Integer.MAX_VALUE, Long.MAX_VALUE);
+		this(id, failureDomain, load, suspect, id.hashCode(), Integer.MAX_VALUE);
 	}
 
 }
