Place by pace, cached prompts and slow start that all entries share

Cause: where entries exchange digests, they still placed prompts as if all servers were equally fast and each process alone.

Change: the pace of a server is measured by the pauses between events of all streams there, and is a weight in the rendezvous hash; streams with short pauses leave slow servers out; a prompt with long shared parts stays at the one of two servers that got it first; other prompts go to the least loaded of four; prompts whose shared parts aren't cached are served after others of their rank; the slow start is a share of the prompts of a server, which grows with timely first tokens; no partition by prompt length where load is shared. Digests have a new format, since the unit of the pace changed.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RampLog.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RampLog.java
@@ -2,7 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -39,30 +39,30 @@
 	}
 
 	@Override
-	public synchronized void onRampStarted(int serverKey, String name, String reason, IntSupplier step) {
-		Logger.info("ramp of backend server {} started reason={} step={}", name, reason, step.getAsInt());
+	public synchronized void onRampStarted(int serverKey, String name, String reason, DoubleSupplier share) {
+		Logger.info("ramp of backend server {} started reason={} share={}", name, reason, share.getAsDouble());
 		if (this.namedServers.size() < MAX_NAMED_SERVERS && this.namedServers.add(name)) {
-			this.registry.gauge(stepMetric(name), () -> (Gauge<Integer>) step::getAsInt);
+			this.registry.gauge(shareMetric(name), () -> (Gauge<Double>) share::getAsDouble);
 			this.registry.gauge(paceMetric(name), () -> (Gauge<Double>) () -> this.paceBook.steadyPace(serverKey));
 		}
 	}
 
 	@Override
 	public synchronized void onRampEnded(int serverKey, String name, String reason, long tookMillis) {
-		Logger.info("ramp of backend server {} ended reason={} took_ms={} tokens_per_ms={}", name, reason, tookMillis,
+		Logger.info("ramp of backend server {} ended reason={} took_ms={} events_per_s={}", name, reason, tookMillis,
 				Math.round(this.paceBook.steadyPace(serverKey)));
 		if (this.namedServers.remove(name)) {
-			this.registry.remove(stepMetric(name));
+			this.registry.remove(shareMetric(name));
 			this.registry.remove(paceMetric(name));
 		}
 	}
 
-	private static String stepMetric(String name) {
-		return "ramp.step." + name;
+	private static String shareMetric(String name) {
+		return "ramp.share." + name;
 	}
 
 	private static String paceMetric(String name) {
-		return "ramp.tokens.per.ms." + name;
+		return "ramp.events.per.s." + name;
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -30,6 +30,7 @@
 import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.memory.MemoryBudget;
 import org.marjoramgw.policy.partition.PromptPartition;
+import org.marjoramgw.policy.partition.ServerPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
@@ -237,7 +238,7 @@
 		if (load.isPresent()) {
 			Placement shared = load.get().placement();
 			return new ServerSelector(servers, ServerViews.ofSharedLoad(this.health, routing), shared, shared,
-					promptPartition, this.settings.get().failureDomain());
+					ServerPartition.NONE, this.settings.get().failureDomain());
 		}
 		Placement leastLoaded = new LeastLoadedPlacement(random);
 		return new ServerSelector(servers, ServerViews.ofOwnLoad(this.health),
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -9,6 +9,7 @@
 import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerRamp;
+import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.SharedLoadPlacement;
 
@@ -32,9 +33,10 @@
 	 */
 	SharedLoad(String processId, MillisClock clock, LongSupplier lagMillis, MetricRegistry registry) {
 		PaceBook paceBook = new PaceBook(clock);
-		ServerRamp ramp = new ServerRamp(processId, clock, new RampLog(registry, paceBook));
+		ServerRamp ramp = new ServerRamp(clock, new RampLog(registry, paceBook));
 		this.book = new FleetBook(processId, System.currentTimeMillis(), clock, lagMillis, paceBook, ramp);
-		this.placement = new SharedLoadPlacement(this.book, this.book::ownUnreadCount, paceBook, ramp, new Random());
+		this.placement = new SharedLoadPlacement(this.book, paceBook, ramp, new LeastLoadedPlacement(new Random()),
+				new Random());
 		registry.gauge("ramp.servers", () -> (Gauge<Integer>) ramp::rampingCount);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AdmittedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AdmittedRequest.java
@@ -12,11 +12,12 @@
  * @param account client account, or empty on an anonymous route
  * @param rank priority rank within the configuration; 0 is the most urgent
  * @param serverRank rank under which the server queues the request
- * @param lateServerRank the same for a request that can no longer meet its latency target
+ * @param deferredServerRank the same for a request that the server runs after others of
+ * its rank
  * @param version version of the configuration that admitted it
  * @author The marjoramgw authors
  */
-public record AdmittedRequest(Route route, Optional<Account> account, int rank, int serverRank, int lateServerRank,
+public record AdmittedRequest(Route route, Optional<Account> account, int rank, int serverRank, int deferredServerRank,
 		long version) {
 
 	/** Log fields of a request that was not admitted. */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Attempt.java
@@ -30,6 +30,8 @@
 
 	private boolean late;
 
+	private boolean cold;
+
 	private boolean ended;
 
 	private boolean sent;
@@ -140,6 +142,15 @@
 		this.prefillPermit.bypass();
 	}
 
+	/**
+	 * Marks that the server has to prefill shared parts of the prompt. It runs the prompt
+	 * after those of its rank whose shared parts it has in its cache: under overload it
+	 * can serve several of these in the same time.
+	 */
+	void markCold() {
+		this.cold = true;
+	}
+
 	/**
 	 * Returns the metadata that is added to the forwarded request.
 	 * @param admitted the admitted request
@@ -149,7 +160,7 @@
 	 */
 	ForwardingMetadata metadata(AdmittedRequest admitted, long remainingMillis, Optional<String> lastEventId) {
 		return new ForwardingMetadata(serverId(), remainingMillis, admitted.account().map(Account::name),
-				this.late ? admitted.lateServerRank() : admitted.serverRank(), lastEventId);
+				(this.late || this.cold) ? admitted.deferredServerRank() : admitted.serverRank(), lastEventId);
 	}
 
 	/**
@@ -188,6 +199,14 @@
 		}
 	}
 
+	/**
+	 * Records a pause between two events of the answer.
+	 * @param pauseMillis the pause, in milliseconds
+	 */
+	void onPause(long pauseMillis) {
+		this.observer.onPause(pauseMillis);
+	}
+
 	/**
 	 * Marks that the server failed, or did not begin its answer in time.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -65,7 +65,7 @@
 		}
 		Optional<BackendServer> server = history.mayTry()
 				? this.context.serverSelector()
-					.choose(this.state.service(), this.state.route().name(), this.state.caller(), history.excluded())
+					.choose(this.state.service(), this.state.route(), this.state.caller(), history.excluded())
 				: Optional.empty();
 		if (server.isEmpty()) {
 			throw new RequestRejectedException(reason,
@@ -206,15 +206,18 @@
 	private void send(Attempt attempt) {
 		Optional<String> lastEventId = this.state.isResuming() ? this.state.resumableBody().lastEventId()
 				: Optional.empty();
+		// The keys of a prompt are not computed if nobody observes the load.
+		Optional<SendReport> report = (this.context.loadObserver() != LoadObserver.NONE)
+				? Optional.of(SendReport.of(this.state, attempt.server())) : Optional.empty();
+		if (report.isPresent() && report.get().isCold(this.context.loadObserver())) {
+			attempt.markCold();
+		}
 		HttpRequest backendRequest = this.context.backendDialect()
 			.toBackendRequest(this.state.request(),
 					attempt.metadata(this.state.admitted(), this.state.remainingMillis(), lastEventId));
 		attempt.markSent(this.context.clock().now().monotonicMillis());
 		this.state.onSent(attempt.sentMillis());
-		// The keys of a prompt are not computed if nobody observes the load.
-		if (this.context.loadObserver() != LoadObserver.NONE) {
-			attempt.setObserver(SendReport.of(this.state, attempt.server()).report(this.context.loadObserver()));
-		}
+		report.ifPresent((sent) -> attempt.setObserver(sent.report(this.context.loadObserver())));
 		if (!this.state.route().isStreaming()) {
 			attempt.setCountedRun(this.state.countRun());
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PauseMeter.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -18,6 +19,8 @@
 
 	private final Runnable onLate;
 
+	private final LongConsumer onPause;
+
 	private boolean started;
 
 	private long demandMillis;
@@ -29,8 +32,10 @@
 	 * @param nowMillis current time of a monotonic clock, in milliseconds
 	 * @param maxPauseMillis longest pause that is in time, in milliseconds
 	 * @param onLate called once, at the first pause that is longer
+	 * @param onPause called with each pause, in milliseconds
 	 */
-	PauseMeter(LongSupplier nowMillis, long maxPauseMillis, Runnable onLate) {
+	PauseMeter(LongSupplier nowMillis, long maxPauseMillis, Runnable onLate, LongConsumer onPause) {
+		this.onPause = onPause;
 		this.nowMillis = nowMillis;
 		this.maxPauseMillis = maxPauseMillis;
 		this.onLate = onLate;
@@ -53,6 +58,7 @@
 				this.onLate.run();
 			}
 			this.longestMillis = Math.max(this.longestMillis, pauseMillis);
+			this.onPause.accept(pauseMillis);
 		}
 		this.started = true;
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/PromptRecord.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 import org.marjoramgw.direct.caller.CallerRequest;
@@ -48,11 +49,12 @@
 	/**
 	 * Creates the meter of a stream, which records its first late pause.
 	 * @param nowMillis current time of a monotonic clock, in milliseconds
+	 * @param onPause called with each pause, in milliseconds
 	 * @return the meter
 	 */
-	PauseMeter pauseMeter(LongSupplier nowMillis) {
+	PauseMeter pauseMeter(LongSupplier nowMillis, LongConsumer onPause) {
 		return new PauseMeter(nowMillis, this.route.maxPauseMillis(),
-				() -> this.partition.onLatePause(this.service, this.route.name()));
+				() -> this.partition.onLatePause(this.service, this.route.name()), onPause);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/SendReport.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/SendReport.java
@@ -55,6 +55,15 @@
 				tokens(caller.maxOutputTokenCount()), Math.max(1, targetMillis));
 	}
 
+	/**
+	 * Tells whether the server has to prefill the shared parts of the prompt.
+	 * @param observer observer of the load
+	 * @return whether it has to
+	 */
+	boolean isCold(LoadObserver observer) {
+		return observer.isCold(this.serverKey, this.sharedParts);
+	}
+
 	/**
 	 * Gives the report to an observer.
 	 * @param observer the observer
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -7,7 +7,9 @@
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.model.BackendServer;
-import org.marjoramgw.policy.partition.PromptPartition;
+import org.marjoramgw.direct.model.Route;
+import org.marjoramgw.policy.fleet.SharedPart;
+import org.marjoramgw.policy.partition.ServerPartition;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.PlacementQuery;
 import org.marjoramgw.policy.placement.ServerView;
@@ -27,7 +29,7 @@
 
 	private final Placement plainPlacement;
 
-	private final PromptPartition promptPartition;
+	private final ServerPartition partition;
 
 	private final String failureDomain;
 
@@ -37,43 +39,46 @@
 	 * @param serverViews what the placement policies are told of each server
 	 * @param promptPlacement placement policy for requests with a prompt
 	 * @param plainPlacement placement policy for other requests
-	 * @param promptPartition partition of the servers by the length of prompts
+	 * @param partition servers on which a kind of request may be placed
 	 * @param failureDomain failure domain of this process
 	 */
 	public ServerSelector(ServerDirectory directory, ServerViews serverViews, Placement promptPlacement,
-			Placement plainPlacement, PromptPartition promptPartition, String failureDomain) {
+			Placement plainPlacement, ServerPartition partition, String failureDomain) {
 		this.directory = directory;
 		this.serverViews = serverViews;
 		this.promptPlacement = promptPlacement;
 		this.plainPlacement = plainPlacement;
-		this.promptPartition = promptPartition;
+		this.partition = partition;
 		this.failureDomain = failureDomain;
 	}
 
 	/**
 	 * Selects a server.
 	 * @param service name of the service
-	 * @param kind kind of the request
+	 * @param route route of the request
 	 * @param request the request
 	 * @param excluded ids of servers that earlier attempts failed on
 	 * @return the server, or empty if no usable server is left
 	 */
-	public Optional<BackendServer> choose(String service, String kind, CallerRequest request, Set<String> excluded) {
+	public Optional<BackendServer> choose(String service, Route route, CallerRequest request, Set<String> excluded) {
 		List<BackendServer> servers = this.directory.usable(service);
 		List<ServerView> views = servers.stream().map(this.serverViews::of).toList();
 		Placement placement = request.promptParts().isEmpty() ? this.plainPlacement : this.promptPlacement;
-		PlacementQuery query = query(service, request);
+		PlacementQuery query = query(service, route, request);
 		placement.onUsable(query, views);
-		return placement.choose(query, candidates(service, kind, views, excluded))
+		return placement.choose(query, candidates(service, route.name(), views, excluded))
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
 	}
 
-	private PlacementQuery query(String service, CallerRequest request) {
-		return new PlacementQuery(service, request.sharedPrefixKey(), this.failureDomain, request.allPromptTokens());
+	private PlacementQuery query(String service, Route route, CallerRequest request) {
+		List<SharedPart> parts = request.sharedParts();
+		return new PlacementQuery(service, request.sharedPrefixKey(), this.failureDomain, request.allPromptTokens(),
+				route.maxPauseMillis(), parts.isEmpty() ? 0 : parts.get(parts.size() - 1).partKey(),
+				parts.stream().mapToInt(SharedPart::tokenCount).sum());
 	}
 
 	private List<ServerView> candidates(String service, String kind, List<ServerView> servers, Set<String> excluded) {
-		List<ServerView> part = without(excluded, this.promptPartition.select(service, kind, servers));
+		List<ServerView> part = without(excluded, this.partition.select(service, kind, servers));
 		return part.isEmpty() ? without(excluded, servers) : part;
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
@@ -43,7 +43,8 @@
 	 * @return the body
 	 */
 	Source<ByteString, ?> relay(Attempt attempt, HttpResponse response, EndListener onEnd) {
-		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis());
+		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis(),
+				attempt::onPause);
 		boolean hasEvents = ResponseBodies.isEventStream(response);
 		StreamObserver observer = new StreamObserver(() -> onFirstEvent(attempt, hasEvents), this::onProgress, pauses,
 				(code, detail) -> onEnd(attempt, pauses, code, detail, onEnd));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Ranks.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Ranks.java
@@ -53,18 +53,19 @@
 
 	/**
 	 * Returns the rank under which a backend server queues a request. The ranks that the
-	 * configuration leaves unused separate late requests from the others of their rank,
-	 * for the least urgent ranks first. A late request never ranks with or after less
-	 * urgent ones, since the server would preempt it for them.
+	 * configuration leaves unused separate deferred requests from the others of their
+	 * rank, for the least urgent ranks first. A deferred request never ranks with or
+	 * after less urgent ones, since the server would preempt it for them.
 	 * @param rank rank of the request
-	 * @param late whether the request can no longer meet its latency target
+	 * @param deferred whether the request can no longer meet its latency target, or takes
+	 * the time in which the server could serve several others of its rank
 	 * @return the rank, from 0 (most urgent) to at most 9
 	 */
-	public int serverRank(int rank, boolean late) {
+	public int serverRank(int rank, boolean deferred) {
 		int count = Math.min(count(), MAX_RANK_COUNT);
 		int firstDivided = count - Math.min(count, MAX_RANK_COUNT - count);
 		int dividedBefore = Math.max(0, rank - firstDivided);
-		return rank + dividedBefore + ((late && rank >= firstDivided) ? 1 : 0);
+		return rank + dividedBefore + ((deferred && rank >= firstDivided) ? 1 : 0);
 	}
 
 	private int count() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestCodec.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestCodec.java
@@ -31,7 +31,7 @@
 	/**
 	 * Identifies datagrams of this system and their version, which is in the low byte.
 	 */
-	private static final int FORMAT = 0x4d01;
+	private static final int FORMAT = 0x4d02;
 
 	private static final int FIELD_COUNT = 6;
 
@@ -52,7 +52,7 @@
 
 	private static final int MEMORY_UNIT = 256;
 
-	/** The same for the pace, in tokens per millisecond. */
+	/** The same for the pace, in events per second. */
 	private static final double PACE_UNIT = 0.5;
 
 	private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
@@ -213,7 +213,7 @@
 	}
 
 	private static int paceUnits(ServerReport report) {
-		return (int) Math.max(0, Math.round(report.tokensPerMilli() / PACE_UNIT));
+		return (int) Math.max(0, Math.round(report.eventsPerSecond() / PACE_UNIT));
 	}
 
 	/**
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 
 import org.marjoramgw.MillisClock;
+import org.marjoramgw.policy.pace.EventPauses;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerRamp;
 
@@ -44,6 +45,9 @@
 	/** Ratio of the time to a first token to the lag from which on it is measured. */
 	private static final double MIN_TIME_PER_LAG = 10;
 
+	/** Shared tokens from which on it matters where a prompt is cached. */
+	public static final int MIN_SHARED_TOKENS = 1_000;
+
 	private final String processId;
 
 	private final long incarnation;
@@ -103,25 +107,20 @@
 				peers.memoryTokens() + own.memoryTokens);
 	}
 
-	/**
-	 * Returns the number of prompts that this process sent to a server and whose first
-	 * token is outstanding.
-	 * @param serverKey key of the server
-	 * @return the number of prompts
-	 */
-	public synchronized int ownUnreadCount(int serverKey) {
-		OwnLoad own = this.ownByServer.get(serverKey);
-		return (own != null) ? own.unreadCount : 0;
+	@Override
+	public synchronized boolean isCached(int partKey, int serverKey) {
+		return this.cachedParts.contains(partKey, serverKey, this.clock.nowMillis());
 	}
 
-	/**
-	 * Tells whether a server probably has a part of a prompt in its cache.
-	 * @param partKey key of the part, see {@link FleetKeys#partKey}
-	 * @param serverKey key of the server
-	 * @return whether the part was sent there recently
-	 */
-	synchronized boolean isCached(int partKey, int serverKey) {
-		return this.cachedParts.contains(partKey, serverKey, this.clock.nowMillis());
+	@Override
+	public synchronized int cachedCount(int serverKey) {
+		return this.cachedParts.count(serverKey);
+	}
+
+	@Override
+	public synchronized boolean isCold(int serverKey, List<SharedPart> sharedParts) {
+		return sharedParts.stream().mapToLong(SharedPart::tokenCount).sum() >= MIN_SHARED_TOKENS
+				&& cachedTokens(serverKey, sharedParts, this.clock.nowMillis()) == 0;
 	}
 
 	@Override
@@ -131,15 +130,11 @@
 		long sharedTokens = sharedParts.stream().mapToLong(SharedPart::tokenCount).sum();
 		long cachedTokens = cachedTokens(serverKey, sharedParts, nowMillis);
 		int unread = (int) Math.max(0, promptTokens - cachedTokens);
-		// A peer may have sent a part just now that counts as unread, so that such
-		// prompts
-		// don't measure the pace.
-		boolean measured = cachedTokens == sharedTokens && load(serverKey).unreadTokens() <= MAX_OTHERS_RATIO * unread;
-		for (SharedPart part : sharedParts) {
-			this.cachedParts.onSent(part, serverKey, nowMillis);
+		if (sharedTokens >= MIN_SHARED_TOKENS) {
+			this.cachedParts.onSent(sharedParts.get(sharedParts.size() - 1), serverKey, nowMillis);
 		}
 		int memory = (promptTokens > 0) ? promptTokens + (int) (OUTPUT_WEIGHT * outputTokens) : 0;
-		return new SentRequest(serverKey, promptTokens > 0, unread, measured, memory, targetMillis);
+		return new SentRequest(serverKey, promptTokens > 0, unread, memory, targetMillis);
 	}
 
 	@Override
@@ -173,18 +168,14 @@
 	@Override
 	public synchronized void onMembers(Set<String> heardIds, Set<String> memberIds) {
 		this.peerLoads.onMembers(heardIds, memberIds.size());
-		this.ramp.onMembers(heardIds.size(), memberIds);
 	}
 
 	private long cachedTokens(int serverKey, List<SharedPart> sharedParts, long nowMillis) {
-		long cached = 0;
-		for (SharedPart part : sharedParts) {
-			if (!this.cachedParts.contains(part.partKey(), serverKey, nowMillis)) {
-				break;
-			}
-			cached += part.tokenCount();
+		if (sharedParts.isEmpty() || !this.cachedParts.contains(sharedParts.get(sharedParts.size() - 1).partKey(),
+				serverKey, nowMillis)) {
+			return 0;
 		}
-		return cached;
+		return sharedParts.stream().mapToLong(SharedPart::tokenCount).sum();
 	}
 
 	private OwnLoad own(int serverKey) {
@@ -203,8 +194,8 @@
 		if (timely > 0) {
 			this.ramp.onTimely(report.serverKey(), timely);
 		}
-		if (report.tokensPerMilli() != previous.tokensPerMilli()) {
-			this.paceBook.onPeerPace(report.serverKey(), report.tokensPerMilli());
+		if (report.eventsPerSecond() != previous.eventsPerSecond()) {
+			this.paceBook.onMeasured(report.serverKey(), report.eventsPerSecond());
 		}
 	}
 
@@ -219,8 +210,6 @@
 
 		private final int unreadTokens;
 
-		private final boolean measured;
-
 		private final int memoryTokens;
 
 		private final long targetMillis;
@@ -229,16 +218,16 @@
 
 		private final long lagAtSendMillis = FleetBook.this.lagMillis.getAsLong();
 
+		private final EventPauses pauses = new EventPauses();
+
 		private boolean begun;
 
 		private boolean ended;
 
-		private SentRequest(int serverKey, boolean prompted, int unreadTokens, boolean measured, int memoryTokens,
-				long targetMillis) {
+		private SentRequest(int serverKey, boolean prompted, int unreadTokens, int memoryTokens, long targetMillis) {
 			this.serverKey = serverKey;
 			this.prompted = prompted;
 			this.unreadTokens = unreadTokens;
-			this.measured = measured;
 			this.memoryTokens = memoryTokens;
 			this.targetMillis = targetMillis;
 			OwnLoad own = own(serverKey);
@@ -268,6 +257,17 @@
 			}
 		}
 
+		@Override
+		public void onPause(long pauseMillis) {
+			double pace = this.pauses.add(pauseMillis);
+			if (pace > 0) {
+				synchronized (FleetBook.this) {
+					own(this.serverKey).eventsPerSecond = pace;
+					FleetBook.this.paceBook.onMeasured(this.serverKey, pace);
+				}
+			}
+		}
+
 		@Override
 		public void onEnd(boolean failed) {
 			synchronized (FleetBook.this) {
@@ -306,12 +306,6 @@
 				own.lateCount++;
 				FleetBook.this.ramp.onLate(this.serverKey, 1);
 			}
-			double others = load(this.serverKey).unreadTokens();
-			if (this.measured && others <= MAX_OTHERS_RATIO * this.unreadTokens
-					&& tookMillis >= MIN_TIME_PER_LAG * lag) {
-				double pace = FleetBook.this.paceBook.onFirstToken(this.serverKey, this.unreadTokens, tookMillis);
-				own.tokensPerMilli = (pace > 0) ? pace : own.tokensPerMilli;
-			}
 		}
 
 	}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/LoadObserver.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/LoadObserver.java
@@ -25,6 +25,17 @@
 	RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens, int outputTokens,
 			long targetMillis);
 
+	/**
+	 * Tells whether a server has to prefill shared parts of a prompt, because they were
+	 * not sent there lately.
+	 * @param serverKey key of the server
+	 * @param sharedParts shared parts of the prompt in order
+	 * @return whether it has to
+	 */
+	default boolean isCold(int serverKey, List<SharedPart> sharedParts) {
+		return false;
+	}
+
 	/**
 	 * Receiver of the further course of one request.
 	 */
@@ -37,6 +48,10 @@
 			public void onFirstToken() {
 			}
 
+			@Override
+			public void onPause(long pauseMillis) {
+			}
+
 			@Override
 			public void onEnd(boolean failed) {
 			}
@@ -48,6 +63,12 @@
 		 */
 		void onFirstToken();
 
+		/**
+		 * Called at each further event of a stream.
+		 * @param pauseMillis time since the event before it, in milliseconds
+		 */
+		void onPause(long pauseMillis);
+
 		/**
 		 * Called when the request ended; further calls do nothing.
 		 * @param failed whether the server failed
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
@@ -22,8 +22,8 @@
 
 	int lateCount;
 
-	/** Latest pace that was measured, in tokens per millisecond; 0 if none was. */
-	double tokensPerMilli;
+	/** Latest pace that was measured, in events per second; 0 if none was. */
+	double eventsPerSecond;
 
 	/** Time of the last change, in milliseconds. */
 	long changedMillis;
@@ -48,7 +48,7 @@
 		}
 		this.changed = false;
 		ServerReport report = new ServerReport(serverKey, clamp(this.unreadTokens), this.runningCount,
-				clamp(this.memoryTokens), this.timelyCount, this.lateCount, this.tokensPerMilli);
+				clamp(this.memoryTokens), this.timelyCount, this.lateCount, this.eventsPerSecond);
 		boolean different = !report.equals(this.lastReport);
 		this.lastReport = report;
 		return different ? report : null;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/ServerReport.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/ServerReport.java
@@ -12,19 +12,19 @@
  * @param timelyCount first tokens that arrived in time, since the process started
  * @param lateCount first tokens that were late and requests that failed, since the
  * process started
- * @param tokensPerMilli prefill pace that the process measured last, in tokens per
- * millisecond; 0 if it doesn't know
+ * @param eventsPerSecond pace that the process measured last, in events of a stream per
+ * second; 0 if it does not know
  * @author The marjoramgw authors
  */
 public record ServerReport(int serverKey, int unreadTokens, int runningCount, int memoryTokens, int timelyCount,
-		int lateCount, double tokensPerMilli) {
+		int lateCount, double eventsPerSecond) {
 
 	/**
 	 * Returns this report as of a time when the process had no requests at the server.
 	 * @return the counts and the pace only
 	 */
 	ServerReport withoutLoad() {
-		return new ServerReport(this.serverKey, 0, 0, 0, this.timelyCount, this.lateCount, this.tokensPerMilli);
+		return new ServerReport(this.serverKey, 0, 0, 0, this.timelyCount, this.lateCount, this.eventsPerSecond);
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/RampListener.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/RampListener.java
@@ -1,6 +1,6 @@
 package org.marjoramgw.policy.pace;
 
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 
 /**
  * Receiver of the beginning and end of the ramps of backend servers.
@@ -13,7 +13,7 @@
 	RampListener NONE = new RampListener() {
 
 		@Override
-		public void onRampStarted(int serverKey, String name, String reason, IntSupplier step) {
+		public void onRampStarted(int serverKey, String name, String reason, DoubleSupplier share) {
 		}
 
 		@Override
@@ -27,9 +27,9 @@
 	 * @param serverKey key of the server
 	 * @param name name of the server
 	 * @param reason why
-	 * @param step returns the present step of its ramp, 0 after the end
+	 * @param share returns its present share of the prompts, 1 after the end
 	 */
-	void onRampStarted(int serverKey, String name, String reason, IntSupplier step);
+	void onRampStarted(int serverKey, String name, String reason, DoubleSupplier share);
 
 	/**
 	 * Called when a ramp ends.
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
@@ -2,29 +2,35 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 
 import org.marjoramgw.MillisClock;
-import org.marjoramgw.policy.candidate.RendezvousHash;
 
 /**
- * Slow start of backend servers that are new or have failed, common to all entry
- * processes; thread-safe.
+ * Slow start of backend servers that are new or have failed; thread-safe.
  * <p>
- * During the ramp of a server only the first few processes by rendezvous hash send it
- * prompts, each one at a time until its first token. Their number, the step, doubles when
- * as many first tokens were timely, and halves with a late or failed one. Every process
- * counts the first tokens of all, so that they agree on the step without coordination. A
- * process that hears no peers limits the prompts that it sends concurrently instead.
+ * A server in its ramp gets a share of the prompts that it would get otherwise. The share
+ * grows with each timely first token of any entry process and halves with a late or
+ * failed one, so that a cold server isn't flooded and a sound one is soon in full use. It
+ * applies to the keys of prompts and not to single requests: processes that know the same
+ * first tokens send a prompt to the same server.
  *
  * @author The marjoramgw authors
  */
 public final class ServerRamp {
 
-	private static final int FIRST_STEP = 2;
+	/** Share of a server that is new, whose cache is empty. */
+	private static final double NEW_SHARE = 0.25;
 
-	/** Step at which the ramp of a process without peers ends, in prompts. */
-	private static final int LAST_STEP_ALONE = 16;
+	/** Share of a server that has failed several times, whose cache may be intact. */
+	private static final double FAILED_SHARE = 0.5;
+
+	private static final double MIN_SHARE = 1.0 / 16;
+
+	/** Growth of the share with a timely first token. */
+	private static final double GROWTH = 1.0 / 8;
+
+	/** Consecutive failures at this process after which a ramp starts. */
+	private static final int FAILURE_COUNT = 2;
 
 	/**
 	 * Time after the first request to a service within which its servers aren't new. They
@@ -33,21 +39,14 @@
 	private static final long FIRST_SIGHT_MILLIS = 2_000;
 
 	/**
-	 * Time without any first token or failure after which the step doubles. The processes
-	 * that may send prompts may have none for this server, or may have ended.
+	 * Time without any first token or failure after which the share doubles, since there
+	 * may be no prompt for this server.
 	 */
 	private static final long STALL_MILLIS = 1_000;
 
-	/**
-	 * Time for which late first tokens of peers count when this process sees a failure.
-	 */
-	private static final long RECENT_MILLIS = 2_000;
-
 	/** Time after which a server that no service has any more is forgotten. */
 	private static final long FORGET_MILLIS = 60_000;
 
-	private final String processId;
-
 	private final MillisClock clock;
 
 	private final RampListener listener;
@@ -56,36 +55,19 @@
 
 	private final Map<Integer, Server> serverByKey = new HashMap<>();
 
-	private Set<String> memberIds = Set.of();
-
-	private boolean alone = true;
-
 	private long forgottenMillis;
 
 	/**
 	 * Creates a ramp without servers.
-	 * @param processId id of this process
 	 * @param clock monotonic clock
 	 * @param listener receiver of the beginning and end of ramps
 	 */
-	public ServerRamp(String processId, MillisClock clock, RampListener listener) {
-		this.processId = processId;
+	public ServerRamp(MillisClock clock, RampListener listener) {
 		this.clock = clock;
 		this.listener = listener;
 		this.forgottenMillis = clock.nowMillis();
 	}
 
-	/**
-	 * Records the processes of the deployment.
-	 * @param heardCount number of peers that are heard
-	 * @param newMemberIds ids of all processes, this one included
-	 */
-	public synchronized void onMembers(int heardCount, Set<String> newMemberIds) {
-		this.alone = heardCount == 0;
-		this.memberIds = Set.copyOf(newMemberIds);
-		this.serverByKey.values().forEach((server) -> server.ownPosition = -1);
-	}
-
 	/**
 	 * Records that a server is usable. The ramp of a server that was unknown starts,
 	 * unless its service was unknown as well: then no server of it is known to be older.
@@ -103,35 +85,27 @@
 			server = new Server(serverKey, name);
 			this.serverByKey.put(serverKey, server);
 			if (nowMillis - sight.firstMillis > FIRST_SIGHT_MILLIS) {
-				start(server, this.alone ? 1 : FIRST_STEP, "new", nowMillis);
+				start(server, NEW_SHARE, "new", nowMillis);
 			}
 		}
 		server.seenMillis = nowMillis;
 	}
 
 	/**
-	 * Tells whether this process may send a prompt to a server.
+	 * Returns the share of the prompts that a server gets.
 	 * @param serverKey key of the server
-	 * @param ownUnreadCount prompts that this process sent there and whose first token is
-	 * outstanding
-	 * @return whether it may
+	 * @return share above 0, 1 if the server isn't in its ramp
 	 */
-	public synchronized boolean mayReceive(int serverKey, int ownUnreadCount) {
+	public synchronized double share(int serverKey) {
 		Server server = this.serverByKey.get(serverKey);
 		if (server == null || !server.ramping) {
-			return true;
+			return 1;
 		}
 		long nowMillis = this.clock.nowMillis();
 		if (nowMillis - server.changedMillis > STALL_MILLIS) {
-			grow(server, nowMillis);
-			if (!server.ramping) {
-				return true;
-			}
-		}
-		if (this.alone) {
-			return ownUnreadCount < server.step;
+			grow(server, server.share, nowMillis);
 		}
-		return ownUnreadCount == 0 && ownPosition(server) < server.step;
+		return server.share;
 	}
 
 	/**
@@ -141,74 +115,44 @@
 	 */
 	public synchronized void onTimely(int serverKey, int count) {
 		Server server = this.serverByKey.get(serverKey);
-		if (server == null) {
-			return;
-		}
-		if (!server.ramping) {
-			server.recentLateCount = Math.max(0, server.recentLateCount - count);
+		if (server == null || count <= 0) {
 			return;
 		}
-		long nowMillis = this.clock.nowMillis();
-		server.timelyCount += count;
-		server.changedMillis = nowMillis;
-		while (server.ramping && server.timelyCount >= server.step) {
-			server.timelyCount -= server.step;
-			grow(server, nowMillis);
+		server.failureCount = 0;
+		if (server.ramping) {
+			grow(server, count * GROWTH, this.clock.nowMillis());
 		}
 	}
 
 	/**
 	 * Records late first tokens or failures at a server, of this process or of peers.
+	 * They start no ramp, because under overload all servers have them.
 	 * @param serverKey key of the server
 	 * @param count number of them
 	 */
 	public synchronized void onLate(int serverKey, int count) {
 		Server server = this.serverByKey.get(serverKey);
-		if (server == null || count <= 0) {
-			return;
-		}
-		long nowMillis = this.clock.nowMillis();
-		if (!server.ramping) {
-			boolean recent = nowMillis - server.changedMillis <= RECENT_MILLIS;
-			server.recentLateCount = count + (recent ? server.recentLateCount : 0);
+		if (server != null && server.ramping && count > 0) {
+			server.share = Math.max(MIN_SHARE, server.share * Math.pow(0.5, count));
+			server.changedMillis = this.clock.nowMillis();
 		}
-		else {
-			server.step = halved(server.step, count);
-			server.timelyCount = 0;
-		}
-		server.changedMillis = nowMillis;
-	}
-
-	private static int halved(int step, int count) {
-		return Math.max(1, step >> Math.min(count, Integer.SIZE - 1));
 	}
 
 	/**
-	 * Records a failure of a server at this process. Its ramp starts if it has ended; a
-	 * late first token alone doesn't start it, because under overload all servers have
-	 * them.
+	 * Records a failure of a server at this process. Several in a row start its ramp.
 	 * @param serverKey key of the server
 	 */
 	public synchronized void onFailed(int serverKey) {
 		Server server = this.serverByKey.get(serverKey);
-		if (server != null && !server.ramping) {
-			long nowMillis = this.clock.nowMillis();
-			boolean recent = nowMillis - server.changedMillis <= RECENT_MILLIS;
-			start(server, halved(lastStep(), 1 + (recent ? server.recentLateCount : 0)), "failed", nowMillis);
+		if (server == null) {
+			return;
 		}
-		else {
+		if (server.ramping) {
 			onLate(serverKey, 1);
 		}
-	}
-
-	/**
-	 * Returns the step of a server.
-	 * @param serverKey key of the server
-	 * @return the step, 0 if it isn't in its ramp
-	 */
-	public synchronized int step(int serverKey) {
-		Server server = this.serverByKey.get(serverKey);
-		return (server != null && server.ramping) ? server.step : 0;
+		else if (++server.failureCount >= FAILURE_COUNT) {
+			start(server, FAILED_SHARE, "failed", this.clock.nowMillis());
+		}
 	}
 
 	/**
@@ -219,25 +163,19 @@
 		return (int) this.serverByKey.values().stream().filter((server) -> server.ramping).count();
 	}
 
-	private void start(Server server, int step, String reason, long nowMillis) {
+	private void start(Server server, double share, String reason, long nowMillis) {
 		server.ramping = true;
-		server.step = step;
-		server.timelyCount = 0;
-		server.recentLateCount = 0;
+		server.share = share;
+		server.failureCount = 0;
 		server.startedMillis = nowMillis;
 		server.changedMillis = nowMillis;
-		this.listener.onRampStarted(server.key, server.name, reason, () -> step(server.key));
-		endIfComplete(server, nowMillis);
+		this.listener.onRampStarted(server.key, server.name, reason, () -> share(server.key));
 	}
 
-	private void grow(Server server, long nowMillis) {
-		server.step = Math.min(2 * server.step, Math.max(lastStep(), 1));
+	private void grow(Server server, double growth, long nowMillis) {
+		server.share = Math.min(1, server.share + growth);
 		server.changedMillis = nowMillis;
-		endIfComplete(server, nowMillis);
-	}
-
-	private void endIfComplete(Server server, long nowMillis) {
-		if (server.step >= lastStep()) {
+		if (server.share == 1) {
 			end(server, "complete", nowMillis);
 		}
 	}
@@ -247,26 +185,6 @@
 		this.listener.onRampEnded(server.key, server.name, reason, nowMillis - server.startedMillis);
 	}
 
-	private int lastStep() {
-		return this.alone ? LAST_STEP_ALONE : this.memberIds.size();
-	}
-
-	/**
-	 * Returns the position of this process among all by rendezvous hash.
-	 * @param server the server
-	 * @return the position, 0 for the first
-	 */
-	private int ownPosition(Server server) {
-		if (server.ownPosition < 0) {
-			String key = Integer.toString(server.key);
-			long own = RendezvousHash.score(key, this.processId);
-			server.ownPosition = (int) this.memberIds.stream()
-				.filter((id) -> !id.equals(this.processId) && RendezvousHash.score(key, id) > own)
-				.count();
-		}
-		return server.ownPosition;
-	}
-
 	private void forget(long nowMillis) {
 		if (nowMillis - this.forgottenMillis < FORGET_MILLIS) {
 			return;
@@ -305,13 +223,10 @@
 
 		private boolean ramping;
 
-		private int step;
-
-		/** Timely first tokens since the step changed. */
-		private int timelyCount;
+		private double share = 1;
 
-		/** Late first tokens of the last seconds before the ramp, without timely ones. */
-		private int recentLateCount;
+		/** Failures at this process since the last timely first token. */
+		private int failureCount;
 
 		private long startedMillis;
 
@@ -319,9 +234,6 @@
 
 		private long seenMillis;
 
-		/** Position of this process among all, -1 if it isn't computed. */
-		private int ownPosition = -1;
-
 		private Server(int key, String name) {
 			this.key = key;
 			this.name = name;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -5,10 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.function.IntUnaryOperator;
-import java.util.function.ToDoubleFunction;
 
 import org.marjoramgw.policy.candidate.RendezvousHash;
+import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.fleet.FleetLoad;
 import org.marjoramgw.policy.fleet.ServerLoad;
 import org.marjoramgw.policy.pace.PaceBook;
@@ -28,29 +27,48 @@
  */
 public final class SharedLoadPlacement implements Placement {
 
-	private final FleetLoad fleet;
+	/** Ratio of a pause in which prompts are prefilled to one without. */
+	private static final double PREFILL_PAUSE_FACTOR = 5;
+
+	/**
+	 * Least fraction of the servers that must be fast enough for a request, so that these
+	 * can take its kind of request.
+	 */
+	private static final double MIN_FAST_FRACTION = 0.3;
+
+	/** Random servers of which a prompt without a home goes to the least loaded. */
+	private static final int SAMPLE_COUNT = 4;
+
+	/**
+	 * Prompt tokens whose prefill delays the others on a server about as much as one
+	 * running stream does.
+	 */
+	private static final double STREAM_TOKENS = 1_000;
+
+	private static final double TWO_POW_MINUS_64 = 0x1p-64;
 
-	private final IntUnaryOperator ownUnreadCount;
+	private final FleetLoad fleet;
 
 	private final PaceBook paceBook;
 
 	private final ServerRamp ramp;
 
+	private final Placement callPlacement;
+
 	private final Random random;
 
 	/**
 	 * Creates a placement.
 	 * @param fleet load of the servers
-	 * @param ownUnreadCount returns the number of prompts of this process at a server
-	 * whose first token is outstanding, by the key of the server
 	 * @param paceBook paces of the servers
 	 * @param ramp slow start of the servers
+	 * @param callPlacement placement of requests without a prompt
 	 * @param random source of randomness for requests without a shared prompt
 	 */
-	public SharedLoadPlacement(FleetLoad fleet, IntUnaryOperator ownUnreadCount, PaceBook paceBook, ServerRamp ramp,
+	public SharedLoadPlacement(FleetLoad fleet, PaceBook paceBook, ServerRamp ramp, Placement callPlacement,
 			Random random) {
+		this.callPlacement = callPlacement;
 		this.fleet = fleet;
-		this.ownUnreadCount = ownUnreadCount;
 		this.paceBook = paceBook;
 		this.ramp = ramp;
 		this.random = random;
@@ -65,33 +83,47 @@
 
 	@Override
 	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
+		if (query.promptTokens() == 0) {
+			return this.callPlacement.choose(query, servers);
+		}
 		List<ServerView> healthy = SuspectFilter.excludeSuspects(servers);
 		if (healthy.isEmpty()) {
 			return Optional.empty();
 		}
-		if (query.promptTokens() == 0) {
-			return Optional.of(betterOfTwo(query, withFreeSlot(candidates(healthy)), Candidate::callCost));
+		List<Candidate> candidates = withFreeSlot(withShortPauses(candidates(healthy), query.maxPauseMillis()));
+		if (query.sharedTokens() < FleetBook.MIN_SHARED_TOKENS) {
+			return Optional.of(bestOfSample(candidates).server);
 		}
-		List<Candidate> candidates = withFreeSlot(candidates(ramped(healthy)));
-		if (query.affinityKey().isEmpty()) {
-			return Optional.of(betterOfTwo(query, candidates, Candidate::promptCost));
-		}
-		return candidates.stream()
-			.map((candidate) -> candidate.server)
-			.max(Comparator.comparingLong((server) -> RendezvousHash.score(query.affinityKey(), server.id())));
+		List<Candidate> preferred = candidates.stream()
+			.sorted(Comparator.comparingDouble((Candidate candidate) -> candidate.score(query.affinityKey()))
+				.reversed())
+			.limit(2)
+			.toList();
+		return Optional.of(preferredServer(query, preferred).server);
 	}
 
-	// While the ramps exclude more than half of the servers, the others couldn't take
-	// their load, and none is excluded.
-	private List<ServerView> ramped(List<ServerView> servers) {
-		if (this.ramp.rampingCount() == 0) {
-			return servers;
+	// Two servers may get a prompt, and the one that got it first keeps it while it is
+	// cached. So the shared parts are prefilled once, and the servers have about the same
+	// number of them.
+	private Candidate preferredServer(PlacementQuery query, List<Candidate> preferred) {
+		Candidate first = preferred.get(0);
+		if (preferred.size() < 2) {
+			return first;
 		}
-		List<ServerView> eligible = servers.stream()
-			.filter((server) -> this.ramp.mayReceive(server.serverKey(),
-					this.ownUnreadCount.applyAsInt(server.serverKey())))
-			.toList();
-		return (2 * eligible.size() < servers.size()) ? servers : eligible;
+		Candidate second = preferred.get(1);
+		boolean firstCached = this.fleet.isCached(query.sharedPartKey(), first.server.serverKey());
+		boolean secondCached = this.fleet.isCached(query.sharedPartKey(), second.server.serverKey());
+		if (firstCached != secondCached) {
+			return firstCached ? first : second;
+		}
+		if (firstCached) {
+			return (first.cost() <= second.cost()) ? first : second;
+		}
+		return (cachedShare(first) <= cachedShare(second)) ? first : second;
+	}
+
+	private double cachedShare(Candidate candidate) {
+		return (this.fleet.cachedCount(candidate.server.serverKey()) + 1) / candidate.weight();
 	}
 
 	private List<Candidate> candidates(List<ServerView> servers) {
@@ -99,30 +131,31 @@
 		List<Candidate> candidates = new ArrayList<>(servers.size());
 		for (int index = 0; index < servers.size(); index++) {
 			ServerView server = servers.get(index);
-			candidates.add(new Candidate(server, this.fleet.load(server.serverKey()), paces.get(index)));
+			candidates.add(new Candidate(server, this.fleet.load(server.serverKey()), paces.get(index),
+					this.ramp.share(server.serverKey())));
 		}
 		return candidates;
 	}
 
+	private static List<Candidate> withShortPauses(List<Candidate> candidates, long maxPauseMillis) {
+		List<Candidate> fast = candidates.stream().filter((candidate) -> candidate.meetsPause(maxPauseMillis)).toList();
+		return (MIN_FAST_FRACTION * candidates.size() > fast.size()) ? candidates : fast;
+	}
+
 	private static List<Candidate> withFreeSlot(List<Candidate> candidates) {
 		List<Candidate> free = candidates.stream().filter(Candidate::hasFreeSlot).toList();
 		return free.isEmpty() ? candidates : free;
 	}
 
-	// Chooses between two random servers. The least loaded of all would get the requests
+	// Chooses among a few random servers. The least loaded of all would get the requests
 	// of all processes until their next reports.
-	private ServerView betterOfTwo(PlacementQuery query, List<Candidate> candidates, ToDoubleFunction<Candidate> cost) {
-		int firstIndex = this.random.nextInt(candidates.size());
-		Candidate first = candidates.get(firstIndex);
-		if (candidates.size() == 1) {
-			return first.server;
+	private Candidate bestOfSample(List<Candidate> candidates) {
+		Candidate best = candidates.get(this.random.nextInt(candidates.size()));
+		for (int drawn = 1; drawn < SAMPLE_COUNT; drawn++) {
+			Candidate next = candidates.get(this.random.nextInt(candidates.size()));
+			best = (next.cost() < best.cost()) ? next : best;
 		}
-		int offset = 1 + this.random.nextInt(candidates.size() - 1);
-		Candidate second = candidates.get((firstIndex + offset) % candidates.size());
-		int order = Double.compare(cost.applyAsDouble(first), cost.applyAsDouble(second));
-		boolean firstPreferred = first.server.failureDomain().equals(query.failureDomain())
-				|| !second.server.failureDomain().equals(query.failureDomain());
-		return (order < 0 || order == 0 && firstPreferred) ? first.server : second.server;
+		return best;
 	}
 
 	/**
@@ -131,19 +164,32 @@
 	 * @param server the server
 	 * @param load its load by all processes
 	 * @param pace its pace
+	 * @param rampShare share of the prompts that its slow start allows
 	 */
-	private record Candidate(ServerView server, ServerLoad load, ServerPace pace) {
+	private record Candidate(ServerView server, ServerLoad load, ServerPace pace, double rampShare) {
+
+		private double weight() {
+			return this.pace.weight() * this.rampShare;
+		}
 
 		private boolean hasFreeSlot() {
 			return this.load.requestCount() < this.server.slotCount();
 		}
 
-		private double callCost() {
-			return (this.load.requestCount() + 1) / this.pace.presentTokensPerMilli();
+		private boolean meetsPause(long maxPauseMillis) {
+			return !this.pace.isSlow() || this.pace.pauseMillis() * PREFILL_PAUSE_FACTOR <= maxPauseMillis;
+		}
+
+		private double cost() {
+			return (this.load.unreadTokens() + STREAM_TOKENS * this.load.requestCount() + 1)
+					/ (this.pace.eventsPerSecond() * this.rampShare);
 		}
 
-		private double promptCost() {
-			return (this.load.unreadTokens() + 1) / this.pace.presentTokensPerMilli();
+		// Weighted rendezvous hashing: with equal weights the server with the highest
+		// hash, otherwise each server gets its share of the keys.
+		private double score(String key) {
+			double uniform = (RendezvousHash.score(key, this.server.id()) * TWO_POW_MINUS_64) + 0.5;
+			return Math.log(Math.max(Double.MIN_NORMAL, uniform)) / weight();
 		}
 
 	}
