--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -17,11 +17,13 @@
 /**
  * Places a request by the load that all entry processes report.
  * <p>
- * A prompt goes to the first server by rendezvous hash of its shared parts that has a
- * free slot, whatever the load of the others is. Handles bursts of long prompts on cold
- * caches: each move to a less loaded server reads the shared parts again, which delays
- * all requests there and evicts other prompts, so that moves make overload worse. Servers
- * that are new or have failed take part as far as their slow start allows.
+ * Answers bursts of long prompts on cold caches, and servers of unequal pace. A prompt
+ * with long shared parts goes to one of two servers by weighted rendezvous hash, and
+ * stays where it is cached: each move prefills the shared parts again, which delays all
+ * requests there and evicts other prompts. Other prompts go where little is to be
+ * prefilled and few streams run. Streams with short pauses leave out servers that are too
+ * slow for them, and servers that are new or have failed take part as far as their slow
+ * start allows.
  *
  * @author The marjoramgw authors
  */
@@ -36,7 +38,10 @@
 	 */
 	private static final double MIN_FAST_FRACTION = 0.3;
 
-	/** Random servers of which a prompt without a home goes to the least loaded. */
+	/**
+	 * Random servers of which a prompt without long shared parts goes to the least
+	 * loaded.
+	 */
 	private static final int SAMPLE_COUNT = 4;
 
 	/**
