Let the share of a ramp be read without a change

Cause: the share doubled as a side effect of a read, so that a command which only explains a placement would have changed it. Change: the doubling follows from the time; the ramp ends with the next request to the service. ServerRampTests pass.

--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
@@ -88,6 +88,9 @@
 				start(server, NEW_SHARE, "new", nowMillis);
 			}
 		}
+		else if (server.ramping && presentShare(server, nowMillis) == 1) {
+			end(server, "complete", nowMillis);
+		}
 		server.seenMillis = nowMillis;
 	}
 
@@ -98,14 +101,7 @@
 	 */
 	public synchronized double share(int serverKey) {
 		Server server = this.serverByKey.get(serverKey);
-		if (server == null || !server.ramping) {
-			return 1;
-		}
-		long nowMillis = this.clock.nowMillis();
-		if (nowMillis - server.changedMillis > STALL_MILLIS) {
-			grow(server, server.share, nowMillis);
-		}
-		return server.share;
+		return (server != null && server.ramping) ? presentShare(server, this.clock.nowMillis()) : 1;
 	}
 
 	/**
@@ -133,8 +129,9 @@
 	public synchronized void onLate(int serverKey, int count) {
 		Server server = this.serverByKey.get(serverKey);
 		if (server != null && server.ramping && count > 0) {
-			server.share = Math.max(MIN_SHARE, server.share * Math.pow(0.5, count));
-			server.changedMillis = this.clock.nowMillis();
+			long nowMillis = this.clock.nowMillis();
+			server.share = Math.max(MIN_SHARE, presentShare(server, nowMillis) * Math.pow(0.5, count));
+			server.changedMillis = nowMillis;
 		}
 	}
 
@@ -172,8 +169,13 @@
 		this.listener.onRampStarted(server.key, server.name, reason, () -> share(server.key));
 	}
 
+	private static double presentShare(Server server, long nowMillis) {
+		long stallCount = (nowMillis - server.changedMillis) / STALL_MILLIS;
+		return Math.min(1, server.share * Math.pow(2, stallCount));
+	}
+
 	private void grow(Server server, double growth, long nowMillis) {
-		server.share = Math.min(1, server.share + growth);
+		server.share = Math.min(1, presentShare(server, nowMillis) + growth);
 		server.changedMillis = nowMillis;
 		if (server.share == 1) {
 			end(server, "complete", nowMillis);
