Add read-only views of what decides on a request

Cause: operators are to learn where a request would go now, from the same code that decides on real requests. Some of that code changes state when it is asked: the partition of prompts updates its boundary, the slow start of a server grows when it is idle, and a check of the quarantine claims the trial at the end of a term.

Change: PromptPartition and ServerRamp can be copied, and the choice is made on the copies. Quarantine.peek returns the verdict of check without claiming a trial. StartLimiter.waitingBefore and PrefillLimiter.queue tell what the next acquire would find. Placement.rule names the rule of a placement; the choices of the placements are unchanged. ServerPrompts.mayAdmit no longer creates the limit of a kind that has none.

--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
@@ -75,6 +75,20 @@
 		this.forgottenMillis = clock.nowMillis();
 	}
 
+	/**
+	 * Copies the ramp, so that a choice can be explained without changing this one.
+	 * @return a ramp with the same state that changes independently and has no listener
+	 */
+	public synchronized ServerRamp copy() {
+		ServerRamp copy = new ServerRamp(this.processId, this.clock, RampListener.NONE);
+		this.sightByService.forEach((service, sight) -> copy.sightByService.put(service, sight.copy()));
+		this.serverByKey.forEach((key, server) -> copy.serverByKey.put(key, server.copy()));
+		copy.memberIds = this.memberIds;
+		copy.alone = this.alone;
+		copy.forgottenMillis = this.forgottenMillis;
+		return copy;
+	}
+
 	/**
 	 * Records the processes of the deployment.
 	 * @param heardCount number of peers that are heard
@@ -294,6 +308,12 @@
 			this.lastMillis = nowMillis;
 		}
 
+		private Sight copy() {
+			Sight copy = new Sight(this.firstMillis);
+			copy.lastMillis = this.lastMillis;
+			return copy;
+		}
+
 	}
 
 	/** Ramp of one server. */
@@ -327,6 +347,19 @@
 			this.name = name;
 		}
 
+		private Server copy() {
+			Server copy = new Server(this.key, this.name);
+			copy.ramping = this.ramping;
+			copy.step = this.step;
+			copy.timelyCount = this.timelyCount;
+			copy.recentLateCount = this.recentLateCount;
+			copy.startedMillis = this.startedMillis;
+			copy.changedMillis = this.changedMillis;
+			copy.seenMillis = this.seenMillis;
+			copy.ownPosition = this.ownPosition;
+			return copy;
+		}
+
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/KindTraffic.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/KindTraffic.java
@@ -42,6 +42,19 @@
 
 	private long harmedUntilMillis = Long.MIN_VALUE;
 
+	private KindTraffic(KindTraffic original) {
+		this.requests = original.requests.copy();
+		this.promptTokens = original.promptTokens.copy();
+		this.openMillis = original.openMillis.copy();
+		this.streams = original.streams.copy();
+		this.lateStreams = original.lateStreams.copy();
+		this.maxPauseMillis = original.maxPauseMillis;
+		this.openCount = original.openCount;
+		this.accountedMillis = original.accountedMillis;
+		this.lastRequestMillis = original.lastRequestMillis;
+		this.harmedUntilMillis = original.harmedUntilMillis;
+	}
+
 	KindTraffic(long nowMillis) {
 		this.requests = new DecayingSum(WORK_TIME_CONSTANT_MILLIS, nowMillis);
 		this.promptTokens = new DecayingSum(WORK_TIME_CONSTANT_MILLIS, nowMillis);
@@ -52,6 +65,10 @@
 		this.accountedMillis = nowMillis;
 	}
 
+	KindTraffic copy() {
+		return new KindTraffic(this);
+	}
+
 	void onRequest(long promptTokenCount, long newMaxPauseMillis, long nowMillis) {
 		this.openCount++;
 		this.requests.add(1, nowMillis);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -37,6 +37,16 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Copies the partition, so that a choice can be explained without changing this one.
+	 * @return a partition with the same state that changes independently
+	 */
+	public synchronized PromptPartition copy() {
+		PromptPartition copy = new PromptPartition(this.clock);
+		this.partitionByService.forEach((service, partition) -> copy.partitionByService.put(service, partition.copy()));
+		return copy;
+	}
+
 	/**
 	 * Records a request with a prompt.
 	 * @param service name of the service
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/ServicePartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/ServicePartition.java
@@ -46,6 +46,20 @@
 
 	private long updatedMillis = Long.MIN_VALUE / 2;
 
+	/**
+	 * Copies the partition.
+	 * @return a partition with the same state that changes independently
+	 */
+	ServicePartition copy() {
+		ServicePartition copy = new ServicePartition();
+		this.trafficByKind.forEach((kind, traffic) -> copy.trafficByKind.put(kind, traffic.copy()));
+		copy.longKinds = this.longKinds;
+		copy.longServerCount = this.longServerCount;
+		copy.serverCount = this.serverCount;
+		copy.updatedMillis = this.updatedMillis;
+		return copy;
+	}
+
 	/**
 	 * Returns the traffic of a kind of request.
 	 * @param name name of the kind
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
@@ -49,4 +49,11 @@
 			.max(Comparator.comparingLong((server) -> RendezvousHash.score(query.affinityKey(), server.id())));
 	}
 
+	@Override
+	public String rule(PlacementQuery query) {
+		return query.affinityKey().isEmpty() ? this.fallback.rule(query)
+				: "hash of the shared prompt parts, among servers with an own load of at most " + LOAD_BOUND_FACTOR
+						+ " times the mean plus " + this.slack;
+	}
+
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
@@ -42,4 +42,9 @@
 		return Optional.of(best);
 	}
 
+	@Override
+	public String rule(PlacementQuery query) {
+		return "least own load, then own failure domain, then at random";
+	}
+
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
@@ -26,4 +26,13 @@
 	 */
 	Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers);
 
+	/**
+	 * Describes the rule by which a server is chosen, for operators.
+	 * @param query the request
+	 * @return the rule
+	 */
+	default String rule(PlacementQuery query) {
+		return getClass().getSimpleName();
+	}
+
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -81,6 +81,14 @@
 			.max(Comparator.comparingLong((server) -> RendezvousHash.score(query.affinityKey(), server.id())));
 	}
 
+	@Override
+	public String rule(PlacementQuery query) {
+		String eligible = (query.promptTokens() > 0) ? ", among servers with a free slot that their ramp allows"
+				: ", among servers with a free slot";
+		return ((query.affinityKey().isEmpty() || query.promptTokens() == 0) ? "better of two at random by shared load"
+				: "hash of the shared prompt parts") + eligible;
+	}
+
 	// While the ramps exclude more than half of the servers, the others couldn't take
 	// their load, and none is excluded.
 	private List<ServerView> ramped(List<ServerView> servers) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/PrefillLimiter.java
@@ -91,6 +91,19 @@
 		return permit;
 	}
 
+	/**
+	 * Returns the queue of a server as a request would find it that asked for a permit
+	 * now.
+	 * @param serverId id of the server
+	 * @param kind kind of request
+	 * @param urgency urgency of the request
+	 * @return the queue
+	 */
+	public synchronized PrefillQueue queue(String serverId, String kind, Urgency urgency) {
+		ServerPrompts prompts = this.promptsByServer.get(serverId);
+		return ((prompts != null) ? prompts : new ServerPrompts()).queue(kind, urgency);
+	}
+
 	/**
 	 * Starts all requests that wait for a permit at a server, the most urgent first and
 	 * without a permit, because they have to go to another one.
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/ServerPrompts.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/prefill/ServerPrompts.java
@@ -45,11 +45,27 @@
 	 * prefill, and no more urgent one waits
 	 */
 	boolean mayAdmit(PrefillLimiter.Permit permit) {
-		if (!this.waiting.isEmpty() && this.waiting.first().urgency().outranks(permit.urgency())) {
+		return mayAdmit(permit.kind(), permit.urgency());
+	}
+
+	private boolean mayAdmit(String kind, Urgency urgency) {
+		if (!this.waiting.isEmpty() && this.waiting.first().urgency().outranks(urgency)) {
 			return false;
 		}
-		int countedCount = this.inFlightByKind.getOrDefault(permit.kind(), 0) - inFlightBelow(permit.urgency());
-		return limit(permit.kind()).hasRoom(countedCount);
+		int countedCount = this.inFlightByKind.getOrDefault(kind, 0) - inFlightBelow(urgency);
+		AimdLimit limit = this.limitByKind.get(kind);
+		return ((limit != null) ? limit : new AimdLimit()).hasRoom(countedCount);
+	}
+
+	/**
+	 * Returns the queue as a prompt would find it.
+	 * @param kind kind of request
+	 * @param urgency urgency of the prompt
+	 * @return the queue
+	 */
+	PrefillQueue queue(String kind, Urgency urgency) {
+		int beforeCount = (int) this.waiting.stream().filter((permit) -> permit.urgency().precedes(urgency)).count();
+		return new PrefillQueue(mayAdmit(kind, urgency), this.inFlight.size(), this.waiting.size(), beforeCount);
 	}
 
 	void admit(PrefillLimiter.Permit permit) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
@@ -94,6 +94,16 @@
 		return this.verdicts.isEmpty() ? Optional.empty() : this.verdicts.findRefusal(keys(model, parts));
 	}
 
+	/**
+	 * Returns the same verdict as {@link #check} without claiming a trial.
+	 * @param model name of the model
+	 * @param parts ids of the parts that other prompts may have in common
+	 * @return the verdict, or empty if the prompt isn't refused
+	 */
+	public synchronized Optional<Verdict> peek(String model, List<String> parts) {
+		return this.verdicts.peekRefusal(keys(model, parts));
+	}
+
 	/**
 	 * Returns the verdict for which a prompt is refused immediately before it is sent to
 	 * a server. A trial is used up if the prompt passes because of it.
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/VerdictBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/VerdictBook.java
@@ -148,13 +148,27 @@
 	 * @return the verdict, or empty if the prompt may pass
 	 */
 	Optional<Verdict> findRefusal(Collection<PromptPartKey> parts) {
+		Optional<HeldVerdict> refusing = refusing(parts);
+		if (refusing.isPresent() && refusing.get().claim(this.clock.nowMillis())) {
+			share(VerdictChange.of(refusing.get().verdict().next(this.wallClock.nowMillis(), this.processId)));
+		}
+		return refusing.map(HeldVerdict::verdict);
+	}
+
+	/**
+	 * Finds a verdict against a prompt without claiming a trial.
+	 * @param parts parts of the prompt
+	 * @return the verdict, or empty if the prompt may pass
+	 */
+	Optional<Verdict> peekRefusal(Collection<PromptPartKey> parts) {
+		return refusing(parts).map(HeldVerdict::verdict);
+	}
+
+	private Optional<HeldVerdict> refusing(Collection<PromptPartKey> parts) {
 		for (PromptPartKey part : parts) {
 			HeldVerdict held = this.verdictByPart.get(part);
 			if (held != null && !held.hasTrial()) {
-				if (held.claim(this.clock.nowMillis())) {
-					share(VerdictChange.of(held.verdict().next(this.wallClock.nowMillis(), this.processId)));
-				}
-				return Optional.of(held.verdict());
+				return Optional.of(held);
 			}
 		}
 		return Optional.empty();
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/DecayingSum.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/share/DecayingSum.java
@@ -23,6 +23,16 @@
 		this.updatedMillis = nowMillis;
 	}
 
+	/**
+	 * Copies the sum.
+	 * @return a sum with the same value that changes independently
+	 */
+	public DecayingSum copy() {
+		DecayingSum copy = new DecayingSum((long) this.timeConstantMillis, this.updatedMillis);
+		copy.value = this.value;
+		return copy;
+	}
+
 	/**
 	 * Adds to the sum.
 	 * @param amount amount to add
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/StartLimiter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
 
@@ -104,6 +105,19 @@
 		return Optional.of(permit);
 	}
 
+	/**
+	 * Returns how many requests would start before one that asked for a permit now.
+	 * @param urgency urgency of the request
+	 * @return the number of more urgent requests that wait, or empty if it would start at
+	 * once
+	 */
+	public synchronized OptionalInt waitingBefore(Urgency urgency) {
+		if (this.startingCount < this.maxStarting) {
+			return OptionalInt.empty();
+		}
+		return OptionalInt.of((int) this.waiting.stream().filter((permit) -> permit.urgency.precedes(urgency)).count());
+	}
+
 	/**
 	 * Lets no request start until the returned action is run, so that the most urgent one
 	 * is known.
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/waiting/Urgency.java
@@ -76,6 +76,16 @@
 		return this.rank < other.rank;
 	}
 
+	/**
+	 * Tells whether a request that waits goes before one that begins to wait now. Among
+	 * equals the latest goes first.
+	 * @param later urgency of the request that begins to wait
+	 * @return whether this one is more urgent
+	 */
+	public boolean precedes(Urgency later) {
+		return compareTo(later) < 0;
+	}
+
 	/** How far a request has come, the furthest first. */
 	public enum Stage {
 
