Explain where a request would go at the metrics address of a direct entry

Cause: an operator could tell from the log where a request went, but not where one would go now, and why not to a certain server.

Change: GET /explain at the metrics address describes a request in its query and answers in JSON: route, service and rank or the refusal, the servers with obstacle, suspicion, load and prefill queue, the chosen one with its rule, and whether the request would wait. RequestExplainer takes the checks of ForwardedRequest in their order and ServerSelector with copies of the partition and of the slow start and a random source of its own.

EarlyDisconnectTests: its PromptGuard implements the new method peek; nothing that it checks changed.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.direct;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -12,6 +14,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
@@ -136,6 +139,8 @@
 
 	private final Forwarder forwarder;
 
+	private final ExplainEndpoint explainEndpoint;
+
 	private final QuarantineGuard quarantineGuard;
 
 	private final StoreFollowers storeFollowers;
@@ -190,6 +195,8 @@
 		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
 				startLimiter, this.requestPath.sharedLoad(), this.readiness::maxAgeMillis,
 				this.usageDuty.map(UsageDuty::observer).orElse(UsageObserver.NONE));
+		this.explainEndpoint = new ExplainEndpoint(this.requestPath.explainer(this.forwarder, this.routing,
+				this.directory, this.requestPath.sharedLoad())::explain);
 		this.callerListener = callerListener(this.forwarder, startLimiter);
 		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
 				this.clock, this.timers, new ResultCounters(this.registry));
@@ -214,11 +221,14 @@
 		logAttainment();
 		this.lag.start();
 		PrometheusTextWriter metrics = new PrometheusTextWriter(this.registry);
-		new ManagementEndpoint(this.system, this.listener, Map.of(this.settings.get().healthPath(), this::readiness))
-			.bindOrHalt("health", this.settings.get().healthAddress());
 		new ManagementEndpoint(this.system, this.listener,
-				Map.of(this.settings.get().metricsPath(), () -> metricsResponse(metrics)))
-			.bindOrHalt("metrics", this.settings.get().metricsAddress());
+				Map.of(this.settings.get().healthPath(), (request) -> readiness()))
+			.bindOrHalt("health", this.settings.get().healthAddress());
+		Map<String, Function<HttpRequest, HttpResponse>> operatorPaths = new HashMap<>();
+		operatorPaths.put(ExplainEndpoint.PATH, this.explainEndpoint::respond);
+		operatorPaths.put(this.settings.get().metricsPath(), (request) -> metricsResponse(metrics));
+		new ManagementEndpoint(this.system, this.listener, operatorPaths).bindOrHalt("metrics",
+				this.settings.get().metricsAddress());
 		serveWhenLoaded(this.monotonicClock.nowMillis() + LOAD_LIMIT_MILLIS);
 		Logger.info("started process={} failure_domain={}", this.settings.get().processId(),
 				this.settings.get().failureDomain());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/ManagementEndpoint.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/ManagementEndpoint.java
@@ -1,7 +1,7 @@
 package org.marjoramgw.direct;
 
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -13,7 +13,8 @@
 import org.tinylog.Logger;
 
 /**
- * HTTP endpoint for health and metrics. Responds by path and discards request bodies.
+ * HTTP endpoint for health, metrics and explanations. Responds by path and discards
+ * request bodies.
  *
  * @author The marjoramgw authors
  */
@@ -23,10 +24,10 @@
 
 	private final HttpListener listener;
 
-	private final Map<String, Supplier<HttpResponse>> responseByPath;
+	private final Map<String, Function<HttpRequest, HttpResponse>> responseByPath;
 
 	ManagementEndpoint(ActorSystem<?> system, HttpListener listener,
-			Map<String, Supplier<HttpResponse>> responseByPath) {
+			Map<String, Function<HttpRequest, HttpResponse>> responseByPath) {
 		this.system = system;
 		this.listener = listener;
 		this.responseByPath = responseByPath;
@@ -48,8 +49,8 @@
 
 	private HttpResponse respond(HttpRequest request) {
 		request.discardEntityBytes(this.system);
-		Supplier<HttpResponse> response = this.responseByPath.get(request.getUri().path());
-		return (response != null) ? response.get() : HttpResponse.create().withStatus(StatusCodes.NOT_FOUND);
+		Function<HttpRequest, HttpResponse> response = this.responseByPath.get(request.getUri().path());
+		return (response != null) ? response.apply(request) : HttpResponse.create().withStatus(StatusCodes.NOT_FOUND);
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -19,6 +20,7 @@
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.ForwardingContext;
 import org.marjoramgw.direct.forward.RecentSends;
+import org.marjoramgw.direct.forward.RequestExplainer;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.forward.ServerSelector;
 import org.marjoramgw.direct.forward.ServerViews;
@@ -160,12 +162,30 @@
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
 				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
-				serverSelector(routing, servers, load, promptPartition, random), this.pool, retryBudget(servers),
-				new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(),
+				serverSelector(routing, servers, load.map(SharedLoad::placement), promptPartition, random), this.pool,
+				retryBudget(servers), new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(),
 				load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), requestLog, usage, this.clock,
 				this.timers, random));
 	}
 
+	/**
+	 * Creates an explainer of what a forwarder would decide. Its selectors are those of
+	 * the forwarder, but with copies of what a choice changes and a random source of
+	 * their own.
+	 * @param forwarder the forwarder
+	 * @param routing the configuration that it applies
+	 * @param servers the backend servers that it uses
+	 * @param load load that the processes share, or empty if they don't
+	 * @return the explainer
+	 */
+	RequestExplainer explainer(Forwarder forwarder, ActiveRouting routing, ServerDirectory servers,
+			Optional<SharedLoad> load) {
+		return forwarder.explainer(
+				this.settings.get().processId(), (partition) -> serverSelector(routing, servers,
+						load.map(SharedLoad::readOnlyPlacement), partition, new Random()),
+				(server) -> load.map((shared) -> shared.estimates(server)).orElse(Map.of()));
+	}
+
 	/**
 	 * Returns the load that this process shares with its peers.
 	 * @return the load, or empty if it has no peers
@@ -232,10 +252,10 @@
 		return new SharedLoad(this.settings.get().processId(), this.monotonicClock, this.lagMillis, registry);
 	}
 
-	private ServerSelector serverSelector(ActiveRouting routing, ServerDirectory servers, Optional<SharedLoad> load,
-			PromptPartition promptPartition, Random random) {
-		if (load.isPresent()) {
-			Placement shared = load.get().placement();
+	private ServerSelector serverSelector(ActiveRouting routing, ServerDirectory servers,
+			Optional<Placement> sharedPlacement, PromptPartition promptPartition, Random random) {
+		if (sharedPlacement.isPresent()) {
+			Placement shared = sharedPlacement.get();
 			return new ServerSelector(servers, ServerViews.ofSharedLoad(this.health, routing), shared, shared,
 					promptPartition, this.settings.get().failureDomain());
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.LongSupplier;
 
@@ -10,6 +12,7 @@
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerRamp;
 import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.placement.ServerView;
 import org.marjoramgw.policy.placement.SharedLoadPlacement;
 
 /**
@@ -21,6 +24,10 @@
 
 	private final FleetBook book;
 
+	private final PaceBook paceBook;
+
+	private final ServerRamp ramp;
+
 	private final Placement placement;
 
 	/**
@@ -31,11 +38,11 @@
 	 * @param registry registry of the metrics
 	 */
 	SharedLoad(String processId, MillisClock clock, LongSupplier lagMillis, MetricRegistry registry) {
-		PaceBook paceBook = new PaceBook(clock);
-		ServerRamp ramp = new ServerRamp(processId, clock, new RampLog(registry, paceBook));
-		this.book = new FleetBook(processId, System.currentTimeMillis(), clock, lagMillis, paceBook, ramp);
-		this.placement = new SharedLoadPlacement(this.book, this.book::ownUnreadCount, paceBook, ramp, new Random());
-		registry.gauge("ramp.servers", () -> (Gauge<Integer>) ramp::rampingCount);
+		this.paceBook = new PaceBook(clock);
+		this.ramp = new ServerRamp(processId, clock, new RampLog(registry, this.paceBook));
+		this.book = new FleetBook(processId, System.currentTimeMillis(), clock, lagMillis, this.paceBook, this.ramp);
+		this.placement = newPlacement(this.ramp);
+		registry.gauge("ramp.servers", () -> (Gauge<Integer>) this.ramp::rampingCount);
 	}
 
 	/**
@@ -51,4 +58,36 @@
 		return this.placement;
 	}
 
+	/**
+	 * Creates a placement that chooses by the same load and changes nothing.
+	 * @return the placement, for one choice
+	 */
+	Placement readOnlyPlacement() {
+		return newPlacement(this.ramp.copy());
+	}
+
+	/**
+	 * Returns what is estimated of a server, for operators.
+	 * @param server the server
+	 * @return step of its ramp and its pace, as far as there are any
+	 */
+	Map<String, Double> estimates(ServerView server) {
+		Map<String, Double> estimates = new LinkedHashMap<>();
+		int step = this.ramp.step(server.serverKey());
+		if (step > 0) {
+			estimates.put("ramp_step", (double) step);
+		}
+		double pace = this.paceBook.steadyPace(server.serverKey());
+		if (pace > 0) {
+			estimates.put("prefill_tokens_per_ms", pace);
+		}
+		estimates.put("shared_requests", this.book.load(server.serverKey()).requestCount());
+		return estimates;
+	}
+
+	private Placement newPlacement(ServerRamp placementRamp) {
+		return new SharedLoadPlacement(this.book, this.book::ownUnreadCount, this.paceBook, placementRamp,
+				new Random());
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -33,6 +33,16 @@
 	 */
 	private static final long MAX_PROMPT_TOKENS = 10_000_000;
 
+	/**
+	 * Returns this request with a key of a client account.
+	 * @param accountKey the key
+	 * @return the request
+	 */
+	public CallerRequest withKey(String accountKey) {
+		return new CallerRequest(this.id, this.host, this.path, this.deadlineMillis, Optional.of(accountKey),
+				this.model, this.promptParts, this.promptTokenCount, this.maxOutputTokenCount);
+	}
+
 	/**
 	 * Returns the key of the longest prompt prefix that other requests may have in
 	 * common.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -75,6 +75,19 @@
 		return usable;
 	}
 
+	/**
+	 * Returns the servers of a service, usable or not.
+	 * @param service name of the service
+	 * @return the servers
+	 */
+	public synchronized List<BackendServer> registered(String service) {
+		return this.registrationById.values()
+			.stream()
+			.map((registration) -> registration.server)
+			.filter((server) -> server.service().equals(service))
+			.toList();
+	}
+
 	/**
 	 * Counts the servers of a service, for the log.
 	 * @param service name of the service
@@ -82,20 +95,11 @@
 	 * is draining, that said that they leave, and that asked for no requests
 	 */
 	public synchronized String describe(String service) {
-		List<Registration> registered = this.registrationById.values()
-			.stream()
-			.filter((registration) -> registration.server.service().equals(service))
-			.toList();
+		List<BackendServer> registered = registered(service);
 		return "registered=" + registered.size() + " draining="
-				+ registered.stream().filter((registration) -> registration.server.draining()).count()
-				+ " said_leaving="
-				+ registered.stream()
-					.filter((registration) -> this.leavingServers.contains(registration.server))
-					.count()
-				+ " paused="
-				+ registered.stream()
-					.filter((registration) -> this.pausedServers.contains(registration.server))
-					.count();
+				+ registered.stream().filter(BackendServer::draining).count() + " said_leaving="
+				+ registered.stream().filter(this.leavingServers::contains).count() + " paused="
+				+ registered.stream().filter(this.pausedServers::contains).count();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -6,6 +6,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.errors.RequestRejectedException;
@@ -85,8 +86,7 @@
 	 */
 	void launch(Attempt attempt) {
 		Route route = this.state.route();
-		if (route.isStreaming() && route.targetLatencyMillis() > 0 && this.state.caller().hasPrompt()
-				&& !this.state.isResuming()) {
+		if (needsPermit(route, this.state.caller()) && !this.state.isResuming()) {
 			acquirePrefillPermit(attempt, route);
 		}
 		else {
@@ -94,6 +94,16 @@
 		}
 	}
 
+	/**
+	 * Tells whether a request needs a prefill permit of its server.
+	 * @param route route of the request
+	 * @param caller the request
+	 * @return whether it does, unless it is resumed
+	 */
+	static boolean needsPermit(Route route, CallerRequest caller) {
+		return route.isStreaming() && route.targetLatencyMillis() > 0 && caller.hasPrompt();
+	}
+
 	private void acquirePrefillPermit(Attempt attempt, Route route) {
 		attempt.setPrefillPermit(this.context.prefillLimiter()
 			.acquire(attempt.serverId(), route.name(), this.state.urgency(), route.targetLatencyMillis(),
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -1,11 +1,14 @@
 package org.marjoramgw.direct.forward;
 
 import java.io.IOException;
+import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -19,6 +22,8 @@
 import org.marjoramgw.direct.caller.UnreadRequest;
 import org.marjoramgw.http.MemoryLimit;
 import org.marjoramgw.policy.drain.DrainSchedule;
+import org.marjoramgw.policy.partition.PromptPartition;
+import org.marjoramgw.policy.placement.ServerView;
 import org.marjoramgw.policy.waiting.RequestTime;
 import org.marjoramgw.time.ClockReading;
 
@@ -96,6 +101,19 @@
 		this.drainSchedule = schedule;
 	}
 
+	/**
+	 * Creates an explainer of what would be decided about a request.
+	 * @param processId id of this process
+	 * @param selectors creates a selector that chooses as real requests do, with the
+	 * given partition, and changes no state that they see
+	 * @param estimates further estimates of servers, by name
+	 * @return the explainer
+	 */
+	public RequestExplainer explainer(String processId, Function<PromptPartition, ServerSelector> selectors,
+			Function<ServerView, Map<String, Double>> estimates) {
+		return new RequestExplainer(processId, this.context, this::mayBegin, selectors, estimates, new Random());
+	}
+
 	/**
 	 * Answers all requests whose response has not begun.
 	 */
@@ -122,6 +140,10 @@
 		return forwarded.start();
 	}
 
+	private boolean mayBegin(long timeoutMillis) {
+		return this.drainSchedule.mayBegin(this.context.clock().now().monotonicMillis(), timeoutMillis);
+	}
+
 	private long bodyTimeoutMillis(RequestTime time, ClockReading arrived) {
 		return Math.min(BODY_TIMEOUT_MILLIS, time.maxWaitMillis(this.context.clock().ageMillis(arrived)));
 	}
@@ -187,8 +209,7 @@
 
 		@Override
 		public boolean mayBegin(long timeoutMillis) {
-			long nowMillis = Forwarder.this.context.clock().now().monotonicMillis();
-			return Forwarder.this.drainSchedule.mayBegin(nowMillis, timeoutMillis);
+			return Forwarder.this.mayBegin(timeoutMillis);
 		}
 
 		@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
@@ -93,6 +93,14 @@
 				+ String.join(",", this.caller.sharedPartIds()) : "";
 	}
 
+	/**
+	 * Checks the prompt without changing anything.
+	 * @throws RequestRejectedException if one of its parts is quarantined
+	 */
+	void peek() throws RequestRejectedException {
+		rejectIfPresent(this.guard.peek(this.caller));
+	}
+
 	private static void rejectIfPresent(Optional<Verdict> verdict) throws RequestRejectedException {
 		if (verdict.isPresent()) {
 			throw new RequestRejectedException(ResultCode.PROMPT_PART_QUARANTINED,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -59,13 +59,36 @@
 	 * @return the server, or empty if no usable server is left
 	 */
 	public Optional<BackendServer> choose(String service, String kind, CallerRequest request, Set<String> excluded) {
+		return select(service, kind, request, excluded).server();
+	}
+
+	/**
+	 * Selects a server, and tells among which ones.
+	 * @param service name of the service
+	 * @param kind kind of the request
+	 * @param request the request
+	 * @param excluded ids of servers that earlier attempts failed on
+	 * @return the selection
+	 */
+	Selection select(String service, String kind, CallerRequest request, Set<String> excluded) {
 		List<BackendServer> servers = this.directory.usable(service);
 		List<ServerView> views = servers.stream().map(this.serverViews::of).toList();
 		Placement placement = request.promptParts().isEmpty() ? this.plainPlacement : this.promptPlacement;
 		PlacementQuery query = query(service, request);
 		placement.onUsable(query, views);
-		return placement.choose(query, candidates(service, kind, views, excluded))
+		List<ServerView> candidates = candidates(service, kind, views, excluded);
+		Optional<BackendServer> chosen = placement.choose(query, candidates)
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
+		return new Selection(chosen, candidates, placement, query);
+	}
+
+	/**
+	 * Returns what the placement policies are told of a server.
+	 * @param server the server
+	 * @return the view
+	 */
+	ServerView view(BackendServer server) {
+		return this.serverViews.of(server);
 	}
 
 	private PlacementQuery query(String service, CallerRequest request) {
@@ -81,4 +104,21 @@
 		return servers.stream().filter((server) -> !excluded.contains(server.id())).toList();
 	}
 
+	/**
+	 * Selection of a server.
+	 *
+	 * @param server the server, or empty if no usable server is left
+	 * @param candidates servers that the placement chose from
+	 * @param placement the placement
+	 * @param query the request as the placement saw it
+	 */
+	record Selection(Optional<BackendServer> server, List<ServerView> candidates, Placement placement,
+			PlacementQuery query) {
+
+		String rule() {
+			return this.placement.rule(this.query);
+		}
+
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/Routing.java
@@ -86,6 +86,19 @@
 		return Optional.ofNullable(this.accountByKey.get(key));
 	}
 
+	/**
+	 * Finds a key of a client account.
+	 * @param accountName name of the account
+	 * @return one of its keys, or empty if the account is unknown
+	 */
+	public Optional<String> keyOf(String accountName) {
+		return this.accountByKey.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().name().equals(accountName))
+			.map(Map.Entry::getKey)
+			.findFirst();
+	}
+
 	/**
 	 * Tells whether the requests of a route need a key.
 	 * @param route the route
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
@@ -23,6 +23,11 @@
 			return Optional.empty();
 		}
 
+		@Override
+		public Optional<Verdict> peek(CallerRequest request) {
+			return Optional.empty();
+		}
+
 		@Override
 		public Optional<Verdict> checkBeforeSend(CallerRequest request) {
 			return Optional.empty();
@@ -53,6 +58,13 @@
 	 */
 	Optional<Verdict> check(CallerRequest request);
 
+	/**
+	 * Returns the same verdict as {@link #check} without changing anything.
+	 * @param request the request
+	 * @return the verdict, or empty if the request isn't refused
+	 */
+	Optional<Verdict> peek(CallerRequest request);
+
 	/**
 	 * Returns the verdict for which a request is refused immediately before it is sent.
 	 * @param request the request
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/QuarantineGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/QuarantineGuard.java
@@ -100,6 +100,11 @@
 		return this.quarantine.check(request.model(), request.sharedPartIds());
 	}
 
+	@Override
+	public Optional<Verdict> peek(CallerRequest request) {
+		return this.quarantine.peek(request.model(), request.sharedPartIds());
+	}
+
 	@Override
 	public Optional<Verdict> checkBeforeSend(CallerRequest request) {
 		return this.quarantine.checkBeforeSend(request.model(), request.sharedPartIds());
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EarlyDisconnectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EarlyDisconnectTests.java
@@ -66,6 +66,11 @@
 			return Optional.empty();
 		}
 
+		@Override
+		public Optional<Verdict> peek(CallerRequest request) {
+			return Optional.empty();
+		}
+
 		@Override
 		public Optional<Verdict> checkBeforeSend(CallerRequest request) {
 			return Optional.empty();
