Add the command where

Cause: the answer of GET /explain is JSON for programs; an operator wants a table, and the parameters encoded.

It needs neither the VM list nor the operators' token. Its messages don't quote the query, which may have a key.

No existing test changed.

--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/CtlMain.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/CtlMain.java
@@ -71,7 +71,7 @@
 	private static Map<String, Command> newCommands() {
 		Map<String, Command> commands = new LinkedHashMap<>();
 		List<Command> all = List.of(new CheckCommand(), new PublishCommand(), new ShowCommand(), new HistoryCommand(),
-				new DiffCommand(), new StatusCommand(), new DrainCommand(), new ExplainCommand());
+				new DiffCommand(), new StatusCommand(), new DrainCommand(), new ExplainCommand(), new WhereCommand());
 		all.forEach((command) -> commands.put(command.name(), command));
 		return commands;
 	}
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/Messages.java
@@ -22,6 +22,9 @@
 	static final String[] EXPLAIN_HEADINGS = { "TIME", "PROCESS", "FAILURE DOMAIN", "STEP", "CODE", "RESULT",
 			"DETAIL" };
 
+	static final String[] WHERE_HEADINGS = { "SERVER", "FAILURE DOMAIN", "CHOICE", "OBSTACLE", "SUSPECT", "LOAD",
+			"PREFILLS", "WAITING", "ESTIMATES" };
+
 	static final String[] HISTORY_HEADINGS = { "REVISION", "PUBLISHED", "OPERATOR", "CHARACTERS" };
 
 	static final String LIVE = "live";
@@ -252,6 +255,20 @@
 		};
 	}
 
+	/**
+	 * Reports an address that isn't an IP address and a port.
+	 * @param option name of the option
+	 * @param reason what is wrong with it
+	 * @return the text
+	 */
+	public static String badAddress(String option, String reason) {
+		return option + ": " + reason;
+	}
+
+	static String notExplained(String address, int status, String reason) {
+		return unexpectedStatus(address, status) + ": " + reason.strip();
+	}
+
 	private static String withCode(ResultCode code) {
 		return "E" + code.number() + " " + code.text();
 	}
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/PlatformClients.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/PlatformClients.java
@@ -74,6 +74,15 @@
 		return new ProcessClient(new BlockingHttpClient(this.system, PROCESS_TIMEOUT_MILLIS, token));
 	}
 
+	/**
+	 * Returns a client of the metrics address of direct entry processes, which needs no
+	 * token.
+	 * @return the client
+	 */
+	public EntryClient entryClient() {
+		return new EntryClient(new BlockingHttpClient(this.system, PROCESS_TIMEOUT_MILLIS, ""));
+	}
+
 	@Override
 	public void close() {
 		this.system.terminate();
