Test explanations with divided servers and with slow start

Change: the comparison with real choices has two kinds of streams of which one divides the servers, and asserts that they were divided. SharedLoadTests checks that the placement of an explanation starts and grows no ramp.

--- /dev/null
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/SharedLoadTests.java
@@ -0,0 +1,57 @@
+package org.marjoramgw.direct;
+
+import java.util.List;
+import java.util.Map;
+
+import com.codahale.metrics.MetricRegistry;
+import org.marjoramgw.ManualMillisClock;
+import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.placement.PlacementQuery;
+import org.marjoramgw.policy.placement.ServerView;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Tests {@link SharedLoad}.
+ *
+ * @author The marjoramgw authors
+ */
+public class SharedLoadTests {
+
+	private static final PlacementQuery PROMPT = new PlacementQuery("s", "sys", "a", 500);
+
+	private static final ServerView OLD = new ServerView("i-0", "a", 0, false);
+
+	private static final ServerView NEW = new ServerView("i-1", "a", 0, false);
+
+	/** Guards against an explanation that starts or grows the ramp of a server. */
+	@Test
+	public void readOnlyPlacementChangesNoRamp() {
+		ManualMillisClock clock = new ManualMillisClock(0);
+		MetricRegistry registry = new MetricRegistry();
+		SharedLoad load = new SharedLoad("edge-1", clock, () -> 0, registry);
+		choose(load.placement(), OLD);
+		clock.advanceMillis(10_000);
+		choose(load.readOnlyPlacement(), OLD, NEW);
+		Assert.assertEquals(rampingCount(registry), 0);
+		choose(load.placement(), OLD, NEW);
+		Assert.assertEquals(rampingCount(registry), 1);
+		Assert.assertEquals(load.estimates(NEW), Map.of("ramp_step", 1.0, "shared_requests", 0.0));
+		Assert.assertEquals(load.estimates(OLD), Map.of("shared_requests", 0.0));
+		clock.advanceMillis(1_500);
+		choose(load.readOnlyPlacement(), OLD, NEW);
+		Assert.assertEquals(load.estimates(NEW).get("ramp_step"), 1.0);
+		choose(load.placement(), OLD, NEW);
+		Assert.assertEquals(load.estimates(NEW).get("ramp_step"), 2.0);
+	}
+
+	private static void choose(Placement placement, ServerView... servers) {
+		placement.onUsable(PROMPT, List.of(servers));
+		Assert.assertTrue(placement.choose(PROMPT, List.of(servers)).isPresent());
+	}
+
+	private static int rampingCount(MetricRegistry registry) {
+		return (int) registry.getGauges().get("ramp.servers").getValue();
+	}
+
+}
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
@@ -22,6 +22,7 @@
 import org.marjoramgw.direct.model.PromptPart;
 import org.marjoramgw.direct.model.RequestKind;
 import org.marjoramgw.direct.model.Route;
+import org.marjoramgw.direct.model.WeightedService;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.operator.WhereReport;
 import org.marjoramgw.policy.drain.DrainSchedule;
@@ -52,7 +53,9 @@
 
 	private static final long MAX_AGE_MILLIS = 4_700;
 
-	private static final Route CHAT = Fixtures.route("/chat/", RequestKind.STREAMING, 1, false);
+	private static final Route CHAT = stream("/chat/", 120);
+
+	private static final Route PLAN = stream("/plan/", 500);
 
 	private static final Route BOOK = Fixtures.route("/book/", RequestKind.NON_IDEMPOTENT, 1, false);
 
@@ -81,7 +84,7 @@
 	public void create() {
 		this.clock = new ManualMillisClock(1_000_000);
 		AgeClock ages = new AgeClock(this.clock, this.clock);
-		this.routing = new ActiveRouting("config", (value) -> Optional.of(Fixtures.routing(7, CHAT, BOOK)), ages);
+		this.routing = new ActiveRouting("config", (value) -> Optional.of(Fixtures.routing(7, CHAT, PLAN, BOOK)), ages);
 		this.directory = new ServerDirectory(Fixtures::server, ages);
 		this.health = new ServerHealth(this.clock);
 		this.startLimiter = new StartLimiter(1, Runnable::run);
@@ -228,31 +231,52 @@
 		PromptPartition otherPartition = new PromptPartition(this.clock);
 		ServerSelector reference = selector(otherPartition, new Random(5));
 		Random random = TestSeed.random(43);
+		int divided = 0;
 		for (int step = 0; step < 2_000; step++) {
 			this.clock.advanceMillis(random.nextInt(60));
 			this.routing.onConfirmed(new AgeClock(this.clock, this.clock).now());
 			change(random);
-			boolean hasPrompt = random.nextBoolean();
-			CallerRequest request = hasPrompt ? prompt("p" + random.nextInt(20), 1 + random.nextInt(9_000)) : call();
-			Route route = hasPrompt ? CHAT : BOOK;
+			Route route = List.of(CHAT, PLAN, BOOK).get(random.nextInt(3));
+			CallerRequest request = request(route, random);
 			WhereReport report = this.explainer.explain(request, Optional.empty(), Optional.empty());
-			for (PromptPartition each : List.of(this.partition, otherPartition)) {
-				PromptRecord.start(each, SERVICE, route, request).end();
-				if (hasPrompt && random.nextInt(3) == 0) {
-					each.onLatePause(SERVICE, route.name());
-				}
-			}
+			PromptRecord askedPrompt = PromptRecord.start(this.partition, SERVICE, route, request);
+			PromptRecord otherPrompt = PromptRecord.start(otherPartition, SERVICE, route, request);
 			Optional<String> chosen = asked.choose(SERVICE, route.name(), request, Set.of()).map(BackendServer::id);
 			Assert.assertEquals(chosen,
 					reference.choose(SERVICE, route.name(), request, Set.of()).map(BackendServer::id), "step " + step);
-			if (hasPrompt) {
+			if (request.hasPrompt()) {
 				Assert.assertEquals(Optional.ofNullable(report.choice()).map(WhereReport.Choice::server), chosen,
 						"step " + step);
 			}
 			else {
 				Assert.assertEquals(report.choice() != null, chosen.isPresent());
 			}
+			boolean late = route == CHAT && random.nextInt(4) == 0;
+			end(askedPrompt, this.partition, request, late);
+			end(otherPrompt, otherPartition, request, late);
+			divided += report.servers()
+				.stream()
+				.anyMatch((server) -> server.obstacle().isEmpty() && !server.candidate()) ? 1 : 0;
 		}
+		Assert.assertTrue(divided > 500, "explanations with divided servers: " + divided);
+	}
+
+	private static CallerRequest request(Route route, Random random) {
+		if (route == BOOK) {
+			return call();
+		}
+		return prompt(route.pathPrefix() + "x", "p" + random.nextInt(20),
+				(route == PLAN) ? 9_000 + random.nextInt(1_000) : 100 + random.nextInt(500));
+	}
+
+	private static void end(PromptRecord prompt, PromptPartition played, CallerRequest request, boolean late) {
+		if (request.hasPrompt()) {
+			prompt.endStream();
+		}
+		if (late) {
+			played.onLatePause(SERVICE, CHAT.name());
+		}
+		prompt.end();
 	}
 
 	private void change(Random random) {
@@ -284,6 +308,11 @@
 		this.directory.onSnapshot(records);
 	}
 
+	private static Route stream(String pathPrefix, long targetPauseMillis) {
+		return new Route("r" + pathPrefix, Fixtures.HOST, pathPrefix, RequestKind.STREAMING, false, false, 2_000, 300,
+				Long.MAX_VALUE, targetPauseMillis, 1, 1, List.of(new WeightedService(SERVICE, 1)));
+	}
+
 	private static BackendServer backend(int index) {
 		return Fixtures.server("i-" + index, "ready".getBytes(StandardCharsets.UTF_8)).orElseThrow();
 	}
@@ -297,8 +326,12 @@
 	}
 
 	private static CallerRequest prompt(String sharedPart, long tokenCount) {
-		return new CallerRequest("id-1", Fixtures.HOST, "/chat/x", OptionalLong.of(2_000), Optional.of(Fixtures.KEY),
-				"m", List.of(new PromptPart(sharedPart, tokenCount), new PromptPart("own", 20)), tokenCount + 20, 0);
+		return prompt("/chat/x", sharedPart, tokenCount);
+	}
+
+	private static CallerRequest prompt(String path, String sharedPart, long tokenCount) {
+		return new CallerRequest("id-1", Fixtures.HOST, path, OptionalLong.of(2_000), Optional.of(Fixtures.KEY), "m",
+				List.of(new PromptPart(sharedPart, tokenCount), new PromptPart("own", 20)), tokenCount + 20, 0);
 	}
 
 	private static CallerRequest late() {
