Report a wrong description of a request as E5002

Cause: a trial of `where` with a service that the route doesn't have printed "E6999 internal fault".

Change: status 400 of the endpoint is reported as E5002, bad value, with the reason.

--- a/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/WhereCommandTests.java
+++ b/org.marjoramgw.ctl.test/src/test/java/org/marjoramgw/ctl/WhereCommandTests.java
@@ -95,6 +95,10 @@
 		this.answer = HttpResponse.create().withStatus(503).withEntity("another explanation is being computed\n");
 		Assert.assertEquals(where("--host", "a", "--path", "/x", "--key", KEY), ExitCode.FAILURE);
 		assertContains(this.err, "answered with status 503: another explanation is being computed");
+		this.answer = HttpResponse.create().withStatus(400).withEntity("route r has no service s\n");
+		Assert.assertEquals(where("--host", "a", "--path", "/x", "--key", KEY), ExitCode.FAILURE);
+		assertContains(this.err, "E5002");
+		assertContains(this.err, "answered with status 400: route r has no service s");
 		this.answer = HttpResponse.create().withEntity(ContentTypes.APPLICATION_JSON, "no report");
 		Assert.assertEquals(where("--host", "a", "--path", "/x", "--key", KEY), ExitCode.FAILURE);
 		assertContains(this.err, "E6014");
--- a/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/EntryClient.java
+++ b/org.marjoramgw.ctl/src/main/java/org/marjoramgw/ctl/internal/EntryClient.java
@@ -23,6 +23,8 @@
  */
 public final class EntryClient {
 
+	private static final int BAD_REQUEST = 400;
+
 	private final BlockingHttpClient httpClient;
 
 	private final ObjectMapper mapper = OperatorJson.newMapper();
@@ -44,7 +46,8 @@
 		try {
 			HttpReply reply = this.httpClient.get("http://" + address + "/explain?" + encode(parameters));
 			if (!reply.isOk()) {
-				throw new ProcessUnreachableException(ResultCode.INTERNAL,
+				ResultCode code = (reply.status() == BAD_REQUEST) ? ResultCode.BAD_VALUE : ResultCode.INTERNAL;
+				throw new ProcessUnreachableException(code,
 						Messages.notExplained(address.toString(), reply.status(), reply.body()), null);
 			}
 			return this.mapper.readValue(reply.body(), WhereReport.class);
