--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.direct;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.LongSupplier;
 
@@ -11,6 +13,7 @@
 import org.marjoramgw.policy.pace.ServerRamp;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
+import org.marjoramgw.policy.placement.ServerView;
 import org.marjoramgw.policy.placement.SharedLoadPlacement;
 
 /**
@@ -22,6 +25,10 @@
 
 	private final FleetBook book;
 
+	private final PaceBook paceBook;
+
+	private final ServerRamp ramp;
+
 	private final Placement placement;
 
 	/**
@@ -32,12 +39,11 @@
 	 * @param registry registry of the metrics
 	 */
 	SharedLoad(String processId, MillisClock clock, LongSupplier lagMillis, MetricRegistry registry) {
-		PaceBook paceBook = new PaceBook(clock);
-		ServerRamp ramp = new ServerRamp(clock, new RampLog(registry, paceBook));
-		this.book = new FleetBook(processId, System.currentTimeMillis(), clock, lagMillis, paceBook, ramp);
-		this.placement = new SharedLoadPlacement(this.book, paceBook, ramp, new LeastLoadedPlacement(new Random()),
-				new Random());
-		registry.gauge("ramp.servers", () -> (Gauge<Integer>) ramp::rampingCount);
+		this.paceBook = new PaceBook(clock);
+		this.ramp = new ServerRamp(clock, new RampLog(registry, this.paceBook));
+		this.book = new FleetBook(processId, System.currentTimeMillis(), clock, lagMillis, this.paceBook, this.ramp);
+		this.placement = newPlacement(this.ramp);
+		registry.gauge("ramp.servers", () -> (Gauge<Integer>) this.ramp::rampingCount);
 	}
 
 	/**
@@ -53,4 +59,39 @@
 		return this.placement;
 	}
 
+	/**
+	 * Creates a placement that chooses by the same load and changes nothing.
+	 * @return the placement, for one choice
+	 */
+	Placement readOnlyPlacement() {
+		return newPlacement(this.ramp.copy());
+	}
+
+	/**
+	 * Returns what is estimated of a server, for operators.
+	 * @param server the server
+	 * @return share that its ramp allows and its pace, as far as there are any, and the
+	 * requests, unread tokens and cached parts of all processes
+	 */
+	Map<String, Double> estimates(ServerView server) {
+		Map<String, Double> estimates = new LinkedHashMap<>();
+		double share = this.ramp.share(server.serverKey());
+		if (share < 1) {
+			estimates.put("ramp_share", share);
+		}
+		double pace = this.paceBook.steadyPace(server.serverKey());
+		if (pace > 0) {
+			estimates.put("events_per_s", pace);
+		}
+		estimates.put("shared_requests", this.book.load(server.serverKey()).requestCount());
+		estimates.put("shared_unread_tokens", this.book.load(server.serverKey()).unreadTokens());
+		estimates.put("cached_parts", (double) this.book.cachedCount(server.serverKey()));
+		return estimates;
+	}
+
+	private Placement newPlacement(ServerRamp placementRamp) {
+		return new SharedLoadPlacement(this.book, this.paceBook, placementRamp, new LeastLoadedPlacement(new Random()),
+				new Random());
+	}
+
 }
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RecordingLoad.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RecordingLoad.java
@@ -27,6 +27,10 @@
 				RecordingLoad.this.events.add("first");
 			}
 
+			@Override
+			public void onPause(long pauseMillis) {
+			}
+
 			@Override
 			public void onEnd(boolean failed) {
 				RecordingLoad.this.events.add(failed ? "failed" : "ended");
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/ServerRamp.java
@@ -68,6 +68,18 @@
 		this.forgottenMillis = clock.nowMillis();
 	}
 
+	/**
+	 * Copies the ramp, so that a choice can be explained without changing this one.
+	 * @return a ramp with the same state that changes independently and has no listener
+	 */
+	public synchronized ServerRamp copy() {
+		ServerRamp copy = new ServerRamp(this.clock, RampListener.NONE);
+		this.sightByService.forEach((service, sight) -> copy.sightByService.put(service, sight.copy()));
+		this.serverByKey.forEach((key, server) -> copy.serverByKey.put(key, server.copy()));
+		copy.forgottenMillis = this.forgottenMillis;
+		return copy;
+	}
+
 	/**
 	 * Records that a server is usable. The ramp of a server that was unknown starts,
 	 * unless its service was unknown as well: then no server of it is known to be older.
@@ -214,6 +226,12 @@
 			this.lastMillis = nowMillis;
 		}
 
+		private Sight copy() {
+			Sight copy = new Sight(this.firstMillis);
+			copy.lastMillis = this.lastMillis;
+			return copy;
+		}
+
 	}
 
 	/** Ramp of one server. */
@@ -241,6 +259,17 @@
 			this.name = name;
 		}
 
+		private Server copy() {
+			Server copy = new Server(this.key, this.name);
+			copy.ramping = this.ramping;
+			copy.share = this.share;
+			copy.failureCount = this.failureCount;
+			copy.startedMillis = this.startedMillis;
+			copy.changedMillis = this.changedMillis;
+			copy.seenMillis = this.seenMillis;
+			return copy;
+		}
+
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -107,6 +107,17 @@
 		return Optional.of(preferredServer(query, preferred).server);
 	}
 
+	@Override
+	public String rule(PlacementQuery query) {
+		if (query.promptTokens() == 0) {
+			return this.callPlacement.rule(query);
+		}
+		String rule = (query.sharedTokens() < FleetBook.MIN_SHARED_TOKENS)
+				? "least prefill and streams for its pace of " + SAMPLE_COUNT + " at random"
+				: "where the shared prompt parts are cached, of two by weighted hash";
+		return rule + ", among servers with a free slot and short enough pauses";
+	}
+
 	// Two servers may get a prompt, and the one that got it first keeps it while it is
 	// cached. So the shared parts are prefilled once, and the servers have about the same
 	// number of them.
