Wait for the recorded result before killing every process in AtMostOnceTests

Cause: keyRecordSurvivesRestartOfEveryProcess killed all processes as soon as the caller had its answer. ExecutionManager submits the result to the claim store and sends the answer at once; PartitionRunner appends the result at the end of the append interval (50 ms) after the claim. A side process that is killed in between leaves no result, and repeats get 3011 (unknown). The guarantee allows this: the claimant is gone and left no result, and the call runs once. Change: the test waits until the result is in the claim stream, read at the log stand-in and not through a link. A delay of 1 s on the links to the log doesn't show the case, since the proxy delivers what a killed process has sent.

--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/DeploymentFixture.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/DeploymentFixture.java
@@ -47,6 +47,9 @@
 
 	private static final long ANSWER_TIMEOUT_MILLIS = 90_000;
 
+	/** The most records that the log stand-in returns at once. */
+	private static final int MAX_READ_COUNT = 10_000;
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	private final ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "proof");
@@ -261,6 +264,35 @@
 		return count;
 	}
 
+	/**
+	 * Tells whether the result of an order with an idempotency key is in a claim stream
+	 * of the log, read at the stand-in itself and not through the links.
+	 * @param body body of the answer, which is different for each order
+	 * @return whether it is recorded
+	 * @throws Exception if the log stand-in doesn't answer
+	 */
+	boolean isResultRecorded(String body) throws Exception {
+		for (Map.Entry<String, JsonNode> stream : platformJson(StandinProcess.LOG, "/control").path("append_counts")
+			.properties()) {
+			if (stream.getKey().startsWith("claim") && hasResult(stream.getKey(), body)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private boolean hasResult(String stream, String body) throws Exception {
+		String path = "/streams/" + stream + "/records?from=0&limit=" + MAX_READ_COUNT;
+		for (JsonNode logRecord : platformJson(StandinProcess.LOG, path).path("records")) {
+			JsonNode claimRecord = MAPPER.readTree(logRecord.path("data").asText());
+			if (claimRecord.path("type").asText().equals("result") && claimRecord.path("kept").asBoolean()
+					&& claimRecord.path("body").asText().equals(body)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * Publishes a configuration from this process, which takes less time than the
 	 * operators' command.
