Wait until requests are read, not 200 ms, in CallerListenerTests

Cause: the tests expect an order among requests that wait, and gave the acceptor a fixed 200 ms to accept and read them. On a loaded machine fewer are there when the listener begins, and an urgent request that was sent last is opened late. Change: the tests wait until the acceptor has accepted all connections and read all bytes, by its counters. The bounds on the order and on answers are unchanged. The pause after connections are closed without a request stays: nothing counts that the acceptor has seen their end.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -67,10 +67,13 @@
 
 	private long examineMillis;
 
+	private long sentBytes;
+
 	@BeforeMethod
 	public void start() throws Exception {
 		this.handled.clear();
 		this.examineMillis = 0;
+		this.sentBytes = 0;
 		this.fixture = new AcceptorFixture();
 	}
 
@@ -90,7 +93,7 @@
 				callers.add(send(ORDINARY));
 			}
 			callers.add(send(URGENT));
-			Thread.sleep(200);
+			this.fixture.awaitRead(callers.size(), this.sentBytes);
 			serve();
 			List<String> order = new ArrayList<>();
 			while (order.size() < callers.size()) {
@@ -120,7 +123,7 @@
 				callers.add(sendText("GET " + URGENT + " HTTP/1.1\r\nHost: one.example\r\n"));
 			}
 			callers.add(send(ORDINARY));
-			Thread.sleep(200);
+			this.fixture.awaitRead(callers.size(), this.sentBytes);
 			CallerListener listener = serve();
 			listener.readAllWaiting();
 			Assert.assertEquals(this.handled.poll(READ_MILLIS, TimeUnit.MILLISECONDS), ORDINARY);
@@ -139,7 +142,7 @@
 		for (int number = 0; number < WAITING_COUNT; number++) {
 			silent.add(this.fixture.connect());
 		}
-		Thread.sleep(200);
+		this.fixture.awaitRead(silent.size(), 0);
 		closeAll(silent);
 		Thread.sleep(200);
 		try (Socket caller = send(ORDINARY)) {
@@ -157,7 +160,7 @@
 			for (int number = 0; number < WAITING_COUNT; number++) {
 				callers.add(send(UNEXAMINABLE));
 			}
-			Thread.sleep(200);
+			this.fixture.awaitRead(callers.size(), this.sentBytes);
 			serve();
 			for (int number = 0; number < WAITING_COUNT; number++) {
 				Assert.assertEquals(this.handled.poll(READ_MILLIS, TimeUnit.MILLISECONDS), UNEXAMINABLE);
@@ -208,6 +211,7 @@
 	private Socket sendText(String head) throws Exception {
 		Socket caller = this.fixture.connect();
 		caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+		this.sentBytes += head.length();
 		return caller;
 	}
 
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/AcceptorFixture.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/socket/AcceptorFixture.java
@@ -8,7 +8,9 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.marjoramgw.HostPort;
 import org.marjoramgw.SystemMillisClock;
+import org.marjoramgw.program.Pause;
 import org.marjoramgw.time.AgeClock;
+import org.testng.Assert;
 
 /**
  * Acceptor on a free loopback port, with an actor system to run its flows.
@@ -20,6 +22,8 @@
 	/** Timeout for events that a test expects. */
 	public static final int WAIT_SECONDS = 10;
 
+	private static final long POLL_MILLIS = 5;
+
 	private final ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "sockets");
 
 	private final SocketAcceptor acceptor;
@@ -60,6 +64,20 @@
 		return caller;
 	}
 
+	/**
+	 * Waits until the acceptor has accepted connections and read what they sent.
+	 * @param connections number of connections since the start
+	 * @param bytes number of bytes that they sent
+	 */
+	public void awaitRead(int connections, long bytes) {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+		while (this.acceptor.acceptedCount() < connections || this.acceptor.receivedBytes() < bytes) {
+			Assert.assertTrue(System.nanoTime() < endNanos, "accepted " + this.acceptor.acceptedCount() + " of "
+					+ connections + ", read " + this.acceptor.receivedBytes() + " of " + bytes + " bytes");
+			Pause.millis(POLL_MILLIS);
+		}
+	}
+
 	@Override
 	public void close() {
 		this.acceptor.close();
