Decide on an accused prompt part at the answer that settles it

Cause, by reading PromptQuarantineTests: a verdict came up to 200 ms after its conditions held, since only Quarantine.advance() decided. There an entry sends three sound prompts and at once a bad one; the eighth answer that a verdict needs comes among the three, and the bad prompt went out before the next advance(). If the crash report is late (100 ms for gathering, up to 200 ms to the next advance(), of 400 ms between prompts), that prompt is the seventh. Change: once a part is settling, the answer that completes the time and number of answers decides at once. The conditions of a verdict are unchanged. Test: verdictIsInForceFromTheLastAnswerThatItNeeds (QuarantineTests).

--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
@@ -83,6 +83,23 @@
 		Assert.assertEquals(this.quarantine.verdicts(), List.of());
 	}
 
+	/**
+	 * Guards against bad prompts that are sent between the last answer and the next
+	 * round.
+	 */
+	@Test
+	public void verdictIsInForceFromTheLastAnswerThatItNeeds() {
+		crashUntilAccused();
+		this.quarantine.advance();
+		this.clock.advanceMillis(Quarantine.SETTLE_MILLIS);
+		for (int answer = 1; answer < Quarantine.MIN_OTHER_ANSWERS; answer++) {
+			this.quarantine.onAnswer(MODEL, SOUND);
+		}
+		Assert.assertTrue(this.quarantine.check(MODEL, BAD).isEmpty());
+		this.quarantine.onAnswer(MODEL, SOUND);
+		Assert.assertTrue(this.quarantine.check(MODEL, BAD).isPresent());
+	}
+
 	@Test
 	public void answerOfARequestSentEarlierLiftsTheVerdictEverywhere() {
 		convict();
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
@@ -142,6 +142,11 @@
 			this.begunParts.add(part, this.clock.nowMillis());
 			clear(part);
 		}
+		// The next prompt may be sent before the next call of advance().
+		long nowMillis = this.clock.nowMillis();
+		if (this.settlingPart != null && isSettled(nowMillis)) {
+			decide(nowMillis);
+		}
 	}
 
 	/**
@@ -242,7 +247,7 @@
 			this.settledAtMillis = nowMillis + SETTLE_MILLIS;
 			this.settledAtAnswerCount = this.answerCount + MIN_OTHER_ANSWERS;
 		}
-		if (nowMillis >= this.settledAtMillis && this.answerCount >= this.settledAtAnswerCount) {
+		if (isSettled(nowMillis)) {
 			this.settlingPart = null;
 			boolean reportedLast = this.lastReporter.equals(this.processId);
 			closeCase(this.verdicts.issue(part, culprit.get().servers(),
@@ -250,6 +255,10 @@
 		}
 	}
 
+	private boolean isSettled(long nowMillis) {
+		return nowMillis >= this.settledAtMillis && this.answerCount >= this.settledAtAnswerCount;
+	}
+
 	private void closeCase(Verdict verdict) {
 		markExplained(this.ledger.removeCrashesOf(verdict.part()));
 		markExplained(verdict.servers());
