Place prompts with shared parts by weighted hash alone, as bounded as before

At its rate of prompts the digests can't tell in time where a prompt is cached. Change: as in AffinityPlacement there is one server by hash within the bound of the own load, and the partition by prompt length applies; what stays are the weights of slow servers, short pauses, free slots and the slow start by share.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -32,7 +32,6 @@
 import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.memory.MemoryBudget;
 import org.marjoramgw.policy.partition.PromptPartition;
-import org.marjoramgw.policy.partition.ServerPartition;
 import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
@@ -258,7 +257,7 @@
 		if (sharedPlacement.isPresent()) {
 			Placement shared = sharedPlacement.get();
 			return new ServerSelector(servers, ServerViews.ofSharedLoad(this.health, routing), shared, shared,
-					ServerPartition.NONE, this.settings.get().failureDomain());
+					promptPartition, this.settings.get().failureDomain());
 		}
 		Placement leastLoaded = new LeastLoadedPlacement(random);
 		return new ServerSelector(servers, ServerViews.ofOwnLoad(this.health),
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -71,7 +71,7 @@
 	 * Returns what is estimated of a server, for operators.
 	 * @param server the server
 	 * @return share that its ramp allows and its pace, as far as there are any, and the
-	 * requests, unread tokens and cached parts of all processes
+	 * requests and unread tokens of all processes
 	 */
 	Map<String, Double> estimates(ServerView server) {
 		Map<String, Double> estimates = new LinkedHashMap<>();
@@ -85,13 +85,11 @@
 		}
 		estimates.put("shared_requests", this.book.load(server.serverKey()).requestCount());
 		estimates.put("shared_unread_tokens", this.book.load(server.serverKey()).unreadTokens());
-		estimates.put("cached_parts", (double) this.book.cachedCount(server.serverKey()));
 		return estimates;
 	}
 
 	private Placement newPlacement(ServerRamp placementRamp) {
-		return new SharedLoadPlacement(this.book, this.paceBook, placementRamp, new LeastLoadedPlacement(new Random()),
-				new Random());
+		return new SharedLoadPlacement(this.book, this.paceBook, placementRamp, new LeastLoadedPlacement(new Random()));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -8,7 +8,6 @@
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.Route;
-import org.marjoramgw.policy.fleet.SharedPart;
 import org.marjoramgw.policy.partition.ServerPartition;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.PlacementQuery;
@@ -94,10 +93,8 @@
 	}
 
 	private PlacementQuery query(String service, Route route, CallerRequest request) {
-		List<SharedPart> parts = request.sharedParts();
 		return new PlacementQuery(service, request.sharedPrefixKey(), this.failureDomain, request.allPromptTokens(),
-				route.maxPauseMillis(), parts.isEmpty() ? 0 : parts.get(parts.size() - 1).partKey(),
-				parts.stream().mapToInt(SharedPart::tokenCount).sum());
+				route.maxPauseMillis());
 	}
 
 	private List<ServerView> candidates(String service, String kind, List<ServerView> servers, Set<String> excluded) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/CachedParts.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/CachedParts.java
@@ -33,8 +33,6 @@
 
 	private final Map<Long, Entry> entryByKey = new HashMap<>();
 
-	private final Map<Integer, Integer> countByServer = new HashMap<>();
-
 	private final List<Entry> reported = new ArrayList<>();
 
 	private long prunedMillis;
@@ -72,10 +70,6 @@
 		return entry != null && nowMillis - entry.sentMillis <= CACHED_MILLIS;
 	}
 
-	int count(int serverKey) {
-		return this.countByServer.getOrDefault(serverKey, 0);
-	}
-
 	/**
 	 * Returns the reports of the next digest.
 	 * @return the reports
@@ -102,7 +96,6 @@
 			}
 			entry = new Entry(nowMillis);
 			this.entryByKey.put(key, entry);
-			this.countByServer.merge(serverKey, 1, Integer::sum);
 		}
 		entry.sentMillis = nowMillis;
 		return entry;
@@ -111,14 +104,7 @@
 	private void prune(long nowMillis) {
 		if (nowMillis - this.prunedMillis >= PRUNE_INTERVAL_MILLIS) {
 			this.prunedMillis = nowMillis;
-			this.entryByKey.entrySet().removeIf((entry) -> {
-				boolean expired = nowMillis - entry.getValue().sentMillis > CACHED_MILLIS;
-				if (expired) {
-					this.countByServer.computeIfPresent(entry.getKey().intValue(),
-							(key, count) -> (count > 1) ? count - 1 : null);
-				}
-				return expired;
-			});
+			this.entryByKey.values().removeIf((entry) -> nowMillis - entry.sentMillis > CACHED_MILLIS);
 		}
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -46,7 +46,7 @@
 	private static final double MIN_TIME_PER_LAG = 10;
 
 	/** Shared tokens from which on it matters where a prompt is cached. */
-	public static final int MIN_SHARED_TOKENS = 1_000;
+	private static final int MIN_SHARED_TOKENS = 1_000;
 
 	private final String processId;
 
@@ -107,16 +107,16 @@
 				peers.memoryTokens() + own.memoryTokens);
 	}
 
-	@Override
-	public synchronized boolean isCached(int partKey, int serverKey) {
+	/**
+	 * Tells whether a server probably has a part of a prompt in its cache.
+	 * @param partKey key of the part, see {@link FleetKeys#partKey}
+	 * @param serverKey key of the server
+	 * @return whether the part was sent there recently
+	 */
+	synchronized boolean isCached(int partKey, int serverKey) {
 		return this.cachedParts.contains(partKey, serverKey, this.clock.nowMillis());
 	}
 
-	@Override
-	public synchronized int cachedCount(int serverKey) {
-		return this.cachedParts.count(serverKey);
-	}
-
 	@Override
 	public synchronized boolean isCold(int serverKey, List<SharedPart> sharedParts) {
 		return sharedParts.stream().mapToLong(SharedPart::tokenCount).sum() >= MIN_SHARED_TOKENS
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetLoad.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetLoad.java
@@ -6,6 +6,7 @@
  *
  * @author The marjoramgw authors
  */
+@FunctionalInterface
 public interface FleetLoad {
 
 	/**
@@ -15,19 +16,4 @@
 	 */
 	ServerLoad load(int serverKey);
 
-	/**
-	 * Tells whether a server probably has a part of a prompt in its cache.
-	 * @param partKey key of the part, see {@link FleetKeys#partKey}
-	 * @param serverKey key of the server
-	 * @return whether the part was sent there recently
-	 */
-	boolean isCached(int partKey, int serverKey);
-
-	/**
-	 * Returns the number of parts of prompts that a server probably has in its cache.
-	 * @param serverKey key of the server
-	 * @return the number of parts
-	 */
-	int cachedCount(int serverKey);
-
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/PlacementQuery.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/PlacementQuery.java
@@ -9,13 +9,10 @@
  * @param promptTokens all tokens of its prompt, 0 for a request without one
  * @param maxPauseMillis longest pause between events for which its stream is in time, in
  * milliseconds; {@link Long#MAX_VALUE} if there is no limit
- * @param sharedPartKey key of the last shared part of its prompt, see
- * {@link org.marjoramgw.policy.fleet.FleetKeys#partKey}
- * @param sharedTokens tokens of the shared parts of its prompt
  * @author The marjoramgw authors
  */
 public record PlacementQuery(String service, String affinityKey, String failureDomain, int promptTokens,
-		long maxPauseMillis, int sharedPartKey, int sharedTokens) {
+		long maxPauseMillis) {
 
 	/**
 	 * Creates a query for a placement that takes only the affinity into account.
@@ -24,7 +21,7 @@
 	 * @return the query
 	 */
 	public static PlacementQuery of(String affinityKey, String failureDomain) {
-		return new PlacementQuery("", affinityKey, failureDomain, 0, Long.MAX_VALUE, 0, 0);
+		return new PlacementQuery("", affinityKey, failureDomain, 0, Long.MAX_VALUE);
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -4,26 +4,21 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 
 import org.marjoramgw.policy.candidate.RendezvousHash;
-import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.fleet.FleetLoad;
-import org.marjoramgw.policy.fleet.ServerLoad;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerPace;
 import org.marjoramgw.policy.pace.ServerRamp;
 
 /**
- * Places a request by the load that all entry processes report.
+ * Places a request by what all entry processes know of the servers.
  * <p>
- * Answers bursts of long prompts on cold caches, and servers of unequal pace. A prompt
- * with long shared parts goes to one of two servers by weighted rendezvous hash, and
- * stays where it is cached: each move prefills the shared parts again, which delays all
- * requests there and evicts other prompts. Other prompts go where little is to be
- * prefilled and few streams run. Streams with short pauses leave out servers that are too
+ * Answers bursts of long prompts on servers of unequal pace. As in
+ * {@link AffinityPlacement}, prompts with common parts meet at one server, but a slow
+ * server gets fewer of them, streams with short pauses leave out servers that are too
  * slow for them, and servers that are new or have failed take part as far as their slow
- * start allows.
+ * start allows. Processes that know the same figures choose the same server.
  *
  * @author The marjoramgw authors
  */
@@ -38,17 +33,11 @@
 	 */
 	private static final double MIN_FAST_FRACTION = 0.3;
 
-	/**
-	 * Random servers of which a prompt without long shared parts goes to the least
-	 * loaded.
-	 */
-	private static final int SAMPLE_COUNT = 4;
+	/** Maximum ratio of the load of this process at a server to the mean. */
+	private static final double LOAD_BOUND_FACTOR = 1.5;
 
-	/**
-	 * Prompt tokens whose prefill delays the others on a server about as much as one
-	 * running stream does.
-	 */
-	private static final double STREAM_TOKENS = 1_000;
+	/** Load of this process allowed in addition to that ratio, in requests. */
+	private static final double LOAD_SLACK = 4;
 
 	private static final double TWO_POW_MINUS_64 = 0x1p-64;
 
@@ -58,25 +47,20 @@
 
 	private final ServerRamp ramp;
 
-	private final Placement callPlacement;
-
-	private final Random random;
+	private final Placement fallback;
 
 	/**
 	 * Creates a placement.
 	 * @param fleet load of the servers
 	 * @param paceBook paces of the servers
 	 * @param ramp slow start of the servers
-	 * @param callPlacement placement of requests without a prompt
-	 * @param random source of randomness for requests without a shared prompt
+	 * @param fallback placement of requests without an affinity key
 	 */
-	public SharedLoadPlacement(FleetLoad fleet, PaceBook paceBook, ServerRamp ramp, Placement callPlacement,
-			Random random) {
-		this.callPlacement = callPlacement;
+	public SharedLoadPlacement(FleetLoad fleet, PaceBook paceBook, ServerRamp ramp, Placement fallback) {
 		this.fleet = fleet;
 		this.paceBook = paceBook;
 		this.ramp = ramp;
-		this.random = random;
+		this.fallback = fallback;
 	}
 
 	@Override
@@ -88,58 +72,22 @@
 
 	@Override
 	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
-		if (query.promptTokens() == 0) {
-			return this.callPlacement.choose(query, servers);
+		if (query.affinityKey().isEmpty()) {
+			return this.fallback.choose(query, servers);
 		}
 		List<ServerView> healthy = SuspectFilter.excludeSuspects(servers);
-		if (healthy.isEmpty()) {
-			return Optional.empty();
-		}
 		List<Candidate> candidates = withFreeSlot(withShortPauses(candidates(healthy), query.maxPauseMillis()));
-		if (query.sharedTokens() < FleetBook.MIN_SHARED_TOKENS) {
-			return Optional.of(bestOfSample(candidates).server);
-		}
-		List<Candidate> preferred = candidates.stream()
-			.sorted(Comparator.comparingDouble((Candidate candidate) -> candidate.score(query.affinityKey()))
-				.reversed())
-			.limit(2)
-			.toList();
-		return Optional.of(preferredServer(query, preferred).server);
+		double bound = loadBound(candidates);
+		return candidates.stream()
+			.filter((candidate) -> candidate.relativeLoad() <= bound)
+			.max(Comparator.comparingDouble((candidate) -> candidate.score(query.affinityKey())))
+			.map((candidate) -> candidate.server);
 	}
 
 	@Override
 	public String rule(PlacementQuery query) {
-		if (query.promptTokens() == 0) {
-			return this.callPlacement.rule(query);
-		}
-		String rule = (query.sharedTokens() < FleetBook.MIN_SHARED_TOKENS)
-				? "least prefill and streams for its pace of " + SAMPLE_COUNT + " at random"
-				: "where the shared prompt parts are cached, of two by weighted hash";
-		return rule + ", among servers with a free slot and short enough pauses";
-	}
-
-	// Two servers may get a prompt, and the one that got it first keeps it while it is
-	// cached. So the shared parts are prefilled once, and the servers have about the same
-	// number of them.
-	private Candidate preferredServer(PlacementQuery query, List<Candidate> preferred) {
-		Candidate first = preferred.get(0);
-		if (preferred.size() < 2) {
-			return first;
-		}
-		Candidate second = preferred.get(1);
-		boolean firstCached = this.fleet.isCached(query.sharedPartKey(), first.server.serverKey());
-		boolean secondCached = this.fleet.isCached(query.sharedPartKey(), second.server.serverKey());
-		if (firstCached != secondCached) {
-			return firstCached ? first : second;
-		}
-		if (firstCached) {
-			return (first.cost() <= second.cost()) ? first : second;
-		}
-		return (cachedShare(first) <= cachedShare(second)) ? first : second;
-	}
-
-	private double cachedShare(Candidate candidate) {
-		return (this.fleet.cachedCount(candidate.server.serverKey()) + 1) / candidate.weight();
+		return query.affinityKey().isEmpty() ? this.fallback.rule(query)
+				: "weighted hash of the shared prompt parts, among servers with a free slot and short enough pauses";
 	}
 
 	private List<Candidate> candidates(List<ServerView> servers) {
@@ -147,8 +95,8 @@
 		List<Candidate> candidates = new ArrayList<>(servers.size());
 		for (int index = 0; index < servers.size(); index++) {
 			ServerView server = servers.get(index);
-			candidates.add(new Candidate(server, this.fleet.load(server.serverKey()), paces.get(index),
-					this.ramp.share(server.serverKey())));
+			boolean hasFreeSlot = this.fleet.load(server.serverKey()).requestCount() < server.slotCount();
+			candidates.add(new Candidate(server, hasFreeSlot, paces.get(index), this.ramp.share(server.serverKey())));
 		}
 		return candidates;
 	}
@@ -163,44 +111,33 @@
 		return free.isEmpty() ? candidates : free;
 	}
 
-	// Chooses among a few random servers. The least loaded of all would get the requests
-	// of all processes until their next reports.
-	private Candidate bestOfSample(List<Candidate> candidates) {
-		Candidate best = candidates.get(this.random.nextInt(candidates.size()));
-		for (int drawn = 1; drawn < SAMPLE_COUNT; drawn++) {
-			Candidate next = candidates.get(this.random.nextInt(candidates.size()));
-			best = (next.cost() < best.cost()) ? next : best;
-		}
-		return best;
+	private static double loadBound(List<Candidate> candidates) {
+		double mean = candidates.stream().mapToDouble(Candidate::relativeLoad).average().orElse(0);
+		return LOAD_BOUND_FACTOR * mean + LOAD_SLACK;
 	}
 
 	/**
 	 * A server and what is known of it.
 	 *
 	 * @param server the server
-	 * @param load its load by all processes
+	 * @param hasFreeSlot whether it has a free slot by the requests of all processes
 	 * @param pace its pace
 	 * @param rampShare share of the prompts that its slow start allows
 	 */
-	private record Candidate(ServerView server, ServerLoad load, ServerPace pace, double rampShare) {
+	private record Candidate(ServerView server, boolean hasFreeSlot, ServerPace pace, double rampShare) {
 
 		private double weight() {
 			return this.pace.weight() * this.rampShare;
 		}
 
-		private boolean hasFreeSlot() {
-			return this.load.requestCount() < this.server.slotCount();
+		private double relativeLoad() {
+			return this.server.load() / weight();
 		}
 
 		private boolean meetsPause(long maxPauseMillis) {
 			return !this.pace.isSlow() || this.pace.pauseMillis() * PREFILL_PAUSE_FACTOR <= maxPauseMillis;
 		}
 
-		private double cost() {
-			return (this.load.unreadTokens() + STREAM_TOKENS * this.load.requestCount() + 1)
-					/ (this.pace.eventsPerSecond() * this.rampShare);
-		}
-
 		// Weighted rendezvous hashing: with equal weights the server with the highest
 		// hash, otherwise each server gets its share of the keys.
 		private double score(String key) {
