Bound chunk sizes and pipelined requests at entries and side processes

Cause: the HTTP parser reads an incomplete chunk size again from its start with each 16 KB, up to the limit of 1 MB on an incomplete chunk, so that endless zeros took all processor time of an entry. It also needs stack for each request that it gets at once; some 390 requests in one read ended a side process with StackOverflowError. New tests found a third fault: empty lines before a request were removed at the start of each read while no request was in progress, thus also the empty line that ends a head if the read began with it, and the requests behind it were lost. Change: FramingScan, so far of direct entries, moves to org.marjoramgw.http and follows the bytes that are passed to the parser, now also across requests with a length or chunks that came in one read. A chunk size with its extension, or trailers, over caller_head_bytes closes the connection. Empty lines are removed only where the scan finds that a request has ended. Direct entries share the scan: pipelined chunked requests whose start it now finds have the exact limit. FramingScanTests moves with its class and gets one test more, no assertion changed.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -7,6 +7,7 @@
 
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.http.FramingScan;
 import org.marjoramgw.http.MemoryLimit;
 import org.marjoramgw.policy.memory.MemoryUse;
 import org.marjoramgw.time.ClockReading;
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/FramingScanTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/FramingScanTests.java
@@ -1,4 +1,4 @@
-package org.marjoramgw.direct.caller;
+package org.marjoramgw.http;
 
 import java.util.Random;
 
@@ -51,6 +51,31 @@
 		}
 	}
 
+	/**
+	 * Guards against a chunk size without end that is not measured, since its head came
+	 * together with the requests before it.
+	 */
+	@Test
+	public void chunksBehindOtherRequestsAreScanned() {
+		String fixed = HEAD + "a\r\n\r\nb";
+		String chunked = HEAD + "1\r\nx\r\n0\r\n\r\n";
+		String all = fixed + HEAD + chunked + fixed + HEAD + "0".repeat(MAX_BYTES);
+		for (int round = 0; round < 50; round++) {
+			FramingScan scan = new FramingScan();
+			int split = this.random.nextInt(HEAD.length());
+			scan.add(ByteString.fromString(all.substring(0, split)));
+			scan.add(ByteString.fromString(all.substring(split)));
+			scan.startBody(6);
+			scan.startBody(0);
+			scan.startBody(true);
+			scan.startBody(6);
+			scan.startBody(true);
+			Assert.assertFalse(scan.isOver(MAX_BYTES));
+			scan.add(ByteString.fromString("0"));
+			Assert.assertTrue(scan.isOver(MAX_BYTES));
+		}
+	}
+
 	@Test
 	public void unscannedBodyIsBoundedUntilTheNextChunk() {
 		FramingScan scan = new FramingScan();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/FramingScan.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/FramingScan.java
@@ -1,15 +1,16 @@
-package org.marjoramgw.direct.caller;
+package org.marjoramgw.http;
 
 import org.apache.pekko.util.ByteString;
 
 /**
  * Follows where the chunks of a request body begin and end, and measures what stands
- * between them. The HTTP library parses incomplete trailers again with each piece that it
- * gets, which takes the processor for a minute if they are long. Not thread-safe.
+ * between them. The HTTP library parses incomplete chunk sizes and trailers again with
+ * each piece that it gets, which takes the processor for a minute if they are long. Not
+ * thread-safe.
  *
  * @author The marjoramgw authors
  */
-final class FramingScan {
+public final class FramingScan {
 
 	/**
 	 * Bytes between chunks that are allowed in a body whose beginning was not found, as a
@@ -26,12 +27,14 @@
 
 	private long dataBytes;
 
+	private boolean chunked;
+
 	private ByteString behindHead = ByteString.emptyByteString();
 
 	/**
 	 * Starts to look for the end of a request head.
 	 */
-	void startHead() {
+	public void startHead() {
 		this.state = State.HEAD;
 		this.framingBytes = 0;
 		this.lineBytes = 0;
@@ -42,30 +45,54 @@
 	 * Starts the body of the request whose head was found.
 	 * @param chunked whether it comes in chunks
 	 */
-	void startBody(boolean chunked) {
-		ByteString first = this.behindHead;
-		this.behindHead = ByteString.emptyByteString();
-		if (!chunked || this.state != State.BEHIND_HEAD) {
-			// The head may have come together with the request before it.
-			this.state = chunked ? State.UNSCANNED : State.NONE;
-			this.framingBytes = 0;
+	public void startBody(boolean chunked) {
+		if (chunked) {
+			startChunks();
+		}
+		else {
+			this.state = State.NONE;
+			this.behindHead = ByteString.emptyByteString();
+		}
+	}
+
+	/**
+	 * Starts a body of known length of the request whose head was found. The next head is
+	 * looked for behind it.
+	 * @param length length, in bytes
+	 */
+	public void startBody(long length) {
+		if (this.state != State.BEHIND_HEAD) {
+			startBody(false);
 			return;
 		}
-		startSize();
+		ByteString first = this.behindHead;
+		startHead();
+		this.chunked = false;
+		this.dataBytes = length;
+		this.state = (length > 0) ? State.DATA : State.HEAD;
 		add(first);
 	}
 
+	/**
+	 * Tells whether the next byte is the first one of a head, or of an empty line before
+	 * it.
+	 * @return whether it is
+	 */
+	public boolean isBetweenRequests() {
+		return this.state == State.HEAD && this.framingBytes == 0;
+	}
+
 	/**
 	 * Scans bytes.
 	 * @param bytes the next bytes of the connection
 	 */
-	void add(ByteString bytes) {
+	public void add(ByteString bytes) {
 		int position = 0;
 		while (position < bytes.size() && this.state.scanned) {
 			position = (this.state == State.DATA) ? skipData(position, bytes.size()) : scan(bytes, position);
 		}
-		if (this.state == State.BEHIND_HEAD && this.behindHead.isEmpty()) {
-			this.behindHead = bytes.drop(position);
+		if (this.state == State.BEHIND_HEAD) {
+			this.behindHead = this.behindHead.concat(bytes.drop(position));
 		}
 		else if (this.state == State.UNSCANNED) {
 			this.framingBytes += bytes.size();
@@ -75,7 +102,7 @@
 	/**
 	 * Takes note of a chunk that was read.
 	 */
-	void onChunk() {
+	public void onChunk() {
 		if (this.state == State.UNSCANNED) {
 			this.framingBytes = 0;
 		}
@@ -86,7 +113,7 @@
 	 * @param maxBytes maximum length, in bytes
 	 * @return whether they are longer
 	 */
-	boolean isOver(int maxBytes) {
+	public boolean isOver(int maxBytes) {
 		return switch (this.state) {
 			case SIZE, EXTENSION, TRAILERS -> this.framingBytes > maxBytes;
 			case UNSCANNED -> this.framingBytes > maxBytes * UNSCANNED_FACTOR;
@@ -97,9 +124,12 @@
 	private int skipData(int position, int end) {
 		int skipped = (int) Math.min(end - position, this.dataBytes);
 		this.dataBytes -= skipped;
-		if (this.dataBytes == 0) {
+		if (this.dataBytes == 0 && this.chunked) {
 			startSize();
 		}
+		else if (this.dataBytes == 0) {
+			startHead();
+		}
 		return position + skipped;
 	}
 
@@ -147,11 +177,27 @@
 				}
 			}
 			default -> {
-				this.state = empty ? State.NONE : this.state;
+				if (empty) {
+					startHead();
+				}
 			}
 		}
 	}
 
+	private void startChunks() {
+		ByteString first = this.behindHead;
+		this.behindHead = ByteString.emptyByteString();
+		this.chunked = true;
+		if (this.state != State.BEHIND_HEAD) {
+			// The head may have come together with the request before it.
+			this.state = State.UNSCANNED;
+			this.framingBytes = 0;
+			return;
+		}
+		startSize();
+		add(first);
+	}
+
 	private void startSize() {
 		this.state = State.SIZE;
 		this.framingBytes = 0;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ServedConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ServedConnection.java
@@ -3,8 +3,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
+import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.SharedKillSwitch;
+import org.apache.pekko.util.ByteString;
 
 /**
  * State of one connection of a {@link BoundedHttpServer}: whose turn it is, since when,
@@ -33,14 +35,14 @@
 
 	private final HeldMemory held;
 
+	private final FramingScan framing = new FramingScan();
+
 	private int openResponses;
 
 	private boolean bodyOpen;
 
 	private boolean headOpen;
 
-	private boolean headEmpty;
-
 	private boolean bodyMoved;
 
 	private boolean rejected;
@@ -92,9 +94,8 @@
 	/**
 	 * Called when bytes were received.
 	 * @param count number of bytes
-	 * @return whether they may start with empty lines before a request head
 	 */
-	synchronized boolean onReceived(int count) {
+	synchronized void onReceived(int count) {
 		markMoved();
 		this.reading = false;
 		updateTurn();
@@ -102,17 +103,32 @@
 		this.held.add(count);
 		if (!this.headOpen && !this.bodyOpen) {
 			this.headOpen = true;
-			this.headEmpty = true;
 			this.headBytes = 0;
 			this.headNanos = this.movedNanos;
 		}
-		if (!this.headOpen) {
-			return false;
+		if (this.headOpen) {
+			this.headBytes += count;
 		}
-		this.headBytes += count;
-		boolean atStart = this.headEmpty;
-		this.headEmpty = false;
-		return atStart;
+	}
+
+	/**
+	 * Tells whether the next byte is the first one of a head, or of an empty line before
+	 * it.
+	 * @return whether it is
+	 */
+	synchronized boolean isBetweenRequests() {
+		return this.framing.isBetweenRequests();
+	}
+
+	/**
+	 * Called before bytes are passed on to the HTTP parser.
+	 * @param bytes the bytes
+	 * @return whether they may be passed on; false if a chunk size with its extension, or
+	 * the trailers, are over the limit
+	 */
+	synchronized boolean mayPass(ByteString bytes) {
+		this.framing.add(bytes);
+		return !this.framing.isOver(this.limits.maxHeadBytes());
 	}
 
 	/**
@@ -120,7 +136,6 @@
 	 * kept.
 	 */
 	synchronized void onEmptyLines() {
-		this.headEmpty = true;
 		releaseUnread();
 	}
 
@@ -182,7 +197,13 @@
 		return this.rejected;
 	}
 
-	synchronized void onRequest() {
+	synchronized void onRequest(HttpEntity entity) {
+		if (entity.isChunked()) {
+			this.framing.startBody(true);
+		}
+		else {
+			this.framing.startBody(entity.getContentLengthOption().orElse(0));
+		}
 		this.headOpen = false;
 		this.bodyOpen = true;
 		this.openResponses++;
@@ -192,6 +213,7 @@
 	}
 
 	synchronized void onBodyData() {
+		this.framing.onChunk();
 		this.bodyMoved = true;
 	}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ServedRequests.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ServedRequests.java
@@ -36,7 +36,7 @@
 
 	CompletionStage<HttpResponse> handle(HttpRequest request,
 			Function<HttpRequest, CompletionStage<HttpResponse>> handler) throws Exception {
-		this.connection.onRequest();
+		this.connection.onRequest(request.entity());
 		return handler.apply(request.withEntity(observeBody(request.entity()))).thenApply(this::observeResponse);
 	}
 
