Check callers' connections ten times a second only while memory is short

Cause: CallerWatch of direct entries woke up every 100 ms all the time, also without a connection, to see whether somebody waited for memory. Change: MemoryBudget reports when a holder starts to wait and when no room is left; CheckSchedule then runs the check after 100 ms, and so on until nobody waits, there is room and connections use at most 3/4 of the budget. Otherwise connections are checked for their times every 500 ms as before, and nothing runs while there are none. What is reclaimed, and after which times, is unchanged. Its fixture takes timers and limits; no assertion of an existing test changed. ManualTimers becomes public.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.typesafe.config.ConfigFactory;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -55,6 +56,9 @@
 	/** Time before the end of a stop at which all waiting requests are read. */
 	private static final long READ_MILLIS = 1_000;
 
+	/** Long enough that ten checks a second would be noticed. */
+	private static final long IDLE_MILLIS = 2_500;
+
 	private static final String URGENT = "/urgent";
 
 	private static final String UNEXAMINABLE = "/unexaminable";
@@ -67,10 +71,13 @@
 
 	private long examineMillis;
 
+	private CallerLimits limits;
+
 	@BeforeMethod
 	public void start() throws Exception {
 		this.handled.clear();
 		this.examineMillis = 0;
+		this.limits = CallerLimits.DEFAULT;
 		this.fixture = new AcceptorFixture();
 	}
 
@@ -168,6 +175,29 @@
 		}
 	}
 
+	/**
+	 * Guards against connections that are checked ten times a second while nothing waits,
+	 * and against ones that are not checked at all.
+	 */
+	@Test
+	public void idleConnectionIsCheckedTwiceASecondUntilItIsClosed() throws Exception {
+		this.limits = new CallerLimits(16_384, 4_194_304, 3_000, IDLE_MILLIS);
+		AtomicInteger scheduledCount = new AtomicInteger();
+		Timers timers = new PekkoTimers(this.fixture.system());
+		serve((delayMillis, task) -> {
+			scheduledCount.incrementAndGet();
+			return timers.schedule(delayMillis, task);
+		});
+		try (Socket caller = send(ORDINARY)) {
+			Assert.assertEquals(this.handled.poll(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS), ORDINARY);
+			int before = scheduledCount.get();
+			caller.getInputStream().readAllBytes();
+			int count = scheduledCount.get() - before;
+			Assert.assertTrue(count >= 3, count + " checks and timeouts");
+			Assert.assertTrue(count <= 10, count + " checks and timeouts");
+		}
+	}
+
 	private static void closeAll(List<Socket> callers) throws Exception {
 		for (Socket caller : callers) {
 			caller.close();
@@ -175,11 +205,13 @@
 	}
 
 	private CallerListener serve() throws Exception {
-		Timers timers = new PekkoTimers(this.fixture.system());
+		return serve(new PekkoTimers(this.fixture.system()));
+	}
+
+	private CallerListener serve(Timers timers) throws Exception {
 		CallerListener listener = new CallerListener(this.fixture.system(), ServerSettings.create(ConfigFactory.load()),
 				timers, new StartLimiter(MAX_STARTING_COUNT, this.fixture.system().executionContext()),
-				new StartTimeouts(new SystemMillisClock(), timers), () -> CallerLimits.DEFAULT, this::examine,
-				this::respond);
+				new StartTimeouts(new SystemMillisClock(), timers), () -> this.limits, this::examine, this::respond);
 		listener.serve(this.fixture.acceptor())
 			.toCompletableFuture()
 			.get(AcceptorFixture.WAIT_SECONDS, TimeUnit.SECONDS);
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/peer/ManualTimers.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/peer/ManualTimers.java
@@ -11,7 +11,7 @@
  *
  * @author The marjoramgw authors
  */
-final class ManualTimers implements Timers, MillisClock {
+public final class ManualTimers implements Timers, MillisClock {
 
 	private final List<Task> tasks = new ArrayList<>();
 
@@ -33,7 +33,7 @@
 	 * Lets time pass without running any task.
 	 * @param millis duration
 	 */
-	void pause(long millis) {
+	public void pause(long millis) {
 		this.nowMillis += millis;
 	}
 
@@ -41,7 +41,7 @@
 	 * Runs the tasks that become due.
 	 * @param millis duration
 	 */
-	void advance(long millis) {
+	public void advance(long millis) {
 		long endMillis = this.nowMillis + millis;
 		Task next = next(endMillis);
 		while (next != null) {
@@ -53,6 +53,14 @@
 		this.nowMillis = endMillis;
 	}
 
+	/**
+	 * Returns the number of tasks that were not run yet.
+	 * @return number of tasks
+	 */
+	public int pendingCount() {
+		return this.tasks.size();
+	}
+
 	private Task next(long endMillis) {
 		Task next = null;
 		for (Task task : this.tasks) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerListener.java
@@ -142,6 +142,7 @@
 		WaitingConnection waiting = this.openingQueue.place(socket, connection, () -> open(socket, connection));
 		WatchedConnection watched = new WatchedConnection(socket, connection, waiting, acceptor.nowMillis());
 		this.connections.put(connection, watched);
+		watch.onAdded();
 		// Before the connection may be opened, so that no bytes are taken unseen.
 		socket.whenTaking((bytes) -> watch.onTaking(watched, bytes));
 		socket.whenReceived(waiting::onReceived);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerWatch.java
@@ -16,7 +16,6 @@
 import org.marjoramgw.policy.memory.MemoryUse;
 import org.marjoramgw.policy.memory.Progress;
 import org.marjoramgw.time.Timers;
-import org.tinylog.Logger;
 
 /**
  * Ends connections that exceed their times, and those that hold what others need;
@@ -26,11 +25,13 @@
  */
 final class CallerWatch {
 
-	/** Interval of the checks whether somebody waits for memory, in milliseconds. */
-	private static final long CHECK_MILLIS = 100;
+	/** Interval of the checks while memory is short, in milliseconds. */
+	private static final long SHORTAGE_MILLIS = 100;
 
-	/** Checks after which all connections are checked for their times. */
-	private static final int CHECKS_PER_SWEEP = 5;
+	/**
+	 * Interval of the checks of all connections for their times, in milliseconds.
+	 */
+	private static final long SWEEP_MILLIS = 500;
 
 	/**
 	 * Share of the connections that are closed at once when there are too many, so that
@@ -61,7 +62,9 @@
 
 	private final CallerEvents events;
 
-	private int checkCount;
+	private final CheckSchedule schedule;
+
+	private volatile long sweptMillis;
 
 	/**
 	 * Creates a watch.
@@ -82,13 +85,24 @@
 		this.connections = connections;
 		this.accepting = accepting;
 		this.events = events;
+		this.sweptMillis = clock.getAsLong();
+		this.schedule = new CheckSchedule(timers, clock, this::check, this::nextCheckMillis);
 	}
 
 	/**
-	 * Starts to check.
+	 * Starts to check. Nothing is checked while there are no connections and no shortage
+	 * of memory.
 	 */
 	void start() {
-		this.timers.schedule(CHECK_MILLIS, this::check);
+		this.memory.whenShort(() -> this.schedule.runWithin(SHORTAGE_MILLIS));
+		this.schedule.runWithin(SHORTAGE_MILLIS);
+	}
+
+	/**
+	 * Called when a connection was added.
+	 */
+	void onAdded() {
+		this.schedule.runWithin(isShort() ? SHORTAGE_MILLIS : SWEEP_MILLIS);
 	}
 
 	/**
@@ -156,28 +170,41 @@
 	}
 
 	private void check() {
-		try {
-			long nowMillis = this.clock.getAsLong();
-			if (++this.checkCount % CHECKS_PER_SWEEP == 0) {
-				this.connections.values().forEach((each) -> checkTimes(each, nowMillis));
-			}
-			if (this.memory.hasWaiting() || !this.memory.hasRoom()) {
-				reclaim(nowMillis);
-			}
-			if (!this.memory.hasRoom()) {
-				evict();
-			}
-			else if (this.memory.usedBytes(MemoryUse.CONNECTIONS) > this.memory.totalBytes() / 4 * 3) {
-				// Leaves room for requests, and for the garbage collector.
-				evict(WatchedConnection::isIdle, WatchedConnection::quietSinceMillis);
-			}
+		long nowMillis = this.clock.getAsLong();
+		if (nowMillis - this.sweptMillis >= SWEEP_MILLIS) {
+			this.sweptMillis = nowMillis;
+			this.connections.values().forEach((each) -> checkTimes(each, nowMillis));
 		}
-		catch (RuntimeException ex) {
-			Logger.error(ex, "check of the callers' connections failed");
+		if (isMemoryWanted()) {
+			reclaim(nowMillis);
 		}
-		if (this.accepting.getAsBoolean() || !this.connections.isEmpty()) {
-			start();
+		if (!this.memory.hasRoom()) {
+			evict();
 		}
+		else if (hasTooManyConnections()) {
+			// Leaves room for requests, and for the garbage collector.
+			evict(WatchedConnection::isIdle, WatchedConnection::quietSinceMillis);
+		}
+	}
+
+	private long nextCheckMillis() {
+		if (this.connections.isEmpty() && !(this.accepting.getAsBoolean() && isShort())) {
+			return CheckSchedule.NEVER;
+		}
+		long sweepMillis = this.sweptMillis + SWEEP_MILLIS - this.clock.getAsLong();
+		return isShort() ? SHORTAGE_MILLIS : Math.max(SHORTAGE_MILLIS, sweepMillis);
+	}
+
+	private boolean isShort() {
+		return isMemoryWanted() || hasTooManyConnections();
+	}
+
+	private boolean isMemoryWanted() {
+		return this.memory.hasWaiting() || !this.memory.hasRoom();
+	}
+
+	private boolean hasTooManyConnections() {
+		return this.memory.usedBytes(MemoryUse.CONNECTIONS) > this.memory.totalBytes() / 4 * 3;
 	}
 
 	private void checkTimes(WatchedConnection each, long nowMillis) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/memory/MemoryBudget.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/memory/MemoryBudget.java
@@ -44,6 +44,9 @@
 
 	private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
 
+	private volatile Runnable onShort = () -> {
+	};
+
 	/**
 	 * Creates a budget.
 	 * @param totalBytes memory of all holders together, in bytes
@@ -79,6 +82,15 @@
 		return new MemoryHolder(this);
 	}
 
+	/**
+	 * Sets what is run when a holder starts to wait or no room is left.
+	 * @param action the action, which replaces the previous one; must neither block nor
+	 * call a holder
+	 */
+	public void whenShort(Runnable action) {
+		this.onShort = action;
+	}
+
 	/**
 	 * Reserves memory for a large holder.
 	 * @param use what it is for
@@ -161,6 +173,7 @@
 
 	void await(Runnable retry) {
 		this.waiting.add(retry);
+		this.onShort.run();
 	}
 
 	void changeOwner(String owner, long bytes) {
@@ -173,6 +186,9 @@
 		if (bytes < 0 && used < this.largeBytes && hasWaiting()) {
 			resumeWaiting();
 		}
+		else if (used >= this.totalBytes && used - bytes < this.totalBytes) {
+			this.onShort.run();
+		}
 	}
 
 }
