--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -8,7 +8,7 @@
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.Route;
-import org.marjoramgw.policy.partition.ServerPartition;
+import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.PlacementQuery;
 import org.marjoramgw.policy.placement.ServerView;
@@ -28,7 +28,7 @@
 
 	private final Placement plainPlacement;
 
-	private final ServerPartition partition;
+	private final PromptPartition promptPartition;
 
 	private final String failureDomain;
 
@@ -38,16 +38,16 @@
 	 * @param serverViews what the placement policies are told of each server
 	 * @param promptPlacement placement policy for requests with a prompt
 	 * @param plainPlacement placement policy for other requests
-	 * @param partition servers on which a kind of request may be placed
+	 * @param promptPartition partition of the servers by the length of prompts
 	 * @param failureDomain failure domain of this process
 	 */
 	public ServerSelector(ServerDirectory directory, ServerViews serverViews, Placement promptPlacement,
-			Placement plainPlacement, ServerPartition partition, String failureDomain) {
+			Placement plainPlacement, PromptPartition promptPartition, String failureDomain) {
 		this.directory = directory;
 		this.serverViews = serverViews;
 		this.promptPlacement = promptPlacement;
 		this.plainPlacement = plainPlacement;
-		this.partition = partition;
+		this.promptPartition = promptPartition;
 		this.failureDomain = failureDomain;
 	}
 
@@ -98,7 +98,7 @@
 	}
 
 	private List<ServerView> candidates(String service, String kind, List<ServerView> servers, Set<String> excluded) {
-		List<ServerView> part = without(excluded, this.partition.select(service, kind, servers));
+		List<ServerView> part = without(excluded, this.promptPartition.select(service, kind, servers));
 		return part.isEmpty() ? without(excluded, servers) : part;
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/partition/PromptPartition.java
@@ -19,11 +19,11 @@
  * roots leave the short prompts more room than their share of the work, since pauses are
  * late long before a server is busy all the time. All processes rank the servers alike
  * and see about the same traffic, so that they agree without coordination on all but the
- * servers next to the boundary. A part whose servers all failed recently is not used.
+ * servers next to the boundary.
  *
  * @author The marjoramgw authors
  */
-public final class PromptPartition implements ServerPartition {
+public final class PromptPartition {
 
 	private final MillisClock clock;
 
@@ -89,7 +89,14 @@
 		partition(service).kind(kind, this.clock.nowMillis()).onEnd();
 	}
 
-	@Override
+	/**
+	 * Selects the servers on which a request may be placed.
+	 * @param service name of the service
+	 * @param kind kind of the request
+	 * @param servers all usable servers of the service
+	 * @return the servers of its part, or all if the service isn't divided or the servers
+	 * of the part all failed recently
+	 */
 	public synchronized List<ServerView> select(String service, String kind, List<ServerView> servers) {
 		ServicePartition partition = this.partitionByService.get(service);
 		if (partition == null || servers.size() < 2) {
