Tell slow servers from busy ones by their long pauses

Change: a measurement also has a long pause. Only a server whose pace is low and whose long pauses are longer than those of the others counts as slow, and streams with short pauses are kept from it by its long pause. In digests it takes the place of the tokens in memory, which nobody read; the greatest length of an answer isn't observed any more.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/SendReport.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/SendReport.java
@@ -14,12 +14,11 @@
  * @param serverKey key of the server
  * @param sharedParts shared parts of the prompt in order
  * @param promptTokens all tokens of the prompt
- * @param outputTokens greatest number of tokens of the answer
  * @param targetMillis time after the send within which the first token is timely, in
  * milliseconds
  * @author The marjoramgw authors
  */
-record SendReport(int serverKey, List<SharedPart> sharedParts, int promptTokens, int outputTokens, long targetMillis) {
+record SendReport(int serverKey, List<SharedPart> sharedParts, int promptTokens, long targetMillis) {
 
 	/**
 	 * A request that waited for long is late through no fault of its server, which gets
@@ -52,7 +51,7 @@
 		long targetMillis = (routeTargetMillis > 0)
 				? Math.max(routeTargetMillis / MIN_TARGET_SHARE, routeTargetMillis - ageMillis) : remainingMillis;
 		return new SendReport(FleetKeys.serverKey(server.incarnation()), caller.sharedParts(), caller.allPromptTokens(),
-				tokens(caller.maxOutputTokenCount()), Math.max(1, targetMillis));
+				Math.max(1, targetMillis));
 	}
 
 	/**
@@ -70,12 +69,7 @@
 	 * @return observer of the further course of the request
 	 */
 	LoadObserver.RequestObserver report(LoadObserver observer) {
-		return observer.onSent(this.serverKey, this.sharedParts, this.promptTokens, this.outputTokens,
-				this.targetMillis);
-	}
-
-	private static int tokens(long count) {
-		return (int) Math.max(0, Math.min(Integer.MAX_VALUE, count));
+		return observer.onSent(this.serverKey, this.sharedParts, this.promptTokens, this.targetMillis);
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestCodec.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestCodec.java
@@ -45,13 +45,11 @@
 	private static final int FIXED_BYTES = 1 + 3 + 9 + 3 + 3 + 3;
 
 	/**
-	 * Figures of the load are sent as whole numbers of these units, rounded up. They keep
-	 * the error of a usual prompt below 2%, and make a report a quarter smaller.
+	 * Tokens are sent as whole numbers of this unit, rounded up. It keeps the error of a
+	 * usual prompt below 2%.
 	 */
 	private static final int UNREAD_UNIT = 64;
 
-	private static final int MEMORY_UNIT = 256;
-
 	/** The same for the pace, in events per second. */
 	private static final double PACE_UNIT = 0.5;
 
@@ -78,8 +76,8 @@
 	 */
 	static int sizeOf(ServerReport report) {
 		return sizeOf(report.serverKey()) + sizeOf(units(report.unreadTokens(), UNREAD_UNIT))
-				+ sizeOf(report.runningCount()) + sizeOf(units(report.memoryTokens(), MEMORY_UNIT))
-				+ sizeOf(report.timelyCount()) + sizeOf(report.lateCount()) + sizeOf(paceUnits(report));
+				+ sizeOf(report.runningCount()) + sizeOf(report.timelyCount()) + sizeOf(report.lateCount())
+				+ sizeOf(paceUnits(report)) + sizeOf(report.longPauseMillis());
 	}
 
 	/**
@@ -149,10 +147,10 @@
 		this.packer.packInt(report.serverKey())
 			.packInt(units(report.unreadTokens(), UNREAD_UNIT))
 			.packInt(report.runningCount())
-			.packInt(units(report.memoryTokens(), MEMORY_UNIT))
 			.packInt(report.timelyCount())
 			.packInt(report.lateCount())
-			.packInt(paceUnits(report));
+			.packInt(paceUnits(report))
+			.packInt(report.longPauseMillis());
 	}
 
 	private Digest unpack(int length) throws IOException {
@@ -166,7 +164,7 @@
 		List<ServerReport> servers = new ArrayList<>(serverCount);
 		for (int index = 0; index < serverCount; index++) {
 			servers.add(new ServerReport(this.unpacker.unpackInt(), unpackAmount(UNREAD_UNIT), unpackAmount(1),
-					unpackAmount(MEMORY_UNIT), unpackAmount(1), unpackAmount(1), unpackAmount(1) * PACE_UNIT));
+					unpackAmount(1), unpackAmount(1), unpackAmount(1) * PACE_UNIT, unpackAmount(1)));
 		}
 		int promptCount = unpackCount(PROMPT_FIELD_COUNT, length);
 		List<PromptReport> prompts = new ArrayList<>(promptCount);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
@@ -37,8 +37,7 @@
 	private static final long KEY_MASK = 0xffff_ffffL;
 
 	private static final Comparator<ServerReport> LOADED_FIRST = Comparator
-		.comparing((ServerReport report) -> report.memoryTokens() == 0 && report.unreadTokens() == 0
-				&& report.runningCount() == 0);
+		.comparing((ServerReport report) -> report.unreadTokens() == 0 && report.runningCount() == 0);
 
 	private final Map<Integer, ServerReport> changed = new LinkedHashMap<>();
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -11,6 +11,7 @@
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.policy.pace.EventPauses;
 import org.marjoramgw.policy.pace.PaceBook;
+import org.marjoramgw.policy.pace.PaceMeasurement;
 import org.marjoramgw.policy.pace.ServerRamp;
 
 /**
@@ -23,9 +24,6 @@
  */
 public final class FleetBook implements FleetLoad, LoadObserver, DigestSource, DigestListener {
 
-	/** Weight of the greatest length of an answer in the memory that it occupies. */
-	private static final double OUTPUT_WEIGHT = 0.5;
-
 	/**
 	 * Time for which an unchanged row without load is repeated in complete digests, so
 	 * that no peer keeps an older one because datagrams were lost.
@@ -103,8 +101,7 @@
 		if (own == null) {
 			return peers;
 		}
-		return new ServerLoad(peers.unreadTokens() + own.unreadTokens, peers.requestCount() + own.requestCount(),
-				peers.memoryTokens() + own.memoryTokens);
+		return new ServerLoad(peers.unreadTokens() + own.unreadTokens, peers.requestCount() + own.requestCount());
 	}
 
 	/**
@@ -125,7 +122,7 @@
 
 	@Override
 	public synchronized RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens,
-			int outputTokens, long targetMillis) {
+			long targetMillis) {
 		long nowMillis = this.clock.nowMillis();
 		long sharedTokens = sharedParts.stream().mapToLong(SharedPart::tokenCount).sum();
 		long cachedTokens = cachedTokens(serverKey, sharedParts, nowMillis);
@@ -133,8 +130,7 @@
 		if (sharedTokens >= MIN_SHARED_TOKENS) {
 			this.cachedParts.onSent(sharedParts.get(sharedParts.size() - 1), serverKey, nowMillis);
 		}
-		int memory = (promptTokens > 0) ? promptTokens + (int) (OUTPUT_WEIGHT * outputTokens) : 0;
-		return new SentRequest(serverKey, promptTokens > 0, unread, memory, targetMillis);
+		return new SentRequest(serverKey, promptTokens > 0, unread, targetMillis);
 	}
 
 	@Override
@@ -194,8 +190,10 @@
 		if (timely > 0) {
 			this.ramp.onTimely(report.serverKey(), timely);
 		}
-		if (report.eventsPerSecond() != previous.eventsPerSecond()) {
-			this.paceBook.onMeasured(report.serverKey(), report.eventsPerSecond());
+		if (report.eventsPerSecond() != previous.eventsPerSecond()
+				|| report.longPauseMillis() != previous.longPauseMillis()) {
+			this.paceBook.onMeasured(report.serverKey(),
+					new PaceMeasurement(report.eventsPerSecond(), report.longPauseMillis()));
 		}
 	}
 
@@ -210,8 +208,6 @@
 
 		private final int unreadTokens;
 
-		private final int memoryTokens;
-
 		private final long targetMillis;
 
 		private final long sentMillis = FleetBook.this.clock.nowMillis();
@@ -224,14 +220,12 @@
 
 		private boolean ended;
 
-		private SentRequest(int serverKey, boolean prompted, int unreadTokens, int memoryTokens, long targetMillis) {
+		private SentRequest(int serverKey, boolean prompted, int unreadTokens, long targetMillis) {
 			this.serverKey = serverKey;
 			this.prompted = prompted;
 			this.unreadTokens = unreadTokens;
-			this.memoryTokens = memoryTokens;
 			this.targetMillis = targetMillis;
 			OwnLoad own = own(serverKey);
-			own.memoryTokens += memoryTokens;
 			if (prompted) {
 				own.unreadTokens += unreadTokens;
 				own.unreadCount++;
@@ -259,13 +253,7 @@
 
 		@Override
 		public void onPause(long pauseMillis) {
-			double pace = this.pauses.add(pauseMillis);
-			if (pace > 0) {
-				synchronized (FleetBook.this) {
-					own(this.serverKey).eventsPerSecond = pace;
-					FleetBook.this.paceBook.onMeasured(this.serverKey, pace);
-				}
-			}
+			this.pauses.add(pauseMillis).ifPresent(this::onMeasured);
 		}
 
 		@Override
@@ -276,7 +264,6 @@
 				}
 				this.ended = true;
 				OwnLoad own = own(this.serverKey);
-				own.memoryTokens -= this.memoryTokens;
 				if (this.prompted && !this.begun) {
 					endReading(own);
 				}
@@ -290,6 +277,15 @@
 			}
 		}
 
+		private void onMeasured(PaceMeasurement measurement) {
+			synchronized (FleetBook.this) {
+				OwnLoad own = own(this.serverKey);
+				own.eventsPerSecond = measurement.eventsPerSecond();
+				own.longPauseMillis = measurement.longPauseMillis();
+				FleetBook.this.paceBook.onMeasured(this.serverKey, measurement);
+			}
+		}
+
 		private void endReading(OwnLoad own) {
 			own.unreadTokens -= this.unreadTokens;
 			own.unreadCount--;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/LoadObserver.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/LoadObserver.java
@@ -10,20 +10,18 @@
 public interface LoadObserver {
 
 	/** Observer that ignores everything. */
-	LoadObserver NONE = (serverKey, sharedParts, promptTokens, outputTokens, targetMillis) -> RequestObserver.NONE;
+	LoadObserver NONE = (serverKey, sharedParts, promptTokens, targetMillis) -> RequestObserver.NONE;
 
 	/**
 	 * Called when a request is sent.
 	 * @param serverKey key of the server, see {@link FleetKeys#serverKey}
 	 * @param sharedParts shared parts of its prompt in order, empty if it has none
 	 * @param promptTokens all tokens of its prompt, 0 for a request without one
-	 * @param outputTokens greatest number of tokens of its answer
 	 * @param targetMillis time after the send within which its first token is timely, in
 	 * milliseconds
 	 * @return receiver of its further course
 	 */
-	RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens, int outputTokens,
-			long targetMillis);
+	RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens, long targetMillis);
 
 	/**
 	 * Tells whether a server has to prefill shared parts of a prompt, because they were
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/OwnLoad.java
@@ -16,8 +16,6 @@
 	/** Streams that have begun, and requests without a prompt. */
 	int runningCount;
 
-	long memoryTokens;
-
 	int timelyCount;
 
 	int lateCount;
@@ -25,6 +23,9 @@
 	/** Latest pace that was measured, in events per second; 0 if none was. */
 	double eventsPerSecond;
 
+	/** Long pause of the same measurement, in milliseconds. */
+	int longPauseMillis;
+
 	/** Time of the last change, in milliseconds. */
 	long changedMillis;
 
@@ -47,8 +48,8 @@
 			return null;
 		}
 		this.changed = false;
-		ServerReport report = new ServerReport(serverKey, clamp(this.unreadTokens), this.runningCount,
-				clamp(this.memoryTokens), this.timelyCount, this.lateCount, this.eventsPerSecond);
+		ServerReport report = new ServerReport(serverKey, clamp(this.unreadTokens), this.runningCount, this.timelyCount,
+				this.lateCount, this.eventsPerSecond, this.longPauseMillis);
 		boolean different = !report.equals(this.lastReport);
 		this.lastReport = report;
 		return different ? report : null;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/PeerLoads.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/PeerLoads.java
@@ -100,7 +100,7 @@
 			return ServerLoad.NONE;
 		}
 		double scale = scale();
-		return new ServerLoad(scale * sum.unreadTokens, scale * sum.requestCount, scale * sum.memoryTokens);
+		return new ServerLoad(scale * sum.unreadTokens, scale * sum.requestCount);
 	}
 
 	private double scale() {
@@ -125,8 +125,8 @@
 		}
 		else {
 			// Most counts of the first row may be of long ago.
-			this.listener.onChange(new ServerReport(report.serverKey(), 0, 0, 0, Math.max(0, report.timelyCount() - 1),
-					Math.max(0, report.lateCount() - 1), 0), report);
+			this.listener.onChange(new ServerReport(report.serverKey(), 0, 0, Math.max(0, report.timelyCount() - 1),
+					Math.max(0, report.lateCount() - 1), 0, 0), report);
 		}
 		sum.add(report, 1);
 		row.report = report;
@@ -221,14 +221,11 @@
 
 		private long requestCount;
 
-		private long memoryTokens;
-
 		private int rowCount;
 
 		private void add(ServerReport report, int sign) {
 			this.unreadTokens += (long) sign * report.unreadTokens();
 			this.requestCount += (long) sign * (report.runningCount() + ((report.unreadTokens() > 0) ? 1 : 0));
-			this.memoryTokens += (long) sign * report.memoryTokens();
 			this.rowCount += sign;
 		}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/ServerLoad.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/ServerLoad.java
@@ -5,12 +5,11 @@
  *
  * @param unreadTokens prompt tokens sent there whose first token is outstanding
  * @param requestCount requests that were sent there and have not ended
- * @param memoryTokens tokens that these requests occupy in the server's memory
  * @author The marjoramgw authors
  */
-public record ServerLoad(double unreadTokens, double requestCount, double memoryTokens) {
+public record ServerLoad(double unreadTokens, double requestCount) {
 
 	/** No load. */
-	public static final ServerLoad NONE = new ServerLoad(0, 0, 0);
+	public static final ServerLoad NONE = new ServerLoad(0, 0);
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/EventPauses.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/EventPauses.java
@@ -1,14 +1,14 @@
 package org.marjoramgw.policy.pace;
 
 import java.util.Arrays;
+import java.util.Optional;
 
 /**
  * Pauses between the events of one stream, from which the pace of its server is measured.
  * Not thread-safe.
  * <p>
- * The measurement is a low quantile of some consecutive pauses: longer ones are due to
- * prompts that the server prefills in between, which tell about its load and not its
- * pace.
+ * The shorter ones of some consecutive pauses tell how fast the server generates, the
+ * longer ones how long it takes when it prefills prompts in between.
  *
  * @author The marjoramgw authors
  */
@@ -17,8 +17,11 @@
 	/** Pauses of one measurement. */
 	private static final int COUNT = 10;
 
-	/** Rank of the pause that is the measurement, from the shortest. */
-	private static final int RANK = 1;
+	/** Index of the short pause of a measurement, in ascending order. */
+	private static final int SHORT_INDEX = 1;
+
+	/** Index of the long pause. The longest may be due to this process. */
+	private static final int LONG_INDEX = COUNT - 2;
 
 	/**
 	 * Shortest pause that counts, in milliseconds; events that arrive together would
@@ -33,16 +36,17 @@
 	/**
 	 * Records a pause.
 	 * @param millis time between two events, in milliseconds
-	 * @return the measured pace in events per second, 0 if more pauses are needed
+	 * @return the measurement, or empty if more pauses are needed
 	 */
-	public double add(long millis) {
+	public Optional<PaceMeasurement> add(long millis) {
 		this.latest[this.count++] = Math.max(MIN_MILLIS, millis);
 		if (this.count < COUNT) {
-			return 0;
+			return Optional.empty();
 		}
 		this.count = 0;
 		Arrays.sort(this.latest);
-		return 1_000.0 / this.latest[RANK];
+		return Optional.of(new PaceMeasurement(1_000.0 / this.latest[SHORT_INDEX],
+				(int) Math.min(Integer.MAX_VALUE, this.latest[LONG_INDEX])));
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/PaceBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/pace/PaceBook.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 
 import org.marjoramgw.MillisClock;
@@ -32,7 +32,13 @@
 	private static final int MIN_SAMPLE_COUNT = 3;
 
 	/** Quantile of the measurements that is the pace. */
-	private static final double QUANTILE = 0.8;
+	private static final double PACE_QUANTILE = 0.8;
+
+	/**
+	 * The same for the long pause. The median leaves out slow periods of less than a
+	 * second.
+	 */
+	private static final double LONG_PAUSE_QUANTILE = 0.5;
 
 	/** Greatest ratio of the pace of a server to the median that is assumed. */
 	private static final double MAX_RATIO = 4;
@@ -56,10 +62,10 @@
 	/**
 	 * Records a measurement of this process or of a peer.
 	 * @param serverKey key of the server
-	 * @param eventsPerSecond measured pace, in events of a stream per second
+	 * @param measurement the measurement
 	 */
-	public synchronized void onMeasured(int serverKey, double eventsPerSecond) {
-		if (eventsPerSecond <= 0 || !Double.isFinite(eventsPerSecond)) {
+	public synchronized void onMeasured(int serverKey, PaceMeasurement measurement) {
+		if (measurement.eventsPerSecond() <= 0 || !Double.isFinite(measurement.eventsPerSecond())) {
 			return;
 		}
 		long nowMillis = this.clock.nowMillis();
@@ -67,7 +73,7 @@
 			this.samplesByServer.values().removeIf((samples) -> nowMillis - samples.updatedMillis > FORGET_MILLIS);
 		}
 		if (this.samplesByServer.size() < MAX_SERVERS || this.samplesByServer.containsKey(serverKey)) {
-			this.samplesByServer.computeIfAbsent(serverKey, (key) -> new Samples()).add(eventsPerSecond, nowMillis);
+			this.samplesByServer.computeIfAbsent(serverKey, (key) -> new Samples()).add(measurement, nowMillis);
 		}
 	}
 
@@ -78,23 +84,31 @@
 	 * @return the paces in the same order
 	 */
 	public synchronized List<ServerPace> paces(int[] serverKeys) {
-		double[] known = IntStream.of(serverKeys)
+		List<Samples> known = IntStream.of(serverKeys)
 			.mapToObj(this.samplesByServer::get)
-			.filter(Objects::nonNull)
-			.mapToDouble((samples) -> samples.pace)
-			.filter((pace) -> pace > 0)
-			.sorted()
-			.toArray();
-		double median = (known.length > 0) ? known[known.length / 2] : DEFAULT_EVENTS_PER_SECOND;
+			.filter((samples) -> samples != null && samples.pace > 0)
+			.toList();
+		double median = median(known, (samples) -> samples.pace, DEFAULT_EVENTS_PER_SECOND);
+		double medianLongPause = median(known, (samples) -> samples.longPauseMillis, 1);
 		List<ServerPace> paces = new ArrayList<>(serverKeys.length);
 		for (int serverKey : serverKeys) {
-			double pace = steadyPace(serverKey);
-			double limited = (pace > 0) ? Math.max(median / MAX_RATIO, Math.min(median * MAX_RATIO, pace)) : median;
-			paces.add(new ServerPace(limited, limited / median));
+			Samples samples = this.samplesByServer.get(serverKey);
+			if (samples == null || samples.pace <= 0) {
+				paces.add(new ServerPace(median, 1, medianLongPause, 1));
+				continue;
+			}
+			double pace = Math.max(median / MAX_RATIO, Math.min(median * MAX_RATIO, samples.pace));
+			paces.add(new ServerPace(pace, pace / median, samples.longPauseMillis,
+					samples.longPauseMillis / medianLongPause));
 		}
 		return paces;
 	}
 
+	private static double median(List<Samples> known, ToDoubleFunction<Samples> value, double unknown) {
+		double[] sorted = known.stream().mapToDouble(value).sorted().toArray();
+		return (sorted.length > 0) ? sorted[sorted.length / 2] : unknown;
+	}
+
 	/**
 	 * Returns the pace of a server.
 	 * @param serverKey key of the server
@@ -108,24 +122,35 @@
 	/** Measurements of one server. */
 	private static final class Samples {
 
-		private final double[] latest = new double[SAMPLE_COUNT];
+		private final double[] paces = new double[SAMPLE_COUNT];
+
+		private final double[] longPauses = new double[SAMPLE_COUNT];
 
 		private int count;
 
 		private double pace;
 
+		private double longPauseMillis;
+
 		private long updatedMillis;
 
-		private void add(double eventsPerSecond, long nowMillis) {
-			this.latest[this.count++ % SAMPLE_COUNT] = eventsPerSecond;
+		private void add(PaceMeasurement measurement, long nowMillis) {
+			int index = this.count++ % SAMPLE_COUNT;
+			this.paces[index] = measurement.eventsPerSecond();
+			this.longPauses[index] = Math.max(1, measurement.longPauseMillis());
 			this.updatedMillis = nowMillis;
 			if (this.count >= MIN_SAMPLE_COUNT) {
-				double[] sorted = Arrays.copyOf(this.latest, Math.min(this.count, SAMPLE_COUNT));
-				Arrays.sort(sorted);
-				this.pace = sorted[(int) (QUANTILE * (sorted.length - 1))];
+				this.pace = quantile(this.paces, PACE_QUANTILE);
+				this.longPauseMillis = quantile(this.longPauses, LONG_PAUSE_QUANTILE);
 			}
 		}
 
+		private double quantile(double[] latest, double fraction) {
+			double[] sorted = Arrays.copyOf(latest, Math.min(this.count, SAMPLE_COUNT));
+			Arrays.sort(sorted);
+			return sorted[(int) (fraction * (sorted.length - 1))];
+		}
+
 	}
 
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -24,9 +24,6 @@
  */
 public final class SharedLoadPlacement implements Placement {
 
-	/** Ratio of a pause in which prompts are prefilled to one without. */
-	private static final double PREFILL_PAUSE_FACTOR = 5;
-
 	/**
 	 * Least fraction of the servers that must be fast enough for a request, so that these
 	 * can take its kind of request.
@@ -135,7 +132,7 @@
 		}
 
 		private boolean meetsPause(long maxPauseMillis) {
-			return !this.pace.isSlow() || this.pace.pauseMillis() * PREFILL_PAUSE_FACTOR <= maxPauseMillis;
+			return !this.pace.isSlow() || this.pace.longPauseMillis() <= maxPauseMillis;
 		}
 
 		// Weighted rendezvous hashing: with equal weights the server with the highest
