Wait for observed conditions, not fixed times, in tests of starts and listeners

Cause: these tests gave a fixed time for a condition that can be observed, which is too short on a loaded machine. The bounds of the tests are unchanged.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/caller/CallerListenerTests.java
@@ -142,9 +142,9 @@
 		for (int number = 0; number < WAITING_COUNT; number++) {
 			silent.add(this.fixture.connect());
 		}
-		this.fixture.awaitRead(silent.size(), 0);
+		awaitOpen(listener, silent.size());
 		closeAll(silent);
-		Thread.sleep(200);
+		awaitOpen(listener, 0);
 		try (Socket caller = send(ORDINARY)) {
 			Assert.assertTrue(caller.isConnected());
 			Assert.assertEquals(this.handled.poll(READ_MILLIS, TimeUnit.MILLISECONDS), ORDINARY);
@@ -171,6 +171,14 @@
 		}
 	}
 
+	private static void awaitOpen(CallerListener listener, int count) {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(AcceptorFixture.WAIT_SECONDS);
+		while (listener.openCount() != count) {
+			Assert.assertTrue(System.nanoTime() < endNanos, listener.openCount() + " connections are open");
+			Pause.millis(5);
+		}
+	}
+
 	private static void closeAll(List<Socket> callers) throws Exception {
 		for (Socket caller : callers) {
 			caller.close();
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
 import com.typesafe.config.Config;
@@ -48,10 +50,12 @@
 import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
 import org.marjoramgw.policy.waiting.StartTimeouts;
+import org.marjoramgw.program.Pause;
 import org.marjoramgw.testkit.TestSeed;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.PekkoTimers;
 import org.marjoramgw.time.Timers;
+import org.testng.Assert;
 
 /**
  * Request path of a direct entry process between raw caller sockets and scripted servers.
@@ -100,6 +104,8 @@
 
 	private final CallerListener listener;
 
+	private final AtomicLong openedBytes = new AtomicLong();
+
 	private final RecordingLoad load = new RecordingLoad();
 
 	private final Map<String, Integer> runs = new ConcurrentHashMap<>();
@@ -242,10 +248,22 @@
 	 */
 	Socket open(String target, String more, String body) throws IOException {
 		Socket caller = connect(0);
-		send(caller, target, more, body);
+		this.openedBytes.addAndGet(send(caller, target, more, body));
 		return caller;
 	}
 
+	/**
+	 * Waits until the process has read what was sent by {@link #open}.
+	 */
+	void awaitRead() {
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS);
+		while (this.acceptor.receivedBytes() < this.openedBytes.get()) {
+			Assert.assertTrue(System.nanoTime() < endNanos,
+					"read " + this.acceptor.receivedBytes() + " of " + this.openedBytes + " bytes");
+			Pause.millis(1);
+		}
+	}
+
 	/**
 	 * Connects as a caller.
 	 * @param receiveBufferBytes size of the receive buffer, in bytes, or 0 for that of
@@ -270,13 +288,15 @@
 	 * @param target method and target
 	 * @param more further header lines, each with its line end
 	 * @param body the body
+	 * @return number of bytes that were sent
 	 * @throws IOException if the connection can't be used
 	 */
-	static void send(Socket caller, String target, String more, String body) throws IOException {
+	static int send(Socket caller, String target, String more, String body) throws IOException {
 		String id = more.contains("X-Request-Id: ") ? "" : "X-Request-Id: r1\r\n";
 		String head = target + " HTTP/1.1\r\nHost: carob.example\r\n" + id + "Content-Length: " + body.length() + "\r\n"
 				+ more + "\r\n";
 		caller.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+		return head.length() + body.length();
 	}
 
 	/**
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
@@ -36,6 +36,8 @@
 
 	private static final int START_SECONDS = 30;
 
+	private static final int READY_POLL_MILLIS = 20;
+
 	private final Path directory = Files.createTempDirectory("started-entry");
 
 	private final Path output = this.directory.resolve("output");
@@ -124,6 +126,20 @@
 		}
 	}
 
+	/**
+	 * Waits until the process is ready.
+	 * @throws IOException if it isn't in time
+	 */
+	void awaitReady() throws IOException {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS);
+		while (!isReady()) {
+			if (!this.process.isAlive() || System.nanoTime() > endNanos) {
+				throw new IOException("isn't ready: " + output());
+			}
+			Pause.millis(READY_POLL_MILLIS);
+		}
+	}
+
 	void signal(String name) throws IOException, InterruptedException {
 		new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
 	}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StopDuringStartTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StopDuringStartTests.java
@@ -38,9 +38,6 @@
 
 	private static final int ROUND_COUNT = Integer.getInteger("stop.rounds", 1);
 
-	/** Time after which a process has started, from the moment at which it listens. */
-	private static final int STARTED_MILLIS = 2_000;
-
 	/**
 	 * Connections that hold back the others for 100 ms each, four at a time: longer than
 	 * the grace period.
@@ -88,7 +85,7 @@
 				StoreStandin store = store(server);
 				StartedEntry entry = new StartedEntry(store.address(), GRACE_SECONDS)) {
 			entry.connectAtOnce().close();
-			Pause.millis(STARTED_MILLIS);
+			entry.awaitReady();
 			for (int index = 0; index < INCOMPLETE_COUNT; index++) {
 				incomplete.add(entry.connect());
 				incomplete.get(index).getOutputStream().write(INCOMPLETE.getBytes(StandardCharsets.ISO_8859_1));
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UrgentRequestsTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UrgentRequestsTests.java
@@ -68,7 +68,7 @@
 						callers.add(early.open("POST /long-book/" + number, KEY, "order"));
 						Thread.sleep(2);
 					}
-					Thread.sleep(READ_MILLIS);
+					early.awaitRead();
 				}, server)) {
 			Assert.assertNotNull(fixture.listener());
 			Assert.assertEquals(server.awaitRequests(WAITING_COUNT, SEND_MILLIS), WAITING_COUNT);
