--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -34,16 +34,9 @@
 	private static final long FORGET_MILLIS = 600_000;
 
 	/**
-	 * Greatest ratio of the tokens of other prompts at a server to those of a prompt for
-	 * which it measures the pace. The server may read them before or after it, so that
-	 * the time of prompts among many others tells about the queue and not the server.
+	 * Shared tokens from which on it matters where a prompt is cached. Fewer are
+	 * prefilled within one step of a server.
 	 */
-	private static final double MAX_OTHERS_RATIO = 0.25;
-
-	/** Ratio of the time to a first token to the lag from which on it is measured. */
-	private static final double MIN_TIME_PER_LAG = 10;
-
-	/** Shared tokens from which on it matters where a prompt is cached. */
 	private static final int MIN_SHARED_TOKENS = 1_000;
 
 	private final String processId;
