Take the number of descriptors from the deployment's settings

Change: descriptor_count, which the platform's template sets from its limits; 0 asks the operating system as before. Tests: CallerBoundsTests.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/CallerSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/CallerSettings.java
@@ -6,7 +6,9 @@
  *
  * @param memoryBytes memory for all callers, in bytes, or 0 to derive it
  * @param maxConnections connections above which idle ones are closed, or 0 to derive it
+ * @param descriptorCount descriptors that the process may have open, or 0 to ask the
+ * operating system
  * @author The marjoramgw authors
  */
-public record CallerSettings(long memoryBytes, int maxConnections) {
+public record CallerSettings(long memoryBytes, int maxConnections, int descriptorCount) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -76,7 +76,8 @@
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
 				new CallerSettings((long) root.clampedDecimal("caller_memory_bytes", 0, 0, MAX_MEMORY_BYTES),
-						(int) root.clampedDecimal("caller_connection_count", 0, 0, MAX_CONNECTIONS)),
+						(int) root.clampedDecimal("caller_connection_count", 0, 0, MAX_CONNECTIONS),
+						(int) root.clampedDecimal("descriptor_count", 0, 0, MAX_CONNECTIONS)),
 				peers(root), usage(root), root.flag("stop_after_warm_up", false));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/CallerBounds.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/CallerBounds.java
@@ -34,12 +34,13 @@
 	 * left for connections to backend servers.
 	 * @param memoryBytes memory for callers, in bytes, or 0 for a share of the heap
 	 * @param maxSockets bound of the sockets, or 0 for a share of the descriptors
+	 * @param descriptorCount descriptors of the process, or 0 to ask the operating system
 	 * @return the bounds
 	 */
-	public static CallerBounds ofProcess(long memoryBytes, int maxSockets) {
+	public static CallerBounds ofProcess(long memoryBytes, int maxSockets, int descriptorCount) {
 		MemoryBudget memory = (memoryBytes > 0) ? new MemoryBudget(memoryBytes)
 				: MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
-		int descriptors = descriptors();
+		int descriptors = (descriptorCount > 0) ? descriptorCount : descriptors();
 		int derived = Math.max(MIN_SOCKETS, descriptors - descriptors / 4 - OWN_DESCRIPTORS);
 		return new CallerBounds(memory, (maxSockets > 0) ? maxSockets : derived);
 	}
