--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/StarvationTests.java
@@ -64,7 +64,8 @@
 			}
 		}
 		for (SteadyLoad load : loads) {
-			Assert.assertEquals(SteadyLoad.unexpectedAnswers(load.finish()), List.of());
+			List<String> unexpected = SteadyLoad.unexpectedAnswers(load.finish());
+			Assert.assertEquals(unexpected, List.of(), unexpected.toString());
 		}
 	}
 
