--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/SharedLoadTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/SharedLoadTests.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.direct;
 
 import java.util.List;
+import java.util.Random;
 
 import com.codahale.metrics.MetricRegistry;
 import org.marjoramgw.ManualMillisClock;
+import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.PlacementQuery;
 import org.marjoramgw.policy.placement.ServerView;
@@ -28,7 +30,7 @@
 	public void readOnlyPlacementChangesNoRamp() {
 		ManualMillisClock clock = new ManualMillisClock(0);
 		MetricRegistry registry = new MetricRegistry();
-		SharedLoad load = new SharedLoad("edge-1", clock, () -> 0, registry);
+		SharedLoad load = new SharedLoad("edge-1", clock, () -> 0, registry, new LeastLoadedPlacement(new Random(1)));
 		choose(load.placement(), OLD);
 		clock.advanceMillis(10_000);
 		choose(load.readOnlyPlacement(), OLD, NEW);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -249,7 +249,8 @@
 	}
 
 	private SharedLoad newSharedLoad(MetricRegistry registry) {
-		return new SharedLoad(this.settings.get().processId(), this.monotonicClock, this.lagMillis, registry);
+		return new SharedLoad(this.settings.get().processId(), this.monotonicClock, this.lagMillis, registry,
+				new AffinityPlacement(AFFINITY_SLACK, new LeastLoadedPlacement(new Random())));
 	}
 
 	private ServerSelector serverSelector(ActiveRouting routing, ServerDirectory servers,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Random;
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Gauge;
@@ -11,7 +10,6 @@
 import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerRamp;
-import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.ServerView;
 import org.marjoramgw.policy.placement.SharedLoadPlacement;
@@ -29,6 +27,8 @@
 
 	private final ServerRamp ramp;
 
+	private final Placement ownPlacement;
+
 	private final Placement placement;
 
 	/**
@@ -37,8 +37,11 @@
 	 * @param clock monotonic clock
 	 * @param lagMillis scheduling lag of the process, in milliseconds
 	 * @param registry registry of the metrics
+	 * @param ownPlacement placement by the load of this process alone
 	 */
-	SharedLoad(String processId, MillisClock clock, LongSupplier lagMillis, MetricRegistry registry) {
+	SharedLoad(String processId, MillisClock clock, LongSupplier lagMillis, MetricRegistry registry,
+			Placement ownPlacement) {
+		this.ownPlacement = ownPlacement;
 		this.paceBook = new PaceBook(clock);
 		this.ramp = new ServerRamp(clock, new RampLog(registry, this.paceBook));
 		this.book = new FleetBook(processId, System.currentTimeMillis(), clock, lagMillis, this.paceBook, this.ramp);
@@ -89,7 +92,7 @@
 	}
 
 	private Placement newPlacement(ServerRamp placementRamp) {
-		return new SharedLoadPlacement(this.book, this.paceBook, placementRamp, new LeastLoadedPlacement(new Random()));
+		return new SharedLoadPlacement(this.book, this.paceBook, placementRamp, this.ownPlacement);
 	}
 
 }
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
@@ -185,6 +185,22 @@
 		Assert.assertEquals(this.ramp.rampingCount(), 0);
 	}
 
+	/** Guards against prompts that leave their caches because most servers are full. */
+	@Test
+	public void serversWithFewSlotsAreChosenByTheOwnLoadAlone() {
+		Placement own = new AffinityPlacement(4, new LeastLoadedPlacement(TestSeed.random(6)));
+		Placement shared = new SharedLoadPlacement((serverKey) -> new ServerLoad(0, 16 + serverKey % 2), this.paces,
+				this.ramp, own);
+		List<ServerView> servers = new ArrayList<>();
+		for (int server = 0; server < SERVERS; server++) {
+			servers.add(new ServerView(Integer.toString(server), "a", 0, false, server, 17));
+		}
+		for (int prompt = 0; prompt < 300; prompt++) {
+			PlacementQuery query = longQuery("contract-" + prompt);
+			Assert.assertEquals(shared.choose(query, servers), own.choose(query, servers));
+		}
+	}
+
 	@Test
 	public void findsAServerWheneverThereIsOne() {
 		Random random = TestSeed.random(3);
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -36,6 +36,13 @@
 	/** Load of this process allowed in addition to that ratio, in requests. */
 	private static final double LOAD_SLACK = 4;
 
+	/**
+	 * Slots from which on reports tell which servers have a free one. Servers with fewer
+	 * are full most of the time in a burst; all processes would move their prompts to the
+	 * few that seemed free half a second ago, which prefill them again.
+	 */
+	private static final int MIN_SLOT_COUNT = 32;
+
 	private static final double TWO_POW_MINUS_64 = 0x1p-64;
 
 	private final FleetLoad fleet;
@@ -51,7 +58,8 @@
 	 * @param fleet load of the servers
 	 * @param paceBook paces of the servers
 	 * @param ramp slow start of the servers
-	 * @param fallback placement of requests without an affinity key
+	 * @param fallback placement of requests without an affinity key, and on servers with
+	 * few slots
 	 */
 	public SharedLoadPlacement(FleetLoad fleet, PaceBook paceBook, ServerRamp ramp, Placement fallback) {
 		this.fleet = fleet;
@@ -69,7 +77,7 @@
 
 	@Override
 	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
-		if (query.affinityKey().isEmpty()) {
+		if (usesFallback(query, servers)) {
 			return this.fallback.choose(query, servers);
 		}
 		List<ServerView> healthy = SuspectFilter.excludeSuspects(servers);
@@ -87,6 +95,11 @@
 				: "weighted hash of the shared prompt parts, among servers with a free slot and short enough pauses";
 	}
 
+	private static boolean usesFallback(PlacementQuery query, List<ServerView> servers) {
+		return query.affinityKey().isEmpty()
+				|| servers.stream().anyMatch((server) -> server.slotCount() < MIN_SLOT_COUNT);
+	}
+
 	private List<Candidate> candidates(List<ServerView> servers) {
 		List<ServerPace> paces = this.paceBook.paces(servers.stream().mapToInt(ServerView::serverKey).toArray());
 		List<Candidate> candidates = new ArrayList<>(servers.size());
