--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/LeaseDriver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/LeaseDriver.java
@@ -4,9 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
 import org.marjoramgw.direct.follow.AppendResult;
@@ -47,8 +45,6 @@
 
 	private final Object lock;
 
-	private final AtomicLong calls = new AtomicLong();
-
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
 	private Timers.Handle pause = Timers.Handle.NONE;
@@ -123,19 +119,11 @@
 		}
 	}
 
-	/**
-	 * Returns the number of calls to the topic.
-	 * @return the number
-	 */
-	long callCount() {
-		return this.calls.get();
-	}
-
 	private void step() {
 		noteOwner();
 		LeaseStep step = this.state.next(this.clock.now(), this.lagMillis.getAsLong(), this.duty.hasToAppend());
 		switch (step.kind()) {
-			case SNAPSHOT -> readSnapshot("", new ArrayList<>(), -1);
+			case SNAPSHOT -> readSnapshot();
 			case READ -> read(step.waitMillis());
 			case PAUSE -> pauseFor(step.waitMillis());
 			case ACQUIRE, RENEW, RELEASE -> append(step.kind());
@@ -175,22 +163,15 @@
 		}
 	}
 
-	private void readSnapshot(String afterKey, List<KeyedRecord> records, long endOffset) {
-		this.calls.incrementAndGet();
-		this.topic.readLatest(afterKey).whenComplete((page, failure) -> {
+	private void readSnapshot() {
+		this.topic.readSnapshot().whenComplete((snapshot, failure) -> {
 			synchronized (this.lock) {
 				if (failure != null) {
 					onFailure("read", failure);
-					return;
 				}
-				records.addAll(page.records());
-				// What was appended between two pages is read again.
-				long firstEnd = (endOffset < 0) ? page.endOffset() : endOffset;
-				if (page.hasMore() && !page.records().isEmpty()) {
-					readSnapshot(page.records().get(page.records().size() - 1).key(), records, firstEnd);
-					return;
+				else {
+					onSnapshot(snapshot.records(), snapshot.endOffset());
 				}
-				onSnapshot(records, firstEnd);
 			}
 		});
 	}
@@ -206,13 +187,12 @@
 	}
 
 	private void read(long waitMillis) {
-		this.calls.incrementAndGet();
 		this.topic.read(this.state.end(), waitMillis).whenComplete((slice, failure) -> {
 			synchronized (this.lock) {
 				if (failure == null) {
 					onSlice(slice);
 				}
-				else if (isExpired(failure)) {
+				else if (RecordsExpiredException.isCauseOf(failure)) {
 					this.state.onExpired();
 					step();
 				}
@@ -241,7 +221,6 @@
 		if (kind == LeaseStep.Kind.RENEW) {
 			records.addAll(this.duty.toAppend());
 		}
-		this.calls.incrementAndGet();
 		this.appending = true;
 		this.topic.appendAt(records, this.state.end()).whenComplete((result, failure) -> {
 			synchronized (this.lock) {
@@ -278,11 +257,6 @@
 		pauseFor(this.backoff.delayMillis(this.failureCount));
 	}
 
-	private static boolean isExpired(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		return cause instanceof RecordsExpiredException;
-	}
-
 	/**
 	 * Duty that the holder of the lease exercises. Called with the lock of the duty.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/ReportKeeper.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/ReportKeeper.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
@@ -64,8 +63,6 @@
 
 	private final Object lock;
 
-	private final AtomicLong deletionCalls = new AtomicLong();
-
 	private final TreeMap<Long, SortedMap<String, Integer>> pending = new TreeMap<>();
 
 	private final long startWindow;
@@ -123,14 +120,6 @@
 		this.wake = action;
 	}
 
-	/**
-	 * Returns the number of calls that delete counts.
-	 * @return the number
-	 */
-	long callCount() {
-		return this.deletionCalls.get();
-	}
-
 	@Override
 	public void onRecords(List<KeyedRecord> records) {
 		for (KeyedRecord record : records) {
@@ -257,7 +246,6 @@
 			return;
 		}
 		this.deleting = true;
-		this.deletionCalls.incrementAndGet();
 		this.topic.append(deletions).whenComplete((ignored, failure) -> {
 			synchronized (this.lock) {
 				this.deleting = false;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageDuty.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageDuty.java
@@ -47,6 +47,10 @@
 
 	private final Random random = new Random();
 
+	private final CountingTopic usageTopic;
+
+	private final CountingTopic dutiesTopic;
+
 	private final UsageCounter counter;
 
 	private final UsageSharing sharing;
@@ -82,20 +86,22 @@
 			MillisClock monotonicClock, MillisClock wallClock, Timers timers, LongSupplier lagMillis) {
 		this.clock = new AgeClock(monotonicClock, wallClock);
 		this.timers = timers;
+		this.usageTopic = new CountingTopic(platform.usage());
+		this.dutiesTopic = new CountingTopic(platform.duties());
 		TrueClock trueClock = new TrueClock(monotonicClock, wallClock);
 		this.counter = new UsageCounter(windows, trueClock::nowMillis);
-		this.sharing = new UsageSharing(member, this.counter, windows, trueClock, platform.usage(), timers,
+		this.sharing = new UsageSharing(member, this.counter, windows, trueClock, this.usageTopic, timers,
 				backoff(MAX_SHARE_BACKOFF_MILLIS), this.random.nextDouble());
 		this.lease = new LeaseState(member.process(), member.incarnation(), times, this.random);
 		this.book = new ReportBook(windows);
 		UsageLedger ledger = new UsageLedger();
 		StandbyChoice standbys = new StandbyChoice(member.process(), member.failureDomain(), this.random);
-		this.reader = new UsageReader(platform.usage(), ledger, standbys, this.lock);
+		this.reader = new UsageReader(this.usageTopic, ledger, standbys, this.lock);
 		this.sender = new ReportSender(member.process(), platform.reports(), this.book, this.lease, this.clock,
 				monotonicClock, backoff(MAX_BACKOFF_MILLIS), this.lock);
-		this.keeper = new ReportKeeper(platform.usage(), ledger, this.reader, this.book, this.sender, standbys, windows,
+		this.keeper = new ReportKeeper(this.usageTopic, ledger, this.reader, this.book, this.sender, standbys, windows,
 				trueClock, timers, this.lock);
-		this.driver = new LeaseDriver(platform.duties(), this.lease, this.clock, timers, lagMillis,
+		this.driver = new LeaseDriver(this.dutiesTopic, this.lease, this.clock, timers, lagMillis,
 				backoff(MAX_BACKOFF_MILLIS), this.keeper, this.lock);
 		this.keeper.onPending(this.driver::wake);
 	}
@@ -110,7 +116,7 @@
 		gauge(registry, "usage.reports.open", () -> (long) this.book.openCount());
 		gauge(registry, "usage.reports.accepted", this.sender::acceptedCount);
 		gauge(registry, "usage.reports.failed", this.sender::failedCount);
-		gauge(registry, "usage.store.calls", this::storeCallCount);
+		gauge(registry, "usage.store.calls", () -> this.usageTopic.callCount() + this.dutiesTopic.callCount());
 	}
 
 	/**
@@ -155,14 +161,6 @@
 		}
 	}
 
-	/**
-	 * Returns the number of calls to the store.
-	 * @return the number
-	 */
-	long storeCallCount() {
-		return this.driver.callCount() + this.sharing.callCount() + this.reader.callCount() + this.keeper.callCount();
-	}
-
 	private void gauge(MetricRegistry registry, String name, LongSupplier value) {
 		registry.register(name, (Gauge<Long>) () -> {
 			synchronized (this.lock) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
@@ -1,10 +1,5 @@
 package org.marjoramgw.direct.duty;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CompletionException;
-import java.util.concurrent.atomic.AtomicLong;
-
 import org.marjoramgw.direct.follow.CompactedTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.errors.RecordsExpiredException;
@@ -27,8 +22,6 @@
 
 	private final Object lock;
 
-	private final AtomicLong calls = new AtomicLong();
-
 	private long position = -1;
 
 	private boolean reading;
@@ -71,14 +64,6 @@
 		return this.position >= 0;
 	}
 
-	/**
-	 * Returns the number of calls to the topic.
-	 * @return the number
-	 */
-	long callCount() {
-		return this.calls.get();
-	}
-
 	/**
 	 * Reads everything that the topic contains at present, unless that goes on already.
 	 * @param onCurrent called with the lock when it has been read
@@ -91,16 +76,15 @@
 		this.reading = true;
 		Course course = new Course(this.generation, onCurrent, onFailure);
 		if (this.position < 0) {
-			readSnapshot(course, "", new ArrayList<>(), -1);
+			readSnapshot(course);
 		}
 		else {
 			readNext(course);
 		}
 	}
 
-	private void readSnapshot(Course course, String afterKey, List<KeyedRecord> records, long endOffset) {
-		this.calls.incrementAndGet();
-		this.topic.readLatest(afterKey).whenComplete((page, failure) -> {
+	private void readSnapshot(Course course) {
+		this.topic.readSnapshot().whenComplete((snapshot, failure) -> {
 			synchronized (this.lock) {
 				if (course.generation != this.generation) {
 					return;
@@ -109,30 +93,22 @@
 					end(course.onFailure);
 					return;
 				}
-				records.addAll(page.records());
-				// What was appended between two pages is read again.
-				long firstEnd = (endOffset < 0) ? page.endOffset() : endOffset;
-				if (page.hasMore() && !page.records().isEmpty()) {
-					readSnapshot(course, page.records().get(page.records().size() - 1).key(), records, firstEnd);
-					return;
-				}
 				this.ledger.clear();
-				records.forEach(this::accept);
-				this.position = firstEnd;
+				snapshot.records().forEach(this::accept);
+				this.position = snapshot.endOffset();
 				end(course.onCurrent);
 			}
 		});
 	}
 
 	private void readNext(Course course) {
-		this.calls.incrementAndGet();
 		this.topic.read(this.position, 0).whenComplete((slice, failure) -> {
 			synchronized (this.lock) {
 				if (course.generation != this.generation) {
 					return;
 				}
 				if (failure != null) {
-					this.position = isExpired(failure) ? -1 : this.position;
+					this.position = RecordsExpiredException.isCauseOf(failure) ? -1 : this.position;
 					end(course.onFailure);
 					return;
 				}
@@ -165,11 +141,6 @@
 		});
 	}
 
-	private static boolean isExpired(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		return cause instanceof RecordsExpiredException;
-	}
-
 	/** Course of an update. */
 	private record Course(int generation, Runnable onCurrent, Runnable onFailure) {
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageSharing.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageSharing.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.policy.retry.Backoff;
@@ -48,8 +47,6 @@
 
 	private final long shareMillis;
 
-	private final AtomicLong calls = new AtomicLong();
-
 	private CompletableFuture<Void> running;
 
 	private int failureCount;
@@ -100,14 +97,6 @@
 		return (pending != null) ? pending.thenCompose((done) -> shareOnce()) : shareOnce();
 	}
 
-	/**
-	 * Returns the number of calls to the topic.
-	 * @return the number
-	 */
-	long callCount() {
-		return this.calls.get();
-	}
-
 	private void shareRegularly() {
 		synchronized (this) {
 			if (this.closed) {
@@ -136,7 +125,6 @@
 		if (changed.isEmpty()) {
 			return CompletableFuture.completedFuture(null);
 		}
-		this.calls.incrementAndGet();
 		CompletableFuture<Void> done = new CompletableFuture<>();
 		synchronized (this) {
 			this.running = done;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/CompactedTopic.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/CompactedTopic.java
@@ -17,6 +17,15 @@
 	 */
 	CompletionStage<TopicPage> readLatest(String afterKey);
 
+	/**
+	 * Reads the latest records of all keys, one page after another.
+	 * @return the records; fails if a page fails, or has no records though it isn't the
+	 * last one
+	 */
+	default CompletionStage<TopicSnapshot> readSnapshot() {
+		return new SnapshotReader(this).read();
+	}
+
 	/**
 	 * Reads records from an offset, waiting until there are any (long poll).
 	 * @param fromOffset offset of the first record
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/SnapshotReader.java
@@ -0,0 +1,61 @@
+package org.marjoramgw.direct.follow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.marjoramgw.errors.StoreUnavailableException;
+
+/**
+ * One read of the latest records of a topic, page by page.
+ *
+ * @author The marjoramgw authors
+ */
+final class SnapshotReader {
+
+	private static final long UNKNOWN = -1;
+
+	private final CompactedTopic topic;
+
+	private final List<KeyedRecord> records = new ArrayList<>();
+
+	private long endOffset = UNKNOWN;
+
+	/**
+	 * Creates a reader.
+	 * @param topic the topic
+	 */
+	SnapshotReader(CompactedTopic topic) {
+		this.topic = topic;
+	}
+
+	/**
+	 * Reads all pages.
+	 * @return the records
+	 */
+	CompletionStage<TopicSnapshot> read() {
+		return readAfter("");
+	}
+
+	private CompletionStage<TopicSnapshot> readAfter(String key) {
+		return this.topic.readLatest(key).thenCompose(this::onPage);
+	}
+
+	private CompletionStage<TopicSnapshot> onPage(TopicPage page) {
+		this.records.addAll(page.records());
+		if (this.endOffset == UNKNOWN) {
+			// What was appended between two pages is read again.
+			this.endOffset = page.endOffset();
+		}
+		if (!page.hasMore()) {
+			return CompletableFuture.completedFuture(new TopicSnapshot(List.copyOf(this.records), this.endOffset));
+		}
+		if (page.records().isEmpty()) {
+			return CompletableFuture
+				.failedFuture(new StoreUnavailableException("page without records before the last one", null));
+		}
+		return readAfter(page.records().get(page.records().size() - 1).key());
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -1,12 +1,7 @@
 package org.marjoramgw.direct.follow;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CompletionException;
-
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.RecordsExpiredException;
-import org.marjoramgw.errors.StoreUnavailableException;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -73,7 +68,18 @@
 	 * Starts following.
 	 */
 	public void start() {
-		readSnapshot("", new ArrayList<>(), this.clock.now(), -1);
+		if (this.closed) {
+			return;
+		}
+		ClockReading sent = this.clock.now();
+		this.topic.readSnapshot().whenComplete((snapshot, failure) -> {
+			if (failure != null) {
+				onFailure(failure, this::start);
+			}
+			else {
+				onSnapshot(snapshot, sent);
+			}
+		});
 	}
 
 	/**
@@ -104,35 +110,13 @@
 		}
 	}
 
-	private void readSnapshot(String afterKey, List<KeyedRecord> records, ClockReading sent, long endOffset) {
-		if (this.closed) {
-			return;
-		}
-		this.topic.readLatest(afterKey).whenComplete((page, failure) -> {
-			if (failure != null) {
-				onFailure(failure, this::start);
-				return;
-			}
-			onPage(page, records, sent, (endOffset < 0) ? page.endOffset() : endOffset);
-		});
-	}
-
-	private void onPage(TopicPage page, List<KeyedRecord> records, ClockReading sent, long endOffset) {
-		records.addAll(page.records());
-		if (page.hasMore()) {
-			if (page.records().isEmpty()) {
-				onFailure(new StoreUnavailableException("page without records before the last one", null), this::start);
-				return;
-			}
-			readSnapshot(page.records().get(page.records().size() - 1).key(), records, sent, endOffset);
-			return;
-		}
+	private void onSnapshot(TopicSnapshot snapshot, ClockReading sent) {
 		synchronized (this) {
 			markReachable();
-			this.listener.onSnapshot(List.copyOf(records));
+			this.listener.onSnapshot(snapshot.records());
 			this.listener.onConfirmed(sent);
 			this.catchUp.restart();
-			this.nextOffset = endOffset;
+			this.nextOffset = snapshot.endOffset();
 		}
 		readNext();
 	}
@@ -146,7 +130,7 @@
 			if (failure == null) {
 				onSlice(slice, sent);
 			}
-			else if (isExpired(failure)) {
+			else if (RecordsExpiredException.isCauseOf(failure)) {
 				this.counters.count(ResultCode.RECORDS_EXPIRED);
 				Logger.info("{}: records expired, reading a new snapshot", this.name);
 				start();
@@ -198,9 +182,4 @@
 		this.failureCount = 0;
 	}
 
-	private static boolean isExpired(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		return cause instanceof RecordsExpiredException;
-	}
-
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerList.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerList.java
@@ -1,16 +1,13 @@
 package org.marjoramgw.direct.peer;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
-import org.marjoramgw.direct.follow.TopicPage;
 import org.marjoramgw.direct.follow.TopicSlice;
 import org.marjoramgw.errors.RecordsExpiredException;
 import org.marjoramgw.policy.fleet.PeerListing;
@@ -131,14 +128,14 @@
 		}
 		long from = position();
 		if (from == UNKNOWN) {
-			readPage("", new ArrayList<>(), UNKNOWN);
+			readAll();
 			return;
 		}
 		this.topic.read(from, 0).whenComplete((slice, failure) -> {
 			if (failure == null) {
 				onSlice(slice);
 			}
-			else if (isExpired(failure)) {
+			else if (RecordsExpiredException.isCauseOf(failure)) {
 				setPosition(UNKNOWN);
 				readNext();
 			}
@@ -148,26 +145,17 @@
 		});
 	}
 
-	private void readPage(String afterKey, List<KeyedRecord> records, long endOffset) {
-		this.topic.readLatest(afterKey).whenComplete((page, failure) -> {
+	private void readAll() {
+		this.topic.readSnapshot().whenComplete((snapshot, failure) -> {
 			if (failure != null) {
 				onFailure(failure, this::readNext);
 				return;
 			}
-			onPage(page, records, (endOffset == UNKNOWN) ? page.endOffset() : endOffset);
+			setPosition(snapshot.endOffset());
+			deliver(snapshot.records(), true);
 		});
 	}
 
-	private void onPage(TopicPage page, List<KeyedRecord> records, long endOffset) {
-		records.addAll(page.records());
-		if (page.hasMore() && !page.records().isEmpty()) {
-			readPage(records.get(records.size() - 1).key(), records, endOffset);
-			return;
-		}
-		setPosition(endOffset);
-		deliver(records, true);
-	}
-
 	private void onSlice(TopicSlice slice) {
 		setPosition(slice.nextOffset());
 		if (!slice.reachesEnd() && !slice.records().isEmpty()) {
@@ -250,11 +238,6 @@
 		return ids;
 	}
 
-	private static boolean isExpired(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		return cause instanceof RecordsExpiredException;
-	}
-
 	/**
 	 * Receiver of the records of other processes.
 	 */
--- a/org.marjoramgw/src/main/java/org/marjoramgw/errors/RecordsExpiredException.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/errors/RecordsExpiredException.java
@@ -1,5 +1,7 @@
 package org.marjoramgw.errors;
 
+import java.util.concurrent.CompletionException;
+
 import org.marjoramgw.ResultCode;
 
 /**
@@ -20,4 +22,14 @@
 		super(ResultCode.RECORDS_EXPIRED, topic + " from offset " + fromOffset, null);
 	}
 
+	/**
+	 * Tells whether a read failed because its records have expired.
+	 * @param failure failure of the read, also as wrapped by a completion stage
+	 * @return whether they have
+	 */
+	public static boolean isCauseOf(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		return cause instanceof RecordsExpiredException;
+	}
+
 }
