Let AffinityPlacement choose among weighted servers for both placements

Cause: SharedLoadPlacement repeated the bounded load and the hash of AffinityPlacement, with their two constants, to give servers weights, and held an AffinityPlacement beside that for servers with few slots. ServerSelector took two placements, which were the same one or, for requests without a prompt, the fallback of the other. Change: AffinityPlacement chooses among WeightedServer; RendezvousHash has the weighted score. SharedLoadPlacement only decides which servers remain and their weights. ServerSelector has one placement. Choices are the same: with weight 1 the score orders servers as the hash does, but for hashes that agree in 53 bits. Tests: constructor calls only; PlacementTests, SharedLoadPlacementTests and RequestExplainerTests pass.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/SharedLoadTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/SharedLoadTests.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.marjoramgw.ManualMillisClock;
+import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.PlacementQuery;
@@ -30,7 +31,8 @@
 	public void readOnlyPlacementChangesNoRamp() {
 		ManualMillisClock clock = new ManualMillisClock(0);
 		MetricRegistry registry = new MetricRegistry();
-		SharedLoad load = new SharedLoad("edge-1", clock, () -> 0, registry, new LeastLoadedPlacement(new Random(1)));
+		SharedLoad load = new SharedLoad("edge-1", clock, () -> 0, registry,
+				new AffinityPlacement(4, new LeastLoadedPlacement(new Random(1))));
 		choose(load.placement(), OLD);
 		clock.advanceMillis(10_000);
 		choose(load.readOnlyPlacement(), OLD, NEW);
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
@@ -294,7 +294,7 @@
 	private ServerSelector selector(PromptPartition promptPartition, Random random) {
 		LeastLoadedPlacement leastLoaded = new LeastLoadedPlacement(random);
 		return new ServerSelector(this.directory, ServerViews.ofOwnLoad(this.health),
-				new AffinityPlacement(4, leastLoaded), leastLoaded, promptPartition, "a");
+				new AffinityPlacement(4, leastLoaded), promptPartition, "a");
 	}
 
 	private void configure() {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -250,20 +250,19 @@
 
 	private SharedLoad newSharedLoad(MetricRegistry registry) {
 		return new SharedLoad(this.settings.get().processId(), this.monotonicClock, this.lagMillis, registry,
-				new AffinityPlacement(AFFINITY_SLACK, new LeastLoadedPlacement(new Random())));
+				ownLoadPlacement(new Random()));
+	}
+
+	private static AffinityPlacement ownLoadPlacement(Random random) {
+		return new AffinityPlacement(AFFINITY_SLACK, new LeastLoadedPlacement(random));
 	}
 
 	private ServerSelector serverSelector(ActiveRouting routing, ServerDirectory servers,
 			Optional<Placement> sharedPlacement, PromptPartition promptPartition, Random random) {
-		if (sharedPlacement.isPresent()) {
-			Placement shared = sharedPlacement.get();
-			return new ServerSelector(servers, ServerViews.ofSharedLoad(this.health, routing), shared, shared,
-					promptPartition, this.settings.get().failureDomain());
-		}
-		Placement leastLoaded = new LeastLoadedPlacement(random);
-		return new ServerSelector(servers, ServerViews.ofOwnLoad(this.health),
-				new AffinityPlacement(AFFINITY_SLACK, leastLoaded), leastLoaded, promptPartition,
-				this.settings.get().failureDomain());
+		ServerViews views = sharedPlacement.isPresent() ? ServerViews.ofSharedLoad(this.health, routing)
+				: ServerViews.ofOwnLoad(this.health);
+		return new ServerSelector(servers, views, sharedPlacement.orElseGet(() -> ownLoadPlacement(random)),
+				promptPartition, this.settings.get().failureDomain());
 	}
 
 	private WindowRetryBudget retryBudget(ServerDirectory servers) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/SharedLoad.java
@@ -10,6 +10,7 @@
 import org.marjoramgw.policy.fleet.FleetBook;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerRamp;
+import org.marjoramgw.policy.placement.AffinityPlacement;
 import org.marjoramgw.policy.placement.Placement;
 import org.marjoramgw.policy.placement.ServerView;
 import org.marjoramgw.policy.placement.SharedLoadPlacement;
@@ -27,7 +28,7 @@
 
 	private final ServerRamp ramp;
 
-	private final Placement ownPlacement;
+	private final AffinityPlacement ownPlacement;
 
 	private final Placement placement;
 
@@ -40,7 +41,7 @@
 	 * @param ownPlacement placement by the load of this process alone
 	 */
 	SharedLoad(String processId, MillisClock clock, LongSupplier lagMillis, MetricRegistry registry,
-			Placement ownPlacement) {
+			AffinityPlacement ownPlacement) {
 		this.ownPlacement = ownPlacement;
 		this.paceBook = new PaceBook(clock);
 		this.ramp = new ServerRamp(clock, new RampLog(registry, this.paceBook));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -24,9 +24,7 @@
 
 	private final ServerViews serverViews;
 
-	private final Placement promptPlacement;
-
-	private final Placement plainPlacement;
+	private final Placement placement;
 
 	private final PromptPartition promptPartition;
 
@@ -36,17 +34,15 @@
 	 * Creates a selector.
 	 * @param directory registered backend servers
 	 * @param serverViews what the placement policies are told of each server
-	 * @param promptPlacement placement policy for requests with a prompt
-	 * @param plainPlacement placement policy for other requests
+	 * @param placement placement policy
 	 * @param promptPartition partition of the servers by the length of prompts
 	 * @param failureDomain failure domain of this process
 	 */
-	public ServerSelector(ServerDirectory directory, ServerViews serverViews, Placement promptPlacement,
-			Placement plainPlacement, PromptPartition promptPartition, String failureDomain) {
+	public ServerSelector(ServerDirectory directory, ServerViews serverViews, Placement placement,
+			PromptPartition promptPartition, String failureDomain) {
 		this.directory = directory;
 		this.serverViews = serverViews;
-		this.promptPlacement = promptPlacement;
-		this.plainPlacement = plainPlacement;
+		this.placement = placement;
 		this.promptPartition = promptPartition;
 		this.failureDomain = failureDomain;
 	}
@@ -74,13 +70,12 @@
 	Selection select(String service, Route route, CallerRequest request, Set<String> excluded) {
 		List<BackendServer> servers = this.directory.usable(service);
 		List<ServerView> views = servers.stream().map(this.serverViews::of).toList();
-		Placement placement = request.promptParts().isEmpty() ? this.plainPlacement : this.promptPlacement;
 		PlacementQuery query = query(service, route, request);
-		placement.onUsable(query, views);
+		this.placement.onUsable(query, views);
 		List<ServerView> candidates = candidates(service, route.name(), views, excluded);
-		Optional<BackendServer> chosen = placement.choose(query, candidates)
+		Optional<BackendServer> chosen = this.placement.choose(query, candidates)
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
-		return new Selection(chosen, candidates, placement, query);
+		return new Selection(chosen, candidates, this.placement, query);
 	}
 
 	/**
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -172,7 +172,7 @@
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS), this.directory, health, startLimiter, startTimeouts,
 				new PrefillLimiter(monotonicClock, this.system.executionContext(), () -> 0), partition,
-				new ServerSelector(this.directory, ServerViews.ofOwnLoad(health), placement, placement, partition, "a"),
+				new ServerSelector(this.directory, ServerViews.ofOwnLoad(health), placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RecentSends(), this.load,
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
@@ -188,7 +188,7 @@
 	/** Guards against prompts that leave their caches because most servers are full. */
 	@Test
 	public void serversWithFewSlotsAreChosenByTheOwnLoadAlone() {
-		Placement own = new AffinityPlacement(4, new LeastLoadedPlacement(TestSeed.random(6)));
+		AffinityPlacement own = new AffinityPlacement(4, new LeastLoadedPlacement(TestSeed.random(6)));
 		Placement shared = new SharedLoadPlacement((serverKey) -> new ServerLoad(0, 16 + serverKey % 2), this.paces,
 				this.ramp, own);
 		List<ServerView> servers = new ArrayList<>();
@@ -226,7 +226,8 @@
 
 	private Placement placement(ServerRamp serverRamp) {
 		FleetLoad fleet = (serverKey) -> this.loadByKey.getOrDefault(serverKey, ServerLoad.NONE);
-		return new SharedLoadPlacement(fleet, this.paces, serverRamp, new LeastLoadedPlacement(TestSeed.random(6)));
+		return new SharedLoadPlacement(fleet, this.paces, serverRamp,
+				new AffinityPlacement(4, new LeastLoadedPlacement(TestSeed.random(6))));
 	}
 
 	private String chooseLong(String prompt) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/RendezvousHash.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/candidate/RendezvousHash.java
@@ -16,6 +16,8 @@
  */
 public final class RendezvousHash {
 
+	private static final double TWO_POW_MINUS_64 = 0x1p-64;
+
 	private static final HashFunction HASH = Hashing.murmur3_128(17);
 
 	private RendezvousHash() {
@@ -52,4 +54,17 @@
 			.asLong();
 	}
 
+	/**
+	 * Scores a node with a weight for a key. Each node has the highest score for its
+	 * share of the keys; with equal weights the order is that of {@link #score}.
+	 * @param key the key
+	 * @param node name of the node
+	 * @param weight weight of the node, above 0
+	 * @return the score
+	 */
+	public static double weightedScore(String key, String node, double weight) {
+		double uniform = score(key, node) * TWO_POW_MINUS_64 + 0.5;
+		return Math.log(Math.max(Double.MIN_NORMAL, uniform)) / weight;
+	}
+
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
@@ -4,8 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.marjoramgw.policy.candidate.RendezvousHash;
-
 /**
  * Places requests with a common prompt on the same server by rendezvous hashing with
  * bounded loads, so that they find the prompt cached.
@@ -42,11 +40,23 @@
 		if (query.affinityKey().isEmpty()) {
 			return this.fallback.choose(query, candidates);
 		}
-		double mean = candidates.stream().mapToDouble(ServerView::load).average().orElse(0);
+		return chooseWeighted(query.affinityKey(),
+				candidates.stream().map((server) -> new WeightedServer(server, 1)).toList());
+	}
+
+	/**
+	 * Chooses among servers of which some are to get a smaller share.
+	 * @param affinityKey text that requests with a common prompt share
+	 * @param candidates the servers
+	 * @return the server, or empty if there is none
+	 */
+	Optional<ServerView> chooseWeighted(String affinityKey, List<WeightedServer> candidates) {
+		double mean = candidates.stream().mapToDouble(WeightedServer::relativeLoad).average().orElse(0);
 		double bound = LOAD_BOUND_FACTOR * mean + this.slack;
 		return candidates.stream()
-			.filter((server) -> server.load() <= bound)
-			.max(Comparator.comparingLong((server) -> RendezvousHash.score(query.affinityKey(), server.id())));
+			.filter((candidate) -> candidate.relativeLoad() <= bound)
+			.max(Comparator.comparingDouble((candidate) -> candidate.score(affinityKey)))
+			.map(WeightedServer::server);
 	}
 
 	@Override
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -1,11 +1,9 @@
 package org.marjoramgw.policy.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
-import org.marjoramgw.policy.candidate.RendezvousHash;
 import org.marjoramgw.policy.fleet.FleetLoad;
 import org.marjoramgw.policy.pace.PaceBook;
 import org.marjoramgw.policy.pace.ServerPace;
@@ -30,12 +28,6 @@
 	 */
 	private static final double MIN_FAST_FRACTION = 0.3;
 
-	/** Maximum ratio of the load of this process at a server to the mean. */
-	private static final double LOAD_BOUND_FACTOR = 1.5;
-
-	/** Load of this process allowed in addition to that ratio, in requests. */
-	private static final double LOAD_SLACK = 4;
-
 	/**
 	 * Slots from which on reports tell which servers have a free one. Servers with fewer
 	 * are full most of the time in a burst; all processes would move their prompts to the
@@ -43,29 +35,27 @@
 	 */
 	private static final int MIN_SLOT_COUNT = 32;
 
-	private static final double TWO_POW_MINUS_64 = 0x1p-64;
-
 	private final FleetLoad fleet;
 
 	private final PaceBook paceBook;
 
 	private final ServerRamp ramp;
 
-	private final Placement fallback;
+	private final AffinityPlacement ownLoad;
 
 	/**
 	 * Creates a placement.
 	 * @param fleet load of the servers
 	 * @param paceBook paces of the servers
 	 * @param ramp slow start of the servers
-	 * @param fallback placement of requests without an affinity key, and on servers with
-	 * few slots
+	 * @param ownLoad placement by the load of this process, which chooses among the
+	 * servers that remain
 	 */
-	public SharedLoadPlacement(FleetLoad fleet, PaceBook paceBook, ServerRamp ramp, Placement fallback) {
+	public SharedLoadPlacement(FleetLoad fleet, PaceBook paceBook, ServerRamp ramp, AffinityPlacement ownLoad) {
 		this.fleet = fleet;
 		this.paceBook = paceBook;
 		this.ramp = ramp;
-		this.fallback = fallback;
+		this.ownLoad = ownLoad;
 	}
 
 	@Override
@@ -77,25 +67,23 @@
 
 	@Override
 	public Optional<ServerView> choose(PlacementQuery query, List<ServerView> servers) {
-		if (usesFallback(query, servers)) {
-			return this.fallback.choose(query, servers);
+		if (usesOwnLoad(query, servers)) {
+			return this.ownLoad.choose(query, servers);
 		}
-		List<ServerView> healthy = SuspectFilter.excludeSuspects(servers);
-		List<Candidate> candidates = withFreeSlot(withShortPauses(candidates(healthy), query.maxPauseMillis()));
-		double bound = loadBound(candidates);
-		return candidates.stream()
-			.filter((candidate) -> candidate.relativeLoad() <= bound)
-			.max(Comparator.comparingDouble((candidate) -> candidate.score(query.affinityKey())))
-			.map((candidate) -> candidate.server);
+		List<Candidate> candidates = candidates(SuspectFilter.excludeSuspects(servers));
+		return this.ownLoad.chooseWeighted(query.affinityKey(),
+				withFreeSlot(withShortPauses(candidates, query.maxPauseMillis())).stream()
+					.map(Candidate::weighted)
+					.toList());
 	}
 
 	@Override
 	public String rule(PlacementQuery query) {
-		return query.affinityKey().isEmpty() ? this.fallback.rule(query)
+		return query.affinityKey().isEmpty() ? this.ownLoad.rule(query)
 				: "weighted hash of the shared prompt parts, among servers with a free slot and short enough pauses";
 	}
 
-	private static boolean usesFallback(PlacementQuery query, List<ServerView> servers) {
+	private static boolean usesOwnLoad(PlacementQuery query, List<ServerView> servers) {
 		return query.affinityKey().isEmpty()
 				|| servers.stream().anyMatch((server) -> server.slotCount() < MIN_SLOT_COUNT);
 	}
@@ -121,11 +109,6 @@
 		return free.isEmpty() ? candidates : free;
 	}
 
-	private static double loadBound(List<Candidate> candidates) {
-		double mean = candidates.stream().mapToDouble(Candidate::relativeLoad).average().orElse(0);
-		return LOAD_BOUND_FACTOR * mean + LOAD_SLACK;
-	}
-
 	/**
 	 * A server and what is known of it.
 	 *
@@ -136,25 +119,14 @@
 	 */
 	private record Candidate(ServerView server, boolean hasFreeSlot, ServerPace pace, double rampShare) {
 
-		private double weight() {
-			return this.pace.weight() * this.rampShare;
-		}
-
-		private double relativeLoad() {
-			return this.server.load() / weight();
+		private WeightedServer weighted() {
+			return new WeightedServer(this.server, this.pace.weight() * this.rampShare);
 		}
 
 		private boolean meetsPause(long maxPauseMillis) {
 			return !this.pace.isSlow() || this.pace.longPauseMillis() <= maxPauseMillis;
 		}
 
-		// Weighted rendezvous hashing: with equal weights the server with the highest
-		// hash, otherwise each server gets its share of the keys.
-		private double score(String key) {
-			double uniform = (RendezvousHash.score(key, this.server.id()) * TWO_POW_MINUS_64) + 0.5;
-			return Math.log(Math.max(Double.MIN_NORMAL, uniform)) / weight();
-		}
-
 	}
 
 }
