Join small twins: descriptor limit, keys of parts, age of digests, token counts

Cause: the limit of descriptors was read twice in two ways, from /proc and from the management bean; the key of a prompt part at a server was put together in two places; PeerLoads had the age at which a peer expires as a constant of its own, and a class Peer beside that of its package; FleetBook added up the shared tokens of a prompt up to four times a request. Change: DescriptorLimit, FleetKeys.partAtServer and PeerMembership.EXPIRY_MILLIS serve both; the inner class is PeerRows; FleetBook adds up by one method. On systems other than Linux the HTTP server of entry and side processes takes the configured number of connections now, as the direct entries do with their default. Tests: all of policy.test, direct.test and org.marjoramgw.test pass unchanged.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/DigestQueue.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import org.marjoramgw.policy.fleet.Digest;
+import org.marjoramgw.policy.fleet.FleetKeys;
 import org.marjoramgw.policy.fleet.PromptReport;
 import org.marjoramgw.policy.fleet.ServerReport;
 
@@ -34,8 +35,6 @@
 	 */
 	private static final int UNCHANGED_SHARE = 4;
 
-	private static final long KEY_MASK = 0xffff_ffffL;
-
 	private static final Comparator<ServerReport> LOADED_FIRST = Comparator
 		.comparing((ServerReport report) -> report.unreadTokens() == 0 && report.runningCount() == 0);
 
@@ -60,7 +59,7 @@
 		}
 		digest.servers().stream().sorted(LOADED_FIRST).forEach(this::add);
 		for (PromptReport report : digest.prompts()) {
-			this.prompts.put((long) report.partKey() << Integer.SIZE | report.serverKey() & KEY_MASK, report);
+			this.prompts.put(FleetKeys.partAtServer(report.partKey(), report.serverKey()), report);
 		}
 		Iterator<PromptReport> oldest = this.prompts.values().iterator();
 		while (this.prompts.size() > MAX_PROMPTS) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/CallerBounds.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/CallerBounds.java
@@ -1,12 +1,7 @@
 package org.marjoramgw.direct.socket;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-
 import org.marjoramgw.policy.memory.MemoryBudget;
+import org.marjoramgw.program.DescriptorLimit;
 
 /**
  * Bounds of what a process holds for its callers.
@@ -17,10 +12,6 @@
  */
 public record CallerBounds(MemoryBudget memory, int maxSockets) {
 
-	private static final Path LIMITS = Path.of("/proc/self/limits");
-
-	private static final Pattern OPEN_FILES = Pattern.compile("Max open files\\s+(\\d+)");
-
 	/** Descriptors for the files, selectors and listening sockets of the process. */
 	private static final int OWN_DESCRIPTORS = 64;
 
@@ -40,7 +31,7 @@
 	public static CallerBounds ofProcess(long memoryBytes, int maxSockets, int descriptorCount) {
 		MemoryBudget memory = (memoryBytes > 0) ? new MemoryBudget(memoryBytes)
 				: MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
-		int descriptors = (descriptorCount > 0) ? descriptorCount : descriptors();
+		int descriptors = (descriptorCount > 0) ? descriptorCount : DescriptorLimit.read().orElse(DEFAULT_DESCRIPTORS);
 		int derived = Math.max(MIN_SOCKETS, descriptors - descriptors / 4 - OWN_DESCRIPTORS);
 		return new CallerBounds(memory, (maxSockets > 0) ? maxSockets : derived);
 	}
@@ -53,15 +44,4 @@
 		return new CallerBounds(MemoryBudget.unlimited(), Integer.MAX_VALUE);
 	}
 
-	private static int descriptors() {
-		try {
-			Matcher limit = OPEN_FILES.matcher(Files.readString(LIMITS));
-			return limit.find() ? (int) Math.min(Long.parseLong(limit.group(1)), Integer.MAX_VALUE)
-					: DEFAULT_DESCRIPTORS;
-		}
-		catch (IOException | NumberFormatException ex) {
-			return DEFAULT_DESCRIPTORS;
-		}
-	}
-
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/CachedParts.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/CachedParts.java
@@ -66,7 +66,7 @@
 	}
 
 	boolean contains(int partKey, int serverKey, long nowMillis) {
-		Entry entry = this.entryByKey.get(key(partKey, serverKey));
+		Entry entry = this.entryByKey.get(FleetKeys.partAtServer(partKey, serverKey));
 		return entry != null && nowMillis - entry.sentMillis <= CACHED_MILLIS;
 	}
 
@@ -88,7 +88,7 @@
 
 	private Entry touch(int partKey, int serverKey, long nowMillis) {
 		prune(nowMillis);
-		long key = key(partKey, serverKey);
+		long key = FleetKeys.partAtServer(partKey, serverKey);
 		Entry entry = this.entryByKey.get(key);
 		if (entry == null) {
 			if (this.entryByKey.size() >= MAX_PARTS) {
@@ -108,10 +108,6 @@
 		}
 	}
 
-	private static long key(int partKey, int serverKey) {
-		return ((long) partKey << Integer.SIZE) | (serverKey & 0xffffffffL);
-	}
-
 	/** A part at a server. */
 	private static final class Entry {
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -109,7 +109,7 @@
 
 	@Override
 	public synchronized boolean isCold(int serverKey, List<SharedPart> sharedParts) {
-		return sharedParts.stream().mapToLong(SharedPart::tokenCount).sum() >= MIN_SHARED_TOKENS
+		return tokenCount(sharedParts) >= MIN_SHARED_TOKENS
 				&& cachedTokens(serverKey, sharedParts, this.clock.nowMillis()) == 0;
 	}
 
@@ -117,10 +117,9 @@
 	public synchronized RequestObserver onSent(int serverKey, List<SharedPart> sharedParts, int promptTokens,
 			long targetMillis) {
 		long nowMillis = this.clock.nowMillis();
-		long sharedTokens = sharedParts.stream().mapToLong(SharedPart::tokenCount).sum();
 		long cachedTokens = cachedTokens(serverKey, sharedParts, nowMillis);
 		int unread = (int) Math.max(0, promptTokens - cachedTokens);
-		if (sharedTokens >= MIN_SHARED_TOKENS) {
+		if (tokenCount(sharedParts) >= MIN_SHARED_TOKENS) {
 			this.cachedParts.onSent(sharedParts.get(sharedParts.size() - 1), serverKey, nowMillis);
 		}
 		return new SentRequest(serverKey, promptTokens > 0, unread, targetMillis);
@@ -164,7 +163,11 @@
 				serverKey, nowMillis)) {
 			return 0;
 		}
-		return sharedParts.stream().mapToLong(SharedPart::tokenCount).sum();
+		return tokenCount(sharedParts);
+	}
+
+	private static long tokenCount(List<SharedPart> parts) {
+		return parts.stream().mapToLong(SharedPart::tokenCount).sum();
 	}
 
 	private OwnLoad own(int serverKey) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetKeys.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetKeys.java
@@ -38,4 +38,14 @@
 		return HASH.newHasher().putInt(previousKey).putString(partId, StandardCharsets.UTF_8).hash().asInt();
 	}
 
+	/**
+	 * Returns the key of a part at a server.
+	 * @param partKey key of the part
+	 * @param serverKey key of the server
+	 * @return both keys in one number
+	 */
+	public static long partAtServer(int partKey, int serverKey) {
+		return ((long) partKey << Integer.SIZE) | Integer.toUnsignedLong(serverKey);
+	}
+
 }
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/PeerLoads.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/PeerLoads.java
@@ -13,9 +13,6 @@
  */
 final class PeerLoads {
 
-	/** Age of the last digest of a peer at which its rows are dropped. */
-	private static final long MAX_AGE_MILLIS = 2_000;
-
 	/**
 	 * Age at which the load of a row no longer counts. A row with load is repeated every
 	 * two seconds, so that the end of an older one was lost.
@@ -35,7 +32,7 @@
 	 */
 	private static final int MIN_SCALED_PEERS = 8;
 
-	private final Map<String, Peer> peerById = new HashMap<>();
+	private final Map<String, PeerRows> peerById = new HashMap<>();
 
 	private final Map<Integer, Sum> sumByServer = new HashMap<>();
 
@@ -56,7 +53,7 @@
 	 * @return whether it is new
 	 */
 	boolean onDigest(Digest digest, long nowMillis) {
-		Peer peer = this.peerById.get(digest.processId());
+		PeerRows peer = this.peerById.get(digest.processId());
 		if (peer != null && (digest.incarnation() < peer.incarnation
 				|| digest.incarnation() == peer.incarnation && digest.sequence() <= peer.sequence)) {
 			return false;
@@ -65,7 +62,7 @@
 			if (peer != null) {
 				drop(peer);
 			}
-			peer = new Peer(digest.incarnation());
+			peer = new PeerRows(digest.incarnation());
 			this.peerById.put(digest.processId(), peer);
 		}
 		peer.sequence = digest.sequence();
@@ -108,7 +105,7 @@
 		return (heardCount >= MIN_SCALED_PEERS) ? Math.max(1, (this.memberCount - 1.0) / heardCount) : 1;
 	}
 
-	private void apply(Peer peer, ServerReport report, long nowMillis) {
+	private void apply(PeerRows peer, ServerReport report, long nowMillis) {
 		Row row = peer.rowByServer.get(report.serverKey());
 		if (row == null) {
 			if (peer.rowByServer.size() >= MAX_ROWS) {
@@ -139,7 +136,7 @@
 		}
 		this.prunedMillis = nowMillis;
 		this.peerById.values().removeIf((peer) -> {
-			boolean silent = nowMillis - peer.heardMillis > MAX_AGE_MILLIS;
+			boolean silent = nowMillis - peer.heardMillis > PeerMembership.EXPIRY_MILLIS;
 			if (silent) {
 				drop(peer);
 			}
@@ -151,7 +148,7 @@
 		this.sumByServer.values().removeIf((sum) -> sum.rowCount == 0);
 	}
 
-	private void dropOldRows(Peer peer, long nowMillis) {
+	private void dropOldRows(PeerRows peer, long nowMillis) {
 		for (Iterator<Row> rows = peer.rowByServer.values().iterator(); rows.hasNext();) {
 			Row row = rows.next();
 			long ageMillis = nowMillis - row.heardMillis;
@@ -169,7 +166,7 @@
 		}
 	}
 
-	private void drop(Peer peer) {
+	private void drop(PeerRows peer) {
 		peer.rowByServer.values().forEach((row) -> this.sumByServer.get(row.report.serverKey()).add(row.report, -1));
 	}
 
@@ -189,7 +186,7 @@
 	}
 
 	/** Rows of one peer. */
-	private static final class Peer {
+	private static final class PeerRows {
 
 		private final long incarnation;
 
@@ -199,7 +196,7 @@
 
 		private long heardMillis;
 
-		private Peer(long incarnation) {
+		private PeerRows(long incarnation) {
 			this.incarnation = incarnation;
 		}
 
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/CallerSettings.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/CallerSettings.java
@@ -1,9 +1,6 @@
 package org.marjoramgw.http;
 
-import java.lang.management.ManagementFactory;
-import java.lang.management.OperatingSystemMXBean;
-
-import com.sun.management.UnixOperatingSystemMXBean;
+import org.marjoramgw.program.DescriptorLimit;
 import org.marjoramgw.settings.TomlTable;
 
 /**
@@ -81,11 +78,8 @@
 	 * @return maximum number of connections
 	 */
 	public int connectionLimit() {
-		OperatingSystemMXBean system = ManagementFactory.getOperatingSystemMXBean();
-		if (system instanceof UnixOperatingSystemMXBean unix) {
-			return (int) Math.max(1, Math.min(this.maxConnections, unix.getMaxFileDescriptorCount() / 2));
-		}
-		return this.maxConnections;
+		int descriptors = DescriptorLimit.read().orElse(Integer.MAX_VALUE);
+		return Math.max(1, Math.min(this.maxConnections, descriptors / 2));
 	}
 
 	/**
