Name the rule that applies where servers have few slots

Placement.rule() now sees the servers, and onUsable() asks the same question.

The choice of a server doesn't change. The text of where, and the log lines and metrics of slow starts, do on deployments with few slots. The random test of the placement covers both paths again; since its servers had too few slots for the shared one.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -113,7 +113,7 @@
 			PlacementQuery query) {
 
 		String rule() {
-			return this.placement.rule(this.query);
+			return this.placement.rule(this.query, this.candidates);
 		}
 
 	}
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/placement/SharedLoadPlacementTests.java
@@ -197,8 +197,13 @@
 		}
 		for (int prompt = 0; prompt < 300; prompt++) {
 			PlacementQuery query = longQuery("contract-" + prompt);
+			shared.onUsable(query, servers);
+			this.clock.advanceMillis(1_000);
 			Assert.assertEquals(shared.choose(query, servers), own.choose(query, servers));
+			Assert.assertEquals(shared.rule(query, servers), own.rule(query, servers));
+			servers.add(new ServerView("new-" + prompt, "a", 0, false, 1_000 + prompt, 17));
 		}
+		Assert.assertEquals(this.ramp.rampingCount(), 0);
 	}
 
 	@Test
@@ -206,9 +211,10 @@
 		Random random = TestSeed.random(3);
 		for (int step = 0; step < 5_000; step++) {
 			List<ServerView> servers = new ArrayList<>();
+			int minSlots = random.nextBoolean() ? 0 : SLOTS;
 			for (int server = 0; server < random.nextInt(SERVERS); server++) {
 				servers.add(new ServerView("i-" + server, random.nextBoolean() ? "a" : "b", random.nextInt(3),
-						random.nextInt(3) == 0, server, random.nextInt(3)));
+						random.nextInt(3) == 0, server, minSlots + random.nextInt(3)));
 				this.loadByKey.put(server, new ServerLoad(random.nextInt(900_000), random.nextInt(90)));
 				this.paces.onMeasured(server, new PaceMeasurement(100 * random.nextDouble(), random.nextInt(500)));
 			}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/AffinityPlacement.java
@@ -60,8 +60,8 @@
 	}
 
 	@Override
-	public String rule(PlacementQuery query) {
-		return query.affinityKey().isEmpty() ? this.fallback.rule(query)
+	public String rule(PlacementQuery query, List<ServerView> servers) {
+		return query.affinityKey().isEmpty() ? this.fallback.rule(query, servers)
 				: "hash of the shared prompt parts, among servers with an own load of at most " + LOAD_BOUND_FACTOR
 						+ " times the mean plus " + this.slack;
 	}
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/LeastLoadedPlacement.java
@@ -43,7 +43,7 @@
 	}
 
 	@Override
-	public String rule(PlacementQuery query) {
+	public String rule(PlacementQuery query, List<ServerView> servers) {
 		return "least own load, then own failure domain, then at random";
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/Placement.java
@@ -29,9 +29,10 @@
 	/**
 	 * Describes the rule by which a server is chosen, for operators.
 	 * @param query the request
+	 * @param servers the servers to choose from
 	 * @return the rule
 	 */
-	default String rule(PlacementQuery query) {
+	default String rule(PlacementQuery query, List<ServerView> servers) {
 		return getClass().getSimpleName();
 	}
 
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/placement/SharedLoadPlacement.java
@@ -60,7 +60,8 @@
 
 	@Override
 	public void onUsable(PlacementQuery query, List<ServerView> servers) {
-		if (query.promptTokens() > 0) {
+		// Slow start has no effect where servers have few slots; none is recorded there.
+		if (query.promptTokens() > 0 && !haveFewSlots(servers)) {
 			servers.forEach((server) -> this.ramp.onUsable(query.service(), server.serverKey(), server.id()));
 		}
 	}
@@ -78,14 +79,17 @@
 	}
 
 	@Override
-	public String rule(PlacementQuery query) {
-		return query.affinityKey().isEmpty() ? this.ownLoad.rule(query)
+	public String rule(PlacementQuery query, List<ServerView> servers) {
+		return usesOwnLoad(query, servers) ? this.ownLoad.rule(query, servers)
 				: "weighted hash of the shared prompt parts, among servers with a free slot and short enough pauses";
 	}
 
 	private static boolean usesOwnLoad(PlacementQuery query, List<ServerView> servers) {
-		return query.affinityKey().isEmpty()
-				|| servers.stream().anyMatch((server) -> server.slotCount() < MIN_SLOT_COUNT);
+		return query.affinityKey().isEmpty() || haveFewSlots(servers);
+	}
+
+	private static boolean haveFewSlots(List<ServerView> servers) {
+		return servers.stream().anyMatch((server) -> server.slotCount() < MIN_SLOT_COUNT);
 	}
 
 	private List<Candidate> candidates(List<ServerView> servers) {
