--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/fleet/FleetBook.java
@@ -200,7 +200,7 @@
 
 		private final int serverKey;
 
-		private final boolean prompted;
+		private final boolean hasPrompt;
 
 		private final int unreadTokens;
 
@@ -216,13 +216,13 @@
 
 		private boolean ended;
 
-		private SentRequest(int serverKey, boolean prompted, int unreadTokens, long targetMillis) {
+		private SentRequest(int serverKey, boolean hasPrompt, int unreadTokens, long targetMillis) {
 			this.serverKey = serverKey;
-			this.prompted = prompted;
+			this.hasPrompt = hasPrompt;
 			this.unreadTokens = unreadTokens;
 			this.targetMillis = targetMillis;
 			OwnLoad own = own(serverKey);
-			if (prompted) {
+			if (hasPrompt) {
 				own.unreadTokens += unreadTokens;
 				own.unreadCount++;
 			}
@@ -238,9 +238,9 @@
 					return;
 				}
 				this.begun = true;
-				if (this.prompted) {
+				if (this.hasPrompt) {
 					OwnLoad own = own(this.serverKey);
-					endReading(own);
+					endPrefill(own);
 					own.runningCount++;
 					judge(own);
 				}
@@ -260,8 +260,8 @@
 				}
 				this.ended = true;
 				OwnLoad own = own(this.serverKey);
-				if (this.prompted && !this.begun) {
-					endReading(own);
+				if (this.hasPrompt && !this.begun) {
+					endPrefill(own);
 				}
 				else {
 					own.runningCount--;
@@ -282,7 +282,7 @@
 			}
 		}
 
-		private void endReading(OwnLoad own) {
+		private void endPrefill(OwnLoad own) {
 			own.unreadTokens -= this.unreadTokens;
 			own.unreadCount--;
 		}
