--- a/review/rig-2/Fleet.java
+++ b/review/rig-2/Fleet.java
@@ -74,7 +74,7 @@
 		}
 	}
 
-	Runner addRunner(String service) throws IOException {
+	synchronized Runner addRunner(String service) throws IOException {
 		Runner runner = new Runner("i-" + service + "-" + this.runners.size(), service, this.record);
 		this.runners.add(runner);
 		this.store.put("keyed.servers", runner.id, runner.entry("ready", System.currentTimeMillis()));
--- a/review/rig-2/Runner.java
+++ b/review/rig-2/Runner.java
@@ -28,6 +28,8 @@
 
 	volatile Behaviour behaviour;
 
+	private final java.util.Set<Socket> sockets = java.util.concurrent.ConcurrentHashMap.newKeySet();
+
 	Runner(String id, String service, Record record) throws IOException {
 		this.id = id;
 		this.service = service;
@@ -48,7 +50,26 @@
 				+ "\"sequence\":1,\"born\":" + born + "}";
 	}
 
+	/** Ends as a process that crashes: nothing listens, and all connections are reset. */
+	void crash() throws IOException {
+		this.server.close();
+		for (Socket socket : this.sockets) {
+			socket.setSoLinger(true, 0);
+			socket.close();
+		}
+	}
+
 	private void serve(Socket socket) throws Exception {
+		this.sockets.add(socket);
+		try {
+			serveRequests(socket);
+		}
+		finally {
+			this.sockets.remove(socket);
+		}
+	}
+
+	private void serveRequests(Socket socket) throws Exception {
 		DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
 		OutputStream out = socket.getOutputStream();
 		Http.Request request = Http.read(in);
--- a/review/rig-2/Traffic.java
+++ b/review/rig-2/Traffic.java
@@ -72,8 +72,18 @@
 		counter.incrementAndGet();
 	}
 
+	/** Sends a prompt with a shared part of its own choice. */
+	void prompt(Fleet.Entry entry, String target, String key, long deadlineMillis, String sharedPart) {
+		stream(entry, target, key, deadlineMillis, 1_000_000, sharedPart);
+	}
+
 	/** Reads a stream at the speed of a client's link. */
 	void stream(Fleet.Entry entry, String target, String key, long deadlineMillis, int bytesPerSecond) {
+		stream(entry, target, key, deadlineMillis, bytesPerSecond, "");
+	}
+
+	private void stream(Fleet.Entry entry, String target, String key, long deadlineMillis, int bytesPerSecond,
+			String sharedPart) {
 		String id = id(entry.name);
 		this.sent.incrementAndGet();
 		this.record.line("send " + id + " POST " + target);
@@ -88,7 +98,7 @@
 			socket.setSoTimeout((int) deadlineMillis);
 			int part = IDS.incrementAndGet();
 			String more = "X-Model: m\r\nX-Token-Usage: 1460,80\r\nX-Prompt-Prefix: " + Integer.toHexString(part % 40 + 0x5c000000)
-					+ ":350," + Integer.toHexString(part + 0x6c000000) + ":1110\r\n";
+					+ ":350," + (sharedPart.isEmpty() ? "" : sharedPart + ":200,") + Integer.toHexString(part + 0x6c000000) + ":1110\r\n";
 			byte[] body = new byte[1500];
 			socket.getOutputStream().write(Fleet.bytes(Client.head("POST", target, id, deadlineMillis, key, more, body.length)));
 			socket.getOutputStream().write(body);
