--- a/review/rig-2/Fleet.java
+++ b/review/rig-2/Fleet.java
@@ -34,6 +34,9 @@
 
 	final Store store;
 
+	/** Address of the store as the entry processes know it. */
+	String storeAddress;
+
 	final List<Runner> runners = new ArrayList<>();
 
 	final List<Entry> entries = new ArrayList<>();
@@ -59,6 +62,7 @@
 		this.record = record;
 		this.temporary = Files.createTempDirectory("review-2-");
 		this.store = new Store();
+		this.storeAddress = this.store.address();
 	}
 
 	/** Returns a free port below those that the system gives to clients. */
@@ -77,7 +81,7 @@
 	synchronized Runner addRunner(String service) throws IOException {
 		Runner runner = new Runner("i-" + service + "-" + this.runners.size(), service, this.record);
 		this.runners.add(runner);
-		this.store.put("keyed.servers", runner.id, runner.entry("ready", System.currentTimeMillis()));
+		this.store.put("keyed.servers", runner.id, runner.entry("ready", runner.bornMillis));
 		return runner;
 	}
 
@@ -126,7 +130,7 @@
 		fields.put("listen.front", entry.front);
 		fields.put("listen.ready", entry.ready);
 		fields.put("ip", "127.0.0.1");
-		fields.put("platform.address", this.store.address());
+		fields.put("platform.address", this.storeAddress);
 		fields.put("bounds.graceS", "8");
 		fields.put("bounds.revokeMs", "5000");
 		fields.put("bounds.retryBudgetRatio", "0.2");
--- a/review/rig-2/Runner.java
+++ b/review/rig-2/Runner.java
@@ -22,6 +22,8 @@
 
 	final String service;
 
+	final long bornMillis = System.currentTimeMillis();
+
 	final ServerSocket server;
 
 	final Record record;
--- a/review/rig-2/Store.java
+++ b/review/rig-2/Store.java
@@ -20,6 +20,8 @@
 
 	private final Map<String, Topic> topics = new TreeMap<>();
 
+	private final Map<String, Long> reads = new TreeMap<>();
+
 	private static final class Topic {
 
 		final List<byte[]> log = new ArrayList<>();
@@ -47,6 +49,14 @@
 		notifyAll();
 	}
 
+	/** Waits until a read of a topic arrives. */
+	synchronized void awaitRead(String topic) throws InterruptedException {
+		long before = this.reads.getOrDefault(topic, 0L);
+		while (this.reads.getOrDefault(topic, 0L) == before) {
+			wait();
+		}
+	}
+
 	private Topic topic(String name) {
 		return this.topics.computeIfAbsent(name, (key) -> new Topic());
 	}
@@ -117,6 +127,8 @@
 		long until = System.nanoTime() / 1_000_000 + Long.parseLong(query.getOrDefault("waitMs", "0"));
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		synchronized (this) {
+			this.reads.merge(query.get("topic"), 1L, Long::sum);
+			notifyAll();
 			Topic topic = topic(query.get("topic"));
 			long left = until - System.nanoTime() / 1_000_000;
 			while (topic.log.size() <= from && left > 0) {
