--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/review-2/PoisonChunks.class ] || exit 2
-exec java -Xmx512m -Dchunks=1 -Dsound=0.5 -Dpoison=1 -cp target/review-2 PoisonChunks review/9
+exec java -Xmx512m -cp target/review-2 PoisonChunks review/9
