--- a/review/rig-2/Fleet.java
+++ b/review/rig-2/Fleet.java
@@ -165,7 +165,7 @@
 	}
 
 	void awaitReady(Entry entry) throws Exception {
-		for (int count = 0; count < 150; count++) {
+		for (int count = 0; count < 400; count++) {
 			if (isReady(entry)) {
 				this.record.line("ready " + entry.name);
 				return;
