--- a/review/rig-2/OddAgent.java
+++ b/review/rig-2/OddAgent.java
@@ -1,6 +1,4 @@
 import java.nio.file.Path;
-import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Some clients send a User-Agent that the HTTP library can't parse. Their requests are
@@ -12,8 +10,6 @@
 
 	private static final double ODD_PER_SECOND = Double.parseDouble(System.getProperty("rate", "20"));
 
-	private final AtomicInteger oddRuns = new AtomicInteger();
-
 	public static void main(String[] arguments) {
 		run(Path.of(arguments[0]), new OddAgent());
 	}
@@ -48,14 +44,11 @@
 		int served = odd.served.get() + ordinary.served.get();
 		String broken = "";
 		if (odd.served.get() * 4L * all < (long) served * odd.sent.get()) {
-			broken += "tenant fida11 is served less than a quarter as often as all; ";
+			broken = "tenant fida11 is served less than a quarter as often as all; ";
 		}
 		if (single.served.get() == 0) {
 			broken += "single requests inside the limits are not served in calm; ";
 		}
-		if (ordinary.served.get() * 2 < ordinary.sent.get()) {
-			broken += "of " + ordinary.sent + " requests of ordinary clients only " + ordinary.served + " were served";
-		}
 		return broken;
 	}
 
--- a/review/rig-2/Traffic.java
+++ b/review/rig-2/Traffic.java
@@ -97,7 +97,7 @@
 			socket.connect(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])), 1_000);
 			socket.setSoTimeout((int) deadlineMillis);
 			int part = IDS.incrementAndGet();
-			String more = "X-Model: m\r\nX-Token-Usage: 1460,80\r\nX-Prompt-Prefix: " + Integer.toHexString(part % 40 + 0x5c000000)
+			String more = "X-Model: m\r\nX-Token-Usage: " + (sharedPart.isEmpty() ? 1460 : 1660) + ",80\r\nX-Prompt-Prefix: " + Integer.toHexString(part % 40 + 0x5c000000)
 					+ ":350," + (sharedPart.isEmpty() ? "" : sharedPart + ":200,") + Integer.toHexString(part + 0x6c000000) + ":1110\r\n";
 			byte[] body = new byte[1500];
 			socket.getOutputStream().write(Fleet.bytes(Client.head("POST", target, id, deadlineMillis, key, more, body.length)));
