Write header bytes as they were read, and refuse heads that were misread

A header in Latin-1 could swallow the next one; if that was Content-Length, the body was read as the next request. Header values beyond ASCII reached servers and callers changed or not at all.

Cause: the HTTP library decodes header values as UTF-8 but writes the low byte of each character, and takes the line end behind a byte that isn't valid UTF-8 for a part of the value. Found by feeding bytes to its parser and comparing what it writes.

Change: ResponseFrame gives the parser one character for each byte of a response head; HeaderText and ContentTypeHeader turn values of requests back into their bytes; heads that were misread are refused with code 2024, and nothing behind them on their connection is handled. Entry and side processes of the product had the same cause (content type both ways, percent-decoded path) and use the same pieces.

Why it works: each byte of a head is either written again as it was, or its message isn't passed on; no character is written whose low byte differs from the byte that was read.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerConnection.java
@@ -39,6 +39,8 @@
 
 	private boolean bodyRefused;
 
+	private boolean misread;
+
 	private int headBytes;
 
 	private int takenBytes;
@@ -184,6 +186,22 @@
 		return true;
 	}
 
+	/**
+	 * Marks that the head of the request in progress was misread, so that what follows it
+	 * may be its body.
+	 */
+	public synchronized void markMisread() {
+		this.misread = true;
+	}
+
+	/**
+	 * Tells whether what is read on this connection is no request.
+	 * @return whether an earlier head was misread
+	 */
+	public synchronized boolean isMisread() {
+		return this.misread;
+	}
+
 	/**
 	 * Returns when the request in progress arrived.
 	 * @return time at which its first bytes were read from the socket
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/HeadPreview.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/HeadPreview.java
@@ -41,7 +41,7 @@
 	 * header
 	 */
 	public static Optional<HeadPreview> of(ByteString received) {
-		String text = received.take(MAX_BYTES).decodeString(StandardCharsets.ISO_8859_1);
+		String text = received.take(MAX_BYTES).decodeString(StandardCharsets.UTF_8);
 		int end = text.indexOf(HEAD_END);
 		String[] lines = ((end >= 0) ? text.substring(0, end) : text).split(LINE_END, -1);
 		String[] requestLine = lines[0].split(" ", -1);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -278,7 +278,7 @@
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		this.currentAttempt.end(false);
 		ResultCode code = response.status().isSuccess() ? ResultCode.OK : ResultCode.BACKEND_ERROR;
-		this.completion.complete(code, this.context.callerDialect().toCallerResponse(response).withEntity(body),
+		this.completion.complete(code, this.context.callerDialect().toCallerResponse(response, body),
 				"server=" + attempt.serverId());
 	}
 
@@ -294,9 +294,8 @@
 			body = this.state.resumableBody().start(body);
 		}
 		startTimeout();
-		this.completion.startStream(this.context.callerDialect()
-			.toCallerResponse(response)
-			.withEntity(ResponseBodies.streamed(response, body)));
+		this.completion.startStream(
+				this.context.callerDialect().toCallerResponse(response, ResponseBodies.streamed(response, body)));
 	}
 
 	private void onStreamEnd(Attempt attempt, HttpResponse response, ResultCode code, String detail) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 
 import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.Connection;
@@ -37,6 +38,8 @@
 	/** Timeout for receiving a request body, in milliseconds. */
 	private static final long BODY_TIMEOUT_MILLIS = 10_000;
 
+	private static final HttpHeader CLOSE = Connection.create("close");
+
 	private final ForwardingContext context;
 
 	private final AtomicInteger openRequests = new AtomicInteger();
@@ -61,6 +64,10 @@
 	 * being closed
 	 */
 	public CompletionStage<HttpResponse> handle(HttpRequest request, CallerConnection connection) {
+		if (connection.isMisread()) {
+			// The connection is closed behind the response that is being written.
+			return new CompletableFuture<>();
+		}
 		if (!connection.beginRequest()) {
 			return CompletableFuture.failedFuture(new IOException("connection is being closed"));
 		}
@@ -68,6 +75,12 @@
 		CallerRequest caller = this.context.callerDialect().decode(request);
 		RequestTime time = this.context.requestTime(caller);
 		this.openRequests.incrementAndGet();
+		if (!this.context.callerDialect().isIntact(request)) {
+			connection.markMisread();
+			request.discardEntityBytes(this.context.system());
+			return refuse(ResultCode.MALFORMED_HEAD, caller, arrived, "", connection)
+				.thenApply((response) -> response.addHeader(CLOSE));
+		}
 		long maxBodyBytes = this.context.routing().limits().maxBodyBytes();
 		MemoryLimit bodyMemory = connection.beginRequestBody(request.entity().isChunked(),
 				() -> memoryOwner(caller, connection));
@@ -152,11 +165,16 @@
 			Throwable failure, CallerConnection connection) {
 		ResultCode code = connection.isBodyRefused() ? ResultCode.MEMORY_EXHAUSTED
 				: bodyFailure(time, arrived, failure);
+		return refuse(code, caller, arrived, String.valueOf(failure.getMessage()), connection);
+	}
+
+	private CompletionStage<HttpResponse> refuse(ResultCode code, CallerRequest caller, ClockReading arrived,
+			String detail, CallerConnection connection) {
 		HttpResponse response = ErrorResponses.of(code);
 		endRequest(connection);
 		this.context.requestLog()
 			.recordCompletion(code, caller.id(), "", code.httpStatus(), this.context.clock().ageMillis(arrived),
-					String.valueOf(failure.getMessage()));
+					detail);
 		return CompletableFuture.completedFuture(this.context.callerDialect().withRequestId(response, caller.id()));
 	}
 
@@ -188,7 +206,7 @@
 	}
 
 	private HttpResponse withConnectionClose(HttpResponse response) {
-		return (this.drainSchedule != DrainSchedule.NEVER) ? response.addHeader(Connection.create("close")) : response;
+		return (this.drainSchedule != DrainSchedule.NEVER) ? response.addHeader(CLOSE) : response;
 	}
 
 	/** Owner of one forwarded request. */
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequestHandler.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequestHandler.java
@@ -18,6 +18,7 @@
 import org.marjoramgw.entry.dispatch.RoutedRequest;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.http.HeaderText;
 import org.marjoramgw.http.HeldMemory;
 import org.marjoramgw.http.MemoryKind;
 
@@ -84,6 +85,10 @@
 		String requestId = newRequestId();
 		PendingResponse response = new PendingResponse(requestId);
 		try {
+			if (!HeaderText.isIntact(http)) {
+				response.closeConnection();
+				throw new RequestRejectedException(ResultCode.MALFORMED_HEAD, "");
+			}
 			RoutingTable table = this.entryContext.routingTable();
 			ClientAccount account = table.authenticate(CallerRequests.bearerKey(http));
 			int maxBodyBytes = CallerRequests.maxBodyBytes(table.configuration().limits(), http);
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequests.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/CallerRequests.java
@@ -11,6 +11,7 @@
 import org.marjoramgw.config.Service;
 import org.marjoramgw.entry.dispatch.RoutedRequest;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.http.ContentTypeHeader;
 import org.marjoramgw.wire.BackendCall;
 
 /**
@@ -24,6 +25,10 @@
 
 	private static final String IDEMPOTENCY_KEY_PATTERN = "[\\x21-\\x7e]{1,128}";
 
+	private static final String SERVICES_PATH = "/v1/services/";
+
+	private static final String RAW_TARGET = "raw-request-uri";
+
 	private static final String POST = "POST";
 
 	private CallerRequests() {
@@ -42,12 +47,11 @@
 			throws RequestRejectedException {
 		Service service = table.plainService(serviceName);
 		String path = "/" + remainingPath;
-		String query = http.getUri().rawQueryString().map((rawQuery) -> "?" + rawQuery).orElse("");
 		String idempotencyKey = header(http, "Idempotency-Key").orElse("");
 		if (!idempotencyKey.isEmpty() && !idempotencyKey.matches(IDEMPOTENCY_KEY_PATTERN)) {
 			throw new RequestRejectedException(ResultCode.MALFORMED_KEY, "1 to 128 visible ASCII characters");
 		}
-		BackendCall call = new BackendCall(POST, path + query, http.entity().getContentType().toString(), body, "",
+		BackendCall call = new BackendCall(POST, serviceTarget(http), ContentTypeHeader.valueOf(http), body, "",
 				service.isRepeatable(POST, path), idempotencyKey);
 		String affinityKey = idempotencyKey.isEmpty() ? ""
 				: ClaimPartitions.streamOf(account.name(), idempotencyKey, claimPartitionCount);
@@ -55,6 +59,17 @@
 				0);
 	}
 
+	/**
+	 * Returns the part of a request target that a plain service gets, without the name of
+	 * the service.
+	 * @param http the request
+	 * @return path and query as the caller sent them, not percent-decoded
+	 */
+	private static String serviceTarget(HttpRequest http) {
+		String target = header(http, RAW_TARGET).orElseGet(() -> http.getUri().toRelative().toString());
+		return target.substring(target.indexOf('/', SERVICES_PATH.length()));
+	}
+
 	static int maxBodyBytes(Limits limits, HttpRequest http) throws RequestRejectedException {
 		long length = http.entity().getContentLengthOption().orElse(0);
 		if (length > limits.bodyBytes()) {
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PendingResponse.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PendingResponse.java
@@ -8,9 +8,11 @@
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.http.ContentTypeHeader;
 
 /**
  * HTTP response to one request, completed at most once.
@@ -29,6 +31,8 @@
 
 	private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
 
+	private boolean closing;
+
 	PendingResponse(String requestId) {
 		this.requestId = requestId;
 	}
@@ -41,6 +45,14 @@
 		return this.requestId;
 	}
 
+	/**
+	 * Closes the connection behind the response, since what follows the request can't be
+	 * told from its body.
+	 */
+	void closeConnection() {
+		this.closing = true;
+	}
+
 	void send(int status, ResponseEntity entity) {
 		this.response.complete(newResponse(status).withEntity(entity));
 	}
@@ -49,6 +61,17 @@
 		send(status, HttpEntities.create(contentType, body));
 	}
 
+	/**
+	 * Sends the response of a plain service.
+	 * @param status its status
+	 * @param contentType its content type, one character for each byte; may be empty
+	 * @param body its body
+	 */
+	void send(int status, String contentType, ByteString body) {
+		HttpResponse plain = newResponse(status).withEntity(HttpEntities.create(ContentTypes.NO_CONTENT_TYPE, body));
+		this.response.complete(contentType.isEmpty() ? plain : plain.addHeader(ContentTypeHeader.create(contentType)));
+	}
+
 	void sendError(ResultCode code, String detail, long retryAfterMillis) {
 		String body = ErrorBody.of(code, detail, this.requestId);
 		HttpResponse errorResponse = newResponse(code.httpStatus());
@@ -60,9 +83,10 @@
 	}
 
 	private HttpResponse newResponse(int status) {
-		return HttpResponse.create()
+		HttpResponse created = HttpResponse.create()
 			.withStatus(HttpStatus.of(status))
 			.addHeader(RawHeader.create("X-Request-Id", this.requestId));
+		return this.closing ? created.addHeader(Connection.create("close")) : created;
 	}
 
 }
--- a/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PlainServiceResponse.java
+++ b/org.marjoramgw.entry/src/main/java/org/marjoramgw/entry/caller/PlainServiceResponse.java
@@ -1,7 +1,5 @@
 package org.marjoramgw.entry.caller;
 
-import org.apache.pekko.http.javadsl.model.ContentType;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.wire.Message;
 
@@ -18,12 +16,7 @@
 
 	@Override
 	void send(PendingResponse to, Message.End end, ByteString content) {
-		to.send(end.httpStatus(), contentType(end.contentType()), content);
-	}
-
-	private static ContentType contentType(String value) {
-		return org.apache.pekko.http.scaladsl.model.ContentType.parse(value)
-			.<ContentType>fold((errors) -> ContentTypes.APPLICATION_OCTET_STREAM, (parsed) -> parsed);
+		to.send(end.httpStatus(), end.contentType(), content);
 	}
 
 }
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/engine/EngineStream.java
@@ -15,6 +15,7 @@
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.javadsl.Source;
 import org.marjoramgw.ResultCode;
+import org.marjoramgw.http.ContentTypeHeader;
 import org.marjoramgw.side.backend.BackendListener;
 import org.marjoramgw.side.backend.BackendResult;
 
@@ -151,7 +152,7 @@
 				else if (!this.finished) {
 					this.finished = true;
 					this.listener.onPart(0, entity.getData().toArray());
-					String contentType = entity.getContentType().toString();
+					String contentType = ContentTypeHeader.valueOf(response);
 					this.listener.onComplete(new BackendResult(ResultCode.BACKEND_ERROR, status, contentType, ""));
 				}
 			});
--- a/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
+++ b/org.marjoramgw.side/src/main/java/org/marjoramgw/side/plainservice/PlainServiceBackend.java
@@ -3,20 +3,23 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpMethod;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.model.headers.RawRequestURI;
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.http.BodyReader;
+import org.marjoramgw.http.ContentTypeHeader;
+import org.marjoramgw.http.HeaderText;
 import org.marjoramgw.http.MemoryLimit;
 import org.marjoramgw.side.backend.Backend;
 import org.marjoramgw.side.backend.BackendExecution;
@@ -35,6 +38,13 @@
 
 	private static final int HTTP_SERVER_ERROR = 500;
 
+	private static final String DEFAULT_CONTENT_TYPE = "application/json";
+
+	/** Request targets that can be written as they are. */
+	private static final Pattern TARGET = Pattern.compile("/[\\x21-\\x7e]*");
+
+	private final ActorSystem<?> system;
+
 	private final BodyReader bodyReader;
 
 	private final BackendHttpClient client;
@@ -51,6 +61,7 @@
 	 * @param maxBodyBytes maximum size of a response body, in bytes
 	 */
 	public PlainServiceBackend(ActorSystem<?> system, String url, long bodyTimeoutMillis, int maxBodyBytes) {
+		this.system = system;
 		this.bodyReader = new BodyReader(system);
 		this.client = new BackendHttpClient(system, url);
 		this.bodyTimeoutMillis = bodyTimeoutMillis;
@@ -67,11 +78,7 @@
 		}
 		SharedKillSwitch killSwitch = KillSwitches.shared(request.executionId());
 		this.client.send(call.get(), killSwitch)
-			.handle((response) -> readBody(response, listener, finished), (code) -> {
-				if (finished.compareAndSet(false, true)) {
-					listener.onFailure(code);
-				}
-			});
+			.handle((response) -> readBody(response, listener, finished), (code) -> fail(code, listener, finished));
 		return () -> {
 			finished.set(true);
 			killSwitch.abort(new IOException(ResultCode.CANCELLED_IN_FLIGHT.text()));
@@ -80,19 +87,23 @@
 
 	private Optional<HttpRequest> toHttpRequest(BackendRequest request) {
 		BackendCall call = request.call();
-		Optional<HttpMethod> method = HttpMethods.lookup(call.method());
-		return method.map((httpMethod) -> HttpRequest.create(call.path())
+		Optional<HttpMethod> method = HttpMethods.lookup(call.method())
+			.filter((known) -> TARGET.matcher(call.path()).matches());
+		return method.map((httpMethod) -> HttpRequest.create()
 			.withMethod(httpMethod)
+			.addHeader(RawRequestURI.create(call.path()))
 			.addHeader(RawHeader.create("X-Request-Id", request.requestId()))
-			.withEntity(toEntity(call)));
-	}
-
-	private static HttpEntity.Strict toEntity(BackendCall call) {
-		ContentType type = ContentTypes.parse(call.contentType().isEmpty() ? "application/json" : call.contentType());
-		return org.apache.pekko.http.javadsl.model.HttpEntities.create(type, call.body());
+			.addHeader(
+					ContentTypeHeader.create(call.contentType().isEmpty() ? DEFAULT_CONTENT_TYPE : call.contentType()))
+			.withEntity(HttpEntities.create(ContentTypes.NO_CONTENT_TYPE, call.body())));
 	}
 
 	private void readBody(HttpResponse response, BackendListener listener, AtomicBoolean finished) {
+		if (!HeaderText.isIntact(response)) {
+			response.discardEntityBytes(this.system);
+			fail(ResultCode.BACKEND_BROKE_OFF, listener, finished);
+			return;
+		}
 		this.bodyReader
 			.read(response.entity().withSizeLimit(this.maxBodyBytes), this.bodyTimeoutMillis, MemoryLimit.NONE)
 			.whenComplete((entity, failure) -> {
@@ -106,10 +117,16 @@
 				int status = response.status().intValue();
 				ResultCode code = (status < HTTP_SERVER_ERROR) ? ResultCode.OK : ResultCode.BACKEND_ERROR;
 				listener.onPart(0, entity.getData().toArray());
-				listener.onComplete(new BackendResult(code, status, entity.getContentType().toString(), ""));
+				listener.onComplete(new BackendResult(code, status, ContentTypeHeader.valueOf(response), ""));
 			});
 	}
 
+	private static void fail(ResultCode code, BackendListener listener, AtomicBoolean finished) {
+		if (finished.compareAndSet(false, true)) {
+			listener.onFailure(code);
+		}
+	}
+
 	private static ResultCode resultCodeOf(Throwable failure) {
 		boolean tooLarge = String.valueOf(failure).contains("EntityStreamSizeException");
 		return tooLarge ? ResultCode.ANSWER_TOO_LARGE : ResultCode.BACKEND_BROKE_OFF;
--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/http/BoundedHttpServerTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/BoundedHttpServerTests.java
@@ -97,6 +97,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a body that is handled as a request of its own, since the parser
+	 * took the length of the body for a part of the header before it.
+	 */
+	@Test
+	public void nothingBehindAMisreadHeadIsHandled() throws Exception {
+		try (Socket socket = open()) {
+			write(socket, bytes("POST /1 HTTP/1.1\r\nHost: a\r\nX-Note: caf\u00e9\r\nContent-Length: " + LAST.length()
+					+ "\r\n\r\n" + LAST));
+			readUntil(socket, "</1:>");
+			socket.setSoTimeout(500);
+			Assert.assertThrows(SocketTimeoutException.class, () -> readAll(socket));
+		}
+	}
+
 	/**
 	 * Guards against the end of a head that is taken for an empty line before a request.
 	 */
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -69,6 +69,8 @@
 			"a part of the prompt crashes backend servers and is refused"),
 	/** Entry process stopped before the request that it had sent was answered. */
 	ENTRY_STOPPED(2023, 502, ExecutionOutcome.UNKNOWN, "entry stopped while the request was in flight"),
+	/** Head of the request can't be forwarded as it was sent. */
+	MALFORMED_HEAD(2024, 400, ExecutionOutcome.NOT_RUN, "a header isn't valid UTF-8 or has ambiguous characters"),
 	/** Request body was not received in time. */
 	BODY_TIMEOUT(2030, 408, ExecutionOutcome.NOT_RUN, "body was not received in time"),
 	/** No memory was left for the request body. */
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/FramedTransport.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/FramedTransport.java
@@ -52,7 +52,7 @@
 			}
 			int responseBytes = this.frame.accept(bytes);
 			this.ended = responseBytes < bytes.size();
-			return bytes.take(responseBytes);
+			return this.frame.toParser(bytes.take(responseBytes));
 		}
 
 		private synchronized boolean hasEnded() {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
@@ -67,7 +67,8 @@
 	 * Sends a request. From this call on, the server may have received it, even if the
 	 * returned stage fails with an error of the connection.
 	 * @param request the request
-	 * @param id id of the request, by which its response is recognized; may be empty
+	 * @param id id of the request, by which its response is recognized, one character for
+	 * each byte; may be empty
 	 * @return the response, whose body has yet to be consumed; fails if the connection
 	 * ends before a response head was received, or without sending anything if it is
 	 * closed, in use, or has carried the id
@@ -150,21 +151,22 @@
 	/**
 	 * Takes received bytes.
 	 * @param bytes the bytes
-	 * @return those that belong to the response; may be empty
+	 * @return those that belong to the response, as the parser needs them; may be empty
 	 * @throws IOException if there can't be a response, or not a valid one
 	 */
 	ByteString onBytes(ByteString bytes) throws IOException {
 		StrayBytes.Place place;
 		String id;
-		int responseBytes = 0;
+		ByteString responseBytes = ByteString.emptyByteString();
 		synchronized (this) {
 			id = this.requestId;
 			place = this.busy ? StrayBytes.Place.BEFORE_REQUEST : StrayBytes.Place.IDLE;
 			if (this.busy && this.written) {
 				try {
-					responseBytes = this.responseFrame.accept(bytes);
-					if (responseBytes == bytes.size()) {
-						return bytes;
+					int count = this.responseFrame.accept(bytes);
+					responseBytes = this.responseFrame.toParser(bytes.take(count));
+					if (count == bytes.size()) {
+						return responseBytes;
 					}
 					place = StrayBytes.Place.BEHIND_RESPONSE;
 				}
@@ -178,7 +180,7 @@
 		if (place != StrayBytes.Place.BEHIND_RESPONSE) {
 			throw new IOException("stray bytes received from the server: " + place);
 		}
-		return bytes.take(responseBytes);
+		return responseBytes;
 	}
 
 	/**
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
@@ -32,15 +32,18 @@
 
 	private long remainingBytes;
 
+	/** Bytes of the last call that belong to a head; they are the first ones. */
+	private int headBytes;
+
 	/**
 	 * Creates the course of a response.
 	 * @param noBody whether the response has no body whatever its head says
-	 * @param requestId id of the request; may be empty
+	 * @param requestId id of the request, one character for each byte; may be empty
 	 */
 	ResponseFrame(boolean noBody, String requestId) {
 		this.head = new ResponseHead(noBody);
 		this.scan = new SecondResponseScan(
-				(requestId.isEmpty() ? "" : ": " + requestId + "\r\n").getBytes(StandardCharsets.UTF_8));
+				(requestId.isEmpty() ? "" : ": " + requestId + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
 	}
 
 	/**
@@ -58,12 +61,14 @@
 	 * @throws IOException if a second response begins inside this one
 	 */
 	int accept(ByteString bytes) throws IOException {
+		this.headBytes = 0;
 		if (isComplete()) {
 			return 0;
 		}
 		ByteBuffer buffer = bytes.asByteBuffer();
 		while (buffer.hasRemaining() && this.part != Part.COMPLETE) {
 			byte next = buffer.get();
+			this.headBytes += (this.part == Part.HEAD) ? 1 : 0;
 			if ((this.part == Part.HEAD) ? this.scan.isStatusLine(next) && this.head.hasStatusLine(this.line)
 					: this.scan.isSecondResponse(next)) {
 				throw new IOException("second response inside a response");
@@ -76,6 +81,21 @@
 		return bytes.size() - buffer.remaining();
 	}
 
+	/**
+	 * Converts the bytes that were accepted last for the parser, which would misread
+	 * bytes of a head beyond ASCII.
+	 * @param accepted the bytes, without those that don't belong to the response
+	 * @return bytes for the parser
+	 */
+	ByteString toParser(ByteString accepted) {
+		if (this.headBytes == 0) {
+			return accepted;
+		}
+		ByteString head = accepted.take(this.headBytes);
+		ByteString parsed = HeaderText.toParser(head);
+		return (parsed == head) ? accepted : parsed.concat(accepted.drop(this.headBytes));
+	}
+
 	private void accept(byte next) {
 		switch (this.part) {
 			case HEAD, CHUNK_SIZE, CHUNK_END, TRAILER -> acceptLineByte(next);
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ServedRequests.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ServedRequests.java
@@ -1,6 +1,7 @@
 package org.marjoramgw.http;
 
 import java.util.Iterator;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
 
@@ -30,12 +31,27 @@
 
 	private final ServedConnection connection;
 
+	private boolean misread;
+
 	ServedRequests(ServedConnection connection) {
 		this.connection = connection;
 	}
 
+	/**
+	 * Handles the next request. One whose head was misread is the last, since its body
+	 * may follow as if it were a request.
+	 * @param request the request
+	 * @param handler returns its response, with which it closes the connection if the
+	 * head was misread
+	 * @return the response; never completes behind a misread head
+	 * @throws Exception if the handler throws it
+	 */
 	CompletionStage<HttpResponse> handle(HttpRequest request,
 			Function<HttpRequest, CompletionStage<HttpResponse>> handler) throws Exception {
+		if (this.misread) {
+			return new CompletableFuture<>();
+		}
+		this.misread = !HeaderText.isIntact(request);
 		this.connection.onRequest(request.entity());
 		return handler.apply(request.withEntity(observeBody(request.entity()))).thenApply(this::observeResponse);
 	}
