Count an answer as begun by its events, not by pieces of bytes

Cause: the second chunk of a stream, and any end of a stream that wasn't a reset, counted as an answer, which clears the part. The log of the broken streams (begun=true) ruled out that the crash wasn't noticed.

Change: an answer has begun when two of its events are complete, or when its body is complete, with a status of success and an end that isn't only that of its connection. Otherwise the server is checked by a connect, as after a reset; a stream that ends with its connection before its first event has failed. Same cause mended: error responses cleared parts, and ServerHealth took the head of a response for a success.

Why it works: what a server sends before it crashes at the beginning of an answer is less than two events, in pieces of any size.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/BodyObserver.java
@@ -23,6 +23,12 @@
 	 */
 	void onBytes();
 
+	/**
+	 * Called once when as many events have arrived that their sender has gone on after
+	 * the first one.
+	 */
+	void onProgress();
+
 	/**
 	 * Called when the body was read completely.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventMeter.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/EventMeter.java
@@ -6,8 +6,9 @@
 import org.marjoramgw.errors.ResponseTooLargeException;
 
 /**
- * Measures the event that a stream is in. A server that sends bytes without an end of an
- * event has failed, and so has one whose stream ends inside an event. Not thread-safe.
+ * Counts the events of a stream and measures the one that it is in, in pieces of any
+ * size. A server that sends bytes without an end of an event has failed, and so has one
+ * whose stream ends inside an event. Not thread-safe.
  *
  * @author The marjoramgw authors
  */
@@ -19,6 +20,10 @@
 
 	private long eventBytes;
 
+	private boolean hasContent;
+
+	private long count;
+
 	/**
 	 * Takes the next bytes of the stream.
 	 * @param bytes the bytes
@@ -27,11 +32,29 @@
 	void add(ByteString bytes) throws ResponseTooLargeException {
 		ByteBuffer buffer = bytes.asByteBuffer();
 		while (buffer.hasRemaining()) {
-			this.eventBytes = this.boundary.isEnd(buffer.get()) ? 0 : this.eventBytes + 1;
-			if (this.eventBytes > MAX_EVENT_BYTES) {
-				throw new ResponseTooLargeException("event", MAX_EVENT_BYTES);
-			}
+			add(buffer.get());
+		}
+	}
+
+	private void add(byte next) throws ResponseTooLargeException {
+		this.hasContent |= next != '\n' && next != '\r';
+		this.eventBytes++;
+		if (this.boundary.isEnd(next)) {
+			this.count += this.hasContent ? 1 : 0;
+			this.eventBytes = 0;
+			this.hasContent = false;
 		}
+		else if (this.eventBytes > MAX_EVENT_BYTES) {
+			throw new ResponseTooLargeException("event", MAX_EVENT_BYTES);
+		}
+	}
+
+	/**
+	 * Returns the number of complete events.
+	 * @return the number, without those that are only empty lines
+	 */
+	long count() {
+		return this.count;
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -273,7 +273,7 @@
 		if (response.status().isSuccess()) {
 			this.context.health().onSuccess(attempt.serverId());
 			attempt.onFirstToken();
-			this.state.prompt().onAnswer();
+			this.state.prompt().onComplete(attempt, true, ResponseBodies.isEndCertain(response));
 		}
 		this.context.pool().release(attempt.takeConnection(), KeepAlive.keepMillis(response));
 		this.currentAttempt.end(false);
@@ -283,7 +283,6 @@
 	}
 
 	private void stream(Attempt attempt, HttpResponse response) {
-		this.context.health().onSuccess(attempt.serverId());
 		Source<ByteString, ?> body = this.streamRelay.relay(attempt, response,
 				(code, detail) -> onStreamEnd(attempt, response, code, detail));
 		if (this.state.isResuming()) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
@@ -59,6 +59,22 @@
 		rejectIfPresent(this.guard.checkBeforeSend(this.caller));
 	}
 
+	/**
+	 * Records the end of a response. It is an answer only if the server can't have ended
+	 * before it was complete; otherwise the server is checked.
+	 * @param attempt the attempt
+	 * @param success whether its status is that of an answer
+	 * @param endIsCertain whether the response didn't end only with its connection
+	 */
+	void onComplete(Attempt attempt, boolean success, boolean endIsCertain) {
+		if (success && endIsCertain) {
+			onAnswer();
+		}
+		else if (success && !this.answered) {
+			this.guard.onUnanswered(attempt.server(), this.caller, attempt.isAnswering(), attempt.sentMillis());
+		}
+	}
+
 	/**
 	 * Records that an answer has begun and gone on.
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -11,27 +11,37 @@
 import org.marjoramgw.http.ByteStage;
 
 /**
- * Stream stage that passes a body through and reports its start and end to an observer.
- * It fails if the server sends an event without end, or if a stream of events ends inside
- * one.
+ * Stream stage that passes a body through and reports its course to an observer. It fails
+ * if the server sends an event without end, if a stream of events ends inside one, or if
+ * it has none and ends only with its connection.
  *
  * @author The marjoramgw authors
  */
 final class ObservedBody extends ByteStage {
 
+	/**
+	 * Events with which it is certain that a server has gone on after the first one. A
+	 * server that crashes while it begins an answer may have sent any part of that.
+	 */
+	private static final int MIN_EVENTS = 2;
+
 	private final BodyObserver observer;
 
 	private final boolean hasEvents;
 
+	private final boolean endIsCertain;
+
 	/**
 	 * Creates a stage.
-	 * @param observer receives the start and the end of the body
+	 * @param observer receives the course of the body
 	 * @param hasEvents whether the body is a stream of events
+	 * @param endIsCertain whether the end of the body is told from that of its connection
 	 */
-	ObservedBody(BodyObserver observer, boolean hasEvents) {
+	ObservedBody(BodyObserver observer, boolean hasEvents, boolean endIsCertain) {
 		super("body");
 		this.observer = observer;
 		this.hasEvents = hasEvents;
+		this.endIsCertain = endIsCertain;
 	}
 
 	@Override
@@ -45,6 +55,8 @@
 
 		private boolean started;
 
+		private boolean progressed;
+
 		private Logic() {
 			super(ObservedBody.this.shape());
 			setHandler(inlet(), new Upstream());
@@ -63,6 +75,7 @@
 				ByteString bytes = grab(inlet());
 				try {
 					Logic.this.event.add(bytes);
+					reportProgress();
 					push(outlet(), bytes);
 				}
 				catch (ResponseTooLargeException ex) {
@@ -70,12 +83,23 @@
 				}
 			}
 
+			private void reportProgress() {
+				if (ObservedBody.this.hasEvents && !Logic.this.progressed && Logic.this.event.count() >= MIN_EVENTS) {
+					Logic.this.progressed = true;
+					ObservedBody.this.observer.onProgress();
+				}
+			}
+
 			@Override
 			public void onUpstreamFinish() {
 				if (ObservedBody.this.hasEvents && Logic.this.event.isInsideEvent()) {
 					fail(new IOException("stream ended inside an event"));
 					return;
 				}
+				if (ObservedBody.this.hasEvents && !ObservedBody.this.endIsCertain && Logic.this.event.count() == 0) {
+					fail(new IOException("stream ended before its first event"));
+					return;
+				}
 				ObservedBody.this.observer.onComplete();
 				completeStage();
 			}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ResponseBodies.java
@@ -52,6 +52,16 @@
 				&& mediaType.subType().equals("event-stream");
 	}
 
+	/**
+	 * Tells whether the end of a body is told from that of its connection, which may also
+	 * be the end of its server.
+	 * @param response the response
+	 * @return whether its head gives a length or says that the body comes in chunks
+	 */
+	static boolean isEndCertain(HttpResponse response) {
+		return !response.entity().isCloseDelimited();
+	}
+
 	/**
 	 * Returns the result code of a response that could not be read.
 	 * @param failure the failure
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamObserver.java
@@ -19,12 +19,10 @@
 
 	private final PauseMeter pauses;
 
-	private int chunkCount;
-
 	/**
 	 * Creates an observer.
 	 * @param onFirstBytes called when the first bytes arrive
-	 * @param onProgress called when further bytes arrive for the first time
+	 * @param onProgress called when the server has gone on after its first event
 	 * @param pauses measures the pauses of the stream
 	 * @param onEnd called once with the result code and a detail for the log
 	 */
@@ -49,10 +47,11 @@
 	@Override
 	public void onBytes() {
 		this.pauses.onBytes();
-		this.chunkCount++;
-		if (this.chunkCount == 2) {
-			this.onProgress.run();
-		}
+	}
+
+	@Override
+	public void onProgress() {
+		this.onProgress.run();
 	}
 
 	@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
@@ -46,9 +46,11 @@
 		PauseMeter pauses = this.promptRecord.pauseMeter(() -> this.context.clock().now().monotonicMillis(),
 				attempt::onPause);
 		boolean hasEvents = ResponseBodies.isEventStream(response);
-		StreamObserver observer = new StreamObserver(() -> onFirstEvent(attempt, hasEvents), this::onProgress, pauses,
-				(code, detail) -> onEnd(attempt, pauses, code, detail, onEnd));
-		return response.entity().getDataBytes().via(new ObservedBody(observer, hasEvents));
+		StreamObserver observer = new StreamObserver(() -> onFirstEvent(attempt, hasEvents), () -> onProgress(attempt),
+				pauses, (code, detail) -> onEnd(attempt, response, pauses, code, detail, onEnd));
+		return response.entity()
+			.getDataBytes()
+			.via(new ObservedBody(observer, hasEvents, ResponseBodies.isEndCertain(response)));
 	}
 
 	private void onFirstEvent(Attempt attempt, boolean hasEvents) {
@@ -61,13 +63,15 @@
 		}
 	}
 
-	private void onProgress() {
+	private void onProgress(Attempt attempt) {
 		synchronized (this.lock) {
+			this.context.health().onSuccess(attempt.serverId());
 			this.state.prompt().onAnswer();
 		}
 	}
 
-	private void onEnd(Attempt attempt, PauseMeter pauses, ResultCode code, String detail, EndListener listener) {
+	private void onEnd(Attempt attempt, HttpResponse response, PauseMeter pauses, ResultCode code, String detail,
+			EndListener listener) {
 		synchronized (this.lock) {
 			if (attempt.isEnded()) {
 				return;
@@ -75,7 +79,9 @@
 			this.state.history().onPause(pauses.longestMillis());
 			this.promptRecord.endStream();
 			if (code == ResultCode.OK) {
-				onProgress();
+				this.context.health().onSuccess(attempt.serverId());
+				this.state.prompt()
+					.onComplete(attempt, response.status().isSuccess(), ResponseBodies.isEndCertain(response));
 			}
 			listener.onEnd(code, (code != ResultCode.OK) ? detail + this.state.prompt().describe(attempt) : detail);
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
@@ -87,7 +87,8 @@
 	void onAnswer(CallerRequest request);
 
 	/**
-	 * Records that the connection to a server ended before the answer began.
+	 * Records that the connection to a server ended before it was certain that the answer
+	 * had begun and gone on.
 	 * @param server the server
 	 * @param request the request
 	 * @param answering whether the head of the answer had been received
