Let a strong case against a prompt part wait for one answer, not eight

Cause: a verdict waited in each process until eight other prompts were answered, without a bound on the time; with few prompts, or servers that are down by the crashes themselves, that outlasts all crashes. The case itself was sufficient after three of them.

Change: with five crashes or more, at each of which the answer to a prompt with the part was about to begin, and no other crash meanwhile, one answer to another prompt since the first crash is enough. Such a verdict is provisional: its first term is 18.75 s instead of 10 minutes, so that a sound part is soon let pass. Without any answer there is no verdict, as before.

Why it works: five crashes with the part as the only common suspect are stronger evidence than three and eight answers, and one answer tells a bad part from servers that crash at any request.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/QuarantineCodec.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/QuarantineCodec.java
@@ -91,9 +91,9 @@
 	}
 
 	static Optional<Verdict> decodeVerdict(KeyedRecord record) {
-		return decodePart(record)
-			.flatMap((part) -> read(record).map((value) -> new Verdict(part, Math.max(1, value.path("term").asInt()),
-					value.path("start_ms").asLong(), value.path("author").asText(), texts(value.path("servers")))));
+		return decodePart(record).flatMap((part) -> read(record).map((value) -> new Verdict(part,
+				Math.max(Verdict.PROVISIONAL_TERM, value.path("term").asInt(Verdict.FIRST_TERM)),
+				value.path("start_ms").asLong(), value.path("author").asText(), texts(value.path("servers")))));
 	}
 
 	static String decodeReporter(KeyedRecord record) {
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineFleetTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineFleetTests.java
@@ -55,6 +55,51 @@
 		return new Object[][] { { 4, 6, 57, 1.2 }, { 5, 6, 57, 0.3 }, { 33, 42, 280, 8.0 }, { 33, 42, 280, 0.5 } };
 	}
 
+	/**
+	 * Fleets in which few prompts are answered while bad ones come; rows as above.
+	 * Crashes for other reasons and restarts of processes are left out.
+	 * @return the rows
+	 */
+	@DataProvider
+	public Object[][] quietFleets() {
+		return new Object[][] { { 2, 6, 2.0, 2.0 }, { 2, 6, 4.0, 1.0 }, { 4, 6, 1.0, 1.0 }, { 4, 12, 2.0, 2.0 } };
+	}
+
+	/**
+	 * Guards against a verdict that waits for answers while servers crash on and on.
+	 */
+	@Test(dataProvider = "quietFleets")
+	public void badPartIsFoundInTimeWhileFewPromptsAreAnswered(int processes, int servers, double soundRate,
+			double badRate) {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(TestSeed.random(seed), processes, servers, Set.of(BAD));
+			Random random = TestSeed.random(seed);
+			while (fleet.nowMillis() < DURATION_MILLIS) {
+				sound(fleet, random, soundRate);
+				if (random.nextDouble() < badRate / STEPS_PER_SECOND) {
+					fleet.request(SimulatedFleet.MODEL, "first-" + random.nextInt(FIRST_PARTS), "bad");
+				}
+				fleet.step();
+			}
+			assertFound(fleet, Set.of(BAD), seed);
+		}
+	}
+
+	/**
+	 * Guards against the same where all servers are down most of the time.
+	 */
+	@Test
+	public void badPartIsFoundInTimeWhileHardlyAnyPromptIsAnswered() {
+		badPartIsFoundInTimeWhileFewPromptsAreAnswered(2, 6, 1.0, 2.0);
+	}
+
+	/** Guards against sound parts that are convicted on the word of few answers. */
+	@Test(dataProvider = "quietFleets")
+	public void plainCrashesConvictNoPartWhileFewPromptsAreAnswered(int processes, int servers, double soundRate,
+			double ignored) {
+		plainCrashesConvictNoPart(processes, servers, soundRate, ignored);
+	}
+
 	@Test(dataProvider = "fleets")
 	public void badPartIsFoundInTimeAndNoOther(int processes, int servers, double soundRate, double badRate) {
 		for (int seed = 0; seed < seeds(processes); seed++) {
--- a/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/quarantine/QuarantineTests.java
@@ -83,6 +83,56 @@
 		Assert.assertEquals(this.quarantine.verdicts(), List.of());
 	}
 
+	/**
+	 * Guards against a verdict that waits for answers while servers crash on and on.
+	 */
+	@Test
+	public void partOfManyCrashesIsRefusedForAShortTimeOnceAnotherPromptIsAnswered() {
+		crashUntilStrong();
+		this.quarantine.onAnswer(MODEL, List.of("another"));
+		this.clock.advanceMillis(Quarantine.SETTLE_MILLIS);
+		Verdict verdict = this.quarantine.advance().get(0).verdict().orElseThrow();
+		Assert.assertEquals(verdict.term(), Verdict.PROVISIONAL_TERM);
+		Assert.assertTrue(verdict.termMillis() < 20_000, verdict.termMillis() + " ms");
+		Assert.assertTrue(this.quarantine.check(MODEL, BAD).isPresent());
+		this.quarantine.onVerdict(verdict);
+		this.clock.advanceMillis(verdict.termMillis());
+		this.quarantine.check(MODEL, BAD);
+		Verdict next = this.quarantine.advance().get(0).verdict().orElseThrow();
+		Assert.assertEquals(next.termMillis(), 2 * verdict.termMillis());
+	}
+
+	/** Guards against sound parts that are refused while nothing is served. */
+	@Test
+	public void partOfManyCrashesIsNotConvictedWhileNoServerAnswers() {
+		this.quarantine.onAnswer(MODEL, SOUND);
+		crashUntilStrong();
+		this.clock.advanceMillis(Quarantine.SETTLE_MILLIS * 5);
+		this.quarantine.advance();
+		Assert.assertEquals(this.quarantine.verdicts(), List.of());
+	}
+
+	/** Guards against sound parts that are refused since all servers crash. */
+	@Test
+	public void partOfManyCrashesBesideAnotherOneNeedsMoreAnswers() {
+		crashUntilStrong();
+		report("s-other", 0, List.of("elsewhere"));
+		this.quarantine.onAnswer(MODEL, SOUND);
+		this.clock.advanceMillis(Quarantine.SETTLE_MILLIS);
+		this.quarantine.advance();
+		Assert.assertEquals(this.quarantine.verdicts(), List.of());
+	}
+
+	@Test
+	public void answerLiftsAShortVerdictToo() {
+		crashUntilStrong();
+		this.quarantine.onAnswer(MODEL, SOUND);
+		this.clock.advanceMillis(Quarantine.SETTLE_MILLIS);
+		this.quarantine.advance();
+		this.quarantine.onAnswer(MODEL, BAD);
+		Assert.assertEquals(this.quarantine.verdicts(), List.of());
+	}
+
 	/**
 	 * Guards against bad prompts that are sent between the last answer and the next
 	 * round.
@@ -225,6 +275,16 @@
 		}
 	}
 
+	private void crashUntilStrong() {
+		while (this.crashCount < CrashLedger.MIN_CRASHES_STRONG) {
+			this.clock.advanceMillis(CrashLedger.MIN_SPACING_MILLIS);
+			this.crashCount++;
+			report("s" + this.crashCount, 0, BAD);
+		}
+		this.quarantine.advance();
+		this.clock.advanceMillis(1);
+	}
+
 	private List<VerdictChange> settle(Quarantine process) {
 		process.advance();
 		for (int answer = 0; answer < Quarantine.MIN_OTHER_ANSWERS; answer++) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/CrashLedger.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/CrashLedger.java
@@ -43,6 +43,13 @@
 	 */
 	static final int OTHER_CRASHES_UNANSWERED = 1;
 
+	/**
+	 * Crashes of different servers that a culprit must have in common to be convicted
+	 * while few other prompts are answered: the answer to one of its prompts was about to
+	 * begin at each of them, and no other server crashed meanwhile.
+	 */
+	static final int MIN_CRASHES_STRONG = 5;
+
 	/** Different prompts in which a culprit must have been seen. */
 	static final int MIN_PROMPTS = 2;
 
@@ -189,7 +196,7 @@
 		}
 		List<Crash> telling = crashes.stream().filter((crash) -> isTelling(crash, part)).toList();
 		return new Case(part, crashes.stream().map((crash) -> crash.server).toList(), momentCount(telling),
-				momentCount(others), prompts.size(), answeringCount);
+				momentCount(others), prompts.size(), answeringCount, firstMillis);
 	}
 
 	/**
@@ -262,9 +269,10 @@
 	 * @param promptCount number of different prompts
 	 * @param answeringCount number of crashes at which the answer to such a prompt was
 	 * about to begin
+	 * @param firstMillis time of the first crash, in milliseconds
 	 */
 	record Case(PromptPartKey part, List<String> servers, int momentCount, int otherMomentCount, int promptCount,
-			int answeringCount) {
+			int answeringCount, long firstMillis) {
 
 		boolean isSufficient() {
 			boolean answering = this.answeringCount >= MIN_ANSWERING;
@@ -273,6 +281,15 @@
 			return this.promptCount >= MIN_PROMPTS && this.momentCount >= minCrashes;
 		}
 
+		/**
+		 * Tells whether the evidence suffices while few other prompts are answered.
+		 * @return whether the part alone explains many crashes
+		 */
+		boolean isStrong() {
+			return this.answeringCount >= MIN_CRASHES_STRONG && this.promptCount >= MIN_CRASHES_STRONG
+					&& this.otherMomentCount == 0;
+		}
+
 		boolean isStrongerThan(Case other) {
 			return (this.servers.size() != other.servers.size()) ? this.servers.size() > other.servers.size()
 					: this.promptCount > other.promptCount;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Quarantine.java
@@ -27,8 +27,8 @@
 	static final long SETTLE_MILLIS = 600;
 
 	/**
-	 * Answers that must begin in that time, so that a part isn't convicted only because
-	 * no server is left to answer.
+	 * Answers that must begin meanwhile, so that a part isn't convicted only because no
+	 * server is left to answer.
 	 */
 	static final int MIN_OTHER_ANSWERS = 8;
 
@@ -70,6 +70,9 @@
 
 	private long settledAtAnswerCount;
 
+	/** When an answer began last, by the monotonic clock, in milliseconds. */
+	private long lastAnswerMillis = Long.MIN_VALUE;
+
 	/**
 	 * Creates a quarantine without verdicts.
 	 * @param processId id of this process
@@ -147,14 +150,15 @@
 	 * @param parts ids of the parts that other prompts may have in common
 	 */
 	public synchronized void onAnswer(String model, List<String> parts) {
+		long nowMillis = this.clock.nowMillis();
 		this.answerCount++;
+		this.lastAnswerMillis = nowMillis;
 		for (PromptPartKey part : keys(model, parts)) {
-			this.begunParts.add(part, this.clock.nowMillis());
+			this.begunParts.add(part, nowMillis);
 			clear(part);
 		}
 		// The next prompt may be sent before the next call of advance().
-		long nowMillis = this.clock.nowMillis();
-		if (this.settlingPart != null && isSettled(nowMillis)) {
+		if (this.settlingPart != null && nowMillis >= this.settledAtMillis) {
 			decide(nowMillis);
 		}
 	}
@@ -257,16 +261,24 @@
 			this.settledAtMillis = nowMillis + SETTLE_MILLIS;
 			this.settledAtAnswerCount = this.answerCount + MIN_OTHER_ANSWERS;
 		}
-		if (isSettled(nowMillis)) {
-			this.settlingPart = null;
-			boolean reportedLast = this.lastReporter.equals(this.processId);
-			closeCase(this.verdicts.issue(part, culprit.get().servers(),
-					reportedLast ? 0 : this.random.nextInt(MAX_SHARE_DELAY_MILLIS)));
+		if (nowMillis < this.settledAtMillis) {
+			return;
+		}
+		if (this.answerCount >= this.settledAtAnswerCount) {
+			issue(culprit.get(), Verdict.FIRST_TERM);
+		}
+		else if (culprit.get().isStrong() && this.lastAnswerMillis > culprit.get().firstMillis()) {
+			// Where there is little traffic, or few servers are left, further answers may
+			// take longer than many crashes. One shows that other prompts are served.
+			issue(culprit.get(), Verdict.PROVISIONAL_TERM);
 		}
 	}
 
-	private boolean isSettled(long nowMillis) {
-		return nowMillis >= this.settledAtMillis && this.answerCount >= this.settledAtAnswerCount;
+	private void issue(CrashLedger.Case culprit, int term) {
+		this.settlingPart = null;
+		boolean reportedLast = this.lastReporter.equals(this.processId);
+		closeCase(this.verdicts.issue(culprit.part(), term, culprit.servers(),
+				reportedLast ? 0 : this.random.nextInt(MAX_SHARE_DELAY_MILLIS)));
 	}
 
 	private void closeCase(Verdict verdict) {
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Verdict.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/Verdict.java
@@ -6,7 +6,8 @@
  * Decision that a part of prompts crashes backend servers.
  *
  * @param part the part
- * @param term number of the term, from 1; each trial starts another one
+ * @param term number of the term, from 1, or from {@link #PROVISIONAL_TERM} if few
+ * answers support the verdict; each trial starts another one
  * @param startMillis start of the term by the wall clock, in milliseconds
  * @param author process that issued this term
  * @param servers incarnations of the servers whose crashes led to the verdict
@@ -14,7 +15,18 @@
  */
 public record Verdict(PromptPartKey part, int term, long startMillis, String author, List<String> servers) {
 
-	/** Length of the first term; each further one is twice as long. */
+	/** Number of the first term. */
+	public static final int FIRST_TERM = 1;
+
+	/**
+	 * Number of the first term of a provisional verdict. It lasts some twenty seconds, so
+	 * that a part that is sound after all is soon let pass.
+	 */
+	public static final int PROVISIONAL_TERM = -4;
+
+	/**
+	 * Length of term {@link #FIRST_TERM}; each one is twice as long as the one before it.
+	 */
 	static final long FIRST_TERM_MILLIS = 600_000;
 
 	private static final int MAX_DOUBLINGS = 5;
@@ -31,7 +43,8 @@
 	 * @return length in milliseconds
 	 */
 	public long termMillis() {
-		return FIRST_TERM_MILLIS << Math.min(Math.max(this.term - 1, 0), MAX_DOUBLINGS);
+		int doublings = Math.min(this.term - FIRST_TERM, MAX_DOUBLINGS);
+		return (doublings >= 0) ? FIRST_TERM_MILLIS << doublings : FIRST_TERM_MILLIS >> -doublings;
 	}
 
 	/**
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/VerdictBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/quarantine/VerdictBook.java
@@ -64,13 +64,14 @@
 	/**
 	 * Issues a verdict of this process.
 	 * @param part the culprit
+	 * @param term number of the first term
 	 * @param servers servers that it crashed
 	 * @param shareDelayMillis time after which the verdict is shared unless another
 	 * process has shared its own, in milliseconds
 	 * @return the verdict
 	 */
-	Verdict issue(PromptPartKey part, List<String> servers, long shareDelayMillis) {
-		Verdict verdict = new Verdict(part, 1, this.wallClock.nowMillis(), this.processId, servers);
+	Verdict issue(PromptPartKey part, int term, List<String> servers, long shareDelayMillis) {
+		Verdict verdict = new Verdict(part, term, this.wallClock.nowMillis(), this.processId, servers);
 		hold(HeldVerdict.own(verdict, this.clock.nowMillis() + verdict.termMillis(),
 				this.clock.nowMillis() + shareDelayMillis));
 		return verdict;
