--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ScriptedServer.java
@@ -33,6 +33,9 @@
 	/** More connections than a test opens at once. */
 	private static final int BACKLOG = 500;
 
+	/** Receive buffer of a server that doesn't read bodies, in bytes. */
+	private static final int UNREAD_BYTES = 8 << 10;
+
 	private final ServerSocket socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
 
 	private final List<String> requests = new CopyOnWriteArrayList<>();
@@ -56,6 +59,10 @@
 	ScriptedServer(Script script, boolean readsBodies) throws IOException {
 		this.script = script;
 		this.readsBodies = readsBodies;
+		if (!readsBodies) {
+			// Otherwise the operating system may take a body of some megabytes by itself.
+			this.socket.setReceiveBufferSize(UNREAD_BYTES);
+		}
 		THREADS.newThread(this::acceptAll).start();
 	}
 
