Do less for each content type, derive progress, and keep one passing guard

A pattern was compiled and a Scala map converted for each message with a charset, on the path of every request and response; ObservedBody kept a flag that the count of events gives; GuardedPrompt asked the guard in two places; the tests' guard repeated PromptGuard.NONE; HttpConnection had "written" beside "writing".

Change: the pattern is compiled once and content types without parameters are not converted; the flag is gone; onComplete uses mayGoElsewhere; PassingGuard stands beside PromptGuard, is its NONE and the base of the tests' guards; the two fields say what they hold. Behavior is meant to be the same, no check or expectation changed.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/GuardedPrompt.java
@@ -77,8 +77,8 @@
 		if (success && endIsCertain) {
 			onAnswer();
 		}
-		else if (success && !this.answered) {
-			this.guard.onUnanswered(attempt.server(), this.caller, attempt.isAnswering(), attempt.sentMillis());
+		else if (success) {
+			mayGoElsewhere(attempt);
 		}
 	}
 
@@ -94,7 +94,8 @@
 	}
 
 	/**
-	 * Asks whether the request may be sent to another server after its connection broke.
+	 * Reports to the guard that the connection ended, which then checks the server unless
+	 * the answer had begun, and asks whether the request may be sent to another server.
 	 * @param attempt the attempt that failed
 	 * @return whether it may, as far as its prompt is concerned
 	 */
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ObservedBody.java
@@ -56,8 +56,6 @@
 
 		private boolean started;
 
-		private boolean progressed;
-
 		private Logic() {
 			super(ObservedBody.this.shape());
 			setHandler(inlet(), new Upstream());
@@ -75,8 +73,7 @@
 				ObservedBody.this.observer.onBytes();
 				ByteString bytes = grab(inlet());
 				try {
-					Logic.this.event.add(bytes);
-					reportProgress();
+					addEvents(bytes);
 					push(outlet(), bytes);
 				}
 				catch (ResponseTooLargeException ex) {
@@ -84,9 +81,10 @@
 				}
 			}
 
-			private void reportProgress() {
-				if (ObservedBody.this.hasEvents && !Logic.this.progressed && Logic.this.event.count() >= MIN_EVENTS) {
-					Logic.this.progressed = true;
+			private void addEvents(ByteString bytes) throws ResponseTooLargeException {
+				long countBefore = Logic.this.event.count();
+				Logic.this.event.add(bytes);
+				if (ObservedBody.this.hasEvents && countBefore < MIN_EVENTS && Logic.this.event.count() >= MIN_EVENTS) {
 					ObservedBody.this.observer.onProgress();
 				}
 			}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/PassingGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PassingGuard.java
@@ -1,4 +1,4 @@
-package org.marjoramgw.platform;
+package org.marjoramgw.direct.quarantine;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -6,15 +6,14 @@
 
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.BackendServer;
-import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.policy.quarantine.Verdict;
 
 /**
- * Guard that lets every prompt pass, for tests that record what a guard is told.
+ * Guard that lets every prompt pass.
  *
  * @author The marjoramgw authors
  */
-class PassingGuard implements PromptGuard {
+public class PassingGuard implements PromptGuard {
 
 	@Override
 	public Optional<Verdict> check(CallerRequest request) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/quarantine/PromptGuard.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.direct.quarantine;
 
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import org.marjoramgw.direct.caller.CallerRequest;
@@ -16,40 +15,7 @@
 public interface PromptGuard {
 
 	/** Guard that lets every prompt pass. */
-	PromptGuard NONE = new PromptGuard() {
-
-		@Override
-		public Optional<Verdict> check(CallerRequest request) {
-			return Optional.empty();
-		}
-
-		@Override
-		public Optional<Verdict> peek(CallerRequest request) {
-			return Optional.empty();
-		}
-
-		@Override
-		public Optional<Verdict> checkBeforeSend(CallerRequest request) {
-			return Optional.empty();
-		}
-
-		@Override
-		public Watch watch(CallerRequest request, Runnable onQuarantined) {
-			return () -> {
-			};
-		}
-
-		@Override
-		public void onAnswer(CallerRequest request) {
-		}
-
-		@Override
-		public CompletionStage<Boolean> onUnanswered(BackendServer server, CallerRequest request, boolean answering,
-				long sentMillis) {
-			return CompletableFuture.completedFuture(true);
-		}
-
-	};
+	PromptGuard NONE = new PassingGuard();
 
 	/**
 	 * Returns the verdict for which a request is refused at present.
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/BegunAnswerTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/BegunAnswerTests.java
@@ -11,6 +11,7 @@
 import org.marjoramgw.direct.backend.ServerHealth;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.BackendServer;
+import org.marjoramgw.direct.quarantine.PassingGuard;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EarlyDisconnectTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/EarlyDisconnectTests.java
@@ -15,6 +15,7 @@
 import org.apache.pekko.util.ByteString;
 import org.marjoramgw.direct.caller.CallerConnection;
 import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.quarantine.PassingGuard;
 import org.marjoramgw.time.ClockReading;
 import org.testng.Assert;
 import org.testng.annotations.Test;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ContentTypeHeader.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ContentTypeHeader.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.HttpCharset;
@@ -23,7 +24,7 @@
 
 	private static final String NAME = "Content-Type";
 
-	private static final String TOKEN = "[0-9A-Za-z!#$%&'*+.^_`|~-]+";
+	private static final Pattern TOKEN = Pattern.compile("[0-9A-Za-z!#$%&'*+.^_`|~-]+");
 
 	private ContentTypeHeader(String bytes) {
 		super(NAME, bytes);
@@ -78,7 +79,7 @@
 
 	private static boolean isWrittenAsRead(ContentType type) {
 		return parameters(type).values().stream().allMatch(HeaderText::isAscii)
-				&& charset(type).map((name) -> name.matches(TOKEN)).orElse(true);
+				&& charset(type).map(ContentTypeHeader::isToken).orElse(true);
 	}
 
 	private static String format(ContentType type) {
@@ -91,7 +92,7 @@
 
 	private static void appendParameter(StringBuilder text, String name, String value) {
 		text.append("; ").append(name).append('=');
-		if (value.matches(TOKEN)) {
+		if (isToken(value)) {
 			text.append(value);
 		}
 		else {
@@ -99,8 +100,13 @@
 		}
 	}
 
+	private static boolean isToken(String value) {
+		return TOKEN.matcher(value).matches();
+	}
+
 	private static Map<String, String> parameters(ContentType type) {
-		return CollectionConverters.asJava(((MediaType) type.mediaType()).params());
+		scala.collection.immutable.Map<String, String> parameters = ((MediaType) type.mediaType()).params();
+		return parameters.isEmpty() ? Map.of() : CollectionConverters.asJava(parameters);
 	}
 
 	private static Optional<String> charset(ContentType type) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
@@ -46,9 +46,11 @@
 
 	private ResponseFrame responseFrame;
 
-	private boolean written;
+	/** Whether bytes of the latest request may have been sent. */
+	private boolean requestBegun;
 
-	private boolean writing;
+	/** Whether bytes of it are left that the operating system has not taken. */
+	private boolean requestPending;
 
 	private boolean closed;
 
@@ -82,7 +84,7 @@
 				return CompletableFuture.failedFuture(new IOException("connection is closed or in use"));
 			}
 			this.busy = true;
-			this.written = false;
+			this.requestBegun = false;
 			this.requestId = id;
 			this.carriedIds.add(id);
 			this.responseFrame = new ResponseFrame(request.method().equals(HttpMethods.HEAD), id);
@@ -149,15 +151,15 @@
 	 * Called before bytes of the request are written.
 	 */
 	synchronized void onWriting() {
-		this.written = true;
-		this.writing = true;
+		this.requestBegun = true;
+		this.requestPending = true;
 	}
 
 	/**
 	 * Called when the operating system has taken the bytes that were written last.
 	 */
 	synchronized void onWritten() {
-		this.writing = false;
+		this.requestPending = false;
 	}
 
 	/**
@@ -167,7 +169,7 @@
 	 * @return whether the response may be taken for complete
 	 */
 	synchronized boolean mayEndResponse() {
-		return !this.writing || this.responseFrame == null || this.responseFrame.isComplete();
+		return !this.requestPending || this.responseFrame == null || this.responseFrame.isComplete();
 	}
 
 	/**
@@ -183,7 +185,7 @@
 		synchronized (this) {
 			id = this.requestId;
 			place = this.busy ? StrayBytes.Place.BEFORE_REQUEST : StrayBytes.Place.IDLE;
-			if (this.busy && this.written) {
+			if (this.busy && this.requestBegun) {
 				try {
 					int count = this.responseFrame.accept(bytes);
 					responseBytes = this.responseFrame.toParser(bytes.take(count));
