Log the era and the position of what is read from the store

The log said which version of the configuration is in force, but neither from which offset nor from which history of the store it was read, nor which version decided a refusal.

No decision changes.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicSnapshotTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicSnapshotTests.java
@@ -35,7 +35,8 @@
 		this.topic.pages.add(new TopicPage(List.of(item("a"), item("b")), true, 7));
 		this.topic.pages.add(new TopicPage(List.of(item("c")), false, 9));
 		TopicSnapshot snapshot = this.topic.readSnapshot().toCompletableFuture().get();
-		Assert.assertEquals(snapshot, new TopicSnapshot(List.of(item("a"), item("b"), item("c")), 7));
+		Assert.assertEquals(snapshot,
+				new TopicSnapshot(List.of(item("a"), item("b"), item("c")), new TopicPosition(0, 7)));
 		Assert.assertEquals(this.topic.requests, List.of("", "b"));
 	}
 
@@ -50,7 +51,8 @@
 	@Test
 	public void emptyTopicIsASnapshot() throws Exception {
 		this.topic.pages.add(new TopicPage(List.of(), false, 0));
-		Assert.assertEquals(this.topic.readSnapshot().toCompletableFuture().get(), new TopicSnapshot(List.of(), 0));
+		Assert.assertEquals(this.topic.readSnapshot().toCompletableFuture().get(),
+				new TopicSnapshot(List.of(), new TopicPosition(0, 0)));
 	}
 
 	@Test
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/LeaseDriver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/LeaseDriver.java
@@ -170,7 +170,7 @@
 					onFailure("read", failure);
 				}
 				else {
-					onSnapshot(snapshot.records(), snapshot.endOffset());
+					onSnapshot(snapshot.records(), snapshot.end().offset());
 				}
 			}
 		});
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
@@ -95,7 +95,7 @@
 				}
 				this.ledger.clear();
 				snapshot.records().forEach(this::accept);
-				this.position = snapshot.endOffset();
+				this.position = snapshot.end().offset();
 				end(course.onCurrent);
 			}
 		});
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
@@ -98,7 +98,7 @@
 	public void onRecords(List<KeyedRecord> records) {
 		for (KeyedRecord record : records) {
 			if (record.key().equals(this.key)) {
-				record.value().ifPresent(this::apply);
+				record.value().ifPresent((value) -> apply(value, record.offset()));
 			}
 		}
 	}
@@ -113,14 +113,14 @@
 		// The last configuration remains active. Its age tells how far to trust it.
 	}
 
-	private void apply(byte[] value) {
+	private void apply(byte[] value, long offset) {
 		Optional<Routing> decoded = this.decoder.decode(value);
 		if (decoded.isEmpty()) {
 			return;
 		}
 		Routing routing = decoded.get();
 		if (this.current == null || routing.version() > this.current.version()) {
-			Logger.info("configuration version {} in force", routing.version());
+			Logger.info("configuration version {} in force, read at offset {}", routing.version(), offset);
 			this.current = routing;
 		}
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/SnapshotReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/SnapshotReader.java
@@ -14,13 +14,11 @@
  */
 final class SnapshotReader {
 
-	private static final long UNKNOWN = -1;
-
 	private final CompactedTopic topic;
 
 	private final List<KeyedRecord> records = new ArrayList<>();
 
-	private long endOffset = UNKNOWN;
+	private TopicPosition end;
 
 	/**
 	 * Creates a reader.
@@ -44,12 +42,12 @@
 
 	private CompletionStage<TopicSnapshot> onPage(TopicPage page) {
 		this.records.addAll(page.records());
-		if (this.endOffset == UNKNOWN) {
+		if (this.end == null) {
 			// What was appended between two pages is read again.
-			this.endOffset = page.endOffset();
+			this.end = new TopicPosition(page.era(), page.endOffset());
 		}
 		if (!page.hasMore()) {
-			return CompletableFuture.completedFuture(new TopicSnapshot(List.copyOf(this.records), this.endOffset));
+			return CompletableFuture.completedFuture(new TopicSnapshot(List.copyOf(this.records), this.end));
 		}
 		if (page.records().isEmpty()) {
 			return CompletableFuture
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -37,6 +37,8 @@
 
 	private long nextOffset = -1;
 
+	private long era = TopicPosition.NO_ERA;
+
 	private boolean reachable = true;
 
 	private int failureCount;
@@ -116,7 +118,10 @@
 			this.listener.onSnapshot(snapshot.records());
 			this.listener.onConfirmed(sent);
 			this.catchUp.restart();
-			this.nextOffset = snapshot.endOffset();
+			this.nextOffset = snapshot.end().offset();
+			this.era = snapshot.end().era();
+			Logger.info("{}: snapshot of {} records read up to {}", this.name, snapshot.records().size(),
+					snapshot.end());
 		}
 		readNext();
 	}
@@ -144,6 +149,7 @@
 	private void onSlice(TopicSlice slice, ClockReading sent) {
 		synchronized (this) {
 			markReachable();
+			noteEra(slice);
 			if (!slice.records().isEmpty()) {
 				this.listener.onRecords(slice.records());
 			}
@@ -159,6 +165,14 @@
 		}
 	}
 
+	private void noteEra(TopicSlice slice) {
+		if (slice.era() != this.era) {
+			Logger.warn("{}: read from era={} offset={} was answered in era={}, records={} end={}", this.name, this.era,
+					this.nextOffset, slice.era(), slice.records().size(), slice.endOffset());
+			this.era = slice.era();
+		}
+	}
+
 	private void onFailure(Throwable failure, Runnable retry) {
 		this.counters.count(ResultCode.STORE_AWAY);
 		long delayMillis;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicPage.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicPage.java
@@ -8,7 +8,19 @@
  * @param records the latest record of each key of the page
  * @param hasMore whether more pages follow
  * @param endOffset offset of the next record to be appended, at the time of this page
+ * @param era era of the store that answered
  * @author The marjoramgw authors
  */
-public record TopicPage(List<KeyedRecord> records, boolean hasMore, long endOffset) {
+public record TopicPage(List<KeyedRecord> records, boolean hasMore, long endOffset, long era) {
+
+	/**
+	 * Creates a page of a store without eras.
+	 * @param records the latest record of each key of the page
+	 * @param hasMore whether more pages follow
+	 * @param endOffset offset of the next record to be appended, at the time of this page
+	 */
+	public TopicPage(List<KeyedRecord> records, boolean hasMore, long endOffset) {
+		this(records, hasMore, endOffset, TopicPosition.NO_ERA);
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AdmittedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AdmittedRequest.java
@@ -20,8 +20,14 @@
 public record AdmittedRequest(Route route, Optional<Account> account, int rank, int serverRank, int deferredServerRank,
 		long version) {
 
-	/** Log fields of a request that was not admitted. */
-	static final String NOT_ADMITTED = "version=0 rank=-1";
+	/**
+	 * Returns the log fields of a request that was not admitted.
+	 * @param version version of the active configuration, 0 if there is none
+	 * @return configuration version, and a rank that no request has
+	 */
+	static String describeNotAdmitted(long version) {
+		return "version=" + version + " rank=-1";
+	}
 
 	/**
 	 * Returns the log fields of the admission decision.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -4,6 +4,7 @@
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.model.Route;
+import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.RequestTime;
@@ -203,7 +204,8 @@
 	 */
 	void recordOutcome(ResultCode code, int status, String detail) {
 		long tookMillis = ageMillis();
-		String decision = AdmittedRequest.NOT_ADMITTED;
+		String decision = AdmittedRequest
+			.describeNotAdmitted(this.context.routing().current().map(Routing::version).orElse(0L));
 		String routeName = "";
 		if (this.admitted != null) {
 			decision = this.admitted.describe();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerList.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerList.java
@@ -151,7 +151,7 @@
 				onFailure(failure, this::readNext);
 				return;
 			}
-			setPosition(snapshot.endOffset());
+			setPosition(snapshot.end().offset());
 			deliver(snapshot.records(), true);
 		});
 	}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StoreFormatTests.java
@@ -11,6 +11,7 @@
 
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.TopicPage;
+import org.marjoramgw.direct.follow.TopicPosition;
 import org.marjoramgw.direct.follow.TopicSlice;
 import org.marjoramgw.errors.StoreUnavailableException;
 import org.marjoramgw.testkit.TestSeed;
@@ -27,9 +28,10 @@
 
 	@Test
 	public void decodesConsecutiveRecordsAndDeletions() {
-		TopicSlice slice = StoreFormat.decodeSlice(read(content("a", "one"), content("b", "")), 40);
+		TopicSlice slice = StoreFormat.decodeSlice(read(content("a", "one"), content("b", "")), 40, 3);
 		Assert.assertEquals(slice.nextOffset(), 42);
 		Assert.assertEquals(slice.endOffset(), 99);
+		Assert.assertEquals(slice.next(), new TopicPosition(3, 42));
 		Assert.assertFalse(slice.reachesEnd());
 		Assert.assertEquals(slice.records().get(0).key(), "a");
 		Assert.assertEquals(slice.records().get(0).value().orElseThrow(), bytes("one"));
@@ -39,14 +41,15 @@
 
 	@Test
 	public void emptyReadKeepsOffset() {
-		Assert.assertEquals(StoreFormat.decodeSlice(read(), 7).nextOffset(), 7);
+		Assert.assertEquals(StoreFormat.decodeSlice(read(), 7, 0).nextOffset(), 7);
 	}
 
 	@Test
 	public void decodesPage() {
 		String value = Base64.getEncoder().encodeToString(bytes("one"));
 		TopicPage page = StoreFormat.decodePage(bytes(
-				"{\"items\":[{\"key\":\"a\",\"value\":\"" + value + "\",\"offset\":4}],\"hasMore\":true,\"end\":6}"));
+				"{\"items\":[{\"key\":\"a\",\"value\":\"" + value + "\",\"offset\":4}],\"hasMore\":true,\"end\":6}"),
+				0);
 		Assert.assertTrue(page.hasMore());
 		Assert.assertEquals(page.endOffset(), 6);
 		Assert.assertEquals(page.records().get(0).value().orElseThrow(), bytes("one"));
@@ -64,7 +67,7 @@
 	 */
 	@Test(dataProvider = "incompletePages")
 	public void pageWithoutAFieldIsNotDecoded(String page) {
-		Assert.assertThrows(CompletionException.class, () -> StoreFormat.decodePage(bytes(page)));
+		Assert.assertThrows(CompletionException.class, () -> StoreFormat.decodePage(bytes(page), 0));
 	}
 
 	@Test
@@ -73,7 +76,7 @@
 				new KeyedRecord("b", Optional.empty(), 1));
 		byte[] encoded = StoreFormat.encodeRecords(records);
 		TopicSlice slice = StoreFormat
-			.decodeSlice(ByteBuffer.allocate(16 + encoded.length).putLong(2).putLong(0).put(encoded).array(), 0);
+			.decodeSlice(ByteBuffer.allocate(16 + encoded.length).putLong(2).putLong(0).put(encoded).array(), 0, 0);
 		Assert.assertEquals(slice.records().get(0).value().orElseThrow(), bytes("one"));
 		Assert.assertEquals(slice.records().get(1).key(), "b");
 		Assert.assertTrue(slice.records().get(1).value().isEmpty());
@@ -82,7 +85,7 @@
 	@Test
 	public void lengthBeyondTheBodyFailsBeforeItIsAllocated() {
 		byte[] body = ByteBuffer.allocate(20).putLong(0).putLong(0).putInt(Integer.MAX_VALUE).array();
-		Assert.assertThrows(CompletionException.class, () -> StoreFormat.decodeSlice(body, 0));
+		Assert.assertThrows(CompletionException.class, () -> StoreFormat.decodeSlice(body, 0, 0));
 	}
 
 	@Test
@@ -94,8 +97,8 @@
 			if (corrupted.length > 0) {
 				corrupted[random.nextInt(corrupted.length)] = (byte) random.nextInt();
 			}
-			decodeOrFail(() -> StoreFormat.decodeSlice(corrupted, 0));
-			decodeOrFail(() -> StoreFormat.decodePage(corrupted));
+			decodeOrFail(() -> StoreFormat.decodeSlice(corrupted, 0, 0));
+			decodeOrFail(() -> StoreFormat.decodePage(corrupted, 0));
 		}
 	}
 
