Read on from a position only in the era that it belongs to

Cause: a position in a topic was a bare offset. When the store comes back from a copy, offsets are given out again; a process went on at its old one, never saw the records below it, and each empty read confirmed its old state.

Change: a position is an era and an offset (TopicPosition). The followers of the configuration, the registrations and the verdicts, the list of peers, the shared counts and the lease read through it.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -99,6 +99,36 @@
 		Assert.assertFalse(fixture.events.contains("unreachable"));
 	}
 
+	/**
+	 * Guards against records that are skipped since their offsets were read in another
+	 * era, and against a confirmation by a read of another era.
+	 */
+	@Test
+	public void answerOfAnotherEraTriggersNewSnapshot() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("a", "1", 3)), false, 7, 4));
+		fixture.clock.advanceMillis(400);
+		fixture.follower.confirm();
+		fixture.topic.completeLastSlice(new TopicSlice(List.of(), 7, 7, 5));
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("b", "1", 7)), 8, 8, 5));
+		Assert.assertEquals(fixture.events, List.of("snapshot a", "confirmed 10000"));
+		Assert.assertEquals(fixture.topic.lastRequest(), "newest ''");
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("b", "1", 7)), false, 8, 5));
+		Assert.assertEquals(fixture.lastEvent(), "confirmed 10400");
+		Assert.assertEquals(fixture.topic.lastRequest(), "read 8");
+	}
+
+	/** Guards against a snapshot whose pages belong to different histories. */
+	@Test
+	public void pagesOfTwoErasAreNoSnapshot() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("a", "1", 3)), true, 7, 4));
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("b", "1", 4)), false, 7, 5));
+		Assert.assertEquals(fixture.events, List.of("unreachable"));
+		fixture.runScheduled();
+		Assert.assertEquals(fixture.topic.lastRequest(), "newest ''", "read from the first page again");
+	}
+
 	@Test
 	public void failedReadIsRetriedFromSameOffset() {
 		Fixture fixture = new Fixture();
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/LeaseDriver.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/LeaseDriver.java
@@ -10,7 +10,9 @@
 import org.marjoramgw.direct.follow.AppendResult;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.follow.TopicPosition;
 import org.marjoramgw.direct.follow.TopicSlice;
+import org.marjoramgw.direct.follow.TopicSnapshot;
 import org.marjoramgw.errors.RecordsExpiredException;
 import org.marjoramgw.policy.lease.LeaseEntry;
 import org.marjoramgw.policy.lease.LeaseRecord;
@@ -47,6 +49,9 @@
 
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
+	/** Era of the last snapshot, which the offsets of the state belong to. */
+	private long era = TopicPosition.NO_ERA;
+
 	private Timers.Handle pause = Timers.Handle.NONE;
 
 	private long pauseNumber;
@@ -170,37 +175,40 @@
 					onFailure("read", failure);
 				}
 				else {
-					onSnapshot(snapshot.records(), snapshot.end().offset());
+					onSnapshot(snapshot);
 				}
 			}
 		});
 	}
 
-	private void onSnapshot(List<KeyedRecord> records, long endOffset) {
+	private void onSnapshot(TopicSnapshot snapshot) {
 		this.failureCount = 0;
-		Optional<LeaseEntry> lease = records.stream()
+		this.era = snapshot.end().era();
+		Optional<LeaseEntry> lease = snapshot.records()
+			.stream()
 			.flatMap((record) -> DutyCodec.decodeLease(record).stream())
 			.findFirst();
-		this.state.onSnapshot(lease, endOffset, this.clock.now());
-		this.duty.onRecords(records);
+		this.state.onSnapshot(lease, snapshot.end().offset(), this.clock.now());
+		this.duty.onRecords(snapshot.records());
 		step();
 	}
 
 	private void read(long waitMillis) {
-		this.topic.read(this.state.end(), waitMillis).whenComplete((slice, failure) -> {
-			synchronized (this.lock) {
-				if (failure == null) {
-					onSlice(slice);
-				}
-				else if (RecordsExpiredException.isCauseOf(failure)) {
-					this.state.onExpired();
-					step();
+		this.topic.readFrom(new TopicPosition(this.era, this.state.end()), waitMillis)
+			.whenComplete((slice, failure) -> {
+				synchronized (this.lock) {
+					if (failure == null) {
+						onSlice(slice);
+					}
+					else if (RecordsExpiredException.isCauseOf(failure)) {
+						this.state.onExpired();
+						step();
+					}
+					else {
+						onFailure("read", failure);
+					}
 				}
-				else {
-					onFailure("read", failure);
-				}
-			}
-		});
+			});
 	}
 
 	private void onSlice(TopicSlice slice) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
@@ -2,6 +2,7 @@
 
 import org.marjoramgw.direct.follow.CompactedTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.follow.TopicPosition;
 import org.marjoramgw.errors.RecordsExpiredException;
 import org.marjoramgw.policy.lease.StandbyChoice;
 import org.marjoramgw.policy.usage.UsageLedger;
@@ -22,7 +23,8 @@
 
 	private final Object lock;
 
-	private long position = -1;
+	/** Position to read from next, {@code null} before the first snapshot. */
+	private TopicPosition position;
 
 	private boolean reading;
 
@@ -48,7 +50,7 @@
 	void reset() {
 		this.generation++;
 		this.reading = false;
-		this.position = -1;
+		this.position = null;
 		this.ledger.clear();
 	}
 
@@ -61,7 +63,7 @@
 	 * @return whether it was
 	 */
 	boolean isLoaded() {
-		return this.position >= 0;
+		return this.position != null;
 	}
 
 	/**
@@ -75,7 +77,7 @@
 		}
 		this.reading = true;
 		Course course = new Course(this.generation, onCurrent, onFailure);
-		if (this.position < 0) {
+		if (this.position == null) {
 			readSnapshot(course);
 		}
 		else {
@@ -95,25 +97,25 @@
 				}
 				this.ledger.clear();
 				snapshot.records().forEach(this::accept);
-				this.position = snapshot.end().offset();
+				this.position = snapshot.end();
 				end(course.onCurrent);
 			}
 		});
 	}
 
 	private void readNext(Course course) {
-		this.topic.read(this.position, 0).whenComplete((slice, failure) -> {
+		this.topic.readFrom(this.position, 0).whenComplete((slice, failure) -> {
 			synchronized (this.lock) {
 				if (course.generation != this.generation) {
 					return;
 				}
 				if (failure != null) {
-					this.position = RecordsExpiredException.isCauseOf(failure) ? -1 : this.position;
+					this.position = RecordsExpiredException.isCauseOf(failure) ? null : this.position;
 					end(course.onFailure);
 					return;
 				}
 				slice.records().forEach(this::accept);
-				this.position = slice.nextOffset();
+				this.position = slice.next();
 				if (slice.reachesEnd() || slice.records().isEmpty()) {
 					end(course.onCurrent);
 				}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/SnapshotReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/SnapshotReader.java
@@ -41,6 +41,10 @@
 	}
 
 	private CompletionStage<TopicSnapshot> onPage(TopicPage page) {
+		if (this.end != null && page.era() != this.end.era()) {
+			return CompletableFuture.failedFuture(
+					new StoreUnavailableException("pages of eras " + this.end.era() + " and " + page.era(), null));
+		}
 		this.records.addAll(page.records());
 		if (this.end == null) {
 			// What was appended between two pages is read again.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -13,7 +13,7 @@
  * that is appended.
  * <p>
  * While the store is unreachable, the listener keeps its last state. If the store no
- * longer retains the next records, a new snapshot is read.
+ * longer retains the next records, or was restored from a copy, a new snapshot is read.
  *
  * @author The marjoramgw authors
  */
@@ -35,9 +35,8 @@
 
 	private final CatchUp catchUp = new CatchUp();
 
-	private long nextOffset = -1;
-
-	private long era = TopicPosition.NO_ERA;
+	/** Position to read from next, {@code null} before the first snapshot. */
+	private TopicPosition next;
 
 	private boolean reachable = true;
 
@@ -88,12 +87,12 @@
 	 * Checks for new records immediately, in addition to the pending read.
 	 */
 	public void confirm() {
-		long from = position();
-		if (from < 0 || this.closed) {
+		TopicPosition from = position();
+		if (from == null || this.closed) {
 			return;
 		}
 		ClockReading sent = this.clock.now();
-		this.topic.read(from, 0).whenComplete((slice, failure) -> onConfirmation(slice, from, sent));
+		this.topic.readFrom(from, 0).whenComplete((slice, failure) -> onConfirmation(slice, from, sent));
 	}
 
 	@Override
@@ -101,13 +100,13 @@
 		this.closed = true;
 	}
 
-	private synchronized long position() {
-		return this.nextOffset;
+	private synchronized TopicPosition position() {
+		return this.next;
 	}
 
-	private synchronized void onConfirmation(TopicSlice slice, long from, ClockReading sent) {
+	private synchronized void onConfirmation(TopicSlice slice, TopicPosition from, ClockReading sent) {
 		// New records are left to the pending read, which keeps them in order.
-		if (slice != null && slice.records().isEmpty() && slice.reachesEnd() && from == this.nextOffset) {
+		if (slice != null && slice.records().isEmpty() && slice.reachesEnd() && from.equals(this.next)) {
 			this.listener.onConfirmed(sent);
 		}
 	}
@@ -118,8 +117,7 @@
 			this.listener.onSnapshot(snapshot.records());
 			this.listener.onConfirmed(sent);
 			this.catchUp.restart();
-			this.nextOffset = snapshot.end().offset();
-			this.era = snapshot.end().era();
+			this.next = snapshot.end();
 			Logger.info("{}: snapshot of {} records read up to {}", this.name, snapshot.records().size(),
 					snapshot.end());
 		}
@@ -131,13 +129,13 @@
 			return;
 		}
 		ClockReading sent = this.clock.now();
-		this.topic.read(position(), this.schedule.waitMillis()).whenComplete((slice, failure) -> {
+		this.topic.readFrom(position(), this.schedule.waitMillis()).whenComplete((slice, failure) -> {
 			if (failure == null) {
 				onSlice(slice, sent);
 			}
 			else if (RecordsExpiredException.isCauseOf(failure)) {
 				this.counters.count(ResultCode.RECORDS_EXPIRED);
-				Logger.info("{}: records expired, reading a new snapshot", this.name);
+				Logger.info("{}: reading a new snapshot: {}", this.name, failure.toString());
 				start();
 			}
 			else {
@@ -149,11 +147,10 @@
 	private void onSlice(TopicSlice slice, ClockReading sent) {
 		synchronized (this) {
 			markReachable();
-			noteEra(slice);
 			if (!slice.records().isEmpty()) {
 				this.listener.onRecords(slice.records());
 			}
-			this.nextOffset = slice.nextOffset();
+			this.next = slice.next();
 			this.catchUp.onDelivered(slice, sent).ifPresent(this.listener::onConfirmed);
 		}
 		if (slice.records().isEmpty() == slice.reachesEnd()) {
@@ -165,14 +162,6 @@
 		}
 	}
 
-	private void noteEra(TopicSlice slice) {
-		if (slice.era() != this.era) {
-			Logger.warn("{}: read from era={} offset={} was answered in era={}, records={} end={}", this.name, this.era,
-					this.nextOffset, slice.era(), slice.records().size(), slice.endOffset());
-			this.era = slice.era();
-		}
-	}
-
 	private void onFailure(Throwable failure, Runnable retry) {
 		this.counters.count(ResultCode.STORE_AWAY);
 		long delayMillis;
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerList.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/peer/PeerList.java
@@ -8,6 +8,7 @@
 import org.marjoramgw.HostPort;
 import org.marjoramgw.direct.follow.AppendableTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.follow.TopicPosition;
 import org.marjoramgw.direct.follow.TopicSlice;
 import org.marjoramgw.errors.RecordsExpiredException;
 import org.marjoramgw.policy.fleet.PeerListing;
@@ -27,8 +28,6 @@
  */
 final class PeerList {
 
-	private static final long UNKNOWN = -1;
-
 	private final String processId;
 
 	private final long incarnation;
@@ -43,7 +42,8 @@
 
 	private KeyedRecord ownRecord;
 
-	private long nextOffset = UNKNOWN;
+	/** Position to read from next, {@code null} if all records are to be read. */
+	private TopicPosition next;
 
 	private int failureCount;
 
@@ -126,17 +126,17 @@
 		if (isClosed()) {
 			return;
 		}
-		long from = position();
-		if (from == UNKNOWN) {
+		TopicPosition from = position();
+		if (from == null) {
 			readAll();
 			return;
 		}
-		this.topic.read(from, 0).whenComplete((slice, failure) -> {
+		this.topic.readFrom(from, 0).whenComplete((slice, failure) -> {
 			if (failure == null) {
 				onSlice(slice);
 			}
 			else if (RecordsExpiredException.isCauseOf(failure)) {
-				setPosition(UNKNOWN);
+				setPosition(null);
 				readNext();
 			}
 			else {
@@ -151,13 +151,13 @@
 				onFailure(failure, this::readNext);
 				return;
 			}
-			setPosition(snapshot.end().offset());
+			setPosition(snapshot.end());
 			deliver(snapshot.records(), true);
 		});
 	}
 
 	private void onSlice(TopicSlice slice) {
-		setPosition(slice.nextOffset());
+		setPosition(slice.next());
 		if (!slice.reachesEnd() && !slice.records().isEmpty()) {
 			this.listener.onListed(listings(slice.records()), deletedIds(slice.records()), false);
 			readNext();
@@ -213,12 +213,12 @@
 		return this.closed;
 	}
 
-	private synchronized long position() {
-		return this.nextOffset;
+	private synchronized TopicPosition position() {
+		return this.next;
 	}
 
-	private synchronized void setPosition(long offset) {
-		this.nextOffset = offset;
+	private synchronized void setPosition(TopicPosition position) {
+		this.next = position;
 	}
 
 	private static List<PeerListing> listings(List<KeyedRecord> records) {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/errors/RecordsExpiredException.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/errors/RecordsExpiredException.java
@@ -5,7 +5,7 @@
 import org.marjoramgw.ResultCode;
 
 /**
- * Signals that the requested records of a topic have expired in the store.
+ * Signals that the store no longer has the requested records of a topic.
  *
  * @author The marjoramgw authors
  */
@@ -22,6 +22,14 @@
 		super(ResultCode.RECORDS_EXPIRED, topic + " from offset " + fromOffset, null);
 	}
 
+	/**
+	 * Creates an exception.
+	 * @param detail what was requested, and why the store doesn't have it
+	 */
+	public RecordsExpiredException(String detail) {
+		super(ResultCode.RECORDS_EXPIRED, detail, null);
+	}
+
 	/**
 	 * Tells whether a read failed because its records have expired.
 	 * @param failure failure of the read, also as wrapped by a completion stage
