Let a read confirm only the configuration that the store contains

Cause: each read that reached the end of the topic confirmed the active configuration, also when the newest record was skipped: it couldn't be decoded, was older than what the process knows (a store that came back from a copy), had been deleted, or made the decoder fail.

Change: ActiveRouting remembers whether the newest record of the store is the configuration in force. Otherwise a read confirms nothing: after the age that the revocation time allows, keyed requests and refusals get 503 and the process isn't ready, until a version that it can use is written.

Why it works: an age says how long ago the store was known to agree.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ActiveRoutingTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ActiveRoutingTests.java
@@ -11,6 +11,7 @@
 import org.marjoramgw.testkit.TestSeed;
 import org.marjoramgw.time.AgeClock;
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -62,12 +63,51 @@
 		Assert.assertEquals(routing.ageMillis(), 7_100);
 	}
 
+	/**
+	 * Lists what the store may contain beside the active version 3.
+	 * @return the record, or null if there is none, and whether it agrees
+	 */
+	@DataProvider
+	public Object[][] storedRecords() {
+		return new Object[][] { { "3", true }, { "4", true }, { "2", false }, { "{", false }, { "fault", false },
+				{ null, false } };
+	}
+
+	/**
+	 * Guards against keys and refusals that rest on a read which found another
+	 * configuration than the active one.
+	 */
+	@Test(dataProvider = "storedRecords")
+	public void readConfirmsOnlyWhatTheStoreContains(String stored, boolean agrees) {
+		for (boolean snapshot : new boolean[] { true, false }) {
+			ActiveRouting routing = createRouting();
+			routing.onSnapshot(List.of(Fixtures.record("config", "3", 0)));
+			routing.onConfirmed(this.clock.now());
+			this.monotonicMillis.addAndGet(500);
+			KeyedRecord record = Fixtures.record("config", stored, 1);
+			if (snapshot) {
+				routing.onSnapshot((stored != null) ? List.of(record) : List.of());
+			}
+			else {
+				routing.onRecords(List.of(record));
+			}
+			routing.onConfirmed(this.clock.now());
+			Assert.assertEquals(routing.ageMillis(), agrees ? 0 : 500, stored);
+			routing.onRecords(List.of(Fixtures.record("config", "5", 2)));
+			routing.onConfirmed(this.clock.now());
+			Assert.assertEquals(routing.ageMillis(), 0, "the next version is readable");
+		}
+	}
+
 	private ActiveRouting createRouting() {
 		return new ActiveRouting("config", ActiveRoutingTests::decode, this.clock);
 	}
 
 	private static Optional<Routing> decode(byte[] value) {
 		String text = new String(value, StandardCharsets.UTF_8);
+		if (text.equals("fault")) {
+			throw new IllegalStateException("fault of the decoder");
+		}
 		return text.equals("{") ? Optional.empty() : Optional.of(Fixtures.routing(Long.parseLong(text)));
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ActiveRouting.java
@@ -14,8 +14,9 @@
 /**
  * Active configuration, with the time of its last confirmation; thread-safe.
  * <p>
- * A version is replaced only by a higher one. A record that can't be decoded is logged
- * and ignored.
+ * A version is replaced only by a higher one. While the newest record of the store
+ * contains another configuration than the active one, since it can't be decoded or is
+ * older, reads of the store confirm nothing.
  *
  * @author The marjoramgw authors
  */
@@ -31,6 +32,9 @@
 
 	private volatile ClockReading lastConfirmed;
 
+	/** Whether the newest record of the store contains the active configuration. */
+	private boolean storeAgrees;
+
 	/**
 	 * Creates an instance without a configuration.
 	 * @param key key of the record that contains the configuration
@@ -91,6 +95,7 @@
 
 	@Override
 	public void onSnapshot(List<KeyedRecord> records) {
+		this.storeAgrees = false;
 		onRecords(records);
 	}
 
@@ -98,14 +103,16 @@
 	public void onRecords(List<KeyedRecord> records) {
 		for (KeyedRecord record : records) {
 			if (record.key().equals(this.key)) {
-				record.value().ifPresent((value) -> apply(value, record.offset()));
+				this.storeAgrees = record.value().map((value) -> apply(value, record.offset())).orElse(false);
 			}
 		}
 	}
 
 	@Override
 	public void onConfirmed(ClockReading confirmedAt) {
-		this.lastConfirmed = confirmedAt;
+		if (this.storeAgrees) {
+			this.lastConfirmed = confirmedAt;
+		}
 	}
 
 	@Override
@@ -113,16 +120,37 @@
 		// The last configuration remains active. Its age tells how far to trust it.
 	}
 
-	private void apply(byte[] value, long offset) {
-		Optional<Routing> decoded = this.decoder.decode(value);
+	/**
+	 * Applies a record unless it contains an older version.
+	 * @param value value of the record
+	 * @param offset offset of the record
+	 * @return whether the active configuration is that of the record now
+	 */
+	private boolean apply(byte[] value, long offset) {
+		Optional<Routing> decoded = decode(value, offset);
 		if (decoded.isEmpty()) {
-			return;
+			return false;
 		}
 		Routing routing = decoded.get();
 		if (this.current == null || routing.version() > this.current.version()) {
 			Logger.info("configuration version {} in force, read at offset {}", routing.version(), offset);
 			this.current = routing;
 		}
+		else if (routing.version() < this.current.version()) {
+			Logger.warn("configuration version {} at offset {} is older than version {}, which stays in force",
+					routing.version(), offset, this.current.version());
+		}
+		return routing.version() == this.current.version();
+	}
+
+	private Optional<Routing> decode(byte[] value, long offset) {
+		try {
+			return this.decoder.decode(value);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "can't decode the configuration at offset {}", offset);
+			return Optional.empty();
+		}
 	}
 
 	/**
