Go on reading the store after a fault of a listener

Cause: an exception in a listener ended the chain of reads without a line in the log, since the next read is sent behind the delivery.

By the code: registrations and verdicts would have stood still for good; keyed requests would have got 503 once the configuration was too old.

So does a second expiry in a row.

Measured: faultOfTheListenerDoesNotEndTheReads and repeatedExpiryBacksOff red before, green now.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -118,6 +118,39 @@
 		Assert.assertEquals(fixture.topic.lastRequest(), "read 8");
 	}
 
+	/** Guards against a store that is asked without a pause while it has no records. */
+	@Test
+	public void repeatedExpiryBacksOff() {
+		Fixture fixture = new Fixture();
+		for (int expiry = 0; expiry < 3; expiry++) {
+			fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+			fixture.topic.failSlice(new RecordsExpiredException("t", 7));
+			if (expiry > 0) {
+				fixture.runScheduled();
+			}
+		}
+		Assert.assertEquals(fixture.delays.size(), 2, "the first new snapshot is read at once");
+		Assert.assertEquals(fixture.topic.lastRequest(), "newest ''");
+	}
+
+	/** Guards against reads that end without a line when the listener has a fault. */
+	@Test
+	public void faultOfTheListenerDoesNotEndTheReads() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		fixture.fault = true;
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 8));
+		Assert.assertEquals(fixture.lastEvent(), "unreachable");
+		fixture.runScheduled();
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("a", "1", 7)), false, 8));
+		Assert.assertEquals(fixture.lastEvent(), "unreachable");
+		fixture.fault = false;
+		fixture.runScheduled();
+		fixture.topic.completePage(new TopicPage(List.of(Fixtures.record("a", "1", 7)), false, 8));
+		Assert.assertEquals(fixture.lastEvent(), "confirmed 10000");
+		Assert.assertEquals(fixture.topic.lastRequest(), "read 8");
+	}
+
 	/** Guards against a snapshot whose pages belong to different histories. */
 	@Test
 	public void pagesOfTwoErasAreNoSnapshot() {
@@ -231,6 +264,8 @@
 
 		private final TopicFollower follower;
 
+		private boolean fault;
+
 		private Fixture() {
 			AgeClock ages = new AgeClock(this.clock, this.clock);
 			this.follower = new TopicFollower("t", this.topic, this, ages, (delayMillis, task) -> {
@@ -253,11 +288,13 @@
 
 		@Override
 		public void onSnapshot(List<KeyedRecord> records) {
+			failIfFaulty();
 			this.events.add("snapshot" + keys(records));
 		}
 
 		@Override
 		public void onRecords(List<KeyedRecord> records) {
+			failIfFaulty();
 			this.events.add("records" + keys(records));
 		}
 
@@ -271,6 +308,12 @@
 			this.events.add("unreachable");
 		}
 
+		private void failIfFaulty() {
+			if (this.fault) {
+				throw new IllegalStateException("fault of the listener");
+			}
+		}
+
 		private static String keys(List<KeyedRecord> records) {
 			StringBuilder keys = new StringBuilder();
 			records.forEach((record) -> keys.append(' ').append(record.key()));
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -42,6 +42,9 @@
 
 	private int failureCount;
 
+	/** Snapshots in a row behind which nothing could be read. */
+	private int expiredCount;
+
 	private volatile boolean closed;
 
 	/**
@@ -112,18 +115,25 @@
 	}
 
 	private void onSnapshot(TopicSnapshot snapshot, ClockReading sent) {
-		synchronized (this) {
-			markReachable();
-			this.listener.onSnapshot(snapshot.records());
-			this.listener.onConfirmed(sent);
-			this.catchUp.restart();
-			this.next = snapshot.end();
-			Logger.info("{}: snapshot of {} records read up to {}", this.name, snapshot.records().size(),
-					snapshot.end());
+		try {
+			deliver(snapshot, sent);
+		}
+		catch (RuntimeException ex) {
+			onUndelivered(ex);
+			return;
 		}
 		readNext();
 	}
 
+	private synchronized void deliver(TopicSnapshot snapshot, ClockReading sent) {
+		this.listener.onSnapshot(snapshot.records());
+		this.listener.onConfirmed(sent);
+		markReachable();
+		this.catchUp.restart();
+		this.next = snapshot.end();
+		Logger.info("{}: snapshot of {} records read up to {}", this.name, snapshot.records().size(), snapshot.end());
+	}
+
 	private void readNext() {
 		if (this.closed) {
 			return;
@@ -134,9 +144,7 @@
 				onSlice(slice, sent);
 			}
 			else if (RecordsExpiredException.isCauseOf(failure)) {
-				this.counters.count(ResultCode.RECORDS_EXPIRED);
-				Logger.info("{}: reading a new snapshot: {}", this.name, failure.toString());
-				start();
+				onExpired(failure);
 			}
 			else {
 				onFailure(failure, this::readNext);
@@ -145,13 +153,12 @@
 	}
 
 	private void onSlice(TopicSlice slice, ClockReading sent) {
-		synchronized (this) {
-			markReachable();
-			if (!slice.records().isEmpty()) {
-				this.listener.onRecords(slice.records());
-			}
-			this.next = slice.next();
-			this.catchUp.onDelivered(slice, sent).ifPresent(this.listener::onConfirmed);
+		try {
+			deliver(slice, sent);
+		}
+		catch (RuntimeException ex) {
+			onUndelivered(ex);
+			return;
 		}
 		if (slice.records().isEmpty() == slice.reachesEnd()) {
 			// Nothing is new, or more records are waiting.
@@ -162,6 +169,42 @@
 		}
 	}
 
+	private synchronized void deliver(TopicSlice slice, ClockReading sent) {
+		if (!slice.records().isEmpty()) {
+			this.listener.onRecords(slice.records());
+		}
+		this.next = slice.next();
+		this.catchUp.onDelivered(slice, sent).ifPresent(this.listener::onConfirmed);
+		this.expiredCount = 0;
+		markReachable();
+	}
+
+	/**
+	 * Reads on after a fault of the listener, which must not end the reads: nobody would
+	 * notice.
+	 * @param fault the fault
+	 */
+	private void onUndelivered(RuntimeException fault) {
+		Logger.error(fault, "{}: records not delivered", this.name);
+		onFailure(fault, this::start);
+	}
+
+	private void onExpired(Throwable failure) {
+		this.counters.count(ResultCode.RECORDS_EXPIRED);
+		Logger.info("{}: reading a new snapshot: {}", this.name, failure.toString());
+		long delayMillis;
+		synchronized (this) {
+			delayMillis = (this.expiredCount > 0) ? this.schedule.backoff().delayMillis(this.expiredCount) : 0;
+			this.expiredCount++;
+		}
+		if (delayMillis > 0) {
+			this.timers.schedule(delayMillis, this::start);
+		}
+		else {
+			start();
+		}
+	}
+
 	private void onFailure(Throwable failure, Runnable retry) {
 		this.counters.count(ResultCode.STORE_AWAY);
 		long delayMillis;
