Refuse for good only by a configuration that was confirmed in time

Cause: a refusal with 401 or 404 used the bound that the revocation of keys allows for their use, 4.7 s. A change has to be in force after 2 s (configuration_apply_ms, new, from the platform's bounds). A read of the store that gets no answer is noticed after 2.3 s only.

What callers saw, on the code before: with a silent connection 404 on a new route more than 2 s after the acknowledgement; with a store that came back from an older copy 404 on a route that a lost change had added.

Change: once the last confirmation is older than the time of a change less 300 ms, a request that would be refused for good first waits for a read that is sent after it came, over a connection of its own. If that isn't answered, it gets 503. Concurrent requests share a read, and one that failed isn't repeated for 250 ms. What such a read returns is delivered at once, and the answer of the pending read is dropped if its position has been passed.

Why it works: a refusal rests on a read that was sent either after the request or at most 1.7 s before it.

The test confirmLeavesRecordsToPendingRead required that records be left to the pending read, which may be the silent one; recordsReadOnDemandAreDelivered- Once takes its place: delivered at once, once, and in order.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
@@ -6,10 +6,13 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.forward.Admission;
 import org.marjoramgw.direct.model.Account;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.CallerLimits;
@@ -97,4 +100,15 @@
 			.of(new BackendServer(id, "trade", new HostPort("127.0.0.1", 1), "a", 4, 0, state.equals("draining")));
 	}
 
+	/**
+	 * Creates an admission check without further reads of the store.
+	 * @param routing the configuration
+	 * @param maxAgeMillis maximum age of its confirmation, in milliseconds
+	 * @return the check
+	 */
+	public static Admission admission(ActiveRouting routing, long maxAgeMillis) {
+		return new Admission(routing, () -> maxAgeMillis, () -> maxAgeMillis,
+				() -> CompletableFuture.completedFuture(null));
+	}
+
 }
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -173,14 +173,34 @@
 		Assert.assertEquals(fixture.topic.lastRequest(), "read 7");
 	}
 
+	/**
+	 * Guards against records that are delivered twice or lost when a read on demand
+	 * overtakes the pending one.
+	 */
 	@Test
-	public void confirmLeavesRecordsToPendingRead() {
+	public void recordsReadOnDemandAreDeliveredOnce() {
 		Fixture fixture = new Fixture();
 		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
 		fixture.clock.advanceMillis(400);
-		fixture.follower.confirm();
+		CompletableFuture<Void> confirmed = fixture.follower.confirm().toCompletableFuture();
 		fixture.topic.completeLastSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 8));
-		Assert.assertEquals(fixture.lastEvent(), "confirmed 10000");
+		Assert.assertTrue(confirmed.isDone() && !confirmed.isCompletedExceptionally());
+		List<String> events = List.of("snapshot", "confirmed 10000", "records a", "confirmed 10400");
+		Assert.assertEquals(fixture.events, events);
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("a", "1", 7)), 8, 8));
+		Assert.assertEquals(fixture.events, events, "the pending read came second");
+		fixture.runScheduled();
+		Assert.assertEquals(fixture.topic.lastRequest(), "read 8");
+		fixture.topic.completeSlice(new TopicSlice(List.of(Fixtures.record("b", "2", 8)), 9, 9));
+		Assert.assertEquals(fixture.lastEvent(), "confirmed 10400");
+		Assert.assertTrue(fixture.events.contains("records b"));
+	}
+
+	@Test
+	public void emptyReadOnDemandConfirms() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		fixture.clock.advanceMillis(400);
 		fixture.follower.confirm();
 		fixture.topic.completeLastSlice(new TopicSlice(List.of(), 7, 7));
 		Assert.assertEquals(fixture.lastEvent(), "confirmed 10400");
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/AdmissionTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/AdmissionTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import org.marjoramgw.ManualMillisClock;
 import org.marjoramgw.ResultCode;
@@ -12,6 +13,7 @@
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.time.AgeClock;
 import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -24,12 +26,27 @@
 
 	private static final long MAX_AGE_MILLIS = 4_700;
 
+	private static final long MAX_DENIAL_AGE_MILLIS = 1_700;
+
+	private CompletableFuture<Void> confirmation;
+
+	private int confirmationCount;
+
+	@BeforeMethod
+	public void resetConfirmation() {
+		this.confirmation = new CompletableFuture<>();
+		this.confirmationCount = 0;
+	}
+
 	@DataProvider
 	public Object[][] rejections() {
 		return new Object[][] { { "/none/x", Fixtures.KEY, 0, ResultCode.UNKNOWN_PATH },
+				{ "/none/x", Fixtures.KEY, MAX_DENIAL_AGE_MILLIS - 1, ResultCode.UNKNOWN_PATH },
+				{ "/none/x", Fixtures.KEY, MAX_DENIAL_AGE_MILLIS, ResultCode.CONFIGURATION_STALE },
 				{ "/none/x", Fixtures.KEY, MAX_AGE_MILLIS, ResultCode.CONFIGURATION_STALE },
 				{ "/book/x", "other", 0, ResultCode.UNKNOWN_ACCOUNT },
 				{ "/book/x", null, 0, ResultCode.UNKNOWN_ACCOUNT },
+				{ "/book/x", "other", MAX_DENIAL_AGE_MILLIS, ResultCode.CONFIGURATION_STALE },
 				{ "/book/x", "other", MAX_AGE_MILLIS, ResultCode.CONFIGURATION_STALE },
 				{ "/book/x", Fixtures.KEY, MAX_AGE_MILLIS, ResultCode.CONFIGURATION_STALE } };
 	}
@@ -37,7 +54,7 @@
 	@Test(dataProvider = "rejections")
 	public void rejects(String path, String key, long ageMillis, ResultCode code) {
 		ManualMillisClock clock = new ManualMillisClock(1_000);
-		Admission admission = new Admission(activeRouting(clock), () -> MAX_AGE_MILLIS);
+		Admission admission = admission(activeRouting(clock));
 		clock.advanceMillis(ageMillis);
 		RequestRejectedException rejection = Assert.expectThrows(RequestRejectedException.class,
 				() -> admission.admit(Fixtures.request(path, key)));
@@ -47,7 +64,7 @@
 	@Test
 	public void admitsKeyWhileConfigurationIsRecent() throws Exception {
 		ManualMillisClock clock = new ManualMillisClock(1_000);
-		Admission admission = new Admission(activeRouting(clock), () -> MAX_AGE_MILLIS);
+		Admission admission = admission(activeRouting(clock));
 		clock.advanceMillis(MAX_AGE_MILLIS - 1);
 		AdmittedRequest admitted = admission.admit(Fixtures.request("/book/x", Fixtures.KEY));
 		Assert.assertEquals(admitted.account().map(Account::name), Optional.of("coop"));
@@ -57,7 +74,7 @@
 	@Test
 	public void anonymousRouteIsServedWithStaleConfiguration() throws Exception {
 		ManualMillisClock clock = new ManualMillisClock(1_000);
-		Admission admission = new Admission(activeRouting(clock), () -> MAX_AGE_MILLIS);
+		Admission admission = admission(activeRouting(clock));
 		clock.advanceMillis(MAX_AGE_MILLIS * 10);
 		Assert.assertTrue(admission.admit(Fixtures.request("/open/x", null)).account().isEmpty());
 	}
@@ -67,18 +84,50 @@
 		ManualMillisClock clock = new ManualMillisClock(1_000);
 		ActiveRouting empty = new ActiveRouting("config", (value) -> Optional.empty(), new AgeClock(clock, clock));
 		RequestRejectedException rejection = Assert.expectThrows(RequestRejectedException.class,
-				() -> new Admission(empty, () -> MAX_AGE_MILLIS).admit(Fixtures.request("/book/x", Fixtures.KEY)));
+				() -> admission(empty).admit(Fixtures.request("/book/x", Fixtures.KEY)));
 		Assert.assertEquals(rejection.code(), ResultCode.NO_CONFIGURATION);
 	}
 
 	@Test
 	public void longestPrefixWins() throws Exception {
 		ManualMillisClock clock = new ManualMillisClock(1_000);
-		Admission admission = new Admission(activeRouting(clock), () -> MAX_AGE_MILLIS);
+		Admission admission = admission(activeRouting(clock));
 		Assert.assertEquals(admission.admit(Fixtures.request("/book/now/x", Fixtures.KEY)).route().name(),
 				"r/book/now/");
 	}
 
+	/**
+	 * Lists requests and whether the store is read again before the decision.
+	 * @return path, key, age of the confirmation in milliseconds, and whether it is
+	 */
+	@DataProvider
+	public Object[][] decisions() {
+		return new Object[][] { { "/none/x", Fixtures.KEY, MAX_DENIAL_AGE_MILLIS, true },
+				{ "/none/x", Fixtures.KEY, MAX_DENIAL_AGE_MILLIS - 1, false },
+				{ "/book/x", "other", MAX_DENIAL_AGE_MILLIS, true }, { "/book/x", null, MAX_AGE_MILLIS, true },
+				{ "/book/x", Fixtures.KEY, MAX_AGE_MILLIS, false }, { "/open/x", null, MAX_AGE_MILLIS, false } };
+	}
+
+	/** Guards against a permanent rejection by a configuration that may be outdated. */
+	@Test(dataProvider = "decisions")
+	public void storeIsReadBeforeAnOldConfigurationRejects(String path, String key, long ageMillis, boolean read) {
+		ManualMillisClock clock = new ManualMillisClock(1_000);
+		Admission admission = admission(activeRouting(clock));
+		clock.advanceMillis(ageMillis);
+		CompletableFuture<Void> settled = admission.settle(Fixtures.request(path, key)).toCompletableFuture();
+		Assert.assertEquals(this.confirmationCount, read ? 1 : 0);
+		Assert.assertEquals(settled.isDone(), !read);
+		this.confirmation.complete(null);
+		Assert.assertTrue(settled.isDone());
+	}
+
+	private Admission admission(ActiveRouting routing) {
+		return new Admission(routing, () -> MAX_AGE_MILLIS, () -> MAX_DENIAL_AGE_MILLIS, () -> {
+			this.confirmationCount++;
+			return this.confirmation;
+		});
+	}
+
 	private static ActiveRouting activeRouting(ManualMillisClock clock) {
 		AgeClock ages = new AgeClock(clock, clock);
 		ActiveRouting routing = new ActiveRouting("config",
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
@@ -91,7 +91,7 @@
 		this.prefillLimiter = new PrefillLimiter(this.clock, Runnable::run, () -> 0);
 		this.partition = new PromptPartition(this.clock);
 		this.forwarder = new Forwarder(new ForwardingContext(null, null, null, this.routing,
-				new Admission(this.routing, () -> MAX_AGE_MILLIS), this.directory, this.health, this.startLimiter, null,
+				Fixtures.admission(this.routing, MAX_AGE_MILLIS), this.directory, this.health, this.startLimiter, null,
 				this.prefillLimiter, this.partition, selector(this.partition, new Random(1)), null, null, null, null,
 				PromptGuard.NONE, null, LoadObserver.NONE, null, UsageObserver.NONE, ages, null, new Random(1)));
 		this.explainer = this.forwarder.explainer("edge-1", (copy) -> selector(copy, new Random(2)),
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -28,6 +30,7 @@
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.forward.Admission;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.quarantine.PromptGuard;
@@ -67,6 +70,12 @@
 	/** Jump of the time of day that triggers a new confirmation of the configuration. */
 	private static final long CLOCK_JUMP_MILLIS = 300;
 
+	/**
+	 * Margin between the last permanent rejection by a configuration and the time in
+	 * which a change takes effect, in milliseconds.
+	 */
+	private static final long APPLY_MARGIN_MILLIS = 300;
+
 	/** Rate limit for log lines about successful requests; failures are always logged. */
 	private static final int MAX_SERVED_LINES_PER_SECOND = 20;
 
@@ -192,14 +201,17 @@
 		this.usageDuty = this.platform.usage().map(this::usageDuty);
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
-		this.forwarder = this.requestPath.forwarder(this.routing, this.directory, this.quarantineGuard, this.requestLog,
-				startLimiter, this.requestPath.sharedLoad(), this.readiness::maxAgeMillis,
+		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
+				this.clock, this.timers, new ResultCounters(this.registry));
+		Admission admission = new Admission(this.routing, this.readiness::maxAgeMillis,
+				() -> this.settings.get().configurationApplyMillis() - APPLY_MARGIN_MILLIS,
+				this.storeFollowers::confirmConfiguration);
+		this.forwarder = this.requestPath.forwarder(this.routing, admission, this.directory, this.quarantineGuard,
+				this.requestLog, startLimiter, this.requestPath.sharedLoad(),
 				this.usageDuty.map(UsageDuty::observer).orElse(UsageObserver.NONE));
 		this.explainEndpoint = new ExplainEndpoint(this.requestPath.explainer(this.forwarder, this.routing,
 				this.directory, this.requestPath.sharedLoad())::explain);
 		this.callerListener = callerListener(this.forwarder, startLimiter);
-		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
-				this.clock, this.timers, new ResultCounters(this.registry));
 		this.registry.register("quarantine.verdicts", (Gauge<Integer>) this.quarantineGuard::verdictCount);
 		this.registry.register("lag.ms", (Gauge<Long>) this.lag::lagMillis);
 		this.registry.register("requests.held", (Gauge<Integer>) this.requestPath::waitingCount);
@@ -279,9 +291,12 @@
 		ServerDirectory sampleDirectory = new ServerDirectory(this.platform.serverDecoder(), this.clock);
 		sampleDirectory.onSnapshot(registrations);
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
-		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleDirectory, PromptGuard.NONE,
-				new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
-				this.requestPath.sampleLoad(), () -> WARM_UP_LIMIT_MILLIS * 2, UsageObserver.NONE);
+		LongSupplier maxAgeMillis = () -> WARM_UP_LIMIT_MILLIS * 2;
+		Admission sampleAdmission = new Admission(sampleRouting, maxAgeMillis, maxAgeMillis,
+				() -> CompletableFuture.completedFuture(null));
+		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleAdmission, sampleDirectory,
+				PromptGuard.NONE, new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
+				this.requestPath.sampleLoad(), UsageObserver.NONE);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectSettings.java
@@ -20,6 +20,8 @@
  * @param stopGraceMillis time between the stop signal and the forced kill, in
  * milliseconds
  * @param revocationMillis time within which a revoked key stops working, in milliseconds
+ * @param configurationApplyMillis time within which a change of the configuration takes
+ * effect, in milliseconds
  * @param retryRatio retries allowed per request to a service
  * @param retryWindowMillis window over which retries are counted, in milliseconds
  * @param freeRetryCount retries allowed in a window independently of the number of
@@ -32,8 +34,8 @@
  */
 public record DirectSettings(String processId, String failureDomain, HostPort callerAddress, HostPort healthAddress,
 		String healthPath, HostPort metricsAddress, String metricsPath, HostPort storeAddress, long stopGraceMillis,
-		long revocationMillis, double retryRatio, long retryWindowMillis, int freeRetryCount, CallerSettings callers,
-		PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
+		long revocationMillis, long configurationApplyMillis, double retryRatio, long retryWindowMillis,
+		int freeRetryCount, CallerSettings callers, PeerSettings peers, UsageSettings usage, boolean stopAfterWarmUp) {
 
 	private static final int MAX_SECONDS = 3_600;
 
@@ -72,6 +74,7 @@
 				root.text("metrics_path", "/metrics"), root.address("store_address"),
 				(long) (root.clampedDecimal("stop_grace_s", 8, 0, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(long) root.clampedDecimal("revocation_ms", 5_000, 100, MAX_MILLIS),
+				(long) root.clampedDecimal("configuration_apply_ms", 2_000, 100, MAX_MILLIS),
 				root.clampedDecimal("retry_ratio", 0.1, 0, 10),
 				(long) Math.ceil(root.clampedDecimal("retry_window_s", 10, 1, MAX_SECONDS) * MILLIS_PER_SECOND),
 				(int) root.clampedDecimal("free_retry_count", 0, 0, MAX_RETRIES),
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -150,18 +150,17 @@
 	 * @param startLimiter limits its requests that start concurrently, also that of its
 	 * callers' connections
 	 * @param load load that the processes share, or empty if they don't
-	 * @param maxAgeMillis maximum age of the configuration for keys to be accepted, in
-	 * milliseconds
+	 * @param admission admission check by that configuration
 	 * @param usage observer of the requests that begin to run
 	 * @return the forwarder
 	 */
-	Forwarder forwarder(ActiveRouting routing, ServerDirectory servers, PromptGuard promptGuard, RequestLog requestLog,
-			StartLimiter startLimiter, Optional<SharedLoad> load, LongSupplier maxAgeMillis, UsageObserver usage) {
+	Forwarder forwarder(ActiveRouting routing, Admission admission, ServerDirectory servers, PromptGuard promptGuard,
+			RequestLog requestLog, StartLimiter startLimiter, Optional<SharedLoad> load, UsageObserver usage) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
-				this.platform.backendDialect(), routing, new Admission(routing, maxAgeMillis), servers, this.health,
-				startLimiter, this.startTimeouts, this.prefillLimiter, promptPartition,
+				this.platform.backendDialect(), routing, admission, servers, this.health, startLimiter,
+				this.startTimeouts, this.prefillLimiter, promptPartition,
 				serverSelector(routing, servers, load.map(SharedLoad::placement), promptPartition, random), this.pool,
 				retryBudget(servers), new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(),
 				load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), requestLog, usage, this.clock,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletionStage;
 
 import org.marjoramgw.direct.follow.CompactedTopic;
+import org.marjoramgw.direct.follow.ConfirmationReads;
 import org.marjoramgw.direct.follow.ReadSchedule;
 import org.marjoramgw.direct.follow.TopicFollower;
 import org.marjoramgw.direct.follow.TopicListener;
@@ -60,6 +62,10 @@
 
 	private final List<TopicFollower> followers;
 
+	private final TopicFollower configuration;
+
+	private final ConfirmationReads configurationReads;
+
 	/**
 	 * Creates followers.
 	 * @param platform the platform adapter
@@ -75,9 +81,11 @@
 		this.clock = clock;
 		this.timers = timers;
 		this.counters = counters;
-		this.followers = List.of(
-				follower("configuration", platform.configuration(), routing,
-						schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS)),
+		this.configuration = follower("configuration", platform.configuration(), routing,
+				schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS));
+		this.configurationReads = new ConfirmationReads(this.configuration::confirm,
+				() -> clock.now().monotonicMillis());
+		this.followers = List.of(this.configuration,
 				follower("servers", platform.servers(), servers,
 						schedule(SERVERS_WAIT_MILLIS, GATHER_MILLIS, MAX_BACKOFF_MILLIS)),
 				follower("quarantine", platform.quarantine(), quarantine,
@@ -91,6 +99,14 @@
 		this.followers.forEach(TopicFollower::start);
 	}
 
+	/**
+	 * Reads the configuration with a call that is sent now or later.
+	 * @return completes when the read has ended, with or without an answer
+	 */
+	CompletionStage<Void> confirmConfiguration() {
+		return this.configurationReads.request();
+	}
+
 	/**
 	 * Checks all topics for new records immediately.
 	 */
--- /dev/null
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ConfirmationReads.java
@@ -0,0 +1,89 @@
+package org.marjoramgw.direct.follow;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.marjoramgw.MillisClock;
+
+/**
+ * Reads that confirm the present state on demand; thread-safe.
+ * <p>
+ * One read is open at a time. Whoever asks meanwhile shares the next one, since only a
+ * read that is sent later confirms the state as of that moment.
+ *
+ * @author The marjoramgw authors
+ */
+public final class ConfirmationReads {
+
+	/** Time after a read that failed in which no other one is sent, in milliseconds. */
+	private static final long PAUSE_MILLIS = 250;
+
+	private final Supplier<CompletionStage<Void>> reads;
+
+	private final MillisClock clock;
+
+	private CompletableFuture<Void> open;
+
+	private CompletableFuture<Void> next;
+
+	private long pausedUntilMillis = Long.MIN_VALUE;
+
+	/**
+	 * Creates an instance.
+	 * @param reads sends a read; fails if it wasn't answered
+	 * @param clock monotonic clock
+	 */
+	public ConfirmationReads(Supplier<CompletionStage<Void>> reads, MillisClock clock) {
+		this.reads = reads;
+		this.clock = clock;
+	}
+
+	/**
+	 * Requests a read that is sent after this call.
+	 * @return completes when the read has ended, with or without an answer
+	 */
+	public CompletionStage<Void> request() {
+		CompletableFuture<Void> started;
+		synchronized (this) {
+			if (this.open != null) {
+				this.next = (this.next != null) ? this.next : new CompletableFuture<>();
+				return this.next;
+			}
+			if (this.clock.nowMillis() < this.pausedUntilMillis) {
+				return CompletableFuture.completedFuture(null);
+			}
+			started = new CompletableFuture<>();
+			this.open = started;
+		}
+		send(started);
+		return started;
+	}
+
+	private void send(CompletableFuture<Void> started) {
+		this.reads.get().whenComplete((ignored, failure) -> onEnd(started, failure != null));
+	}
+
+	private void onEnd(CompletableFuture<Void> ended, boolean failed) {
+		CompletableFuture<Void> following;
+		synchronized (this) {
+			following = this.next;
+			this.next = null;
+			this.open = failed ? null : following;
+			if (failed) {
+				this.pausedUntilMillis = this.clock.nowMillis() + PAUSE_MILLIS;
+			}
+		}
+		ended.complete(null);
+		if (following == null) {
+			return;
+		}
+		if (failed) {
+			following.complete(null);
+		}
+		else {
+			send(following);
+		}
+	}
+
+}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -1,7 +1,11 @@
 package org.marjoramgw.direct.follow;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.errors.RecordsExpiredException;
+import org.marjoramgw.errors.StoreUnavailableException;
 import org.marjoramgw.metrics.ResultCounters;
 import org.marjoramgw.time.AgeClock;
 import org.marjoramgw.time.ClockReading;
@@ -87,15 +91,17 @@
 	}
 
 	/**
-	 * Checks for new records immediately, in addition to the pending read.
+	 * Reads immediately, in addition to the pending read.
+	 * @return completes when the records have been delivered; fails if there was no
+	 * answer that follows on what was delivered before
 	 */
-	public void confirm() {
+	public CompletionStage<Void> confirm() {
 		TopicPosition from = position();
 		if (from == null || this.closed) {
-			return;
+			return CompletableFuture.failedFuture(new StoreUnavailableException(this.name + ": no snapshot", null));
 		}
 		ClockReading sent = this.clock.now();
-		this.topic.readFrom(from, 0).whenComplete((slice, failure) -> onConfirmation(slice, from, sent));
+		return this.topic.readFrom(from, 0).thenAccept((slice) -> deliver(slice, from, sent));
 	}
 
 	@Override
@@ -107,13 +113,6 @@
 		return this.next;
 	}
 
-	private synchronized void onConfirmation(TopicSlice slice, TopicPosition from, ClockReading sent) {
-		// New records are left to the pending read, which keeps them in order.
-		if (slice != null && slice.records().isEmpty() && slice.reachesEnd() && from.equals(this.next)) {
-			this.listener.onConfirmed(sent);
-		}
-	}
-
 	private void onSnapshot(TopicSnapshot snapshot, ClockReading sent) {
 		try {
 			deliver(snapshot, sent);
@@ -139,9 +138,10 @@
 			return;
 		}
 		ClockReading sent = this.clock.now();
-		this.topic.readFrom(position(), this.schedule.waitMillis()).whenComplete((slice, failure) -> {
+		TopicPosition from = position();
+		this.topic.readFrom(from, this.schedule.waitMillis()).whenComplete((slice, failure) -> {
 			if (failure == null) {
-				onSlice(slice, sent);
+				onSlice(slice, from, sent);
 			}
 			else if (RecordsExpiredException.isCauseOf(failure)) {
 				onExpired(failure);
@@ -152,9 +152,9 @@
 		});
 	}
 
-	private void onSlice(TopicSlice slice, ClockReading sent) {
+	private void onSlice(TopicSlice slice, TopicPosition from, ClockReading sent) {
 		try {
-			deliver(slice, sent);
+			deliver(slice, from, sent);
 		}
 		catch (RuntimeException ex) {
 			onUndelivered(ex);
@@ -169,7 +169,11 @@
 		}
 	}
 
-	private synchronized void deliver(TopicSlice slice, ClockReading sent) {
+	private synchronized void deliver(TopicSlice slice, TopicPosition from, ClockReading sent) {
+		if (!from.equals(this.next)) {
+			// Another read has delivered these records, or a later state, meanwhile.
+			return;
+		}
 		if (!slice.records().isEmpty()) {
 			this.listener.onRecords(slice.records());
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
@@ -1,7 +1,10 @@
 package org.marjoramgw.direct.forward;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerRequest;
@@ -15,9 +18,11 @@
  * Decides whether the active configuration admits a request.
  * <p>
  * A key is accepted only while the configuration was confirmed recently, so that a
- * revoked key stops working even if the store is unreachable. A configuration that may be
- * outdated doesn't reject a request permanently either: such a request is rejected as
- * {@link ResultCode#CONFIGURATION_STALE}, which the caller may retry.
+ * revoked key stops working even if the store is unreachable. A permanent rejection has a
+ * shorter bound: the time in which a change takes effect. Once the last confirmation is
+ * older, {@link #settle} reads the store before the decision, and if that fails the
+ * request is rejected as {@link ResultCode#CONFIGURATION_STALE}, which the caller may
+ * retry.
  *
  * @author The marjoramgw authors
  */
@@ -27,15 +32,39 @@
 
 	private final LongSupplier maxAgeMillis;
 
+	private final LongSupplier maxDenialAgeMillis;
+
+	private final Supplier<CompletionStage<Void>> confirmation;
+
 	/**
 	 * Creates an admission check.
 	 * @param routing the active configuration
 	 * @param maxAgeMillis maximum age of the last confirmation for keys to be accepted,
 	 * in milliseconds
+	 * @param maxDenialAgeMillis the same for requests to be rejected permanently
+	 * @param confirmation reads the configuration again; completes when the read has
+	 * ended
 	 */
-	public Admission(ActiveRouting routing, LongSupplier maxAgeMillis) {
+	public Admission(ActiveRouting routing, LongSupplier maxAgeMillis, LongSupplier maxDenialAgeMillis,
+			Supplier<CompletionStage<Void>> confirmation) {
 		this.routing = routing;
 		this.maxAgeMillis = maxAgeMillis;
+		this.maxDenialAgeMillis = maxDenialAgeMillis;
+		this.confirmation = confirmation;
+	}
+
+	/**
+	 * Reads the configuration again if it would reject a request permanently, but was
+	 * confirmed too long ago for that.
+	 * @param request the request
+	 * @return completes when the request can be decided on
+	 */
+	public CompletionStage<Void> settle(CallerRequest request) {
+		Optional<Routing> current = this.routing.current();
+		if (current.isEmpty() || mayDeny() || denial(current.get(), request).isEmpty()) {
+			return CompletableFuture.completedFuture(null);
+		}
+		return this.confirmation.get();
 	}
 
 	/**
@@ -48,21 +77,27 @@
 	public AdmittedRequest admit(CallerRequest request) throws RequestRejectedException {
 		Routing current = this.routing.current()
 			.orElseThrow(() -> new RequestRejectedException(ResultCode.NO_CONFIGURATION, ""));
-		Optional<Route> route = current.route(request.host(), request.path());
-		if (route.isEmpty()) {
-			throw denied(ResultCode.UNKNOWN_PATH, request.host() + request.path());
-		}
-		if (!current.needsKey(route.get())) {
-			return admitted(current, route.get(), Optional.empty());
+		Optional<RequestRejectedException> denial = denial(current, request);
+		if (denial.isPresent()) {
+			throw mayDeny() ? denial.get() : stale();
 		}
-		Optional<Account> account = request.key().flatMap(current::account);
-		if (account.isEmpty()) {
-			throw denied(ResultCode.UNKNOWN_ACCOUNT, "");
+		Route route = current.route(request.host(), request.path()).orElseThrow();
+		if (!current.needsKey(route)) {
+			return admitted(current, route, Optional.empty());
 		}
-		if (!isRecent()) {
+		if (this.routing.ageMillis() >= this.maxAgeMillis.getAsLong()) {
 			throw stale();
 		}
-		return admitted(current, route.get(), account);
+		return admitted(current, route, request.key().flatMap(current::account));
+	}
+
+	private static Optional<RequestRejectedException> denial(Routing current, CallerRequest request) {
+		Optional<Route> route = current.route(request.host(), request.path());
+		if (route.isEmpty()) {
+			return Optional.of(new RequestRejectedException(ResultCode.UNKNOWN_PATH, request.host() + request.path()));
+		}
+		boolean known = !current.needsKey(route.get()) || request.key().flatMap(current::account).isPresent();
+		return known ? Optional.empty() : Optional.of(new RequestRejectedException(ResultCode.UNKNOWN_ACCOUNT, ""));
 	}
 
 	private static AdmittedRequest admitted(Routing current, Route route, Optional<Account> account) {
@@ -71,16 +106,12 @@
 				current.serverRank(rank, true), current.version());
 	}
 
-	private RequestRejectedException denied(ResultCode code, String detail) {
-		return isRecent() ? new RequestRejectedException(code, detail) : stale();
-	}
-
 	private RequestRejectedException stale() {
 		return new RequestRejectedException(ResultCode.CONFIGURATION_STALE, this.routing.ageMillis() + " ms old");
 	}
 
-	private boolean isRecent() {
-		return this.routing.ageMillis() < this.maxAgeMillis.getAsLong();
+	private boolean mayDeny() {
+		return this.routing.ageMillis() < Math.min(this.maxAgeMillis.getAsLong(), this.maxDenialAgeMillis.getAsLong());
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -64,10 +64,15 @@
 	 * Starts the request.
 	 * @return the final response
 	 */
-	synchronized CompletionStage<HttpResponse> start() {
+	CompletionStage<HttpResponse> start() {
+		this.context.admission().settle(this.state.caller()).thenRun(this::begin);
+		return this.completion.response();
+	}
+
+	private synchronized void begin() {
 		if (this.completion.isResponded()) {
-			// The caller left while the body was read.
-			return this.completion.response();
+			// The caller left, or the process stops.
+			return;
 		}
 		try {
 			this.state.admit();
@@ -86,7 +91,6 @@
 		catch (RequestRejectedException ex) {
 			this.completion.reject(ex.code(), ex.getMessage());
 		}
-		return this.completion.response();
 	}
 
 	/**
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -170,7 +171,9 @@
 		StartLimiter startLimiter = new StartLimiter(4, this.system.executionContext());
 		StartTimeouts startTimeouts = new StartTimeouts(monotonicClock, timers);
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
-				new Admission(routing, () -> MAX_AGE_MILLIS), this.directory, health, startLimiter, startTimeouts,
+				new Admission(routing, () -> MAX_AGE_MILLIS, () -> MAX_AGE_MILLIS,
+						() -> CompletableFuture.completedFuture(null)),
+				this.directory, health, startLimiter, startTimeouts,
 				new PrefillLimiter(monotonicClock, this.system.executionContext(), () -> 0), partition,
 				new ServerSelector(this.directory, ServerViews.ofOwnLoad(health), placement, partition, "a"),
 				new ConnectionPool(connector, monotonicClock),
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestorableStore.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestorableStore.java
@@ -44,8 +44,13 @@
 
 	private boolean away;
 
+	/** Raised when the connections that are open go silent. */
+	private int silenced;
+
 	private boolean refusingAppends;
 
+	private final Map<String, Integer> readCounts = new HashMap<>();
+
 	RestorableStore() throws IOException {
 	}
 
@@ -82,6 +87,25 @@
 		notifyAll();
 	}
 
+	/**
+	 * Waits until the next read of a topic begins.
+	 * @param topic name of the topic
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	synchronized void awaitRead(String topic) throws InterruptedException {
+		int before = this.readCounts.getOrDefault(topic, 0);
+		while (this.readCounts.getOrDefault(topic, 0) == before) {
+			wait();
+		}
+	}
+
+	/**
+	 * Lets the reads that wait at present never be answered. Other connections work.
+	 */
+	synchronized void silenceWaitingReads() {
+		this.silenced++;
+	}
+
 	/**
 	 * Answers again, with the records of a copy.
 	 * @param copy the copy
@@ -113,7 +137,9 @@
 			return answer(connection, newest(text(TOPIC, target)));
 		}
 		if (request.startsWith("GET /-/log-read")) {
-			return answer(connection, read(text(TOPIC, target), number(FROM, target), number(WAIT, target)));
+			int silencedBefore = silenced();
+			Answer answer = read(text(TOPIC, target), number(FROM, target), number(WAIT, target));
+			return silencedBefore == silenced() && answer(connection, answer);
 		}
 		if (request.startsWith("POST /-/log-append")) {
 			Matcher at = AT.matcher(target);
@@ -134,6 +160,10 @@
 				+ "\r\nContent-Length: " + answer.body.length() + "\r\n\r\n" + answer.body);
 	}
 
+	private synchronized int silenced() {
+		return this.silenced;
+	}
+
 	private synchronized Answer newest(String topic) {
 		Map<String, KeyedRecord> latest = new LinkedHashMap<>();
 		records(topic).forEach((record) -> latest.put(record.key(), record));
@@ -149,6 +179,8 @@
 
 	private synchronized Answer read(String topic, int from, int waitMillis) throws IOException {
 		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+		this.readCounts.merge(topic, 1, Integer::sum);
+		notifyAll();
 		while (!this.away && from == records(topic).size()) {
 			long leftMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
 			if (leftMillis <= 0) {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestoredStoreTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestoredStoreTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.program.Pause;
@@ -88,6 +89,60 @@
 		}
 	}
 
+	/**
+	 * Guards against a refusal by a configuration that was confirmed before a change,
+	 * while a connection to the store is silent.
+	 */
+	@Test
+	public void silentReadDoesNotProlongRefusals() throws Exception {
+		write(1);
+		try (StartedEntry entry = new StartedEntry(this.store.address(), GRACE_SECONDS)) {
+			entry.awaitReady();
+			awaitServed(entry, 1);
+			this.store.awaitRead(StoreClient.OPERATOR_TOPIC);
+			this.store.silenceWaitingReads();
+			write(2);
+			long writtenNanos = System.nanoTime();
+			String status = "";
+			for (long ageMillis = 0; ageMillis < APPLY_MILLIS * 2; ageMillis = millisSince(writtenNanos)) {
+				status = status(entry, "/v2/1");
+				Assert.assertFalse(ageMillis > APPLY_MILLIS && status.endsWith("404"), "refused after " + ageMillis);
+				Pause.millis(POLL_MILLIS);
+			}
+			Assert.assertTrue(status.endsWith("200"), status);
+		}
+	}
+
+	/**
+	 * Guards against a process that takes a copy, which holds less than it knows, for the
+	 * state of the store: it would refuse what a lost change has added.
+	 */
+	@Test
+	public void olderCopyRejectsNothingForGood() throws Exception {
+		write(1);
+		write(2);
+		try (StartedEntry entry = new StartedEntry(this.store.address(), GRACE_SECONDS)) {
+			entry.awaitReady();
+			Map<String, List<KeyedRecord>> copy = this.store.copy();
+			write(3);
+			awaitServed(entry, 3);
+			this.store.goAway();
+			this.store.restore(copy);
+			// The last confirmation is older than the time of a change by then.
+			Pause.millis(APPLY_MILLIS * 2);
+			Assert.assertTrue(status(entry, "/v3/1").endsWith("200"));
+			Assert.assertTrue(status(entry, "/v4/1").endsWith("503"));
+			write(3);
+			write(4);
+			awaitServed(entry, 4);
+			Assert.assertTrue(status(entry, "/v5/1").endsWith("404"));
+		}
+	}
+
+	private static long millisSince(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+	}
+
 	private void write(int version) {
 		StringBuilder routes = new StringBuilder();
 		for (int route = 1; route <= version; route++) {
