Log the software version of each server that brings events of a stream

The log didn't tell the versions of the servers of a stream, nor which request a caller takes up, so that continuations, take-ups and restarts under an old id couldn't be told apart.

No decision changes otherwise.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/ExplainEndpointTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/ExplainEndpointTests.java
@@ -48,8 +48,9 @@
 				"{\"process\":\"edge-1\",\"config_version\":7,\"config_age_ms\":12,"
 						+ "\"refusal\":null,\"match\":null,\"choice\":null,\"turn\":null,\"permit\":null,"
 						+ "\"server_count\":0,\"servers\":[]}");
-		Assert.assertEquals(described.get(), new CallerRequest("explained", "a.example", "/x/é y", OptionalLong.of(700),
-				Optional.of("k+1"), "m", List.of(new PromptPart("a:b", 300), new PromptPart("own", 20)), 400, 0));
+		Assert.assertEquals(described.get(),
+				new CallerRequest("explained", "a.example", "/x/é y", OptionalLong.of(700), Optional.of("k+1"), "m",
+						List.of(new PromptPart("a:b", 300), new PromptPart("own", 20)), 400, 0, Optional.empty()));
 		Assert.assertEquals(options.get(), List.of(Optional.of("coop"), Optional.of("s")));
 	}
 
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
@@ -69,7 +69,7 @@
 	 */
 	public static CallerRequest request(String path, String key) {
 		return new CallerRequest("id-1", HOST, path, OptionalLong.of(2_000), Optional.ofNullable(key), "", List.of(), 0,
-				0);
+				0, Optional.empty());
 	}
 
 	/**
@@ -96,8 +96,8 @@
 		if (!state.equals("ready") && !state.equals("draining")) {
 			return Optional.empty();
 		}
-		return Optional
-			.of(new BackendServer(id, "trade", new HostPort("127.0.0.1", 1), "a", 4, 0, state.equals("draining")));
+		return Optional.of(new BackendServer(id, "trade", new HostPort("127.0.0.1", 1), "a", 4, "v1", 0,
+				state.equals("draining")));
 	}
 
 	/**
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ServerDirectoryTests.java
@@ -159,10 +159,10 @@
 
 	@Test
 	public void wordOfAnEarlierStartTakesNoLaterOneAway() {
-		BackendServer later = new BackendServer("a", "trade", new HostPort("127.0.0.1", 1), "a", 4, 5, false);
+		BackendServer later = new BackendServer("a", "trade", new HostPort("127.0.0.1", 1), "a", 4, "v1", 5, false);
 		ServerDirectory servers = new ServerDirectory((id, value) -> Optional.of(later), this.ages);
 		servers.onSnapshot(List.of(Fixtures.record("a", "ready", 1)));
-		BackendServer earlier = new BackendServer("a", "trade", new HostPort("127.0.0.1", 1), "a", 4, 4, false);
+		BackendServer earlier = new BackendServer("a", "trade", new HostPort("127.0.0.1", 1), "a", 4, "v1", 4, false);
 		Assert.assertTrue(servers.onLeaving(earlier));
 		Assert.assertTrue(servers.isUsable("a"));
 		Assert.assertEquals(servers.obstacle(earlier), Optional.of("it said that it leaves"));
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
@@ -331,12 +331,13 @@
 
 	private static CallerRequest prompt(String path, String sharedPart, long tokenCount) {
 		return new CallerRequest("id-1", Fixtures.HOST, path, OptionalLong.of(2_000), Optional.of(Fixtures.KEY), "m",
-				List.of(new PromptPart(sharedPart, tokenCount), new PromptPart("own", 20)), tokenCount + 20, 0);
+				List.of(new PromptPart(sharedPart, tokenCount), new PromptPart("own", 20)), tokenCount + 20, 0,
+				Optional.empty());
 	}
 
 	private static CallerRequest late() {
 		return new CallerRequest("id-1", Fixtures.HOST, "/book/x", OptionalLong.of(10), Optional.of(Fixtures.KEY), "",
-				List.of(), 0, 0);
+				List.of(), 0, 0, Optional.empty());
 	}
 
 }
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/SendReportTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/SendReportTests.java
@@ -21,7 +21,7 @@
 public class SendReportTests {
 
 	private static final BackendServer SERVER = new BackendServer("s1", "chat", new HostPort("127.0.0.1", 1), "a", 4,
-			77, false);
+			"v1", 77, false);
 
 	/** Guards against parts that count as cached without those before them. */
 	@Test
@@ -64,7 +64,7 @@
 
 	private static CallerRequest request(long promptTokens, PromptPart... parts) {
 		return new CallerRequest("id-1", "h", "/", OptionalLong.empty(), Optional.empty(), "m", List.of(parts),
-				promptTokens, 80);
+				promptTokens, 80, Optional.empty());
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/ExplainEndpoint.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/ExplainEndpoint.java
@@ -84,7 +84,8 @@
 		return new CallerRequest("explained", RequestTarget.hostOf(required(query, "host")),
 				RequestTarget.pathOf(required(query, "path")), deadlineMillis, query.get("key"),
 				query.get("model").orElse(""), parts(query),
-				query.get("prompt_tokens").map((text) -> number("prompt_tokens", text)).orElse(0L), 0);
+				query.get("prompt_tokens").map((text) -> number("prompt_tokens", text)).orElse(0L), 0,
+				Optional.empty());
 	}
 
 	private static List<PromptPart> parts(Query query) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/caller/CallerRequest.java
@@ -23,10 +23,13 @@
  * alone
  * @param promptTokenCount number of prompt tokens, 0 if there is no prompt
  * @param maxOutputTokenCount greatest number of tokens of the answer, 0 if it isn't known
+ * @param resumption what the caller says of a stream that it has a part of, or empty if
+ * it doesn't take one up
  * @author The marjoramgw authors
  */
 public record CallerRequest(String id, String host, String path, OptionalLong deadlineMillis, Optional<String> key,
-		String model, List<PromptPart> promptParts, long promptTokenCount, long maxOutputTokenCount) {
+		String model, List<PromptPart> promptParts, long promptTokenCount, long maxOutputTokenCount,
+		Optional<Resumption> resumption) {
 
 	/**
 	 * Bound on the tokens that a caller may claim, so that sums of them stay in range.
@@ -40,7 +43,7 @@
 	 */
 	public CallerRequest withKey(String accountKey) {
 		return new CallerRequest(this.id, this.host, this.path, this.deadlineMillis, Optional.of(accountKey),
-				this.model, this.promptParts, this.promptTokenCount, this.maxOutputTokenCount);
+				this.model, this.promptParts, this.promptTokenCount, this.maxOutputTokenCount, this.resumption);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -255,8 +255,8 @@
 	private void put(BackendServer server) {
 		Registration previous = this.registrationById.put(server.id(), new Registration(server));
 		if (previous == null || previous.server.draining() != server.draining()) {
-			Logger.info("backend server {} of {} at {} {}", server.id(), server.service(), server.address(),
-					server.draining() ? "is leaving" : "is usable");
+			Logger.info("backend server {} of {} at {} version={} {}", server.id(), server.service(), server.address(),
+					server.version(), server.draining() ? "is leaving" : "is usable");
 		}
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptHistory.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 import org.marjoramgw.ExecutionOutcome;
@@ -38,6 +40,9 @@
 
 	private long firstBytesMillis = NEVER;
 
+	/** Software versions of the servers that brought events, in order. */
+	private final List<String> eventVersions = new ArrayList<>();
+
 	private long pauseMillis;
 
 	boolean mayTry() {
@@ -107,6 +112,14 @@
 		this.firstBytesMillis = ageMillis;
 	}
 
+	/**
+	 * Records that a server brings events.
+	 * @param version version of its software
+	 */
+	void onEvents(String version) {
+		this.eventVersions.add(version);
+	}
+
 	/**
 	 * Records the longest pause of a stream.
 	 * @param pauseMillis longest time between events, in milliseconds
@@ -162,12 +175,14 @@
 	 * Returns the log fields of the history.
 	 * @return number of attempts, and age of the request when it last waited no longer
 	 * for its turn, for its server and for its connection, at the last send and at the
-	 * first bytes of a stream, -1 if there was none, and longest pause of a stream
+	 * first bytes of a stream, -1 if there was none, longest pause of a stream, and the
+	 * versions of the servers that brought events
 	 */
 	String describe() {
 		return "tries=" + this.tries + " turn_ms=" + this.turnMillis + " permit_ms=" + this.permitMillis
 				+ " connected_ms=" + this.connectedMillis + " sent_ms=" + this.sentMillis + " overtaken_by="
-				+ this.overtakenBy + " first_ms=" + this.firstBytesMillis + " pause_ms=" + this.pauseMillis;
+				+ this.overtakenBy + " first_ms=" + this.firstBytesMillis + " pause_ms=" + this.pauseMillis
+				+ (this.eventVersions.isEmpty() ? "" : " event_versions=" + String.join(",", this.eventVersions));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -215,7 +215,10 @@
 		this.context.requestLog()
 			.recordCompletion(code, this.caller.id(), routeName, status, tookMillis,
 					detail + " " + decision + " confirmed_ms=" + this.context.routing().ageMillis() + " waited_ms="
-							+ this.waitedMillis + " " + this.history.describe());
+							+ this.waitedMillis + " " + this.history.describe()
+							+ this.caller.resumption()
+								.map((resumption) -> " resumes=" + resumption.firstAttemptId().orElse("unnamed"))
+								.orElse(""));
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
@@ -58,6 +58,7 @@
 			attempt.onFirstToken();
 			if (hasEvents) {
 				this.state.countFirstEvent();
+				this.state.history().onEvents(attempt.server().version());
 			}
 			this.state.history().onFirstBytes(this.state.ageMillis());
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/BackendServer.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/BackendServer.java
@@ -10,13 +10,14 @@
  * @param address address of the server
  * @param failureDomain failure domain of the server
  * @param slotCount number of requests that it runs concurrently
+ * @param version version of its software, an empty string if it named none
  * @param startMillis when the server started, in milliseconds since the Unix epoch; 0 if
  * it didn't say
  * @param draining whether it accepts no new requests because it is shutting down
  * @author The marjoramgw authors
  */
 public record BackendServer(String id, String service, HostPort address, String failureDomain, int slotCount,
-		long startMillis, boolean draining) {
+		String version, long startMillis, boolean draining) {
 
 	/**
 	 * Returns the identity of this run of the server, which ends with its process.
