--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -341,6 +341,14 @@
 		return record("config", CONFIGURATION);
 	}
 
+	/**
+	 * Returns the configuration of the fixture with longer timeouts.
+	 * @return its record
+	 */
+	static KeyedRecord longConfiguration() {
+		return record("config", CONFIGURATION.replace("\"timeoutMs\":1500", "\"timeoutMs\":20000"));
+	}
+
 	/**
 	 * Returns the configuration of the fixture with limits on callers.
 	 * @param limits the limits, a JSON object
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
@@ -68,10 +68,10 @@
 	 */
 	StartedEntry(HostPort store, int graceSeconds, int heapMegabytes, List<String> launcher) throws IOException {
 		Path settings = Files.writeString(this.directory.resolve("settings.toml"),
-				"process_id = \"entry\"\nfailure_domain = \"a\"\nhealth_path = \"/-/ready\"\ncallers_address = \""
-						+ this.callers + "\"\nhealth_address = \"" + this.health + "\"\nmetrics_address = \""
-						+ freeAddress() + "\"\nstore_address = \"" + store + "\"\nstop_grace_s = " + graceSeconds
-						+ "\n");
+				"process_id = \"entry-" + this.callers.port()
+						+ "\"\nfailure_domain = \"a\"\nhealth_path = \"/-/ready\"\ncallers_address = \"" + this.callers
+						+ "\"\nhealth_address = \"" + this.health + "\"\nmetrics_address = \"" + freeAddress()
+						+ "\"\nstore_address = \"" + store + "\"\nstop_grace_s = " + graceSeconds + "\n");
 		List<String> command = new ArrayList<>(launcher);
 		command.add(ProcessHandle.current().info().command().orElseThrow());
 		command.addAll(OPTIONS);
