Let a stream go on only at the software version that began it

Cause: nothing knew at which version a stream began. A continuation went to any usable server; a take-up (Resumes) was an ordinary request, also at a process that had just started and at one that sees a single version because the old one has left.

A process begins streams only at versions that are marked in the store (keyed.marjoramgw-streams); while a service has several, it also records the streams that begin, in batches. A take-up goes to the version that its stream is recorded with, or to the only one that there was for as long as it may be taken up, by a read that is sent after the request came; otherwise it gets 503, code 2025. The version is that of the registration at the first event; a server that restarts under its id makes it uncertain.

Why it works: a mark is acknowledged before the first stream at a version and outlasts the time of a take-up, so that whoever reads the marks knows every version that a stream may have begun at; a missing record leads to a refusal.

In calm one append every 20 s for each process.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/Fixtures.java
@@ -108,7 +108,7 @@
 	 */
 	public static Admission admission(ActiveRouting routing, long maxAgeMillis) {
 		return new Admission(routing, () -> maxAgeMillis, () -> maxAgeMillis,
-				() -> CompletableFuture.completedFuture(null));
+				() -> CompletableFuture.completedFuture(true));
 	}
 
 }
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ConfirmationReadsTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ConfirmationReadsTests.java
@@ -32,12 +32,12 @@
 	@Test
 	public void requestDuringAReadWaitsForTheNextOne() {
 		ConfirmationReads reads = reads();
-		CompletableFuture<Void> first = reads.request().toCompletableFuture();
-		CompletableFuture<Void> second = reads.request().toCompletableFuture();
-		CompletableFuture<Void> third = reads.request().toCompletableFuture();
+		CompletableFuture<Boolean> first = reads.request().toCompletableFuture();
+		CompletableFuture<Boolean> second = reads.request().toCompletableFuture();
+		CompletableFuture<Boolean> third = reads.request().toCompletableFuture();
 		Assert.assertEquals(this.sent.size(), 1);
 		this.sent.get(0).complete(null);
-		Assert.assertTrue(first.isDone());
+		Assert.assertTrue(first.isDone() && first.join());
 		Assert.assertFalse(second.isDone() || third.isDone());
 		Assert.assertEquals(this.sent.size(), 2, "one read for both");
 		this.sent.get(1).complete(null);
@@ -50,10 +50,11 @@
 	@Test
 	public void failedReadIsNotRepeatedAtOnce() {
 		ConfirmationReads reads = reads();
-		CompletableFuture<Void> first = reads.request().toCompletableFuture();
-		CompletableFuture<Void> second = reads.request().toCompletableFuture();
+		CompletableFuture<Boolean> first = reads.request().toCompletableFuture();
+		CompletableFuture<Boolean> second = reads.request().toCompletableFuture();
 		this.sent.get(0).completeExceptionally(new StoreUnavailableException("away", null));
 		Assert.assertTrue(first.isDone() && second.isDone(), "nobody waits on");
+		Assert.assertFalse(first.join() || second.join());
 		Assert.assertTrue(reads.request().toCompletableFuture().isDone());
 		Assert.assertEquals(this.sent.size(), 1);
 		this.clock.advanceMillis(250);
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/AdmissionTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/AdmissionTests.java
@@ -28,7 +28,7 @@
 
 	private static final long MAX_DENIAL_AGE_MILLIS = 1_700;
 
-	private CompletableFuture<Void> confirmation;
+	private CompletableFuture<Boolean> confirmation;
 
 	private int confirmationCount;
 
@@ -114,10 +114,10 @@
 		ManualMillisClock clock = new ManualMillisClock(1_000);
 		Admission admission = admission(activeRouting(clock));
 		clock.advanceMillis(ageMillis);
-		CompletableFuture<Void> settled = admission.settle(Fixtures.request(path, key)).toCompletableFuture();
+		CompletableFuture<Boolean> settled = admission.settle(Fixtures.request(path, key)).toCompletableFuture();
 		Assert.assertEquals(this.confirmationCount, read ? 1 : 0);
 		Assert.assertEquals(settled.isDone(), !read);
-		this.confirmation.complete(null);
+		this.confirmation.complete(true);
 		Assert.assertTrue(settled.isDone());
 	}
 
--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
@@ -24,6 +24,7 @@
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.WeightedService;
 import org.marjoramgw.direct.quarantine.PromptGuard;
+import org.marjoramgw.direct.stream.StreamVersions;
 import org.marjoramgw.operator.WhereReport;
 import org.marjoramgw.policy.drain.DrainSchedule;
 import org.marjoramgw.policy.fleet.LoadObserver;
@@ -92,8 +93,9 @@
 		this.partition = new PromptPartition(this.clock);
 		this.forwarder = new Forwarder(new ForwardingContext(null, null, null, this.routing,
 				Fixtures.admission(this.routing, MAX_AGE_MILLIS), this.directory, this.health, this.startLimiter, null,
-				this.prefillLimiter, this.partition, selector(this.partition, new Random(1)), null, null, null, null,
-				PromptGuard.NONE, null, LoadObserver.NONE, null, UsageObserver.NONE, ages, null, new Random(1)));
+				this.prefillLimiter, this.partition, selector(this.partition, new Random(1)), StreamVersions.NONE, null,
+				null, null, null, PromptGuard.NONE, null, LoadObserver.NONE, null, UsageObserver.NONE, ages, null,
+				new Random(1)));
 		this.explainer = this.forwarder.explainer("edge-1", (copy) -> selector(copy, new Random(2)),
 				(server) -> Map.of("pace", server.load()));
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/DirectProcess.java
@@ -29,13 +29,17 @@
 import org.marjoramgw.direct.duty.UsagePlatform;
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.KeyedRecord;
+import org.marjoramgw.direct.follow.ObservedListener;
 import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.follow.TopicListener;
 import org.marjoramgw.direct.forward.Admission;
 import org.marjoramgw.direct.forward.Forwarder;
 import org.marjoramgw.direct.forward.RequestLog;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.quarantine.QuarantineGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
+import org.marjoramgw.direct.stream.SharedStreamVersions;
+import org.marjoramgw.direct.stream.StreamVersions;
 import org.marjoramgw.direct.warmup.WarmUp;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.HttpListener;
@@ -152,6 +156,8 @@
 
 	private final QuarantineGuard quarantineGuard;
 
+	private final SharedStreamVersions streamVersions;
+
 	private final StoreFollowers storeFollowers;
 
 	private final FleetExchange fleet;
@@ -201,13 +207,16 @@
 		this.usageDuty = this.platform.usage().map(this::usageDuty);
 		this.requestLog = new RequestLog(this.registry, this.monotonicClock, MAX_SERVED_LINES_PER_SECOND);
 		StartLimiter startLimiter = this.requestPath.startLimiter();
-		this.storeFollowers = new StoreFollowers(this.platform, this.routing, this.directory, this.quarantineGuard,
-				this.clock, this.timers, new ResultCounters(this.registry));
+		this.streamVersions = this.requestPath.streamVersions(this.directory);
+		TopicListener servers = new ObservedListener(this.directory, this.streamVersions::onStoreReadAnew,
+				this.streamVersions::onRegistrations);
+		this.storeFollowers = new StoreFollowers(this.platform, this.routing, servers, this.quarantineGuard, this.clock,
+				this.timers, new ResultCounters(this.registry));
 		Admission admission = new Admission(this.routing, this.readiness::maxAgeMillis,
 				() -> this.settings.get().configurationApplyMillis() - APPLY_MARGIN_MILLIS,
 				this.storeFollowers::confirmConfiguration);
-		this.forwarder = this.requestPath.forwarder(this.routing, admission, this.directory, this.quarantineGuard,
-				this.requestLog, startLimiter, this.requestPath.sharedLoad(),
+		this.forwarder = this.requestPath.forwarder(this.routing, admission, this.directory, this.streamVersions,
+				this.quarantineGuard, this.requestLog, startLimiter, this.requestPath.sharedLoad(),
 				this.usageDuty.map(UsageDuty::observer).orElse(UsageObserver.NONE));
 		this.explainEndpoint = new ExplainEndpoint(this.requestPath.explainer(this.forwarder, this.routing,
 				this.directory, this.requestPath.sharedLoad())::explain);
@@ -227,6 +236,7 @@
 	public void run() {
 		this.storeFollowers.start();
 		this.quarantineGuard.start();
+		this.streamVersions.start();
 		this.fleet.start();
 		this.usageDuty.ifPresent(UsageDuty::start);
 		runMaintenance();
@@ -253,7 +263,8 @@
 	 * @param limitMillis time of the monotonic clock at which callers are served anyway
 	 */
 	private void serveWhenLoaded(long limitMillis) {
-		boolean loaded = this.routing.current().isPresent() && this.directory.isLoaded();
+		boolean loaded = this.routing.current().isPresent() && this.directory.isLoaded()
+				&& this.streamVersions.isLoaded();
 		if (loaded || this.monotonicClock.nowMillis() >= limitMillis) {
 			this.callerListener.serve(this.callerAcceptor)
 				.thenRun(() -> this.lifecycle.started(this::stop, () -> reload("SIGHUP")));
@@ -293,10 +304,10 @@
 		StartLimiter sampleLimiter = this.requestPath.startLimiter();
 		LongSupplier maxAgeMillis = () -> WARM_UP_LIMIT_MILLIS * 2;
 		Admission sampleAdmission = new Admission(sampleRouting, maxAgeMillis, maxAgeMillis,
-				() -> CompletableFuture.completedFuture(null));
+				() -> CompletableFuture.completedFuture(true));
 		Forwarder sampleForwarder = this.requestPath.forwarder(sampleRouting, sampleAdmission, sampleDirectory,
-				PromptGuard.NONE, new RequestLog(new MetricRegistry(), this.monotonicClock, 0), sampleLimiter,
-				this.requestPath.sampleLoad(), UsageObserver.NONE);
+				StreamVersions.NONE, PromptGuard.NONE, new RequestLog(new MetricRegistry(), this.monotonicClock, 0),
+				sampleLimiter, this.requestPath.sampleLoad(), UsageObserver.NONE);
 		callerListener(sampleForwarder, sampleLimiter).serve(acceptor);
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/Platform.java
@@ -24,11 +24,13 @@
  * @param serverDecoder decoder of a registration
  * @param quarantine topic of this system for crash reports and verdicts
  * @param entries topic of this system for the addresses of its entry processes
+ * @param streams topic of this system for the versions at which streams began
  * @param usage what the usage reports need, or empty if there are none
  * @param samples sample messages for the warm-up
  * @author The marjoramgw authors
  */
 public record Platform(CallerDialect callerDialect, BackendDialect backendDialect, CompactedTopic configuration,
 		String configurationKey, RoutingDecoder routingDecoder, CompactedTopic servers, ServerDecoder serverDecoder,
-		AppendableTopic quarantine, AppendableTopic entries, Optional<UsagePlatform> usage, Samples samples) {
+		AppendableTopic quarantine, AppendableTopic entries, AppendableTopic streams, Optional<UsagePlatform> usage,
+		Samples samples) {
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/RequestPath.java
@@ -26,6 +26,8 @@
 import org.marjoramgw.direct.forward.ServerViews;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.quarantine.QuarantineGuard;
+import org.marjoramgw.direct.stream.SharedStreamVersions;
+import org.marjoramgw.direct.stream.StreamVersions;
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
@@ -145,6 +147,7 @@
 	 * Creates a forwarder.
 	 * @param routing the configuration that it applies
 	 * @param servers the backend servers that it uses
+	 * @param streams versions at which streams begin and go on
 	 * @param promptGuard guard of the backend servers
 	 * @param requestLog log of its requests
 	 * @param startLimiter limits its requests that start concurrently, also that of its
@@ -154,17 +157,18 @@
 	 * @param usage observer of the requests that begin to run
 	 * @return the forwarder
 	 */
-	Forwarder forwarder(ActiveRouting routing, Admission admission, ServerDirectory servers, PromptGuard promptGuard,
-			RequestLog requestLog, StartLimiter startLimiter, Optional<SharedLoad> load, UsageObserver usage) {
+	Forwarder forwarder(ActiveRouting routing, Admission admission, ServerDirectory servers, StreamVersions streams,
+			PromptGuard promptGuard, RequestLog requestLog, StartLimiter startLimiter, Optional<SharedLoad> load,
+			UsageObserver usage) {
 		Random random = new Random();
 		PromptPartition promptPartition = new PromptPartition(this.monotonicClock);
 		return new Forwarder(new ForwardingContext(this.system, this.platform.callerDialect(),
 				this.platform.backendDialect(), routing, admission, servers, this.health, startLimiter,
 				this.startTimeouts, this.prefillLimiter, promptPartition,
-				serverSelector(routing, servers, load.map(SharedLoad::placement), promptPartition, random), this.pool,
-				retryBudget(servers), new BodyReader(this.system), this.bodyBudget, promptGuard, new RecentSends(),
-				load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), requestLog, usage, this.clock,
-				this.timers, random));
+				serverSelector(routing, servers, load.map(SharedLoad::placement), promptPartition, random), streams,
+				this.pool, retryBudget(servers), new BodyReader(this.system), this.bodyBudget, promptGuard,
+				new RecentSends(), load.<LoadObserver>map(SharedLoad::book).orElse(LoadObserver.NONE), requestLog,
+				usage, this.clock, this.timers, random));
 	}
 
 	/**
@@ -229,6 +233,17 @@
 				new Backoff(BASE_APPEND_BACKOFF_MILLIS, MAX_APPEND_BACKOFF_MILLIS, new Random()));
 	}
 
+	/**
+	 * Creates the versions of streams that all processes share.
+	 * @param servers the backend servers
+	 * @return the versions
+	 */
+	SharedStreamVersions streamVersions(ServerDirectory servers) {
+		return new SharedStreamVersions(this.settings.get().processId(), servers, this.platform.streams(),
+				this.monotonicClock, System::currentTimeMillis, this.timers,
+				new Backoff(BASE_APPEND_BACKOFF_MILLIS, MAX_APPEND_BACKOFF_MILLIS, new Random()));
+	}
+
 	/**
 	 * Returns the number of requests that wait before they are sent to a server.
 	 * @return the number of requests
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
@@ -101,9 +101,9 @@
 
 	/**
 	 * Reads the configuration with a call that is sent now or later.
-	 * @return completes when the read has ended, with or without an answer
+	 * @return completes when the read has ended, with whether it was answered
 	 */
-	CompletionStage<Void> confirmConfiguration() {
+	CompletionStage<Boolean> confirmConfiguration() {
 		return this.configurationReads.request();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ConfirmationReads.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ConfirmationReads.java
@@ -23,9 +23,9 @@
 
 	private final MillisClock clock;
 
-	private CompletableFuture<Void> open;
+	private CompletableFuture<Boolean> open;
 
-	private CompletableFuture<Void> next;
+	private CompletableFuture<Boolean> next;
 
 	private long pausedUntilMillis = Long.MIN_VALUE;
 
@@ -41,17 +41,17 @@
 
 	/**
 	 * Requests a read that is sent after this call.
-	 * @return completes when the read has ended, with or without an answer
+	 * @return completes when the read has ended, with whether it was answered
 	 */
-	public CompletionStage<Void> request() {
-		CompletableFuture<Void> started;
+	public CompletionStage<Boolean> request() {
+		CompletableFuture<Boolean> started;
 		synchronized (this) {
 			if (this.open != null) {
 				this.next = (this.next != null) ? this.next : new CompletableFuture<>();
 				return this.next;
 			}
 			if (this.clock.nowMillis() < this.pausedUntilMillis) {
-				return CompletableFuture.completedFuture(null);
+				return CompletableFuture.completedFuture(false);
 			}
 			started = new CompletableFuture<>();
 			this.open = started;
@@ -60,12 +60,12 @@
 		return started;
 	}
 
-	private void send(CompletableFuture<Void> started) {
+	private void send(CompletableFuture<Boolean> started) {
 		this.reads.get().whenComplete((ignored, failure) -> onEnd(started, failure != null));
 	}
 
-	private void onEnd(CompletableFuture<Void> ended, boolean failed) {
-		CompletableFuture<Void> following;
+	private void onEnd(CompletableFuture<Boolean> ended, boolean failed) {
+		CompletableFuture<Boolean> following;
 		synchronized (this) {
 			following = this.next;
 			this.next = null;
@@ -74,12 +74,12 @@
 				this.pausedUntilMillis = this.clock.nowMillis() + PAUSE_MILLIS;
 			}
 		}
-		ended.complete(null);
+		ended.complete(!failed);
 		if (following == null) {
 			return;
 		}
 		if (failed) {
-			following.complete(null);
+			following.complete(false);
 		}
 		else {
 			send(following);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -88,6 +88,25 @@
 			.toList();
 	}
 
+	/**
+	 * Returns all servers, usable or not.
+	 * @return the servers
+	 */
+	public synchronized List<BackendServer> all() {
+		return this.registrationById.values().stream().map((registration) -> registration.server).toList();
+	}
+
+	/**
+	 * Tells whether a server was started again since it was chosen.
+	 * @param server the server as it was chosen
+	 * @return whether another start or version is registered under its id
+	 */
+	public synchronized boolean isReplaced(BackendServer server) {
+		Registration registration = this.registrationById.get(server.id());
+		return registration != null && !(registration.server.incarnation().equals(server.incarnation())
+				&& registration.server.version().equals(server.version()));
+	}
+
 	/**
 	 * Counts the servers of a service, for the log.
 	 * @param service name of the service
@@ -158,6 +177,9 @@
 		if (registration == null || isLapsed(registration)) {
 			return Optional.of("its registration is gone");
 		}
+		if (!registration.server.version().equals(server.version())) {
+			return Optional.of("its registration has another version");
+		}
 		return registration.server.draining() ? Optional.of("its registration is draining") : Optional.empty();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
@@ -34,7 +34,7 @@
 
 	private final LongSupplier maxDenialAgeMillis;
 
-	private final Supplier<CompletionStage<Void>> confirmation;
+	private final Supplier<CompletionStage<Boolean>> confirmation;
 
 	/**
 	 * Creates an admission check.
@@ -46,7 +46,7 @@
 	 * ended
 	 */
 	public Admission(ActiveRouting routing, LongSupplier maxAgeMillis, LongSupplier maxDenialAgeMillis,
-			Supplier<CompletionStage<Void>> confirmation) {
+			Supplier<CompletionStage<Boolean>> confirmation) {
 		this.routing = routing;
 		this.maxAgeMillis = maxAgeMillis;
 		this.maxDenialAgeMillis = maxDenialAgeMillis;
@@ -59,10 +59,10 @@
 	 * @param request the request
 	 * @return completes when the request can be decided on
 	 */
-	public CompletionStage<Void> settle(CallerRequest request) {
+	public CompletionStage<Boolean> settle(CallerRequest request) {
 		Optional<Routing> current = this.routing.current();
 		if (current.isEmpty() || mayDeny() || denial(current.get(), request).isEmpty()) {
-			return CompletableFuture.completedFuture(null);
+			return CompletableFuture.completedFuture(true);
 		}
 		return this.confirmation.get();
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -1,6 +1,8 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -66,7 +68,7 @@
 		}
 		Optional<BackendServer> server = history.mayTry()
 				? this.context.serverSelector()
-					.choose(this.state.service(), this.state.route(), this.state.caller(), history.excluded())
+					.choose(this.state.service(), this.state.route(), this.state.caller(), excluded())
 				: Optional.empty();
 		if (server.isEmpty()) {
 			throw new RequestRejectedException(reason,
@@ -79,6 +81,20 @@
 		return new Attempt(server.get());
 	}
 
+	/**
+	 * Returns the servers that the request must not be sent to.
+	 * @return ids of the servers
+	 */
+	private Set<String> excluded() {
+		Set<String> excluded = new HashSet<>(this.state.history().excluded());
+		this.context.directory()
+			.usable(this.state.service())
+			.stream()
+			.filter((server) -> !this.state.isSuitable(server))
+			.forEach((server) -> excluded.add(server.id()));
+		return excluded;
+	}
+
 	/**
 	 * Launches an attempt: waits for a prefill permit if it needs one, connects and
 	 * sends.
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.http.javadsl.model.HttpEntity;
@@ -12,6 +13,7 @@
 import org.marjoramgw.direct.backend.ResponseKind;
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.policy.stream.StreamOrigin;
 import org.marjoramgw.time.ClockReading;
 
 /**
@@ -86,6 +88,25 @@
 					this.state.route(), this.state.caller());
 			this.streamRelay = new StreamRelay(this.context, this.state, promptRecord, this);
 			this.completion.hold(promptRecord);
+			if (this.state.isTakenUp()) {
+				this.state.locateOrigin().thenAccept(this::takeUp);
+			}
+			else {
+				waitForTurn(ResultCode.NO_BACKEND);
+			}
+		}
+		catch (RequestRejectedException ex) {
+			this.completion.reject(ex.code(), ex.getMessage());
+		}
+	}
+
+	private synchronized void takeUp(Optional<StreamOrigin> origin) {
+		if (this.completion.isResponded()) {
+			return;
+		}
+		try {
+			this.state.setOrigin(
+					origin.orElseThrow(() -> new RequestRejectedException(ResultCode.STREAM_ORIGIN_UNKNOWN, "")));
 			waitForTurn(ResultCode.NO_BACKEND);
 		}
 		catch (RequestRejectedException ex) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardingContext.java
@@ -12,6 +12,7 @@
 import org.marjoramgw.direct.follow.ActiveRouting;
 import org.marjoramgw.direct.follow.ServerDirectory;
 import org.marjoramgw.direct.quarantine.PromptGuard;
+import org.marjoramgw.direct.stream.StreamVersions;
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.policy.fleet.LoadObserver;
 import org.marjoramgw.policy.partition.PromptPartition;
@@ -39,6 +40,7 @@
  * @param prefillLimiter limits the prompts in prefill at each backend server
  * @param promptPartition partition of backend servers by the length of prompts
  * @param serverSelector selects backend servers
+ * @param streams software versions at which streams begin and go on
  * @param pool pool of connections to backend servers
  * @param retryBudget budget of retries
  * @param bodyReader reader of complete bodies
@@ -56,7 +58,7 @@
 public record ForwardingContext(ActorSystem<?> system, CallerDialect callerDialect, BackendDialect backendDialect,
 		ActiveRouting routing, Admission admission, ServerDirectory directory, ServerHealth health,
 		StartLimiter startLimiter, StartTimeouts startTimeouts, PrefillLimiter prefillLimiter,
-		PromptPartition promptPartition, ServerSelector serverSelector, ConnectionPool pool,
+		PromptPartition promptPartition, ServerSelector serverSelector, StreamVersions streams, ConnectionPool pool,
 		WindowRetryBudget retryBudget, BodyReader bodyReader, BodyBudget bodyBudget, PromptGuard promptGuard,
 		RecentSends recentSends, LoadObserver loadObserver, RequestLog requestLog, UsageObserver usage, AgeClock clock,
 		Timers timers, Random random) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -1,11 +1,17 @@
 package org.marjoramgw.direct.forward;
 
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.marjoramgw.ResultCode;
 import org.marjoramgw.direct.caller.CallerRequest;
+import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.direct.model.Route;
 import org.marjoramgw.direct.model.Routing;
 import org.marjoramgw.errors.RequestRejectedException;
+import org.marjoramgw.policy.stream.StreamOrigin;
 import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.RequestTime;
 import org.marjoramgw.policy.waiting.Urgency;
@@ -39,6 +45,11 @@
 
 	private String service = "";
 
+	/** Where the stream that goes on began, empty before its first event. */
+	private Optional<StreamOrigin> origin = Optional.empty();
+
+	private boolean eventsBegun;
+
 	private boolean streamCounted;
 
 	/**
@@ -109,8 +120,82 @@
 		return this.service;
 	}
 
-	void selectService() {
-		this.service = route().selectService(this.context.random().nextDouble());
+	/**
+	 * Selects the service that the request is sent to.
+	 * @throws RequestRejectedException if its stream began at a service that the route no
+	 * longer uses
+	 */
+	void selectService() throws RequestRejectedException {
+		if (this.origin.isEmpty()) {
+			this.service = route().selectService(this.context.random().nextDouble());
+			return;
+		}
+		String required = this.origin.get().service();
+		if (!route().hasService(required)) {
+			throw new RequestRejectedException(ResultCode.STREAM_ORIGIN_UNKNOWN, "began at service " + required);
+		}
+		this.service = required;
+	}
+
+	/**
+	 * Finds out where the stream that the caller takes up began.
+	 * @return the origin, or empty if nobody can say or it isn't taken up
+	 */
+	CompletionStage<Optional<StreamOrigin>> locateOrigin() {
+		return this.caller.resumption()
+			.map((resumption) -> this.context.streams().locate(resumption, this.service))
+			.orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+	}
+
+	/**
+	 * Tells whether the caller takes up a stream.
+	 * @return whether it has a part of the answer
+	 */
+	boolean isTakenUp() {
+		return isResumableStream() && this.caller.resumption().isPresent();
+	}
+
+	/**
+	 * Sets where the stream that the caller takes up began.
+	 * @param located the origin
+	 * @throws RequestRejectedException if the stream can't go on there
+	 */
+	void setOrigin(StreamOrigin located) throws RequestRejectedException {
+		this.origin = Optional.of(located);
+		selectService();
+	}
+
+	/**
+	 * Tells whether the stream of this request may begin or go on at a server of its
+	 * service.
+	 * @param server the server
+	 * @return whether it may, always true if it isn't a stream that goes on
+	 */
+	boolean isSuitable(BackendServer server) {
+		if (!isResumableStream()) {
+			return true;
+		}
+		return this.origin.map((known) -> known.mayGoOnAt(server.version()))
+			.orElseGet(() -> this.context.streams().mayBegin(server));
+	}
+
+	/**
+	 * Records that a server brings events.
+	 * @param server the server
+	 */
+	void onEvents(BackendServer server) {
+		this.history.onEvents(server.version());
+		if (this.eventsBegun || !isResumableStream()) {
+			return;
+		}
+		this.eventsBegun = true;
+		StreamOrigin known = this.origin.orElseGet(() -> this.context.streams().originAt(server));
+		this.origin = Optional.of(known);
+		this.context.streams().onBegun(this.caller.id(), known, server);
+	}
+
+	private boolean isResumableStream() {
+		return route().isStreaming() && route().resumable();
 	}
 
 	boolean isResuming() {
@@ -196,6 +281,17 @@
 		}
 	}
 
+	/**
+	 * Returns the log fields of what the caller takes up.
+	 * @return the id that it names and the origin, or an empty string
+	 */
+	private String describeResumption() {
+		return this.caller.resumption()
+			.map((resumption) -> " resumes=" + resumption.firstAttemptId().orElse("unnamed") + " began_at="
+					+ this.origin.flatMap(StreamOrigin::version).orElse("unknown"))
+			.orElse("");
+	}
+
 	/**
 	 * Counts and logs the outcome of the request.
 	 * @param code result code
@@ -215,10 +311,7 @@
 		this.context.requestLog()
 			.recordCompletion(code, this.caller.id(), routeName, status, tookMillis,
 					detail + " " + decision + " confirmed_ms=" + this.context.routing().ageMillis() + " waited_ms="
-							+ this.waitedMillis + " " + this.history.describe()
-							+ this.caller.resumption()
-								.map((resumption) -> " resumes=" + resumption.firstAttemptId().orElse("unnamed"))
-								.orElse(""));
+							+ this.waitedMillis + " " + this.history.describe() + describeResumption());
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/StreamRelay.java
@@ -58,7 +58,7 @@
 			attempt.onFirstToken();
 			if (hasEvents) {
 				this.state.countFirstEvent();
-				this.state.history().onEvents(attempt.server().version());
+				this.state.onEvents(attempt.server());
 			}
 			this.state.history().onFirstBytes(this.state.ageMillis());
 		}
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -41,12 +41,14 @@
 import org.marjoramgw.direct.model.CallerLimits;
 import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.marjoramgw.direct.socket.SocketAcceptor;
+import org.marjoramgw.direct.stream.SharedStreamVersions;
 import org.marjoramgw.http.BodyReader;
 import org.marjoramgw.http.HttpConnector;
 import org.marjoramgw.http.StrayBytes;
 import org.marjoramgw.policy.partition.PromptPartition;
 import org.marjoramgw.policy.placement.LeastLoadedPlacement;
 import org.marjoramgw.policy.prefill.PrefillLimiter;
+import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.retry.WindowRetryBudget;
 import org.marjoramgw.policy.usage.UsageObserver;
 import org.marjoramgw.policy.waiting.StartLimiter;
@@ -101,6 +103,8 @@
 
 	private final ServerDirectory directory;
 
+	private final SharedStreamVersions streams;
+
 	private final Forwarder forwarder;
 
 	private final CallerListener listener;
@@ -168,15 +172,18 @@
 		PromptPartition partition = new PromptPartition(monotonicClock);
 		HttpConnector connector = new HttpConnector(this.system, BackendHttpSettings.of(config), StrayBytes.IGNORED);
 		Timers timers = new PekkoTimers(this.system);
+		this.streams = new SharedStreamVersions("entry", this.directory, new MemoryTopic(), monotonicClock,
+				System::currentTimeMillis, timers, new Backoff(1, 1, random));
+		this.streams.start();
 		StartLimiter startLimiter = new StartLimiter(4, this.system.executionContext());
 		StartTimeouts startTimeouts = new StartTimeouts(monotonicClock, timers);
 		ForwardingContext context = new ForwardingContext(this.system, dialect, dialect, routing,
 				new Admission(routing, () -> MAX_AGE_MILLIS, () -> MAX_AGE_MILLIS,
-						() -> CompletableFuture.completedFuture(null)),
+						() -> CompletableFuture.completedFuture(true)),
 				this.directory, health, startLimiter, startTimeouts,
 				new PrefillLimiter(monotonicClock, this.system.executionContext(), () -> 0), partition,
 				new ServerSelector(this.directory, ServerViews.ofOwnLoad(health), placement, partition, "a"),
-				new ConnectionPool(connector, monotonicClock),
+				this.streams, new ConnectionPool(connector, monotonicClock),
 				new WindowRetryBudget(monotonicClock, 10_000, 0.2, () -> 50), new BodyReader(this.system), bodyBudget,
 				guards.create(connector, health, timers), new RecentSends(), this.load,
 				new RequestLog(new MetricRegistry(), monotonicClock, 20), this::countRun, clock, timers, random);
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestoredStoreTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestoredStoreTests.java
@@ -128,8 +128,8 @@
 			awaitServed(entry, 3);
 			this.store.goAway();
 			this.store.restore(copy);
-			// The last confirmation is older than the time of a change by then.
-			Pause.millis(APPLY_MILLIS * 2);
+			// The last confirmation is too old for a refusal by then, but not for a key.
+			Pause.millis(APPLY_MILLIS);
 			Assert.assertTrue(status(entry, "/v3/1").endsWith("200"));
 			Assert.assertTrue(status(entry, "/v4/1").endsWith("503"));
 			write(3);
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
@@ -25,7 +25,7 @@
 final class StartedEntry implements AutoCloseable {
 
 	/** Size of the heap, in megabytes. */
-	private static final int HEAP_MB = 64;
+	static final int HEAP_MB = 64;
 
 	/** Size of the class metadata and of the compiled code at most, in megabytes. */
 	static final int METADATA_AND_CODE_MB = 104;
@@ -67,11 +67,25 @@
 	 * @throws IOException if it can't be started
 	 */
 	StartedEntry(HostPort store, int graceSeconds, int heapMegabytes, List<String> launcher) throws IOException {
+		this(store, graceSeconds, heapMegabytes, launcher, "");
+	}
+
+	/**
+	 * Starts a process with limits and settings of its own.
+	 * @param store address of the store
+	 * @param graceSeconds time between a request to stop and a kill, in seconds
+	 * @param heapMegabytes size of the heap, in megabytes
+	 * @param launcher command that the command line of the process is appended to
+	 * @param more further lines of the settings
+	 * @throws IOException if it can't be started
+	 */
+	StartedEntry(HostPort store, int graceSeconds, int heapMegabytes, List<String> launcher, String more)
+			throws IOException {
 		Path settings = Files.writeString(this.directory.resolve("settings.toml"),
 				"process_id = \"entry-" + this.callers.port()
 						+ "\"\nfailure_domain = \"a\"\nhealth_path = \"/-/ready\"\ncallers_address = \"" + this.callers
 						+ "\"\nhealth_address = \"" + this.health + "\"\nmetrics_address = \"" + freeAddress()
-						+ "\"\nstore_address = \"" + store + "\"\nstop_grace_s = " + graceSeconds + "\n");
+						+ "\"\nstore_address = \"" + store + "\"\nstop_grace_s = " + graceSeconds + "\n" + more);
 		List<String> command = new ArrayList<>(launcher);
 		command.add(ProcessHandle.current().info().command().orElseThrow());
 		command.addAll(OPTIONS);
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamVersionTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamVersionTests.java
@@ -31,6 +31,9 @@
 
 	private static final int STREAM_COUNT = 24;
 
+	/** The retry budget lets all streams of a test go on. */
+	private static final String RETRIES = "free_retry_count = 1000\n";
+
 	private static final int READ_TIMEOUT_MILLIS = 8_000;
 
 	/** Time in which processes see a change of the registrations, in milliseconds. */
@@ -146,7 +149,8 @@
 	}
 
 	private StartedEntry started() throws IOException {
-		StartedEntry entry = new StartedEntry(this.store.address(), GRACE_SECONDS);
+		StartedEntry entry = new StartedEntry(this.store.address(), GRACE_SECONDS, StartedEntry.HEAP_MB, List.of(),
+				RETRIES);
 		entry.awaitReady();
 		return entry;
 	}
--- /dev/null
+++ b/org.marjoramgw.policy.test/src/test/java/org/marjoramgw/policy/stream/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the versions of streams.
+ */
+package org.marjoramgw.policy.stream;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/ResultCode.java
@@ -71,6 +71,8 @@
 	ENTRY_STOPPED(2023, 502, ExecutionOutcome.UNKNOWN, "entry stopped while the request was in flight"),
 	/** Head of the request can't be forwarded as it was sent. */
 	MALFORMED_HEAD(2024, 400, ExecutionOutcome.NOT_RUN, "a header isn't valid UTF-8 or has ambiguous characters"),
+	/** Nobody can say at which software version the stream to be taken up began. */
+	STREAM_ORIGIN_UNKNOWN(2025, 503, ExecutionOutcome.NOT_RUN, "software version that began the stream is not known"),
 	/** Request body was not received in time. */
 	BODY_TIMEOUT(2030, 408, ExecutionOutcome.NOT_RUN, "body was not received in time"),
 	/** No memory was left for the request body. */
