Refuse responses with a spoilt head or chunk

Cause: what ResponseFrame couldn't read for certain only kept the connection from being used again; the HTTP library's own reading went to the caller. It takes an empty Content-Length for 0, '1 8' for 18, an unknown transfer coding for none, and skips lines that are no field.

Change: a head with a line that is no field (name of token characters, no space before the colon, no control characters), with a length that isn't a plain number, with two framings or another coding than chunked, and a chunk whose size isn't a number or that doesn't end where it should, ends the connection before the library sees the end of the head. That is a response that broke off: sent again where the request may run twice, 502 otherwise. The cases of ResponseFrameTests that had to stay incomplete have to be refused now, which is stricter.

--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnection.java
@@ -180,6 +180,7 @@
 	 */
 	ByteString onBytes(ByteString bytes) throws IOException {
 		StrayBytes.Place place;
+		String reason = "no response is due";
 		String id;
 		ByteString responseBytes = ByteString.emptyByteString();
 		synchronized (this) {
@@ -196,13 +197,14 @@
 				}
 				catch (IOException ex) {
 					place = StrayBytes.Place.INSIDE_RESPONSE;
+					reason = ex.getMessage();
 				}
 			}
 			this.closed = true;
 		}
 		this.strayBytes.onStrayBytes(this.address, place, id);
 		if (place != StrayBytes.Place.BEHIND_RESPONSE) {
-			throw new IOException("stray bytes received from the server: " + place);
+			throw new IOException("stray bytes received from the server: " + place + ", " + reason);
 		}
 		return responseBytes;
 	}
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
@@ -58,7 +58,8 @@
 	 * Follows received bytes.
 	 * @param bytes the bytes
 	 * @return number of them that belong to the response
-	 * @throws IOException if a second response begins inside this one
+	 * @throws IOException if a second response begins inside this one, or its head or
+	 * chunks are spoilt, so that its length isn't certain
 	 */
 	int accept(ByteString bytes) throws IOException {
 		this.headBytes = 0;
@@ -96,7 +97,7 @@
 		return (parsed == head) ? accepted : parsed.concat(accepted.drop(this.headBytes));
 	}
 
-	private void accept(byte next) {
+	private void accept(byte next) throws IOException {
 		switch (this.part) {
 			case HEAD, CHUNK_SIZE, CHUNK_END, TRAILER -> acceptLineByte(next);
 			case BODY, CHUNK -> {
@@ -111,7 +112,7 @@
 		}
 	}
 
-	private void acceptLineByte(byte next) {
+	private void acceptLineByte(byte next) throws IOException {
 		if (next != '\n') {
 			this.line.append((char) (next & 0xff));
 			this.part = (this.line.length() > MAX_LINE_BYTES) ? Part.UNKNOWN : this.part;
@@ -126,11 +127,11 @@
 		this.part = partAfter(text);
 	}
 
-	private Part partAfter(String text) {
+	private Part partAfter(String text) throws IOException {
 		return switch (this.part) {
 			case HEAD -> text.isEmpty() ? partAfterHead() : partAfterHeadLine(text);
 			case CHUNK_SIZE -> partAfterChunkSize(text);
-			case CHUNK_END -> text.isEmpty() ? Part.CHUNK_SIZE : Part.UNKNOWN;
+			case CHUNK_END -> partAfterChunk(text);
 			default -> text.isEmpty() ? Part.COMPLETE : Part.TRAILER;
 		};
 	}
@@ -140,7 +141,7 @@
 		return Part.HEAD;
 	}
 
-	private Part partAfterHead() {
+	private Part partAfterHead() throws IOException {
 		this.scan.reset();
 		ResponseHead.Framing framing = this.head.end();
 		this.remainingBytes = this.head.lengthBytes();
@@ -150,14 +151,22 @@
 			case LENGTH -> (this.remainingBytes == 0) ? Part.COMPLETE : Part.BODY;
 			case CHUNKED -> Part.CHUNK_SIZE;
 			case UNKNOWN -> Part.UNKNOWN;
+			case SPOILT -> throw new IOException("spoilt head of a response");
 		};
 	}
 
-	private Part partAfterChunkSize(String text) {
+	private static Part partAfterChunk(String text) throws IOException {
+		if (!text.isEmpty()) {
+			throw new IOException("bytes behind a chunk");
+		}
+		return Part.CHUNK_SIZE;
+	}
+
+	private Part partAfterChunkSize(String text) throws IOException {
 		int extension = text.indexOf(';');
 		String size = ((extension < 0) ? text : text.substring(0, extension)).trim();
 		if (!CHUNK_SIZE.matcher(size).matches()) {
-			return Part.UNKNOWN;
+			throw new IOException("spoilt size of a chunk");
 		}
 		this.remainingBytes = Long.parseLong(size, 16);
 		return (this.remainingBytes == 0) ? Part.TRAILER : Part.CHUNK;
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseHead.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseHead.java
@@ -6,6 +6,9 @@
 
 /**
  * Head of a response as far as it tells where the response ends; not thread-safe.
+ * <p>
+ * A head that has a line which is no field, or that names the length of the body in
+ * another way than a response may, is spoilt: what the server meant isn't known.
  *
  * @author The marjoramgw authors
  */
@@ -15,6 +18,10 @@
 
 	private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
 
+	/** Field: a name without a space before the colon, and no control characters. */
+	private static final Pattern FIELD = Pattern
+		.compile("([!#$%&'*+\\-.^_`|~0-9A-Za-z]+):([\\t\\x20-\\x7e\\x80-\\xff]*)");
+
 	private static final int MIN_FINAL_STATUS = 200;
 
 	private static final int SWITCHING_PROTOCOLS = 101;
@@ -35,6 +42,8 @@
 
 	private boolean plain = true;
 
+	private boolean spoilt;
+
 	private boolean begun;
 
 	ResponseHead(boolean noBody) {
@@ -62,22 +71,24 @@
 			this.status = this.plain ? Integer.parseInt(matcher.group(1)) : 0;
 			return;
 		}
-		int colon = line.indexOf(':');
-		if (colon <= 0 || Character.isWhitespace(line.charAt(0))) {
-			this.plain = false;
+		Matcher field = FIELD.matcher(line);
+		if (!field.matches()) {
+			this.spoilt = true;
 			return;
 		}
-		String name = line.substring(0, colon).trim().toLowerCase(Locale.ROOT);
-		String value = line.substring(colon + 1).trim();
+		addField(field.group(1).toLowerCase(Locale.ROOT), field.group(2).trim());
+	}
+
+	private void addField(String name, String value) {
 		if (name.equals("content-length")) {
 			this.framingCount++;
-			this.plain &= LENGTH.matcher(value).matches();
-			this.lengthBytes = this.plain ? Long.parseLong(value) : 0;
+			this.spoilt |= !LENGTH.matcher(value).matches();
+			this.lengthBytes = this.spoilt ? 0 : Long.parseLong(value);
 		}
 		else if (name.equals("transfer-encoding")) {
 			this.framingCount++;
 			this.chunked = true;
-			this.plain &= value.equalsIgnoreCase("chunked");
+			this.spoilt |= !value.equalsIgnoreCase("chunked");
 		}
 	}
 
@@ -86,6 +97,9 @@
 	 * @return how the end of the response is found
 	 */
 	Framing end() {
+		if (this.spoilt || this.framingCount > 1) {
+			return Framing.SPOILT;
+		}
 		if (this.plain && this.status < MIN_FINAL_STATUS && this.status != SWITCHING_PROTOCOLS && this.begun) {
 			this.begun = false;
 			this.framingCount = 0;
@@ -98,7 +112,7 @@
 		if (this.noBody || this.status == NO_CONTENT || this.status == NOT_MODIFIED) {
 			return Framing.NO_BODY;
 		}
-		if (this.framingCount != 1) {
+		if (this.framingCount == 0) {
 			return Framing.UNKNOWN;
 		}
 		return this.chunked ? Framing.CHUNKED : Framing.LENGTH;
@@ -117,7 +131,7 @@
 	 */
 	enum Framing {
 
-		INFORMATIONAL, NO_BODY, LENGTH, CHUNKED, UNKNOWN
+		INFORMATIONAL, NO_BODY, LENGTH, CHUNKED, UNKNOWN, SPOILT
 
 	}
 
