--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -25,27 +25,15 @@
  */
 public final class ServerDirectory implements TopicListener {
 
-	/**
-	 * Grace period after an outage of the store within which live servers register again,
-	 * in milliseconds: two seconds, less the time that a request needs to reach a server
-	 * that has left.
-	 */
-	private static final long REREGISTRATION_GRACE_MILLIS = 1_900;
-
 	private final ServerDecoder decoder;
 
-	private final AgeClock clock;
-
 	private final Map<String, Registration> registrationById = new HashMap<>();
 
 	private final LeavingServers leavingServers = new LeavingServers();
 
 	private final PausedServers pausedServers;
 
-	private boolean reachable = true;
-
-	/** When the first successful read after an outage was sent. */
-	private ClockReading reachableAgainSince;
+	private final OutageGrace grace;
 
 	private boolean loaded;
 
@@ -56,7 +44,7 @@
 	 */
 	public ServerDirectory(ServerDecoder decoder, AgeClock clock) {
 		this.decoder = decoder;
-		this.clock = clock;
+		this.grace = new OutageGrace(clock);
 		this.pausedServers = new PausedServers(() -> clock.now().monotonicMillis());
 	}
 
@@ -245,16 +233,13 @@
 
 	@Override
 	public synchronized void onConfirmed(ClockReading confirmedAt) {
-		if (!this.reachable) {
-			this.reachableAgainSince = confirmedAt;
-		}
-		this.reachable = true;
+		this.grace.onReachable(confirmedAt);
 		this.registrationById.values().removeIf(this::isLapsed);
 	}
 
 	@Override
 	public synchronized void onUnreachable() {
-		this.reachable = false;
+		this.grace.onUnreachable();
 	}
 
 	/**
@@ -287,7 +272,7 @@
 		if (registration == null) {
 			return;
 		}
-		if (registration.server.draining() || isGracePeriodOver()) {
+		if (registration.server.draining() || this.grace.isOver()) {
 			this.registrationById.remove(id);
 			Logger.info("backend server {} is gone", id);
 			return;
@@ -298,17 +283,8 @@
 		}
 	}
 
-	/**
-	 * Tells whether the grace period for new registrations after the last outage is over.
-	 * @return whether it is over, or there was no outage
-	 */
-	private boolean isGracePeriodOver() {
-		return this.reachable && (this.reachableAgainSince == null
-				|| this.clock.ageMillis(this.reachableAgainSince) > REREGISTRATION_GRACE_MILLIS);
-	}
-
 	private boolean isLapsed(Registration registration) {
-		return registration.lapsed && isGracePeriodOver();
+		return registration.lapsed && this.grace.isOver();
 	}
 
 	/**
