--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageDuty.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageDuty.java
@@ -96,7 +96,7 @@
 		this.book = new ReportBook(windows);
 		UsageLedger ledger = new UsageLedger();
 		StandbyChoice standbys = new StandbyChoice(member.process(), member.failureDomain(), this.random);
-		this.reader = new UsageReader(this.usageTopic, ledger, standbys, this.lock);
+		this.reader = new UsageReader(this.usageTopic, monotonicClock, ledger, standbys, this.lock);
 		this.sender = new ReportSender(member.process(), platform.reports(), this.book, this.lease, this.clock,
 				monotonicClock, backoff(MAX_BACKOFF_MILLIS), this.lock);
 		this.keeper = new ReportKeeper(this.usageTopic, ledger, this.reader, this.book, this.sender, standbys, windows,
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/duty/UsageReader.java
@@ -1,9 +1,11 @@
 package org.marjoramgw.direct.duty;
 
+import java.util.List;
+
+import org.marjoramgw.MillisClock;
 import org.marjoramgw.direct.follow.CompactedTopic;
 import org.marjoramgw.direct.follow.KeyedRecord;
-import org.marjoramgw.direct.follow.TopicPosition;
-import org.marjoramgw.errors.RecordsExpiredException;
+import org.marjoramgw.direct.follow.TopicReader;
 import org.marjoramgw.policy.lease.StandbyChoice;
 import org.marjoramgw.policy.usage.UsageLedger;
 
@@ -17,31 +19,37 @@
 
 	private final CompactedTopic topic;
 
+	private final MillisClock clock;
+
 	private final UsageLedger ledger;
 
 	private final StandbyChoice standbys;
 
 	private final Object lock;
 
-	/** Position to read from next, {@code null} before the first snapshot. */
-	private TopicPosition position;
+	private TopicReader reader;
 
 	private boolean reading;
 
+	private boolean loaded;
+
 	private int generation;
 
 	/**
 	 * Creates a reader.
 	 * @param topic topic of the usage
+	 * @param clock monotonic clock
 	 * @param ledger receiver of the counts
 	 * @param standbys receiver of the processes that have shared counts
 	 * @param lock lock of the duty
 	 */
-	UsageReader(CompactedTopic topic, UsageLedger ledger, StandbyChoice standbys, Object lock) {
+	UsageReader(CompactedTopic topic, MillisClock clock, UsageLedger ledger, StandbyChoice standbys, Object lock) {
 		this.topic = topic;
+		this.clock = clock;
 		this.ledger = ledger;
 		this.standbys = standbys;
 		this.lock = lock;
+		reset();
 	}
 
 	/**
@@ -50,8 +58,9 @@
 	void reset() {
 		this.generation++;
 		this.reading = false;
-		this.position = null;
+		this.loaded = false;
 		this.ledger.clear();
+		this.reader = new TopicReader(this.topic, this.clock, new CountListener(this.generation));
 	}
 
 	boolean isReading() {
@@ -63,7 +72,7 @@
 	 * @return whether it was
 	 */
 	boolean isLoaded() {
-		return this.position != null;
+		return this.loaded;
 	}
 
 	/**
@@ -76,61 +85,17 @@
 			return;
 		}
 		this.reading = true;
-		Course course = new Course(this.generation, onCurrent, onFailure);
-		if (this.position == null) {
-			readSnapshot(course);
-		}
-		else {
-			readNext(course);
-		}
-	}
-
-	private void readSnapshot(Course course) {
-		this.topic.readSnapshot().whenComplete((snapshot, failure) -> {
-			synchronized (this.lock) {
-				if (course.generation != this.generation) {
-					return;
-				}
-				if (failure != null) {
-					end(course.onFailure);
-					return;
-				}
-				this.ledger.clear();
-				snapshot.records().forEach(this::accept);
-				this.position = snapshot.end();
-				end(course.onCurrent);
-			}
-		});
-	}
-
-	private void readNext(Course course) {
-		this.topic.readFrom(this.position, 0).whenComplete((slice, failure) -> {
+		int ofGeneration = this.generation;
+		this.reader.read().whenComplete((ignored, failure) -> {
 			synchronized (this.lock) {
-				if (course.generation != this.generation) {
-					return;
-				}
-				if (failure != null) {
-					this.position = RecordsExpiredException.isCauseOf(failure) ? null : this.position;
-					end(course.onFailure);
-					return;
-				}
-				slice.records().forEach(this::accept);
-				this.position = slice.next();
-				if (slice.reachesEnd() || slice.records().isEmpty()) {
-					end(course.onCurrent);
-				}
-				else {
-					readNext(course);
+				if (ofGeneration == this.generation) {
+					this.reading = false;
+					((failure != null) ? onFailure : onCurrent).run();
 				}
 			}
 		});
 	}
 
-	private void end(Runnable then) {
-		this.reading = false;
-		then.run();
-	}
-
 	private void accept(KeyedRecord record) {
 		DutyCodec.decodeCounts(record).ifPresent((shared) -> {
 			String source = DutyCodec.source(shared.member());
@@ -143,8 +108,35 @@
 		});
 	}
 
-	/** Course of an update. */
-	private record Course(int generation, Runnable onCurrent, Runnable onFailure) {
+	/** Receiver of the counts until the reader is reset. */
+	private final class CountListener implements TopicReader.Listener {
+
+		private final int ofGeneration;
+
+		private CountListener(int ofGeneration) {
+			this.ofGeneration = ofGeneration;
+		}
+
+		@Override
+		public void onSnapshot(List<KeyedRecord> records, boolean otherEra) {
+			synchronized (UsageReader.this.lock) {
+				if (this.ofGeneration == UsageReader.this.generation) {
+					UsageReader.this.ledger.clear();
+					records.forEach(UsageReader.this::accept);
+					UsageReader.this.loaded = true;
+				}
+			}
+		}
+
+		@Override
+		public void onRecords(List<KeyedRecord> records) {
+			synchronized (UsageReader.this.lock) {
+				if (this.ofGeneration == UsageReader.this.generation) {
+					records.forEach(UsageReader.this::accept);
+				}
+			}
+		}
+
 	}
 
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamTopicReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicReader.java
@@ -1,23 +1,18 @@
-package org.marjoramgw.direct.stream;
+package org.marjoramgw.direct.follow;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 
 import org.marjoramgw.MillisClock;
-import org.marjoramgw.direct.follow.CompactedTopic;
-import org.marjoramgw.direct.follow.KeyedRecord;
-import org.marjoramgw.direct.follow.TopicPosition;
-import org.marjoramgw.direct.follow.TopicSlice;
 import org.marjoramgw.errors.RecordsExpiredException;
 
 /**
- * Reads a topic on demand. One read goes on at a time.
+ * Reads a topic on demand; not thread-safe. One read may go on at a time.
  *
  * @author The marjoramgw authors
  */
-final class StreamTopicReader {
+public final class TopicReader {
 
 	/**
 	 * Time after a read in which the next one goes on behind it, in milliseconds; later a
@@ -29,9 +24,7 @@
 
 	private final MillisClock clock;
 
-	private final Consumer<List<KeyedRecord>> onRecords;
-
-	private final Runnable onOtherEra;
+	private final Listener listener;
 
 	/** Position to read from next, {@code null} before the first snapshot. */
 	private TopicPosition next;
@@ -42,16 +35,12 @@
 	 * Creates a reader.
 	 * @param topic the topic
 	 * @param clock monotonic clock
-	 * @param onRecords receiver of the records
-	 * @param onOtherEra called when the store was restored from a copy since the last
-	 * snapshot, before the records of the new one
+	 * @param listener receiver of the records
 	 */
-	StreamTopicReader(CompactedTopic topic, MillisClock clock, Consumer<List<KeyedRecord>> onRecords,
-			Runnable onOtherEra) {
+	public TopicReader(CompactedTopic topic, MillisClock clock, Listener listener) {
 		this.topic = topic;
 		this.clock = clock;
-		this.onRecords = onRecords;
-		this.onOtherEra = onOtherEra;
+		this.listener = listener;
 	}
 
 	/**
@@ -59,7 +48,7 @@
 	 * @return completes when the records have been delivered; fails if the store doesn't
 	 * answer
 	 */
-	CompletionStage<Void> read() {
+	public CompletionStage<Void> read() {
 		long sentMillis = this.clock.nowMillis();
 		boolean behind = this.next == null || sentMillis - this.readMillis > MAX_GAP_MILLIS;
 		return (behind ? readSnapshot() : readOn()).thenRun(() -> this.readMillis = sentMillis);
@@ -67,10 +56,8 @@
 
 	private CompletionStage<Void> readSnapshot() {
 		return this.topic.readSnapshot().thenAccept((snapshot) -> {
-			if (this.next != null && this.next.era() != snapshot.end().era()) {
-				this.onOtherEra.run();
-			}
-			this.onRecords.accept(snapshot.records());
+			boolean otherEra = this.next != null && this.next.era() != snapshot.end().era();
+			this.listener.onSnapshot(snapshot.records(), otherEra);
 			this.next = snapshot.end();
 		});
 	}
@@ -86,10 +73,30 @@
 	}
 
 	private CompletionStage<Void> onSlice(TopicSlice slice) {
-		this.onRecords.accept(slice.records());
+		this.listener.onRecords(slice.records());
 		this.next = slice.next();
 		boolean complete = slice.reachesEnd() || slice.records().isEmpty();
 		return complete ? CompletableFuture.completedFuture(null) : readOn();
 	}
 
+	/**
+	 * Receiver of the records of a topic.
+	 */
+	public interface Listener {
+
+		/**
+		 * Called with the latest record of every key.
+		 * @param records the records
+		 * @param otherEra whether the store was restored from a copy since the last read
+		 */
+		void onSnapshot(List<KeyedRecord> records, boolean otherEra);
+
+		/**
+		 * Called with records that were appended after the last call.
+		 * @param records the records in the order of the topic
+		 */
+		void onRecords(List<KeyedRecord> records);
+
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
@@ -17,6 +17,7 @@
 import org.marjoramgw.direct.follow.ConfirmationReads;
 import org.marjoramgw.direct.follow.KeyedRecord;
 import org.marjoramgw.direct.follow.ServerDirectory;
+import org.marjoramgw.direct.follow.TopicReader;
 import org.marjoramgw.direct.model.BackendServer;
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.stream.StreamBook;
@@ -107,7 +108,7 @@
 		this.timeOfDay = timeOfDay;
 		this.timers = timers;
 		this.backoff = backoff;
-		StreamTopicReader reader = new StreamTopicReader(topic, monotonicClock, this::onRecords, this::onOtherEra);
+		TopicReader reader = new TopicReader(topic, monotonicClock, new RecordListener());
 		this.reads = new ConfirmationReads(reader::read, monotonicClock);
 	}
 
@@ -216,7 +217,7 @@
 				: Optional.empty();
 	}
 
-	private synchronized void onRecords(List<KeyedRecord> records) {
+	private synchronized void receive(List<KeyedRecord> records) {
 		long nowMillis = this.timeOfDay.nowMillis();
 		for (KeyedRecord record : records) {
 			StreamRecordCodec.decodeMark(record)
@@ -229,7 +230,7 @@
 		this.loaded = true;
 	}
 
-	private synchronized void onOtherEra() {
+	private synchronized void onStoreRestored() {
 		Logger.info("streams: the store was restored, sharing marks and streams again");
 		this.versions.onMarkLost();
 		this.streams.onRecordsLost();
@@ -295,4 +296,22 @@
 		append();
 	}
 
+	/** Receiver of what processes have shared. */
+	private final class RecordListener implements TopicReader.Listener {
+
+		@Override
+		public void onSnapshot(List<KeyedRecord> records, boolean otherEra) {
+			if (otherEra) {
+				onStoreRestored();
+			}
+			onRecords(records);
+		}
+
+		@Override
+		public void onRecords(List<KeyedRecord> records) {
+			receive(records);
+		}
+
+	}
+
 }
