Test the sharing of stream versions with a store that fails

And two cases of StreamVersionTests with a store that is restored from a copy before all processes are killed.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamVersionTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamVersionTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -73,12 +74,13 @@
 	}
 
 	/**
-	 * Lists what happens between the end of all processes and the take-ups.
-	 * @return whether the version that began first leaves meanwhile
+	 * Lists what happens between the beginning of the streams and the take-ups.
+	 * @return whether the store is restored from a copy before all processes end, and
+	 * whether the version that began first leaves afterwards
 	 */
 	@DataProvider
 	public Object[][] changes() {
-		return new Object[][] { { false }, { true } };
+		return new Object[][] { { false, false }, { false, true }, { true, false }, { true, true } };
 	}
 
 	/**
@@ -86,11 +88,13 @@
 	 * stream, and against take-ups that are all refused.
 	 */
 	@Test(dataProvider = "changes")
-	public void streamsTakenUpAfterAllProcessesWereKilledAreNotJoined(boolean oldVersionLeaves) throws Exception {
+	public void streamsTakenUpAfterAllProcessesWereKilledAreNotJoined(boolean restored, boolean oldVersionLeaves)
+			throws Exception {
 		register(0, 1);
 		List<List<String>> begun = new ArrayList<>();
 		this.servers.hold(true);
 		try (StartedEntry first = started(); StartedEntry second = started()) {
+			Map<String, List<KeyedRecord>> copy = this.store.copy();
 			register(2, 3);
 			Pause.millis(SETTLE_MILLIS);
 			List<Socket> callers = new ArrayList<>();
@@ -101,6 +105,12 @@
 				begun.add(VersionedServers.versions(readFirstEvents(caller)));
 			}
 			Pause.millis(SETTLE_MILLIS);
+			if (restored) {
+				this.store.goAway();
+				this.store.restore(copy);
+				register(2, 3);
+				Pause.millis(SETTLE_MILLIS * 3);
+			}
 			first.process().destroyForcibly().waitFor();
 			second.process().destroyForcibly().waitFor();
 			ForwardingFixture.closeAll(callers);
