--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ServerDirectory.java
@@ -91,8 +91,7 @@
 	 */
 	public synchronized boolean isReplaced(BackendServer server) {
 		Registration registration = this.registrationById.get(server.id());
-		return registration != null && !(registration.server.incarnation().equals(server.incarnation())
-				&& registration.server.version().equals(server.version()));
+		return registration != null && !registration.server.isSameRun(server);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/BackendServer.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/model/BackendServer.java
@@ -27,4 +27,13 @@
 		return this.id + "@" + this.startMillis;
 	}
 
+	/**
+	 * Tells whether this is the same run of a server.
+	 * @param other a server with the same id
+	 * @return whether it started at the same time with the same version
+	 */
+	public boolean isSameRun(BackendServer other) {
+		return incarnation().equals(other.incarnation()) && this.version.equals(other.version);
+	}
+
 }
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
@@ -1,6 +1,5 @@
 package org.marjoramgw.direct.stream;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -22,9 +21,7 @@
 import org.marjoramgw.policy.retry.Backoff;
 import org.marjoramgw.policy.stream.StreamBook;
 import org.marjoramgw.policy.stream.StreamOrigin;
-import org.marjoramgw.policy.stream.StreamRecord;
 import org.marjoramgw.policy.stream.VersionBook;
-import org.marjoramgw.policy.stream.VersionMark;
 import org.marjoramgw.time.Timers;
 import org.tinylog.Logger;
 
@@ -38,15 +35,6 @@
  */
 public final class SharedStreamVersions implements StreamVersions {
 
-	/** Interval of the records of streams, in milliseconds. */
-	private static final long RECORD_INTERVAL_MILLIS = 200;
-
-	/** Slots of the records of a process; replaced only after streams are forgotten. */
-	private static final int SLOT_COUNT = 256;
-
-	/** Streams in one record. */
-	private static final int MAX_STREAMS_PER_RECORD = 4_000;
-
 	/** Interval at which a mark that is due is noticed, in milliseconds. */
 	private static final long CHECK_INTERVAL_MILLIS = 5_000;
 
@@ -54,17 +42,13 @@
 	 * Time after which a stream that isn't recorded is looked for again, in milliseconds;
 	 * longer than its process takes to record it.
 	 */
-	private static final long SECOND_LOOK_MILLIS = RECORD_INTERVAL_MILLIS + 50;
+	private static final long SECOND_LOOK_MILLIS = StreamRecorder.INTERVAL_MILLIS + 50;
 
 	/** Longest time for which a caller that takes up a stream waits, in milliseconds. */
 	private static final long MAX_LOOK_MILLIS = 1_000;
 
-	private final String processId;
-
 	private final ServerDirectory directory;
 
-	private final AppendableTopic topic;
-
 	private final MillisClock timeOfDay;
 
 	private final Timers timers;
@@ -75,20 +59,14 @@
 
 	private final StreamBook streams = new StreamBook();
 
+	private final StreamRecorder recorder;
+
 	private final ConfirmationReads reads;
 
 	private final Map<String, BackendServer> serverById = new HashMap<>();
 
 	private boolean loaded;
 
-	private boolean appending;
-
-	private boolean recordScheduled;
-
-	private int failureCount;
-
-	private long lastSlot;
-
 	/**
 	 * Creates an instance.
 	 * @param processId id of this process
@@ -101,13 +79,13 @@
 	 */
 	public SharedStreamVersions(String processId, ServerDirectory directory, AppendableTopic topic,
 			MillisClock monotonicClock, MillisClock timeOfDay, Timers timers, Backoff backoff) {
-		this.processId = processId;
 		this.versions = new VersionBook(processId);
 		this.directory = directory;
-		this.topic = topic;
 		this.timeOfDay = timeOfDay;
 		this.timers = timers;
 		this.backoff = backoff;
+		this.recorder = new StreamRecorder(processId, topic, this.versions, this.streams, timeOfDay, timers, backoff,
+				this);
 		TopicReader reader = new TopicReader(topic, monotonicClock, new RecordListener());
 		this.reads = new ConfirmationReads(reader::read, monotonicClock);
 	}
@@ -144,13 +122,15 @@
 			registered.computeIfAbsent(server.service(), (service) -> new HashSet<>()).add(server.version());
 			ids.add(server.id());
 			BackendServer previous = this.serverById.put(server.id(), server);
-			if (previous != null && !previous.incarnation().equals(server.incarnation())) {
+			if (previous != null && !previous.isSameRun(server)) {
 				this.streams.onReplaced(server.id(), server.startMillis());
 			}
 		}
 		this.serverById.keySet().retainAll(ids);
 		this.versions.onRegistered(registered, this.timeOfDay.nowMillis());
-		append();
+		if (this.loaded) {
+			this.recorder.recordNow();
+		}
 	}
 
 	/**
@@ -175,10 +155,7 @@
 	@Override
 	public synchronized void onBegun(String requestId, StreamOrigin origin, BackendServer server) {
 		this.streams.onBegun(StreamRecordCodec.key(requestId), origin, server.id(), this.timeOfDay.nowMillis());
-		if (isMixed(origin.service()) && !this.recordScheduled) {
-			this.recordScheduled = true;
-			this.timers.schedule(RECORD_INTERVAL_MILLIS, this::onRecordTime);
-		}
+		this.recorder.recordSoon(origin.service());
 	}
 
 	@Override
@@ -234,7 +211,6 @@
 		Logger.info("streams: the store was restored, sharing marks and streams again");
 		this.versions.onMarkLost();
 		this.streams.onRecordsLost();
-		this.timers.schedule(0, this::onRecordTime);
 	}
 
 	private void check() {
@@ -242,60 +218,6 @@
 		this.timers.schedule(CHECK_INTERVAL_MILLIS, this::check);
 	}
 
-	private synchronized void onRecordTime() {
-		this.recordScheduled = false;
-		append();
-	}
-
-	private boolean isMixed(String service) {
-		return this.versions.possible(service, this.timeOfDay.nowMillis()).size() > 1;
-	}
-
-	/**
-	 * Appends the mark if it is due, and the streams that are to be recorded, unless a
-	 * call is open.
-	 */
-	private void append() {
-		if (this.appending || !this.loaded) {
-			return;
-		}
-		long nowMillis = this.timeOfDay.nowMillis();
-		Optional<VersionMark> mark = this.versions.isMarkDue(nowMillis) ? Optional.of(this.versions.mark(nowMillis))
-				: Optional.empty();
-		List<StreamRecord> begun = this.recordScheduled ? List.of()
-				: this.streams.unrecorded(this::isMixed, MAX_STREAMS_PER_RECORD, nowMillis);
-		List<KeyedRecord> records = new ArrayList<>();
-		mark.ifPresent((due) -> records.add(StreamRecordCodec.encodeMark(this.processId, due)));
-		if (!begun.isEmpty()) {
-			this.lastSlot = Math.max(nowMillis / RECORD_INTERVAL_MILLIS, this.lastSlot + 1);
-			records.add(StreamRecordCodec.encodeStreams(this.processId, this.lastSlot % SLOT_COUNT, nowMillis, begun));
-		}
-		if (records.isEmpty()) {
-			return;
-		}
-		this.appending = true;
-		this.topic.append(records).whenComplete((ignored, failure) -> onAppended(mark, begun, failure));
-	}
-
-	private synchronized void onAppended(Optional<VersionMark> mark, List<StreamRecord> begun, Throwable failure) {
-		this.appending = false;
-		if (failure != null) {
-			this.failureCount++;
-			if (this.failureCount == 1) {
-				Logger.warn("streams: not recorded: {}", failure.toString());
-			}
-			this.timers.schedule(this.backoff.delayMillis(this.failureCount), this::onRecordTime);
-			return;
-		}
-		this.failureCount = 0;
-		mark.ifPresent((written) -> {
-			this.versions.onAcknowledged(written);
-			Logger.info("streams: versions marked: {}", written.untilMillis());
-		});
-		this.streams.onAcknowledged(begun);
-		append();
-	}
-
 	/** Receiver of what processes have shared. */
 	private final class RecordListener implements TopicReader.Listener {
 
@@ -305,6 +227,8 @@
 				onStoreRestored();
 			}
 			onRecords(records);
+			// What the store has lost is written again.
+			onRegistrations();
 		}
 
 		@Override
