Don't evaluate all marks for each server of each request

Cause: mayBegin went through the marks of all processes for each server, and the recorder for each stream of the last 40 s, four times a second.

Change: the versions at which streams may begin are kept for 1 s or until a mark or a registration changes; a mark has to hold that much longer. The recorder asks once for each service. Routes whose streams can't go on aren't looked at.

Measured: VersionBook*, StreamSharing*, StreamVersion* green.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -86,6 +86,9 @@
 	 * @return ids of the servers
 	 */
 	private Set<String> excluded() {
+		if (!this.state.isResumableStream()) {
+			return this.state.history().excluded();
+		}
 		Set<String> excluded = new HashSet<>(this.state.history().excluded());
 		this.context.directory()
 			.usable(this.state.service())
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestState.java
@@ -194,7 +194,11 @@
 		this.context.streams().onBegun(this.caller.id(), known, server);
 	}
 
-	private boolean isResumableStream() {
+	/**
+	 * Tells whether the answer is a stream that may go on at another server.
+	 * @return whether the route says so
+	 */
+	boolean isResumableStream() {
 		return route().isStreaming() && route().resumable();
 	}
 
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamRecorder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamRecorder.java
@@ -1,7 +1,9 @@
 package org.marjoramgw.direct.stream;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.marjoramgw.MillisClock;
@@ -102,8 +104,9 @@
 		long nowMillis = this.timeOfDay.nowMillis();
 		Optional<VersionMark> mark = this.versions.isMarkDue(nowMillis) ? Optional.of(this.versions.mark(nowMillis))
 				: Optional.empty();
-		List<StreamRecord> begun = this.scheduled ? List.of()
-				: this.streams.unrecorded(this::isMixed, MAX_STREAMS_PER_RECORD, nowMillis);
+		Map<String, Boolean> mixed = new HashMap<>();
+		List<StreamRecord> begun = this.scheduled ? List.of() : this.streams
+			.unrecorded((service) -> mixed.computeIfAbsent(service, this::isMixed), MAX_STREAMS_PER_RECORD, nowMillis);
 		List<KeyedRecord> records = encode(mark, begun, nowMillis);
 		if (!records.isEmpty()) {
 			this.appending = true;
--- a/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/stream/VersionBook.java
+++ b/org.marjoramgw.policy/src/main/java/org/marjoramgw/policy/stream/VersionBook.java
@@ -29,6 +29,11 @@
 
 	private static final long KEEP_MILLIS = TAKE_UP_MILLIS + SLACK_MILLIS;
 
+	/**
+	 * Time for which the versions at which streams may begin are kept, in milliseconds.
+	 */
+	private static final long CACHE_MILLIS = 1_000;
+
 	/** Last time at which each version of each service was registered. */
 	private final Map<String, Map<String, Long>> seenMillis = new HashMap<>();
 
@@ -42,6 +47,11 @@
 
 	private boolean markLost;
 
+	/** Versions of each service at which streams may begin. */
+	private final Map<String, Set<String>> beginnable = new HashMap<>();
+
+	private long beginnableMillis;
+
 	/**
 	 * Creates a book without versions.
 	 * @param processId id of this process
@@ -56,6 +66,7 @@
 	 * @param nowMillis present time, in milliseconds since the Unix epoch
 	 */
 	public void onRegistered(Map<String, Set<String>> versions, long nowMillis) {
+		this.beginnable.clear();
 		this.registered.forEach((service, before) -> before.forEach((version) -> see(service, version, nowMillis)));
 		this.registered = Map.copyOf(versions);
 		this.registered.forEach((service, now) -> now.forEach((version) -> see(service, version, nowMillis)));
@@ -67,6 +78,7 @@
 	 * @param mark the mark
 	 */
 	public void onMark(String process, VersionMark mark) {
+		this.beginnable.clear();
 		this.marks.put(process, mark);
 	}
 
@@ -75,6 +87,7 @@
 	 * @param mark the mark
 	 */
 	public void onAcknowledged(VersionMark mark) {
+		this.beginnable.clear();
 		this.acknowledged = mark;
 		this.markLost = false;
 	}
@@ -147,9 +160,20 @@
 	 * @return whether the version is marked, or nothing is known of any other version
 	 */
 	public boolean mayBegin(String service, String version, long nowMillis) {
-		// The mark has to hold until the stream can't be taken up any more.
-		boolean marked = marked(service, nowMillis + TAKE_UP_MILLIS).contains(version);
-		return marked || marked(service, nowMillis).isEmpty() && possible(service, nowMillis).equals(Set.of(version));
+		if (Math.abs(nowMillis - this.beginnableMillis) >= CACHE_MILLIS) {
+			this.beginnable.clear();
+			this.beginnableMillis = nowMillis;
+		}
+		return this.beginnable.computeIfAbsent(service, (name) -> beginnable(name, nowMillis)).contains(version);
+	}
+
+	private Set<String> beginnable(String service, long nowMillis) {
+		if (!marked(service, nowMillis).isEmpty()) {
+			// A mark has to hold until the stream can't be taken up any more.
+			return marked(service, nowMillis + CACHE_MILLIS + TAKE_UP_MILLIS);
+		}
+		Set<String> possible = possible(service, nowMillis);
+		return (possible.size() == 1) ? possible : Set.of();
 	}
 
 	private static void merge(Map<String, Map<String, Long>> untilMillis, String service, String version, long until) {
