Let no conclusion rest on a read that ends early; read the streams once at start

Cause: found in a second reading of the change. TopicReader took an empty answer before the end of the topic for a complete read, so that 'there was only one version' could rest on records that were never seen.

Change: such a read fails, as in TopicFollower; a read for a restoration is asked for only once the streams are loaded.

Measured: TopicReaderTests (new), StreamSharing*, UsageCount* green.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicReader.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicReader.java
@@ -6,6 +6,7 @@
 
 import org.marjoramgw.MillisClock;
 import org.marjoramgw.errors.RecordsExpiredException;
+import org.marjoramgw.errors.StoreUnavailableException;
 
 /**
  * Reads a topic on demand; not thread-safe. One read may go on at a time.
@@ -46,7 +47,7 @@
 	/**
 	 * Reads all that the topic contains when this is called.
 	 * @return completes when the records have been delivered; fails if the store doesn't
-	 * answer
+	 * answer, or returns nothing before the end of the topic
 	 */
 	public CompletionStage<Void> read() {
 		long sentMillis = this.clock.nowMillis();
@@ -75,8 +76,12 @@
 	private CompletionStage<Void> onSlice(TopicSlice slice) {
 		this.listener.onRecords(slice.records());
 		this.next = slice.next();
-		boolean complete = slice.reachesEnd() || slice.records().isEmpty();
-		return complete ? CompletableFuture.completedFuture(null) : readOn();
+		if (slice.reachesEnd()) {
+			return CompletableFuture.completedFuture(null);
+		}
+		return slice.records().isEmpty()
+				? CompletableFuture.failedFuture(new StoreUnavailableException("empty read before the end", null))
+				: readOn();
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
@@ -138,7 +138,9 @@
 	 * restored from a copy.
 	 */
 	public void onStoreReadAnew() {
-		this.reads.request();
+		if (isLoaded()) {
+			this.reads.request();
+		}
 	}
 
 	@Override
