Let clients close idle connections before the server does

Cause: an entry or a side process closed a connection after 15 s without a request, while the client (ours kept them for 300 s) still used it. A request that is on its way at that moment meets a closed connection.

What idle connections hold stays bounded by the memory budget and the count of connections.

--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/CallerSettings.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/CallerSettings.java
@@ -27,7 +27,11 @@
 
 	private static final long DEFAULT_HEAD_MILLIS = 3_000;
 
-	private static final long DEFAULT_IDLE_MILLIS = 15_000;
+	/**
+	 * Longer than most clients keep a connection without a request, so that they close it
+	 * first: a request that is sent while the server closes gets no answer.
+	 */
+	private static final long DEFAULT_IDLE_MILLIS = 75_000;
 
 	private static final long DEFAULT_BODY_MILLIS = 30_000;
 
