--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ExplainProcessTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ExplainProcessTests.java
@@ -49,8 +49,8 @@
 						+ metrics + "\"\nstore_address = \"%s\"\n" + more);
 		try (ScriptedServer server = new ScriptedServer((request, connection) -> false);
 				StoreStandin store = new StoreStandin(
-						Map.of(StoreClient.OPERATOR_TOPIC, List.of(ForwardingFixture.configuration()),
-								StoreClient.SERVERS_TOPIC, ForwardingFixture.registrations(server)))) {
+						Map.of(StoreClient.OPERATOR_TOPIC, List.of(FixtureRecords.configuration()),
+								StoreClient.SERVERS_TOPIC, FixtureRecords.registrations(server)))) {
 			Files.writeString(settings, Files.readString(settings).formatted(store.address()));
 			Process process = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m",
 					"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingFixture.java
@@ -4,7 +4,6 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -67,30 +66,6 @@
  */
 final class ForwardingFixture implements AutoCloseable {
 
-	private static final String CONFIGURATION = """
-			{"version":1,"routes":[
-			{"name":"stream","host":"carob.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":1500,
-			"priority":2,"service":"s","attempts":1},
-			{"name":"resume","host":"carob.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":1500,
-			"priority":2,"service":"s","attempts":2,"resumable":true},
-			{"name":"book","host":"carob.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1500,
-			"priority":1,"service":"s","attempts":1},
-			{"name":"read","host":"carob.example","pathPrefix":"/read/","kind":"idempotent","timeoutMs":1500,
-			"priority":1,"service":"s","attempts":2},
-			{"name":"long-stream","host":"carob.example","pathPrefix":"/long-stream/","kind":"streaming",
-			"timeoutMs":20000,"priority":2,"service":"s","attempts":1},
-			{"name":"long-book","host":"carob.example","pathPrefix":"/long-book/","kind":"non_idempotent",
-			"timeoutMs":20000,"priority":1,"service":"s","attempts":1},
-			{"name":"prompt","host":"carob.example","pathPrefix":"/prompt/","kind":"streaming",
-			"timeoutMs":20000,"targetLatencyMs":20000,"priority":2,"service":"s","attempts":1},
-			{"name":"quick-prompt","host":"carob.example","pathPrefix":"/quick-prompt/","kind":"streaming",
-			"timeoutMs":20000,"targetLatencyMs":1000,"priority":2,"service":"s","attempts":1},
-			{"name":"urgent-prompt","host":"carob.example","pathPrefix":"/urgent-prompt/","kind":"streaming",
-			"timeoutMs":20000,"targetLatencyMs":10000,"priority":1,"service":"s","attempts":1},
-			{"name":"reply","host":"carob.example","pathPrefix":"/reply/","kind":"streaming",
-			"timeoutMs":10000,"targetLatencyMs":250,"targetGapMs":150,"priority":1,"service":"s","attempts":1}],
-			"services":[{"name":"s"}],"tenants":[{"name":"coop","apiKeys":["key-1"]}]}""";
-
 	private static final long MAX_AGE_MILLIS = 3_600_000;
 
 	private static final int READ_TIMEOUT_MILLIS = 4_000;
@@ -162,10 +137,10 @@
 		this.system = ActorSystem.create(Behaviors.empty(), "bed", config);
 		HeaderDialect dialect = new HeaderDialect();
 		ActiveRouting routing = new ActiveRouting("config", RoutingDocument::decode, clock);
-		routing.onSnapshot(List.of(configuration()));
+		routing.onSnapshot(List.of(FixtureRecords.configuration()));
 		routing.onConfirmed(clock.now());
 		this.directory = new ServerDirectory(ServerRegistration::decode, clock);
-		this.directory.onSnapshot(registrations(servers));
+		this.directory.onSnapshot(FixtureRecords.registrations(servers));
 		ServerHealth health = new ServerHealth(monotonicClock);
 		Random random = TestSeed.random(7);
 		LeastLoadedPlacement placement = new LeastLoadedPlacement(random);
@@ -340,49 +315,6 @@
 		return new BodyBudget(1 << 20, 4 << 20);
 	}
 
-	/**
-	 * Returns the configuration of the fixture.
-	 * @return its record
-	 */
-	static KeyedRecord configuration() {
-		return record("config", CONFIGURATION);
-	}
-
-	/**
-	 * Returns the configuration of the fixture with longer timeouts.
-	 * @return its record
-	 */
-	static KeyedRecord longConfiguration() {
-		return record("config", CONFIGURATION.replace("\"timeoutMs\":1500", "\"timeoutMs\":20000"));
-	}
-
-	/**
-	 * Returns the configuration of the fixture with limits on callers.
-	 * @param limits the limits, a JSON object
-	 * @return its record
-	 */
-	static KeyedRecord configuration(String limits) {
-		return record("config", CONFIGURATION.replaceFirst("\\}$", ",\"limits\":" + limits + "}"));
-	}
-
-	/**
-	 * Returns the registrations of servers.
-	 * @param servers the servers
-	 * @return their records
-	 */
-	static List<KeyedRecord> registrations(ScriptedServer... servers) {
-		List<KeyedRecord> records = new ArrayList<>();
-		for (ScriptedServer server : servers) {
-			records.add(record("i-" + records.size(), "{\"service\":\"s\",\"address\":\"" + server.address()
-					+ "\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\"}"));
-		}
-		return records;
-	}
-
-	private static KeyedRecord record(String key, String value) {
-		return new KeyedRecord(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)), 0);
-	}
-
 	/**
 	 * Creates the guard of the backend servers.
 	 */
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/PeerProcessTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/PeerProcessTests.java
@@ -96,7 +96,7 @@
 	}
 
 	private static StoreStandin store(KeyedRecord... entries) throws IOException {
-		return new StoreStandin(Map.of(StoreClient.OPERATOR_TOPIC, List.of(ForwardingFixture.configuration()),
+		return new StoreStandin(Map.of(StoreClient.OPERATOR_TOPIC, List.of(FixtureRecords.configuration()),
 				StoreClient.ENTRIES_TOPIC, List.of(entries)));
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestoredStoreTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/RestoredStoreTests.java
@@ -40,7 +40,7 @@
 	public void start() throws IOException {
 		this.store = new RestorableStore();
 		this.server = new ScriptedServer(ScriptedServer::respondGood);
-		ForwardingFixture.registrations(this.server)
+		FixtureRecords.registrations(this.server)
 			.forEach((registration) -> this.store.append(StoreClient.SERVERS_TOPIC, registration));
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StopDuringStartTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StopDuringStartTests.java
@@ -106,8 +106,8 @@
 	}
 
 	private static StoreStandin store(ScriptedServer server) throws IOException {
-		return new StoreStandin(Map.of(StoreClient.OPERATOR_TOPIC, List.of(ForwardingFixture.configuration()),
-				StoreClient.SERVERS_TOPIC, ForwardingFixture.registrations(server)));
+		return new StoreStandin(Map.of(StoreClient.OPERATOR_TOPIC, List.of(FixtureRecords.configuration()),
+				StoreClient.SERVERS_TOPIC, FixtureRecords.registrations(server)));
 	}
 
 	private static List<String> unanswered(StartedEntry entry, List<CompletableFuture<String>> answers)
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamVersionTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StreamVersionTests.java
@@ -47,7 +47,7 @@
 	@BeforeMethod
 	public void start() throws IOException {
 		this.store = new RestorableStore();
-		this.store.append(StoreClient.OPERATOR_TOPIC, ForwardingFixture.longConfiguration());
+		this.store.append(StoreClient.OPERATOR_TOPIC, FixtureRecords.longConfiguration());
 		this.servers = new VersionedServers("v1", "v1", "v2", "v2");
 	}
 
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UntrustedCallersTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/UntrustedCallersTests.java
@@ -86,9 +86,8 @@
 	@BeforeMethod
 	public void start() throws Exception {
 		this.server = new ScriptedServer(UntrustedCallersTests::respond);
-		this.store = new StoreStandin(
-				Map.of(StoreClient.OPERATOR_TOPIC, List.of(ForwardingFixture.configuration(LIMITS)),
-						StoreClient.SERVERS_TOPIC, ForwardingFixture.registrations(this.server)));
+		this.store = new StoreStandin(Map.of(StoreClient.OPERATOR_TOPIC, List.of(FixtureRecords.configuration(LIMITS)),
+				StoreClient.SERVERS_TOPIC, FixtureRecords.registrations(this.server)));
 		this.entry = new StartedEntry(this.store.address(), 1, HEAP_MB,
 				List.of("sh", "-c", "ulimit -n " + MAX_DESCRIPTORS + "; exec \"$0\" \"$@\""));
 		this.entry.connectAtOnce().close();
