--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AbstractUntrustedCallersTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/AbstractUntrustedCallersTests.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Map;
 
 import org.marjoramgw.HostPort;
 import org.marjoramgw.rig.ManagedProcess;
@@ -32,6 +33,9 @@
 	/** Connections that don't fit into the descriptors of the process. */
 	static final int MANY_CONNECTIONS = ProcessBounds.MAX_DESCRIPTORS * 5 / 4;
 
+	/** Shorter than the default, since tests wait for it. */
+	private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
 	private static final long ANSWER_MILLIS = 90_000;
 
 	private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(10);
@@ -46,7 +50,8 @@
 	 */
 	@BeforeClass(alwaysRun = true)
 	public void start() throws Exception {
-		this.fixture = DeploymentFixture.start(DeploymentPlans.of(1, 1, 1));
+		this.fixture = DeploymentFixture.start(
+				DeploymentPlans.of(1, 1, 1).withProcessSettings(Map.of("caller_idle_timeout_ms", IDLE_TIMEOUT_MILLIS)));
 	}
 
 	/**
