Answer a request after a fault before it was sent

What callers would see: no answer until their timeout, and requests for which the configuration is to be confirmed waiting for ever.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ConfirmationReadsTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/ConfirmationReadsTests.java
@@ -62,6 +62,17 @@
 		Assert.assertEquals(this.sent.size(), 2);
 	}
 
+	/** Guards against requests that wait for ever after a read that could not be sent. */
+	@Test
+	public void faultOfAReadEndsIt() {
+		ConfirmationReads reads = new ConfirmationReads(() -> {
+			throw new IllegalStateException("no connection");
+		}, this.clock);
+		Assert.assertFalse(reads.request().toCompletableFuture().getNow(true));
+		this.clock.advanceMillis(250);
+		Assert.assertFalse(reads.request().toCompletableFuture().getNow(true));
+	}
+
 	private ConfirmationReads reads() {
 		return new ConfirmationReads(() -> {
 			this.sent.add(new CompletableFuture<>());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ConfirmationReads.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/ConfirmationReads.java
@@ -61,7 +61,15 @@
 	}
 
 	private void send(CompletableFuture<Boolean> started) {
-		this.reads.get().whenComplete((ignored, failure) -> onEnd(started, failure != null));
+		CompletionStage<Void> read;
+		try {
+			read = this.reads.get();
+		}
+		catch (RuntimeException ex) {
+			// A read that is never ended would hold back all later ones.
+			read = CompletableFuture.failedFuture(ex);
+		}
+		read.whenComplete((ignored, failure) -> onEnd(started, failure != null));
 	}
 
 	private void onEnd(CompletableFuture<Boolean> ended, boolean failed) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ForwardedRequest.java
@@ -15,6 +15,7 @@
 import org.marjoramgw.errors.RequestRejectedException;
 import org.marjoramgw.policy.stream.StreamOrigin;
 import org.marjoramgw.time.ClockReading;
+import org.tinylog.Logger;
 
 /**
  * One request from the receipt of its complete body to its final response; thread-safe.
@@ -67,7 +68,7 @@
 	 * @return the final response
 	 */
 	CompletionStage<HttpResponse> start() {
-		this.context.admission().settle(this.state.caller()).thenRun(this::begin);
+		this.context.admission().settle(this.state.caller()).thenRun(this::begin).exceptionally(this::onFault);
 		return this.completion.response();
 	}
 
@@ -89,7 +90,7 @@
 			this.streamRelay = new StreamRelay(this.context, this.state, promptRecord, this);
 			this.completion.hold(promptRecord);
 			if (this.state.isTakenUp()) {
-				this.state.locateOrigin().thenAccept(this::takeUp);
+				this.state.locateOrigin().thenAccept(this::takeUp).exceptionally(this::onFault);
 			}
 			else {
 				waitForTurn(ResultCode.NO_BACKEND);
@@ -114,6 +115,20 @@
 		}
 	}
 
+	/**
+	 * Answers the request after a fault of this process, for which its caller would wait
+	 * until its timeout.
+	 * @param fault the fault
+	 * @return {@code null}
+	 */
+	private synchronized Void onFault(Throwable fault) {
+		Logger.error(fault, "request {} not begun", this.state.caller().id());
+		if (!this.completion.isResponded()) {
+			this.completion.reject(ResultCode.INTERNAL, fault.toString());
+		}
+		return null;
+	}
+
 	/**
 	 * Cancels the request because its caller has disconnected.
 	 */
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/ForwardingTests.java
@@ -1,10 +1,12 @@
 package org.marjoramgw.platform;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.function.UnaryOperator;
 
+import org.marjoramgw.direct.quarantine.PromptGuard;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -65,6 +67,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a caller that waits for its timeout after a fault of this process.
+	 */
+	@Test
+	public void faultBeforeTheFirstSendIsAnswered() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(GOOD_SCRIPT);
+				ForwardingFixture fixture = new ForwardingFixture((connector, health, timers) -> faultyGuard(),
+						server)) {
+			String response = fixture.call("POST /long-book/1", KEY, "order");
+			Assert.assertTrue(response.startsWith("HTTP/1.1 500 "), response);
+			Assert.assertEquals(server.requests().size(), 0);
+			Assert.assertEquals(fixture.forwarder().openCount(), 0);
+		}
+	}
+
 	@Test(dataProvider = "brokenResponses")
 	public void nonIdempotentRequestIsNotRetriedAfterBrokenResponse(String description, ScriptedServer.Script broken)
 			throws Exception {
@@ -294,4 +311,14 @@
 		}
 	}
 
+	private static PromptGuard faultyGuard() {
+		return (PromptGuard) Proxy.newProxyInstance(PromptGuard.class.getClassLoader(),
+				new Class<?>[] { PromptGuard.class }, (proxy, method, arguments) -> {
+					if (method.getName().equals("check")) {
+						throw new IllegalStateException("fault of the test");
+					}
+					return method.invoke(PromptGuard.NONE, arguments);
+				});
+	}
+
 }
