Look up the route once, list the servers once, register marks once at start

The selector takes the condition instead of ids. - A process that had read the streams at start registered its versions twice in a row.

Nothing changes for callers. RequestExplainerTests passes the condition that lets every server pass where it passed an empty set of excluded ids.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/forward/RequestExplainerTests.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.marjoramgw.ManualMillisClock;
@@ -243,9 +242,9 @@
 			WhereReport report = this.explainer.explain(request, Optional.empty(), Optional.empty());
 			PromptRecord askedPrompt = PromptRecord.start(this.partition, SERVICE, route, request);
 			PromptRecord otherPrompt = PromptRecord.start(otherPartition, SERVICE, route, request);
-			Optional<String> chosen = asked.choose(SERVICE, route, request, Set.of()).map(BackendServer::id);
-			Assert.assertEquals(chosen, reference.choose(SERVICE, route, request, Set.of()).map(BackendServer::id),
-					"step " + step);
+			Optional<String> chosen = asked.choose(SERVICE, route, request, (server) -> true).map(BackendServer::id);
+			Assert.assertEquals(chosen,
+					reference.choose(SERVICE, route, request, (server) -> true).map(BackendServer::id), "step " + step);
 			if (request.hasPrompt()) {
 				Assert.assertEquals(Optional.ofNullable(report.choice()).map(WhereReport.Choice::server), chosen,
 						"step " + step);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/Admission.java
@@ -61,7 +61,7 @@
 	 */
 	public CompletionStage<Boolean> settle(CallerRequest request) {
 		Optional<Routing> current = this.routing.current();
-		if (current.isEmpty() || mayDeny() || denial(current.get(), request).isEmpty()) {
+		if (current.isEmpty() || mayDeny() || !isDenied(current.get(), request)) {
 			return CompletableFuture.completedFuture(true);
 		}
 		return this.confirmation.get();
@@ -77,27 +77,31 @@
 	public AdmittedRequest admit(CallerRequest request) throws RequestRejectedException {
 		Routing current = this.routing.current()
 			.orElseThrow(() -> new RequestRejectedException(ResultCode.NO_CONFIGURATION, ""));
-		Optional<RequestRejectedException> denial = denial(current, request);
-		if (denial.isPresent()) {
-			throw mayDeny() ? denial.get() : stale();
+		Optional<Route> route = current.route(request.host(), request.path());
+		if (route.isEmpty()) {
+			throw denied(ResultCode.UNKNOWN_PATH, request.host() + request.path());
+		}
+		if (!current.needsKey(route.get())) {
+			return admitted(current, route.get(), Optional.empty());
 		}
-		Route route = current.route(request.host(), request.path()).orElseThrow();
-		if (!current.needsKey(route)) {
-			return admitted(current, route, Optional.empty());
+		Optional<Account> account = account(current, request);
+		if (account.isEmpty()) {
+			throw denied(ResultCode.UNKNOWN_ACCOUNT, "");
 		}
 		if (this.routing.ageMillis() >= this.maxAgeMillis.getAsLong()) {
 			throw stale();
 		}
-		return admitted(current, route, request.key().flatMap(current::account));
+		return admitted(current, route.get(), account);
 	}
 
-	private static Optional<RequestRejectedException> denial(Routing current, CallerRequest request) {
-		Optional<Route> route = current.route(request.host(), request.path());
-		if (route.isEmpty()) {
-			return Optional.of(new RequestRejectedException(ResultCode.UNKNOWN_PATH, request.host() + request.path()));
-		}
-		boolean known = !current.needsKey(route.get()) || request.key().flatMap(current::account).isPresent();
-		return known ? Optional.empty() : Optional.of(new RequestRejectedException(ResultCode.UNKNOWN_ACCOUNT, ""));
+	private static boolean isDenied(Routing current, CallerRequest request) {
+		return current.route(request.host(), request.path())
+			.map((route) -> current.needsKey(route) && account(current, request).isEmpty())
+			.orElse(true);
+	}
+
+	private static Optional<Account> account(Routing current, CallerRequest request) {
+		return request.key().flatMap(current::account);
 	}
 
 	private static AdmittedRequest admitted(Routing current, Route route, Optional<Account> account) {
@@ -106,6 +110,10 @@
 				current.serverRank(rank, true), current.version());
 	}
 
+	private RequestRejectedException denied(ResultCode code, String detail) {
+		return mayDeny() ? new RequestRejectedException(code, detail) : stale();
+	}
+
 	private RequestRejectedException stale() {
 		return new RequestRejectedException(ResultCode.CONFIGURATION_STALE, this.routing.ageMillis() + " ms old");
 	}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/AttemptLauncher.java
@@ -1,8 +1,6 @@
 package org.marjoramgw.direct.forward;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -68,7 +66,7 @@
 		}
 		Optional<BackendServer> server = history.mayTry()
 				? this.context.serverSelector()
-					.choose(this.state.service(), this.state.route(), this.state.caller(), excluded())
+					.choose(this.state.service(), this.state.route(), this.state.caller(), this::mayTry)
 				: Optional.empty();
 		if (server.isEmpty()) {
 			throw new RequestRejectedException(reason,
@@ -81,21 +79,8 @@
 		return new Attempt(server.get());
 	}
 
-	/**
-	 * Returns the servers that the request must not be sent to.
-	 * @return ids of the servers
-	 */
-	private Set<String> excluded() {
-		if (!this.state.isResumableStream()) {
-			return this.state.history().excluded();
-		}
-		Set<String> excluded = new HashSet<>(this.state.history().excluded());
-		this.context.directory()
-			.usable(this.state.service())
-			.stream()
-			.filter((server) -> !this.state.isSuitable(server))
-			.forEach((server) -> excluded.add(server.id()));
-		return excluded;
+	private boolean mayTry(BackendServer server) {
+		return !this.state.history().excluded().contains(server.id()) && this.state.isSuitable(server);
 	}
 
 	/**
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestExplainer.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/RequestExplainer.java
@@ -153,7 +153,7 @@
 			PromptPartition partition = shared.promptPartition().copy();
 			PromptRecord.start(partition, service, route, this.caller);
 			ServerSelector selector = RequestExplainer.this.selectors.apply(partition);
-			ServerSelector.Selection selection = selector.select(service, route, this.caller, Set.of());
+			ServerSelector.Selection selection = selector.select(service, route, this.caller, (server) -> true);
 			String chosenId = selection.server().map(BackendServer::id).orElse("");
 			Set<String> candidateIds = selection.candidates().stream().map(ServerView::id).collect(Collectors.toSet());
 			List<BackendServer> registered = shared.directory().registered(service);
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/forward/ServerSelector.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.marjoramgw.direct.caller.CallerRequest;
 import org.marjoramgw.direct.follow.ServerDirectory;
@@ -52,11 +54,12 @@
 	 * @param service name of the service
 	 * @param route route of the request
 	 * @param request the request
-	 * @param excluded ids of servers that earlier attempts failed on
+	 * @param allowed tells whether the request may be sent to a server
 	 * @return the server, or empty if no usable server is left
 	 */
-	public Optional<BackendServer> choose(String service, Route route, CallerRequest request, Set<String> excluded) {
-		return select(service, route, request, excluded).server();
+	public Optional<BackendServer> choose(String service, Route route, CallerRequest request,
+			Predicate<BackendServer> allowed) {
+		return select(service, route, request, allowed).server();
 	}
 
 	/**
@@ -64,14 +67,18 @@
 	 * @param service name of the service
 	 * @param route route of the request
 	 * @param request the request
-	 * @param excluded ids of servers that earlier attempts failed on
+	 * @param allowed tells whether the request may be sent to a server
 	 * @return the selection
 	 */
-	Selection select(String service, Route route, CallerRequest request, Set<String> excluded) {
+	Selection select(String service, Route route, CallerRequest request, Predicate<BackendServer> allowed) {
 		List<BackendServer> servers = this.directory.usable(service);
 		List<ServerView> views = servers.stream().map(this.serverViews::of).toList();
 		PlacementQuery query = query(service, route, request);
 		this.placement.onUsable(query, views);
+		Set<String> excluded = servers.stream()
+			.filter(allowed.negate())
+			.map(BackendServer::id)
+			.collect(Collectors.toSet());
 		List<ServerView> candidates = candidates(service, route.name(), views, excluded);
 		Optional<BackendServer> chosen = this.placement.choose(query, candidates)
 			.flatMap((view) -> servers.stream().filter((server) -> server.id().equals(view.id())).findFirst());
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
@@ -96,7 +96,7 @@
 	public void start() {
 		this.reads.request().thenRun(() -> {
 			if (isLoaded()) {
-				check();
+				scheduleCheck();
 			}
 			else {
 				this.timers.schedule(this.backoff.delayMillis(1), this::start);
@@ -215,9 +215,11 @@
 		this.streams.onRecordsLost();
 	}
 
-	private void check() {
-		onRegistrations();
-		this.timers.schedule(CHECK_INTERVAL_MILLIS, this::check);
+	private void scheduleCheck() {
+		this.timers.schedule(CHECK_INTERVAL_MILLIS, () -> {
+			onRegistrations();
+			scheduleCheck();
+		});
 	}
 
 	/** Receiver of what processes have shared. */
