Search bytes of a response body in one short loop

Cause: ResponseFrame took each byte of a body through five calls (buffer, scan, status line, state, count).

Change: the bytes of a body are searched for the first letter of a status line in one loop over the array; only from there on one by one. Heads, chunk sizes and trailers are followed as before.

Why it works: what is found is the same, wherever the bytes are cut; a seeded test compares both. The work for a byte of a body is one comparison.

--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/http/ResponseFrameTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/http/ResponseFrameTests.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.util.Locale;
+import java.util.Random;
+import java.util.function.IntSupplier;
 
 import org.apache.pekko.util.ByteString;
+import org.marjoramgw.testkit.TestSeed;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -121,6 +124,41 @@
 		}
 	}
 
+	/** Guards against a second response that is missed at the edge of received bytes. */
+	@Test
+	public void piecesOfABodyDoNotChangeWhatIsFound() throws Exception {
+		Random random = TestSeed.random(54);
+		String[] words = { "H", "HT", "HTTP/1.1 20", "HTTP/1.1 200", ": r1", "\r\n", ": r1\r\n", "x", "0" };
+		int foundCount = 0;
+		for (int round = 0; round < 2_000; round++) {
+			StringBuilder body = new StringBuilder();
+			while (body.length() < 60) {
+				body.append(words[random.nextInt(words.length)]);
+			}
+			String response = OK + "Content-Length: 60\r\n\r\n" + body.substring(0, 60);
+			String found = acceptInPieces(response, () -> response.length());
+			foundCount += found.startsWith("second") ? 1 : 0;
+			Assert.assertEquals(acceptInPieces(response, () -> 1), found, response);
+			Assert.assertEquals(acceptInPieces(response, () -> 1 + random.nextInt(9)), found, response);
+		}
+		Assert.assertTrue(foundCount > 100 && foundCount < 1_900, "found " + foundCount);
+	}
+
+	private static String acceptInPieces(String response, IntSupplier pieceBytes) {
+		ResponseFrame frame = new ResponseFrame(false, "r1");
+		int count = 0;
+		try {
+			while (count < response.length() && !frame.isComplete()) {
+				int end = Math.min(response.length(), count + pieceBytes.getAsInt());
+				count += frame.accept(bytes(response.substring(count, end)));
+			}
+			return "complete at " + count;
+		}
+		catch (IOException ex) {
+			return ex.getMessage();
+		}
+	}
+
 	@Test
 	public void bodyMayContainAStatusLineOrTheId() throws Exception {
 		for (String body : new String[] { "HTTP/1.1 404 Not Found: x", "X-Request-Id: r1\r\n then",
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/ResponseFrame.java
@@ -1,7 +1,6 @@
 package org.marjoramgw.http;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 
@@ -66,20 +65,18 @@
 		if (isComplete()) {
 			return 0;
 		}
-		ByteBuffer buffer = bytes.asByteBuffer();
-		while (buffer.hasRemaining() && this.part != Part.COMPLETE) {
-			byte next = buffer.get();
-			this.headBytes += (this.part == Part.HEAD) ? 1 : 0;
-			if ((this.part == Part.HEAD) ? this.scan.isStatusLine(next) && this.head.hasStatusLine(this.line)
-					: this.scan.isSecondResponse(next)) {
-				throw new IOException("second response inside a response");
-			}
-			accept(next);
+		byte[] received = bytes.toArrayUnsafe();
+		int position = 0;
+		while (position < received.length && !isComplete()) {
+			position += switch (this.part) {
+				case HEAD, CHUNK_SIZE, CHUNK_END, TRAILER -> acceptLineByte(received[position]);
+				default -> acceptBody(received, position);
+			};
 		}
-		if (buffer.hasRemaining() && this.scan.mayBeInSecondResponse()) {
+		if (position < received.length && this.scan.mayBeInSecondResponse()) {
 			throw new IOException("end of a second response behind a response");
 		}
-		return bytes.size() - buffer.remaining();
+		return position;
 	}
 
 	/**
@@ -97,27 +94,56 @@
 		return (parsed == head) ? accepted : parsed.concat(accepted.drop(this.headBytes));
 	}
 
-	private void accept(byte next) throws IOException {
-		switch (this.part) {
-			case HEAD, CHUNK_SIZE, CHUNK_END, TRAILER -> acceptLineByte(next);
-			case BODY, CHUNK -> {
-				this.remainingBytes--;
-				if (this.remainingBytes == 0) {
-					this.part = (this.part == Part.BODY) ? Part.COMPLETE : Part.CHUNK_END;
-				}
-			}
-			default -> {
-				// The end of the response is not known.
-			}
+	/**
+	 * Follows bytes of a body. Most of what is received are such bytes, so they aren't
+	 * followed one by one.
+	 * @param received received bytes
+	 * @param from position of the first that wasn't followed yet
+	 * @return number of bytes that were followed
+	 * @throws IOException if a second response begins inside the body
+	 */
+	private int acceptBody(byte[] received, int from) throws IOException {
+		int count = received.length - from;
+		if (this.part != Part.UNKNOWN) {
+			count = (int) Math.min(count, this.remainingBytes);
+			this.remainingBytes -= count;
+		}
+		if (this.scan.hasSecondResponse(received, from, from + count)) {
+			throw insideResponse();
 		}
+		if (this.part != Part.UNKNOWN && this.remainingBytes == 0) {
+			this.part = (this.part == Part.BODY) ? Part.COMPLETE : Part.CHUNK_END;
+		}
+		return count;
 	}
 
-	private void acceptLineByte(byte next) throws IOException {
-		if (next != '\n') {
+	private int acceptLineByte(byte next) throws IOException {
+		boolean second;
+		if (this.part == Part.HEAD) {
+			this.headBytes++;
+			second = this.scan.isStatusLine(next) && this.head.hasStatusLine(this.line);
+		}
+		else {
+			second = this.scan.isSecondResponse(next);
+		}
+		if (second) {
+			throw insideResponse();
+		}
+		if (next == '\n') {
+			endLine();
+		}
+		else {
 			this.line.append((char) (next & 0xff));
 			this.part = (this.line.length() > MAX_LINE_BYTES) ? Part.UNKNOWN : this.part;
-			return;
 		}
+		return 1;
+	}
+
+	private static IOException insideResponse() {
+		return new IOException("second response inside a response");
+	}
+
+	private void endLine() throws IOException {
 		int length = this.line.length();
 		if (length > 0 && this.line.charAt(length - 1) == '\r') {
 			this.line.setLength(length - 1);
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/SecondResponseScan.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/SecondResponseScan.java
@@ -9,8 +9,10 @@
  */
 final class SecondResponseScan {
 
+	private static final byte START = 'H';
+
 	/** Digits and others stand for one character of their kind each. */
-	private static final byte[] STATUS_LINE = { 'H', 'T', 'T', 'P', '/', '1', '.', '0', ' ', '0', '0', '0' };
+	private static final byte[] STATUS_LINE = { START, 'T', 'T', 'P', '/', '1', '.', '0', ' ', '0', '0', '0' };
 
 	/** Bytes after a status line in which the id is searched for. */
 	private static final int HEAD_BYTES = 4 << 10;
@@ -43,7 +45,7 @@
 			this.statusMatched++;
 		}
 		else {
-			this.statusMatched = (next == STATUS_LINE[0]) ? 1 : 0;
+			this.statusMatched = (next == START) ? 1 : 0;
 		}
 		if (this.statusMatched < STATUS_LINE.length) {
 			return false;
@@ -52,6 +54,46 @@
 		return true;
 	}
 
+	/**
+	 * Searches in further bytes of a body.
+	 * @param bytes array that contains the bytes
+	 * @param from position of the first
+	 * @param to position behind the last
+	 * @return whether a second response with the id of the request is certain
+	 */
+	boolean hasSecondResponse(byte[] bytes, int from, int to) {
+		if (this.idLine.length == 0) {
+			return false;
+		}
+		int position = from;
+		while (position < to) {
+			if (this.statusMatched == 0 && this.headBytesLeft == 0) {
+				position = indexOfStart(bytes, position, to);
+			}
+			if (position < to && isSecondResponse(bytes[position])) {
+				return true;
+			}
+			position++;
+		}
+		return false;
+	}
+
+	/**
+	 * Finds where a status line may begin. The loop is kept short: nearly all received
+	 * bytes go through it, in a process that has just started too.
+	 * @param bytes array that contains the bytes
+	 * @param from position of the first
+	 * @param to position behind the last
+	 * @return position of the first byte that may begin a status line, or {@code to}
+	 */
+	private static int indexOfStart(byte[] bytes, int from, int to) {
+		int position = from;
+		while (position < to && bytes[position] != START) {
+			position++;
+		}
+		return position;
+	}
+
 	/**
 	 * Searches in one more byte of a body.
 	 * @param next the byte
