Check the other topics when the configuration can't be read any more

Cause: a read of the registrations waits 3 s and has 0.8 s more to be answered; after that comes a delay. If its connection goes silent, while new ones work, the list of servers is up to 4 s old, and of the crash reports up to 3 s.

Change: the reads of the configuration are the shortest ones. When one of them fails after another was answered, the other topics are read at once, on new connections.

Why it works: a silent link shows at the configuration after 2.3 s at most, which leaves 0.7 s for reads that take some milliseconds. It costs no call while the store answers. If only the connection of the registrations goes silent, nothing is gained.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/StoreFollowers.java
@@ -81,8 +81,9 @@
 		this.clock = clock;
 		this.timers = timers;
 		this.counters = counters;
-		this.configuration = follower("configuration", platform.configuration(), routing,
-				schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS));
+		this.configuration = new TopicFollower("configuration", platform.configuration(), routing, clock, timers,
+				schedule(CONFIGURATION_WAIT_MILLIS, GATHER_MILLIS, MAX_CONFIGURATION_BACKOFF_MILLIS), counters,
+				this::onConfigurationLost);
 		this.configurationReads = new ConfirmationReads(this.configuration::confirm,
 				() -> clock.now().monotonicMillis());
 		this.followers = List.of(this.configuration,
@@ -119,8 +120,17 @@
 		this.followers.forEach(TopicFollower::close);
 	}
 
+	/**
+	 * Checks the other topics when the reads of the configuration, which are the shortest
+	 * ones, are no longer answered: their connections may have gone silent too.
+	 */
+	private void onConfigurationLost() {
+		this.followers.stream().filter((follower) -> follower != this.configuration).forEach(TopicFollower::confirm);
+	}
+
 	private TopicFollower follower(String name, CompactedTopic topic, TopicListener listener, ReadSchedule schedule) {
-		return new TopicFollower(name, topic, listener, this.clock, this.timers, schedule, this.counters);
+		return new TopicFollower(name, topic, listener, this.clock, this.timers, schedule, this.counters, () -> {
+		});
 	}
 
 	private static ReadSchedule schedule(long waitMillis, long gatherMillis, long maxBackoffMillis) {
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -37,6 +37,8 @@
 
 	private final ResultCounters counters;
 
+	private final Runnable onContactLost;
+
 	private final CatchUp catchUp = new CatchUp();
 
 	/** Position to read from next, {@code null} before the first snapshot. */
@@ -60,9 +62,10 @@
 	 * @param timers timers
 	 * @param schedule times of the reads
 	 * @param counters counters of result codes
+	 * @param onContactLost called when a read has failed after one that was answered
 	 */
 	public TopicFollower(String name, CompactedTopic topic, TopicListener listener, AgeClock clock, Timers timers,
-			ReadSchedule schedule, ResultCounters counters) {
+			ReadSchedule schedule, ResultCounters counters, Runnable onContactLost) {
 		this.name = name;
 		this.topic = topic;
 		this.listener = listener;
@@ -70,6 +73,7 @@
 		this.timers = timers;
 		this.schedule = schedule;
 		this.counters = counters;
+		this.onContactLost = onContactLost;
 	}
 
 	/**
@@ -212,8 +216,10 @@
 	private void onFailure(Throwable failure, Runnable retry) {
 		this.counters.count(ResultCode.STORE_AWAY);
 		long delayMillis;
+		boolean lost;
 		synchronized (this) {
-			if (this.reachable) {
+			lost = this.reachable;
+			if (lost) {
 				Logger.warn("{}: lost contact with the store: {}", this.name, failure.toString());
 			}
 			this.reachable = false;
@@ -222,6 +228,9 @@
 			delayMillis = this.schedule.backoff().delayMillis(this.failureCount);
 		}
 		this.timers.schedule(delayMillis, retry);
+		if (lost) {
+			this.onContactLost.run();
+		}
 	}
 
 	private void markReachable() {
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/FixtureRecords.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/FixtureRecords.java
@@ -67,6 +67,23 @@
 		return record("config", CONFIGURATION.replaceFirst("\\}$", ",\"limits\":" + limits + "}"));
 	}
 
+	/**
+	 * Returns a version of a configuration that adds a route with each version:
+	 * {@code /v1/}, {@code /v2/} and so on.
+	 * @param version the version, which is the number of routes
+	 * @return its record
+	 */
+	static KeyedRecord versionOfRoutes(int version) {
+		StringBuilder routes = new StringBuilder();
+		for (int route = 1; route <= version; route++) {
+			routes.append((route > 1) ? "," : "")
+				.append("{\"name\":\"r" + route + "\",\"host\":\"carob.example\",\"pathPrefix\":\"/v" + route
+						+ "/\",\"kind\":\"idempotent\",\"timeoutMs\":1500,\"service\":\"s\",\"attempts\":2}");
+		}
+		return record(RoutingDocument.KEY, "{\"version\":" + version + ",\"routes\":[" + routes
+				+ "],\"tenants\":[{\"name\":\"coop\",\"apiKeys\":[\"key-1\"]}]}");
+	}
+
 	/**
 	 * Returns the registrations of servers.
 	 * @param servers the servers
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
@@ -38,6 +38,8 @@
 
 	private static final int READY_POLL_MILLIS = 20;
 
+	private static final int ANSWER_TIMEOUT_MILLIS = 4_000;
+
 	private final Path directory = Files.createTempDirectory("started-entry");
 
 	private final Path output = this.directory.resolve("output");
@@ -122,6 +124,20 @@
 		return caller;
 	}
 
+	/**
+	 * Sends a request without a body, with the key of the fixture's account.
+	 * @param path path of the request
+	 * @return version and status of the response
+	 * @throws IOException if there is no response in time
+	 */
+	String status(String path) throws IOException {
+		try (Socket caller = connect()) {
+			caller.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
+			ForwardingFixture.send(caller, "GET " + path, "Authorization: Token key-1\r\n", "");
+			return ForwardingFixture.readStatus(caller);
+		}
+	}
+
 	/**
 	 * Asks whether the process is ready.
 	 * @return whether it answers and says so
