Ask the store for an answer at once after contact was lost

Cause: the read after a failure was a long poll like any other, which is answered after 1.5 s if nothing has changed, and until then confirms nothing. What callers saw: after the open connection of the configuration had gone silent once, a process refused all keyed requests with 503 (2016, "not confirmed recently: 4707 ms old") for up to 0.9 s, from 3.2 s after the fault on, later than the 3 s after which its effects have to end, although it had been on a working connection since 2.5 s. After an outage of the store each process refused for 1.5 s longer than needed.

Change: the first read after a failure doesn't wait for records. Every second one does, as before, since it is given 0.8 s more than it waits, which a slow store may need.

Why it works: an answer at once confirms the state as of its sending. It costs one call for each loss of contact.

--- a/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
+++ b/org.marjoramgw.direct.test/src/test/java/org/marjoramgw/direct/follow/TopicFollowerTests.java
@@ -27,6 +27,8 @@
  */
 public class TopicFollowerTests {
 
+	private static final long WAIT_MILLIS = 1_500;
+
 	private static final long GATHER_MILLIS = 250;
 
 	private static final long BASE_BACKOFF_MILLIS = 200;
@@ -92,6 +94,22 @@
 		Assert.assertTrue(min <= value && value <= max, value + " is not between " + min + " and " + max);
 	}
 
+	/**
+	 * Guards against a state that is not confirmed for as long as a read waits, after
+	 * contact was lost, and against reads that a slow store never answers in time.
+	 */
+	@Test
+	public void everyOtherRetryDoesNotWaitForRecords() {
+		Fixture fixture = new Fixture();
+		fixture.topic.completePage(new TopicPage(List.of(), false, 7));
+		for (int failure = 0; failure < 3; failure++) {
+			fixture.topic.failSlice(new StoreUnavailableException("down", null));
+			fixture.runScheduled();
+		}
+		fixture.topic.completeSlice(new TopicSlice(List.of(), 7, 7));
+		Assert.assertEquals(fixture.topic.waits, List.of(WAIT_MILLIS, 0L, WAIT_MILLIS, 0L, WAIT_MILLIS));
+	}
+
 	@Test
 	public void expiredRecordsTriggerNewSnapshot() {
 		Fixture fixture = new Fixture();
@@ -296,7 +314,7 @@
 				this.scheduled.add(task);
 				this.delays.add(delayMillis);
 				return () -> this.scheduled.remove(task);
-			}, new ReadSchedule(1_500, GATHER_MILLIS,
+			}, new ReadSchedule(WAIT_MILLIS, GATHER_MILLIS,
 					new Backoff(BASE_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, TestSeed.random(1))),
 					new ResultCounters(new MetricRegistry()), () -> this.lossCount++);
 			this.follower.start();
@@ -350,6 +368,8 @@
 
 		private final List<String> requests = new ArrayList<>();
 
+		private final List<Long> waits = new ArrayList<>();
+
 		private final Deque<CompletableFuture<TopicPage>> pages = new ArrayDeque<>();
 
 		private final Deque<CompletableFuture<TopicSlice>> slices = new ArrayDeque<>();
@@ -364,6 +384,7 @@
 		@Override
 		public CompletionStage<TopicSlice> read(long fromOffset, long waitMillis) {
 			this.requests.add("read " + fromOffset);
+			this.waits.add(waitMillis);
 			this.slices.add(new CompletableFuture<>());
 			return this.slices.getLast();
 		}
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/follow/TopicFollower.java
@@ -143,7 +143,7 @@
 		}
 		ClockReading sent = this.clock.now();
 		TopicPosition from = position();
-		this.topic.readFrom(from, this.schedule.waitMillis()).whenComplete((slice, failure) -> {
+		this.topic.readFrom(from, waitMillis()).whenComplete((slice, failure) -> {
 			if (failure == null) {
 				onSlice(slice, from, sent);
 			}
@@ -156,6 +156,16 @@
 		});
 	}
 
+	/**
+	 * Returns how long the next read may wait. One after a failure waits for nothing,
+	 * since the state isn't confirmed until it is answered; but every second one does,
+	 * since it is given longer, which a slow store may need.
+	 * @return longest wait for a record, in milliseconds
+	 */
+	private synchronized long waitMillis() {
+		return (this.failureCount % 2 > 0) ? 0 : this.schedule.waitMillis();
+	}
+
 	private void onSlice(TopicSlice slice, TopicPosition from, ClockReading sent) {
 		try {
 			deliver(slice, from, sent);
--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/SilentStoreTests.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/SilentStoreTests.java
@@ -101,6 +101,27 @@
 		}
 	}
 
+	/**
+	 * Guards against keys that are refused after the effects of the fault have to end,
+	 * since the next read waits before it confirms them.
+	 */
+	@Test
+	public void keysAreAcceptedAfterASilentRead() throws Exception {
+		try (StartedEntry entry = new StartedEntry(this.store.address(), GRACE_SECONDS)) {
+			entry.awaitReady();
+			// The first may be one of those that a process sends when it becomes ready.
+			this.store.awaitRead(StoreClient.OPERATOR_TOPIC);
+			this.store.awaitRead(StoreClient.OPERATOR_TOPIC);
+			this.store.silenceConnections();
+			Pause.millis(CONTACT_MILLIS);
+			long startNanos = System.nanoTime();
+			while (millisSince(startNanos) < SENDING_MILLIS) {
+				String status = entry.status("/v1/1");
+				Assert.assertTrue(status.endsWith("200"), status + ": " + entry.output());
+			}
+		}
+	}
+
 	private void write(int version) {
 		this.store.append(StoreClient.OPERATOR_TOPIC, FixtureRecords.versionOfRoutes(version));
 	}
