Release the bytes of a response once they are written

Cause: a connection kept the buffers of its last write until the next one, outside of the memory that is counted for it.

Change: a write that has ended releases its bytes, as one that is discarded does.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/PendingWrite.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/socket/PendingWrite.java
@@ -90,9 +90,7 @@
 		Runnable action;
 		synchronized (this) {
 			this.unwrittenBytes = 0;
-			this.laterBuffers = Collections.emptyIterator();
-			this.buffer = EMPTY;
-			this.piece = EMPTY;
+			release();
 			this.memory.onUnwritten(0);
 			action = takeAction();
 		}
@@ -110,12 +108,24 @@
 			this.unwrittenBytes -= this.channel.write(this.piece);
 			writable = !this.piece.hasRemaining();
 		}
+		if (this.unwrittenBytes == 0) {
+			release();
+		}
 		this.memory.onUnwritten(this.unwrittenBytes);
 		if (this.unwrittenBytes < before) {
 			this.memory.onWritten();
 		}
 	}
 
+	/**
+	 * Releases the bytes; a caller may keep its connection for long without a request.
+	 */
+	private void release() {
+		this.laterBuffers = Collections.emptyIterator();
+		this.buffer = EMPTY;
+		this.piece = EMPTY;
+	}
+
 	private boolean nextPiece() {
 		if (this.piece.hasRemaining()) {
 			return true;
