--- a/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
+++ b/org.marjoramgw.process.test/src/test/java/org/marjoramgw/process/SilentConnectionTests.java
@@ -126,7 +126,7 @@
 			String quote = newOrder();
 			quotes.put(quote, fixture().quote("entry-1", quote));
 		}
-		Await.until("all calls are running", () -> runs(orders.keySet()) + runs(quotes.keySet()) == 2 * STREAM_COUNT);
+		awaitAllRunning(orders, quotes);
 		int lostOrders = reachable ? 0 : runsAt(victim, orders.keySet());
 		int repeatedQuotes = reachable ? 0 : runsAt(victim, quotes.keySet());
 		fixture().controlLink(LinkKind.ENTRY_SIDE, victim.name(), linkMode);
@@ -153,6 +153,26 @@
 		}
 	}
 
+	private void awaitAllRunning(Map<String, CompletableFuture<CallResult>> orders,
+			Map<String, CompletableFuture<CallResult>> quotes) throws Exception {
+		try {
+			Await.until("all calls are running",
+					() -> runs(orders.keySet()) + runs(quotes.keySet()) == 2 * STREAM_COUNT);
+		}
+		catch (AssertionError ex) {
+			throw new AssertionError(
+					ex.getMessage() + ": orders " + describeAll(orders) + ", quotes " + describeAll(quotes), ex);
+		}
+	}
+
+	private String describeAll(Map<String, CompletableFuture<CallResult>> calls) throws Exception {
+		StringBuilder text = new StringBuilder("ran ").append(runs(calls.keySet())).append(" times");
+		for (CompletableFuture<CallResult> call : calls.values()) {
+			text.append('\n').append(call.isDone() ? describe(call.get()) : "not answered");
+		}
+		return text.toString();
+	}
+
 	private int runsAt(BackendPlan backend, Set<String> calls) throws Exception {
 		int runs = 0;
 		for (String call : calls) {
