Initialize four classes of the HTTP library before threads use it

Cause: Uri, Query, Host and HttpEntity.ChunkStreamPart of the library each have a constant that is an instance of a subclass. A thread that initializes the class while another initializes the subclass waits for it, and the other waits for the first, without end. An entry that sends its first request while it is asked for its readiness for the first time does just that. Change: LibraryClasses initializes the four when the first layer of HTTP is created, on either side, which is before anything is sent or read. Why it works: once a class is initialized its subclass waits for nothing.

--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/HttpConnector.java
@@ -65,6 +65,7 @@
 	 * @param strayBytes receiver of reports on bytes that belong to no response
 	 */
 	public HttpConnector(ActorSystem<?> system, ClientConnectionSettings settings, StrayBytes strayBytes) {
+		LibraryClasses.initialize();
 		this.system = system;
 		this.strayBytes = strayBytes;
 		BidiFlow<HttpRequest, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpResponse, NotUsed> httpLayer = Http
--- a/org.marjoramgw/src/main/java/org/marjoramgw/http/PlaintextLayers.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/http/PlaintextLayers.java
@@ -45,6 +45,7 @@
 	 */
 	public static BidiFlow<HttpResponse, ByteString, ByteString, HttpRequest, NotUsed> serverLayer(
 			ActorSystem<?> system, ServerSettings settings) {
+		LibraryClasses.initialize();
 		BidiFlow<HttpResponse, TLSProtocol.SslTlsOutbound, TLSProtocol.SslTlsInbound, HttpRequest, NotUsed> httpLayer = Http
 			.get(system)
 			.serverLayer(settings);
