Record a stream at once unless others were recorded just before

Cause: while a service has two versions, a stream was recorded 200 ms after it had begun, together with others, even if none were recorded before it. A stream whose process died in that time can't be placed, so its take-up is refused. Change: the 200 ms are a pause after a record instead of a delay before it. A failed call is followed by the backoff as before. Why it works: a stream that begins alone is in the store after one call. The bound stays at five records a second for each process. Result: streamIsRecordedAtOnceAndOthersSoonAfterIt is red on the parent (no version found) and green; StreamSharingTests and StreamVersionTests green.

--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamRecorder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamRecorder.java
@@ -25,7 +25,7 @@
  */
 final class StreamRecorder {
 
-	/** Interval of the records of streams, in milliseconds. */
+	/** Time between two records of streams at least, in milliseconds. */
 	static final long INTERVAL_MILLIS = 200;
 
 	/** Slots of the records of a process; replaced only after streams are forgotten. */
@@ -52,7 +52,10 @@
 
 	private boolean appending;
 
-	private boolean scheduled;
+	/** Whether streams that have begun wait until the pause is over. */
+	private boolean paused;
+
+	private Timers.Handle pause = Timers.Handle.NONE;
 
 	private int failureCount;
 
@@ -83,19 +86,19 @@
 	}
 
 	/**
-	 * Writes a stream that has begun together with others, if its service has several
-	 * versions.
+	 * Writes a stream that has begun, if its service has several versions: at once, or
+	 * together with others after a pause if others were written just before.
 	 * @param service name of the service
 	 */
-	void recordSoon(String service) {
+	void record(String service) {
 		if (isMixed(service)) {
-			schedule(INTERVAL_MILLIS);
+			recordNow();
 		}
 	}
 
 	/**
-	 * Writes the mark if it is due, and the streams that wait for nothing else, unless a
-	 * call is open.
+	 * Writes the mark if it is due, and the streams unless there is a pause; does nothing
+	 * if a call is open.
 	 */
 	void recordNow() {
 		if (this.appending) {
@@ -105,9 +108,12 @@
 		Optional<VersionMark> mark = this.versions.isMarkDue(nowMillis) ? Optional.of(this.versions.mark(nowMillis))
 				: Optional.empty();
 		Map<String, Boolean> mixed = new HashMap<>();
-		List<StreamRecord> begun = this.scheduled ? List.of() : this.streams
+		List<StreamRecord> begun = this.paused ? List.of() : this.streams
 			.unrecorded((service) -> mixed.computeIfAbsent(service, this::isMixed), MAX_STREAMS_PER_RECORD, nowMillis);
 		List<KeyedRecord> records = encode(mark, begun, nowMillis);
+		if (!begun.isEmpty()) {
+			pause(INTERVAL_MILLIS);
+		}
 		if (!records.isEmpty()) {
 			this.appending = true;
 			this.topic.append(records).whenComplete((ignored, failure) -> onAppended(mark, begun, failure));
@@ -146,19 +152,18 @@
 		if (this.failureCount == 1) {
 			Logger.warn("streams: not recorded: {}", failure.toString());
 		}
-		schedule(this.backoff.delayMillis(this.failureCount));
+		pause(this.backoff.delayMillis(this.failureCount));
 	}
 
-	private void schedule(long delayMillis) {
-		if (!this.scheduled) {
-			this.scheduled = true;
-			this.timers.schedule(delayMillis, this::onTime);
-		}
+	private void pause(long millis) {
+		this.pause.cancel();
+		this.paused = true;
+		this.pause = this.timers.schedule(millis, this::onPauseEnd);
 	}
 
-	private void onTime() {
+	private void onPauseEnd() {
 		synchronized (this.lock) {
-			this.scheduled = false;
+			this.paused = false;
 			recordNow();
 		}
 	}
