Report the end of each peer connection

Cause: when a connection ends, the library's stream completes the send queue while PekkoTransport does so too. Between the check whether the queue is complete and its completion the other may come first; then the library throws, and the handler is never told that the connection ended. Change: the exception of a queue that is complete is taken for what it says. The test closes 2,000 connections instead of one. Why it works: the handler is told in each order of the two.

--- a/org.marjoramgw.test/src/test/java/org/marjoramgw/transport/PekkoTransportTests.java
+++ b/org.marjoramgw.test/src/test/java/org/marjoramgw/transport/PekkoTransportTests.java
@@ -28,6 +28,8 @@
 
 	private static final long TIMEOUT_MILLIS = 5_000;
 
+	private static final int CLOSED_CONNECTION_COUNT = 2_000;
+
 	private ActorSystem<Void> system;
 
 	private PekkoTransport transport;
@@ -88,15 +90,20 @@
 		Assert.assertEquals(received.next(), new Message.Cancel("b", 1));
 	}
 
+	/**
+	 * Guards against a peer that counts as connected for good after its connection ended.
+	 */
 	@Test
-	public void reportsAConnectionClosedInsideAFrameAsPeerClosed() throws Exception {
+	public void reportsEachConnectionClosedInsideAFrameAsPeerClosed() throws Exception {
 		EventRecorder received = new EventRecorder();
 		HostPort address = listen(received);
-		try (Socket socket = new Socket(address.host(), address.port())) {
-			socket.getOutputStream().write(new byte[] { 0, 0, 0, 9, 3 });
-			socket.getOutputStream().flush();
+		for (int round = 0; round < CLOSED_CONNECTION_COUNT; round++) {
+			try (Socket socket = new Socket(address.host(), address.port())) {
+				socket.getOutputStream().write(new byte[] { 0, 0, 0, 9, 3 });
+				socket.getOutputStream().flush();
+			}
+			Assert.assertEquals(received.next(), ResultCode.PEER_CLOSED, "connection " + round);
 		}
-		Assert.assertEquals(received.next(), ResultCode.PEER_CLOSED);
 	}
 
 	private HostPort listen(ConnectionAcceptor acceptor) throws Exception {
--- a/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
+++ b/org.marjoramgw/src/main/java/org/marjoramgw/transport/PekkoTransport.java
@@ -140,14 +140,22 @@
 
 		@Override
 		public void close() {
-			if (this.closed.compareAndSet(false, true) && !this.queue.isCompleted()) {
-				this.queue.complete();
-			}
+			endQueue(this.queue::complete);
 		}
 
 		private void abort() {
-			if (this.closed.compareAndSet(false, true) && !this.queue.isCompleted()) {
-				this.queue.fail(new IOException(ResultCode.PEER_SLOW.text()));
+			endQueue(() -> this.queue.fail(new IOException(ResultCode.PEER_SLOW.text())));
+		}
+
+		private void endQueue(Runnable end) {
+			if (!this.closed.compareAndSet(false, true)) {
+				return;
+			}
+			try {
+				end.run();
+			}
+			catch (IllegalStateException ex) {
+				// The stream has ended, maybe at this moment.
 			}
 		}
 
