--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/SharedStreamVersions.java
@@ -157,7 +157,7 @@
 	@Override
 	public synchronized void onBegun(String requestId, StreamOrigin origin, BackendServer server) {
 		this.streams.onBegun(StreamRecordCodec.key(requestId), origin, server.id(), this.timeOfDay.nowMillis());
-		this.recorder.record(origin.service());
+		this.recorder.recordSoon(origin.service());
 	}
 
 	@Override
--- a/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamRecorder.java
+++ b/org.marjoramgw.direct/src/main/java/org/marjoramgw/direct/stream/StreamRecorder.java
@@ -25,7 +25,7 @@
  */
 final class StreamRecorder {
 
-	/** Time between two records of streams at least, in milliseconds. */
+	/** Interval of the records of streams, in milliseconds. */
 	static final long INTERVAL_MILLIS = 200;
 
 	/** Slots of the records of a process; replaced only after streams are forgotten. */
@@ -52,10 +52,7 @@
 
 	private boolean appending;
 
-	/** Whether streams that have begun wait until the pause is over. */
-	private boolean paused;
-
-	private Timers.Handle pause = Timers.Handle.NONE;
+	private boolean scheduled;
 
 	private int failureCount;
 
@@ -86,19 +83,19 @@
 	}
 
 	/**
-	 * Writes a stream that has begun, if its service has several versions: at once, or
-	 * together with others after a pause if others were written just before.
+	 * Writes a stream that has begun together with others, if its service has several
+	 * versions.
 	 * @param service name of the service
 	 */
-	void record(String service) {
+	void recordSoon(String service) {
 		if (isMixed(service)) {
-			recordNow();
+			schedule(INTERVAL_MILLIS);
 		}
 	}
 
 	/**
-	 * Writes the mark if it is due, and the streams unless there is a pause; does nothing
-	 * if a call is open.
+	 * Writes the mark if it is due, and the streams that wait for nothing else, unless a
+	 * call is open.
 	 */
 	void recordNow() {
 		if (this.appending) {
@@ -108,12 +105,9 @@
 		Optional<VersionMark> mark = this.versions.isMarkDue(nowMillis) ? Optional.of(this.versions.mark(nowMillis))
 				: Optional.empty();
 		Map<String, Boolean> mixed = new HashMap<>();
-		List<StreamRecord> begun = this.paused ? List.of() : this.streams
+		List<StreamRecord> begun = this.scheduled ? List.of() : this.streams
 			.unrecorded((service) -> mixed.computeIfAbsent(service, this::isMixed), MAX_STREAMS_PER_RECORD, nowMillis);
 		List<KeyedRecord> records = encode(mark, begun, nowMillis);
-		if (!begun.isEmpty()) {
-			pause(INTERVAL_MILLIS);
-		}
 		if (!records.isEmpty()) {
 			this.appending = true;
 			this.topic.append(records).whenComplete((ignored, failure) -> onAppended(mark, begun, failure));
@@ -152,18 +146,19 @@
 		if (this.failureCount == 1) {
 			Logger.warn("streams: not recorded: {}", failure.toString());
 		}
-		pause(this.backoff.delayMillis(this.failureCount));
+		schedule(this.backoff.delayMillis(this.failureCount));
 	}
 
-	private void pause(long millis) {
-		this.pause.cancel();
-		this.paused = true;
-		this.pause = this.timers.schedule(millis, this::onPauseEnd);
+	private void schedule(long delayMillis) {
+		if (!this.scheduled) {
+			this.scheduled = true;
+			this.timers.schedule(delayMillis, this::onTime);
+		}
 	}
 
-	private void onPauseEnd() {
+	private void onTime() {
 		synchronized (this.lock) {
-			this.paused = false;
+			this.scheduled = false;
 			recordNow();
 		}
 	}
