Take the ports of started entries where no connection gets one by itself

Cause: the tests of started entries took ports from the range that the operating system gives to connections. Between the choice and the use, or while a process was started again, a connection of another process could get the port. Change: a random port from 12,000 to 32,767 that can be bound. Why it works: Linux gives connections ports from 32,768 on.

--- a/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
+++ b/org.marjoramgw.platform.test/src/test/java/org/marjoramgw/platform/StartedEntry.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -40,6 +41,14 @@
 
 	private static final int ANSWER_TIMEOUT_MILLIS = 4_000;
 
+	/** Lowest port of the tests' processes. */
+	private static final int MIN_PORT = 12_000;
+
+	/** First port that the operating system gives to connections by itself. */
+	private static final int MAX_PORT = 32_768;
+
+	private static final int PORT_ATTEMPTS = 20;
+
 	private final Path directory = Files.createTempDirectory("started-entry");
 
 	private final Path output = this.directory.resolve("output");
@@ -196,15 +205,24 @@
 	}
 
 	/**
-	 * Returns an address on which nothing listens.
+	 * Returns an address on which nothing listens, and whose port the operating system
+	 * gives to no connection of another process.
 	 * @return the address
-	 * @throws IOException if there is none
+	 * @throws IOException if none of several ports is free
 	 */
 	static HostPort freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket()) {
-			socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-			return new HostPort("127.0.0.1", socket.getLocalPort());
+		IOException failure = null;
+		for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
+			int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+			try (ServerSocket socket = new ServerSocket()) {
+				socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+				return new HostPort("127.0.0.1", port);
+			}
+			catch (IOException ex) {
+				failure = ex;
+			}
 		}
+		throw failure;
 	}
 
 }
